--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Builds redwingpitch. `make demo` and `make check` are the two commands of
+# the README; each installs what it needs first.
+CC = gcc
+PKGS = libh2o libuv popt log4c glib-2.0 libtirpc json-c libxxhash
+CSTD = -std=gnu11 -D_GNU_SOURCE
+WARN = -Wall -Wextra -Werror
+OPT ?= -O2 -g
+B ?= build
+CPPFLAGS += $(shell pkg-config --cflags $(PKGS) | sed 's/-I/-isystem /g')
+LDLIBS = -Wl,--as-needed $(shell pkg-config --libs $(PKGS)) -lssl -lcrypto -lm
+CFLAGS = $(CSTD) $(WARN) $(OPT) $(SAN)
+
+DECIDE = $(wildcard decide/*.c)
+WIRE = $(wildcard wire/*.c)
+LIB_OBJ = $(patsubst %.c,$(B)/%.o,$(DECIDE) $(WIRE))
+BINS = rw-entryd rw-admind rwctl rw-load rw-fake-platform rw-fake-engine \
+       rw-fake-service
+
+all: $(addprefix $(B)/,$(BINS))
+
+$(B)/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+
+# rpcgen's output has unused variables.
+$(B)/wire/msg_xdr.o: WARN = -Wall
+
+$(B)/librw.a: $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+define link
+$(CC) $(CFLAGS) $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS) -o $@
+endef
+
+$(B)/rw-fake-platform: $(B)/fakes/platform.o $(B)/fakes/fake.o $(B)/librw.a
+	$(link)
+$(B)/rw-fake-engine: $(B)/fakes/engine.o $(B)/fakes/fake.o $(B)/librw.a
+	$(link)
+$(B)/rw-fake-service: $(B)/fakes/service.o $(B)/fakes/fake.o $(B)/librw.a
+	$(link)
+$(B)/rw-entryd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/entryd*.c)) \
+		$(B)/librw.a
+	$(link)
+$(B)/rw-admind: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/admind*.c)) \
+		$(B)/librw.a
+	$(link)
+$(B)/rwctl: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/ctl*.c)) $(B)/librw.a
+	$(link)
+$(B)/rw-load: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/load*.c)) $(B)/librw.a
+	$(link)
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+.PHONY: all
--- /dev/null
+++ b/decide/admit.c
@@ -0,0 +1,122 @@
+/* The admission queue of a pool. */
+#include "admit.h"
+
+#include "check.h"
+
+#define MIN_WEIGHT 0.001
+#define COME_BACK_MIN_MS 200
+
+struct admit_queue *admit_queue_create(guint most)
+{
+	struct admit_queue *queue = g_new0(struct admit_queue, 1);
+
+	g_queue_init(&queue->tickets);
+	queue->finished = g_hash_table_new_full(g_str_hash, g_str_equal,
+						g_free, g_free);
+	queue->most = most;
+	return queue;
+}
+
+void admit_queue_free(struct admit_queue *queue)
+{
+	g_queue_clear(&queue->tickets);
+	g_hash_table_destroy(queue->finished);
+	g_free(queue);
+}
+
+/* Orders tickets: batch last, then priority, then virtual start time. */
+static gint by_service(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct admit_ticket *left = a;
+	const struct admit_ticket *right = b;
+
+	(void)data;
+	if (left->batch != right->batch)
+		return left->batch ? 1 : -1;
+	if (left->priority != right->priority)
+		return left->priority - right->priority;
+	if (left->start == right->start)
+		return -1; /* keeps the order of arrival */
+	return left->start < right->start ? -1 : 1;
+}
+
+/* The virtual time up to which an account has been served. */
+static double *finish_of(struct admit_queue *queue, const char *account)
+{
+	double *finish = g_hash_table_lookup(queue->finished, account);
+
+	if (!finish) {
+		finish = g_new0(double, 1);
+		g_hash_table_insert(queue->finished, g_strdup(account),
+				    finish);
+	}
+	return finish;
+}
+
+/* Tickets that would be served before this one. */
+static guint ahead_of(const struct admit_queue *queue,
+		      const struct admit_ticket *ticket)
+{
+	guint ahead = 0;
+
+	for (GList *at = queue->tickets.head; at; at = at->next) {
+		const struct admit_ticket *other = at->data;
+
+		if (other->batch && !ticket->batch)
+			break;
+		if (other->batch == ticket->batch &&
+		    other->priority > ticket->priority)
+			break;
+		ahead++;
+	}
+	return ahead;
+}
+
+bool admit_can(const struct admit_queue *queue,
+	       const struct admit_ticket *ticket,
+	       const struct admit_pool *pool, clk_ms now, clk_ms *come_back)
+{
+	guint ahead;
+	double wait;
+
+	if (pool->room > 0 && queue->tickets.length == 0)
+		return true;
+	ahead = ahead_of(queue, ticket);
+	wait = (ahead + 1) * pool->service_ms / MAX(pool->slots, 1);
+	*come_back = MAX((clk_ms)wait, COME_BACK_MIN_MS);
+	if (queue->tickets.length >= queue->most)
+		return false;
+	return ticket->deadline == CLK_NEVER ||
+	       now + (clk_ms)(wait + pool->service_ms) < ticket->deadline;
+}
+
+void admit_push(struct admit_queue *queue, struct admit_ticket *ticket)
+{
+	double *finish = finish_of(queue, ticket->account);
+
+	dec_assert(!ticket->queued, "a ticket waits once");
+	ticket->start = MAX(*finish, queue->virtual_time);
+	*finish = ticket->start +
+		  ticket->tokens / MAX(ticket->weight, MIN_WEIGHT);
+	ticket->queued = true;
+	g_queue_insert_sorted(&queue->tickets, ticket, by_service, NULL);
+}
+
+struct admit_ticket *admit_pop(struct admit_queue *queue)
+{
+	struct admit_ticket *ticket = g_queue_pop_head(&queue->tickets);
+
+	if (!ticket)
+		return NULL;
+	ticket->queued = false;
+	queue->virtual_time = MAX(queue->virtual_time, ticket->start);
+	return ticket;
+}
+
+void admit_remove(struct admit_queue *queue, struct admit_ticket *ticket)
+{
+	if (!ticket->queued)
+		return;
+	ticket->queued = false;
+	g_queue_remove(&queue->tickets, ticket);
+}
--- /dev/null
+++ b/decide/home-guard.c
@@ -0,0 +1,403 @@
+/* A guardian's side: holding for another home, sealing, taking over. */
+#include "home-int.h"
+
+#include <string.h>
+
+#define SEAL_RETRY_MS 250 /* between two tries at the platform */
+#define SEAL_READS_MAX 40 /* a swap may be late: its record is read again */
+
+static void req_free_value(void *req)
+{
+	req_free(req);
+}
+
+/* Finds the guard of a home, or creates it. */
+static struct guard *guard_get(struct home *home, const char *owner)
+{
+	struct guard *guard = g_hash_table_lookup(home->guards, owner);
+
+	if (guard)
+		return guard;
+	guard = g_new0(struct guard, 1);
+	guard->home = g_strdup(owner);
+	guard->reqs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    req_free_value);
+	g_hash_table_insert(home->guards, guard->home, guard);
+	return guard;
+}
+
+void home_guard_free(struct guard *guard)
+{
+	g_hash_table_destroy(guard->reqs);
+	g_free(guard->home);
+	g_free(guard);
+}
+
+/* Answers a home what is kept of one of its requests. */
+static void verdict_send(struct home *home, const struct home_msg *msg,
+			 enum home_verdict verdict, const struct req *req)
+{
+	struct home_msg answer = {
+		.kind = HOME_VERDICT,
+		.from = home->self,
+		.to = msg->from,
+		.home = msg->home,
+		.epoch = msg->epoch,
+		.id = msg->id,
+		.verdict = verdict,
+		.acked = req ? req_piece_count(req) : 0,
+		.end_acked = req && req->answer.ended,
+	};
+
+	home->options.ops->send(home->options.ctx, &answer);
+}
+
+/* Adds a request of a guarded home. */
+static struct req *guarded_add(struct home *home, struct guard *guard,
+			       const struct home_msg *msg)
+{
+	struct rid rid;
+	struct req *req;
+
+	if (!rid_parse(msg->id, strlen(msg->id), &rid))
+		return NULL;
+	req = req_create(msg->id, &rid);
+	req->guarded = true;
+	req->accepted = true;
+	req->acting = g_strdup(guard->home);
+	req->created = home->now;
+	req->phase = REQ_HELD;
+	g_hash_table_insert(guard->reqs, req->id, req);
+	return req;
+}
+
+/* Tells whether a guarded request was given up: its tombstone. */
+static bool is_tombstone(const struct req *req)
+{
+	return req->answer.ended && req_ran(req) == ERR_RAN_NO;
+}
+
+/* What the guardian says of a request as it stands. */
+static enum home_verdict verdict_of(const struct req *req)
+{
+	if (is_tombstone(req))
+		return VERDICT_REVOKED;
+	return req->phase == REQ_GRANTED ? VERDICT_GRANTED : VERDICT_HELD;
+}
+
+/* Keeps a request, and grants it if that is asked for. */
+static void on_hold(struct home *home, struct guard *guard,
+		    const struct home_msg *msg)
+{
+	struct req *req = g_hash_table_lookup(guard->reqs, msg->id);
+
+	if (!req) {
+		req = guarded_add(home, guard, msg);
+		if (!req || !msg->attrs)
+			return;
+		req_attrs_set(req, msg->attrs);
+		req->deadline = msg->time_left == CLK_NEVER ?
+					CLK_NEVER :
+					home->now + msg->time_left;
+		if (req->deadline != CLK_NEVER)
+			req->expires =
+				req->deadline + home->options.retention;
+	}
+	if (!is_tombstone(req) && (msg->want_grant || msg->granted))
+		req->phase = REQ_GRANTED;
+	verdict_send(home, msg, verdict_of(req), req);
+}
+
+/* Adds the pieces and the end that are new. */
+static void progress_take(struct req *req, const struct home_msg *msg)
+{
+	size_t have = req_piece_count(req);
+
+	if (msg->upstream)
+		req_attempt_set(req, msg->upstream, msg->stream);
+	if (msg->first > have || req->answer.ended)
+		return;
+	for (size_t n = have - msg->first; n < msg->count; n++) {
+		size_t len;
+		const char *ptr = req_piece(
+			msg->pieces, msg->first + n - msg->pieces_base, &len);
+
+		req_piece_add(req, ptr, len);
+	}
+	if (msg->ended) {
+		req_answer_end(req, msg->end_kind, msg->end_status);
+		req_drop_body(req);
+	}
+}
+
+static void on_progress(struct home *home, struct guard *guard,
+			const struct home_msg *msg)
+{
+	struct req *req = g_hash_table_lookup(guard->reqs, msg->id);
+
+	if (!req)
+		return;
+	progress_take(req, msg);
+	if (req->answer.ended && req->expires == CLK_NEVER)
+		req->expires = home->now + home->options.retention;
+	verdict_send(home, msg, verdict_of(req), req);
+}
+
+/* Writes a tombstone: the request will not run by this host's doing. */
+static void on_revoke(struct home *home, struct guard *guard,
+		      const struct home_msg *msg)
+{
+	struct req *req = g_hash_table_lookup(guard->reqs, msg->id);
+
+	if (!req)
+		req = guarded_add(home, guard, msg);
+	if (!req)
+		return;
+	req_answer_end(req, RW_EDEADLINE, 0);
+	req_drop_body(req);
+	if (req->expires == CLK_NEVER)
+		req->expires = home->now + home->options.retention;
+	verdict_send(home, msg, verdict_of(req), req);
+}
+
+/* Late progress of a home that was taken over: better than unknown. */
+static void on_late_progress(struct home *home, const struct home_msg *msg)
+{
+	struct req *req = g_hash_table_lookup(home->reqs, msg->id);
+
+	if (!req || req->attrs.idempotent || !msg->ended || req->running ||
+	    msg->first > req_piece_count(req) ||
+	    err_answer(msg->end_kind)->ran != ERR_RAN_YES)
+		return;
+	if (req->answer.ended && req_ran(req) != ERR_RAN_UNKNOWN)
+		return;
+	if (!req->answer.ended)
+		progress_take(req, msg);
+	home_finish(home, req, msg->end_kind, msg->end_status);
+}
+
+/* Forgets what was held under an older guardianship. */
+static void guard_epoch(struct guard *guard, int64_t epoch)
+{
+	if (epoch <= guard->epoch)
+		return;
+	if (guard->epoch != 0)
+		g_hash_table_remove_all(guard->reqs);
+	guard->epoch = epoch;
+	if (guard->state == GUARD_RETIRED)
+		guard->state = GUARD_ACTIVE;
+	guard->reads = 0;
+}
+
+void home_guard_on_msg(struct home *home, const struct home_msg *msg)
+{
+	struct guard *guard = guard_get(home, msg->home);
+
+	if (guard->state == GUARD_SEALED) {
+		if (msg->kind == HOME_PROGRESS)
+			on_late_progress(home, msg);
+		verdict_send(home, msg, VERDICT_SEALED, NULL);
+		return;
+	}
+	if (guard->state == GUARD_SEALING &&
+	    (home_rule(home, HOME_RULE_SEALING_GRANTS_NOT) ||
+	     msg->kind != HOME_HOLD))
+		return;
+	guard_epoch(guard, msg->epoch);
+	if (msg->epoch != guard->epoch || guard->state == GUARD_RETIRED)
+		return;
+	switch (msg->kind) {
+	case HOME_HOLD:
+		on_hold(home, guard, msg);
+		break;
+	case HOME_PROGRESS:
+		on_progress(home, guard, msg);
+		break;
+	case HOME_REVOKE:
+		on_revoke(home, guard, msg);
+		break;
+	case HOME_RETIRE:
+		home_guard_seal(home, guard);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Makes a guarded request this host's own to answer. */
+static void req_inherit(struct home *home, struct req *req)
+{
+	req->guarded = false;
+	req->inherited = true;
+	req->acked = 0;
+	req->end_acked = false;
+	req->copied = false;
+	req->next_send = home->now;
+	g_free(req->acting);
+	req->acting = g_strdup(home->self);
+	g_hash_table_insert(home->reqs, req->id, req);
+}
+
+/* Takes over one request by what is known of it. */
+static void req_take_over(struct home *home, struct req *req)
+{
+	bool granted = req->phase == REQ_GRANTED;
+
+	req_inherit(home, req);
+	req->expires = CLK_NEVER;
+	if (req->answer.ended) {
+		req->phase = REQ_ENDED;
+		home_expire_later(home, req);
+		home_activate(home, req);
+		return;
+	}
+	home_activate(home, req);
+	if (!granted) {
+		/* Held, never granted: nobody has dispatched it. */
+		req->phase = REQ_NEW;
+		req->accepted = false;
+		home_hold_send(home, req);
+		return;
+	}
+	req->phase = REQ_GRANTED;
+	req->probing = true;
+	home->options.ops->probe(home->options.ctx, req);
+}
+
+/* Moves requests out of a guard: all, or only the idempotent ones. */
+static void guard_take_over(struct home *home, struct guard *guard,
+			    bool idempotent_only)
+{
+	GList *reqs = g_hash_table_get_values(guard->reqs);
+
+	for (GList *at = reqs; at; at = at->next) {
+		struct req *req = at->data;
+
+		if (idempotent_only && !req->attrs.idempotent)
+			continue;
+		g_hash_table_steal(guard->reqs, req->id);
+		if (home_find(home, req->id))
+			req_free(req);
+		else
+			req_take_over(home, req);
+	}
+	g_list_free(reqs);
+}
+
+void home_guard_seal(struct home *home, struct guard *guard)
+{
+	guard->state = GUARD_SEALING;
+	guard->record.state = RECORD_NONE;
+	guard->next_try = home->now;
+	/* What may be repeated needs no seal. */
+	guard_take_over(home, guard, true);
+	home_guard_tick(home, guard);
+}
+
+/* The record is sealed by this host: it speaks for the home's ids. */
+static void guard_sealed(struct home *home, struct guard *guard)
+{
+	guard->state = GUARD_SEALED;
+	guard->closed_at = home->now;
+	guard_take_over(home, guard, false);
+}
+
+/* Writes the seal over the record that was read. */
+static void seal_swap(struct home *home, struct guard *guard,
+		      const struct home_record *found)
+{
+	home_record_next(home, &guard->record, found, RECORD_SEALED,
+			 home->self);
+	home->options.ops->swap(home->options.ctx, guard->home,
+				&guard->record);
+}
+
+void home_guard_on_record(struct home *home, struct guard *guard,
+			  enum record_outcome outcome,
+			  const struct home_record *record)
+{
+	bool ours;
+
+	if (guard->state != GUARD_SEALING || outcome == RECORD_UNSURE)
+		return; /* the tick repeats the call */
+	ours = record && record->state == RECORD_SEALED &&
+	       !strcmp(record->peer, home->self);
+	if (outcome == RECORD_WON || ours) {
+		guard_sealed(home, guard);
+		return;
+	}
+	if (record && record->state == RECORD_OPEN &&
+	    !strcmp(record->peer, home->self)) {
+		seal_swap(home, guard, record);
+		return;
+	}
+	if (record && record->state == RECORD_OPEN &&
+	    ++guard->reads < SEAL_READS_MAX) {
+		guard->record.state = RECORD_NONE;
+		return;
+	}
+	guard->state = GUARD_RETIRED;
+	guard->closed_at = home->now;
+	g_hash_table_remove_all(guard->reqs);
+}
+
+bool home_guard_expired(const struct home *home, const struct guard *guard)
+{
+	bool closed = guard->state == GUARD_SEALED ||
+		      guard->state == GUARD_RETIRED;
+
+	return closed && home->now - guard->closed_at >
+				 2 * home->options.retention;
+}
+
+void home_claim(struct home *home, const char *incarnation, clk_ms now)
+{
+	struct guard *guard = guard_get(home, incarnation);
+
+	home->now = now;
+	if (guard->state == GUARD_ACTIVE)
+		home_guard_seal(home, guard);
+}
+
+/* Forgets tombstones and ended requests whose time is over. */
+static gboolean guarded_expired(gpointer key, gpointer value, gpointer ctx)
+{
+	const struct req *req = value;
+	const struct home *home = ctx;
+
+	(void)key;
+	return clk_passed(req->expires, home->now);
+}
+
+void home_guard_tick(struct home *home, struct guard *guard)
+{
+	if (!clk_passed(guard->next_try, home->now))
+		return;
+	guard->next_try = home->now + SEAL_RETRY_MS;
+	if (guard->state == GUARD_SEALING) {
+		if (guard->record.state == RECORD_NONE)
+			home->options.ops->read(home->options.ctx,
+						guard->home);
+		else
+			home->options.ops->swap(home->options.ctx,
+						guard->home, &guard->record);
+		return;
+	}
+	g_hash_table_foreach_remove(guard->reqs, guarded_expired, home);
+}
+
+void home_retire(struct home *home, clk_ms now)
+{
+	struct home_msg msg = {
+		.kind = HOME_RETIRE,
+		.from = home->self,
+		.to = home->record.peer,
+		.home = home->self,
+		.epoch = home->record.epoch,
+		.id = "",
+	};
+
+	home->now = now;
+	if (home->state == HOME_OPEN && home->record.peer[0])
+		home->options.ops->send(home->options.ctx, &msg);
+}
--- /dev/null
+++ b/decide/home.h
@@ -0,0 +1,246 @@
+/*
+ * Homes and guardians: who may run a request, and who answers for it.
+ *
+ * Every host is the home of the request ids that carry its incarnation, and
+ * the guardian of some other hosts' ids. A guardian is the one other host
+ * that holds a home's requests and takes over if the home is lost. The
+ * platform keeps one record per home, changed by compare-and-swap; nothing
+ * is written there per request. The rules are those of docs/DESIGN.md.
+ */
+#ifndef DECIDE_HOME_H
+#define DECIDE_HOME_H
+
+#include "req.h"
+
+/* What a home's record on the platform says. */
+enum record_state {
+	RECORD_NONE, /* there is no record */
+	RECORD_OPEN,
+	RECORD_SEALED,
+};
+
+/* The record of one home. */
+struct home_record {
+	enum record_state state;
+	char peer[RID_INCARNATION_MAX + 1]; /* guardian, or who sealed it */
+	int64_t epoch;			    /* grows with each guardian */
+	char change[RID_INCARNATION_MAX + 24]; /* unique to the write */
+	int64_t mod;			    /* the platform's revision */
+};
+
+/* How a call to the platform ended. */
+enum record_outcome {
+	RECORD_READ,   /* a read was answered */
+	RECORD_WON,    /* the swap took effect */
+	RECORD_LOST,   /* another value was there; it is passed along */
+	RECORD_UNSURE, /* no answer: it may have taken effect or yet do so */
+};
+
+enum home_msg_kind {
+	HOME_HOLD,     /* home to guardian: keep this request */
+	HOME_PROGRESS, /* home to guardian: pieces and the end */
+	HOME_REVOKE,   /* home to guardian: it was given up */
+	HOME_VERDICT,  /* guardian to home: what it keeps of an id */
+	HOME_RETIRE,   /* home to guardian: take over, I am leaving */
+	HOME_MSG_COUNT,
+};
+
+/* What a guardian says of an id. */
+enum home_verdict {
+	VERDICT_HELD,
+	VERDICT_GRANTED,
+	VERDICT_REVOKED, /* a tombstone is kept: it will not run */
+	VERDICT_SEALED,	 /* the sender has taken the home's ids over */
+	VERDICT_COUNT,
+};
+
+/* One message between a home and a guardian. */
+struct home_msg {
+	enum home_msg_kind kind;
+	const char *from; /* incarnation */
+	const char *to;	  /* incarnation; another one drops it */
+	const char *home; /* acting home that the message is about */
+	int64_t epoch;	  /* of the home's record */
+	const char *id;	  /* request id; "" if about the whole home */
+	/* HOME_HOLD */
+	bool want_grant;
+	bool copy;	      /* from a change of guardian or a take-over */
+	bool granted;	      /* copy of a granted request */
+	const struct req_attrs *attrs;
+	clk_ms time_left; /* until the deadline */
+	/* HOME_PROGRESS */
+	const char *upstream;
+	const char *stream;
+	size_t first;		  /* number of the first piece */
+	const struct req *pieces; /* they are read from its answer */
+	size_t pieces_base;	  /* number of the first piece that it has */
+	size_t count;		  /* of pieces from first on */
+	bool ended;
+	enum err_kind end_kind;
+	int end_status;
+	/* HOME_VERDICT */
+	enum home_verdict verdict;
+	size_t acked;	/* pieces that the guardian has */
+	bool end_acked; /* it has the end too */
+};
+
+/* Where a request id is to be asked for. */
+enum home_place {
+	HOME_HERE,     /* this host has the authority */
+	HOME_ELSEWHERE, /* look the home's record up */
+	HOME_SEALED,   /* this host's own record was sealed by home->peer */
+};
+
+/* Orders that the decisions give; ctx is home_options.ctx. */
+struct home_ops {
+	void (*send)(void *ctx, const struct home_msg *msg);
+	/* Swaps a home's record; ends in home_on_record. */
+	void (*swap)(void *ctx, const char *home,
+		     const struct home_record *record);
+	/* Reads a home's record; ends in home_on_record. */
+	void (*read)(void *ctx, const char *home);
+	/* Names a live host to be the guardian, or NULL. */
+	const char *(*pick_guardian)(void *ctx);
+	void (*accepted)(void *ctx, struct req *req);
+	/* The request may be dispatched now. */
+	void (*run)(void *ctx, struct req *req);
+	/* Ask the upstream whether a lost home's request ran. */
+	void (*probe)(void *ctx, struct req *req);
+	/* The request has its final answer, or a better one. */
+	void (*ended)(void *ctx, struct req *req);
+	/* Another host has the authority; its callers are sent there. */
+	void (*moved)(void *ctx, struct req *req);
+	/* Called before a request is freed. */
+	void (*forget)(void *ctx, struct req *req);
+};
+
+/* Rules that a proof can switch off to see it fail; none in service. */
+enum home_rule {
+	HOME_RULE_REVOKE_ACK = 1 << 0, /* not run only when confirmed */
+	HOME_RULE_NO_OLD_GRANT = 1 << 1, /* no grant between copy and swap */
+	HOME_RULE_COPY_FIRST = 1 << 2, /* copy comes before the swap */
+	HOME_RULE_SEALING_GRANTS_NOT = 1 << 3, /* no grant once seal is sent */
+	HOME_RULE_UNSEEN_NOT_RUN = 1 << 4, /* unseen is never run as new */
+	HOME_RULE_GRANTED_UNKNOWN = 1 << 5, /* a status query proves nothing */
+	HOME_RULE_TWO_SEALS_UNKNOWN = 1 << 6, /* unseen after two seals */
+};
+
+struct home_options {
+	const struct home_ops *ops;
+	void *ctx;
+	clk_ms resend;	      /* before an unanswered message is repeated */
+	clk_ms revoke_wait;   /* before an unconfirmed refusal is unknown */
+	clk_ms retention;     /* how long ids are known after their locate */
+	clk_ms answer_keep;   /* how long answers are kept after the end */
+	clk_ms progress_gap;  /* between two progress messages of a request */
+	unsigned rules_off;   /* enum home_rule bits */
+};
+
+/* State of this host's own record. */
+enum home_state {
+	HOME_CLOSED,   /* no record yet */
+	HOME_OPENING,  /* the first swap is on its way */
+	HOME_OPEN,
+	HOME_COPYING,  /* everything goes to the next guardian */
+	HOME_SWAPPING, /* the swap to the next guardian is on its way */
+	HOME_LOST,     /* sealed by another host */
+};
+
+/* A home that this host guards, or has taken over. */
+enum guard_state {
+	GUARD_ACTIVE,
+	GUARD_SEALING,	/* nothing is granted any more */
+	GUARD_SEALED,	/* this host has the authority */
+	GUARD_RETIRED,	/* another host guards or sealed it */
+};
+
+struct guard {
+	char *home;
+	enum guard_state state;
+	int64_t epoch;
+	struct home_record record; /* the seal that is being written */
+	clk_ms next_try;
+	clk_ms closed_at; /* when it was sealed or retired */
+	unsigned reads;	  /* of a record that names another guardian */
+	GHashTable *reqs; /* id -> struct req with acting == home */
+};
+
+struct home {
+	struct home_options options;
+	char self[RID_INCARNATION_MAX + 1];
+	enum home_state state;
+	struct home_record record;    /* as last known */
+	struct home_record wanted;    /* what is being written */
+	char candidate[RID_INCARNATION_MAX + 1]; /* the next guardian */
+	bool guardian_lost; /* the record's guardian is dead */
+	clk_ms next_try;
+	int64_t changes;    /* swaps begun, for unique change ids */
+	GHashTable *reqs;   /* id -> struct req: home or taken over */
+	GHashTable *active; /* set of struct req that need attention */
+	GQueue expiry;	    /* ended requests, first to expire first */
+	GQueue answers;	    /* ended requests whose answer is still kept */
+	char lost_as[RID_INCARNATION_MAX + 1]; /* last incarnation sealed */
+	GHashTable *guards; /* incarnation -> struct guard */
+	clk_ms now;	    /* time of the call in progress */
+};
+
+struct home *home_create(const char *self, const struct home_options *options);
+void home_free(struct home *home);
+
+/* Does what is due: repeats, deadlines, swaps, expiry. */
+void home_tick(struct home *home, clk_ms now);
+/* Takes a message. */
+void home_on_msg(struct home *home, const struct home_msg *msg, clk_ms now);
+/* Takes the end of a swap or read; record is what is stored, if known. */
+void home_on_record(struct home *home, const char *owner,
+		    enum record_outcome outcome,
+		    const struct home_record *record, clk_ms now);
+/* A host was declared dead, or is leaving: no longer a guardian. */
+void home_on_lost(struct home *home, const char *incarnation, clk_ms now);
+/* A host asks to be replaced as guardian before it leaves. */
+void home_on_leaving(struct home *home, const char *incarnation, clk_ms now);
+/* Hands all authority over; the record is sealed by the guardian. */
+void home_retire(struct home *home, clk_ms now);
+/* Takes a new incarnation after the old one was lost. */
+void home_renew(struct home *home, const char *self, clk_ms now);
+
+/* Whether this host speaks for ids of that incarnation. */
+enum home_place home_place(const struct home *home, const char *incarnation);
+/* Finds a request that this host speaks for, or NULL. */
+struct req *home_find(struct home *home, const char *id);
+/* Begins a request; home_find must have returned NULL. The end may come
+ * within the call, by the callbacks. Returns the request, or NULL with kind
+ * set if it is refused without a trace. */
+struct req *home_submit(struct home *home, const char *id,
+			const struct rid *rid, const struct req_attrs *attrs,
+			clk_ms deadline, bool want_run, enum err_kind *kind,
+			clk_ms now);
+/* Refuses a new request for good, before any other host has seen it. */
+struct req *home_reject(struct home *home, const char *id,
+			const struct rid *rid, const struct req_attrs *attrs,
+			enum err_kind kind, clk_ms now);
+/* An upstream has room for it: it is run as soon as that is allowed. */
+void home_want_run(struct home *home, struct req *req, clk_ms now);
+/* Gives a request up that was not dispatched; kind is told once sure. */
+void home_refuse(struct home *home, struct req *req, enum err_kind kind,
+		 clk_ms now);
+/* An attempt begins at an upstream. */
+void home_attempt(struct home *home, struct req *req, const char *upstream,
+		  const char *stream, clk_ms now);
+/* A piece of the answer has come. */
+void home_piece(struct home *home, struct req *req, const char *ptr,
+		size_t len, clk_ms now);
+/* Evidence that a dispatched call did not run: it may be dispatched again,
+ * and a request under probe is. */
+void home_prove_not_run(struct home *home, struct req *req, clk_ms now);
+/* A dead home's record names this host as guardian: it is sealed. */
+void home_claim(struct home *home, const char *incarnation, clk_ms now);
+/* The dispatcher's last word on a request that it ran or probed. */
+void home_end(struct home *home, struct req *req, enum err_kind kind,
+	      int status, clk_ms now);
+/* How many requests are not at their end and this host's to answer. */
+size_t home_open_count(const struct home *home);
+/* How many homes this host guards that are not taken over. */
+size_t home_guarded_count(const struct home *home);
+
+#endif
--- /dev/null
+++ b/decide/limit.c
@@ -0,0 +1,54 @@
+/* The token bucket of an account. */
+#include "limit.h"
+
+#include <glib.h>
+
+#define BURST_SECONDS 2.0 /* of the rate that may be saved up */
+
+/* The most that a bucket may hold. */
+static double bucket_size(const struct limit *limit)
+{
+	return limit->rate * limit->share * BURST_SECONDS;
+}
+
+/* Fills the bucket for the time that went by. */
+static void limit_fill(struct limit *limit, clk_ms now)
+{
+	double seconds = (double)(now - limit->last) / CLK_SECOND;
+
+	limit->last = now;
+	limit->saved += seconds * limit->rate * limit->share;
+	limit->saved = MIN(limit->saved, bucket_size(limit));
+}
+
+void limit_set(struct limit *limit, double rate, double share, clk_ms now)
+{
+	bool first = limit->rate == 0;
+
+	if (!first)
+		limit_fill(limit, now);
+	limit->rate = rate;
+	limit->share = share;
+	limit->last = now;
+	limit->saved = first ? bucket_size(limit) :
+			       MIN(limit->saved, bucket_size(limit));
+}
+
+bool limit_take(struct limit *limit, int tokens, clk_ms now, clk_ms *come_back)
+{
+	double need;
+
+	if (limit->rate <= 0)
+		return true;
+	limit_fill(limit, now);
+	/* A request larger than the bucket passes when the bucket is full. */
+	need = MIN((double)tokens, bucket_size(limit));
+	if (limit->saved >= need) {
+		limit->saved -= tokens;
+		return true;
+	}
+	*come_back = (clk_ms)((need - limit->saved) * CLK_SECOND /
+			      MAX(limit->rate * limit->share, 0.001)) +
+		     1;
+	return false;
+}
--- /dev/null
+++ b/decide/retry.h
@@ -0,0 +1,38 @@
+/*
+ * Retries: a budget per pool and jittered back-off. A retry is paid from
+ * what first attempts put in, so a failing pool gets at most a fixed share
+ * of calls more than without retries.
+ */
+#ifndef DECIDE_RETRY_H
+#define DECIDE_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clk.h"
+
+struct retry_options {
+	double share;	 /* of first attempts that may be retried */
+	double burst;	 /* retries that may be saved up */
+	clk_ms base;	 /* mean first back-off */
+	clk_ms limit;	 /* longest back-off */
+	unsigned most;	 /* attempts of one request */
+};
+
+struct retry_budget {
+	struct retry_options options;
+	double saved; /* retries that may be made now */
+	uint64_t made;
+	uint64_t denied;
+};
+
+void retry_budget_init(struct retry_budget *budget,
+		       const struct retry_options *options);
+/* A request makes its first attempt. */
+void retry_on_first(struct retry_budget *budget);
+/* Asks for one retry after so many attempts; random is in 0 to 999. Returns
+ * the back-off in ms, or -1 if it is denied or would pass the deadline. */
+clk_ms retry_ask(struct retry_budget *budget, unsigned attempts,
+		 uint32_t random, clk_ms now, clk_ms deadline);
+
+#endif
--- /dev/null
+++ b/fakes/fake.h
@@ -0,0 +1,28 @@
+/* What the stand-ins share: JSON answers and their main loop. */
+#ifndef FAKES_FAKE_H
+#define FAKES_FAKE_H
+
+#include "../wire/http.h"
+#include "../wire/json.h"
+
+/* Answers with obj and gives up the reference to it. */
+void fake_reply(struct http_call *call, int status, struct json_object *obj);
+/* Answers {"error": text}. */
+void fake_reply_error(struct http_call *call, int status, const char *text);
+/* Answers nothing and breaks the connection, as a lost answer. */
+void fake_lose(struct http_call *call);
+/* Parses the body; answers 400 and returns NULL if it is no object. */
+struct json_object *fake_body(struct http_call *call);
+/* Tells whether the call has this method and path. */
+bool fake_is(const struct http_call *call, const char *method,
+	     const char *path);
+/* Returns a copy of a view as text; the caller frees it. */
+char *fake_text(struct http_view view);
+/* Returns a query parameter as a number, or fallback. */
+int64_t fake_query_int(const struct http_call *call, const char *name,
+		       int64_t fallback);
+/* Serves until SIGTERM or SIGINT; prints "listening PORT" first. */
+int fake_serve(uv_loop_t *loop, int port,
+	       void (*on_call)(void *ctx, struct http_call *call), void *ctx);
+
+#endif
--- /dev/null
+++ b/wire/conf-gen.h
@@ -0,0 +1,97 @@
+/* Made by tools/gen-settings.py of schema/settings.json. */
+#ifndef WIRE_CONF_GEN_H
+#define WIRE_CONF_GEN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* The kinds of settings objects. */
+enum conf_kind {
+	CONF_ENTRY,
+	CONF_ADMIN,
+	CONF_MODEL,
+	CONF_ROUTE,
+	CONF_ACCOUNT,
+	CONF_ROUTING,
+	CONF_KIND_COUNT,
+};
+
+/* The settings file of one rw-entryd process. */
+struct conf_entry {
+	char *name;
+	char *data_centre;
+	char *address;
+	int64_t http_port;
+	int64_t rpc_port;
+	char *platform;
+	char **seeds;
+	int64_t max_body_bytes;
+	int64_t queue_max;
+	int64_t drain_ms;
+	int64_t retention_ms;
+	int64_t answer_keep_ms;
+	int64_t probe_period_ms;
+	int64_t suspicion_ms;
+	bool guard;
+	int64_t loss_percent;
+	int64_t seed;
+	char *log_level;
+	char *log_file;
+	char *trace_file;
+};
+
+/* The settings file of one rw-admind process. */
+struct conf_admin {
+	char *address;
+	int64_t http_port;
+	char *platform;
+	char **entries;
+	int64_t history_max;
+	char *log_level;
+	char *log_file;
+};
+
+/* A model that a team offers: key <team>/model/<name>. */
+struct conf_model {
+	char *pool;
+	char *version;
+	char *adapter;
+	int64_t priority;
+	bool batch;
+	int64_t max_tokens;
+	int64_t deadline_ms;
+	int64_t idle_ms;
+};
+
+/* A call to a plain service: key <team>/route/<name>. */
+struct conf_route {
+	char *pool;
+	char *path;
+	bool idempotent;
+	bool fencing;
+	char *status_path;
+	int64_t not_run_status;
+	int64_t priority;
+	int64_t deadline_ms;
+	int64_t timeout_ms;
+};
+
+/* An account of a team: key <team>/account/<name>. */
+struct conf_account {
+	double weight;
+	double tokens_per_s;
+};
+
+/* How upstreams are chosen: key <team>/routing/<pool>. */
+struct conf_routing {
+	char *policy;
+	double wait;
+	double prefill;
+	double distance_ms;
+	double reclaim;
+	double prefill_us;
+	int64_t samples;
+	double retry_share;
+};
+
+#endif
--- /dev/null
+++ b/wire/http-client.c
@@ -0,0 +1,257 @@
+/* The HTTP client: one connection per fetch, over h2o's client. */
+#include "http.h"
+
+#include <h2o.h>
+#include <h2o/http1client.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SOCKET_IO_TIMEOUT_MS 600000 /* fetches have timers of their own */
+
+struct http_client {
+	uv_loop_t *loop;
+	h2o_http1client_ctx_t context;
+	h2o_timeout_t io_timeout;
+	h2o_timeout_t zero_timeout;
+};
+
+struct http_fetch {
+	struct http_client *client;
+	struct http_fetch_spec spec;
+	h2o_http1client_t *h2o;
+	h2o_iovec_t request[2]; /* head, body */
+	uv_timer_t timer;	/* its data is the fetch */
+	clk_ms deadline;	/* loop time; 0: none */
+	int status;
+	bool connected;
+	bool in_callback; /* h2o is on the stack: it closes by itself */
+	bool deferred_refusal; /* on_done is owed from the timer */
+};
+
+static void fetch_on_timer(uv_timer_t *timer);
+
+struct http_client *http_client_create(uv_loop_t *loop)
+{
+	struct http_client *client = g_new0(struct http_client, 1);
+
+	client->loop = loop;
+	h2o_timeout_init(loop, &client->io_timeout, SOCKET_IO_TIMEOUT_MS);
+	h2o_timeout_init(loop, &client->zero_timeout, 0);
+	client->context = (h2o_http1client_ctx_t){
+		.loop = loop,
+		.io_timeout = &client->io_timeout,
+	};
+	return client;
+}
+
+/* Frees a fetch once its timer is closed. */
+static void fetch_on_closed(uv_handle_t *handle)
+{
+	struct http_fetch *fetch = handle->data;
+
+	g_free(fetch->request[0].base);
+	if (fetch->spec.body)
+		g_bytes_unref(fetch->spec.body);
+	g_free(fetch);
+}
+
+/* Begins to free a fetch. */
+static void fetch_free(struct http_fetch *fetch)
+{
+	uv_timer_stop(&fetch->timer);
+	uv_close((uv_handle_t *)&fetch->timer, fetch_on_closed);
+}
+
+/* Tells the owner how the fetch ended and frees it. */
+static void fetch_finish(struct http_fetch *fetch, enum http_result result)
+{
+	fetch->h2o = NULL;
+	fetch->spec.on_done(fetch->spec.ctx, result, fetch->status);
+	fetch_free(fetch);
+}
+
+/* Sets the timer to the earlier of the deadline and the idle timeout. */
+static void fetch_arm(struct http_fetch *fetch)
+{
+	clk_ms now = (clk_ms)uv_now(fetch->client->loop);
+	clk_ms wait = CLK_NEVER;
+
+	if (fetch->deadline)
+		wait = MAX(fetch->deadline - now, 1);
+	if (fetch->spec.idle_timeout)
+		wait = MIN(wait, fetch->spec.idle_timeout);
+	if (wait != CLK_NEVER)
+		uv_timer_start(&fetch->timer, fetch_on_timer, (uint64_t)wait,
+			       0);
+}
+
+/* Hands over the bytes that have come; returns whether to go on. */
+static bool fetch_take_input(struct http_fetch *fetch)
+{
+	h2o_socket_t *sock = fetch->h2o->sock;
+	size_t len = sock->input->size;
+
+	if (len == 0)
+		return true;
+	fetch_arm(fetch);
+	fetch->in_callback = true;
+	fetch->spec.on_data(fetch->spec.ctx, sock->input->bytes, len);
+	fetch->in_callback = false;
+	if (!fetch->h2o)
+		return false;
+	h2o_buffer_consume(&sock->input, len);
+	return true;
+}
+
+/* h2o has read a part of the body, or its end. */
+static int fetch_on_body(h2o_http1client_t *h2o, const char *errstr)
+{
+	struct http_fetch *fetch = h2o->data;
+
+	if (!fetch_take_input(fetch))
+		return -1;
+	if (errstr == h2o_http1client_error_is_eos)
+		fetch_finish(fetch, HTTP_WHOLE);
+	else if (errstr)
+		fetch_finish(fetch, HTTP_CUT);
+	return 0;
+}
+
+/* h2o has read the head of the answer. */
+static h2o_http1client_body_cb
+fetch_on_head(h2o_http1client_t *h2o, const char *errstr, int minor_version,
+	      int status, h2o_iovec_t msg, h2o_header_t *headers,
+	      size_t num_headers, int rlen)
+{
+	struct http_fetch *fetch = h2o->data;
+
+	(void)minor_version;
+	(void)msg;
+	(void)headers;
+	(void)num_headers;
+	(void)rlen;
+	if (errstr && errstr != h2o_http1client_error_is_eos) {
+		fetch_finish(fetch, HTTP_CUT);
+		return NULL;
+	}
+	fetch->status = status;
+	fetch_arm(fetch);
+	fetch->in_callback = true;
+	if (fetch->spec.on_head)
+		fetch->spec.on_head(fetch->spec.ctx, status);
+	fetch->in_callback = false;
+	if (!fetch->h2o)
+		return NULL;
+	if (errstr) {
+		fetch_finish(fetch, HTTP_WHOLE);
+		return NULL;
+	}
+	return fetch_on_body;
+}
+
+/* h2o is connected and asks what to send. */
+static h2o_http1client_head_cb fetch_on_connect(h2o_http1client_t *h2o,
+						const char *errstr,
+						h2o_iovec_t **reqbufs,
+						size_t *reqbufcnt,
+						int *method_is_head)
+{
+	struct http_fetch *fetch = h2o->data;
+
+	if (errstr) {
+		fetch_finish(fetch, HTTP_REFUSED);
+		return NULL;
+	}
+	fetch->connected = true;
+	*reqbufs = fetch->request;
+	*reqbufcnt = fetch->spec.body ? 2 : 1;
+	*method_is_head = 0;
+	return fetch_on_head;
+}
+
+/* The time is over, or a refusal is still to be told. */
+static void fetch_on_timer(uv_timer_t *timer)
+{
+	struct http_fetch *fetch = timer->data;
+	h2o_http1client_t *h2o = fetch->h2o;
+
+	if (fetch->deferred_refusal) {
+		fetch_finish(fetch, HTTP_REFUSED);
+		return;
+	}
+	if (h2o)
+		h2o_http1client_cancel(h2o);
+	fetch_finish(fetch, fetch->connected ? HTTP_TIMEOUT : HTTP_REFUSED);
+}
+
+/* Builds the request's head. */
+static h2o_iovec_t fetch_head(const struct http_fetch_spec *spec)
+{
+	GString *head = g_string_new(NULL);
+
+	g_string_append_printf(head, "%s %s HTTP/1.1\r\nhost: %s\r\n",
+			       spec->method, spec->path, spec->address);
+	g_string_append(head, "connection: close\r\n");
+	if (spec->headers)
+		g_string_append(head, spec->headers);
+	if (spec->body)
+		g_string_append_printf(head, "content-length: %zu\r\n",
+				       g_bytes_get_size(spec->body));
+	g_string_append(head, "\r\n");
+	return h2o_iovec_init(head->str, head->len);
+	/* the caller frees the text by way of the iovec */
+}
+
+/* Splits "IP:port"; returns the port, or 0 if there is none. */
+static uint16_t address_split(const char *address, h2o_iovec_t *host)
+{
+	const char *colon = strrchr(address, ':');
+
+	if (!colon)
+		return 0;
+	*host = h2o_iovec_init(address, (size_t)(colon - address));
+	return (uint16_t)strtoul(colon + 1, NULL, 10);
+}
+
+struct http_fetch *http_fetch_start(struct http_client *client,
+				    const struct http_fetch_spec *spec)
+{
+	struct http_fetch *fetch = g_new0(struct http_fetch, 1);
+	h2o_iovec_t host = { NULL, 0 };
+	uint16_t port = address_split(spec->address, &host);
+
+	fetch->client = client;
+	fetch->spec = *spec;
+	fetch->request[0] = fetch_head(spec);
+	if (spec->body) {
+		gsize len;
+		const void *data = g_bytes_get_data(spec->body, &len);
+
+		fetch->request[1] = h2o_iovec_init(data, len);
+		g_bytes_ref(spec->body);
+	}
+	uv_timer_init(client->loop, &fetch->timer);
+	fetch->timer.data = fetch;
+	if (port == 0) {
+		fetch->deferred_refusal = true;
+		uv_timer_start(&fetch->timer, fetch_on_timer, 0, 0);
+		return fetch;
+	}
+	if (spec->timeout)
+		fetch->deadline =
+			(clk_ms)uv_now(client->loop) + spec->timeout;
+	fetch_arm(fetch);
+	h2o_http1client_connect(&fetch->h2o, fetch, &client->context, host,
+				port, 0, fetch_on_connect);
+	return fetch;
+}
+
+void http_fetch_cancel(struct http_fetch *fetch)
+{
+	h2o_http1client_t *h2o = fetch->h2o;
+
+	fetch->h2o = NULL;
+	if (h2o && !fetch->in_callback)
+		h2o_http1client_cancel(h2o);
+	fetch_free(fetch);
+}
--- /dev/null
+++ b/wire/json.c
@@ -0,0 +1,117 @@
+/* Short ways into json-c objects. */
+#include "json.h"
+
+#include <limits.h>
+
+#define PARSE_DEPTH 32 /* nested objects and arrays */
+
+/* Counts the lines of text up to offset at, from 1. */
+static int line_of(const char *text, size_t at)
+{
+	int line = 1;
+
+	for (size_t i = 0; i < at; i++)
+		line += text[i] == '\n';
+	return line;
+}
+
+/* Tells whether only blanks and comments follow in text. */
+static bool only_blank(const char *ptr, size_t len)
+{
+	for (size_t i = 0; i < len; i++) {
+		if (ptr[i] == '/')
+			return true; /* json-c has parsed comments itself */
+		if (!g_ascii_isspace(ptr[i]))
+			return false;
+	}
+	return true;
+}
+
+struct json_object *json_parse_checked(const char *ptr, size_t len,
+				       GError **error)
+{
+	struct json_tokener *tok = json_tokener_new_ex(PARSE_DEPTH);
+	struct json_object *obj = NULL;
+	enum json_tokener_error code = json_tokener_error_size;
+	size_t end = 0;
+
+	if (len < INT_MAX) {
+		obj = json_tokener_parse_ex(tok, ptr, (int)len);
+		code = json_tokener_get_error(tok);
+		end = json_tokener_get_parse_end(tok);
+	}
+	json_tokener_free(tok);
+	if (obj && json_object_is_type(obj, json_type_object) &&
+	    only_blank(ptr + end, len - end))
+		return obj;
+	g_set_error(error, g_quark_from_static_string("json"), (int)code,
+		    "line %d: %s", line_of(ptr, MIN(end, len)),
+		    obj ? "not one JSON object" :
+			  json_tokener_error_desc(code));
+	json_object_put(obj);
+	return NULL;
+}
+
+struct json_object *json_parse_object(const char *ptr, size_t len)
+{
+	return json_parse_checked(ptr, len, NULL);
+}
+
+const char *json_text(struct json_object *obj, const char *key,
+		      const char *fallback)
+{
+	struct json_object *value;
+
+	if (json_object_object_get_ex(obj, key, &value) &&
+	    json_object_is_type(value, json_type_string))
+		return json_object_get_string(value);
+	return fallback;
+}
+
+int64_t json_int(struct json_object *obj, const char *key, int64_t fallback)
+{
+	struct json_object *value;
+
+	if (json_object_object_get_ex(obj, key, &value) &&
+	    json_object_is_type(value, json_type_int))
+		return json_object_get_int64(value);
+	return fallback;
+}
+
+int json_flag(struct json_object *obj, const char *key, int fallback)
+{
+	struct json_object *value;
+
+	if (json_object_object_get_ex(obj, key, &value) &&
+	    json_object_is_type(value, json_type_boolean))
+		return json_object_get_boolean(value);
+	return fallback;
+}
+
+double json_real(struct json_object *obj, const char *key, double fallback)
+{
+	struct json_object *value;
+
+	if (json_object_object_get_ex(obj, key, &value) &&
+	    (json_object_is_type(value, json_type_double) ||
+	     json_object_is_type(value, json_type_int)))
+		return json_object_get_double(value);
+	return fallback;
+}
+
+void json_add_text(struct json_object *obj, const char *key, const char *value)
+{
+	json_object_object_add(obj, key, json_object_new_string(value));
+}
+
+void json_add_int(struct json_object *obj, const char *key, int64_t value)
+{
+	json_object_object_add(obj, key, json_object_new_int64(value));
+}
+
+const char *json_print(struct json_object *obj, size_t *len)
+{
+	return json_object_to_json_string_length(
+		obj, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE,
+		len);
+}
--- /dev/null
+++ b/wire/log.h
@@ -0,0 +1,16 @@
+/* The log: lines for changes of state, by log4c. */
+#ifndef WIRE_LOG_H
+#define WIRE_LOG_H
+
+#include <glib.h>
+
+/* Opens the log; level as in the settings, file empty for stderr. */
+int log_open(const char *program, const char *level, const char *file,
+	     GError **error);
+void log_error(const char *format, ...) __attribute__((format(printf, 1, 2)));
+void log_warn(const char *format, ...) __attribute__((format(printf, 1, 2)));
+void log_notice(const char *format, ...) __attribute__((format(printf, 1, 2)));
+void log_info(const char *format, ...) __attribute__((format(printf, 1, 2)));
+void log_close(void);
+
+#endif
--- /dev/null
+++ b/wire/rpc-home.c
@@ -0,0 +1,186 @@
+/* Messages of homes and guardians between decide's form and XDR's. */
+#include "rpc.h"
+
+#include <string.h>
+
+static char no_text[] = "";
+
+/* XDR's texts may not be NULL. */
+static char *text_or_empty(const char *text)
+{
+	return text ? (char *)text : no_text;
+}
+
+/* NULL stands for an empty text again. */
+static const char *text_or_null(const char *text)
+{
+	return text[0] ? text : NULL;
+}
+
+static void attrs_to_wire(const struct req_attrs *attrs, w_attrs *wire)
+{
+	gsize len = 0;
+	const void *data =
+		attrs->body ? g_bytes_get_data(attrs->body, &len) : NULL;
+
+	wire->account = text_or_empty(attrs->account);
+	wire->target = text_or_empty(attrs->target);
+	wire->trace = text_or_empty(attrs->trace);
+	wire->body.body_val = (char *)data;
+	wire->body.body_len = (u_int)len;
+	wire->model = attrs->model;
+	wire->idempotent = attrs->idempotent;
+	wire->streaming = attrs->streaming;
+	wire->body_hash = attrs->body_hash;
+}
+
+/* Puts the pieces from first on into one text and a list of ends. */
+static void pieces_to_wire(const struct home_msg *msg, w_home *wire)
+{
+	size_t count = msg->count;
+	size_t len;
+	const char *start;
+	u_int end = 0;
+
+	if (!msg->pieces || count == 0)
+		return;
+	start = req_piece(msg->pieces, msg->first - msg->pieces_base, &len);
+	wire->ends.ends_val = g_new(u_int, count);
+	wire->ends.ends_len = (u_int)count;
+	for (size_t n = 0; n < count; n++) {
+		req_piece(msg->pieces, msg->first - msg->pieces_base + n, &len);
+		end += (u_int)len;
+		wire->ends.ends_val[n] = end;
+	}
+	wire->pieces.pieces_val = (char *)start;
+	wire->pieces.pieces_len = end;
+}
+
+void rpc_home_to_wire(const struct home_msg *msg, w_home *wire)
+{
+	memset(wire, 0, sizeof(*wire));
+	wire->kind = msg->kind;
+	wire->from = text_or_empty(msg->from);
+	wire->to = text_or_empty(msg->to);
+	wire->home = text_or_empty(msg->home);
+	wire->epoch = msg->epoch;
+	wire->id = text_or_empty(msg->id);
+	wire->want_grant = msg->want_grant;
+	wire->copy = msg->copy;
+	wire->granted = msg->granted;
+	if (msg->attrs) {
+		wire->attrs = g_new0(w_attrs, 1);
+		attrs_to_wire(msg->attrs, wire->attrs);
+	}
+	wire->time_left = msg->time_left;
+	wire->upstream = text_or_empty(msg->upstream);
+	wire->stream = text_or_empty(msg->stream);
+	wire->first = (u_int)msg->first;
+	pieces_to_wire(msg, wire);
+	wire->ended = msg->ended;
+	wire->end_kind = msg->end_kind;
+	wire->end_status = msg->end_status;
+	wire->verdict = msg->verdict;
+	wire->acked = (u_int)msg->acked;
+	wire->end_acked = msg->end_acked;
+}
+
+void rpc_home_wire_clear(w_home *wire)
+{
+	g_free(wire->attrs);
+	g_free(wire->ends.ends_val);
+}
+
+/* Tells whether the numbers of a message are in range. */
+static bool in_range(const w_home *wire)
+{
+	u_int last = 0;
+
+	if (wire->kind >= HOME_MSG_COUNT || wire->verdict >= VERDICT_COUNT ||
+	    wire->end_kind >= ERR_KIND_COUNT || wire->epoch < 0)
+		return false;
+	for (u_int n = 0; n < wire->ends.ends_len; n++) {
+		if (wire->ends.ends_val[n] < last)
+			return false;
+		last = wire->ends.ends_val[n];
+	}
+	return last == wire->pieces.pieces_len;
+}
+
+/* Builds a request that has just the pieces of a message. */
+static struct req *pieces_from_wire(const w_home *wire)
+{
+	struct rid none = { .time = 0 };
+	struct req *req = req_create("", &none);
+	u_int start = 0;
+
+	for (u_int n = 0; n < wire->ends.ends_len; n++) {
+		u_int end = wire->ends.ends_val[n];
+
+		req_piece_add(req, wire->pieces.pieces_val + start,
+			      end - start);
+		start = end;
+	}
+	return req;
+}
+
+static void attrs_from_wire(const w_attrs *wire, struct req_attrs *attrs)
+{
+	*attrs = (struct req_attrs){
+		.account = wire->account,
+		.target = wire->target,
+		.trace = wire->trace,
+		.model = wire->model,
+		.idempotent = wire->idempotent,
+		.streaming = wire->streaming,
+		.body_hash = wire->body_hash,
+	};
+	if (wire->body.body_len)
+		attrs->body =
+			g_bytes_new(wire->body.body_val, wire->body.body_len);
+}
+
+bool rpc_home_from_wire(const w_home *wire,
+			void (*fn)(void *ctx, const struct home_msg *msg),
+			void *ctx)
+{
+	struct req_attrs attrs = { .body = NULL };
+	struct home_msg msg;
+	struct req *pieces;
+
+	if (!in_range(wire))
+		return false;
+	if (wire->attrs)
+		attrs_from_wire(wire->attrs, &attrs);
+	pieces = pieces_from_wire(wire);
+	msg = (struct home_msg){
+		.kind = (enum home_msg_kind)wire->kind,
+		.from = wire->from,
+		.to = wire->to,
+		.home = wire->home,
+		.epoch = wire->epoch,
+		.id = wire->id,
+		.want_grant = wire->want_grant,
+		.copy = wire->copy,
+		.granted = wire->granted,
+		.attrs = wire->attrs ? &attrs : NULL,
+		.time_left = wire->time_left,
+		.upstream = text_or_null(wire->upstream),
+		.stream = text_or_null(wire->stream),
+		.first = wire->first,
+		.pieces = pieces,
+		.pieces_base = wire->first,
+		.count = wire->ends.ends_len,
+		.ended = wire->ended,
+		.end_kind = (enum err_kind)wire->end_kind,
+		.end_status = wire->end_status,
+		.verdict = (enum home_verdict)wire->verdict,
+		.acked = wire->acked,
+		.end_acked = wire->end_acked,
+	};
+	fn(ctx, &msg);
+	req_free(pieces);
+	if (attrs.body)
+		g_bytes_unref(attrs.body);
+	return true;
+}
--- /dev/null
+++ b/wire/rpc.c
@@ -0,0 +1,606 @@
+/* The RPC endpoint: sockets, record marking, calls and answers. */
+#include "rpc.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+#include <rpc/rpc.h>
+#include <rpc/rpc_msg.h>
+
+#define LISTEN_BACKLOG 256	     /* connections */
+#define RECORD_MAX (24 << 20)	     /* bytes of one record */
+#define MARK_BYTES 4		     /* of a record's header */
+#define MARK_LAST 0x80000000u	     /* last fragment of a record */
+#define DATAGRAM_MAX 4096	     /* bytes */
+#define PENDING_MAX (32 << 20)	     /* bytes queued for one peer */
+#define IDLE_MS 60000		     /* before an unused connection closes */
+#define CALL_SWEEP_MS 100	     /* between looks at late answers */
+
+/* A connection, made or accepted. */
+struct rpc_conn {
+	struct rpc *rpc;
+	uv_tcp_t tcp;
+	uv_connect_t connect;
+	char *peer; /* address, if this host made it */
+	bool connected;
+	bool closing;
+	GByteArray *in;
+	GByteArray *pending; /* queued until it is connected */
+	clk_ms last_used;
+};
+
+/* A call of RW_SYNC that waits for its answer. */
+struct rpc_wait {
+	u_int32_t xid;
+	clk_ms until; /* loop time */
+	void (*fn)(void *ctx, const w_sync_res *res);
+	void *ctx;
+};
+
+struct rpc {
+	uv_loop_t *loop;
+	uv_udp_t udp;
+	uv_tcp_t listener;
+	uv_timer_t timer;
+	struct rpc_handlers handlers;
+	struct rpc_counters counters;
+	GHashTable *peers;    /* address -> struct rpc_conn */
+	GPtrArray *accepted;  /* struct rpc_conn */
+	GArray *waits;	      /* struct rpc_wait */
+	u_int32_t xid;
+	char datagram[DATAGRAM_MAX];
+};
+
+/* One write under way. */
+struct rpc_write {
+	uv_write_t write;
+	void *data;
+};
+
+static clk_ms now_of(const struct rpc *rpc)
+{
+	return (clk_ms)uv_now(rpc->loop);
+}
+
+/* Splits "IP:port". */
+static bool address_parse(const char *text, struct sockaddr_in *addr)
+{
+	const char *colon = strrchr(text, ':');
+	char *host;
+	bool ok;
+
+	if (!colon)
+		return false;
+	host = g_strndup(text, (gsize)(colon - text));
+	ok = uv_ip4_addr(host, (int)g_ascii_strtoll(colon + 1, NULL, 10),
+			 addr) == 0;
+	g_free(host);
+	return ok;
+}
+
+/* Encodes a call; returns its length, or 0 if it does not fit. */
+static size_t call_encode(struct rpc *rpc, rpcproc_t proc, xdrproc_t encode,
+			  const void *args, char *buf, size_t size)
+{
+	struct rpc_msg call = {
+		.rm_xid = ++rpc->xid,
+		.rm_direction = CALL,
+	};
+	XDR xdr;
+	size_t len = 0;
+
+	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call.rm_call.cb_prog = RW_PROGRAM;
+	call.rm_call.cb_vers = RW_VERSION;
+	call.rm_call.cb_proc = proc;
+	call.rm_call.cb_cred = _null_auth;
+	call.rm_call.cb_verf = _null_auth;
+	xdrmem_create(&xdr, buf, (u_int)size, XDR_ENCODE);
+	if (xdr_callmsg(&xdr, &call) && encode(&xdr, (void *)args))
+		len = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return len;
+}
+
+/* Writes a record's header before its bytes. */
+static void mark_put(char *buf, size_t len)
+{
+	u_int32_t mark = htonl(MARK_LAST | (u_int32_t)len);
+
+	memcpy(buf, &mark, MARK_BYTES);
+}
+
+/* Connections. */
+
+static void conn_on_closed(uv_handle_t *handle)
+{
+	struct rpc_conn *conn = handle->data;
+
+	g_byte_array_free(conn->in, TRUE);
+	g_byte_array_free(conn->pending, TRUE);
+	g_free(conn->peer);
+	g_free(conn);
+}
+
+static void conn_close(struct rpc_conn *conn)
+{
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	if (conn->peer)
+		g_hash_table_remove(conn->rpc->peers, conn->peer);
+	else
+		g_ptr_array_remove_fast(conn->rpc->accepted, conn);
+	uv_close((uv_handle_t *)&conn->tcp, conn_on_closed);
+}
+
+static struct rpc_conn *conn_create(struct rpc *rpc)
+{
+	struct rpc_conn *conn = g_new0(struct rpc_conn, 1);
+
+	conn->rpc = rpc;
+	conn->in = g_byte_array_new();
+	conn->pending = g_byte_array_new();
+	conn->last_used = now_of(rpc);
+	uv_tcp_init(rpc->loop, &conn->tcp);
+	conn->tcp.data = conn;
+	return conn;
+}
+
+static void write_on_done(uv_write_t *req, int status)
+{
+	struct rpc_write *write = (struct rpc_write *)req;
+	struct rpc_conn *conn = req->handle->data;
+
+	if (status != 0)
+		conn_close(conn);
+	g_free(write->data);
+	g_free(write);
+}
+
+/* Writes bytes and takes them over. */
+static void conn_write(struct rpc_conn *conn, void *data, size_t len)
+{
+	struct rpc_write *write = g_new0(struct rpc_write, 1);
+	uv_buf_t buf = uv_buf_init(data, (unsigned)len);
+
+	write->data = data;
+	conn->last_used = now_of(conn->rpc);
+	conn->rpc->counters.bytes_out += len;
+	if (uv_write(&write->write, (uv_stream_t *)&conn->tcp, &buf, 1,
+		     write_on_done) != 0) {
+		g_free(data);
+		g_free(write);
+		conn_close(conn);
+	}
+}
+
+static void alloc_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	(void)handle;
+	*buf = uv_buf_init(g_malloc(suggested), (unsigned)suggested);
+}
+
+/* Answers a call of RW_SYNC. */
+static void serve_sync(struct rpc_conn *conn, u_int32_t xid,
+		       const w_sync_args *args)
+{
+	struct rpc *rpc = conn->rpc;
+	w_sync_res res = { .updates.updates_len = 0 };
+	struct rpc_msg reply = { .rm_xid = xid, .rm_direction = REPLY };
+	size_t size;
+	char *buf;
+	XDR xdr;
+
+	rpc->handlers.on_sync(rpc->handlers.ctx, args, &res);
+	reply.rm_reply.rp_stat = MSG_ACCEPTED;
+	reply.acpted_rply.ar_verf = _null_auth;
+	reply.acpted_rply.ar_stat = SUCCESS;
+	reply.acpted_rply.ar_results.where = (caddr_t)&res;
+	reply.acpted_rply.ar_results.proc = (xdrproc_t)xdr_w_sync_res;
+	size = xdr_sizeof((xdrproc_t)xdr_w_sync_res, &res) + 256;
+	buf = g_malloc(size + MARK_BYTES);
+	xdrmem_create(&xdr, buf + MARK_BYTES, (u_int)size, XDR_ENCODE);
+	if (xdr_replymsg(&xdr, &reply)) {
+		size_t len = xdr_getpos(&xdr);
+
+		mark_put(buf, len);
+		conn_write(conn, buf, len + MARK_BYTES);
+	} else {
+		g_free(buf);
+	}
+	xdr_destroy(&xdr);
+	xdr_free((xdrproc_t)xdr_w_sync_res, &res);
+}
+
+/* Decodes the arguments of a call and serves it. */
+static bool serve_call(struct rpc_conn *conn, const struct rpc_msg *msg,
+		       XDR *xdr)
+{
+	struct rpc *rpc = conn->rpc;
+	w_home home = { .kind = 0 };
+	w_sync_args sync = { .settings_after = 0 };
+	bool ok = false;
+
+	switch (msg->rm_call.cb_proc) {
+	case RW_HOME:
+		ok = xdr_w_home(xdr, &home) &&
+		     rpc_home_from_wire(&home, rpc->handlers.on_home,
+					rpc->handlers.ctx);
+		xdr_free((xdrproc_t)xdr_w_home, &home);
+		break;
+	case RW_SYNC:
+		ok = xdr_w_sync_args(xdr, &sync);
+		if (ok)
+			serve_sync(conn, msg->rm_xid, &sync);
+		xdr_free((xdrproc_t)xdr_w_sync_args, &sync);
+		break;
+	default:
+		break;
+	}
+	return ok;
+}
+
+/* Hands an answer to whoever waits for it. */
+static bool take_reply(struct rpc *rpc, const char *ptr, size_t len)
+{
+	w_sync_res res = { .updates.updates_len = 0 };
+	struct rpc_msg reply = { .rm_direction = REPLY };
+	struct rpc_wait wait = { .fn = NULL };
+	XDR xdr;
+	bool ok;
+
+	reply.acpted_rply.ar_results.where = (caddr_t)&res;
+	reply.acpted_rply.ar_results.proc = (xdrproc_t)xdr_w_sync_res;
+	xdrmem_create(&xdr, (char *)ptr, (u_int)len, XDR_DECODE);
+	ok = xdr_replymsg(&xdr, &reply) &&
+	     reply.rm_reply.rp_stat == MSG_ACCEPTED &&
+	     reply.acpted_rply.ar_stat == SUCCESS;
+	xdr_destroy(&xdr);
+	for (guint i = 0; ok && i < rpc->waits->len; i++) {
+		wait = g_array_index(rpc->waits, struct rpc_wait, i);
+		if (wait.xid == reply.rm_xid) {
+			g_array_remove_index_fast(rpc->waits, i);
+			wait.fn(wait.ctx, &res);
+			break;
+		}
+	}
+	xdr_free((xdrproc_t)xdr_w_sync_res, &res);
+	return ok;
+}
+
+/* Serves one whole record; returns false if it does not decode. */
+static bool take_record(struct rpc_conn *conn, const char *ptr, size_t len)
+{
+	struct rpc_msg msg = { .rm_xid = 0 };
+	u_int32_t direction;
+	XDR xdr;
+	bool ok;
+
+	if (len < 2 * sizeof(direction))
+		return false;
+	memcpy(&direction, ptr + sizeof(direction), sizeof(direction));
+	if (ntohl(direction) == REPLY)
+		return take_reply(conn->rpc, ptr, len);
+	xdrmem_create(&xdr, (char *)ptr, (u_int)len, XDR_DECODE);
+	ok = xdr_callmsg(&xdr, &msg) && msg.rm_call.cb_prog == RW_PROGRAM &&
+	     msg.rm_call.cb_vers == RW_VERSION &&
+	     serve_call(conn, &msg, &xdr);
+	xdr_destroy(&xdr);
+	return ok;
+}
+
+static void count_bad(struct rpc *rpc)
+{
+	rpc->counters.bad++;
+	rpc->handlers.on_bad(rpc->handlers.ctx);
+}
+
+/* Serves the whole records of what was read. */
+static bool take_input(struct rpc_conn *conn)
+{
+	size_t used = 0;
+
+	while (conn->in->len - used >= MARK_BYTES) {
+		u_int32_t mark;
+		size_t len;
+
+		memcpy(&mark, conn->in->data + used, MARK_BYTES);
+		mark = ntohl(mark);
+		len = mark & ~MARK_LAST;
+		if (!(mark & MARK_LAST) || len > RECORD_MAX)
+			return false;
+		if (conn->in->len - used - MARK_BYTES < len)
+			break;
+		if (!take_record(conn,
+				 (char *)conn->in->data + used + MARK_BYTES,
+				 len))
+			return false;
+		used += MARK_BYTES + len;
+	}
+	if (used > 0)
+		g_byte_array_remove_range(conn->in, 0, (guint)used);
+	return true;
+}
+
+static void conn_on_read(uv_stream_t *stream, ssize_t count,
+			 const uv_buf_t *buf)
+{
+	struct rpc_conn *conn = stream->data;
+
+	if (count > 0) {
+		conn->last_used = now_of(conn->rpc);
+		conn->rpc->counters.bytes_in += (uint64_t)count;
+		g_byte_array_append(conn->in, (guint8 *)buf->base,
+				    (guint)count);
+	}
+	g_free(buf->base);
+	if (count < 0) {
+		conn_close(conn);
+		return;
+	}
+	if (!take_input(conn)) {
+		count_bad(conn->rpc);
+		conn_close(conn);
+	}
+}
+
+static void conn_on_connect(uv_connect_t *req, int status)
+{
+	struct rpc_conn *conn = req->data;
+	guint len = conn->pending->len;
+
+	if (status != 0) {
+		conn_close(conn);
+		return;
+	}
+	conn->connected = true;
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, alloc_buffer, conn_on_read);
+	if (len > 0) {
+		conn_write(conn, g_byte_array_free(conn->pending, FALSE), len);
+		conn->pending = g_byte_array_new();
+	}
+}
+
+/* Finds the connection to a peer, or begins to make one. */
+static struct rpc_conn *peer_get(struct rpc *rpc, const char *to)
+{
+	struct rpc_conn *conn = g_hash_table_lookup(rpc->peers, to);
+	struct sockaddr_in addr;
+
+	if (conn || !address_parse(to, &addr))
+		return conn;
+	conn = conn_create(rpc);
+	conn->peer = g_strdup(to);
+	conn->connect.data = conn;
+	g_hash_table_insert(rpc->peers, conn->peer, conn);
+	if (uv_tcp_connect(&conn->connect, &conn->tcp,
+			   (struct sockaddr *)&addr, conn_on_connect) != 0) {
+		conn_close(conn);
+		return NULL;
+	}
+	return conn;
+}
+
+/* Sends a call over TCP and returns its number; it is dropped if the peer
+ * can't be reached. */
+static u_int32_t call_send(struct rpc *rpc, const char *to, rpcproc_t proc,
+		      xdrproc_t encode, const void *args)
+{
+	struct rpc_conn *conn = peer_get(rpc, to);
+	size_t size = xdr_sizeof(encode, (void *)args) + 256;
+	char *buf;
+	size_t len;
+
+	if (!conn || conn->pending->len > PENDING_MAX)
+		return ++rpc->xid;
+	buf = g_malloc(size + MARK_BYTES);
+	len = call_encode(rpc, proc, encode, args, buf + MARK_BYTES, size);
+	if (len == 0) {
+		g_free(buf);
+		return rpc->xid;
+	}
+	mark_put(buf, len);
+	if (conn->connected) {
+		conn_write(conn, buf, len + MARK_BYTES);
+		return rpc->xid;
+	}
+	g_byte_array_append(conn->pending, (guint8 *)buf,
+			    (guint)(len + MARK_BYTES));
+	g_free(buf);
+	return rpc->xid;
+}
+
+void rpc_send_home(struct rpc *rpc, const char *to, const struct home_msg *msg)
+{
+	w_home wire;
+
+	rpc_home_to_wire(msg, &wire);
+	call_send(rpc, to, RW_HOME, (xdrproc_t)xdr_w_home, &wire);
+	rpc_home_wire_clear(&wire);
+}
+
+void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
+		   clk_ms timeout,
+		   void (*fn)(void *ctx, const w_sync_res *res), void *ctx)
+{
+	struct rpc_wait wait = {
+		.until = now_of(rpc) + timeout,
+		.fn = fn,
+		.ctx = ctx,
+	};
+
+	wait.xid = call_send(rpc, to, RW_SYNC, (xdrproc_t)xdr_w_sync_args,
+			     args);
+	g_array_append_val(rpc->waits, wait);
+}
+
+/* Datagrams. */
+
+void rpc_send_gossip(struct rpc *rpc, const char *to,
+		     const struct member_msg *msg)
+{
+	w_update updates[MEMBER_UPDATES_MAX];
+	w_mark marks[MEMBER_MARKS_MAX];
+	char buf[DATAGRAM_MAX];
+	struct sockaddr_in addr;
+	w_gossip wire;
+	uv_buf_t out;
+	size_t len;
+
+	if (!address_parse(to, &addr))
+		return;
+	rpc_gossip_to_wire(msg, &wire, updates, marks);
+	len = call_encode(rpc, RW_GOSSIP, (xdrproc_t)xdr_w_gossip, &wire, buf,
+			  sizeof(buf));
+	out = uv_buf_init(buf, (unsigned)len);
+	if (len > 0 &&
+	    uv_udp_try_send(&rpc->udp, &out, 1, (struct sockaddr *)&addr) >
+		    0) {
+		rpc->counters.datagrams_out++;
+		rpc->counters.bytes_out += len;
+	}
+}
+
+/* Decodes a datagram and hands it over. */
+static bool take_datagram(struct rpc *rpc, const char *ptr, size_t len)
+{
+	struct rpc_msg call = { .rm_xid = 0 };
+	struct member_msg msg;
+	w_gossip wire = { .kind = 0 };
+	XDR xdr;
+	bool ok;
+
+	xdrmem_create(&xdr, (char *)ptr, (u_int)len, XDR_DECODE);
+	ok = xdr_callmsg(&xdr, &call) && call.rm_call.cb_prog == RW_PROGRAM &&
+	     call.rm_call.cb_proc == RW_GOSSIP && xdr_w_gossip(&xdr, &wire) &&
+	     rpc_gossip_from_wire(&wire, &msg);
+	xdr_destroy(&xdr);
+	xdr_free((xdrproc_t)xdr_w_gossip, &wire);
+	if (ok)
+		rpc->handlers.on_gossip(rpc->handlers.ctx, &msg);
+	return ok;
+}
+
+static void udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+	struct rpc *rpc = handle->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(rpc->datagram, sizeof(rpc->datagram));
+}
+
+static void udp_on_recv(uv_udp_t *udp, ssize_t count, const uv_buf_t *buf,
+			const struct sockaddr *addr, unsigned flags)
+{
+	struct rpc *rpc = udp->data;
+
+	(void)flags;
+	if (count <= 0 || !addr)
+		return;
+	rpc->counters.datagrams_in++;
+	rpc->counters.bytes_in += (uint64_t)count;
+	if (!take_datagram(rpc, buf->base, (size_t)count))
+		count_bad(rpc);
+}
+
+static void listener_on_connection(uv_stream_t *listener, int status)
+{
+	struct rpc *rpc = listener->data;
+	struct rpc_conn *conn;
+
+	if (status != 0)
+		return;
+	conn = conn_create(rpc);
+	conn->connected = true;
+	g_ptr_array_add(rpc->accepted, conn);
+	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+		conn_close(conn);
+		return;
+	}
+	uv_tcp_nodelay(&conn->tcp, 1);
+	uv_read_start((uv_stream_t *)&conn->tcp, alloc_buffer, conn_on_read);
+}
+
+/* Tells callers whose answers are late, closes idle connections. */
+static void on_timer(uv_timer_t *timer)
+{
+	struct rpc *rpc = timer->data;
+	clk_ms now = now_of(rpc);
+	GList *conns;
+
+	for (guint i = rpc->waits->len; i-- > 0;) {
+		struct rpc_wait wait =
+			g_array_index(rpc->waits, struct rpc_wait, i);
+
+		if (now < wait.until)
+			continue;
+		g_array_remove_index_fast(rpc->waits, i);
+		wait.fn(wait.ctx, NULL);
+	}
+	conns = g_hash_table_get_values(rpc->peers);
+	for (GList *at = conns; at; at = at->next) {
+		struct rpc_conn *conn = at->data;
+
+		if (now - conn->last_used > IDLE_MS)
+			conn_close(conn);
+	}
+	g_list_free(conns);
+}
+
+/* Binds both sockets; returns 0 or a libuv error. */
+static int rpc_bind(struct rpc *rpc, const char *address, int port)
+{
+	struct sockaddr_in addr;
+	int rc = uv_ip4_addr(address, port, &addr);
+
+	if (rc == 0)
+		rc = uv_udp_bind(&rpc->udp, (struct sockaddr *)&addr, 0);
+	if (rc == 0)
+		rc = uv_tcp_bind(&rpc->listener, (struct sockaddr *)&addr, 0);
+	if (rc == 0)
+		rc = uv_udp_recv_start(&rpc->udp, udp_alloc, udp_on_recv);
+	if (rc == 0)
+		rc = uv_listen((uv_stream_t *)&rpc->listener, LISTEN_BACKLOG,
+			       listener_on_connection);
+	return rc;
+}
+
+struct rpc *rpc_create(uv_loop_t *loop, const char *address, int port,
+		       const struct rpc_handlers *handlers, GError **error)
+{
+	struct rpc *rpc = g_new0(struct rpc, 1);
+	int rc;
+
+	rpc->loop = loop;
+	rpc->handlers = *handlers;
+	rpc->peers = g_hash_table_new(g_str_hash, g_str_equal);
+	rpc->accepted = g_ptr_array_new();
+	rpc->waits = g_array_new(FALSE, FALSE, sizeof(struct rpc_wait));
+	uv_udp_init(loop, &rpc->udp);
+	uv_tcp_init(loop, &rpc->listener);
+	uv_timer_init(loop, &rpc->timer);
+	rpc->udp.data = rpc;
+	rpc->listener.data = rpc;
+	rpc->timer.data = rpc;
+	rc = rpc_bind(rpc, address, port);
+	if (rc != 0) {
+		g_set_error(error, g_quark_from_static_string("rpc"), rc,
+			    "cannot listen on %s:%d: %s", address, port,
+			    uv_strerror(rc));
+		return NULL; /* the program ends */
+	}
+	uv_timer_start(&rpc->timer, on_timer, CALL_SWEEP_MS, CALL_SWEEP_MS);
+	return rpc;
+}
+
+void rpc_stop(struct rpc *rpc)
+{
+	uv_timer_stop(&rpc->timer);
+	uv_udp_recv_stop(&rpc->udp);
+}
+
+const struct rpc_counters *rpc_counters(const struct rpc *rpc)
+{
+	return &rpc->counters;
+}
--- /dev/null
+++ b/wire/trace.h
@@ -0,0 +1,39 @@
+/*
+ * Traces: a span per hop, with W3C traceparent, as JSON lines.
+ */
+#ifndef WIRE_TRACE_H
+#define WIRE_TRACE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define TRACE_PARENT_LEN 55 /* bytes of a traceparent */
+
+struct tracer;
+
+/* One span that has begun. */
+struct trace_span {
+	char trace[33];
+	char span[17];
+	char parent[17]; /* "" if it is the root */
+	int64_t start;	 /* wall clock, ms */
+};
+
+/* Opens a file to append to; "" gives a tracer that writes nothing. */
+struct tracer *trace_open(const char *path, const char *host, GRand *rand,
+			  GError **error);
+void trace_close(struct tracer *tracer);
+/* Begins a span under a traceparent; a wrong one begins a new trace. */
+void trace_begin(struct tracer *tracer, struct trace_span *span,
+		 const char *parent, size_t len);
+/* Writes the traceparent that a span's children get. */
+void trace_parent(const struct trace_span *span,
+		  char buf[TRACE_PARENT_LEN + 1]);
+/* Ends a span: writes a line. */
+void trace_end(struct tracer *tracer, const struct trace_span *span,
+	       const char *name, const char *id, const char *detail);
+/* Tells whether text is a traceparent. */
+bool trace_parent_ok(const char *text, size_t len);
+
+#endif
