--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 # rpcgen's output has unused variables.
-$(B)/wire/msg_xdr.o: WARN = -Wall
+$(B)/wire/msg_xdr.o: WARN = -Wall -Wno-unused-variable
 
 $(B)/librw.a: $(LIB_OBJ)
 	@rm -f $@
--- /dev/null
+++ b/daemon/entryd-answer.c
@@ -0,0 +1,272 @@
+/* Answers to callers: events, bodies, errors. */
+#include "entryd.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define DETAIL_MAX 200 /* bytes of an error's detail */
+
+void answer_json(struct http_call *call, int status, struct json_object *obj)
+{
+	size_t len;
+	const char *text = json_print(obj, &len);
+
+	http_call_reply(call, status, JSON_TYPE, text, len);
+	json_object_put(obj);
+}
+
+/* Builds the body of an error. */
+static struct json_object *error_body(enum err_kind kind, clk_ms come_back,
+				      const char *detail)
+{
+	const struct err_answer *answer = err_answer(kind);
+	struct json_object *obj = json_object_new_object();
+	char *safe = g_strndup(detail, DETAIL_MAX);
+
+	json_add_text(obj, "error", answer->name);
+	json_add_text(obj, "text", answer->text);
+	json_add_text(obj, "ran", err_ran_name(answer->ran));
+	if (detail[0])
+		json_add_text(obj, "detail", safe);
+	if (come_back)
+		json_add_int(obj, "come_back_ms", come_back);
+	g_free(safe);
+	return obj;
+}
+
+void answer_error(struct http_call *call, enum err_kind kind, clk_ms come_back,
+		  const char *detail)
+{
+	const struct err_answer *answer = err_answer(kind);
+	char seconds[24];
+
+	if (!come_back)
+		come_back = answer->come_back_ms;
+	if (come_back) {
+		g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT,
+			   (come_back + CLK_SECOND - 1) / CLK_SECOND);
+		http_call_add_header(call, "retry-after", seconds);
+	}
+	answer_json(call, answer->status, error_body(kind, come_back, detail));
+}
+
+/* When a refused caller is to come back: spread by half of the time. */
+static clk_ms come_back_of(struct caller *caller, enum err_kind kind)
+{
+	clk_ms mean = caller->job->come_back;
+
+	if (!mean)
+		mean = err_answer(kind)->come_back_ms;
+	if (!mean)
+		return 0;
+	return mean + entryd_random(caller->entryd, (uint32_t)mean / 2 + 1);
+}
+
+/* Frees a caller; its call has been answered or is gone. */
+static void caller_free(struct caller *caller)
+{
+	if (caller->job)
+		g_ptr_array_remove_fast(caller->job->callers, caller);
+	g_hash_table_remove(caller->entryd->callers, caller);
+	g_free(caller);
+}
+
+static void caller_on_close(void *ctx)
+{
+	caller_free(ctx);
+}
+
+struct http_call *caller_detach(struct caller *caller)
+{
+	struct http_call *call = caller->call;
+
+	http_call_on_close(call, NULL, NULL);
+	caller_free(caller);
+	return call;
+}
+
+/* Writes one event. */
+static void event_write(struct http_call *call, const char *event, int64_t id,
+			const char *data, size_t len)
+{
+	GString *text = g_string_new(NULL);
+
+	if (id >= 0)
+		g_string_append_printf(text, "id: %" G_GINT64_FORMAT "\n", id);
+	g_string_append_printf(text, "event: %s\ndata: ", event);
+	g_string_append_len(text, data, (gssize)len);
+	g_string_append(text, "\n\n");
+	http_call_write(call, text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+/* Writes an event whose data is an object, and gives the object up. */
+static void event_write_json(struct http_call *call, const char *event,
+			     struct json_object *obj)
+{
+	size_t len;
+	const char *text = json_print(obj, &len);
+
+	event_write(call, event, -1, text, len);
+	json_object_put(obj);
+}
+
+/* Writes one piece as an event. */
+static void piece_write(struct caller *caller, size_t n)
+{
+	struct json_object *obj = json_object_new_object();
+	size_t len;
+	const char *piece = req_piece(caller->job->req, n, &len);
+	const char *text;
+
+	json_object_object_add(
+		obj, "text", json_object_new_string_len(piece, (int)len));
+	text = json_print(obj, &len);
+	event_write(caller->call, "piece", (int64_t)n, text, len);
+	json_object_put(obj);
+}
+
+/* The hash of all pieces, by which a caller checks that it has them. */
+static void answer_hash(const struct req *req, char *buf, size_t size)
+{
+	const GString *bytes = req->answer.bytes;
+
+	g_snprintf(buf, size, "%016" G_GINT64_MODIFIER "x",
+		   (guint64)XXH64(bytes->str, bytes->len, 0));
+}
+
+/* What is told of a whole answer besides its text. */
+static struct json_object *end_body(const struct req *req)
+{
+	struct json_object *obj = json_object_new_object();
+	char hash[20];
+
+	answer_hash(req, hash, sizeof(hash));
+	json_add_text(obj, "id", req->id);
+	json_add_int(obj, "count", (int64_t)req_piece_count(req));
+	json_add_text(obj, "hash", hash);
+	return obj;
+}
+
+/* Ends a streamed answer. */
+static void stream_end(struct caller *caller)
+{
+	struct req *req = caller->job->req;
+	enum err_kind kind = req->answer.kind;
+	struct http_call *call = caller->call;
+
+	if (kind == RW_OK)
+		event_write_json(call, "end", end_body(req));
+	else
+		event_write_json(call, "error",
+				 error_body(kind, come_back_of(caller, kind),
+					    ""));
+	http_call_on_close(call, NULL, NULL);
+	caller_free(caller);
+	http_call_end(call);
+}
+
+/* Sends a streaming caller what it lacks. */
+static void stream_pump(struct caller *caller)
+{
+	struct req *req = caller->job->req;
+
+	if (!caller->started) {
+		caller->started = true;
+		http_call_add_header(caller->call, "x-request-id", req->id);
+		http_call_start(caller->call, 200, EVENT_TYPE);
+	}
+	if (!caller->accepted && (req->accepted || req->inherited)) {
+		struct json_object *obj = json_object_new_object();
+
+		caller->accepted = true;
+		json_add_text(obj, "id", req->id);
+		event_write_json(caller->call, "accepted", obj);
+	}
+	if (caller->restart && caller->accepted) {
+		caller->restart = false;
+		caller->next = 0;
+		event_write(caller->call, "restart", -1, "{}", 2);
+	}
+	while (caller->accepted && caller->next < req_piece_count(req))
+		piece_write(caller, caller->next++);
+	if (req->answer.ended)
+		stream_end(caller);
+}
+
+/* Answers a caller that wants one body. */
+static void whole_reply(struct caller *caller)
+{
+	struct req *req = caller->job->req;
+	enum err_kind kind = req->answer.kind;
+	clk_ms come_back = come_back_of(caller, kind);
+	struct http_call *call = caller->call;
+	struct json_object *obj;
+	GString *bytes = req->answer.bytes;
+
+	http_call_on_close(call, NULL, NULL);
+	http_call_add_header(call, "x-request-id", req->id);
+	caller_free(caller);
+	if (kind != RW_OK) {
+		answer_error(call, kind, come_back, "");
+		return;
+	}
+	if (!req->attrs.model) {
+		http_call_reply(call, req->answer.status, JSON_TYPE,
+				bytes->str, bytes->len);
+		return;
+	}
+	obj = end_body(req);
+	json_object_object_add(
+		obj, "text",
+		json_object_new_string_len(bytes->str, (int)bytes->len));
+	answer_json(call, 200, obj);
+}
+
+void caller_pump(struct caller *caller)
+{
+	struct req *req = caller->job->req;
+
+	if (req->dropped) {
+		struct http_call *call = caller_detach(caller);
+
+		answer_error(call, RW_EEXPIRED, 0, "the answer was dropped");
+		return;
+	}
+	/* A stream that ends before it is accepted gets its status. */
+	if (caller->streaming && !caller->started && req->answer.ended &&
+	    req->answer.kind != RW_OK)
+		caller->streaming = false;
+	if (caller->streaming) {
+		if (caller->started || req->accepted || req->inherited)
+			stream_pump(caller);
+	} else if (req->answer.ended) {
+		whole_reply(caller);
+	}
+}
+
+struct caller *caller_attach(struct entryd *entryd, struct http_call *call,
+			     struct job *job, size_t next, bool streaming)
+{
+	struct caller *caller = g_new0(struct caller, 1);
+
+	caller->entryd = entryd;
+	caller->call = call;
+	caller->job = job;
+	caller->next = next;
+	caller->streaming = streaming;
+	/* A successor may lack pieces that the lost home had passed on; what
+	 * it makes of them may differ. */
+	caller->restart = next > req_piece_count(job->req);
+	g_ptr_array_add(job->callers, caller);
+	g_hash_table_add(entryd->callers, caller);
+	http_call_on_close(call, caller_on_close, caller);
+	caller_pump(caller);
+	return caller;
+}
+
+void job_pump_callers(struct job *job)
+{
+	for (guint i = job->callers->len; i-- > 0;)
+		caller_pump(g_ptr_array_index(job->callers, i));
+}
--- /dev/null
+++ b/daemon/entryd-attempt.c
@@ -0,0 +1,425 @@
+/* One attempt at an upstream: a completion's stream, or a service call. */
+#include "entryd.h"
+
+#include <string.h>
+
+#define LINE_MAX_BYTES (1 << 20) /* of one event of an engine */
+#define STATUS_REFUSED 409	 /* by a service that checks fences */
+
+/* What this host gets of a stream. */
+struct attempt {
+	struct job *job;
+	struct upstream *upstream;
+	char *stream; /* the attempt's id at the upstream */
+	struct http_fetch *fetch;
+	GString *in;	   /* bytes not yet taken apart, or a whole body */
+	GHashTable *early; /* number of a token -> its text, came too soon */
+	int status;
+	bool done;	   /* the engine said that all was sent */
+	clk_ms begun;
+	struct trace_span span;
+};
+
+static struct attempt *attempt_create(struct job *job,
+				      struct upstream *upstream)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+	char parent[TRACE_PARENT_LEN + 1];
+
+	attempt->job = job;
+	attempt->upstream = upstream;
+	attempt->in = g_string_new(NULL);
+	attempt->early = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	attempt->begun = entryd_now(job->entryd);
+	trace_parent(&job->span, parent);
+	trace_begin(job->entryd->tracer, &attempt->span, parent,
+		    TRACE_PARENT_LEN);
+	return attempt;
+}
+
+static void attempt_free(struct attempt *attempt)
+{
+	g_string_free(attempt->in, TRUE);
+	g_hash_table_destroy(attempt->early);
+	g_free(attempt->stream);
+	g_free(attempt);
+}
+
+/* Notes the end of an attempt in router, counters and trace. */
+static void attempt_close(struct attempt *attempt, bool failed)
+{
+	struct entryd *entryd = attempt->job->entryd;
+	clk_ms now = entryd_now(entryd);
+
+	router_end(attempt->upstream, failed, now - attempt->begun, now);
+	if (failed)
+		entryd_count(entryd, CTR_attempts_failed);
+	trace_end(entryd->tracer, &attempt->span, "upstream",
+		  attempt->job->req->id, attempt->upstream->name);
+}
+
+void attempt_cancel(struct attempt *attempt)
+{
+	if (attempt->fetch)
+		http_fetch_cancel(attempt->fetch);
+	attempt->fetch = NULL;
+	attempt_close(attempt, false);
+	attempt_free(attempt);
+}
+
+/* Passes on the tokens that come next and are here already. */
+static void take_early(struct attempt *attempt)
+{
+	struct job *job = attempt->job;
+	struct req *req = job->req;
+	char *text;
+
+	while ((text = g_hash_table_lookup(
+			attempt->early,
+			GSIZE_TO_POINTER(req_piece_count(req) + 1)))) {
+		size_t n = req_piece_count(req);
+
+		home_piece(job->entryd->home, req, text, strlen(text),
+			   entryd_now(job->entryd));
+		g_hash_table_remove(attempt->early, GSIZE_TO_POINTER(n + 1));
+	}
+}
+
+/* Takes token n of this attempt; late and repeated ones are dropped. */
+static void take_token(struct attempt *attempt, size_t n, const char *text)
+{
+	struct job *job = attempt->job;
+
+	if (n < req_piece_count(job->req)) {
+		entryd_count(job->entryd, CTR_pieces_dropped);
+		return;
+	}
+	entryd_count(job->entryd, CTR_pieces);
+	job->last_piece = entryd_now(job->entryd);
+	/* Keys start at 1: a NULL key would be no key. */
+	g_hash_table_replace(attempt->early, GSIZE_TO_POINTER(n + 1),
+			     g_strdup(text));
+	take_early(attempt);
+}
+
+/* Reads one event of an engine. */
+static void take_event(struct attempt *attempt, const char *ptr, size_t len)
+{
+	struct json_object *obj;
+	struct json_object *choices;
+	struct json_object *choice = NULL;
+
+	if (len == strlen("[DONE]") && !memcmp(ptr, "[DONE]", len)) {
+		attempt->done = true;
+		return;
+	}
+	obj = json_parse_object(ptr, len);
+	if (!obj)
+		return;
+	if (strcmp(json_text(obj, "id", ""), attempt->stream) != 0) {
+		/* Another attempt's piece: not of this answer. */
+		entryd_count(attempt->job->entryd, CTR_pieces_dropped);
+	} else if (json_object_object_get_ex(obj, "choices", &choices) &&
+		   (choice = json_object_array_get_idx(choices, 0))) {
+		take_token(attempt, (size_t)json_int(obj, "n", 0),
+			   json_text(choice, "text", ""));
+	}
+	json_object_put(obj);
+}
+
+/* Takes whole lines out of what has come. */
+static void stream_on_data(void *ctx, const char *ptr, size_t len)
+{
+	struct attempt *attempt = ctx;
+	struct job *job = attempt->job;
+	GString *in = attempt->in;
+	size_t at = 0;
+
+	if (attempt->status != 200)
+		return;
+	g_string_append_len(in, ptr, (gssize)len);
+	while (at < in->len) {
+		char *line = in->str + at;
+		char *end = memchr(line, '\n', in->len - at);
+
+		if (!end)
+			break;
+		if (g_str_has_prefix(line, "data: "))
+			take_event(attempt, line + 6,
+				   (size_t)(end - line - 6));
+		at = (size_t)(end - in->str) + 1;
+	}
+	g_string_erase(in, 0, (gssize)at);
+	if (in->len > LINE_MAX_BYTES)
+		g_string_truncate(in, 0);
+	job_pump_callers(job);
+}
+
+static void on_head(void *ctx, int status)
+{
+	((struct attempt *)ctx)->status = status;
+}
+
+/* Whether a stream has brought everything. */
+static bool stream_is_whole(const struct attempt *attempt)
+{
+	return attempt->done && g_hash_table_size(attempt->early) == 0;
+}
+
+static void stream_on_done(void *ctx, enum http_result result, int status)
+{
+	struct attempt *attempt = ctx;
+	struct job *job = attempt->job;
+	struct entryd *entryd = job->entryd;
+	bool whole = stream_is_whole(attempt);
+
+	attempt->fetch = NULL;
+	attempt_close(attempt, !whole);
+	job->attempt = NULL;
+	if (whole) {
+		home_end(entryd->home, job->req, RW_OK, 200,
+			 entryd_now(entryd));
+	} else {
+		/* A stream that was lost at the engine can't be resumed. */
+		if (result == HTTP_REFUSED || status != 200 ||
+		    result == HTTP_TIMEOUT) {
+			req_attempt_set(job->req, NULL, NULL);
+			g_free(job->not_this);
+			job->not_this = g_strdup(attempt->upstream->name);
+		}
+		job_attempt_failed(job, result, false);
+	}
+	attempt_free(attempt);
+}
+
+/* Builds what an engine is asked. */
+static GBytes *completion_body(const struct job *job)
+{
+	const struct req *req = job->req;
+	const struct conf_model *conf =
+		conf_find(job->entryd, CONF_MODEL, job->team,
+			  req->attrs.target);
+	struct json_object *obj = json_object_new_object();
+	size_t len;
+	const char *text;
+	GBytes *body;
+
+	json_add_text(obj, "model", req->attrs.target);
+	json_add_text(obj, "prompt", job->prompt);
+	json_add_int(obj, "max_tokens", job->max_tokens);
+	json_add_int(obj, "priority", job->priority);
+	json_object_object_add(obj, "stream", json_object_new_boolean(1));
+	if (conf && conf->version[0])
+		json_add_text(obj, "version", conf->version);
+	if (conf && conf->adapter[0])
+		json_add_text(obj, "adapter", conf->adapter);
+	if (req_piece_count(req) > 0) {
+		json_add_int(obj, "from", (int64_t)req_piece_count(req));
+		json_object_object_add(
+			obj, "so_far",
+			json_object_new_string_len(
+				req->answer.bytes->str,
+				(int)req->answer.bytes->len));
+	}
+	text = json_print(obj, &len);
+	body = g_bytes_new(text, len);
+	json_object_put(obj);
+	return body;
+}
+
+/* Adds what every call to an upstream carries. */
+static GString *headers_begin(const struct attempt *attempt)
+{
+	GString *headers = g_string_new("content-type: application/json\r\n");
+	char parent[TRACE_PARENT_LEN + 1];
+
+	trace_parent(&attempt->span, parent);
+	g_string_append_printf(headers,
+			       "x-request-id: %s\r\ntraceparent: %s\r\n",
+			       attempt->job->req->id, parent);
+	return headers;
+}
+
+/* Starts the fetch of an attempt; headers and body are given up. */
+static void attempt_fetch(struct attempt *attempt,
+			  struct http_fetch_spec *spec, GString *headers,
+			  GBytes *body)
+{
+	spec->address = attempt->upstream->address;
+	spec->headers = headers ? headers->str : NULL;
+	spec->body = body;
+	spec->on_head = on_head;
+	spec->ctx = attempt;
+	attempt->fetch = http_fetch_start(attempt->job->entryd->client, spec);
+	if (headers)
+		g_string_free(headers, TRUE);
+	if (body)
+		g_bytes_unref(body);
+}
+
+/* Asks an engine to make the answer, or the rest of it. */
+static void completion_start(struct attempt *attempt)
+{
+	struct job *job = attempt->job;
+	struct req *req = job->req;
+	GString *headers = headers_begin(attempt);
+	struct http_fetch_spec spec = {
+		.method = "POST",
+		.path = "/v1/completions",
+		.idle_timeout = job->timeout_ms,
+		.on_data = stream_on_data,
+		.on_done = stream_on_done,
+	};
+
+	if (req_piece_count(req) > 0) {
+		entryd_count(job->entryd, CTR_restarted);
+		job->entryd->ctrs.values[CTR_tokens_again] +=
+			(uint64_t)job->prompt_tokens + req_piece_count(req);
+	}
+	attempt->stream = g_strdup_printf("%s#%u.%08x", req->id,
+					  req->attempt.count + 1,
+					  g_rand_int(job->entryd->rand));
+	home_attempt(job->entryd->home, req, attempt->upstream->name,
+		     attempt->stream, entryd_now(job->entryd));
+	g_string_append_printf(headers, "x-stream-id: %s\r\n",
+			       attempt->stream);
+	attempt_fetch(attempt, &spec, headers, completion_body(job));
+}
+
+/* Asks the engine that runs a stream for the rest of it. */
+static void resume_start(struct attempt *attempt)
+{
+	struct job *job = attempt->job;
+	struct req *req = job->req;
+	char *stream = g_uri_escape_string(req->attempt.stream, NULL, FALSE);
+	char *path = g_strdup_printf("/v1/resume?stream=%s&from=%zu", stream,
+				     req_piece_count(req));
+	struct http_fetch_spec spec = {
+		.method = "GET",
+		.path = path,
+		.idle_timeout = job->timeout_ms,
+		.on_data = stream_on_data,
+		.on_done = stream_on_done,
+	};
+
+	entryd_count(job->entryd, CTR_resumed);
+	attempt->stream = g_strdup(req->attempt.stream);
+	attempt_fetch(attempt, &spec, NULL, NULL);
+	g_free(stream);
+	g_free(path);
+}
+
+static void service_on_data(void *ctx, const char *ptr, size_t len)
+{
+	struct attempt *attempt = ctx;
+
+	g_string_append_len(attempt->in, ptr, (gssize)len);
+}
+
+/* Tells whether a service's answer says that it did not run the call. */
+static bool is_not_run(const struct job *job, int status)
+{
+	if (job->fencing && status == STATUS_REFUSED)
+		return true;
+	return job->not_run_status && status == job->not_run_status;
+}
+
+static void service_on_done(void *ctx, enum http_result result, int status)
+{
+	struct attempt *attempt = ctx;
+	struct job *job = attempt->job;
+	struct entryd *entryd = job->entryd;
+	struct req *req = job->req;
+	bool not_run = result == HTTP_REFUSED ||
+		       (result == HTTP_WHOLE && is_not_run(job, status));
+	bool whole = result == HTTP_WHOLE && !not_run && status < 500;
+
+	attempt->fetch = NULL;
+	attempt_close(attempt, !whole);
+	job->attempt = NULL;
+	if (whole && !req->answer.ended) {
+		clk_ms now = entryd_now(entryd);
+
+		home_piece(entryd->home, req, attempt->in->str,
+			   attempt->in->len, now);
+		home_end(entryd->home, req, RW_OK, status, now);
+	} else if (!whole) {
+		g_free(job->not_this);
+		job->not_this = g_strdup(attempt->upstream->name);
+		job_attempt_failed(job, result, not_run);
+	}
+	attempt_free(attempt);
+}
+
+/* Calls a service. */
+static void service_start(struct attempt *attempt)
+{
+	struct job *job = attempt->job;
+	struct req *req = job->req;
+	GString *headers = headers_begin(attempt);
+	int64_t fence = home_fence(job->entryd->home, req);
+	struct http_fetch_spec spec = {
+		.method = "POST",
+		.path = job->path,
+		.timeout = job->timeout_ms,
+		.on_data = service_on_data,
+		.on_done = service_on_done,
+	};
+
+	home_attempt(job->entryd->home, req, attempt->upstream->name, NULL,
+		     entryd_now(job->entryd));
+	if (job->fencing && fence > 0)
+		g_string_append_printf(headers, "x-fence: %s %" PRId64 "\r\n",
+				       req->rid.home, fence);
+	attempt_fetch(attempt, &spec, headers,
+		      req->attrs.body ? g_bytes_ref(req->attrs.body) : NULL);
+}
+
+/* Finds the upstream of a stream that can be resumed, or NULL. */
+static struct upstream *resumable(struct job *job)
+{
+	const struct req_attempt *last = &job->req->attempt;
+	struct upstream *upstream;
+
+	if (!job->req->attrs.model || !last->upstream || !last->stream)
+		return NULL;
+	upstream = router_get(job->entryd->router, last->upstream);
+	return upstream->state == UPSTREAM_GONE || !upstream->address[0] ?
+		       NULL :
+		       upstream;
+}
+
+/* Finds where the next attempt goes. */
+static struct upstream *attempt_target(struct job *job)
+{
+	const struct req *req = job->req;
+
+	if (!req->attrs.idempotent)
+		return req->attempt.upstream ?
+			       router_get(job->entryd->router,
+					  req->attempt.upstream) :
+			       NULL;
+	return job_choose(job);
+}
+
+bool attempt_start(struct job *job)
+{
+	struct upstream *resume = resumable(job);
+	struct upstream *upstream = resume ? resume : attempt_target(job);
+	struct attempt *attempt;
+
+	if (!upstream)
+		return false;
+	attempt = attempt_create(job, upstream);
+	job->attempt = attempt;
+	job->attempts++;
+	entryd_count(job->entryd, CTR_attempts);
+	job_route_begin(job, upstream);
+	if (resume)
+		resume_start(attempt);
+	else if (job->req->attrs.model)
+		completion_start(attempt);
+	else
+		service_start(attempt);
+	return true;
+}
--- /dev/null
+++ b/daemon/entryd-load.c
@@ -0,0 +1,96 @@
+/* Load reports of upstreams, asked for now and then. */
+#include "entryd.h"
+
+#include <string.h>
+
+#define LOAD_PERIOD_MS 500
+#define LOAD_TIMEOUT_MS 2000
+#define DOWN_PAUSE_MS 1000 /* an upstream that refuses gets no work */
+
+/* One report that is being fetched. */
+struct load_call {
+	struct entryd *entryd;
+	char *upstream;
+	GString *body;
+};
+
+static void load_on_data(void *ctx, const char *ptr, size_t len)
+{
+	struct load_call *call = ctx;
+
+	g_string_append_len(call->body, ptr, (gssize)len);
+}
+
+/* Puts a report in force. */
+static void load_take(struct entryd *entryd, struct upstream *upstream,
+		      struct json_object *obj)
+{
+	struct upstream_load load = {
+		.running = (int)json_int(obj, "running", 0),
+		.queued = (int)json_int(obj, "queued", 0),
+		.slots = (int)json_int(obj, "slots", upstream->load.slots),
+		.at = entryd_now(entryd),
+	};
+
+	router_on_load(upstream, &load);
+}
+
+static void load_on_done(void *ctx, enum http_result result, int status)
+{
+	struct load_call *call = ctx;
+	struct entryd *entryd = call->entryd;
+	struct upstream *upstream =
+		router_get(entryd->router, call->upstream);
+	struct json_object *obj = NULL;
+
+	if (result == HTTP_WHOLE && status == 200)
+		obj = json_parse_object(call->body->str, call->body->len);
+	if (obj)
+		load_take(entryd, upstream, obj);
+	else if (result == HTTP_REFUSED)
+		upstream->retry_after = entryd_now(entryd) + DOWN_PAUSE_MS;
+	json_object_put(obj);
+	g_string_free(call->body, TRUE);
+	g_free(call->upstream);
+	g_free(call);
+}
+
+static void load_ask(struct entryd *entryd, const struct upstream *upstream)
+{
+	struct load_call *call = g_new0(struct load_call, 1);
+	struct http_fetch_spec spec = {
+		.address = upstream->address,
+		.method = "GET",
+		.path = "/v1/load",
+		.timeout = LOAD_TIMEOUT_MS,
+		.on_data = load_on_data,
+		.on_done = load_on_done,
+		.ctx = call,
+	};
+
+	call->entryd = entryd;
+	call->upstream = g_strdup(upstream->name);
+	call->body = g_string_new(NULL);
+	http_fetch_start(entryd->client, &spec);
+}
+
+void load_tick(struct entryd *entryd)
+{
+	clk_ms now = entryd_now(entryd);
+	GHashTableIter iter;
+	gpointer value;
+
+	if (now < entryd->next_load)
+		return;
+	entryd->next_load = now + LOAD_PERIOD_MS;
+	g_hash_table_iter_init(&iter, entryd->router->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct upstream *upstream = value;
+
+		if (upstream->state != UPSTREAM_GONE && upstream->address[0])
+			load_ask(entryd, upstream);
+	}
+	g_hash_table_iter_init(&iter, entryd->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		pool_pump(entryd, value);
+}
--- /dev/null
+++ b/daemon/entryd-member.c
@@ -0,0 +1,254 @@
+/* Membership towards the sockets and the rest of the process. */
+#include "entryd.h"
+
+#include <string.h>
+
+#define SYNC_TIMEOUT_MS 2000
+#define SYNC_GAP_MS 300 /* between two exchanges for newer settings */
+
+/* A full exchange with one host. */
+struct sync_call {
+	struct entryd *entryd;
+	int64_t settings_after;
+	int64_t hosts_after;
+};
+
+static void op_send(void *ctx, const char *rpc, const struct member_msg *msg)
+{
+	struct entryd *entryd = ctx;
+
+	rpc_send_gossip(entryd->rpc, rpc, msg);
+}
+
+static void op_sync(void *ctx, const char *rpc)
+{
+	member_sync_from(ctx, rpc);
+}
+
+/* A host has come, leaves or is dead. */
+static void op_changed(void *ctx, const struct member *member)
+{
+	static const char *const names[] = { "alive", "leaving", "suspect",
+					     "dead" };
+	struct entryd *entryd = ctx;
+	const char *incarnation = member->info.incarnation;
+
+	if (member->info.state != MEMBER_SUSPECT)
+		log_notice("host %s is %s", incarnation,
+			   names[member->info.state]);
+	if (member->info.state == MEMBER_DEAD)
+		home_on_lost(entryd->home, incarnation, entryd_now(entryd));
+	else if (member->info.state == MEMBER_LEAVING)
+		home_on_leaving(entryd->home, incarnation, entryd_now(entryd));
+	conf_share_limits(entryd);
+}
+
+/* This host was declared dead: its home ends, whatever the record says. */
+static void op_declared_dead(void *ctx)
+{
+	struct entryd *entryd = ctx;
+
+	if (entryd->home->state == HOME_LOST || entryd->retired)
+		return;
+	home_on_declared_dead(entryd->home, entryd_now(entryd));
+}
+
+/* An upstream leaves, or no longer does. */
+static void op_marked(void *ctx, const struct member_mark *mark)
+{
+	struct entryd *entryd = ctx;
+	struct upstream *upstream =
+		router_get(entryd->router, mark->upstream);
+
+	upstream->marked_leaving = mark->leaving;
+	upstream->mark_stamp = mark->stamp;
+	log_notice("upstream %s %s", mark->upstream,
+		   mark->leaving ? "is leaving" : "takes work");
+}
+
+/* A peer has newer settings or hosts: they are fetched from it. */
+static void op_revisions(void *ctx, const char *rpc, uint64_t settings,
+			 uint64_t hosts)
+{
+	struct entryd *entryd = ctx;
+
+	if (entryd_now(entryd) < entryd->sync_until ||
+	    ((int64_t)settings <= entryd->settings->revision &&
+	     (int64_t)hosts <= entryd->hosts->revision))
+		return;
+	entryd->sync_until = entryd_now(entryd) + SYNC_GAP_MS;
+	member_sync_from(entryd, rpc);
+}
+
+const struct member_ops member_entry_ops = {
+	.send = op_send,
+	.sync = op_sync,
+	.changed = op_changed,
+	.declared_dead = op_declared_dead,
+	.marked = op_marked,
+	.revisions = op_revisions,
+	.random = entryd_random,
+};
+
+/* Puts received items into a replica. */
+static void items_take(struct store *store, const w_items *items)
+{
+	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (u_int i = 0; i < items->items.items_len; i++) {
+		const w_item *item = &items->items.items_val[i];
+		GBytes *value = item->deleted ?
+					NULL :
+					g_bytes_new(item->value.value_val,
+						    item->value.value_len);
+
+		store_put(store, item->key, value, item->mod);
+		g_hash_table_add(present, item->key);
+		if (value)
+			g_bytes_unref(value);
+	}
+	if (items->full)
+		store_snapshot(store, present, items->revision);
+	else
+		store_complete(store, items->revision);
+	g_hash_table_destroy(present);
+}
+
+static void sync_on_done(void *ctx, const w_sync_res *res)
+{
+	struct sync_call *call = ctx;
+	struct entryd *entryd = call->entryd;
+	struct member_update update;
+	struct member_mark mark;
+
+	entryd->sync_until = 0;
+	if (res) {
+		entryd->peers_heard++;
+		for (u_int i = 0; i < res->updates.updates_len; i++)
+			if (rpc_update_from_wire(&res->updates.updates_val[i],
+						 &update))
+				member_on_update(entryd->members, &update,
+						 entryd_now(entryd));
+		for (u_int i = 0; i < res->marks.marks_len; i++)
+			if (rpc_mark_from_wire(&res->marks.marks_val[i],
+					       &mark))
+				member_on_mark(entryd->members, &mark);
+		items_take(entryd->settings, &res->settings);
+		items_take(entryd->hosts, &res->hosts);
+	}
+	g_free(call);
+}
+
+void member_sync_from(struct entryd *entryd, const char *rpc)
+{
+	struct sync_call *call = g_new0(struct sync_call, 1);
+	w_sync_args args;
+
+	call->entryd = entryd;
+	rpc_update_to_wire(&entryd->members->self, &args.self);
+	args.settings_after = entryd->settings->revision;
+	args.hosts_after = entryd->hosts->revision;
+	rpc_call_sync(entryd->rpc, rpc, &args, SYNC_TIMEOUT_MS, sync_on_done,
+		      call);
+}
+
+/* A list of items that is being filled. */
+struct fill {
+	w_items *items;
+	u_int size;
+};
+
+static void fill_add(void *ctx, const struct store_item *item)
+{
+	struct fill *fill = ctx;
+	w_items *items = fill->items;
+	w_item *slot;
+	gsize len = 0;
+	const void *data =
+		item->value ? g_bytes_get_data(item->value, &len) : NULL;
+
+	if (items->items.items_len == fill->size) {
+		fill->size = MAX(2 * fill->size, 16);
+		items->items.items_val =
+			g_realloc_n(items->items.items_val, fill->size,
+				    sizeof(*slot));
+	}
+	slot = &items->items.items_val[items->items.items_len++];
+	slot->key = g_strdup(item->key);
+	slot->deleted = item->value == NULL;
+	slot->value.value_val = g_memdup2(data, len);
+	slot->value.value_len = (u_int)len;
+	slot->mod = item->mod;
+}
+
+/* Lists what a peer lacks of a replica; all, if deletions may be missing. */
+static void items_fill(const struct store *store, int64_t after,
+		       w_items *items)
+{
+	struct fill fill = { .items = items };
+
+	items->full = after < store->since;
+	items->revision = store->revision;
+	store_each_after(store, items->full ? 0 : after, fill_add, &fill);
+}
+
+static void update_copy(const struct member_update *update, w_update *wire)
+{
+	wire->incarnation = g_strdup(update->incarnation);
+	wire->http = g_strdup(update->http);
+	wire->rpc = g_strdup(update->rpc);
+	wire->data_centre = g_strdup(update->data_centre);
+	wire->state = update->state;
+	wire->seq = update->seq;
+}
+
+/* Lists the members, this host first. */
+static void updates_fill(const struct member_list *members, w_sync_res *res)
+{
+	u_int count = members->order->len + 1;
+
+	res->updates.updates_val = g_new0(w_update, count);
+	res->updates.updates_len = count;
+	update_copy(&members->self, &res->updates.updates_val[0]);
+	for (u_int i = 1; i < count; i++) {
+		const struct member *member =
+			g_ptr_array_index(members->order, i - 1);
+
+		update_copy(&member->info, &res->updates.updates_val[i]);
+	}
+}
+
+/* Lists the marks that are still in force. */
+static void marks_fill(struct entryd *entryd, w_sync_res *res)
+{
+	GHashTableIter iter;
+	gpointer value;
+	u_int count = g_hash_table_size(entryd->router->upstreams);
+
+	res->marks.marks_val = g_new0(w_mark, count);
+	g_hash_table_iter_init(&iter, entryd->router->upstreams);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct upstream *upstream = value;
+		w_mark *mark = &res->marks.marks_val[res->marks.marks_len];
+
+		if (!upstream->mark_stamp)
+			continue;
+		mark->upstream = g_strdup(upstream->name);
+		mark->leaving = upstream->marked_leaving;
+		mark->stamp = upstream->mark_stamp;
+		res->marks.marks_len++;
+	}
+}
+
+void member_sync_fill(void *ctx, const w_sync_args *args, w_sync_res *res)
+{
+	struct entryd *entryd = ctx;
+	struct member_update self;
+
+	if (rpc_update_from_wire(&args->self, &self))
+		member_on_update(entryd->members, &self, entryd_now(entryd));
+	updates_fill(entryd->members, res);
+	marks_fill(entryd, res);
+	items_fill(entryd->settings, args->settings_after, &res->settings);
+	items_fill(entryd->hosts, args->hosts_after, &res->hosts);
+}
--- /dev/null
+++ b/daemon/entryd-record.c
@@ -0,0 +1,118 @@
+/* Homes towards the platform and the other entry hosts. */
+#include "entryd.h"
+
+#include <string.h>
+
+/* A call to the platform about one home's record. */
+struct record_call {
+	struct entryd *entryd;
+	char *home;
+	bool swap;
+	struct home_record wanted;
+};
+
+void record_parse(const char *text, int64_t mod, struct home_record *record)
+{
+	struct json_object *obj =
+		text ? json_parse_object(text, strlen(text)) : NULL;
+	const char *state;
+
+	*record = (struct home_record){ .state = RECORD_NONE, .mod = mod };
+	if (!obj)
+		return;
+	state = json_text(obj, "state", "");
+	record->state = !strcmp(state, "open") ? RECORD_OPEN : RECORD_SEALED;
+	g_strlcpy(record->peer, json_text(obj, "peer", ""),
+		  sizeof(record->peer));
+	g_strlcpy(record->change, json_text(obj, "change", ""),
+		  sizeof(record->change));
+	record->epoch = json_int(obj, "epoch", 0);
+	json_object_put(obj);
+}
+
+/* Prints a record as the platform stores it. */
+static struct json_object *record_print(const struct home_record *record)
+{
+	struct json_object *obj = json_object_new_object();
+
+	json_add_text(obj, "state",
+		      record->state == RECORD_OPEN ? "open" : "sealed");
+	json_add_text(obj, "peer", record->peer);
+	json_add_int(obj, "epoch", record->epoch);
+	json_add_text(obj, "change", record->change);
+	return obj;
+}
+
+/* Hands the end of a call to the decisions. */
+static void record_on_done(void *ctx, enum plat_outcome outcome,
+			   const char *value, int64_t mod)
+{
+	struct record_call *call = ctx;
+	struct entryd *entryd = call->entryd;
+	enum record_outcome result = RECORD_UNSURE;
+	struct home_record record;
+
+	record_parse(value, mod, &record);
+	if (outcome == PLAT_LOST)
+		result = RECORD_LOST;
+	else if (outcome == PLAT_OK)
+		result = call->swap ? RECORD_WON : RECORD_READ;
+	home_on_record(entryd->home, call->home, result, &record,
+		       entryd_now(entryd));
+	g_free(call->home);
+	g_free(call);
+}
+
+static struct record_call *call_create(struct entryd *entryd, const char *home)
+{
+	struct record_call *call = g_new0(struct record_call, 1);
+
+	call->entryd = entryd;
+	call->home = g_strdup(home);
+	return call;
+}
+
+void record_swap(void *ctx, const char *home, const struct home_record *record)
+{
+	struct entryd *entryd = ctx;
+	struct record_call *call = call_create(entryd, home);
+	struct json_object *obj = record_print(record);
+	char *key = g_strconcat(RECORD_PREFIX, home, NULL);
+	size_t len;
+
+	call->swap = true;
+	plat_swap(entryd->plat, key, json_print(obj, &len), record->mod,
+		  record_on_done, call);
+	json_object_put(obj);
+	g_free(key);
+}
+
+void record_read(void *ctx, const char *home)
+{
+	struct entryd *entryd = ctx;
+	char *key = g_strconcat(RECORD_PREFIX, home, NULL);
+
+	plat_get(entryd->plat, key, record_on_done, call_create(entryd, home));
+	g_free(key);
+}
+
+void record_send(void *ctx, const struct home_msg *msg)
+{
+	struct entryd *entryd = ctx;
+	const struct member *member = member_find(entryd->members, msg->to);
+
+	if (member)
+		rpc_send_home(entryd->rpc, member->info.rpc, msg);
+}
+
+const char *record_pick_guardian(void *ctx)
+{
+	struct entryd *entryd = ctx;
+	const struct member *member;
+
+	if (!entryd->conf->guard)
+		return NULL;
+	member = member_pick(entryd->members, entryd->home->self,
+			     entryd->conf->data_centre);
+	return member ? member->info.incarnation : NULL;
+}
--- /dev/null
+++ b/daemon/entryd.c
@@ -0,0 +1,301 @@
+/* rw-entryd: settings, loop, timer, signals. */
+#include "entryd.h"
+
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define TICK_MS 20
+#define RESEND_MS 250
+#define REVOKE_WAIT_MS 1500
+#define PROGRESS_GAP_MS 100
+#define DEAD_KEEP_MS 600000
+#define SYNC_PERIOD_MS 10000
+#define ACK_WAIT_DIVISOR 2    /* of the probe period */
+#define RETIRE_WAIT_MS 3000   /* for the guardian to take over */
+#define GUARDED_WAIT_MS 10000 /* for homes to choose other guardians */
+
+clk_ms entryd_now(const struct entryd *entryd)
+{
+	return (clk_ms)uv_now(&entryd->loop);
+}
+
+clk_ms entryd_wall(void)
+{
+	return g_get_real_time() / 1000;
+}
+
+uint32_t entryd_random(void *ctx, uint32_t n)
+{
+	struct entryd *entryd = ctx;
+
+	return n > 1 ? (uint32_t)g_rand_int_range(entryd->rand, 0, (gint32)n) :
+		       0;
+}
+
+void entryd_count(struct entryd *entryd, enum ctr ctr)
+{
+	entryd->ctrs.values[ctr]++;
+}
+
+/* Tells whether everything that this host answers is at its end. */
+static bool drained(struct entryd *entryd)
+{
+	clk_ms now = entryd_now(entryd);
+	clk_ms guarded_until = entryd->stop_until - entryd->conf->drain_ms +
+			       GUARDED_WAIT_MS;
+
+	if (home_open_count(entryd->home) > 0 ||
+	    g_hash_table_size(entryd->callers) > 0 || entryd->relays > 0)
+		return false;
+	return home_guarded_count(entryd->home) == 0 || now >= guarded_until;
+}
+
+/* Takes the next step of the shutdown. */
+static void stop_tick(struct entryd *entryd)
+{
+	clk_ms now = entryd_now(entryd);
+
+	if (!entryd->retired && (drained(entryd) || now >= entryd->stop_until)) {
+		entryd->retired = true;
+		entryd->stop_until = now + RETIRE_WAIT_MS;
+		log_notice("drained; handing over");
+	}
+	if (!entryd->retired)
+		return;
+	home_retire(entryd->home, now);
+	if (entryd->home->state != HOME_OPEN || !entryd->home->record.peer[0] ||
+	    now >= entryd->stop_until) {
+		if (entryd->relays > 0 && now < entryd->stop_until)
+			return;
+		uv_stop(&entryd->loop);
+	}
+}
+
+/* A sealed home begins anew, under another incarnation. */
+static void renew_tick(struct entryd *entryd)
+{
+	char incarnation[RID_INCARNATION_MAX + 1];
+
+	if (entryd->home->state != HOME_LOST || entryd->retired)
+		return;
+	entryd_count(entryd, CTR_lost_self);
+	rid_incarnation(incarnation, sizeof(incarnation), entryd->conf->name,
+			g_rand_int(entryd->rand));
+	log_warn("incarnation %s is lost, sealed by %s; now %s",
+		 entryd->home->self, entryd->home->record.peer, incarnation);
+	home_renew(entryd->home, incarnation, entryd_now(entryd));
+	member_renew(entryd->members, incarnation, entryd_now(entryd));
+}
+
+/* Keeps the counters that others count. */
+static void counters_tick(struct entryd *entryd)
+{
+	const struct rpc_counters *rpc = rpc_counters(entryd->rpc);
+	uint64_t *values = entryd->ctrs.values;
+
+	values[CTR_platform_calls] = plat_calls(entryd->plat);
+	values[CTR_platform_failures] = plat_failures(entryd->plat);
+	values[CTR_rpc_bytes_in] = rpc->bytes_in;
+	values[CTR_rpc_bytes_out] = rpc->bytes_out;
+	values[CTR_gossip_out] = rpc->datagrams_out;
+	values[CTR_members_dead] = entryd->members->died;
+	values[CTR_suspicions_refuted] = entryd->members->refuted;
+	values[CTR_settings_stale] = entryd->settings->stale;
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct entryd *entryd = timer->data;
+	clk_ms now = entryd_now(entryd);
+
+	entryd->members->settings = (uint64_t)entryd->settings->revision;
+	entryd->members->hosts = (uint64_t)entryd->hosts->revision;
+	member_tick(entryd->members, now);
+	conf_tick(entryd);
+	load_tick(entryd);
+	home_tick(entryd->home, now);
+	counters_tick(entryd);
+	if (entryd->stopping)
+		stop_tick(entryd);
+	else
+		renew_tick(entryd);
+}
+
+void entryd_stop(struct entryd *entryd)
+{
+	if (entryd->stopping)
+		return;
+	entryd->stopping = true;
+	entryd->stop_until = entryd_now(entryd) + entryd->conf->drain_ms;
+	member_leave(entryd->members, entryd_now(entryd));
+	log_notice("stopping; %zu requests are open",
+		   home_open_count(entryd->home));
+}
+
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	(void)signum;
+	entryd_stop(handle->data);
+}
+
+static void on_bad_rpc(void *ctx)
+{
+	entryd_count(ctx, CTR_bad_input);
+}
+
+static void on_home_msg(void *ctx, const struct home_msg *msg)
+{
+	struct entryd *entryd = ctx;
+
+	home_on_msg(entryd->home, msg, entryd_now(entryd));
+}
+
+static void on_gossip(void *ctx, const struct member_msg *msg)
+{
+	struct entryd *entryd = ctx;
+
+	if (entryd_random(entryd, 100) < (uint32_t)entryd->conf->loss_percent)
+		return;
+	member_on_msg(entryd->members, msg, entryd_now(entryd));
+}
+
+/* Opens the sockets. */
+static bool listen_all(struct entryd *entryd, GError **error)
+{
+	struct conf_entry *conf = entryd->conf;
+	struct http_server_options http = {
+		.address = conf->address,
+		.port = (int)conf->http_port,
+		.max_body = (size_t)conf->max_body_bytes,
+		.on_call = http_on_call,
+		.on_bad = http_on_bad,
+		.ctx = entryd,
+	};
+	struct rpc_handlers rpc = {
+		.on_gossip = on_gossip,
+		.on_home = on_home_msg,
+		.on_sync = member_sync_fill,
+		.on_bad = on_bad_rpc,
+		.ctx = entryd,
+	};
+
+	entryd->server = http_server_create(&entryd->loop, &http, error);
+	if (!entryd->server)
+		return false;
+	g_snprintf(entryd->http_address, sizeof(entryd->http_address), "%s:%d",
+		   conf->address, http_server_port(entryd->server));
+	g_snprintf(entryd->rpc_address, sizeof(entryd->rpc_address), "%s:%d",
+		   conf->address, (int)conf->rpc_port);
+	entryd->rpc = rpc_create(&entryd->loop, conf->address,
+				 (int)conf->rpc_port, &rpc, error);
+	return entryd->rpc != NULL;
+}
+
+/* Creates the decisions' objects. */
+static void decide_create(struct entryd *entryd)
+{
+	struct conf_entry *conf = entryd->conf;
+	struct home_options home = {
+		.ops = &job_home_ops,
+		.ctx = entryd,
+		.resend = RESEND_MS,
+		.revoke_wait = REVOKE_WAIT_MS,
+		.retention = conf->retention_ms,
+		.answer_keep = conf->answer_keep_ms,
+		.progress_gap = PROGRESS_GAP_MS,
+	};
+	struct member_options member = {
+		.ops = &member_entry_ops,
+		.ctx = entryd,
+		.period = conf->probe_period_ms,
+		.ack_wait = conf->probe_period_ms / ACK_WAIT_DIVISOR,
+		.suspicion = conf->suspicion_ms,
+		.dead_keep = DEAD_KEEP_MS,
+		.sync_period = SYNC_PERIOD_MS,
+		.seeds = conf->seeds,
+	};
+	struct member_update self = { .state = MEMBER_ALIVE };
+
+	rid_incarnation(self.incarnation, sizeof(self.incarnation), conf->name,
+			g_rand_int(entryd->rand));
+	g_strlcpy(self.http, entryd->http_address, sizeof(self.http));
+	g_strlcpy(self.rpc, entryd->rpc_address, sizeof(self.rpc));
+	g_strlcpy(self.data_centre, conf->data_centre,
+		  sizeof(self.data_centre));
+	entryd->home = home_create(self.incarnation, &home);
+	entryd->members = member_list_create(&self, &member);
+	entryd->router = router_create(entryd_random, entryd);
+}
+
+static void loop_start(struct entryd *entryd)
+{
+	uv_timer_init(&entryd->loop, &entryd->tick);
+	entryd->tick.data = entryd;
+	uv_timer_start(&entryd->tick, on_tick, TICK_MS, TICK_MS);
+	uv_signal_init(&entryd->loop, &entryd->term);
+	entryd->term.data = entryd;
+	uv_signal_start(&entryd->term, on_signal, SIGTERM);
+	uv_signal_init(&entryd->loop, &entryd->interrupt);
+	entryd->interrupt.data = entryd;
+	uv_signal_start(&entryd->interrupt, on_signal, SIGINT);
+}
+
+/* Builds the process from its settings. */
+static bool entryd_open(struct entryd *entryd, const char *path,
+			GError **error)
+{
+	struct conf_entry *conf = conf_load(CONF_ENTRY, path, error);
+
+	if (!conf)
+		return false;
+	entryd->conf = conf;
+	entryd->rand = conf->seed ? g_rand_new_with_seed((guint32)conf->seed) :
+				    g_rand_new();
+	if (log_open("rw-entryd", conf->log_level, conf->log_file, error) != 0)
+		return false;
+	entryd->tracer = trace_open(conf->trace_file, conf->name, entryd->rand,
+				    error);
+	if (!entryd->tracer)
+		return false;
+	uv_loop_init(&entryd->loop);
+	entryd->callers = g_hash_table_new(NULL, NULL);
+	entryd->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	entryd->client = http_client_create(&entryd->loop);
+	entryd->plat = plat_create(entryd->client, conf->platform);
+	if (!listen_all(entryd, error))
+		return false;
+	decide_create(entryd);
+	entryd->started_at = entryd_now(entryd);
+	conf_start(entryd);
+	loop_start(entryd);
+	return true;
+}
+
+int main(int argc, const char **argv)
+{
+	static struct entryd entryd;
+	GError *error = NULL;
+	const char *path;
+	struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
+	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
+
+	poptSetOtherOptionHelp(popt, "SETTINGS-FILE");
+	if (poptGetNextOpt(popt) < -1 || !(path = poptGetArg(popt))) {
+		poptPrintUsage(popt, stderr, 0);
+		return EXIT_FAILURE;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	if (!entryd_open(&entryd, path, &error)) {
+		fprintf(stderr, "rw-entryd: %s\n", error->message);
+		return EXIT_FAILURE;
+	}
+	printf("listening %d\n", http_server_port(entryd.server));
+	fflush(stdout);
+	log_notice("%s serves on %s", entryd.home->self, entryd.http_address);
+	uv_run(&entryd.loop, UV_RUN_DEFAULT);
+	log_notice("stopped");
+	log_close();
+	return EXIT_SUCCESS;
+}
--- a/decide/admit.c
+++ b/decide/admit.c
@@ -102,6 +102,11 @@
 	g_queue_insert_sorted(&queue->tickets, ticket, by_service, NULL);
 }
 
+struct admit_ticket *admit_peek(const struct admit_queue *queue)
+{
+	return queue->tickets.head ? queue->tickets.head->data : NULL;
+}
+
 struct admit_ticket *admit_pop(struct admit_queue *queue)
 {
 	struct admit_ticket *ticket = g_queue_pop_head(&queue->tickets);
--- a/decide/admit.h
+++ b/decide/admit.h
@@ -49,6 +49,8 @@
 	       const struct admit_ticket *ticket,
 	       const struct admit_pool *pool, clk_ms now, clk_ms *come_back);
 void admit_push(struct admit_queue *queue, struct admit_ticket *ticket);
+/* Returns the next ticket and leaves it there, or NULL. */
+struct admit_ticket *admit_peek(const struct admit_queue *queue);
 /* Takes the next ticket, or NULL. */
 struct admit_ticket *admit_pop(struct admit_queue *queue);
 void admit_remove(struct admit_queue *queue, struct admit_ticket *ticket);
--- a/decide/home-guard.c
+++ b/decide/home-guard.c
@@ -45,6 +45,7 @@
 		.epoch = msg->epoch,
 		.id = msg->id,
 		.verdict = verdict,
+		.grant_no = req ? req->attempt.grant_no : 0,
 		.acked = req ? req_piece_count(req) : 0,
 		.end_acked = req && req->answer.ended,
 	};
@@ -85,6 +86,16 @@
 	return req->phase == REQ_GRANTED ? VERDICT_GRANTED : VERDICT_HELD;
 }
 
+/* Grants the dispatch at one upstream; a later grant replaces it. */
+static void grant(struct req *req, const struct home_msg *msg)
+{
+	if (msg->grant_no < req->attempt.grant_no)
+		return;
+	req->phase = REQ_GRANTED;
+	req->attempt.grant_no = msg->grant_no;
+	req_attempt_set(req, msg->upstream, NULL);
+}
+
 /* Keeps a request, and grants it if that is asked for. */
 static void on_hold(struct home *home, struct guard *guard,
 		    const struct home_msg *msg)
@@ -104,7 +115,7 @@
 				req->deadline + home->options.retention;
 	}
 	if (!is_tombstone(req) && (msg->want_grant || msg->granted))
-		req->phase = REQ_GRANTED;
+		grant(req, msg);
 	verdict_send(home, msg, verdict_of(req), req);
 }
 
@@ -113,7 +124,7 @@
 {
 	size_t have = req_piece_count(req);
 
-	if (msg->upstream)
+	if (msg->upstream && req->attrs.idempotent)
 		req_attempt_set(req, msg->upstream, msg->stream);
 	if (msg->first > have || req->answer.ended)
 		return;
@@ -229,6 +240,7 @@
 {
 	req->guarded = false;
 	req->inherited = true;
+	req->hold_sent = true;
 	req->acked = 0;
 	req->end_acked = false;
 	req->copied = false;
--- a/decide/home-hold.c
+++ b/decide/home-hold.c
@@ -66,6 +66,8 @@
 			 home->state == HOME_OPEN;
 	msg.granted = req->phase == REQ_GRANTED ||
 		      (req->phase == REQ_ENDED && req_ran(req) != ERR_RAN_NO);
+	msg.grant_no = req->attempt.grant_no;
+	msg.upstream = req->attempt.upstream;
 	msg.attrs = &req->attrs;
 	msg.time_left = req->deadline == CLK_NEVER ?
 				CLK_NEVER :
@@ -78,6 +80,7 @@
 	req->next_send = home->now + home->options.resend;
 	if (!may_send(home, req))
 		return;
+	req->hold_sent = true;
 	if (req->phase == REQ_NEW)
 		req->phase = REQ_HOLD_SENT;
 	else if (req->phase == REQ_HELD && req->want_run &&
@@ -130,7 +133,7 @@
 	bool lacks = req->acked < req_piece_count(req) ||
 		     (req->answer.ended && !req->end_acked);
 
-	if (req->answer.ended && req->end_acked) {
+	if (req->answer.ended && (req->end_acked || !req->hold_sent)) {
 		home_deactivate(home, req);
 		return;
 	}
@@ -233,6 +236,7 @@
 	}
 	take_held(home, req,
 		  msg->verdict == VERDICT_GRANTED &&
+			  msg->grant_no == req->attempt.grant_no &&
 			  (home->state == HOME_OPEN ||
 			   !home_rule(home, HOME_RULE_NO_OLD_GRANT)));
 }
--- a/decide/home-record.c
+++ b/decide/home-record.c
@@ -12,6 +12,11 @@
 	return home->state == HOME_OPEN ? home->record.peer : home->candidate;
 }
 
+const char *home_holder_name(const struct home *home)
+{
+	return home_holder(home);
+}
+
 int64_t home_holder_epoch(const struct home *home)
 {
 	return home->record.epoch + (home->state != HOME_OPEN);
@@ -200,6 +205,13 @@
 		home_lost(home, ""); /* the record is gone or another's */
 }
 
+void home_on_declared_dead(struct home *home, clk_ms now)
+{
+	home->now = now;
+	if (home->state != HOME_LOST)
+		home_lost(home, home->record.peer);
+}
+
 void home_lost(struct home *home, const char *by)
 {
 	GHashTableIter iter;
--- a/decide/home.c
+++ b/decide/home.c
@@ -73,6 +73,7 @@
 	dec_assert(req->attrs.idempotent || !req->running,
 		   "a call that may not be repeated is dispatched once");
 	req->running = true;
+	req->proved_not_run = false;
 	home->options.ops->run(home->options.ctx, req);
 }
 
@@ -256,10 +257,20 @@
 	return RW_ENOHOME;
 }
 
+/* Notes that an upstream has room. */
+static void want_run_at(struct req *req, const char *upstream)
+{
+	req->want_run = true;
+	if (req->attrs.idempotent)
+		return; /* home_attempt names the upstream */
+	req->attempt.grant_no++;
+	req_attempt_set(req, upstream, NULL);
+}
+
 struct req *home_submit(struct home *home, const char *id,
 			const struct rid *rid, const struct req_attrs *attrs,
-			clk_ms deadline, bool want_run, enum err_kind *kind,
-			clk_ms now)
+			clk_ms deadline, const char *upstream, void *owner,
+			enum err_kind *kind, clk_ms now)
 {
 	struct req *req;
 	bool own = !strcmp(rid->home, home->self);
@@ -272,11 +283,13 @@
 		return NULL;
 	}
 	req = req_begin(home, id, rid, attrs, deadline);
+	req->owner = owner;
 	if (!own && home_rule(home, HOME_RULE_UNSEEN_NOT_RUN)) {
 		home_finish(home, req, unseen_kind(home, rid, attrs), 0);
 		return req;
 	}
-	req->want_run = want_run;
+	if (upstream)
+		want_run_at(req, upstream);
 	home_activate(home, req);
 	home_hold_send(home, req);
 	return req;
@@ -284,7 +297,7 @@
 
 struct req *home_reject(struct home *home, const char *id,
 			const struct rid *rid, const struct req_attrs *attrs,
-			enum err_kind kind, clk_ms now)
+			enum err_kind kind, void *owner, clk_ms now)
 {
 	struct req *req;
 
@@ -292,15 +305,19 @@
 	dec_assert(!strcmp(rid->home, home->self),
 		   "a host refuses only its own ids without a trace");
 	req = req_begin(home, id, rid, attrs, now);
+	req->owner = owner;
 	home_finish(home, req, kind, 0);
 	return req;
 }
 
-void home_want_run(struct home *home, struct req *req, clk_ms now)
+void home_want_run(struct home *home, struct req *req, const char *upstream,
+		   clk_ms now)
 {
 	home->now = now;
-	req->want_run = true;
-	if (req->phase != REQ_HELD || req->running)
+	if (req->want_run || req->running || req->phase > REQ_HELD)
+		return;
+	want_run_at(req, upstream);
+	if (req->phase != REQ_HELD)
 		return;
 	if (req->attrs.idempotent)
 		home_run(home, req);
@@ -335,6 +352,9 @@
 		  const char *stream, clk_ms now)
 {
 	home->now = now;
+	dec_assert(req->attrs.idempotent ||
+			   !g_strcmp0(req->attempt.upstream, upstream),
+		   "a call goes to the upstream that its grant names");
 	req->attempt.count++;
 	req_attempt_set(req, upstream, stream);
 	req->attempt_told = false;
@@ -363,16 +383,33 @@
 void home_prove_not_run(struct home *home, struct req *req, clk_ms now)
 {
 	home->now = now;
+	if (req->answer.ended || req->phase != REQ_GRANTED)
+		return;
 	req->proved_not_run = true;
-	if (!req->probing || req->answer.ended)
+	req->running = false;
+	req->want_run = false;
+	if (!req->probing) {
+		req->phase = REQ_HELD;
 		return;
+	}
 	req->probing = false;
 	req->phase = REQ_NEW;
 	req->accepted = false;
-	req->running = false;
 	home_hold_send(home, req);
 }
 
+int64_t home_fence(const struct home *home, const struct req *req)
+{
+	const struct guard *guard;
+
+	if (!req->inherited)
+		return home->record.epoch;
+	guard = g_hash_table_lookup(home->guards, req->rid.home);
+	if (guard && guard->state == GUARD_SEALED)
+		return guard->record.epoch;
+	return 0;
+}
+
 void home_renew(struct home *home, const char *self, clk_ms now)
 {
 	dec_assert(home->state == HOME_LOST,
--- a/decide/home.h
+++ b/decide/home.h
@@ -63,7 +63,8 @@
 	int64_t epoch;	  /* of the home's record */
 	const char *id;	  /* request id; "" if about the whole home */
 	/* HOME_HOLD */
-	bool want_grant;
+	bool want_grant;   /* to dispatch at upstream, and nowhere else */
+	unsigned grant_no; /* of the grant; a verdict repeats it */
 	bool copy;	      /* from a change of guardian or a take-over */
 	bool granted;	      /* copy of a granted request */
 	const struct req_attrs *attrs;
@@ -197,6 +198,8 @@
 		    const struct home_record *record, clk_ms now);
 /* A host was declared dead, or is leaving: no longer a guardian. */
 void home_on_lost(struct home *home, const char *incarnation, clk_ms now);
+/* The other hosts declared this one dead: its guardian takes over. */
+void home_on_declared_dead(struct home *home, clk_ms now);
 /* A host asks to be replaced as guardian before it leaves. */
 void home_on_leaving(struct home *home, const char *incarnation, clk_ms now);
 /* Hands all authority over; the record is sealed by the guardian. */
@@ -208,19 +211,25 @@
 enum home_place home_place(const struct home *home, const char *incarnation);
 /* Finds a request that this host speaks for, or NULL. */
 struct req *home_find(struct home *home, const char *id);
-/* Begins a request; home_find must have returned NULL. The end may come
- * within the call, by the callbacks. Returns the request, or NULL with kind
+/* Begins a request; home_find must have returned NULL. If upstream has room
+ * for it, it is named, so that hold and grant travel together. The end may
+ * come within the call, by the callbacks. Returns the request, or NULL with kind
  * set if it is refused without a trace. */
 struct req *home_submit(struct home *home, const char *id,
 			const struct rid *rid, const struct req_attrs *attrs,
-			clk_ms deadline, bool want_run, enum err_kind *kind,
-			clk_ms now);
+			clk_ms deadline, const char *upstream, void *owner,
+			enum err_kind *kind, clk_ms now);
 /* Refuses a new request for good, before any other host has seen it. */
 struct req *home_reject(struct home *home, const char *id,
 			const struct rid *rid, const struct req_attrs *attrs,
-			enum err_kind kind, clk_ms now);
-/* An upstream has room for it: it is run as soon as that is allowed. */
-void home_want_run(struct home *home, struct req *req, clk_ms now);
+			enum err_kind kind, void *owner, clk_ms now);
+/* An upstream has room for it: it is run as soon as that is allowed. A grant
+ * names the upstream: the call is dispatched there or nowhere. */
+void home_want_run(struct home *home, struct req *req, const char *upstream,
+		   clk_ms now);
+/* The fencing number for a call: larger than that of any host that could
+ * dispatch it before; 0: there is none that is sure. */
+int64_t home_fence(const struct home *home, const struct req *req);
 /* Gives a request up that was not dispatched; kind is told once sure. */
 void home_refuse(struct home *home, struct req *req, enum err_kind kind,
 		 clk_ms now);
@@ -230,14 +239,16 @@
 /* A piece of the answer has come. */
 void home_piece(struct home *home, struct req *req, const char *ptr,
 		size_t len, clk_ms now);
-/* Evidence that a dispatched call did not run: it may be dispatched again,
- * and a request under probe is. */
+/* Evidence that a dispatched call did not run, and will not: it is back to
+ * held, and may be run by a new grant. */
 void home_prove_not_run(struct home *home, struct req *req, clk_ms now);
 /* A dead home's record names this host as guardian: it is sealed. */
 void home_claim(struct home *home, const char *incarnation, clk_ms now);
 /* The dispatcher's last word on a request that it ran or probed. */
 void home_end(struct home *home, struct req *req, enum err_kind kind,
 	      int status, clk_ms now);
+/* The guardian that holds go to now, "" if there is none. */
+const char *home_holder_name(const struct home *home);
 /* How many requests are not at their end and this host's to answer. */
 size_t home_open_count(const struct home *home);
 /* How many homes this host guards that are not taken over. */
--- a/decide/req.h
+++ b/decide/req.h
@@ -50,6 +50,7 @@
 	char *upstream; /* name, or NULL */
 	char *stream;	/* the attempt's id at the upstream, or NULL */
 	unsigned count; /* attempts begun */
+	unsigned grant_no; /* grants asked for; the last one counts */
 };
 
 struct req {
@@ -61,6 +62,7 @@
 	bool inherited; /* taken over from a lost home */
 	bool accepted;	/* the caller may be told so */
 	bool want_run;	/* an upstream has room */
+	bool hold_sent; /* the guardian may know of it */
 	bool running;	/* handed to the dispatcher */
 	bool probing;	/* its outcome is being asked for */
 	bool proved_not_run; /* the dispatcher has evidence of that */
--- a/decide/route.c
+++ b/decide/route.c
@@ -39,6 +39,8 @@
 						  NULL, upstream_free);
 	router->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      pool_free);
+	router->pool_weights = g_hash_table_new_full(g_str_hash, g_str_equal,
+						     g_free, g_free);
 	router->random = random;
 	router->ctx = ctx;
 	router->weights = (struct route_weights){
@@ -55,6 +57,7 @@
 
 void router_free(struct router *router)
 {
+	g_hash_table_destroy(router->pool_weights);
 	g_hash_table_destroy(router->pools);
 	g_hash_table_destroy(router->upstreams);
 	g_free(router);
@@ -104,6 +107,23 @@
 	g_ptr_array_add(list, upstream);
 }
 
+void router_set_weights(struct router *router, const char *pool,
+			const struct route_weights *weights)
+{
+	g_hash_table_replace(router->pool_weights, g_strdup(pool),
+			     g_memdup2(weights, sizeof(*weights)));
+}
+
+/* The weights in force for a pool. */
+static const struct route_weights *weights_of(const struct router *router,
+					      const char *pool)
+{
+	const struct route_weights *own =
+		g_hash_table_lookup(router->pool_weights, pool);
+
+	return own ? own : &router->weights;
+}
+
 bool upstream_takes_work(const struct upstream *upstream)
 {
 	return upstream->state == UPSTREAM_LIVE && !upstream->marked_leaving;
@@ -139,7 +159,7 @@
 		      const struct upstream *upstream,
 		      const struct route_ask *ask, clk_ms now)
 {
-	const struct route_weights *weights = &router->weights;
+	const struct route_weights *weights = weights_of(router, ask->pool);
 	double used = outstanding(upstream, now) + 1;
 	double over = MAX(used - slots_of(upstream), 0);
 	double load = used / slots_of(upstream);
@@ -231,7 +251,7 @@
 		if (preferred)
 			keep_cheaper(router, ask, now, &best, &cost, preferred);
 	}
-	for (int i = 0; i < router->weights.samples; i++) {
+	for (int i = 0; i < weights_of(router, ask->pool)->samples; i++) {
 		guint at = router->random(router->ctx, list->len);
 
 		keep_cheaper(router, ask, now, &best, &cost,
@@ -260,7 +280,7 @@
 	struct upstream *best = NULL;
 
 	if (list->len > 0) {
-		switch (router->weights.policy) {
+		switch (weights_of(router, ask->pool)->policy) {
 		case ROUTE_RANDOM:
 			best = g_ptr_array_index(
 				list, router->random(router->ctx, list->len));
--- a/decide/route.h
+++ b/decide/route.h
@@ -79,7 +79,8 @@
 struct router {
 	GHashTable *upstreams; /* name -> struct upstream */
 	GHashTable *pools;     /* pool -> GPtrArray of struct upstream */
-	struct route_weights weights;
+	struct route_weights weights; /* of pools without their own */
+	GHashTable *pool_weights; /* pool -> struct route_weights */
 	uint32_t (*random)(void *ctx, uint32_t n);
 	void *ctx;
 	guint turn; /* of round robin */
@@ -95,6 +96,9 @@
 /* Sets the pool of an upstream. */
 void router_set_pool(struct router *router, struct upstream *upstream,
 		     const char *pool);
+/* Sets the weights of a pool. */
+void router_set_weights(struct router *router, const char *pool,
+			const struct route_weights *weights);
 /* Tells whether it gets new work. */
 bool upstream_takes_work(const struct upstream *upstream);
 /* Chooses an upstream, or NULL if none takes work now. */
--- a/wire/http-client.c
+++ b/wire/http-client.c
@@ -24,6 +24,7 @@
 	clk_ms deadline;	/* loop time; 0: none */
 	int status;
 	bool connected;
+	bool is_events; /* by the answer's content type */
 	bool in_callback; /* h2o is on the stack: it closes by itself */
 	bool deferred_refusal; /* on_done is owed from the timer */
 };
@@ -117,6 +118,23 @@
 	return 0;
 }
 
+/* Tells whether the content type is that of server-sent events. */
+static bool headers_are_events(const h2o_header_t *headers, size_t count)
+{
+	for (size_t i = 0; i < count; i++)
+		if (h2o_memis(headers[i].name->base, headers[i].name->len,
+			      H2O_STRLIT("content-type")))
+			return g_strstr_len(headers[i].value.base,
+					    (gssize)headers[i].value.len,
+					    "text/event-stream") != NULL;
+	return false;
+}
+
+bool http_fetch_is_events(const struct http_fetch *fetch)
+{
+	return fetch->is_events;
+}
+
 /* h2o has read the head of the answer. */
 static h2o_http1client_body_cb
 fetch_on_head(h2o_http1client_t *h2o, const char *errstr, int minor_version,
@@ -127,14 +145,13 @@
 
 	(void)minor_version;
 	(void)msg;
-	(void)headers;
-	(void)num_headers;
 	(void)rlen;
 	if (errstr && errstr != h2o_http1client_error_is_eos) {
 		fetch_finish(fetch, HTTP_CUT);
 		return NULL;
 	}
 	fetch->status = status;
+	fetch->is_events = headers_are_events(headers, num_headers);
 	fetch_arm(fetch);
 	fetch->in_callback = true;
 	if (fetch->spec.on_head)
--- a/wire/http.h
+++ b/wire/http.h
@@ -103,6 +103,8 @@
 /* Starts a fetch; no callback comes before this returns. */
 struct http_fetch *http_fetch_start(struct http_client *client,
 				    const struct http_fetch_spec *spec);
+/* Whether the answer is a stream of events; known from on_head on. */
+bool http_fetch_is_events(const struct http_fetch *fetch);
 /* Breaks a fetch off; none of its callbacks is called any more. */
 void http_fetch_cancel(struct http_fetch *fetch);
 
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -79,6 +79,7 @@
 	quad_t epoch;
 	char *id;
 	bool_t want_grant;
+	u_int grant_no;
 	bool_t copy;
 	bool_t granted;
 	w_attrs *attrs;
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -61,6 +61,7 @@
 	hyper epoch;
 	string id<W_ID>;
 	bool want_grant;
+	unsigned int grant_no;
 	bool copy;
 	bool granted;
 	w_attrs *attrs;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -161,10 +161,12 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->id, W_ID))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->want_grant))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->grant_no))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->copy))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->granted))
@@ -172,6 +174,7 @@
 
 		} else {
 		IXDR_PUT_BOOL(buf, objp->want_grant);
+		IXDR_PUT_U_LONG(buf, objp->grant_no);
 		IXDR_PUT_BOOL(buf, objp->copy);
 		IXDR_PUT_BOOL(buf, objp->granted);
 		}
@@ -226,10 +229,12 @@
 			 return FALSE;
 		 if (!xdr_string (xdrs, &objp->id, W_ID))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->want_grant))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->grant_no))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->copy))
 				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->granted))
@@ -237,6 +242,7 @@
 
 		} else {
 		objp->want_grant = IXDR_GET_BOOL(buf);
+		objp->grant_no = IXDR_GET_U_LONG(buf);
 		objp->copy = IXDR_GET_BOOL(buf);
 		objp->granted = IXDR_GET_BOOL(buf);
 		}
@@ -294,6 +300,8 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->want_grant))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->grant_no))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->copy))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->granted))
--- a/wire/rpc-home.c
+++ b/wire/rpc-home.c
@@ -66,6 +66,7 @@
 	wire->epoch = msg->epoch;
 	wire->id = text_or_empty(msg->id);
 	wire->want_grant = msg->want_grant;
+	wire->grant_no = msg->grant_no;
 	wire->copy = msg->copy;
 	wire->granted = msg->granted;
 	if (msg->attrs) {
@@ -161,6 +162,7 @@
 		.epoch = wire->epoch,
 		.id = wire->id,
 		.want_grant = wire->want_grant,
+		.grant_no = wire->grant_no,
 		.copy = wire->copy,
 		.granted = wire->granted,
 		.attrs = wire->attrs ? &attrs : NULL,
