rw-admind, rwctl, rw-load; room is counted by own calls in flight

Cause of the finding below: a pool's room was the reported load plus all calls begun since the report. Calls that had ended still counted, so 50 callers of a 1 ms service waited for the next report. Ruled out: the guardian's round trip (1.1 ms in the same run), the service. Before: 50 callers of stock, p50 5.3 ms, p95 991 ms, 328 calls/s. Change: what others have at an upstream is the report less own calls at that time; own calls are counted exactly.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 
 $(B)/rw-fake-platform: $(B)/fakes/platform.o $(B)/fakes/fake.o $(B)/librw.a
 	$(link)
-$(B)/rw-fake-engine: $(B)/fakes/engine.o $(B)/fakes/fake.o $(B)/librw.a
+$(B)/rw-fake-engine: $(B)/fakes/engine.o $(B)/fakes/token.o \
+		$(B)/fakes/fake.o $(B)/librw.a
 	$(link)
 $(B)/rw-fake-service: $(B)/fakes/service.o $(B)/fakes/fake.o $(B)/librw.a
 	$(link)
@@ -47,7 +48,8 @@
 	$(link)
 $(B)/rwctl: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/ctl*.c)) $(B)/librw.a
 	$(link)
-$(B)/rw-load: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/load*.c)) $(B)/librw.a
+$(B)/rw-load: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/load*.c)) \
+		$(B)/fakes/token.o $(B)/librw.a
 	$(link)
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/daemon/admind.h
@@ -0,0 +1,45 @@
+/*
+ * rw-admind: the administration API. Settings are changed by
+ * compare-and-swap on the platform; a change counts as accepted only once
+ * the swap is known to have taken effect.
+ */
+#ifndef DAEMON_ADMIND_H
+#define DAEMON_ADMIND_H
+
+#include <uv.h>
+
+#include "../wire/conf.h"
+#include "../wire/http.h"
+#include "../wire/json.h"
+#include "../wire/plat.h"
+#include "../decide/err.h"
+
+struct admind {
+	uv_loop_t loop;
+	struct conf_admin *conf;
+	struct http_server *server;
+	struct http_client *client;
+	struct plat *plat;
+	GRand *rand;
+	int64_t changes; /* for unique change ids */
+	char instance[16];
+	uint64_t accepted;
+	uint64_t conflicts;
+	uint64_t unsure;
+};
+
+/* admind-change.c */
+void change_get(struct admind *admind, struct http_call *call,
+		const char *key);
+void change_put(struct admind *admind, struct http_call *call,
+		const char *key);
+void change_delete(struct admind *admind, struct http_call *call,
+		   const char *key);
+
+/* admind-answer.c */
+void admind_error(struct http_call *call, enum err_kind kind,
+		  const char *detail, struct json_object *more);
+void admind_answer(struct http_call *call, int status,
+		   struct json_object *obj);
+
+#endif
--- /dev/null
+++ b/daemon/load-history.c
@@ -0,0 +1,78 @@
+/* The history and the figures of rw-load. */
+#include "load.h"
+
+#include <inttypes.h>
+#include <math.h>
+
+#define NS_PER_MS 1e6
+
+double load_now(const struct load *load)
+{
+	(void)load;
+	return (double)uv_hrtime() / NS_PER_MS;
+}
+
+void load_note(struct load *load, const char *event, const char *id,
+	       const char *kind, const char *text)
+{
+	struct json_object *line;
+	size_t len;
+
+	if (!load->history)
+		return;
+	line = json_object_new_object();
+	json_object_object_add(line, "t",
+			       json_object_new_double(load_now(load)));
+	json_add_text(line, "event", event);
+	json_add_text(line, "id", id);
+	json_add_text(line, "kind", kind);
+	if (text)
+		json_add_text(line, "text", text);
+	fprintf(load->history, "%s\n", json_print(line, &len));
+	json_object_put(line);
+}
+
+static gint by_value(gconstpointer a, gconstpointer b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return (left > right) - (left < right);
+}
+
+/* Prints percentiles of an array, which it sorts. */
+static void print_percentiles(const char *name, GArray *values)
+{
+	static const double shares[] = { 0.5, 0.95, 0.99 };
+
+	g_array_sort(values, by_value);
+	printf("%s", name);
+	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
+		guint at = (guint)(shares[i] * values->len);
+		double value = values->len ? g_array_index(values, double,
+							   MIN(at, values->len -
+									   1)) :
+					     NAN;
+
+		printf(" p%g=%.3f", shares[i] * 100, value);
+	}
+	printf(" n=%u\n", values->len);
+}
+
+void load_print(const struct load *load)
+{
+	double seconds = (double)(load->until - load->begun) / CLK_SECOND;
+
+	printf("requests %" PRId64 " tries %" PRId64 "\n", load->made,
+	       load->tries);
+	printf("whole %" PRId64 " not_run %" PRId64 " unknown %" PRId64
+	       " given_up %" PRId64 " wrong %" PRId64 "\n",
+	       load->ends[LOAD_WHOLE], load->ends[LOAD_NOT_RUN],
+	       load->ends[LOAD_UNKNOWN], load->ends[LOAD_GIVEN_UP],
+	       load->ends[LOAD_WRONG]);
+	printf("per_second %.1f\n",
+	       (double)load->ends[LOAD_WHOLE] / MAX(seconds, 0.001));
+	print_percentiles("first_ms", load->first_ms);
+	print_percentiles("total_ms", load->total_ms);
+	print_percentiles("gap_ms", load->gap_ms);
+}
--- /dev/null
+++ b/daemon/load.c
@@ -0,0 +1,176 @@
+/* rw-load: command line, arrivals, end. */
+#include "load.h"
+
+#include <errno.h>
+#include <math.h>
+#include <popt.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ARRIVAL_TICK_MS 1
+
+void load_ended(struct load *load, enum load_end end)
+{
+	load->ends[end]++;
+	load->open--;
+	if (load->rate > 0)
+		return;
+	if ((clk_ms)uv_now(&load->loop) < load->until)
+		load_begin(load);
+}
+
+/* Begins what is due by now, whatever has been answered. */
+static void on_arrivals(uv_timer_t *timer)
+{
+	struct load *load = timer->data;
+	clk_ms now = (clk_ms)uv_now(&load->loop);
+	clk_ms passed = MIN(now, load->until) - load->begun;
+	int64_t due = (int64_t)((double)passed * load->rate / CLK_SECOND);
+
+	while (load->rate > 0 && load->made < due)
+		load_begin(load);
+	if (now >= load->until && load->open == 0) {
+		uv_timer_stop(timer);
+		uv_stop(&load->loop);
+	}
+}
+
+/* Parses "itinerary:0.5,stock:0.3"; a name with '@' before it is a model. */
+static bool kinds_parse(struct load *load, const char *mix)
+{
+	char **parts = g_strsplit(mix, ",", -1);
+	bool ok = parts[0] != NULL;
+
+	load->kinds = g_array_new(FALSE, TRUE, sizeof(struct load_kind));
+	for (char **part = parts; *part; part++) {
+		struct load_kind kind = { .weight = 1 };
+		char *colon = strchr(*part, ':');
+
+		if (colon) {
+			*colon = '\0';
+			kind.weight = g_ascii_strtod(colon + 1, NULL);
+		}
+		kind.model = (*part)[0] == '@';
+		kind.name = g_strdup(*part + kind.model);
+		ok = ok && kind.name[0] && kind.weight > 0;
+		g_array_append_val(load->kinds, kind);
+	}
+	g_strfreev(parts);
+	return ok;
+}
+
+/* Opens the files that the command line names. */
+static bool files_open(struct load *load, const char *history,
+		       const char *trace)
+{
+	GError *error = NULL;
+
+	load->tracer = trace_open(trace ? trace : "", "rw-load", load->rand,
+				  &error);
+	if (!load->tracer) {
+		fprintf(stderr, "rw-load: %s\n", error->message);
+		return false;
+	}
+	if (!history)
+		return true;
+	load->history = fopen(history, "a");
+	if (!load->history)
+		fprintf(stderr, "rw-load: cannot open \"%s\": %s\n", history,
+			strerror(errno));
+	return load->history != NULL;
+}
+
+static void load_run(struct load *load)
+{
+	load->client = http_client_create(&load->loop);
+	load->first_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	load->total_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	load->gap_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	uv_update_time(&load->loop);
+	load->begun = (clk_ms)uv_now(&load->loop);
+	load->until = load->begun + load->seconds * CLK_SECOND;
+	uv_timer_init(&load->loop, &load->arrivals);
+	load->arrivals.data = load;
+	uv_timer_start(&load->arrivals, on_arrivals, ARRIVAL_TICK_MS,
+		       ARRIVAL_TICK_MS);
+	for (int i = 0; load->rate <= 0 && i < load->concurrency; i++)
+		load_begin(load);
+	uv_run(&load->loop, UV_RUN_DEFAULT);
+	load_print(load);
+	if (load->history)
+		fclose(load->history);
+	trace_close(load->tracer);
+}
+
+int main(int argc, const char **argv)
+{
+	static struct load load = {
+		.concurrency = 1,
+		.seconds = 5,
+		.prompt_bytes = 64,
+		.prefixes = 4,
+		.max_tokens = 16,
+		.patience_ms = 30000,
+	};
+	char *entries = NULL;
+	char *accounts = "coop";
+	char *mix = "@itinerary";
+	char *history = NULL;
+	char *trace = NULL;
+	int seed = 1;
+	int whole = 0;
+	int verify = 0;
+	struct poptOption options[] = {
+		{ "entry", 'e', POPT_ARG_STRING, &entries, 0,
+		  "entry hosts to ask, separated by commas", "IP:PORT" },
+		{ "rate", 'r', POPT_ARG_DOUBLE, &load.rate, 0,
+		  "arrivals per second; 0: closed loop", "N" },
+		{ "concurrency", 'c', POPT_ARG_INT, &load.concurrency, 0,
+		  "callers of a closed loop", "N" },
+		{ "seconds", 's', POPT_ARG_INT, &load.seconds, 0,
+		  "how long requests arrive", "N" },
+		{ "accounts", 'a', POPT_ARG_STRING, &accounts, 0,
+		  "accounts, separated by commas", "NAMES" },
+		{ "mix", 'm', POPT_ARG_STRING, &mix, 0,
+		  "what is asked: @MODEL or ROUTE, with weights", "LIST" },
+		{ "prompt", 'P', POPT_ARG_INT, &load.prompt_bytes, 0,
+		  "length of prompts", "bytes" },
+		{ "prefixes", 0, POPT_ARG_INT, &load.prefixes, 0,
+		  "different beginnings of prompts", "N" },
+		{ "tokens", 't', POPT_ARG_INT, &load.max_tokens, 0,
+		  "tokens of an answer", "N" },
+		{ "patience", 0, POPT_ARG_INT, &load.patience_ms, 0,
+		  "how long a caller keeps at it", "ms" },
+		{ "history", 'H', POPT_ARG_STRING, &history, 0,
+		  "file for the history", "FILE" },
+		{ "trace", 0, POPT_ARG_STRING, &trace, 0, "file for spans",
+		  "FILE" },
+		{ "direct", 'd', POPT_ARG_STRING, &load.direct, 0,
+		  "engines to call without the system", "IP:PORT" },
+		{ "seed", 0, POPT_ARG_INT, &seed, 0, "of the random numbers",
+		  "N" },
+		{ "whole", 'w', POPT_ARG_NONE, &whole, 0, "no streaming",
+		  NULL },
+		{ "verify", 'v', POPT_ARG_NONE, &verify, 0,
+		  "texts must be the engine stand-in's", NULL },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
+
+	if (poptGetNextOpt(popt) < -1 || (!entries && !load.direct)) {
+		poptPrintUsage(popt, stderr, 0);
+		return EXIT_FAILURE;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	load.rand = g_rand_new_with_seed((guint32)seed);
+	load.whole = whole;
+	load.verify = verify;
+	load.entries = g_strsplit(entries ? entries : "", ",", -1);
+	load.accounts = g_strsplit(accounts, ",", -1);
+	uv_loop_init(&load.loop);
+	if (!kinds_parse(&load, mix) || !files_open(&load, history, trace))
+		return EXIT_FAILURE;
+	load_run(&load);
+	return EXIT_SUCCESS;
+}
--- a/decide/route.c
+++ b/decide/route.c
@@ -132,12 +132,10 @@
 /* Calls that wait or run there, by the report and this host's own calls. */
 static double outstanding(const struct upstream *upstream, clk_ms now)
 {
-	double reported = 0;
+	bool fresh = upstream->load.at &&
+		     now - upstream->load.at < LOAD_STALE_MS;
 
-	if (upstream->load.at && now - upstream->load.at < LOAD_STALE_MS)
-		reported = upstream->load.running + upstream->load.queued +
-			   upstream->sent_since_load;
-	return MAX(reported, upstream->inflight);
+	return upstream->inflight + (fresh ? upstream->others : 0);
 }
 
 static int slots_of(const struct upstream *upstream)
@@ -364,7 +362,6 @@
 		  const struct route_ask *ask, clk_ms now)
 {
 	upstream->inflight++;
-	upstream->sent_since_load++;
 	if (ask->prefix && has_prefix(upstream, ask->prefix, now))
 		router->prefix_hits++;
 	else if (ask->prefix)
@@ -388,5 +385,6 @@
 void router_on_load(struct upstream *upstream, const struct upstream_load *load)
 {
 	upstream->load = *load;
-	upstream->sent_since_load = 0;
+	upstream->others =
+		MAX(load->running + load->queued - upstream->inflight, 0);
 }
--- a/decide/route.h
+++ b/decide/route.h
@@ -40,7 +40,7 @@
 	uint64_t mark_stamp;
 	struct upstream_load load;
 	int inflight;		     /* this host's own calls */
-	int sent_since_load;	     /* own calls begun since the report */
+	int others;		     /* reported calls that are not own ones */
 	double service_ms;	     /* mean time of a call, aged */
 	double failure;		     /* 0 to 1: aged share of failed calls */
 	clk_ms retry_after;	     /* not chosen before, after a failure */
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -12,6 +12,7 @@
 #include <xxhash.h>
 
 #include "fake.h"
+#include "token.h"
 
 #define BLOCK_BYTES 64		/* prompt bytes of one cache block */
 #define BYTES_PER_TOKEN 4	/* of a prompt */
@@ -86,15 +87,6 @@
 
 static void engine_admit(struct engine *engine);
 
-/* Writes the text of token n of a prompt to buf. */
-static int token_text(const char *prompt, int n, char *buf, size_t size)
-{
-	XXH64_hash_t hash =
-		XXH64(prompt, strlen(prompt), (XXH64_hash_t)n + 1);
-
-	return snprintf(buf, size, "w%04x ", (unsigned)(hash & 0xffff));
-}
-
 /* Moves a block to the front of the cache; returns whether it was there. */
 static bool cache_touch(struct engine *engine, uint64_t hash)
 {
@@ -144,7 +136,7 @@
 static void event_append(GString *out, const struct stream *stream,
 			 const char *id, int n)
 {
-	char text[32];
+	char text[TOKEN_TEXT_MAX];
 
 	token_text(stream->prompt, n, text, sizeof(text));
 	g_string_append_printf(
@@ -173,7 +165,7 @@
 	struct json_object *obj = json_object_new_object();
 	struct json_object *choice = json_object_new_object();
 	struct json_object *choices = json_object_new_array();
-	char token[32];
+	char token[TOKEN_TEXT_MAX];
 
 	for (int n = reader->next; n < stream->made; n++) {
 		token_text(stream->prompt, n, token, sizeof(token));
--- a/wire/http-server.c
+++ b/wire/http-server.c
@@ -253,6 +253,11 @@
 	h2o_context_request_shutdown(&server->context);
 }
 
+bool http_server_stopped(const struct http_server *server)
+{
+	return server->stopped;
+}
+
 size_t http_server_open_calls(const struct http_server *server)
 {
 	return server->open_calls;
--- a/wire/http.h
+++ b/wire/http.h
@@ -44,6 +44,9 @@
 /* Stops taking connections; open ones end after their answer. */
 void http_server_stop(struct http_server *server);
 
+/* Whether http_server_stop was called. */
+bool http_server_stopped(const struct http_server *server);
+
 /* Returns how many received requests have not been answered to the end. */
 size_t http_server_open_calls(const struct http_server *server);
 
