--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,10 @@
 
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 .PHONY: all
+
+# Tests.
+TEST_BINS = $(B)/tests/sim-home
+$(B)/tests/sim-home: $(B)/tests/sim-home.o $(B)/tests/sim.o $(B)/librw.a
+	$(link)
+tests: $(TEST_BINS)
+.PHONY: tests
--- a/daemon/admind-change.c
+++ b/daemon/admind-change.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 #define SETTINGS_PREFIX "settings/"
-#define RESOLVE_TRIES 20     /* reads after a swap without an answer */
+#define RESOLVE_TRIES 20 /* reads after a swap without an answer */
 #define RESOLVE_GAP_MS 250
 
 /* One change, or read, under way. */
@@ -19,7 +19,7 @@
 	struct admind *admind;
 	struct http_call *call; /* NULL: the operator has gone */
 	char *key;
-	char *value;  /* NULL: the key is deleted */
+	char *value; /* NULL: the key is deleted */
 	char *by;
 	char *id;     /* unique to this change */
 	bool expects; /* the operator named the revision */
@@ -144,8 +144,7 @@
 }
 
 /* Another change came first; its value is shown. */
-static void change_lost(struct change *change, const char *stored,
-			int64_t mod)
+static void change_lost(struct change *change, const char *stored, int64_t mod)
 {
 	change->admind->conflicts++;
 	change_fail(change, RW_ECONFLICT, "",
@@ -174,8 +173,8 @@
 			   json_object_array_length(list) < most;
 	     i++)
 		json_object_array_add(
-			list, json_object_get(
-				      json_object_array_get_idx(older, i)));
+			list,
+			json_object_get(json_object_array_get_idx(older, i)));
 	return list;
 }
 
@@ -208,15 +207,15 @@
 static void change_unsure(struct change *change)
 {
 	if (++change->tries < RESOLVE_TRIES) {
-		uv_timer_start(&change->timer, resolve_on_timer,
-			       RESOLVE_GAP_MS, 0);
+		uv_timer_start(&change->timer, resolve_on_timer, RESOLVE_GAP_MS,
+			       0);
 		return;
 	}
 	change->admind->unsure++;
 	change_fail(change, RW_EPLATFORM,
 		    change->swapped ? "the change may be in force; read the "
-				      "key before trying again" :
-				      "nothing was changed",
+				      "key before trying again"
+				    : "nothing was changed",
 		    NULL);
 }
 
@@ -292,8 +291,8 @@
 	g_free(key);
 }
 
-static void get_on_read(void *ctx, enum plat_outcome outcome,
-			const char *value, int64_t mod)
+static void get_on_read(void *ctx, enum plat_outcome outcome, const char *value,
+			int64_t mod)
 {
 	struct change *change = ctx;
 
--- a/daemon/admind.c
+++ b/daemon/admind.c
@@ -59,8 +59,8 @@
 		return;
 	}
 	http_call_on_close(pass->call, NULL, NULL);
-	http_call_reply(pass->call, status, "application/json",
-			pass->body->str, pass->body->len);
+	http_call_reply(pass->call, status, "application/json", pass->body->str,
+			pass->body->len);
 	pass_free(pass);
 }
 
@@ -189,8 +189,8 @@
 {
 	char *upstream = http_call_query(call, "upstream");
 	char *back = http_call_query(call, "back");
-	char *escaped = g_uri_escape_string(upstream ? upstream : "", NULL,
-					    FALSE);
+	char *escaped =
+		g_uri_escape_string(upstream ? upstream : "", NULL, FALSE);
 	char *path = g_strdup_printf("/v1/drain?upstream=%s%s", escaped,
 				     back ? "&back=1" : "");
 
@@ -207,8 +207,7 @@
 	int len = snprintf(text, sizeof(text),
 			   "accepted %" PRIu64 "\nconflicts %" PRIu64
 			   "\nunsure %" PRIu64 "\n",
-			   admind->accepted, admind->conflicts,
-			   admind->unsure);
+			   admind->accepted, admind->conflicts, admind->unsure);
 
 	http_call_reply(call, 200, "text/plain", text, (size_t)len);
 }
@@ -306,8 +305,7 @@
 }
 
 /* Opens everything that the settings name. */
-static bool admind_open(struct admind *admind, const char *path,
-			GError **error)
+static bool admind_open(struct admind *admind, const char *path, GError **error)
 {
 	struct http_server_options options = {
 		.max_body = MAX_BODY,
@@ -316,9 +314,8 @@
 	};
 
 	admind->conf = conf_load(CONF_ADMIN, path, error);
-	if (!admind->conf ||
-	    log_open("rw-admind", admind->conf->log_level,
-		     admind->conf->log_file, error) != 0)
+	if (!admind->conf || log_open("rw-admind", admind->conf->log_level,
+				      admind->conf->log_file, error) != 0)
 		return false;
 	uv_loop_init(&admind->loop);
 	admind->rand = g_rand_new();
--- a/daemon/admind.h
+++ b/daemon/admind.h
@@ -29,17 +29,14 @@
 };
 
 /* admind-change.c */
-void change_get(struct admind *admind, struct http_call *call,
-		const char *key);
-void change_put(struct admind *admind, struct http_call *call,
-		const char *key);
+void change_get(struct admind *admind, struct http_call *call, const char *key);
+void change_put(struct admind *admind, struct http_call *call, const char *key);
 void change_delete(struct admind *admind, struct http_call *call,
 		   const char *key);
 
 /* admind-answer.c */
 void admind_error(struct http_call *call, enum err_kind kind,
 		  const char *detail, struct json_object *more);
-void admind_answer(struct http_call *call, int status,
-		   struct json_object *obj);
+void admind_answer(struct http_call *call, int status, struct json_object *obj);
 
 #endif
--- a/daemon/ctl-call.c
+++ b/daemon/ctl-call.c
@@ -48,8 +48,8 @@
 	http_fetch_start(http_client_create(&loop), &spec);
 	uv_run(&loop, UV_RUN_DEFAULT);
 	if (answer->result == HTTP_WHOLE)
-		answer->obj = json_parse_object(answer->body->str,
-						answer->body->len);
+		answer->obj =
+			json_parse_object(answer->body->str, answer->body->len);
 	if (spec.body)
 		g_bytes_unref(spec.body);
 	g_free(headers);
@@ -75,7 +75,8 @@
 	fprintf(stderr, "rwctl: %s: %s%s%s\n", kind, text,
 		detail[0] ? ": " : "", detail);
 	if (!strcmp(kind, "RW_ECONFLICT")) {
-		fprintf(stderr, "stored now, revision %" PRId64 ", by %s:\n%s\n",
+		fprintf(stderr,
+			"stored now, revision %" PRId64 ", by %s:\n%s\n",
 			json_int(obj, "revision", 0),
 			json_text(obj, "by", "nobody"),
 			json_text(obj, "value", "(deleted)"));
--- a/daemon/ctl.h
+++ b/daemon/ctl.h
@@ -21,10 +21,10 @@
 /* Exit codes, as in the manual page. */
 enum ctl_exit {
 	CTL_OK = 0,
-	CTL_USAGE = 1,	 /* the command line is wrong */
-	CTL_REFUSED = 2, /* a rule is broken, or no such thing */
-	CTL_CONFLICT = 3, /* another change came first */
-	CTL_UNKNOWN = 4, /* nobody knows whether it took effect */
+	CTL_USAGE = 1,	   /* the command line is wrong */
+	CTL_REFUSED = 2,   /* a rule is broken, or no such thing */
+	CTL_CONFLICT = 3,  /* another change came first */
+	CTL_UNKNOWN = 4,   /* nobody knows whether it took effect */
 	CTL_NO_ANSWER = 5, /* rw-admind does not answer */
 };
 
--- a/daemon/entryd-answer.c
+++ b/daemon/entryd-answer.c
@@ -119,8 +119,8 @@
 	const char *piece = req_piece(caller->job->req, n, &len);
 	const char *text;
 
-	json_object_object_add(
-		obj, "text", json_object_new_string_len(piece, (int)len));
+	json_object_object_add(obj, "text",
+			       json_object_new_string_len(piece, (int)len));
 	text = json_print(obj, &len);
 	event_write(caller->call, "piece", (int64_t)n, text, len);
 	json_object_put(obj);
@@ -158,9 +158,9 @@
 	if (kind == RW_OK)
 		event_write_json(call, "end", end_body(req));
 	else
-		event_write_json(call, "error",
-				 error_body(kind, come_back_of(caller, kind),
-					    ""));
+		event_write_json(
+			call, "error",
+			error_body(kind, come_back_of(caller, kind), ""));
 	http_call_on_close(call, NULL, NULL);
 	caller_free(caller);
 	http_call_end(call);
@@ -212,8 +212,8 @@
 		return;
 	}
 	if (!req->attrs.model) {
-		http_call_reply(call, req->answer.status, JSON_TYPE,
-				bytes->str, bytes->len);
+		http_call_reply(call, req->answer.status, JSON_TYPE, bytes->str,
+				bytes->len);
 		return;
 	}
 	obj = end_body(req);
--- a/daemon/entryd-attempt.c
+++ b/daemon/entryd-attempt.c
@@ -15,7 +15,7 @@
 	GString *in;	   /* bytes not yet taken apart, or a whole body */
 	GHashTable *early; /* number of a token -> its text, came too soon */
 	int status;
-	bool done;	   /* the engine said that all was sent */
+	bool done; /* the engine said that all was sent */
 	clk_ms begun;
 	struct trace_span span;
 };
@@ -145,8 +145,7 @@
 		if (!end)
 			break;
 		if (g_str_has_prefix(line, "data: "))
-			take_event(attempt, line + 6,
-				   (size_t)(end - line - 6));
+			take_event(attempt, line + 6, (size_t)(end - line - 6));
 		at = (size_t)(end - in->str) + 1;
 	}
 	g_string_erase(in, 0, (gssize)at);
@@ -196,9 +195,8 @@
 static GBytes *completion_body(const struct job *job)
 {
 	const struct req *req = job->req;
-	const struct conf_model *conf =
-		conf_find(job->entryd, CONF_MODEL, job->team,
-			  req->attrs.target);
+	const struct conf_model *conf = conf_find(job->entryd, CONF_MODEL,
+						  job->team, req->attrs.target);
 	struct json_object *obj = json_object_new_object();
 	size_t len;
 	const char *text;
@@ -215,11 +213,10 @@
 		json_add_text(obj, "adapter", conf->adapter);
 	if (req_piece_count(req) > 0) {
 		json_add_int(obj, "from", (int64_t)req_piece_count(req));
-		json_object_object_add(
-			obj, "so_far",
-			json_object_new_string_len(
-				req->answer.bytes->str,
-				(int)req->answer.bytes->len));
+		json_object_object_add(obj, "so_far",
+				       json_object_new_string_len(
+					       req->answer.bytes->str,
+					       (int)req->answer.bytes->len));
 	}
 	text = json_print(obj, &len);
 	body = g_bytes_new(text, len);
@@ -241,9 +238,8 @@
 }
 
 /* Starts the fetch of an attempt; headers and body are given up. */
-static void attempt_fetch(struct attempt *attempt,
-			  struct http_fetch_spec *spec, GString *headers,
-			  GBytes *body)
+static void attempt_fetch(struct attempt *attempt, struct http_fetch_spec *spec,
+			  GString *headers, GBytes *body)
 {
 	spec->address = attempt->upstream->address;
 	spec->headers = headers ? headers->str : NULL;
@@ -276,13 +272,12 @@
 		job->entryd->ctrs.values[CTR_tokens_again] +=
 			(uint64_t)job->prompt_tokens + req_piece_count(req);
 	}
-	attempt->stream = g_strdup_printf("%s#%u.%08x", req->id,
-					  req->attempt.count + 1,
-					  g_rand_int(job->entryd->rand));
+	attempt->stream =
+		g_strdup_printf("%s#%u.%08x", req->id, req->attempt.count + 1,
+				g_rand_int(job->entryd->rand));
 	home_attempt(job->entryd->home, req, attempt->upstream->name,
 		     attempt->stream, entryd_now(job->entryd));
-	g_string_append_printf(headers, "x-stream-id: %s\r\n",
-			       attempt->stream);
+	g_string_append_printf(headers, "x-stream-id: %s\r\n", attempt->stream);
 	attempt_fetch(attempt, &spec, headers, completion_body(job));
 }
 
@@ -384,9 +379,9 @@
 	if (!job->req->attrs.model || !last->upstream || !last->stream)
 		return NULL;
 	upstream = router_get(job->entryd->router, last->upstream);
-	return upstream->state == UPSTREAM_GONE || !upstream->address[0] ?
-		       NULL :
-		       upstream;
+	return upstream->state == UPSTREAM_GONE || !upstream->address[0]
+		       ? NULL
+		       : upstream;
 }
 
 /* Finds where the next attempt goes. */
@@ -395,10 +390,9 @@
 	const struct req *req = job->req;
 
 	if (!req->attrs.idempotent)
-		return req->attempt.upstream ?
-			       router_get(job->entryd->router,
-					  req->attempt.upstream) :
-			       NULL;
+		return req->attempt.upstream ? router_get(job->entryd->router,
+							  req->attempt.upstream)
+					     : NULL;
 	return job_choose(job);
 }
 
--- a/daemon/entryd-call.c
+++ b/daemon/entryd-call.c
@@ -4,11 +4,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define LOCATE_KEEP_MS 30000  /* how long a caller may use an answer */
-#define LOCATE_HOSTS 3	      /* addresses in an answer */
+#define LOCATE_KEEP_MS 30000 /* how long a caller may use an answer */
+#define LOCATE_HOSTS 3	     /* addresses in an answer */
 #define CALL_PREFIX "/v1/call/"
 #define REQUEST_PREFIX "/v1/requests/"
-#define FUTURE_MAX_MS 60000   /* a home's clock may be ahead by so much */
+#define FUTURE_MAX_MS 60000 /* a home's clock may be ahead by so much */
 
 /* A call taken apart. */
 struct ask {
@@ -53,8 +53,7 @@
 	} else {
 		rid_prefix(prefix, sizeof(prefix), entryd->home->self, wall);
 		g_snprintf(ask->id, sizeof(ask->id), "%s-%08x%08x", prefix,
-			   g_rand_int(entryd->rand),
-			   g_rand_int(entryd->rand));
+			   g_rand_int(entryd->rand), g_rand_int(entryd->rand));
 	}
 	if (!rid_parse(ask->id, strlen(ask->id), &ask->rid) ||
 	    ask->rid.time > wall + FUTURE_MAX_MS)
@@ -298,8 +297,7 @@
 {
 	struct http_view accept = http_call_header(call, "accept");
 
-	return g_strstr_len(accept.ptr, (gssize)accept.len, EVENT_TYPE) !=
-	       NULL;
+	return g_strstr_len(accept.ptr, (gssize)accept.len, EVENT_TYPE) != NULL;
 }
 
 /* Serves GET /v1/requests/ID. */
@@ -350,8 +348,8 @@
 	guint start = entryd_random(entryd, order->len);
 
 	for (guint i = 0; i < order->len && used < LOCATE_HOSTS; i++) {
-		const struct member *member = g_ptr_array_index(
-			order, (start + i) % order->len);
+		const struct member *member =
+			g_ptr_array_index(order, (start + i) % order->len);
 
 		if (member->info.state != MEMBER_ALIVE)
 			continue;
@@ -366,7 +364,7 @@
 {
 	return !entryd->stopping && entryd->home->state != HOME_CLOSED &&
 	       entryd->home->state != HOME_OPENING &&
-	       entryd->home->state != HOME_LOST && !entryd->members->in_doubt;
+	       entryd->home->state < HOME_RESIGNING && !entryd->members->in_doubt;
 }
 
 void call_locate(struct entryd *entryd, struct http_call *call)
--- a/daemon/entryd-conf.c
+++ b/daemon/entryd-conf.c
@@ -3,11 +3,11 @@
 
 #include <string.h>
 
-#define WATCHERS 3		/* hosts that watch the platform */
-#define WATCH_WAIT_MS 5000	/* of one watch */
-#define WATCH_RETRY_MS 500	/* after a failed call */
-#define HOSTS_PERIOD_MS 1000	/* between two reads of the list */
-#define START_WAIT_MS 2000	/* for the platform, before peers suffice */
+#define WATCHERS 3	     /* hosts that watch the platform */
+#define WATCH_WAIT_MS 5000   /* of one watch */
+#define WATCH_RETRY_MS 500   /* after a failed call */
+#define HOSTS_PERIOD_MS 1000 /* between two reads of the list */
+#define START_WAIT_MS 2000   /* for the platform, before peers suffice */
 
 static struct setting *setting_get(struct entryd *entryd, const char *key)
 {
@@ -146,10 +146,11 @@
 	upstream->address = g_strdup(json_text(fields, "address", ""));
 	upstream->data_centre = g_strdup(json_text(fields, "data_centre", ""));
 	upstream->reclaimable = json_flag(fields, "reclaimable", 0);
-	upstream->state = !strcmp(state, "live")    ? UPSTREAM_LIVE :
-			  !strcmp(state, "leaving") ? UPSTREAM_LEAVING :
-						      UPSTREAM_GONE;
-	router_set_pool(entryd->router, upstream, json_text(fields, "pool", ""));
+	upstream->state = !strcmp(state, "live")      ? UPSTREAM_LIVE
+			  : !strcmp(state, "leaving") ? UPSTREAM_LEAVING
+						      : UPSTREAM_GONE;
+	router_set_pool(entryd->router, upstream,
+			json_text(fields, "pool", ""));
 	if (upstream->state == UPSTREAM_LEAVING)
 		host_mark(entryd, name, true);
 	else if (upstream->state == UPSTREAM_LIVE)
@@ -181,8 +182,8 @@
 const void *conf_find(struct entryd *entryd, enum conf_kind kind,
 		      const char *team, const char *name)
 {
-	char *key = g_strdup_printf("%s/%s/%s", team, conf_specs[kind].name,
-				    name);
+	char *key =
+		g_strdup_printf("%s/%s/%s", team, conf_specs[kind].name, name);
 	struct setting *setting = g_hash_table_lookup(entryd->parsed, key);
 
 	g_free(key);
--- a/daemon/entryd-forward.c
+++ b/daemon/entryd-forward.c
@@ -37,7 +37,7 @@
 	clk_ms until;
 	struct http_fetch *fetch;
 	struct forward_read *read; /* under way, or NULL */
-	GString *whole; /* an answer that is not a stream */
+	GString *whole;		   /* an answer that is not a stream */
 	int status;
 	uv_timer_t timer;
 	bool closing;
@@ -215,7 +215,7 @@
 static void follow(struct forward *forward, const struct home_record *record)
 {
 	struct entryd *entryd = forward->entryd;
-	bool mine = !strcmp(record->peer, entryd->home->self);
+	bool mine = home_is_self(entryd->home, record->peer);
 
 	if (record->state == RECORD_NONE || !record->peer[0]) {
 		forward_again(forward);
@@ -296,9 +296,9 @@
 		call_serve_here(entryd, forward_take_call(forward));
 		return;
 	}
-	member = forward->home[0] ?
-			 member_find(entryd->members, forward->target) :
-			 any_home(entryd);
+	member = forward->home[0]
+			 ? member_find(entryd->members, forward->target)
+			 : any_home(entryd);
 	if (member && member->info.state != MEMBER_DEAD)
 		relay_start(forward, member->info.http);
 	else if (!forward->target[0] || forward->seals >= RECORD_HOPS)
@@ -380,9 +380,8 @@
 		forward_step(forward);
 }
 
-void forward_rest(struct entryd *entryd, struct http_call *call,
-		  const char *id, const char *host, size_t next,
-		  bool streaming, bool started)
+void forward_rest(struct entryd *entryd, struct http_call *call, const char *id,
+		  const char *host, size_t next, bool streaming, bool started)
 {
 	struct forward *forward = forward_create(entryd, call, host);
 	GString *headers = g_string_new(NULL);
--- a/daemon/entryd-job.c
+++ b/daemon/entryd-job.c
@@ -4,15 +4,15 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define PREFIX_BYTES 256     /* of a prompt, that routing goes by */
-#define BYTES_PER_TOKEN 4    /* estimate, of a prompt */
+#define PREFIX_BYTES 256  /* of a prompt, that routing goes by */
+#define BYTES_PER_TOKEN 4 /* estimate, of a prompt */
 #define DEFAULT_MAX_TOKENS 16
-#define CALL_TOKENS 50	     /* what a service call counts as */
+#define CALL_TOKENS 50 /* what a service call counts as */
 #define RETRY_BURST 10.0
 #define RETRY_BASE_MS 50
 #define RETRY_LIMIT_MS 1000
-#define RETRY_MOST 1000	     /* attempts: the deadline ends them */
-#define RESUME_FOR_MS 60000  /* after the last piece of a begun answer */
+#define RETRY_MOST 1000	    /* attempts: the deadline ends them */
+#define RESUME_FOR_MS 60000 /* after the last piece of a begun answer */
 
 struct pool *pool_get(struct entryd *entryd, const char *name)
 {
@@ -83,8 +83,8 @@
 /* Fills what a completion asks. */
 static bool job_fill_model(struct job *job, const struct req_attrs *attrs)
 {
-	const struct conf_model *conf = conf_find(
-		job->entryd, CONF_MODEL, job->team, attrs->target);
+	const struct conf_model *conf =
+		conf_find(job->entryd, CONF_MODEL, job->team, attrs->target);
 	gsize len = 0;
 	const char *ptr =
 		attrs->body ? g_bytes_get_data(attrs->body, &len) : "{}";
@@ -100,8 +100,8 @@
 		conf->max_tokens);
 	job->max_tokens = MAX(job->max_tokens, 1);
 	job->prompt_tokens = (int)(strlen(job->prompt) / BYTES_PER_TOKEN);
-	job->prefix = XXH64(job->prompt,
-			    MIN(strlen(job->prompt), PREFIX_BYTES), 0);
+	job->prefix =
+		XXH64(job->prompt, MIN(strlen(job->prompt), PREFIX_BYTES), 0);
 	job->priority = (int)conf->priority;
 	job->batch = conf->batch;
 	job->deadline_ms = conf->deadline_ms;
@@ -113,8 +113,8 @@
 /* Fills what a service call asks. */
 static bool job_fill_route(struct job *job, const struct req_attrs *attrs)
 {
-	const struct conf_route *conf = conf_find(
-		job->entryd, CONF_ROUTE, job->team, attrs->target);
+	const struct conf_route *conf =
+		conf_find(job->entryd, CONF_ROUTE, job->team, attrs->target);
 
 	if (!conf)
 		return false;
@@ -144,8 +144,8 @@
 	job->entryd = entryd;
 	job->team = g_strdup(account->team);
 	job->callers = g_ptr_array_new();
-	if (!(attrs->model ? job_fill_model(job, attrs) :
-			     job_fill_route(job, attrs))) {
+	if (!(attrs->model ? job_fill_model(job, attrs)
+			   : job_fill_route(job, attrs))) {
 		*kind = RW_ENOROUTE;
 		job_free(job);
 		return NULL;
@@ -269,8 +269,7 @@
 		  home_holder_name(entryd->home));
 	job_pump_callers(job);
 	if (!job->pool) {
-		home_refuse(entryd->home, req, RW_ENOROUTE,
-			    entryd_now(entryd));
+		home_refuse(entryd->home, req, RW_ENOROUTE, entryd_now(entryd));
 		return;
 	}
 	if (!req->want_run) {
@@ -306,10 +305,9 @@
 	enum err_kind kind = req->answer.kind;
 
 	job_idle(job);
-	entryd_count(entryd, kind == RW_OK ? CTR_ended_whole :
-			     req_ran(req) == ERR_RAN_NO ?
-					     CTR_ended_not_run :
-					     CTR_ended_unknown);
+	entryd_count(entryd, kind == RW_OK		  ? CTR_ended_whole
+			     : req_ran(req) == ERR_RAN_NO ? CTR_ended_not_run
+							  : CTR_ended_unknown);
 	trace_end(entryd->tracer, &job->span, "home", req->id,
 		  err_answer(kind)->name);
 	job_pump_callers(job);
@@ -431,8 +429,8 @@
 {
 	struct entryd *entryd = job->entryd;
 	clk_ms wait = retry_ask(&job->pool->budget, job->attempts,
-				entryd_random(entryd, 1000),
-				entryd_now(entryd), retry_until(job));
+				entryd_random(entryd, 1000), entryd_now(entryd),
+				retry_until(job));
 
 	if (wait < 0)
 		entryd_count(entryd, CTR_retries_denied);
--- a/daemon/entryd-load.c
+++ b/daemon/entryd-load.c
@@ -39,8 +39,7 @@
 {
 	struct load_call *call = ctx;
 	struct entryd *entryd = call->entryd;
-	struct upstream *upstream =
-		router_get(entryd->router, call->upstream);
+	struct upstream *upstream = router_get(entryd->router, call->upstream);
 	struct json_object *obj = NULL;
 
 	if (result == HTTP_WHOLE && status == 200)
--- a/daemon/entryd-member.c
+++ b/daemon/entryd-member.c
@@ -43,22 +43,28 @@
 	conf_share_limits(entryd);
 }
 
-/* This host was declared dead: its home ends, whatever the record says. */
+/* This host was declared dead: it goes on under a new incarnation. */
 static void op_declared_dead(void *ctx)
 {
 	struct entryd *entryd = ctx;
+	char incarnation[RID_INCARNATION_MAX + 1];
 
-	if (entryd->home->state == HOME_LOST || entryd->retired)
+	if (entryd->retired)
 		return;
-	home_on_declared_dead(entryd->home, entryd_now(entryd));
+	entryd_count(entryd, CTR_lost_self);
+	rid_incarnation(incarnation, sizeof(incarnation), entryd->conf->name,
+			g_rand_int(entryd->rand));
+	log_warn("declared dead as %s; now %s",
+		 entryd->members->self.incarnation, incarnation);
+	member_renew(entryd->members, incarnation, entryd_now(entryd));
+	home_resign(entryd->home, incarnation, entryd_now(entryd));
 }
 
 /* An upstream leaves, or no longer does. */
 static void op_marked(void *ctx, const struct member_mark *mark)
 {
 	struct entryd *entryd = ctx;
-	struct upstream *upstream =
-		router_get(entryd->router, mark->upstream);
+	struct upstream *upstream = router_get(entryd->router, mark->upstream);
 
 	upstream->marked_leaving = mark->leaving;
 	upstream->mark_stamp = mark->stamp;
@@ -97,10 +103,10 @@
 
 	for (u_int i = 0; i < items->items.items_len; i++) {
 		const w_item *item = &items->items.items_val[i];
-		GBytes *value = item->deleted ?
-					NULL :
-					g_bytes_new(item->value.value_val,
-						    item->value.value_len);
+		GBytes *value = item->deleted
+					? NULL
+					: g_bytes_new(item->value.value_val,
+						      item->value.value_len);
 
 		store_put(store, item->key, value, item->mod);
 		g_hash_table_add(present, item->key);
@@ -130,8 +136,7 @@
 				member_on_update(entryd->members, &update,
 						 entryd_now(entryd));
 		for (u_int i = 0; i < res->marks.marks_len; i++)
-			if (rpc_mark_from_wire(&res->marks.marks_val[i],
-					       &mark))
+			if (rpc_mark_from_wire(&res->marks.marks_val[i], &mark))
 				member_on_mark(entryd->members, &mark);
 		items_take(entryd->settings, &res->settings);
 		items_take(entryd->hosts, &res->hosts);
@@ -169,9 +174,8 @@
 
 	if (items->items.items_len == fill->size) {
 		fill->size = MAX(2 * fill->size, 16);
-		items->items.items_val =
-			g_realloc_n(items->items.items_val, fill->size,
-				    sizeof(*slot));
+		items->items.items_val = g_realloc_n(items->items.items_val,
+						     fill->size, sizeof(*slot));
 	}
 	slot = &items->items.items_val[items->items.items_len++];
 	slot->key = g_strdup(item->key);
@@ -182,8 +186,7 @@
 }
 
 /* Lists what a peer lacks of a replica; all, if deletions may be missing. */
-static void items_fill(const struct store *store, int64_t after,
-		       w_items *items)
+static void items_fill(const struct store *store, int64_t after, w_items *items)
 {
 	struct fill fill = { .items = items };
 
--- a/daemon/entryd-operate.c
+++ b/daemon/entryd-operate.c
@@ -58,9 +58,9 @@
 		json_add_text(item, "pool", upstream->pool);
 		json_add_text(item, "data_centre", upstream->data_centre);
 		json_add_text(item, "state",
-			      upstream->marked_leaving ?
-				      "leaving" :
-				      upstream_states[upstream->state]);
+			      upstream->marked_leaving
+				      ? "leaving"
+				      : upstream_states[upstream->state]);
 		json_add_int(item, "inflight", upstream->inflight);
 		json_add_int(item, "running", upstream->load.running);
 		json_add_int(item, "queued", upstream->load.queued);
@@ -104,8 +104,9 @@
 
 void operate_health(struct entryd *entryd, struct http_call *call)
 {
-	static const char *const states[] = { "closed",	 "opening", "open",
-					      "copying", "swapping", "lost" };
+	static const char *const states[] = { "closed",	 "opening",  "open",
+					      "copying", "swapping", "resigning",
+					      "lost" };
 	struct json_object *obj = json_object_new_object();
 	bool serves = entryd->ready && !entryd->stopping;
 
@@ -135,8 +136,7 @@
 		.stamp = (uint64_t)entryd_wall(),
 	};
 
-	if (name &&
-	    g_hash_table_contains(entryd->router->upstreams, name)) {
+	if (name && g_hash_table_contains(entryd->router->upstreams, name)) {
 		g_strlcpy(mark.upstream, name, sizeof(mark.upstream));
 		member_on_mark(entryd->members, &mark);
 		answer_json(call, 200, json_object_new_object());
--- a/daemon/entryd-probe.c
+++ b/daemon/entryd-probe.c
@@ -177,8 +177,7 @@
 
 	if (!job->status_path || !job->status_path[0] ||
 	    !req->attempt.upstream) {
-		home_end(entryd->home, req, RW_EUNKNOWN, 0,
-			 entryd_now(entryd));
+		home_end(entryd->home, req, RW_EUNKNOWN, 0, entryd_now(entryd));
 		return;
 	}
 	upstream = router_get(entryd->router, req->attempt.upstream);
--- a/daemon/entryd-record.c
+++ b/daemon/entryd-record.c
@@ -105,14 +105,15 @@
 		rpc_send_home(entryd->rpc, member->info.rpc, msg);
 }
 
-const char *record_pick_guardian(void *ctx)
+const char *record_pick_guardian(void *ctx, unsigned turn)
 {
 	struct entryd *entryd = ctx;
 	const struct member *member;
+	char key[RID_INCARNATION_MAX + 16];
 
 	if (!entryd->conf->guard)
 		return NULL;
-	member = member_pick(entryd->members, entryd->home->self,
-			     entryd->conf->data_centre);
+	g_snprintf(key, sizeof(key), "%s/%u", entryd->home->self, turn);
+	member = member_pick(entryd->members, key, entryd->conf->data_centre);
 	return member ? member->info.incarnation : NULL;
 }
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define TICK_MS 20
 #define RESEND_MS 250
@@ -30,8 +31,8 @@
 {
 	struct entryd *entryd = ctx;
 
-	return n > 1 ? (uint32_t)g_rand_int_range(entryd->rand, 0, (gint32)n) :
-		       0;
+	return n > 1 ? (uint32_t)g_rand_int_range(entryd->rand, 0, (gint32)n)
+		     : 0;
 }
 
 void entryd_count(struct entryd *entryd, enum ctr ctr)
@@ -43,8 +44,8 @@
 static bool drained(struct entryd *entryd)
 {
 	clk_ms now = entryd_now(entryd);
-	clk_ms guarded_until = entryd->stop_until - entryd->conf->drain_ms +
-			       GUARDED_WAIT_MS;
+	clk_ms guarded_until =
+		entryd->stop_until - entryd->conf->drain_ms + GUARDED_WAIT_MS;
 
 	if (home_open_count(entryd->home) > 0 ||
 	    g_hash_table_size(entryd->callers) > 0 || entryd->relays > 0)
@@ -57,7 +58,8 @@
 {
 	clk_ms now = entryd_now(entryd);
 
-	if (!entryd->retired && (drained(entryd) || now >= entryd->stop_until)) {
+	if (!entryd->retired &&
+	    (drained(entryd) || now >= entryd->stop_until)) {
 		entryd->retired = true;
 		entryd->stop_until = now + RETIRE_WAIT_MS;
 		log_notice("drained; handing over");
@@ -77,16 +79,23 @@
 static void renew_tick(struct entryd *entryd)
 {
 	char incarnation[RID_INCARNATION_MAX + 1];
+	struct home *home = entryd->home;
+	const char *member = entryd->members->self.incarnation;
 
-	if (entryd->home->state != HOME_LOST || entryd->retired)
+	if (home->state != HOME_LOST || entryd->retired)
 		return;
 	entryd_count(entryd, CTR_lost_self);
 	rid_incarnation(incarnation, sizeof(incarnation), entryd->conf->name,
 			g_rand_int(entryd->rand));
-	log_warn("incarnation %s is lost, sealed by %s; now %s",
-		 entryd->home->self, entryd->home->record.peer, incarnation);
-	home_renew(entryd->home, incarnation, entryd_now(entryd));
-	member_renew(entryd->members, incarnation, entryd_now(entryd));
+	if (strcmp(member, home->self) != 0)
+		/* Renewed already, when it was declared dead. */
+		g_strlcpy(incarnation, member, sizeof(incarnation));
+	else
+		member_renew(entryd->members, incarnation,
+			     entryd_now(entryd));
+	log_warn("incarnation %s is lost, sealed by %s; now %s", home->self,
+		 home->record.peer, incarnation);
+	home_renew(home, incarnation, entryd_now(entryd));
 }
 
 /* Keeps the counters that others count. */
@@ -243,20 +252,19 @@
 }
 
 /* Builds the process from its settings. */
-static bool entryd_open(struct entryd *entryd, const char *path,
-			GError **error)
+static bool entryd_open(struct entryd *entryd, const char *path, GError **error)
 {
 	struct conf_entry *conf = conf_load(CONF_ENTRY, path, error);
 
 	if (!conf)
 		return false;
 	entryd->conf = conf;
-	entryd->rand = conf->seed ? g_rand_new_with_seed((guint32)conf->seed) :
-				    g_rand_new();
+	entryd->rand = conf->seed ? g_rand_new_with_seed((guint32)conf->seed)
+				  : g_rand_new();
 	if (log_open("rw-entryd", conf->log_level, conf->log_file, error) != 0)
 		return false;
-	entryd->tracer = trace_open(conf->trace_file, conf->name, entryd->rand,
-				    error);
+	entryd->tracer =
+		trace_open(conf->trace_file, conf->name, entryd->rand, error);
 	if (!entryd->tracer)
 		return false;
 	uv_loop_init(&entryd->loop);
--- a/daemon/entryd.h
+++ b/daemon/entryd.h
@@ -77,10 +77,10 @@
 	struct admit_ticket ticket;
 	struct attempt *attempt; /* under way, or NULL */
 	unsigned attempts;
-	char *not_this;	    /* upstream that failed last */
-	uv_timer_t *wait;   /* back-off before the next attempt */
-	clk_ms come_back;   /* ms, for a refusal; 0: as in the table */
-	GPtrArray *callers; /* struct caller */
+	char *not_this;		     /* upstream that failed last */
+	uv_timer_t *wait;	     /* back-off before the next attempt */
+	clk_ms come_back;	     /* ms, for a refusal; 0: as in the table */
+	GPtrArray *callers;	     /* struct caller */
 	struct trace_span span;	     /* of this host */
 	struct trace_span hold_span; /* of the guardian's hold */
 	clk_ms last_piece;	     /* when one came */
@@ -147,8 +147,8 @@
 void entryd_stop(struct entryd *entryd);
 
 /* entryd-answer.c: answers to callers */
-void answer_error(struct http_call *call, enum err_kind kind,
-		  clk_ms come_back, const char *detail);
+void answer_error(struct http_call *call, enum err_kind kind, clk_ms come_back,
+		  const char *detail);
 void answer_json(struct http_call *call, int status, struct json_object *obj);
 /* Sends a caller what it lacks, and the end. */
 void caller_pump(struct caller *caller);
@@ -182,9 +182,8 @@
 void forward_call(struct entryd *entryd, struct http_call *call,
 		  const char *home);
 /* Answers a caller from the host that has the authority, from a piece on. */
-void forward_rest(struct entryd *entryd, struct http_call *call,
-		  const char *id, const char *host, size_t next,
-		  bool streaming, bool started);
+void forward_rest(struct entryd *entryd, struct http_call *call, const char *id,
+		  const char *host, size_t next, bool streaming, bool started);
 
 /* entryd-job.c: the life of a request in the daemon */
 /* Creates a job from what a request asks; NULL with kind set if the settings
@@ -215,10 +214,9 @@
 
 /* entryd-record.c: home_ops towards platform and peers */
 void record_send(void *ctx, const struct home_msg *msg);
-void record_swap(void *ctx, const char *home,
-		 const struct home_record *record);
+void record_swap(void *ctx, const char *home, const struct home_record *record);
 void record_read(void *ctx, const char *home);
-const char *record_pick_guardian(void *ctx);
+const char *record_pick_guardian(void *ctx, unsigned turn);
 /* Parses what the platform stores for a home. */
 void record_parse(const char *text, int64_t mod, struct home_record *record);
 
--- a/daemon/load-caller.c
+++ b/daemon/load-caller.c
@@ -7,9 +7,9 @@
 
 #include "../fakes/token.h"
 
-#define TRY_TIMEOUT_MS 20000  /* of one call */
-#define RETRY_MIN_MS 100      /* before another host is tried */
-#define UNKNOWN_TRIES 5	      /* times that an unknown is asked again */
+#define TRY_TIMEOUT_MS 20000 /* of one call */
+#define RETRY_MIN_MS 100     /* before another host is tried */
+#define UNKNOWN_TRIES 5	     /* times that an unknown is asked again */
 #define LOCATE_TIMEOUT_MS 2000
 
 /* One request and what its caller knows. */
@@ -22,17 +22,17 @@
 	guint address;	  /* which is tried */
 	char *prompt;
 	GBytes *body;
-	GString *text;	  /* pieces so far */
+	GString *text; /* pieces so far */
 	int pieces;
 	bool accepted;
-	bool ended;	  /* an end or a refusal came */
+	bool ended; /* an end or a refusal came */
 	enum load_end end;
 	int unknowns;
 	int64_t come_back; /* ms, from the last answer */
 	double begun;
-	double first;	   /* 0: none yet */
+	double first; /* 0: none yet */
 	double last;
-	GString *in;	   /* bytes not yet taken apart */
+	GString *in; /* bytes not yet taken apart */
 	char event[16];
 	int status;
 	struct http_fetch *fetch;
@@ -209,8 +209,7 @@
 	if (len == strlen("[DONE]")) {
 		request->ended = true;
 		request->end = LOAD_WHOLE;
-	} else if (obj &&
-		   json_object_object_get_ex(obj, "choices", &choices)) {
+	} else if (obj && json_object_object_get_ex(obj, "choices", &choices)) {
 		take_piece(request,
 			   json_text(json_object_array_get_idx(choices, 0),
 				     "text", ""));
@@ -249,8 +248,7 @@
 
 		if (!end)
 			break;
-		take_line(request, in->str + at,
-			  (size_t)(end - in->str) - at);
+		take_line(request, in->str + at, (size_t)(end - in->str) - at);
 		at = (size_t)(end - in->str) + 1;
 	}
 	g_string_erase(in, 0, (gssize)at);
@@ -377,10 +375,9 @@
 		request_again(request, 0);
 		return;
 	}
-	request->id = g_strdup_printf("%s-%08x%08x",
-				      json_text(obj, "home", ""),
-				      g_rand_int(load->rand),
-				      g_rand_int(load->rand));
+	request->id =
+		g_strdup_printf("%s-%08x%08x", json_text(obj, "home", ""),
+				g_rand_int(load->rand), g_rand_int(load->rand));
 	addresses = g_ptr_array_new();
 	for (size_t i = 0; i < json_object_array_length(list); i++)
 		g_ptr_array_add(addresses,
@@ -447,8 +444,7 @@
 	int prefix = g_rand_int_range(load->rand, 0, MAX(load->prefixes, 1));
 
 	while ((int)prompt->len < load->prompt_bytes)
-		g_string_append_printf(prompt, "rule %d of the park. ",
-				       prefix);
+		g_string_append_printf(prompt, "rule %d of the park. ", prefix);
 	g_string_append_printf(prompt, "question %" PRId64, load->made);
 	return g_string_free(prompt, FALSE);
 }
@@ -466,8 +462,8 @@
 		json_add_text(obj, "model", request->kind->name);
 		json_add_text(obj, "prompt", request->prompt);
 		json_add_int(obj, "max_tokens", load->max_tokens);
-		json_object_object_add(
-			obj, "stream", json_object_new_boolean(!load->whole));
+		json_object_object_add(obj, "stream",
+				       json_object_new_boolean(!load->whole));
 	} else {
 		json_add_int(obj, "amount", load->made);
 	}
--- a/daemon/load-history.c
+++ b/daemon/load-history.c
@@ -49,10 +49,10 @@
 	printf("%s", name);
 	for (size_t i = 0; i < G_N_ELEMENTS(shares); i++) {
 		guint at = (guint)(shares[i] * values->len);
-		double value = values->len ? g_array_index(values, double,
-							   MIN(at, values->len -
-									   1)) :
-					     NAN;
+		double value = values->len
+				       ? g_array_index(values, double,
+						       MIN(at, values->len - 1))
+				       : NAN;
 
 		printf(" p%g=%.3f", shares[i] * 100, value);
 	}
--- a/daemon/load.c
+++ b/daemon/load.c
@@ -66,8 +66,8 @@
 {
 	GError *error = NULL;
 
-	load->tracer = trace_open(trace ? trace : "", "rw-load", load->rand,
-				  &error);
+	load->tracer =
+		trace_open(trace ? trace : "", "rw-load", load->rand, &error);
 	if (!load->tracer) {
 		fprintf(stderr, "rw-load: %s\n", error->message);
 		return false;
@@ -89,7 +89,7 @@
 	load->gap_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	uv_update_time(&load->loop);
 	load->begun = (clk_ms)uv_now(&load->loop);
-	load->until = load->begun + load->seconds * CLK_SECOND;
+	load->until = load->begun + (clk_ms)load->seconds * CLK_SECOND;
 	uv_timer_init(&load->loop, &load->arrivals);
 	load->arrivals.data = load;
 	uv_timer_start(&load->arrivals, on_arrivals, ARRIVAL_TICK_MS,
--- a/daemon/load.h
+++ b/daemon/load.h
@@ -35,16 +35,16 @@
 	uv_loop_t loop;
 	struct http_client *client;
 	GRand *rand;
-	FILE *history;	/* or NULL */
+	FILE *history; /* or NULL */
 	struct tracer *tracer;
-	char **entries;	 /* addresses to ask first */
+	char **entries; /* addresses to ask first */
 	char **accounts;
 	GArray *kinds;	 /* struct load_kind */
 	double rate;	 /* arrivals per second; 0: closed loop */
 	int concurrency; /* callers of a closed loop */
 	int seconds;
 	int prompt_bytes;
-	int prefixes;	 /* different prompt beginnings */
+	int prefixes; /* different prompt beginnings */
 	int max_tokens;
 	int patience_ms; /* how long a caller keeps at a request */
 	char *direct;	 /* an engine to call without the system */
@@ -53,9 +53,9 @@
 	uv_timer_t arrivals;
 	clk_ms begun;
 	clk_ms until;
-	int64_t made;	  /* requests begun */
+	int64_t made; /* requests begun */
 	int64_t open;
-	int64_t tries;	  /* calls made for them */
+	int64_t tries; /* calls made for them */
 	int64_t ends[LOAD_END_COUNT];
 	GArray *first_ms; /* double: time to the first piece */
 	GArray *total_ms; /* double: time to the end */
--- a/decide/admit.c
+++ b/decide/admit.c
@@ -11,8 +11,8 @@
 	struct admit_queue *queue = g_new0(struct admit_queue, 1);
 
 	g_queue_init(&queue->tickets);
-	queue->finished = g_hash_table_new_full(g_str_hash, g_str_equal,
-						g_free, g_free);
+	queue->finished =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	queue->most = most;
 	return queue;
 }
@@ -47,8 +47,7 @@
 
 	if (!finish) {
 		finish = g_new0(double, 1);
-		g_hash_table_insert(queue->finished, g_strdup(account),
-				    finish);
+		g_hash_table_insert(queue->finished, g_strdup(account), finish);
 	}
 	return finish;
 }
@@ -73,8 +72,8 @@
 }
 
 bool admit_can(const struct admit_queue *queue,
-	       const struct admit_ticket *ticket,
-	       const struct admit_pool *pool, clk_ms now, clk_ms *come_back)
+	       const struct admit_ticket *ticket, const struct admit_pool *pool,
+	       clk_ms now, clk_ms *come_back)
 {
 	guint ahead;
 	double wait;
--- a/decide/admit.h
+++ b/decide/admit.h
@@ -21,8 +21,8 @@
 	bool batch;	     /* yields to all that is not */
 	int tokens;	     /* estimated */
 	clk_ms deadline;
-	double start;	     /* virtual time; set by the queue */
-	void *owner;	     /* the dispatcher's */
+	double start; /* virtual time; set by the queue */
+	void *owner;  /* the dispatcher's */
 	bool queued;
 };
 
@@ -46,8 +46,8 @@
 /* Tells whether a ticket could be served by its deadline; if not, come_back
  * is set to the ms after which it would be worth asking again. */
 bool admit_can(const struct admit_queue *queue,
-	       const struct admit_ticket *ticket,
-	       const struct admit_pool *pool, clk_ms now, clk_ms *come_back);
+	       const struct admit_ticket *ticket, const struct admit_pool *pool,
+	       clk_ms now, clk_ms *come_back);
 void admit_push(struct admit_queue *queue, struct admit_ticket *ticket);
 /* Returns the next ticket and leaves it there, or NULL. */
 struct admit_ticket *admit_peek(const struct admit_queue *queue);
--- a/decide/check.h
+++ b/decide/check.h
@@ -6,13 +6,13 @@
 #include <stdlib.h>
 
 /* Ends the program, naming the rule, if an invariant does not hold. */
-#define dec_assert(cond, rule)                                           \
-	do {                                                             \
-		if (!(cond)) {                                           \
-			fprintf(stderr, "%s:%d: invariant broken: %s\n", \
-				__FILE__, __LINE__, rule);               \
-			abort();                                         \
-		}                                                        \
+#define dec_assert(cond, rule)                                                 \
+	do {                                                                   \
+		if (!(cond)) {                                                 \
+			fprintf(stderr, "%s:%d: invariant broken: %s\n",       \
+				__FILE__, __LINE__, rule);                     \
+			abort();                                               \
+		}                                                              \
 	} while (0)
 
 #endif
--- a/decide/err.h
+++ b/decide/err.h
@@ -16,40 +16,40 @@
 /* Every kind of error that a caller or an operator can be shown. */
 enum err_kind {
 	RW_OK,
-	RW_EBADHTTP,	  /* not well-formed HTTP */
-	RW_EBADJSON,	  /* the body is not a JSON object */
-	RW_EBADRPC,	  /* an RPC message that does not decode */
-	RW_EBADID,	  /* the request id is not of the documented form */
-	RW_EBADFIELD,	  /* a field is missing, of a wrong type or range */
-	RW_ETOOLARGE,	  /* the body is over the limit */
-	RW_ENOROUTE,	  /* no such path, route or model */
-	RW_ENOACCOUNT,	  /* no such account */
-	RW_EMETHOD,	  /* the path does not take this method */
-	RW_ECONFLICT,	  /* a compare-and-swap lost */
-	RW_ESETTINGS,	  /* a settings object breaks a rule */
-	RW_EIDREUSED,	  /* the id was used before with another body */
-	RW_EUNSEEN,	  /* no request with this id was ever accepted */
-	RW_ELIMIT,	  /* the account is over its limit */
-	RW_EBUSY,	  /* the deadline cannot be met under this load */
-	RW_ENOUPSTREAM,	  /* no upstream can serve this now */
-	RW_ENOHOME,	  /* this host has no open record yet */
-	RW_ESTOPPING,	  /* this host is shutting down */
-	RW_EDEADLINE,	  /* the deadline passed before it ran */
-	RW_EUPSTREAM,	  /* the upstream failed after it got the call */
-	RW_EUNKNOWN,	  /* nobody can say whether it ran */
-	RW_EEXPIRED,	  /* the id is older than the retention time */
-	RW_EPLATFORM,	  /* the platform's service did not answer */
-	RW_EINTERNAL,	  /* a fault of this program */
+	RW_EBADHTTP,	/* not well-formed HTTP */
+	RW_EBADJSON,	/* the body is not a JSON object */
+	RW_EBADRPC,	/* an RPC message that does not decode */
+	RW_EBADID,	/* the request id is not of the documented form */
+	RW_EBADFIELD,	/* a field is missing, of a wrong type or range */
+	RW_ETOOLARGE,	/* the body is over the limit */
+	RW_ENOROUTE,	/* no such path, route or model */
+	RW_ENOACCOUNT,	/* no such account */
+	RW_EMETHOD,	/* the path does not take this method */
+	RW_ECONFLICT,	/* a compare-and-swap lost */
+	RW_ESETTINGS,	/* a settings object breaks a rule */
+	RW_EIDREUSED,	/* the id was used before with another body */
+	RW_EUNSEEN,	/* no request with this id was ever accepted */
+	RW_ELIMIT,	/* the account is over its limit */
+	RW_EBUSY,	/* the deadline cannot be met under this load */
+	RW_ENOUPSTREAM, /* no upstream can serve this now */
+	RW_ENOHOME,	/* this host has no open record yet */
+	RW_ESTOPPING,	/* this host is shutting down */
+	RW_EDEADLINE,	/* the deadline passed before it ran */
+	RW_EUPSTREAM,	/* the upstream failed after it got the call */
+	RW_EUNKNOWN,	/* nobody can say whether it ran */
+	RW_EEXPIRED,	/* the id is older than the retention time */
+	RW_EPLATFORM,	/* the platform's service did not answer */
+	RW_EINTERNAL,	/* a fault of this program */
 	ERR_KIND_COUNT,
 };
 
 /* What one kind of error is answered with. */
 struct err_answer {
-	const char *name;   /* body code, "RW_E..." */
-	const char *text;   /* one sentence for people */
-	int status;	    /* HTTP status */
-	enum err_ran ran;   /* whether the request ran */
-	int come_back_ms;   /* when to ask again; 0: not at all */
+	const char *name; /* body code, "RW_E..." */
+	const char *text; /* one sentence for people */
+	int status;	  /* HTTP status */
+	enum err_ran ran; /* whether the request ran */
+	int come_back_ms; /* when to ask again; 0: not at all */
 };
 
 /* Returns the answer of kind; never NULL. */
--- a/decide/home-guard.c
+++ b/decide/home-guard.c
@@ -107,13 +107,13 @@
 		if (!req || !msg->attrs)
 			return;
 		req_attrs_set(req, msg->attrs);
-		req->deadline = msg->time_left == CLK_NEVER ?
-					CLK_NEVER :
-					home->now + msg->time_left;
+		req->deadline = msg->time_left == CLK_NEVER
+					? CLK_NEVER
+					: home->now + msg->time_left;
 		if (req->deadline != CLK_NEVER)
-			req->expires =
-				req->deadline + home->options.retention;
+			req->expires = req->deadline + home->options.retention;
 	}
+	req->epoch = MAX(req->epoch, msg->epoch);
 	if (!is_tombstone(req) && (msg->want_grant || msg->granted))
 		grant(req, msg);
 	verdict_send(home, msg, verdict_of(req), req);
@@ -146,8 +146,10 @@
 {
 	struct req *req = g_hash_table_lookup(guard->reqs, msg->id);
 
-	if (!req)
+	if (!req) {
+		verdict_send(home, msg, VERDICT_UNSEEN, NULL);
 		return;
+	}
 	progress_take(req, msg);
 	if (req->answer.ended && req->expires == CLK_NEVER)
 		req->expires = home->now + home->options.retention;
@@ -164,6 +166,7 @@
 		req = guarded_add(home, guard, msg);
 	if (!req)
 		return;
+	req->epoch = MAX(req->epoch, msg->epoch);
 	req_answer_end(req, RW_EDEADLINE, 0);
 	req_drop_body(req);
 	if (req->expires == CLK_NEVER)
@@ -187,13 +190,12 @@
 	home_finish(home, req, msg->end_kind, msg->end_status);
 }
 
-/* Forgets what was held under an older guardianship. */
+/* Notes that the home is at a later guardianship. What was held before stays:
+ * if this host was the guardian, it still is until the record says so. */
 static void guard_epoch(struct guard *guard, int64_t epoch)
 {
 	if (epoch <= guard->epoch)
 		return;
-	if (guard->epoch != 0)
-		g_hash_table_remove_all(guard->reqs);
 	guard->epoch = epoch;
 	if (guard->state == GUARD_RETIRED)
 		guard->state = GUARD_ACTIVE;
@@ -314,14 +316,34 @@
 	guard_take_over(home, guard, false);
 }
 
+void home_guard_own(struct home *home, const char *old,
+		    const struct home_record *sealed)
+{
+	struct guard *guard = guard_get(home, old);
+
+	guard->record = *sealed;
+	guard_sealed(home, guard);
+}
+
 /* Writes the seal over the record that was read. */
 static void seal_swap(struct home *home, struct guard *guard,
 		      const struct home_record *found)
 {
 	home_record_next(home, &guard->record, found, RECORD_SEALED,
 			 home->self);
-	home->options.ops->swap(home->options.ctx, guard->home,
-				&guard->record);
+	home->options.ops->swap(home->options.ctx, guard->home, &guard->record);
+}
+
+/* Forgets what was held under a guardianship before an epoch. */
+static void guard_drop_older(struct guard *guard, int64_t epoch)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, guard->reqs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct req *)value)->epoch < epoch)
+			g_hash_table_iter_remove(&iter);
 }
 
 void home_guard_on_record(struct home *home, struct guard *guard,
@@ -333,13 +355,16 @@
 	if (guard->state != GUARD_SEALING || outcome == RECORD_UNSURE)
 		return; /* the tick repeats the call */
 	ours = record && record->state == RECORD_SEALED &&
-	       !strcmp(record->peer, home->self);
+	       home_is_self(home, record->peer);
 	if (outcome == RECORD_WON || ours) {
 		guard_sealed(home, guard);
 		return;
 	}
 	if (record && record->state == RECORD_OPEN &&
-	    !strcmp(record->peer, home->self)) {
+	    home_is_self(home, record->peer)) {
+		/* What was held under an older guardianship is out of date:
+		 * the copies for this one came before its swap. */
+		guard_drop_older(guard, record->epoch);
 		seal_swap(home, guard, record);
 		return;
 	}
@@ -355,11 +380,11 @@
 
 bool home_guard_expired(const struct home *home, const struct guard *guard)
 {
-	bool closed = guard->state == GUARD_SEALED ||
-		      guard->state == GUARD_RETIRED;
+	bool closed =
+		guard->state == GUARD_SEALED || guard->state == GUARD_RETIRED;
 
-	return closed && home->now - guard->closed_at >
-				 2 * home->options.retention;
+	return closed &&
+	       home->now - guard->closed_at > 2 * home->options.retention;
 }
 
 void home_claim(struct home *home, const char *incarnation, clk_ms now)
@@ -388,11 +413,10 @@
 	guard->next_try = home->now + SEAL_RETRY_MS;
 	if (guard->state == GUARD_SEALING) {
 		if (guard->record.state == RECORD_NONE)
-			home->options.ops->read(home->options.ctx,
-						guard->home);
+			home->options.ops->read(home->options.ctx, guard->home);
 		else
-			home->options.ops->swap(home->options.ctx,
-						guard->home, &guard->record);
+			home->options.ops->swap(home->options.ctx, guard->home,
+						&guard->record);
 		return;
 	}
 	g_hash_table_foreach_remove(guard->reqs, guarded_expired, home);
--- a/decide/home-hold.c
+++ b/decide/home-hold.c
@@ -4,8 +4,7 @@
 #include <string.h>
 
 /* Fills what is the same in every message to the guardian. */
-static struct home_msg msg_begin(const struct home *home,
-				 const struct req *req,
+static struct home_msg msg_begin(const struct home *home, const struct req *req,
 				 enum home_msg_kind kind, const char *to)
 {
 	return (struct home_msg){
@@ -69,9 +68,9 @@
 	msg.grant_no = req->attempt.grant_no;
 	msg.upstream = req->attempt.upstream;
 	msg.attrs = &req->attrs;
-	msg.time_left = req->deadline == CLK_NEVER ?
-				CLK_NEVER :
-				MAX(req->deadline - home->now, 0);
+	msg.time_left = req->deadline == CLK_NEVER
+				? CLK_NEVER
+				: MAX(req->deadline - home->now, 0);
 	home->options.ops->send(home->options.ctx, &msg);
 }
 
@@ -98,8 +97,10 @@
 {
 	struct home_msg msg = msg_begin(home, req, HOME_PROGRESS, to);
 
-	if (req->phase == REQ_MOVED)
+	if (req->phase == REQ_MOVED) {
 		msg.home = home->lost_as;
+		msg.epoch = home->lost_epoch;
+	}
 	req->attempt_told = true;
 	msg.upstream = req->attempt.upstream;
 	msg.stream = req->attempt.stream;
@@ -133,13 +134,15 @@
 	bool lacks = req->acked < req_piece_count(req) ||
 		     (req->answer.ended && !req->end_acked);
 
-	if (req->answer.ended && (req->end_acked || !req->hold_sent)) {
+	if (req->answer.ended &&
+	    (req->end_acked || !req->hold_sent ||
+	     (!req->copied && !home_copy_needed(home, req)))) {
 		home_deactivate(home, req);
 		return;
 	}
-	req->next_send = home->now + (req->answer.ended ?
-					      home->options.resend :
-					      home->options.progress_gap);
+	req->next_send =
+		home->now + (req->answer.ended ? home->options.resend
+					       : home->options.progress_gap);
 	if (!home_holder(home)[0]) {
 		if (req->answer.ended)
 			home_deactivate(home, req);
@@ -149,12 +152,10 @@
 		home_progress_send(home, req, home_holder(home));
 }
 
-/* Tells whether the next guardian still lacks the request itself. */
+/* Tells whether the guardian still lacks the request itself. */
 static bool copy_due(const struct home *home, const struct req *req)
 {
-	bool copying = home->state == HOME_COPYING || req->inherited;
-
-	return copying && !req->copied && req->phase != REQ_NEW &&
+	return !req->copied && home_copy_needed(home, req) &&
 	       req->phase != REQ_HOLD_SENT && home_holder(home)[0];
 }
 
@@ -217,8 +218,7 @@
 	struct req *req;
 
 	if (msg->verdict == VERDICT_SEALED) {
-		if (!strcmp(msg->home, home->self) &&
-		    home->state != HOME_LOST)
+		if (!strcmp(msg->home, home->self) && home->state != HOME_LOST)
 			home_lost(home, msg->from);
 		return;
 	}
@@ -227,13 +227,19 @@
 	    strcmp(req->acting, home->self) != 0 ||
 	    !verdict_counts(home, msg, req))
 		return;
-	req->copied = true;
+	req->copied = msg->verdict != VERDICT_UNSEEN;
+	if (!req->copied)
+		return;
 	take_acked(req, msg);
 	if (msg->verdict == VERDICT_REVOKED) {
 		if (req->phase == REQ_REVOKING)
 			home_finish(home, req, req->refusal, 0);
 		return;
 	}
+	/* The next guardian can take over only once the record names it. */
+	if (home->state != HOME_OPEN && !req->attrs.idempotent &&
+	    home_rule(home, HOME_RULE_NO_OLD_GRANT))
+		return;
 	take_held(home, req,
 		  msg->verdict == VERDICT_GRANTED &&
 			  msg->grant_no == req->attempt.grant_no &&
--- a/decide/home-int.h
+++ b/decide/home-int.h
@@ -31,14 +31,16 @@
 void home_record_tick(struct home *home);
 void home_record_on(struct home *home, enum record_outcome outcome,
 		    const struct home_record *record);
+/* Tells whether the next guardian needs to know of a request. */
+bool home_copy_needed(const struct home *home, const struct req *req);
 /* Begins to move to another guardian. */
 void home_change_begin(struct home *home);
 /* The record was sealed by another host. */
 void home_lost(struct home *home, const char *by);
 /* Builds the write that follows a record. */
 void home_record_next(struct home *home, struct home_record *next,
-		      const struct home_record *last,
-		      enum record_state state, const char *peer);
+		      const struct home_record *last, enum record_state state,
+		      const char *peer);
 
 /* home-hold.c */
 void home_hold_send(struct home *home, struct req *req);
@@ -53,6 +55,9 @@
 			  enum record_outcome outcome,
 			  const struct home_record *record);
 void home_guard_tick(struct home *home, struct guard *guard);
+/* Speaks for an own former incarnation, sealed by this host. */
+void home_guard_own(struct home *home, const char *old,
+		    const struct home_record *sealed);
 /* The guarded home is dead or gives up: seals its record. */
 void home_guard_seal(struct home *home, struct guard *guard);
 void home_guard_free(struct guard *guard);
--- a/decide/home.c
+++ b/decide/home.c
@@ -17,7 +17,9 @@
 	home->options = *options;
 	g_strlcpy(home->self, self, sizeof(home->self));
 	home->reqs = g_hash_table_new(g_str_hash, g_str_equal);
-	home->active = g_hash_table_new(NULL, NULL);
+	g_queue_init(&home->active);
+	home->former = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     NULL);
 	home->guards = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     guard_free);
 	g_queue_init(&home->expiry);
@@ -36,7 +38,8 @@
 		req_free(req);
 	}
 	g_hash_table_destroy(home->reqs);
-	g_hash_table_destroy(home->active);
+	g_queue_clear(&home->active);
+	g_hash_table_destroy(home->former);
 	g_hash_table_destroy(home->guards);
 	g_queue_clear(&home->expiry);
 	g_queue_clear(&home->answers);
@@ -45,14 +48,18 @@
 
 void home_activate(struct home *home, struct req *req)
 {
-	req->active = true;
-	g_hash_table_add(home->active, req);
+	if (req->active)
+		return;
+	g_queue_push_tail(&home->active, req);
+	req->active = home->active.tail;
 }
 
 void home_deactivate(struct home *home, struct req *req)
 {
-	req->active = false;
-	g_hash_table_remove(home->active, req);
+	if (!req->active)
+		return;
+	g_queue_delete_link(&home->active, req->active);
+	req->active = NULL;
 }
 
 void home_expire_later(struct home *home, struct req *req)
@@ -137,18 +144,19 @@
 
 void home_tick(struct home *home, clk_ms now)
 {
-	GList *active;
+	GList *next;
 	GList *guards;
 	GHashTableIter iter;
 	gpointer guard;
 
 	home->now = now;
 	home_record_tick(home);
-	active = g_hash_table_get_keys(home->active);
-	for (GList *at = active; at; at = at->next)
-		if (g_hash_table_contains(home->active, at->data))
-			req_tick(home, at->data);
-	g_list_free(active);
+	/* A request may leave the queue at its own tick, but no other does:
+	 * none is freed before expire_tick. */
+	for (GList *at = home->active.head; at; at = next) {
+		next = at->next;
+		req_tick(home, at->data);
+	}
 	g_hash_table_iter_init(&iter, home->guards);
 	while (g_hash_table_iter_next(&iter, NULL, &guard))
 		if (home_guard_expired(home, guard))
@@ -211,6 +219,12 @@
 		home->guardian_lost = true;
 }
 
+bool home_is_self(const struct home *home, const char *incarnation)
+{
+	return !strcmp(home->self, incarnation) ||
+	       g_hash_table_contains(home->former, incarnation);
+}
+
 enum home_place home_place(const struct home *home, const char *incarnation)
 {
 	const struct guard *guard;
@@ -362,8 +376,8 @@
 	home_activate(home, req);
 }
 
-void home_piece(struct home *home, struct req *req, const char *ptr,
-		size_t len, clk_ms now)
+void home_piece(struct home *home, struct req *req, const char *ptr, size_t len,
+		clk_ms now)
 {
 	home->now = now;
 	if (req->answer.ended)
@@ -415,6 +429,7 @@
 	dec_assert(home->state == HOME_LOST,
 		   "a home takes a new incarnation only when it was lost");
 	home->now = now;
+	g_hash_table_add(home->former, g_strdup(home->self));
 	g_strlcpy(home->self, self, sizeof(home->self));
 	memset(&home->record, 0, sizeof(home->record));
 	home->candidate[0] = '\0';
@@ -426,13 +441,12 @@
 size_t home_open_count(const struct home *home)
 {
 	size_t count = 0;
-	GHashTableIter iter;
-	gpointer req;
 
-	g_hash_table_iter_init(&iter, home->active);
-	while (g_hash_table_iter_next(&iter, &req, NULL))
-		count += !((struct req *)req)->answer.ended &&
-			 ((struct req *)req)->phase != REQ_MOVED;
+	for (GList *at = home->active.head; at; at = at->next) {
+		const struct req *req = at->data;
+
+		count += !req->answer.ended && req->phase != REQ_MOVED;
+	}
 	return count;
 }
 
--- a/decide/home.h
+++ b/decide/home.h
@@ -22,10 +22,10 @@
 /* The record of one home. */
 struct home_record {
 	enum record_state state;
-	char peer[RID_INCARNATION_MAX + 1]; /* guardian, or who sealed it */
-	int64_t epoch;			    /* grows with each guardian */
+	char peer[RID_INCARNATION_MAX + 1];    /* guardian, or who sealed it */
+	int64_t epoch;			       /* grows with each guardian */
 	char change[RID_INCARNATION_MAX + 24]; /* unique to the write */
-	int64_t mod;			    /* the platform's revision */
+	int64_t mod;			       /* the platform's revision */
 };
 
 /* How a call to the platform ended. */
@@ -50,6 +50,7 @@
 	VERDICT_HELD,
 	VERDICT_GRANTED,
 	VERDICT_REVOKED, /* a tombstone is kept: it will not run */
+	VERDICT_UNSEEN,	 /* it is not known: to be held first */
 	VERDICT_SEALED,	 /* the sender has taken the home's ids over */
 	VERDICT_COUNT,
 };
@@ -65,8 +66,8 @@
 	/* HOME_HOLD */
 	bool want_grant;   /* to dispatch at upstream, and nowhere else */
 	unsigned grant_no; /* of the grant; a verdict repeats it */
-	bool copy;	      /* from a change of guardian or a take-over */
-	bool granted;	      /* copy of a granted request */
+	bool copy;	   /* from a change of guardian or a take-over */
+	bool granted;	   /* copy of a granted request */
 	const struct req_attrs *attrs;
 	clk_ms time_left; /* until the deadline */
 	/* HOME_PROGRESS */
@@ -87,9 +88,9 @@
 
 /* Where a request id is to be asked for. */
 enum home_place {
-	HOME_HERE,     /* this host has the authority */
+	HOME_HERE,	/* this host has the authority */
 	HOME_ELSEWHERE, /* look the home's record up */
-	HOME_SEALED,   /* this host's own record was sealed by home->peer */
+	HOME_SEALED,	/* this host's own record was sealed by home->peer */
 };
 
 /* Orders that the decisions give; ctx is home_options.ctx. */
@@ -100,8 +101,9 @@
 		     const struct home_record *record);
 	/* Reads a home's record; ends in home_on_record. */
 	void (*read)(void *ctx, const char *home);
-	/* Names a live host to be the guardian, or NULL. */
-	const char *(*pick_guardian)(void *ctx);
+	/* Names a live host to be the guardian, or NULL; another turn may name
+	 * another one. */
+	const char *(*pick_guardian)(void *ctx, unsigned turn);
 	void (*accepted)(void *ctx, struct req *req);
 	/* The request may be dispatched now. */
 	void (*run)(void *ctx, struct req *req);
@@ -117,11 +119,11 @@
 
 /* Rules that a proof can switch off to see it fail; none in service. */
 enum home_rule {
-	HOME_RULE_REVOKE_ACK = 1 << 0, /* not run only when confirmed */
+	HOME_RULE_REVOKE_ACK = 1 << 0,	 /* not run only when confirmed */
 	HOME_RULE_NO_OLD_GRANT = 1 << 1, /* no grant between copy and swap */
-	HOME_RULE_COPY_FIRST = 1 << 2, /* copy comes before the swap */
+	HOME_RULE_COPY_FIRST = 1 << 2,	 /* copy comes before the swap */
 	HOME_RULE_SEALING_GRANTS_NOT = 1 << 3, /* no grant once seal is sent */
-	HOME_RULE_UNSEEN_NOT_RUN = 1 << 4, /* unseen is never run as new */
+	HOME_RULE_UNSEEN_NOT_RUN = 1 << 4,     /* unseen is never run as new */
 	HOME_RULE_GRANTED_UNKNOWN = 1 << 5, /* a status query proves nothing */
 	HOME_RULE_TWO_SEALS_UNKNOWN = 1 << 6, /* unseen after two seals */
 };
@@ -129,30 +131,31 @@
 struct home_options {
 	const struct home_ops *ops;
 	void *ctx;
-	clk_ms resend;	      /* before an unanswered message is repeated */
-	clk_ms revoke_wait;   /* before an unconfirmed refusal is unknown */
-	clk_ms retention;     /* how long ids are known after their locate */
-	clk_ms answer_keep;   /* how long answers are kept after the end */
-	clk_ms progress_gap;  /* between two progress messages of a request */
-	unsigned rules_off;   /* enum home_rule bits */
+	clk_ms resend;	     /* before an unanswered message is repeated */
+	clk_ms revoke_wait;  /* before an unconfirmed refusal is unknown */
+	clk_ms retention;    /* how long ids are known after their locate */
+	clk_ms answer_keep;  /* how long answers are kept after the end */
+	clk_ms progress_gap; /* between two progress messages of a request */
+	unsigned rules_off;  /* enum home_rule bits */
 };
 
 /* State of this host's own record. */
 enum home_state {
-	HOME_CLOSED,   /* no record yet */
-	HOME_OPENING,  /* the first swap is on its way */
+	HOME_CLOSED,  /* no record yet */
+	HOME_OPENING, /* the first swap is on its way */
 	HOME_OPEN,
 	HOME_COPYING,  /* everything goes to the next guardian */
 	HOME_SWAPPING, /* the swap to the next guardian is on its way */
+	HOME_RESIGNING, /* its own seal is on its way */
 	HOME_LOST,     /* sealed by another host */
 };
 
 /* A home that this host guards, or has taken over. */
 enum guard_state {
 	GUARD_ACTIVE,
-	GUARD_SEALING,	/* nothing is granted any more */
-	GUARD_SEALED,	/* this host has the authority */
-	GUARD_RETIRED,	/* another host guards or sealed it */
+	GUARD_SEALING, /* nothing is granted any more */
+	GUARD_SEALED,  /* this host has the authority */
+	GUARD_RETIRED, /* another host guards or sealed it */
 };
 
 struct guard {
@@ -170,19 +173,24 @@
 	struct home_options options;
 	char self[RID_INCARNATION_MAX + 1];
 	enum home_state state;
-	struct home_record record;    /* as last known */
-	struct home_record wanted;    /* what is being written */
+	struct home_record record;		 /* as last known */
+	struct home_record wanted;		 /* what is being written */
 	char candidate[RID_INCARNATION_MAX + 1]; /* the next guardian */
+	unsigned turn;	    /* of picking a guardian */
+	clk_ms copy_until;  /* when another candidate is tried */
 	bool guardian_lost; /* the record's guardian is dead */
 	clk_ms next_try;
 	int64_t changes;    /* swaps begun, for unique change ids */
 	GHashTable *reqs;   /* id -> struct req: home or taken over */
-	GHashTable *active; /* set of struct req that need attention */
+	GQueue active;	    /* struct req that need attention, in order */
 	GQueue expiry;	    /* ended requests, first to expire first */
 	GQueue answers;	    /* ended requests whose answer is still kept */
+	char next_self[RID_INCARNATION_MAX + 1]; /* while resigning */
 	char lost_as[RID_INCARNATION_MAX + 1]; /* last incarnation sealed */
-	GHashTable *guards; /* incarnation -> struct guard */
-	clk_ms now;	    /* time of the call in progress */
+	int64_t lost_epoch; /* of the record that was sealed */
+	GHashTable *guards;		       /* incarnation -> struct guard */
+	GHashTable *former; /* set of incarnations that this host had */
+	clk_ms now; /* time of the call in progress */
 };
 
 struct home *home_create(const char *self, const struct home_options *options);
@@ -198,8 +206,10 @@
 		    const struct home_record *record, clk_ms now);
 /* A host was declared dead, or is leaving: no longer a guardian. */
 void home_on_lost(struct home *home, const char *incarnation, clk_ms now);
-/* The other hosts declared this one dead: its guardian takes over. */
-void home_on_declared_dead(struct home *home, clk_ms now);
+/* The other hosts declared this one dead. It seals its own record under a
+ * new incarnation and goes on with its requests, unless its guardian was
+ * first: then they are the guardian's. */
+void home_resign(struct home *home, const char *self, clk_ms now);
 /* A host asks to be replaced as guardian before it leaves. */
 void home_on_leaving(struct home *home, const char *incarnation, clk_ms now);
 /* Hands all authority over; the record is sealed by the guardian. */
@@ -207,14 +217,17 @@
 /* Takes a new incarnation after the old one was lost. */
 void home_renew(struct home *home, const char *self, clk_ms now);
 
+/* Whether an incarnation is, or was, this host's. What it guards under a
+ * former one it may still take over: nobody else has that name. */
+bool home_is_self(const struct home *home, const char *incarnation);
 /* Whether this host speaks for ids of that incarnation. */
 enum home_place home_place(const struct home *home, const char *incarnation);
 /* Finds a request that this host speaks for, or NULL. */
 struct req *home_find(struct home *home, const char *id);
 /* Begins a request; home_find must have returned NULL. If upstream has room
  * for it, it is named, so that hold and grant travel together. The end may
- * come within the call, by the callbacks. Returns the request, or NULL with kind
- * set if it is refused without a trace. */
+ * come within the call, by the callbacks. Returns the request, or NULL with
+ * kind set if it is refused without a trace. */
 struct req *home_submit(struct home *home, const char *id,
 			const struct rid *rid, const struct req_attrs *attrs,
 			clk_ms deadline, const char *upstream, void *owner,
@@ -237,8 +250,8 @@
 void home_attempt(struct home *home, struct req *req, const char *upstream,
 		  const char *stream, clk_ms now);
 /* A piece of the answer has come. */
-void home_piece(struct home *home, struct req *req, const char *ptr,
-		size_t len, clk_ms now);
+void home_piece(struct home *home, struct req *req, const char *ptr, size_t len,
+		clk_ms now);
 /* Evidence that a dispatched call did not run, and will not: it is back to
  * held, and may be run by a new grant. */
 void home_prove_not_run(struct home *home, struct req *req, clk_ms now);
--- a/decide/limit.c
+++ b/decide/limit.c
@@ -30,8 +30,8 @@
 	limit->rate = rate;
 	limit->share = share;
 	limit->last = now;
-	limit->saved = first ? bucket_size(limit) :
-			       MIN(limit->saved, bucket_size(limit));
+	limit->saved = first ? bucket_size(limit)
+			     : MIN(limit->saved, bucket_size(limit));
 }
 
 bool limit_take(struct limit *limit, int tokens, clk_ms now, clk_ms *come_back)
--- a/decide/limit.h
+++ b/decide/limit.h
@@ -20,7 +20,6 @@
 void limit_set(struct limit *limit, double rate, double share, clk_ms now);
 /* Spends tokens; if there are too few, returns false and sets come_back to
  * the ms after which there are enough. */
-bool limit_take(struct limit *limit, int tokens, clk_ms now,
-		clk_ms *come_back);
+bool limit_take(struct limit *limit, int tokens, clk_ms now, clk_ms *come_back);
 
 #endif
--- a/decide/member.c
+++ b/decide/member.c
@@ -4,10 +4,10 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define HELPERS 3	    /* hosts asked to probe in another's place */
-#define SEND_FACTOR 3	    /* sendings of an update per doubling of hosts */
-#define DOUBT_PERIODS 4	    /* periods without a tick: was paused */
-#define FULL_SYNC_HOSTS 16  /* above it full exchanges become rarer */
+#define HELPERS 3	   /* hosts asked to probe in another's place */
+#define SEND_FACTOR 3	   /* sendings of an update per doubling of hosts */
+#define DOUBT_PERIODS 4	   /* periods without a tick: was paused */
+#define FULL_SYNC_HOSTS 16 /* above it full exchanges become rarer */
 
 /* A probe made for another host. */
 struct relay {
@@ -45,8 +45,8 @@
 	list->members =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	list->order = g_ptr_array_new();
-	list->marks = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					    g_free);
+	list->marks =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	list->relays = g_array_new(FALSE, FALSE, sizeof(struct relay));
 	list->self_to_send = SEND_FACTOR;
 	return list;
@@ -138,8 +138,7 @@
 
 /* Adds a member at a random place of the order of probing. */
 static struct member *member_add(struct member_list *list,
-				 const struct member_update *update,
-				 clk_ms now)
+				 const struct member_update *update, clk_ms now)
 {
 	struct member *member = g_new0(struct member, 1);
 	guint at = list->options.ops->random(list->options.ctx,
@@ -249,8 +248,7 @@
 }
 
 /* Passes an answer on to the host that asked for the probe. */
-static bool relay_answer(struct member_list *list,
-			 const struct member_msg *msg)
+static bool relay_answer(struct member_list *list, const struct member_msg *msg)
 {
 	for (guint i = 0; i < list->relays->len; i++) {
 		struct relay *relay =
@@ -260,6 +258,8 @@
 		if (relay->probe != msg->probe)
 			continue;
 		msg_build(list, &ack, MEMBER_ACK, relay->asked_probe);
+		g_strlcpy(ack.target, msg->updates[0].incarnation,
+			  sizeof(ack.target));
 		msg_send(list, relay->asked_by, &ack);
 		g_array_remove_index_fast(list->relays, i);
 		return true;
@@ -273,10 +273,27 @@
 	list->in_doubt = false;
 	if (relay_answer(list, msg))
 		return;
-	if (msg->probe == list->probe)
+	/* Another incarnation at the same address does not answer for it. */
+	if (msg->probe == list->probe &&
+	    (!strcmp(msg->updates[0].incarnation, list->probed) ||
+	     !strcmp(msg->target, list->probed)))
 		list->probed[0] = '\0';
 }
 
+/* A host that answers under a new incarnation has lost its old one. */
+static void replaced_at(struct member_list *list,
+			const struct member_update *sender, clk_ms now)
+{
+	for (guint i = 0; i < list->order->len; i++) {
+		struct member *member = g_ptr_array_index(list->order, i);
+
+		if (member->info.state != MEMBER_DEAD &&
+		    !strcmp(member->info.rpc, sender->rpc) &&
+		    strcmp(member->info.incarnation, sender->incarnation) != 0)
+			member_set(list, member, MEMBER_DEAD, now);
+	}
+}
+
 void member_on_msg(struct member_list *list, const struct member_msg *msg,
 		   clk_ms now)
 {
@@ -291,6 +308,7 @@
 		return;
 	}
 	list->last_heard = now;
+	replaced_at(list, &msg->updates[0], now);
 	for (size_t i = 0; i < msg->update_count; i++)
 		member_on_update(list, &msg->updates[i], now);
 	for (size_t i = 0; i < msg->mark_count; i++)
@@ -443,8 +461,8 @@
 static bool was_paused(struct member_list *list, clk_ms now)
 {
 	clk_ms gap = now - list->last_tick;
-	bool paused = list->last_tick &&
-		      gap > DOUBT_PERIODS * list->options.period;
+	bool paused =
+		list->last_tick && gap > DOUBT_PERIODS * list->options.period;
 
 	list->last_tick = now;
 	if (!paused)
@@ -492,8 +510,7 @@
 	list->self.seq++;
 	/* Few wait for this: all are told at once, in a small cluster. */
 	for (guint i = 0; i < list->order->len && i < FULL_SYNC_HOSTS; i++) {
-		const struct member *member = g_ptr_array_index(
-			list->order, i);
+		const struct member *member = g_ptr_array_index(list->order, i);
 
 		if (member->info.state == MEMBER_DEAD)
 			continue;
--- a/decide/member.h
+++ b/decide/member.h
@@ -111,16 +111,16 @@
 	guint next;	     /* place in order */
 	GHashTable *marks;   /* upstream -> struct mark_entry */
 	unsigned self_to_send;
-	uint32_t probe;	     /* number of the last probe */
+	uint32_t probe;			      /* number of the last probe */
 	char probed[RID_INCARNATION_MAX + 1]; /* "" if answered */
-	bool helped;	     /* others were asked to probe it too */
-	GArray *relays;	     /* probes made for others */
+	bool helped;	/* others were asked to probe it too */
+	GArray *relays; /* probes made for others */
 	clk_ms period_start;
 	clk_ms next_sync;
 	clk_ms last_tick;
-	clk_ms last_heard;   /* when any peer's message came */
-	bool in_doubt;	     /* was not run for long: may be declared dead */
-	uint64_t settings;   /* revisions to show to peers */
+	clk_ms last_heard; /* when any peer's message came */
+	bool in_doubt;	   /* was not run for long: may be declared dead */
+	uint64_t settings; /* revisions to show to peers */
 	uint64_t hosts;
 	/* counters */
 	uint64_t sent;
--- a/decide/req.h
+++ b/decide/req.h
@@ -27,19 +27,19 @@
 /* What is the same in every attempt at a request. */
 struct req_attrs {
 	char *account;
-	char *target;	   /* model or route name */
-	char *trace;	   /* W3C traceparent of the home's span */
-	GBytes *body;	   /* as the caller sent it; NULL once ended */
-	bool model;	   /* a completion, not a service call */
-	bool idempotent;   /* may be run more than once */
+	char *target;	    /* model or route name */
+	char *trace;	    /* W3C traceparent of the home's span */
+	GBytes *body;	    /* as the caller sent it; NULL once ended */
+	bool model;	    /* a completion, not a service call */
+	bool idempotent;    /* may be run more than once */
 	uint64_t body_hash; /* tells an id that is used again wrongly */
-	bool streaming;	   /* the caller asked for a streamed answer */
+	bool streaming;	    /* the caller asked for a streamed answer */
 };
 
 /* The pieces of an answer and how it ended. */
 struct req_answer {
-	GString *bytes;	    /* all pieces, one after the other */
-	GArray *ends;	    /* size_t: where each piece ends in bytes */
+	GString *bytes; /* all pieces, one after the other */
+	GArray *ends;	/* size_t: where each piece ends in bytes */
 	bool ended;
 	enum err_kind kind; /* RW_OK: whole */
 	int status;	    /* of the upstream, for service calls; else 0 */
@@ -47,9 +47,9 @@
 
 /* The attempt at an upstream that is under way, for a successor. */
 struct req_attempt {
-	char *upstream; /* name, or NULL */
-	char *stream;	/* the attempt's id at the upstream, or NULL */
-	unsigned count; /* attempts begun */
+	char *upstream;	   /* name, or NULL */
+	char *stream;	   /* the attempt's id at the upstream, or NULL */
+	unsigned count;	   /* attempts begun */
 	unsigned grant_no; /* grants asked for; the last one counts */
 };
 
@@ -58,31 +58,32 @@
 	struct rid rid;
 	char *acting; /* incarnation with the authority, as known here */
 	enum req_phase phase;
-	bool guarded;	/* this host is the guardian, not the home */
-	bool inherited; /* taken over from a lost home */
-	bool accepted;	/* the caller may be told so */
-	bool want_run;	/* an upstream has room */
-	bool hold_sent; /* the guardian may know of it */
-	bool running;	/* handed to the dispatcher */
-	bool probing;	/* its outcome is being asked for */
+	bool guarded;	     /* this host is the guardian, not the home */
+	bool inherited;	     /* taken over from a lost home */
+	bool accepted;	     /* the caller may be told so */
+	bool want_run;	     /* an upstream has room */
+	bool hold_sent;	     /* the guardian may know of it */
+	bool running;	     /* handed to the dispatcher */
+	bool probing;	     /* its outcome is being asked for */
 	bool proved_not_run; /* the dispatcher has evidence of that */
-	bool attempt_told; /* the guardian was told of the attempt */
-	bool dropped;	/* the answer was kept long enough and is gone */
-	bool copied;	/* the guardian has the request itself */
-	bool active;	/* in the table of those that need attention */
+	bool attempt_told;   /* the guardian was told of the attempt */
+	bool dropped;	     /* the answer was kept long enough and is gone */
+	bool copied;	     /* the guardian has the request itself */
 	struct req_attrs attrs;
 	struct req_answer answer;
 	struct req_attempt attempt;
-	size_t acked;	  /* pieces that the guardian has */
-	bool end_acked;	  /* the guardian has the end */
+	size_t acked;	/* pieces that the guardian has */
+	bool end_acked; /* the guardian has the end */
+	int64_t epoch;	  /* of the guardianship under which it was held */
 	clk_ms created;
 	clk_ms deadline;
-	clk_ms next_send; /* when to repeat what is unanswered */
-	clk_ms give_up;	  /* when an unanswered revocation is unknown */
-	clk_ms ended_at;  /* when it got its final answer */
-	clk_ms expires;	  /* when to forget it; CLK_NEVER before its end */
+	clk_ms next_send;      /* when to repeat what is unanswered */
+	clk_ms give_up;	       /* when an unanswered revocation is unknown */
+	clk_ms ended_at;       /* when it got its final answer */
+	clk_ms expires;	       /* when to forget it; CLK_NEVER before its end */
 	enum err_kind refusal; /* what a confirmed revocation answers */
-	void *owner;	  /* the daemon's part; not decide's */
+	GList *active;	  /* its place among those that need attention */
+	void *owner;	       /* the daemon's part; not decide's */
 };
 
 /* Creates a request with an empty answer; the id must parse. */
@@ -91,8 +92,7 @@
 /* Copies attributes; the body is shared. */
 void req_attrs_set(struct req *req, const struct req_attrs *attrs);
 /* Names the attempt under way. */
-void req_attempt_set(struct req *req, const char *upstream,
-		     const char *stream);
+void req_attempt_set(struct req *req, const char *upstream, const char *stream);
 
 size_t req_piece_count(const struct req *req);
 /* Returns piece n and its length. */
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -12,11 +12,11 @@
 #include "clk.h"
 
 struct retry_options {
-	double share;	 /* of first attempts that may be retried */
-	double burst;	 /* retries that may be saved up */
-	clk_ms base;	 /* mean first back-off */
-	clk_ms limit;	 /* longest back-off */
-	unsigned most;	 /* attempts of one request */
+	double share;  /* of first attempts that may be retried */
+	double burst;  /* retries that may be saved up */
+	clk_ms base;   /* mean first back-off */
+	clk_ms limit;  /* longest back-off */
+	unsigned most; /* attempts of one request */
 };
 
 struct retry_budget {
--- a/decide/rid.c
+++ b/decide/rid.c
@@ -69,8 +69,7 @@
 	if (home_len > RID_INCARNATION_MAX || !incarnation_ok(text, home_len))
 		return false;
 	dash = memchr(dot, '-', len - home_len);
-	if (!dash ||
-	    !hex_parse(dot + 1, (size_t)(dash - dot - 1), &rid->time))
+	if (!dash || !hex_parse(dot + 1, (size_t)(dash - dot - 1), &rid->time))
 		return false;
 	nonce_len = len - (size_t)(dash + 1 - text);
 	if (nonce_len > RID_NONCE_MAX || !plain_text(dash + 1, nonce_len))
--- a/decide/rid.h
+++ b/decide/rid.h
@@ -12,9 +12,9 @@
 
 #include "clk.h"
 
-#define RID_MAX 160		/* bytes of an id */
-#define RID_INCARNATION_MAX 72	/* bytes of an incarnation */
-#define RID_NONCE_MAX 64	/* bytes of a nonce */
+#define RID_MAX 160	       /* bytes of an id */
+#define RID_INCARNATION_MAX 72 /* bytes of an incarnation */
+#define RID_NONCE_MAX 64       /* bytes of a nonce */
 
 /* The parts of an id. */
 struct rid {
@@ -27,8 +27,7 @@
 /* Writes the part before the nonce to buf, as locate answers it. */
 void rid_prefix(char *buf, size_t size, const char *home, clk_ms time);
 /* Writes an incarnation to buf. */
-void rid_incarnation(char *buf, size_t size, const char *host,
-		     unsigned random);
+void rid_incarnation(char *buf, size_t size, const char *host, unsigned random);
 /* Returns the length of the host name in an incarnation. */
 size_t rid_host_len(const char *incarnation);
 /* Tells whether text is usable as a host name. */
--- a/decide/route.c
+++ b/decide/route.c
@@ -4,12 +4,12 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define PREFERRED 2		/* upstreams preferred for a prefix */
-#define PREFIX_KEEP_MS 120000	/* a hint of a cached prefix */
-#define PREFIX_HINTS_MAX 4096	/* per upstream */
-#define AGE_WEIGHT 0.1		/* of a new sample in an aged mean */
-#define FAILURE_PAUSE_MS 500	/* before a failed upstream is tried again */
-#define LOAD_STALE_MS 10000	/* a report that old counts no more */
+#define PREFERRED 2	      /* upstreams preferred for a prefix */
+#define PREFIX_KEEP_MS 120000 /* a hint of a cached prefix */
+#define PREFIX_HINTS_MAX 4096 /* per upstream */
+#define AGE_WEIGHT 0.1	      /* of a new sample in an aged mean */
+#define FAILURE_PAUSE_MS 500  /* before a failed upstream is tried again */
+#define LOAD_STALE_MS 10000   /* a report that old counts no more */
 #define DEFAULT_SLOTS 16
 #define DEFAULT_SERVICE_MS 100.0
 
@@ -35,12 +35,12 @@
 {
 	struct router *router = g_new0(struct router, 1);
 
-	router->upstreams = g_hash_table_new_full(g_str_hash, g_str_equal,
-						  NULL, upstream_free);
+	router->upstreams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  upstream_free);
 	router->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      pool_free);
-	router->pool_weights = g_hash_table_new_full(g_str_hash, g_str_equal,
-						     g_free, g_free);
+	router->pool_weights =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	router->random = random;
 	router->ctx = ctx;
 	router->weights = (struct route_weights){
@@ -77,8 +77,8 @@
 	upstream->data_centre = g_strdup("");
 	upstream->load.slots = DEFAULT_SLOTS;
 	upstream->service_ms = DEFAULT_SERVICE_MS;
-	upstream->prefixes = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, g_free);
+	upstream->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						   g_free, g_free);
 	g_hash_table_insert(router->upstreams, upstream->name, upstream);
 	return upstream;
 }
@@ -132,8 +132,8 @@
 /* Calls that wait or run there, by the report and this host's own calls. */
 static double outstanding(const struct upstream *upstream, clk_ms now)
 {
-	bool fresh = upstream->load.at &&
-		     now - upstream->load.at < LOAD_STALE_MS;
+	bool fresh =
+		upstream->load.at && now - upstream->load.at < LOAD_STALE_MS;
 
 	return upstream->inflight + (fresh ? upstream->others : 0);
 }
@@ -224,8 +224,8 @@
 
 	for (guint i = 0; i < list->len; i++) {
 		struct upstream *upstream = g_ptr_array_index(list, i);
-		uint64_t weight = XXH64(upstream->name, strlen(upstream->name),
-					prefix);
+		uint64_t weight =
+			XXH64(upstream->name, strlen(upstream->name), prefix);
 
 		if (upstream == but || (best && weight <= best_weight))
 			continue;
@@ -372,8 +372,8 @@
 void router_end(struct upstream *upstream, bool failed, clk_ms took, clk_ms now)
 {
 	upstream->inflight--;
-	upstream->failure += AGE_WEIGHT * ((failed ? 1 : 0) -
-					   upstream->failure);
+	upstream->failure +=
+		AGE_WEIGHT * ((failed ? 1 : 0) - upstream->failure);
 	if (failed) {
 		upstream->retry_after = now + FAILURE_PAUSE_MS;
 		return;
--- a/decide/route.h
+++ b/decide/route.h
@@ -35,16 +35,16 @@
 	char *pool;
 	char *data_centre;
 	bool reclaimable;
-	enum upstream_state state;   /* by the list of hosts */
-	bool marked_leaving;	     /* by a host that saw it first */
+	enum upstream_state state; /* by the list of hosts */
+	bool marked_leaving;	   /* by a host that saw it first */
 	uint64_t mark_stamp;
 	struct upstream_load load;
-	int inflight;		     /* this host's own calls */
-	int others;		     /* reported calls that are not own ones */
-	double service_ms;	     /* mean time of a call, aged */
-	double failure;		     /* 0 to 1: aged share of failed calls */
-	clk_ms retry_after;	     /* not chosen before, after a failure */
-	GHashTable *prefixes;	     /* &hash -> when: hints of its cache */
+	int inflight;	      /* this host's own calls */
+	int others;	      /* reported calls that are not own ones */
+	double service_ms;    /* mean time of a call, aged */
+	double failure;	      /* 0 to 1: aged share of failed calls */
+	clk_ms retry_after;   /* not chosen before, after a failure */
+	GHashTable *prefixes; /* &hash -> when: hints of its cache */
 };
 
 enum route_policy {
@@ -72,15 +72,15 @@
 	const char *data_centre; /* of this host */
 	uint64_t prefix;	 /* hash of the prompt's first bytes; 0: none */
 	int prompt_tokens;
-	int more_tokens; /* still to be generated */
+	int more_tokens;      /* still to be generated */
 	const char *not_this; /* upstream that just failed, or NULL */
 };
 
 struct router {
-	GHashTable *upstreams; /* name -> struct upstream */
-	GHashTable *pools;     /* pool -> GPtrArray of struct upstream */
+	GHashTable *upstreams;	      /* name -> struct upstream */
+	GHashTable *pools;	      /* pool -> GPtrArray of struct upstream */
 	struct route_weights weights; /* of pools without their own */
-	GHashTable *pool_weights; /* pool -> struct route_weights */
+	GHashTable *pool_weights;     /* pool -> struct route_weights */
 	uint32_t (*random)(void *ctx, uint32_t n);
 	void *ctx;
 	guint turn; /* of round robin */
--- a/decide/store.c
+++ b/decide/store.c
@@ -19,8 +19,8 @@
 {
 	struct store *store = g_new0(struct store, 1);
 
-	store->items = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					     item_free);
+	store->items =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, item_free);
 	store->changed = changed;
 	store->ctx = ctx;
 	return store;
--- a/decide/store.h
+++ b/decide/store.h
@@ -36,12 +36,10 @@
 	       int64_t mod);
 /* Takes a whole snapshot: what is not in it, and not newer, is deleted.
  * present is the set of its keys. */
-void store_snapshot(struct store *store, GHashTable *present,
-		    int64_t revision);
+void store_snapshot(struct store *store, GHashTable *present, int64_t revision);
 /* All items up to a revision were put. */
 void store_complete(struct store *store, int64_t revision);
-const struct store_item *store_get(const struct store *store,
-				   const char *key);
+const struct store_item *store_get(const struct store *store, const char *key);
 /* Calls fn for each item that changed after a revision. */
 void store_each_after(const struct store *store, int64_t after,
 		      void (*fn)(void *ctx, const struct store_item *item),
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -14,10 +14,10 @@
 #include "fake.h"
 #include "token.h"
 
-#define BLOCK_BYTES 64		/* prompt bytes of one cache block */
-#define BYTES_PER_TOKEN 4	/* of a prompt */
-#define STREAM_KEEP_MS 60000	/* a finished stream can be resumed */
-#define EVENT_GAP_EVERY 16	/* every so many-th cache event is lost */
+#define BLOCK_BYTES 64	     /* prompt bytes of one cache block */
+#define BYTES_PER_TOKEN 4    /* of a prompt */
+#define STREAM_KEEP_MS 60000 /* a finished stream can be resumed */
+#define EVENT_GAP_EVERY 16   /* every so many-th cache event is lost */
 #define DEFAULT_MAX_TOKENS 16
 
 /* One generation, whoever reads it. */
@@ -26,8 +26,8 @@
 	char *id;
 	char *prompt;
 	int priority;
-	int from;	/* first token that this engine makes */
-	int made;	/* tokens made, those before from counted */
+	int from; /* first token that this engine makes */
+	int made; /* tokens made, those before from counted */
 	int max_tokens;
 	bool running;
 	bool finished;
@@ -40,7 +40,7 @@
 struct reader {
 	struct stream *stream;
 	struct http_call *call;
-	int next;  /* token to send next */
+	int next;   /* token to send next */
 	bool whole; /* one JSON answer at the end, no events */
 };
 
@@ -300,8 +300,8 @@
 	struct engine *engine = stream->engine;
 	size_t total = strlen(stream->prompt) / BYTES_PER_TOKEN;
 	size_t missed = cache_prompt(engine, stream->prompt) / BYTES_PER_TOKEN;
-	char *with_tokens = g_strdup_printf("%s|%d", stream->prompt,
-					    stream->from);
+	char *with_tokens =
+		g_strdup_printf("%s|%d", stream->prompt, stream->from);
 	uint64_t imported = XXH64(with_tokens, strlen(with_tokens), 1);
 	int64_t prefill_ms;
 
--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -40,8 +40,7 @@
 	return obj;
 }
 
-bool fake_is(const struct http_call *call, const char *method,
-	     const char *path)
+bool fake_is(const struct http_call *call, const char *method, const char *path)
 {
 	struct http_view m = http_call_method(call);
 	struct http_view p = http_call_path(call);
@@ -83,8 +82,7 @@
 		.ctx = ctx,
 	};
 	GError *error = NULL;
-	struct http_server *server =
-		http_server_create(loop, &options, &error);
+	struct http_server *server = http_server_create(loop, &options, &error);
 	uv_signal_t term;
 	uv_signal_t interrupt;
 
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -10,10 +10,10 @@
 
 #include "fake.h"
 
-#define MAX_VALUE (1 << 20)	/* bytes of one value */
-#define RATE_WINDOW_MS 1000	/* the span that the rate limits count in */
-#define SWEEP_MS 50		/* between looks at leases and waiters */
-#define DEFAULT_LEASE_TTL 3000	/* ms */
+#define MAX_VALUE (1 << 20)    /* bytes of one value */
+#define RATE_WINDOW_MS 1000    /* the span that the rate limits count in */
+#define SWEEP_MS 50	       /* between looks at leases and waiters */
+#define DEFAULT_LEASE_TTL 3000 /* ms */
 
 /* One key; kept after it is deleted so that watches can tell. */
 struct item {
@@ -56,11 +56,11 @@
 
 /* The switches of POST /fault. */
 struct faults {
-	bool outage;	     /* every key-value and lease call fails */
-	int64_t delay_ms;    /* before a call is looked at */
-	int64_t lose_cas;    /* so many next swaps lose their answers */
+	bool outage;	       /* every key-value and lease call fails */
+	int64_t delay_ms;      /* before a call is looked at */
+	int64_t lose_cas;      /* so many next swaps lose their answers */
 	int64_t refuse_starts; /* so many next rents are refused */
-	int64_t stale_watch; /* so many next watches repeat old items */
+	int64_t stale_watch;   /* so many next watches repeat old items */
 };
 
 struct platform {
@@ -75,7 +75,7 @@
 	int64_t host_revision;
 	int64_t last_lease;
 	int64_t rented;
-	int64_t host_lag; /* ms */
+	int64_t host_lag;   /* ms */
 	int64_t max_writes; /* per window */
 	int64_t max_reads;
 	int64_t writes; /* in this window */
@@ -238,8 +238,7 @@
 	if (!waiter->prefix)
 		waiter->prefix = g_strdup("");
 	waiter->after = fake_query_int(call, "after", 0);
-	waiter->until =
-		now_of(platform) + fake_query_int(call, "wait_ms", 0);
+	waiter->until = now_of(platform) + fake_query_int(call, "wait_ms", 0);
 	if (platform->faults.stale_watch > 0) {
 		platform->faults.stale_watch--;
 		waiter->after = 0;
@@ -253,9 +252,9 @@
 static void cas_reply(struct platform *platform, struct http_call *call,
 		      bool won, const struct item *item)
 {
-	struct json_object *obj = item && item->value ?
-					  item_to_json(item) :
-					  json_object_new_object();
+	struct json_object *obj = item && item->value
+					  ? item_to_json(item)
+					  : json_object_new_object();
 
 	if (!item || !item->value)
 		json_add_int(obj, "mod", won && item ? item->mod : 0);
@@ -485,8 +484,8 @@
 		struct json_object *notice;
 
 		if (strcmp(json_text(fields, "name", ""), name) != 0 &&
-		    strcmp(json_text(fields, "data_centre", ""),
-			   data_centre) != 0)
+		    strcmp(json_text(fields, "data_centre", ""), data_centre) !=
+			    0)
 			continue;
 		notice = json_object_new_object();
 		json_add_text(notice, "name", json_text(fields, "name", ""));
@@ -509,9 +508,8 @@
 	int64_t after = fake_query_int(call, "after", 0);
 
 	for (guint i = (guint)after; i < platform->notices->len; i++)
-		json_object_array_add(
-			list, json_object_get(g_ptr_array_index(
-				      platform->notices, i)));
+		json_object_array_add(list, json_object_get(g_ptr_array_index(
+						    platform->notices, i)));
 	json_add_int(obj, "next", platform->notices->len);
 	json_object_object_add(obj, "notices", list);
 	fake_reply(call, 200, obj);
@@ -633,8 +631,7 @@
 	struct platform *platform = ctx;
 	struct delayed *delayed;
 
-	if (platform->faults.delay_ms == 0 ||
-	    fake_is(call, "POST", "/fault")) {
+	if (platform->faults.delay_ms == 0 || fake_is(call, "POST", "/fault")) {
 		call_serve(platform, call);
 		return;
 	}
--- a/fakes/service.c
+++ b/fakes/service.c
@@ -218,8 +218,7 @@
 
 	if (!body)
 		return;
-	entry = g_hash_table_lookup(service->by_id,
-				    json_text(body, "id", ""));
+	entry = g_hash_table_lookup(service->by_id, json_text(body, "id", ""));
 	obj = json_object_new_object();
 	json_object_object_add(obj, "ran",
 			       json_object_new_boolean(entry != NULL));
@@ -310,7 +309,7 @@
 	uv_loop_init(&service.loop);
 	service.ledger = g_ptr_array_new();
 	service.by_id = g_hash_table_new(g_str_hash, g_str_equal);
-	service.fences = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					       g_free);
+	service.fences =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fake_serve(&service.loop, port, service_on_call, &service);
 }
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -3,9 +3,9 @@
 
 #include <stddef.h>
 
-static const char *const entry_log_level_choices[] = {
-	"error", "warn", "notice", "info", "debug", NULL
-};
+static const char *const entry_log_level_choices[] = { "error",	 "warn",
+						       "notice", "info",
+						       "debug",	 NULL };
 
 static const struct conf_field entry_fields[] = {
 	{
@@ -150,9 +150,9 @@
 	},
 };
 
-static const char *const admin_log_level_choices[] = {
-	"error", "warn", "notice", "info", "debug", NULL
-};
+static const char *const admin_log_level_choices[] = { "error",	 "warn",
+						       "notice", "info",
+						       "debug",	 NULL };
 
 static const struct conf_field admin_fields[] = {
 	{
--- a/wire/conf.c
+++ b/wire/conf.c
@@ -59,8 +59,8 @@
 	if (!whole && (field->type == CONF_TYPE_INT ||
 		       !json_object_is_type(value, json_type_double))) {
 		fail(place, field->name, error,
-		     field->type == CONF_TYPE_INT ? "must be a whole number" :
-						    "must be a number");
+		     field->type == CONF_TYPE_INT ? "must be a whole number"
+						  : "must be a number");
 		return false;
 	}
 	if (!in_range(field, number)) {
@@ -98,8 +98,7 @@
 		fail(place, field->name, error, "must be a text");
 		return false;
 	}
-	if (field->type == CONF_TYPE_NAME &&
-	    !rid_host_ok(text, strlen(text))) {
+	if (field->type == CONF_TYPE_NAME && !rid_host_ok(text, strlen(text))) {
 		fail(place, field->name, error,
 		     "must be a name of letters, digits, '-' and '_'");
 		return false;
@@ -146,9 +145,8 @@
 }
 
 /* Checks one value and stores it in the struct. */
-static bool put_value(const struct conf_field *field,
-		      struct json_object *value, char *conf,
-		      const struct place *place, GError **error)
+static bool put_value(const struct conf_field *field, struct json_object *value,
+		      char *conf, const struct place *place, GError **error)
 {
 	char *slot = conf + field->offset;
 
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -6,47 +6,47 @@
 #include <stdint.h>
 
 /* Every counter: name and what it counts. */
-#define CTR_LIST(X)                                                         \
-	X(requests, "requests received from callers")                       \
-	X(accepted, "requests accepted: a guardian holds them")             \
-	X(accepted_alone, "requests accepted with no other host alive")     \
-	X(ended_whole, "requests answered whole")                           \
-	X(ended_not_run, "requests answered as not run")                    \
-	X(ended_unknown, "requests answered as unknown")                    \
-	X(reconnects, "callers who fetched a known request again")          \
-	X(forwarded, "requests passed on to another entry host")            \
-	X(moved, "requests whose authority went to another host")           \
-	X(inherited, "requests taken over from a lost host")                \
-	X(refused_busy, "requests refused because of load")                 \
-	X(refused_limit, "requests refused by an account's limit")          \
-	X(bad_input, "malformed or unknown requests and messages")          \
-	X(attempts, "attempts at upstreams")                                \
-	X(attempts_failed, "attempts that failed or were cut")              \
-	X(retries, "attempts after the first")                              \
-	X(retries_denied, "retries that budget or deadline forbade")        \
-	X(resumed, "streams resumed at the engine that runs them")          \
-	X(restarted, "streams continued at another engine")                 \
-	X(pieces, "pieces of answers received from upstreams")              \
-	X(pieces_dropped, "pieces of another attempt, late or repeated")    \
-	X(tokens_again, "tokens sent to be computed again after a loss")    \
-	X(probes, "outcomes asked for after a host was lost")               \
-	X(settings_changes, "settings objects adopted")                     \
-	X(settings_bad, "settings objects refused by a check")              \
-	X(settings_stale, "older settings that were not adopted")           \
-	X(members_dead, "hosts declared dead here")                         \
-	X(suspicions_refuted, "times this host answered a suspicion")       \
-	X(lost_self, "times this host was declared dead or sealed")         \
-	X(platform_calls, "calls to the platform")                          \
-	X(platform_failures, "calls to the platform without an answer")     \
-	X(rpc_bytes_in, "bytes received from other entry hosts")            \
-	X(rpc_bytes_out, "bytes sent to other entry hosts")                 \
+#define CTR_LIST(X)                                                            \
+	X(requests, "requests received from callers")                          \
+	X(accepted, "requests accepted: a guardian holds them")                \
+	X(accepted_alone, "requests accepted with no other host alive")        \
+	X(ended_whole, "requests answered whole")                              \
+	X(ended_not_run, "requests answered as not run")                       \
+	X(ended_unknown, "requests answered as unknown")                       \
+	X(reconnects, "callers who fetched a known request again")             \
+	X(forwarded, "requests passed on to another entry host")               \
+	X(moved, "requests whose authority went to another host")              \
+	X(inherited, "requests taken over from a lost host")                   \
+	X(refused_busy, "requests refused because of load")                    \
+	X(refused_limit, "requests refused by an account's limit")             \
+	X(bad_input, "malformed or unknown requests and messages")             \
+	X(attempts, "attempts at upstreams")                                   \
+	X(attempts_failed, "attempts that failed or were cut")                 \
+	X(retries, "attempts after the first")                                 \
+	X(retries_denied, "retries that budget or deadline forbade")           \
+	X(resumed, "streams resumed at the engine that runs them")             \
+	X(restarted, "streams continued at another engine")                    \
+	X(pieces, "pieces of answers received from upstreams")                 \
+	X(pieces_dropped, "pieces of another attempt, late or repeated")       \
+	X(tokens_again, "tokens sent to be computed again after a loss")       \
+	X(probes, "outcomes asked for after a host was lost")                  \
+	X(settings_changes, "settings objects adopted")                        \
+	X(settings_bad, "settings objects refused by a check")                 \
+	X(settings_stale, "older settings that were not adopted")              \
+	X(members_dead, "hosts declared dead here")                            \
+	X(suspicions_refuted, "times this host answered a suspicion")          \
+	X(lost_self, "times this host was declared dead or sealed")            \
+	X(platform_calls, "calls to the platform")                             \
+	X(platform_failures, "calls to the platform without an answer")        \
+	X(rpc_bytes_in, "bytes received from other entry hosts")               \
+	X(rpc_bytes_out, "bytes sent to other entry hosts")                    \
 	X(gossip_out, "membership datagrams sent")
 
 enum ctr {
 #define CTR_ENUM(name, doc) CTR_##name,
 	CTR_LIST(CTR_ENUM)
 #undef CTR_ENUM
-	CTR_COUNT,
+		CTR_COUNT,
 };
 
 struct ctrs {
--- a/wire/http-client.c
+++ b/wire/http-client.c
@@ -24,8 +24,8 @@
 	clk_ms deadline;	/* loop time; 0: none */
 	int status;
 	bool connected;
-	bool is_events; /* by the answer's content type */
-	bool in_callback; /* h2o is on the stack: it closes by itself */
+	bool is_events;	       /* by the answer's content type */
+	bool in_callback;      /* h2o is on the stack: it closes by itself */
 	bool deferred_refusal; /* on_done is owed from the timer */
 };
 
@@ -167,11 +167,9 @@
 }
 
 /* h2o is connected and asks what to send. */
-static h2o_http1client_head_cb fetch_on_connect(h2o_http1client_t *h2o,
-						const char *errstr,
-						h2o_iovec_t **reqbufs,
-						size_t *reqbufcnt,
-						int *method_is_head)
+static h2o_http1client_head_cb
+fetch_on_connect(h2o_http1client_t *h2o, const char *errstr,
+		 h2o_iovec_t **reqbufs, size_t *reqbufcnt, int *method_is_head)
 {
 	struct http_fetch *fetch = h2o->data;
 
@@ -255,8 +253,7 @@
 		return fetch;
 	}
 	if (spec->timeout)
-		fetch->deadline =
-			(clk_ms)uv_now(client->loop) + spec->timeout;
+		fetch->deadline = (clk_ms)uv_now(client->loop) + spec->timeout;
 	fetch_arm(fetch);
 	h2o_http1client_connect(&fetch->h2o, fetch, &client->context, host,
 				port, 0, fetch_on_connect);
--- a/wire/http-server.c
+++ b/wire/http-server.c
@@ -7,7 +7,7 @@
 
 #include "../decide/err.h"
 
-#define LISTEN_BACKLOG 1024 /* connections */
+#define LISTEN_BACKLOG 1024   /* connections */
 #define IDLE_TIMEOUT_MS 30000 /* ms between requests of one connection */
 
 struct http_server {
@@ -105,9 +105,8 @@
 		return;
 	}
 	uv_tcp_nodelay(conn, 1);
-	h2o_accept(&server->accept,
-		   h2o_uv_socket_create((uv_stream_t *)conn,
-					(uv_close_cb)free));
+	h2o_accept(&server->accept, h2o_uv_socket_create((uv_stream_t *)conn,
+							 (uv_close_cb)free));
 }
 
 /* Binds and listens; returns 0 or a libuv error. */
@@ -125,8 +124,8 @@
 	server->listener.data = server;
 	rc = uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0);
 	if (rc == 0)
-		rc = uv_listen((uv_stream_t *)&server->listener,
-			       LISTEN_BACKLOG, listener_on_connection);
+		rc = uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
+			       listener_on_connection);
 	if (rc != 0)
 		return rc;
 	uv_tcp_getsockname(&server->listener, (struct sockaddr *)&bound,
@@ -138,10 +137,11 @@
 /* The answer in the closed list's form to what h2o itself refuses. */
 static h2o_iovec_t refusal_body(h2o_req_t *req)
 {
-	const struct err_answer *answer = err_answer(
-		req->res.status == 413 ? RW_ETOOLARGE : RW_EBADHTTP);
+	const struct err_answer *answer =
+		err_answer(req->res.status == 413 ? RW_ETOOLARGE : RW_EBADHTTP);
 
-	return h2o_concat(&req->pool, h2o_iovec_init(H2O_STRLIT("{\"error\":\"")),
+	return h2o_concat(&req->pool,
+			  h2o_iovec_init(H2O_STRLIT("{\"error\":\"")),
 			  h2o_iovec_init(answer->name, strlen(answer->name)),
 			  h2o_iovec_init(H2O_STRLIT("\",\"text\":\"")),
 			  h2o_iovec_init(answer->text, strlen(answer->text)),
@@ -166,8 +166,8 @@
 			     h2o_ostream_t **slot)
 {
 	struct http_server *server = ((struct http_filter *)self)->server;
-	ssize_t at = h2o_find_header(&req->res.headers,
-				     H2O_TOKEN_CONTENT_TYPE, -1);
+	ssize_t at =
+		h2o_find_header(&req->res.headers, H2O_TOKEN_CONTENT_TYPE, -1);
 	h2o_header_t *type = at < 0 ? NULL : &req->res.headers.entries[at];
 
 	if (req->res.status >= 400 && type &&
@@ -188,8 +188,8 @@
 /* Adds the filter for h2o's own answers to a path. */
 static void refusal_register(struct http_server *server, h2o_pathconf_t *path)
 {
-	struct http_filter *filter = (struct http_filter *)h2o_create_filter(
-		path, sizeof(*filter));
+	struct http_filter *filter =
+		(struct http_filter *)h2o_create_filter(path, sizeof(*filter));
 
 	filter->super.on_setup_ostream = refusal_on_setup;
 	filter->server = server;
--- a/wire/json.c
+++ b/wire/json.c
@@ -46,8 +46,8 @@
 		return obj;
 	g_set_error(error, g_quark_from_static_string("json"), (int)code,
 		    "line %d: %s", line_of(ptr, MIN(end, len)),
-		    obj ? "not one JSON object" :
-			  json_tokener_error_desc(code));
+		    obj ? "not one JSON object"
+			: json_tokener_error_desc(code));
 	json_object_put(obj);
 	return NULL;
 }
--- a/wire/json.h
+++ b/wire/json.h
@@ -20,8 +20,7 @@
 int json_flag(struct json_object *obj, const char *key, int fallback);
 double json_real(struct json_object *obj, const char *key, double fallback);
 /* Adds a string field. */
-void json_add_text(struct json_object *obj, const char *key,
-		   const char *value);
+void json_add_text(struct json_object *obj, const char *key, const char *value);
 void json_add_int(struct json_object *obj, const char *key, int64_t value);
 /* Returns the object's text with len set; the object owns it. */
 const char *json_print(struct json_object *obj, size_t *len);
--- a/wire/log.c
+++ b/wire/log.c
@@ -45,14 +45,14 @@
 		log4c_category_vlog(category, priority, format, args);
 }
 
-#define LOG_FUNCTION(name, priority)            \
-	void name(const char *format, ...)      \
-	{                                       \
-		va_list args;                   \
-                                                \
-		va_start(args, format);         \
-		log_line(priority, format, args); \
-		va_end(args);                   \
+#define LOG_FUNCTION(name, priority)                                           \
+	void name(const char *format, ...)                                     \
+	{                                                                      \
+		va_list args;                                                  \
+                                                                               \
+		va_start(args, format);                                        \
+		log_line(priority, format, args);                              \
+		va_end(args);                                                  \
 	}
 
 LOG_FUNCTION(log_error, LOG4C_PRIORITY_ERROR)
--- a/wire/log.h
+++ b/wire/log.h
@@ -4,8 +4,8 @@
 
 #include <glib.h>
 
-/* Opens the log; level as in the settings, file empty for stderr. */
-int log_open(const char *program, const char *level, const char *file,
+/* Opens the log; level as in the settings, path empty for stderr. */
+int log_open(const char *program, const char *level, const char *path,
 	     GError **error);
 void log_error(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void log_warn(const char *format, ...) __attribute__((format(printf, 1, 2)));
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -6,14 +6,14 @@
 #include <rpc/rpc.h>
 #include <rpc/rpc_msg.h>
 
-#define LISTEN_BACKLOG 256	     /* connections */
-#define RECORD_MAX (24 << 20)	     /* bytes of one record */
-#define MARK_BYTES 4		     /* of a record's header */
-#define MARK_LAST 0x80000000u	     /* last fragment of a record */
-#define DATAGRAM_MAX 4096	     /* bytes */
-#define PENDING_MAX (32 << 20)	     /* bytes queued for one peer */
-#define IDLE_MS 60000		     /* before an unused connection closes */
-#define CALL_SWEEP_MS 100	     /* between looks at late answers */
+#define LISTEN_BACKLOG 256     /* connections */
+#define RECORD_MAX (24 << 20)  /* bytes of one record */
+#define MARK_BYTES 4	       /* of a record's header */
+#define MARK_LAST 0x80000000u  /* last fragment of a record */
+#define DATAGRAM_MAX 4096      /* bytes */
+#define PENDING_MAX (32 << 20) /* bytes queued for one peer */
+#define IDLE_MS 60000	       /* before an unused connection closes */
+#define CALL_SWEEP_MS 100      /* between looks at late answers */
 
 /* A connection, made or accepted. */
 struct rpc_conn {
@@ -43,9 +43,9 @@
 	uv_timer_t timer;
 	struct rpc_handlers handlers;
 	struct rpc_counters counters;
-	GHashTable *peers;    /* address -> struct rpc_conn */
-	GPtrArray *accepted;  /* struct rpc_conn */
-	GArray *waits;	      /* struct rpc_wait */
+	GHashTable *peers;   /* address -> struct rpc_conn */
+	GPtrArray *accepted; /* struct rpc_conn */
+	GArray *waits;	     /* struct rpc_wait */
 	u_int32_t xid;
 	char datagram[DATAGRAM_MAX];
 };
@@ -283,8 +283,7 @@
 		return take_reply(conn->rpc, ptr, len);
 	xdrmem_create(&xdr, (char *)ptr, (u_int)len, XDR_DECODE);
 	ok = xdr_callmsg(&xdr, &msg) && msg.rm_call.cb_prog == RW_PROGRAM &&
-	     msg.rm_call.cb_vers == RW_VERSION &&
-	     serve_call(conn, &msg, &xdr);
+	     msg.rm_call.cb_vers == RW_VERSION && serve_call(conn, &msg, &xdr);
 	xdr_destroy(&xdr);
 	return ok;
 }
@@ -374,8 +373,8 @@
 	conn->peer = g_strdup(to);
 	conn->connect.data = conn;
 	g_hash_table_insert(rpc->peers, conn->peer, conn);
-	if (uv_tcp_connect(&conn->connect, &conn->tcp,
-			   (struct sockaddr *)&addr, conn_on_connect) != 0) {
+	if (uv_tcp_connect(&conn->connect, &conn->tcp, (struct sockaddr *)&addr,
+			   conn_on_connect) != 0) {
 		conn_close(conn);
 		return NULL;
 	}
@@ -385,7 +384,7 @@
 /* Sends a call over TCP and returns its number; it is dropped if the peer
  * can't be reached. */
 static u_int32_t call_send(struct rpc *rpc, const char *to, rpcproc_t proc,
-		      xdrproc_t encode, const void *args)
+			   xdrproc_t encode, const void *args)
 {
 	struct rpc_conn *conn = peer_get(rpc, to);
 	size_t size = xdr_sizeof(encode, (void *)args) + 256;
@@ -421,8 +420,8 @@
 }
 
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
-		   clk_ms timeout,
-		   void (*fn)(void *ctx, const w_sync_res *res), void *ctx)
+		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
+		   void *ctx)
 {
 	struct rpc_wait wait = {
 		.until = now_of(rpc) + timeout,
@@ -430,8 +429,8 @@
 		.ctx = ctx,
 	};
 
-	wait.xid = call_send(rpc, to, RW_SYNC, (xdrproc_t)xdr_w_sync_args,
-			     args);
+	wait.xid =
+		call_send(rpc, to, RW_SYNC, (xdrproc_t)xdr_w_sync_args, args);
 	g_array_append_val(rpc->waits, wait);
 }
 
@@ -455,8 +454,7 @@
 			  sizeof(buf));
 	out = uv_buf_init(buf, (unsigned)len);
 	if (len > 0 &&
-	    uv_udp_try_send(&rpc->udp, &out, 1, (struct sockaddr *)&addr) >
-		    0) {
+	    uv_udp_try_send(&rpc->udp, &out, 1, (struct sockaddr *)&addr) > 0) {
 		rpc->counters.datagrams_out++;
 		rpc->counters.bytes_out += len;
 	}
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -42,12 +42,11 @@
 
 void rpc_send_gossip(struct rpc *rpc, const char *to,
 		     const struct member_msg *msg);
-void rpc_send_home(struct rpc *rpc, const char *to,
-		   const struct home_msg *msg);
+void rpc_send_home(struct rpc *rpc, const char *to, const struct home_msg *msg);
 /* Calls RW_SYNC; fn gets NULL if there is no answer within the timeout. */
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
-		   clk_ms timeout,
-		   void (*fn)(void *ctx, const w_sync_res *res), void *ctx);
+		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
+		   void *ctx);
 
 /* rpc-home.c and rpc-gossip.c: between decide's messages and XDR's. */
 void rpc_home_to_wire(const struct home_msg *msg, w_home *wire);
--- a/wire/trace.c
+++ b/wire/trace.c
@@ -7,8 +7,8 @@
 
 #include "json.h"
 
-#define TRACE_AT 3  /* place of the trace id in a traceparent */
-#define SPAN_AT 36  /* place of the span id */
+#define TRACE_AT 3 /* place of the trace id in a traceparent */
+#define SPAN_AT 36 /* place of the span id */
 #define TRACE_LEN 32
 #define SPAN_LEN 16
 
@@ -33,8 +33,7 @@
 		return tracer;
 	}
 	g_set_error(error, g_quark_from_static_string("trace"), errno,
-		    "cannot open trace file \"%s\": %s", path,
-		    strerror(errno));
+		    "cannot open trace file \"%s\": %s", path, strerror(errno));
 	trace_close(tracer);
 	return NULL;
 }
