--- a/daemon/admind-change.c
+++ b/daemon/admind-change.c
@@ -113,22 +113,26 @@
 	return !strcmp(json_text(obj, "change", ""), id);
 }
 
-/* Tells whether this change took effect: its value is stored, or was before
- * later changes replaced it. */
-static bool is_ours(const struct change *change, const char *stored)
+/* Returns the revision at which this change took effect, or 0 if it did not:
+ * its value is stored, or was before later changes replaced it. */
+static int64_t own_revision(const struct change *change, const char *stored,
+			    int64_t mod)
 {
 	struct json_object *obj =
 		stored ? json_parse_object(stored, strlen(stored)) : NULL;
 	struct json_object *older = NULL;
-	bool ours = obj && has_change(obj, change->id);
+	int64_t revision = obj && has_change(obj, change->id) ? mod : 0;
 
 	if (obj)
 		json_object_object_get_ex(obj, "history", &older);
-	for (size_t i = 0; older && i < json_object_array_length(older); i++)
-		ours |= has_change(json_object_array_get_idx(older, i),
-				   change->id);
+	for (size_t i = 0; older && i < json_object_array_length(older); i++) {
+		struct json_object *item = json_object_array_get_idx(older, i);
+
+		if (has_change(item, change->id))
+			revision = json_int(item, "revision", 0);
+	}
 	json_object_put(obj);
-	return ours;
+	return revision;
 }
 
 /* The change is known to be in force. */
@@ -166,6 +170,7 @@
 	json_add_text(last, "change", json_text(before, "change", ""));
 	json_add_text(last, "by", json_text(before, "by", ""));
 	json_add_int(last, "at", json_int(before, "at", 0));
+	json_add_int(last, "revision", change->expect);
 	json_add_text(last, "value", json_text(before, "value", ""));
 	json_object_array_add(list, last);
 	json_object_object_get_ex(before, "history", &older);
@@ -234,13 +239,14 @@
 			   const char *value, int64_t mod)
 {
 	struct change *change = ctx;
+	int64_t own = change->value ? own_revision(change, value, mod) : 0;
 
 	if (outcome == PLAT_OK)
 		change_accepted(change, mod);
 	else if (outcome == PLAT_UNSURE)
 		change_unsure(change);
-	else if (change->value && is_ours(change, value))
-		change_accepted(change, mod);
+	else if (own)
+		change_accepted(change, own);
 	else
 		change_lost(change, value, mod);
 }
@@ -249,8 +255,10 @@
 static void change_resolve(struct change *change, const char *value,
 			   int64_t mod)
 {
-	if (change->value && is_ours(change, value))
-		change_accepted(change, mod);
+	int64_t own = change->value ? own_revision(change, value, mod) : 0;
+
+	if (own)
+		change_accepted(change, own);
 	else if ((value ? mod : 0) == change->expect)
 		change_swap(change); /* not in force yet: the same again */
 	else if (!change->value && !value)
--- a/decide/home-guard.c
+++ b/decide/home-guard.c
@@ -202,6 +202,29 @@
 	guard->reads = 0;
 }
 
+/* Forgets what was held under a guardianship before an epoch. */
+static void guard_drop_older(struct guard *guard, int64_t epoch)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, guard->reqs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((struct req *)value)->epoch < epoch)
+			g_hash_table_iter_remove(&iter);
+}
+
+/* The home is guarded by another host from an epoch on. */
+static void guard_release(struct home *home, struct guard *guard, int64_t epoch)
+{
+	if (guard->epoch >= epoch)
+		return; /* it has come back to this host since */
+	guard->state = GUARD_RETIRED;
+	guard->epoch = epoch;
+	guard->closed_at = home->now;
+	guard_drop_older(guard, epoch);
+}
+
 void home_guard_on_msg(struct home *home, const struct home_msg *msg)
 {
 	struct guard *guard = guard_get(home, msg->home);
@@ -216,6 +239,10 @@
 	    (home_rule(home, HOME_RULE_SEALING_GRANTS_NOT) ||
 	     msg->kind != HOME_HOLD))
 		return;
+	if (msg->kind == HOME_RELEASE) {
+		guard_release(home, guard, msg->epoch);
+		return;
+	}
 	guard_epoch(guard, msg->epoch);
 	if (msg->epoch != guard->epoch || guard->state == GUARD_RETIRED)
 		return;
@@ -334,18 +361,6 @@
 	home->options.ops->swap(home->options.ctx, guard->home, &guard->record);
 }
 
-/* Forgets what was held under a guardianship before an epoch. */
-static void guard_drop_older(struct guard *guard, int64_t epoch)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, guard->reqs);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (((struct req *)value)->epoch < epoch)
-			g_hash_table_iter_remove(&iter);
-}
-
 void home_guard_on_record(struct home *home, struct guard *guard,
 			  enum record_outcome outcome,
 			  const struct home_record *record)
--- a/decide/home-record.c
+++ b/decide/home-record.c
@@ -179,9 +179,26 @@
 	}
 }
 
+/* Tells a former guardian that it need not keep anything any more. */
+static void release_send(struct home *home, const char *to, int64_t epoch)
+{
+	struct home_msg msg = {
+		.kind = HOME_RELEASE,
+		.from = home->self,
+		.to = to,
+		.home = home->self,
+		.epoch = epoch,
+		.id = "",
+	};
+
+	home->options.ops->send(home->options.ctx, &msg);
+}
+
 /* The swap took effect: the new guardian is in force. */
 static void record_won(struct home *home, int64_t mod)
 {
+	if (home->record.peer[0])
+		release_send(home, home->record.peer, home->wanted.epoch);
 	home->record = home->wanted;
 	home->record.mod = mod;
 	home->state = HOME_OPEN;
--- a/decide/home.h
+++ b/decide/home.h
@@ -42,6 +42,7 @@
 	HOME_REVOKE,   /* home to guardian: it was given up */
 	HOME_VERDICT,  /* guardian to home: what it keeps of an id */
 	HOME_RETIRE,   /* home to guardian: take over, I am leaving */
+	HOME_RELEASE,  /* home to old guardian: another one guards now */
 	HOME_MSG_COUNT,
 };
 
