--- a/daemon/load-caller.c
+++ b/daemon/load-caller.c
@@ -11,7 +11,7 @@
 #define RETRY_MIN_MS 100     /* before another host is tried */
 #define UNKNOWN_TRIES 5	     /* times that an unknown is asked again */
 #define LOCATE_TIMEOUT_MS 2000
-#define ENTRIES_KEPT 8	      /* addresses remembered for locates */
+#define ENTRIES_KEPT 8 /* addresses remembered for locates */
 
 /* One request and what its caller knows. */
 struct request {
--- a/decide/member.c
+++ b/decide/member.c
@@ -4,10 +4,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define HELPERS 3	   /* hosts asked to probe in another's place */
-#define SEND_FACTOR 3	   /* sendings of an update per doubling of hosts */
-#define DOUBT_PERIODS 4	   /* periods without a tick: was paused */
-#define FULL_SYNC_HOSTS 16 /* above it full exchanges become rarer */
+#define SUSPICION_DOUBLINGS 3 /* of hosts; up to that the setting holds */
+#define HELPERS 3	      /* hosts asked to probe in another's place */
+#define SEND_FACTOR 2	      /* sendings of an update per doubling of hosts */
+#define DOUBT_PERIODS 4	      /* periods without a tick: was paused */
+#define FULL_SYNC_HOSTS 16    /* above it full exchanges become rarer */
 
 /* A probe made for another host. */
 struct relay {
@@ -61,8 +62,15 @@
 	g_free(list);
 }
 
-/* Adds the updates that are due, those least sent first in order of place. */
-static void msg_add_updates(struct member_list *list, struct member_msg *msg)
+/* Tells whether an update is a death, a suspicion or the answer to one. */
+static bool is_urgent(const struct member *member)
+{
+	return member->info.state >= MEMBER_SUSPECT || member->info.seq > 0;
+}
+
+/* Adds the updates that are due, from a turning place of the list on. */
+static void msg_add_some(struct member_list *list, struct member_msg *msg,
+			 bool urgent)
 {
 	guint start = list->order->len ? list->probe % list->order->len : 0;
 
@@ -72,13 +80,21 @@
 
 		if (msg->update_count == MEMBER_UPDATES_MAX)
 			return;
-		if (member->to_send == 0)
+		if (member->to_send == 0 || is_urgent(member) != urgent)
 			continue;
 		member->to_send--;
 		msg->updates[msg->update_count++] = member->info;
 	}
 }
 
+/* Adds the updates that are due: deaths and suspicions go first, so that
+ * many hosts that come at once do not hold them up. */
+static void msg_add_updates(struct member_list *list, struct member_msg *msg)
+{
+	msg_add_some(list, msg, true);
+	msg_add_some(list, msg, false);
+}
+
 static void msg_add_marks(struct member_list *list, struct member_msg *msg)
 {
 	GHashTableIter iter;
@@ -274,7 +290,7 @@
 	if (relay_answer(list, msg))
 		return;
 	/* Another incarnation at the same address does not answer for it. */
-	if (msg->probe == list->probe &&
+	if (msg->probe == list->own_probe &&
 	    (!strcmp(msg->updates[0].incarnation, list->probed) ||
 	     !strcmp(msg->target, list->probed)))
 		list->probed[0] = '\0';
@@ -350,7 +366,7 @@
 		if (helper->info.state >= MEMBER_SUSPECT ||
 		    !strcmp(helper->info.incarnation, list->probed))
 			continue;
-		msg_build(list, &msg, MEMBER_PING_REQ, list->probe);
+		msg_build(list, &msg, MEMBER_PING_REQ, list->own_probe);
 		g_strlcpy(msg.target, list->probed, sizeof(msg.target));
 		msg_send(list, helper->info.rpc, &msg);
 	}
@@ -388,7 +404,8 @@
 
 		if (member->info.state == MEMBER_DEAD)
 			continue;
-		msg_build(list, &msg, MEMBER_PING, ++list->probe);
+		list->own_probe = ++list->probe;
+		msg_build(list, &msg, MEMBER_PING, list->own_probe);
 		g_strlcpy(list->probed, member->info.incarnation,
 			  sizeof(list->probed));
 		if (member->info.state == MEMBER_SUSPECT)
@@ -399,6 +416,27 @@
 	probe_seed(list);
 }
 
+/* Tells a host that this one suspects it, so that it can refute that. */
+static void tell_suspect(struct member_list *list, const struct member *member)
+{
+	struct member_msg msg;
+
+	msg_build(list, &msg, MEMBER_PING, ++list->probe);
+	msg.updates[msg.update_count++] = member->info;
+	msg_send(list, member->info.rpc, &msg);
+}
+
+/* Tells all that this host itself suspects, once a period. */
+static void tell_suspects(struct member_list *list)
+{
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+
+		if (member->own_suspect && member->info.state == MEMBER_SUSPECT)
+			tell_suspect(list, member);
+	}
+}
+
 /* Suspects the probed host if it did not answer in its period. */
 static void probe_judge(struct member_list *list, clk_ms now)
 {
@@ -407,8 +445,21 @@
 	if (!list->probed[0])
 		return;
 	member = member_get(list, list->probed);
-	if (member && member->info.state < MEMBER_SUSPECT)
-		member_set(list, member, MEMBER_SUSPECT, now);
+	if (!member || member->info.state >= MEMBER_SUSPECT)
+		return;
+	member->own_suspect = true;
+	member_set(list, member, MEMBER_SUSPECT, now);
+}
+
+/* How long a suspect has to refute: longer, the longer news travel. */
+static clk_ms suspicion_time(const struct member_list *list)
+{
+	unsigned doublings = 0;
+
+	for (guint n = list->order->len; n > 1; n /= 2)
+		doublings++;
+	return list->options.suspicion * MAX(doublings, SUSPICION_DOUBLINGS) /
+	       SUSPICION_DOUBLINGS;
 }
 
 /* Declares suspects dead, forgets those long dead. */
@@ -419,7 +470,7 @@
 		clk_ms age = now - member->since;
 
 		if (member->info.state == MEMBER_SUSPECT &&
-		    age >= list->options.suspicion)
+		    age >= suspicion_time(list))
 			member_set(list, member, MEMBER_DEAD, now);
 		if (member->info.state == MEMBER_DEAD &&
 		    now - member->since >= list->options.dead_keep) {
@@ -430,29 +481,47 @@
 	}
 }
 
-/* Exchanges everything with one host, so that no update is lost for ever. */
+/* Picks a seed for a full exchange, or NULL. */
+static const char *sync_seed(const struct member_list *list, guint seeds)
+{
+	if (seeds == 0)
+		return NULL;
+	return list->options
+		.seeds[list->options.ops->random(list->options.ctx, seeds)];
+}
+
+/* Picks a live member for a full exchange, or NULL. */
+static const char *sync_member(const struct member_list *list)
+{
+	guint hosts = list->order->len;
+	const struct member *member;
+
+	if (hosts == 0)
+		return NULL;
+	member = g_ptr_array_index(
+		list->order,
+		list->options.ops->random(list->options.ctx, hosts));
+	return member->info.state == MEMBER_DEAD ? NULL : member->info.rpc;
+}
+
+/* Exchanges everything with one host, so that no update is lost for ever.
+ * Every other time it is a seed, whatever is known of it: hosts that found
+ * only each other, or were cut off for long, come together again. */
 static void sync_tick(struct member_list *list, clk_ms now)
 {
-	char **seeds = list->options.seeds;
+	guint seeds =
+		list->options.seeds ? g_strv_length(list->options.seeds) : 0;
 	guint hosts = list->order->len;
-	const char *rpc = NULL;
 	clk_ms factor = 1 + hosts / FULL_SYNC_HOSTS;
+	const char *rpc;
 
 	if (now < list->next_sync)
 		return;
-	list->next_sync = now + list->options.sync_period * factor;
-	if (hosts > 0) {
-		guint at = list->options.ops->random(list->options.ctx, hosts);
-		const struct member *member =
-			g_ptr_array_index(list->order, at);
-
-		if (member->info.state != MEMBER_DEAD)
-			rpc = member->info.rpc;
-	} else if (seeds && seeds[0]) {
-		list->next_sync = now + list->options.period;
-		rpc = seeds[list->options.ops->random(list->options.ctx,
-						      g_strv_length(seeds))];
-	}
+	list->next_sync =
+		now + (hosts + 1 < seeds ? list->options.period
+					 : list->options.sync_period * factor);
+	list->sync_turn = !list->sync_turn;
+	rpc = list->sync_turn ? sync_seed(list, seeds) : sync_member(list);
 	if (rpc && strcmp(rpc, list->self.rpc) != 0)
 		list->options.ops->sync(list->options.ctx, rpc);
 }
@@ -495,6 +564,7 @@
 		probe_help(list);
 	if (age >= list->options.period) {
 		probe_judge(list, now);
+		tell_suspects(list);
 		probe_next(list, now);
 	}
 	members_age(list, now);
--- a/decide/member.h
+++ b/decide/member.h
@@ -71,6 +71,7 @@
 struct member {
 	struct member_update info;
 	clk_ms since;	  /* when it got its state */
+	bool own_suspect; /* this host is the one that suspects it */
 	unsigned to_send; /* how often its update is still to be sent */
 };
 
@@ -97,7 +98,7 @@
 	void *ctx;
 	clk_ms period;	    /* between two probes */
 	clk_ms ack_wait;    /* before others are asked to probe */
-	clk_ms suspicion;   /* from suspect to dead */
+	clk_ms suspicion;   /* from suspect to dead, with up to 8 hosts */
 	clk_ms dead_keep;   /* how long a dead one is remembered */
 	clk_ms sync_period; /* between two full exchanges */
 	char **seeds;	    /* RPC addresses, NULL-terminated */
@@ -111,12 +112,14 @@
 	guint next;	     /* place in order */
 	GHashTable *marks;   /* upstream -> struct mark_entry */
 	unsigned self_to_send;
-	uint32_t probe;			      /* number of the last probe */
+	uint32_t probe;	    /* number of the last probe, for whomever */
+	uint32_t own_probe; /* number of the last own probe */
 	char probed[RID_INCARNATION_MAX + 1]; /* "" if answered */
 	bool helped;	/* others were asked to probe it too */
 	GArray *relays; /* probes made for others */
 	clk_ms period_start;
 	clk_ms next_sync;
+	bool sync_turn; /* the next one is with a seed */
 	clk_ms last_tick;
 	clk_ms last_heard; /* when any peer's message came */
 	bool in_doubt;	   /* was not run for long: may be declared dead */
--- /dev/null
+++ b/tests/sim-member.c
@@ -0,0 +1,256 @@
+/*
+ * Membership under a virtual clock: how long a dead host stays unnoticed,
+ * how many live ones are declared dead, what it costs, at several sizes.
+ *
+ * Usage: sim-member [--hosts N] [--loss PERCENT] [--seconds N] [--seed N]
+ */
+#include <math.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "../decide/member.h"
+#include "sim.h"
+
+#define PERIOD_MS 500
+#define SUSPICION_MS 1500
+#define TICK_MS 20
+#define DELAY_MS 5 /* longest of a datagram */
+
+struct node {
+	struct cluster *cluster;
+	struct member_list *list;
+	bool dead;
+	clk_ms noticed;	  /* when it held the victim for dead; 0: not yet */
+	uint64_t updates; /* carried by its messages */
+};
+
+struct cluster {
+	struct sim *sim;
+	struct node *nodes;
+	int count;
+	int loss; /* per cent */
+	int victim;
+	clk_ms killed;
+	int false_deaths;
+	int declared;  /* live hosts that were told they are dead */
+	double work_s; /* processor time in decide/ */
+};
+
+struct packet {
+	struct cluster *cluster;
+	int to;
+	struct member_msg msg;
+};
+
+static double cpu_now(void)
+{
+	return (double)clock() / CLOCKS_PER_SEC;
+}
+
+static void packet_arrive(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+	struct packet *packet = arg;
+	struct node *node = &cluster->nodes[packet->to];
+	double begun = cpu_now();
+
+	if (!node->dead)
+		member_on_msg(node->list, &packet->msg, cluster->sim->now);
+	cluster->work_s += cpu_now() - begun;
+	g_free(packet);
+}
+
+static void op_send(void *ctx, const char *rpc, const struct member_msg *msg)
+{
+	struct node *node = ctx;
+	struct cluster *cluster = node->cluster;
+	struct packet *packet;
+
+	node->updates += msg->update_count;
+	if (sim_chance(cluster->sim, (guint)cluster->loss * 10))
+		return;
+	packet = g_new(struct packet, 1);
+	packet->cluster = cluster;
+	packet->to = (int)strtol(rpc, NULL, 10);
+	packet->msg = *msg;
+	sim_after(cluster->sim, 1 + sim_random(cluster->sim, DELAY_MS),
+		  packet_arrive, cluster, packet);
+}
+
+static void op_sync(void *ctx, const char *rpc)
+{
+	struct node *node = ctx;
+	struct cluster *cluster = node->cluster;
+	struct node *peer = &cluster->nodes[strtol(rpc, NULL, 10)];
+
+	if (peer->dead)
+		return;
+	member_on_update(peer->list, &node->list->self, cluster->sim->now);
+	member_on_update(node->list, &peer->list->self, cluster->sim->now);
+	for (guint i = 0; i < peer->list->order->len; i++) {
+		const struct member *member =
+			g_ptr_array_index(peer->list->order, i);
+
+		member_on_update(node->list, &member->info, cluster->sim->now);
+	}
+}
+
+static void op_changed(void *ctx, const struct member *member)
+{
+	struct node *node = ctx;
+	struct cluster *cluster = node->cluster;
+	int about = (int)strtol(member->info.rpc, NULL, 10);
+
+	if (member->info.state != MEMBER_DEAD)
+		return;
+	if (!cluster->nodes[about].dead)
+		cluster->false_deaths++;
+	else if (about == cluster->victim && !node->noticed)
+		node->noticed = cluster->sim->now;
+}
+
+static void op_declared_dead(void *ctx)
+{
+	((struct node *)ctx)->cluster->declared++;
+}
+
+static void op_marked(void *ctx, const struct member_mark *mark)
+{
+	(void)ctx;
+	(void)mark;
+}
+
+static void op_revisions(void *ctx, const char *rpc, uint64_t settings,
+			 uint64_t hosts)
+{
+	(void)ctx;
+	(void)rpc;
+	(void)settings;
+	(void)hosts;
+}
+
+static uint32_t op_random(void *ctx, uint32_t n)
+{
+	return sim_random(((struct node *)ctx)->cluster->sim, n);
+}
+
+static const struct member_ops ops = {
+	.send = op_send,
+	.sync = op_sync,
+	.changed = op_changed,
+	.declared_dead = op_declared_dead,
+	.marked = op_marked,
+	.revisions = op_revisions,
+	.random = op_random,
+};
+
+static void node_tick(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+	struct node *node = arg;
+	double begun = cpu_now();
+
+	if (node->dead)
+		return;
+	member_tick(node->list, cluster->sim->now);
+	cluster->work_s += cpu_now() - begun;
+	sim_after(cluster->sim, TICK_MS, node_tick, cluster, node);
+}
+
+static void node_start(struct cluster *cluster, int n)
+{
+	static char *seeds[] = { "0", "1", "2", NULL };
+	struct node *node = &cluster->nodes[n];
+	struct member_update self = { .state = MEMBER_ALIVE };
+	struct member_options options = {
+		.ops = &ops,
+		.ctx = node,
+		.period = PERIOD_MS,
+		.ack_wait = PERIOD_MS / 2,
+		.suspicion = SUSPICION_MS,
+		.dead_keep = 600000,
+		.sync_period = 10000,
+		.seeds = seeds,
+	};
+	char name[16];
+
+	snprintf(name, sizeof(name), "h%d", n);
+	rid_incarnation(self.incarnation, sizeof(self.incarnation), name,
+			(unsigned)n);
+	snprintf(self.rpc, sizeof(self.rpc), "%d", n);
+	snprintf(self.data_centre, sizeof(self.data_centre), "dc%d", n % 12);
+	node->cluster = cluster;
+	node->list = member_list_create(&self, &options);
+	sim_after(cluster->sim, sim_random(cluster->sim, PERIOD_MS), node_tick,
+		  cluster, node);
+}
+
+static void kill_victim(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+
+	(void)arg;
+	cluster->nodes[cluster->victim].dead = true;
+	cluster->killed = cluster->sim->now;
+}
+
+/* Prints what a run showed; returns whether all noticed in time. */
+static bool report(struct cluster *cluster, int seconds)
+{
+	uint64_t sent = 0;
+	uint64_t updates = 0;
+	clk_ms slowest = 0;
+	int missed = 0;
+
+	for (int i = 0; i < cluster->count; i++) {
+		struct node *node = &cluster->nodes[i];
+
+		sent += node->list->sent;
+		updates += node->updates;
+		if (i == cluster->victim)
+			continue;
+		if (!node->noticed)
+			missed++;
+		else
+			slowest = MAX(slowest, node->noticed - cluster->killed);
+	}
+	printf("hosts %d loss %d%%: dead noticed by all after %" G_GINT64_FORMAT
+	       " ms, missed by %d, false deaths %d, per host and second "
+	       "%.2f datagrams, %.2f updates, %.1f us\n",
+	       cluster->count, cluster->loss, slowest, missed,
+	       cluster->false_deaths, (double)sent / cluster->count / seconds,
+	       (double)updates / cluster->count / seconds,
+	       cluster->work_s * 1e6 / cluster->count / seconds);
+	return missed == 0 && cluster->false_deaths == 0;
+}
+
+int main(int argc, const char **argv)
+{
+	struct cluster cluster = { .count = 8, .victim = 5 };
+	int seconds = 60;
+	int seed = 1;
+	bool ok;
+	struct poptOption options[] = {
+		{ "hosts", 'n', POPT_ARG_INT, &cluster.count, 0, "hosts", "N" },
+		{ "loss", 'l', POPT_ARG_INT, &cluster.loss, 0,
+		  "share of datagrams that are lost", "PERCENT" },
+		{ "seconds", 't', POPT_ARG_INT, &seconds, 0, "length", "N" },
+		{ "seed", 's', POPT_ARG_INT, &seed, 0, "seed", "N" },
+		POPT_AUTOHELP POPT_TABLEEND
+	};
+	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
+
+	if (poptGetNextOpt(popt) < -1 || cluster.count <= cluster.victim)
+		return 2;
+	cluster.sim = sim_create((guint32)seed);
+	cluster.nodes = g_new0(struct node, cluster.count);
+	for (int i = 0; i < cluster.count; i++)
+		node_start(&cluster, i);
+	sim_after(cluster.sim, seconds * 500, kill_victim, &cluster, NULL);
+	sim_run(cluster.sim, (clk_ms)seconds * CLK_SECOND);
+	ok = report(&cluster, seconds);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit.c
@@ -0,0 +1,484 @@
+/* Tables of cases for the parts of decide/ and the settings. */
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../decide/admit.h"
+#include "../decide/err.h"
+#include "../decide/limit.h"
+#include "../decide/member.h"
+#include "../decide/retry.h"
+#include "../decide/rid.h"
+#include "../decide/route.h"
+#include "../decide/store.h"
+#include "../wire/conf.h"
+#include "../wire/json.h"
+#include "../wire/trace.h"
+
+/* Request ids. */
+
+static const struct {
+	const char *text;
+	bool ok;
+	const char *home;
+	clk_ms time;
+} rid_cases[] = {
+	{ "e0~01234567.1f-a", true, "e0~01234567", 0x1f },
+	{ "a-b_c~89abcdef.0-n_1-2", true, "a-b_c~89abcdef", 0 },
+	{ "", false, NULL, 0 },
+	{ "e0~01234567.1f-", false, NULL, 0 },
+	{ "e0~01234567.-a", false, NULL, 0 },
+	{ "e0~0123456.1f-a", false, NULL, 0 },
+	{ "e0~0123456g.1f-a", false, NULL, 0 },
+	{ "~01234567.1f-a", false, NULL, 0 },
+	{ "e0~01234567.1g-a", false, NULL, 0 },
+	{ "e0~01234567.1f-a b", false, NULL, 0 },
+	{ "e0~01234567.1111111111111111-a", false, NULL, 0 },
+	{ "e0.1f-a", false, NULL, 0 },
+};
+
+START_TEST(rid_is_parsed)
+{
+	struct rid rid;
+	const char *text = rid_cases[_i].text;
+
+	ck_assert_int_eq(rid_parse(text, strlen(text), &rid), rid_cases[_i].ok);
+	if (!rid_cases[_i].ok)
+		return;
+	ck_assert_str_eq(rid.home, rid_cases[_i].home);
+	ck_assert_int_eq(rid.time, rid_cases[_i].time);
+}
+END_TEST
+
+START_TEST(rid_is_made)
+{
+	char incarnation[RID_INCARNATION_MAX + 1];
+	char prefix[RID_MAX];
+	char id[RID_MAX + 8];
+	struct rid rid;
+
+	rid_incarnation(incarnation, sizeof(incarnation), "host-1", 0xabcdu);
+	rid_prefix(prefix, sizeof(prefix), incarnation, 123456789);
+	snprintf(id, sizeof(id), "%s-n", prefix);
+	ck_assert(rid_parse(id, strlen(id), &rid));
+	ck_assert_str_eq(rid.home, incarnation);
+	ck_assert_int_eq(rid.time, 123456789);
+}
+END_TEST
+
+/* The closed list of errors. */
+
+START_TEST(err_is_complete)
+{
+	enum err_kind kind = (enum err_kind)_i;
+	const struct err_answer *answer = err_answer(kind);
+
+	ck_assert_ptr_nonnull(answer->name);
+	ck_assert_ptr_nonnull(answer->text);
+	ck_assert_int_ge(answer->status, 200);
+	ck_assert_int_lt(answer->status, 600);
+	ck_assert_int_eq(err_kind_parse(answer->name, strlen(answer->name)),
+			 kind);
+	/* Only a whole answer may claim that the request ran. */
+	ck_assert_int_eq(answer->ran == ERR_RAN_YES, kind == RW_OK);
+}
+END_TEST
+
+/* Settings. */
+
+static const struct {
+	const char *key;
+	const char *text;
+	const char *error; /* NULL: it is correct */
+} conf_cases[] = {
+	{ "t/model/m", "{\"pool\":\"p\"}", NULL },
+	{ "t/model/m", "// c\n{\"pool\":\"p\" /* c */}", NULL },
+	{ "t/model/m", "{}", "line 1: model.pool: is required" },
+	{ "t/model/m", "{\"pool\":1}", "line 1: model.pool: must be a text" },
+	{ "t/model/m", "{\"pool\":\"a b\"}",
+	  "line 1: model.pool: must be a name" },
+	{ "t/model/m", "{\n\"pool\":\"p\",\n\"extra\":1}",
+	  "line 3: model.extra: is not a known key" },
+	{ "t/model/m", "{\"pool\":\"p\",\n\"priority\":10}",
+	  "line 2: model.priority: must be from 0 to 9" },
+	{ "t/model/m", "{\"pool\":\"p\",\"priority\":1.5}",
+	  "line 1: model.priority: must be a whole number" },
+	{ "t/model/m", "{\"pool\":\"p\",\"batch\":1}",
+	  "line 1: model.batch: must be true or false" },
+	{ "t/route/r", "{\"pool\":\"p\",\"path\":\"/x\"}",
+	  "line 1: route.idempotent: is required" },
+	{ "t/routing/p", "{\"policy\":\"best\"}",
+	  "line 1: routing.policy: must be one of: cost, random" },
+	{ "t/account/a", "{\"weight\":\"x\"}",
+	  "line 1: account.weight: must be a number" },
+	{ "t/account/a", "[]", "not one JSON object" },
+	{ "t/account/a", "{\"weight\":1", "line 1: " },
+	{ "t/account/a", "{} {}", "not one JSON object" },
+	{ "t/entry/a", "{}", "key \"t/entry/a\" is not" },
+	{ "t/account", "{}", "key \"t/account\" is not" },
+	{ "t/account/a/b", "{}", "key \"t/account/a/b\" is not" },
+};
+
+START_TEST(conf_is_checked)
+{
+	GError *error = NULL;
+	const char *text = conf_cases[_i].text;
+	bool ok = conf_check(conf_cases[_i].key, text, strlen(text), &error);
+
+	if (!conf_cases[_i].error) {
+		ck_assert_msg(ok, "%s", error ? error->message : "");
+		return;
+	}
+	ck_assert(!ok);
+	ck_assert_msg(strstr(error->message, conf_cases[_i].error) != NULL,
+		      "\"%s\" has no \"%s\"", error->message,
+		      conf_cases[_i].error);
+	g_error_free(error);
+}
+END_TEST
+
+/* Replicas of settings. */
+
+static const struct {
+	const char *key;
+	const char *value; /* NULL: deleted */
+	int64_t mod;
+	bool news;
+} store_cases[] = {
+	{ "a", "1", 5, true },	  { "a", "0", 4, false },
+	{ "a", "1", 5, false },	  { "a", "2", 6, true },
+	{ "b", "1", 3, true },	  { "a", NULL, 9, true },
+	{ "a", "old", 8, false }, { "a", "new", 10, true },
+};
+
+START_TEST(store_never_goes_back)
+{
+	struct store *store = store_create(NULL, NULL);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(store_cases); i++) {
+		const char *text = store_cases[i].value;
+		GBytes *value = text ? g_bytes_new(text, strlen(text)) : NULL;
+
+		ck_assert_int_eq(store_put(store, store_cases[i].key, value,
+					   store_cases[i].mod),
+				 store_cases[i].news);
+		if (value)
+			g_bytes_unref(value);
+	}
+	ck_assert_int_eq(store_get(store, "a")->mod, 10);
+	store_complete(store, 10);
+	store_complete(store, 7);
+	ck_assert_int_eq(store->revision, 10);
+	store_free(store);
+}
+END_TEST
+
+START_TEST(store_snapshot_deletes)
+{
+	struct store *store = store_create(NULL, NULL);
+	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
+	GBytes *value = g_bytes_new("x", 1);
+
+	store_put(store, "gone", value, 3);
+	store_put(store, "kept", value, 4);
+	store_put(store, "newer", value, 12);
+	g_hash_table_add(present, "kept");
+	store_snapshot(store, present, 10);
+	ck_assert_ptr_null(store_get(store, "gone")->value);
+	ck_assert_ptr_nonnull(store_get(store, "kept")->value);
+	ck_assert_ptr_nonnull(store_get(store, "newer")->value);
+	/* A peer that has not heard of it can't bring it back. */
+	ck_assert(!store_put(store, "gone", value, 3));
+	g_bytes_unref(value);
+	g_hash_table_destroy(present);
+	store_free(store);
+}
+END_TEST
+
+/* Routing. */
+
+static uint32_t counted_random(void *ctx, uint32_t n)
+{
+	uint32_t *state = ctx;
+
+	*state = *state * 1664525u + 1013904223u;
+	return n ? (*state >> 8) % n : 0;
+}
+
+static struct router *router_with(uint32_t *seed, int upstreams)
+{
+	struct router *router = router_create(counted_random, seed);
+	char name[16];
+
+	for (int i = 0; i < upstreams; i++) {
+		snprintf(name, sizeof(name), "u%d", i);
+		router_set_pool(router, router_get(router, name), "p");
+	}
+	return router;
+}
+
+START_TEST(route_skips_what_leaves)
+{
+	uint32_t seed = 1;
+	struct router *router = router_with(&seed, 3);
+	struct route_ask ask = { .pool = "p", .data_centre = "a" };
+
+	router_get(router, "u0")->state = UPSTREAM_LEAVING;
+	router_get(router, "u1")->marked_leaving = true;
+	for (int i = 0; i < 100; i++)
+		ck_assert_str_eq(router_choose(router, &ask, 0)->name, "u2");
+	ask.not_this = "u2";
+	ck_assert_ptr_null(router_choose(router, &ask, 0));
+	ask.pool = "none";
+	ck_assert_ptr_null(router_choose(router, &ask, 0));
+	router_free(router);
+}
+END_TEST
+
+START_TEST(route_keeps_prefixes_together)
+{
+	uint32_t seed = 1;
+	struct router *router = router_with(&seed, 12);
+	struct route_ask ask = {
+		.pool = "p",
+		.data_centre = "",
+		.prefix = 77,
+		.prompt_tokens = 4000,
+	};
+	struct upstream *first = router_choose(router, &ask, 0);
+
+	router_begin(router, first, &ask, 0);
+	for (int i = 1; i < 50; i++) {
+		struct upstream *next = router_choose(router, &ask, i);
+
+		ck_assert_ptr_eq(next, first);
+	}
+	/* A full upstream loses to an empty one, prefix or not. */
+	first->inflight = 200;
+	ck_assert_ptr_ne(router_choose(router, &ask, 60), first);
+	router_free(router);
+}
+END_TEST
+
+START_TEST(route_counts_own_calls_exactly)
+{
+	uint32_t seed = 1;
+	struct router *router = router_with(&seed, 1);
+	struct upstream *upstream = router_get(router, "u0");
+	struct upstream_load load = { .slots = 4, .running = 3, .at = 1 };
+	struct route_ask ask = { .pool = "p", .data_centre = "" };
+
+	router_begin(router, upstream, &ask, 0);
+	router_on_load(upstream, &load);
+	ck_assert_int_eq(router_room(router, "p", 2), 1);
+	router_begin(router, upstream, &ask, 2);
+	ck_assert_int_eq(router_room(router, "p", 2), 0);
+	router_end(upstream, false, 1, 3);
+	router_end(upstream, false, 1, 3);
+	ck_assert_int_eq(router_room(router, "p", 3), 2);
+	router_free(router);
+}
+END_TEST
+
+/* Admission. */
+
+START_TEST(admit_is_fair)
+{
+	struct admit_queue *queue = admit_queue_create(100);
+	struct admit_ticket tickets[30];
+	int small_last = 0;
+
+	/* A large account puts 25 in before a small one puts 5 in. */
+	for (int i = 0; i < 30; i++) {
+		tickets[i] = (struct admit_ticket){
+			.account = i < 25 ? "large" : "small",
+			.weight = 1,
+			.tokens = 100,
+			.deadline = CLK_NEVER,
+		};
+		admit_push(queue, &tickets[i]);
+	}
+	for (int i = 0; i < 30; i++)
+		if (!strcmp(admit_pop(queue)->account, "small"))
+			small_last = i;
+	ck_assert_int_le(small_last, 11);
+	admit_queue_free(queue);
+}
+END_TEST
+
+START_TEST(admit_orders_by_priority)
+{
+	struct admit_queue *queue = admit_queue_create(100);
+	struct admit_ticket batch = {
+		.account = "a", .weight = 1, .batch = true, .tokens = 1
+	};
+	struct admit_ticket low = {
+		.account = "b", .weight = 1, .priority = 5, .tokens = 1
+	};
+	struct admit_ticket high = {
+		.account = "c", .weight = 1, .priority = 1, .tokens = 1
+	};
+
+	admit_push(queue, &batch);
+	admit_push(queue, &low);
+	admit_push(queue, &high);
+	ck_assert_ptr_eq(admit_pop(queue), &high);
+	ck_assert_ptr_eq(admit_pop(queue), &low);
+	ck_assert_ptr_eq(admit_pop(queue), &batch);
+	ck_assert_ptr_null(admit_pop(queue));
+	admit_queue_free(queue);
+}
+END_TEST
+
+static const struct {
+	int room;
+	int waiting;
+	clk_ms deadline;
+	bool can;
+} admit_cases[] = {
+	{ 1, 0, 1, true },	     /* a free place: at once */
+	{ 0, 0, 3000, true },	     /* one call's time, and its own */
+	{ 0, 0, 1000, false },	     /* it could not end in time */
+	{ 0, 10, 7000, true },	     /* 11 calls on 2 places, and its own */
+	{ 0, 10, 6000, false },	     /* the queue is too long for it */
+	{ 0, 20, CLK_NEVER, false }, /* the queue is full */
+};
+
+START_TEST(admit_refuses_in_time)
+{
+	struct admit_queue *queue = admit_queue_create(20);
+	struct admit_pool pool = {
+		.slots = 2,
+		.room = admit_cases[_i].room,
+		.service_ms = 1000,
+	};
+	struct admit_ticket waiting[20];
+	struct admit_ticket ticket = {
+		.account = "b",
+		.weight = 1,
+		.deadline = admit_cases[_i].deadline,
+	};
+	clk_ms come_back = 0;
+
+	for (int i = 0; i < admit_cases[_i].waiting; i++) {
+		waiting[i] =
+			(struct admit_ticket){ .account = "a", .weight = 1 };
+		admit_push(queue, &waiting[i]);
+	}
+	ck_assert_int_eq(admit_can(queue, &ticket, &pool, 0, &come_back),
+			 admit_cases[_i].can);
+	if (!admit_cases[_i].can)
+		ck_assert_int_gt(come_back, 0);
+	admit_queue_free(queue);
+}
+END_TEST
+
+/* Limits and retries. */
+
+START_TEST(limit_holds_over_time)
+{
+	struct limit limit = { .rate = 0 };
+	clk_ms come_back = 0;
+	int taken = 0;
+
+	limit_set(&limit, 1000, 0.5, 0);
+	for (clk_ms now = 0; now <= 10000; now++)
+		if (limit_take(&limit, 10, now, &come_back))
+			taken += 10;
+	/* 500 tokens/s for 10 s and what the bucket held. */
+	ck_assert_int_le(taken, 5000 + 1000 + 10);
+	ck_assert_int_ge(taken, 5000);
+	ck_assert_int_gt(come_back, 0);
+}
+END_TEST
+
+START_TEST(retry_budget_limits_load)
+{
+	struct retry_options options = {
+		.share = 0.1,
+		.burst = 10,
+		.base = 50,
+		.limit = 1000,
+		.most = 5,
+	};
+	struct retry_budget budget;
+	int retries = 0;
+
+	retry_budget_init(&budget, &options);
+	for (int i = 0; i < 10000; i++) {
+		retry_on_first(&budget);
+		/* Every attempt fails, and asks for the next. */
+		for (unsigned n = 1; n < 5; n++)
+			if (retry_ask(&budget, n, 500, 0, CLK_NEVER) >= 0)
+				retries++;
+	}
+	ck_assert_int_le(retries, 1000 + 10);
+	ck_assert_int_eq(retry_ask(&budget, 5, 0, 0, CLK_NEVER), -1);
+	budget.saved = 5;
+	ck_assert_int_eq(retry_ask(&budget, 1, 0, 100, 101), -1);
+	ck_assert_int_eq(retry_ask(&budget, 1, 0, 0, CLK_NEVER), 25);
+}
+END_TEST
+
+/* Traces. */
+
+static const struct {
+	const char *text;
+	bool ok;
+} trace_cases[] = {
+	{ "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01", true },
+	{ "", false },
+	{ "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-0", false },
+	{ "00-0af7651916cd43dd8448eb211c80319c-b7ad6b716920333x-01", false },
+	{ "00-0af7651916cd43dd8448eb211c80319cb7ad6b7169203331--01", false },
+};
+
+START_TEST(trace_parent_is_checked)
+{
+	const char *text = trace_cases[_i].text;
+
+	ck_assert_int_eq(trace_parent_ok(text, strlen(text)),
+			 trace_cases[_i].ok);
+}
+END_TEST
+
+static Suite *unit_suite(void)
+{
+	Suite *suite = suite_create("unit");
+	TCase *tcase = tcase_create("tables");
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_loop_test(tcase, rid_is_parsed, 0, G_N_ELEMENTS(rid_cases));
+	tcase_add_test(tcase, rid_is_made);
+	tcase_add_loop_test(tcase, err_is_complete, 0, ERR_KIND_COUNT);
+	tcase_add_loop_test(tcase, conf_is_checked, 0,
+			    G_N_ELEMENTS(conf_cases));
+	tcase_add_test(tcase, store_never_goes_back);
+	tcase_add_test(tcase, store_snapshot_deletes);
+	tcase_add_test(tcase, route_skips_what_leaves);
+	tcase_add_test(tcase, route_keeps_prefixes_together);
+	tcase_add_test(tcase, route_counts_own_calls_exactly);
+	tcase_add_test(tcase, admit_is_fair);
+	tcase_add_test(tcase, admit_orders_by_priority);
+	tcase_add_loop_test(tcase, admit_refuses_in_time, 0,
+			    G_N_ELEMENTS(admit_cases));
+	tcase_add_test(tcase, limit_holds_over_time);
+	tcase_add_test(tcase, retry_budget_limits_load);
+	tcase_add_loop_test(tcase, trace_parent_is_checked, 0,
+			    G_N_ELEMENTS(trace_cases));
+	return suite;
+}
+
+int main(void)
+{
+	SRunner *runner = srunner_create(unit_suite());
+	int failed;
+
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	printf("unit: %d passed, %d failed\n",
+	       srunner_ntests_run(runner) - failed, failed);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
