--- a/Makefile
+++ b/Makefile
@@ -64,4 +64,43 @@
 $(B)/tests/unit: $(B)/tests/unit.o $(B)/librw.a
 	$(CC) $(CFLAGS) $^ $(LDLIBS) $(shell pkg-config --libs check) -o $@
 tests: $(TEST_BINS)
-.PHONY: tests
+
+# The two commands of the README.
+demo:
+	@tools/packages.sh
+	@$(MAKE) --no-print-directory -s -j$(shell nproc) all
+	@tools/demo.py
+
+check:
+	@tools/packages.sh
+	@$(MAKE) --no-print-directory -s -j$(shell nproc) all tests
+	@B=$(B) tools/check.sh
+
+# Long randomised runs: make soak SEED=1 RUNS=10000
+SEED ?= 1
+RUNS ?= 10000
+soak: tests
+	$(B)/tests/sim-home --seed $(SEED) --runs $(RUNS)
+
+# Every measurement; see docs/PROOFS.md and docs/CAPACITY.md.
+bench: all tests
+	tools/bench.py
+
+# A build with the address and undefined-behaviour sanitizers.
+asan:
+	$(MAKE) B=build-asan SAN="-fsanitize=address,undefined" OPT="-O1 -g" \
+		all tests
+
+# Generated files; they are committed, so that a build needs no generator.
+generate:
+	tools/gen-settings.py schema/settings.json .
+rpcgen:
+	cd wire && rpcgen -h msg.x >msg.h && rpcgen -c msg.x >msg_xdr.c
+
+format:
+	tools/format.sh --fix
+
+clean:
+	rm -rf build build-asan
+
+.PHONY: tests demo check soak bench asan generate rpcgen format clean
--- /dev/null
+++ b/tools/check.sh
@@ -0,0 +1,98 @@
+#!/bin/bash
+# Runs every test and check; prints one line for each, and at the end the
+# line "N passed, N failed". Failures that KNOWN-RED.txt lists are printed,
+# and do not fail the run. A test that is listed and passes fails the run.
+set -u
+cd "$(dirname "$0")/.."
+B=${B:-build}
+LOG=$(mktemp -d)
+trap 'rm -rf "$LOG"' EXIT
+passed=0
+failed=0
+red=0
+
+# is_red NAME: whether KNOWN-RED.txt lists a test.
+is_red() {
+	grep -q "^test: $1\$" KNOWN-RED.txt
+}
+
+# note NAME CODE: counts a result.
+note() {
+	if [ "$2" = 0 ] && ! is_red "$1"; then
+		passed=$((passed + 1))
+		echo "ok $1"
+	elif [ "$2" = 0 ]; then
+		failed=$((failed + 1))
+		echo "FAILED $1: listed in KNOWN-RED.txt, but it passes"
+	elif is_red "$1"; then
+		red=$((red + 1))
+		echo "known red $1"
+		tail -5 "$LOG/$1"
+	else
+		failed=$((failed + 1))
+		echo "FAILED $1"
+		tail -40 "$LOG/$1"
+	fi
+}
+
+# run NAME COMMAND...
+run() {
+	name=$1
+	shift
+	"$@" >"$LOG/$name" 2>&1
+	note "$name" $?
+}
+
+# The generated files are those of their sources.
+generated() {
+	mkdir -p "$LOG/gen/wire" "$LOG/gen/docs"
+	python3 tools/gen-settings.py schema/settings.json "$LOG/gen" &&
+		diff "$LOG/gen/wire/conf-gen.h" wire/conf-gen.h &&
+		diff "$LOG/gen/wire/conf-gen.c" wire/conf-gen.c &&
+		diff "$LOG/gen/docs/SETTINGS.md" docs/SETTINGS.md
+}
+
+# A rule that is switched off must show as a broken invariant.
+rule_off() {
+	"$B/tests/sim-home" --seed 1 --runs 3000 --off "$1" && return 1
+	return 0
+}
+
+run format tools/format.sh
+run lint tools/lint.sh
+run purity tools/purity.sh
+run generated generated
+run unit "$B/tests/unit"
+for seed in 1 1001 2001; do
+	run "sim_home_$seed" "$B/tests/sim-home" --seed $seed --runs 1000
+done
+for rule in revoke_ack no_old_grant copy_first unseen_not_run \
+	granted_unknown two_seals_unknown; do
+	run "sim_home_without_$rule" rule_off $rule
+done
+for hosts in 8 32 128; do
+	run "sim_member_$hosts" "$B/tests/sim-member" --hosts $hosts --loss 5
+done
+tests/model.sh >"$LOG/model" 2>&1
+while read -r word _ name _; do
+	cp "$LOG/model" "$LOG/model_${name%:}"
+	[ "$word" = ok ]
+	note "model_${name%:}" $?
+done < <(grep -E '^(ok|FAILED) model' "$LOG/model")
+python3 tests/procs.py >"$LOG/procs" 2>&1
+while read -r word name _; do
+	sed -n "/^FAILED $name /,/^\(ok\|FAILED\|procs\)/p" "$LOG/procs" \
+		>"$LOG/$name"
+	[ "$word" = ok ]
+	note "$name" $?
+done < <(grep -E '^(ok|FAILED) test_' "$LOG/procs")
+grep -E '^(chaos|settings in|a killed)' "$LOG/procs"
+[ "$(grep -cE '^(ok|FAILED) test_' "$LOG/procs")" = \
+	"$(grep -c '^def test_' tests/procs.py)" ]
+code=$?
+cp "$LOG/procs" "$LOG/every_process_test_ran"
+note every_process_test_ran $code
+run demo tools/demo.py
+echo "known red: $red"
+echo "$passed passed, $failed failed"
+[ "$failed" = 0 ]
--- /dev/null
+++ b/tools/packages.sh
@@ -0,0 +1,19 @@
+#!/bin/sh
+# Installs what building and testing need, if something is missing.
+set -eu
+PACKAGES="gcc make pkg-config libuv1-dev libh2o-dev libssl-dev libpopt-dev
+liblog4c-dev libglib2.0-dev check libtirpc-dev libjson-c-dev libxxhash-dev
+python3 spin clang-format clang-tidy gnuplot-nox"
+missing=""
+for package in $PACKAGES; do
+	dpkg-query -W -f '${Status}' "$package" 2>/dev/null |
+		grep -q 'ok installed' || missing="$missing $package"
+done
+[ -n "$missing" ] || exit 0
+if [ "$(id -u)" != 0 ]; then
+	echo "to install as root: apt-get install$missing" >&2
+	exit 1
+fi
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq \
+	--no-install-recommends $missing >/dev/null
