--- a/Makefile
+++ b/Makefile
@@ -94,6 +94,7 @@
 # Generated files; they are committed, so that a build needs no generator.
 generate:
 	tools/gen-settings.py schema/settings.json .
+	clang-format -i wire/conf-gen.[ch]
 rpcgen:
 	cd wire && rpcgen -h msg.x >msg.h && rpcgen -c msg.x >msg_xdr.c
 
--- a/daemon/entryd-conf.c
+++ b/daemon/entryd-conf.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#define SUBSET_MAX 32	     /* upstreams of one pool that a host uses */
 #define WATCHERS 3	     /* hosts that watch the platform */
 #define WATCH_WAIT_MS 5000   /* of one watch */
 #define WATCH_RETRY_MS 500   /* after a failed call */
@@ -151,6 +152,7 @@
 						      : UPSTREAM_GONE;
 	router_set_pool(entryd->router, upstream,
 			json_text(fields, "pool", ""));
+	entryd->pools_changed = true;
 	if (upstream->state == UPSTREAM_LEAVING)
 		host_mark(entryd, name, true);
 	else if (upstream->state == UPSTREAM_LIVE)
@@ -350,8 +352,18 @@
 	plat_hosts(entryd->plat, entryd->hosts->revision, on_hosts, entryd);
 }
 
+/* Chooses anew which upstreams this host uses. */
+static void pools_tick(struct entryd *entryd)
+{
+	if (!entryd->pools_changed)
+		return;
+	entryd->pools_changed = false;
+	router_pick_subset(entryd->router, entryd->conf->name, SUBSET_MAX);
+}
+
 void conf_tick(struct entryd *entryd)
 {
+	pools_tick(entryd);
 	watch_tick(entryd);
 	hosts_tick(entryd);
 	ready_tick(entryd);
--- a/daemon/entryd-load.c
+++ b/daemon/entryd-load.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define LOAD_PERIOD_MS 500
+#define LOAD_ASKS_MAX 8 /* reports asked for in one period */
 #define LOAD_TIMEOUT_MS 2000
 #define DOWN_PAUSE_MS 1000 /* an upstream that refuses gets no work */
 
@@ -73,23 +74,45 @@
 	http_fetch_start(entryd->client, &spec);
 }
 
-void load_tick(struct entryd *entryd)
+/* Lists whom to ask in the next round. */
+static void load_round(struct entryd *entryd)
 {
-	clk_ms now = entryd_now(entryd);
 	GHashTableIter iter;
 	gpointer value;
 
-	if (now < entryd->next_load)
-		return;
-	entryd->next_load = now + LOAD_PERIOD_MS;
 	g_hash_table_iter_init(&iter, entryd->router->upstreams);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct upstream *upstream = value;
 
-		if (upstream->state != UPSTREAM_GONE && upstream->address[0])
-			load_ask(entryd, upstream);
+		if (upstream->used && upstream->state != UPSTREAM_GONE &&
+		    upstream->address[0])
+			g_queue_push_tail(&entryd->load_turn, value);
 	}
+}
+
+/* Gives free places of all pools to who waits. */
+static void pools_pump(struct entryd *entryd)
+{
+	GHashTableIter iter;
+	gpointer value;
+
 	g_hash_table_iter_init(&iter, entryd->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		pool_pump(entryd, value);
 }
+
+void load_tick(struct entryd *entryd)
+{
+	clk_ms now = entryd_now(entryd);
+	guint due;
+
+	if (now < entryd->next_load)
+		return;
+	if (entryd->load_turn.length == 0)
+		load_round(entryd);
+	entryd->next_load = now + LOAD_PERIOD_MS;
+	due = MIN(entryd->load_turn.length, LOAD_ASKS_MAX);
+	while (due-- > 0)
+		load_ask(entryd, g_queue_pop_head(&entryd->load_turn));
+	pools_pump(entryd);
+}
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -268,6 +268,7 @@
 		return false;
 	uv_loop_init(&entryd->loop);
 	entryd->callers = g_hash_table_new(NULL, NULL);
+	g_queue_init(&entryd->load_turn);
 	entryd->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	entryd->client = http_client_create(&entryd->loop);
 	entryd->plat = plat_create(entryd->client, conf->platform);
--- a/daemon/entryd.h
+++ b/daemon/entryd.h
@@ -125,10 +125,12 @@
 	bool ready;	    /* settings are known: callers are served */
 	bool watching;	    /* a watch is under way */
 	clk_ms sync_until;  /* an exchange for settings is under way */
+	bool pools_changed; /* which upstreams to use is to be chosen */
 	bool hosts_reading; /* a read of the list is under way */
 	clk_ms next_watch;
 	clk_ms next_hosts;
 	clk_ms next_load;
+	GQueue load_turn; /* names of upstreams still to be asked */
 	clk_ms started_at;
 	unsigned peers_heard; /* exchanges at the start */
 	bool settings_read;   /* the platform was read once */
--- a/decide/route.c
+++ b/decide/route.c
@@ -75,6 +75,7 @@
 	upstream->address = g_strdup("");
 	upstream->pool = g_strdup("");
 	upstream->data_centre = g_strdup("");
+	upstream->used = true;
 	upstream->load.slots = DEFAULT_SLOTS;
 	upstream->service_ms = DEFAULT_SERVICE_MS;
 	upstream->prefixes = g_hash_table_new_full(g_int64_hash, g_int64_equal,
@@ -124,9 +125,62 @@
 	return own ? own : &router->weights;
 }
 
+/* An upstream and its weight for this host. */
+struct ranked {
+	struct upstream *upstream;
+	uint64_t weight;
+};
+
+static gint by_weight(gconstpointer a, gconstpointer b)
+{
+	uint64_t left = ((const struct ranked *)a)->weight;
+	uint64_t right = ((const struct ranked *)b)->weight;
+
+	return left > right ? -1 : left < right;
+}
+
+/* Chooses from one pool. */
+static void pool_pick_subset(GPtrArray *pool, uint64_t seed, guint most)
+{
+	GArray *ranks = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+	guint used = 0;
+
+	for (guint i = 0; i < pool->len; i++) {
+		struct upstream *upstream = g_ptr_array_index(pool, i);
+		struct ranked ranked = {
+			.upstream = upstream,
+			.weight = XXH64(upstream->name, strlen(upstream->name),
+					seed),
+		};
+
+		g_array_append_val(ranks, ranked);
+	}
+	g_array_sort(ranks, by_weight);
+	for (guint i = 0; i < ranks->len; i++) {
+		struct upstream *upstream =
+			g_array_index(ranks, struct ranked, i).upstream;
+
+		upstream->used =
+			upstream->state != UPSTREAM_GONE && used < most;
+		used += upstream->used;
+	}
+	g_array_free(ranks, TRUE);
+}
+
+void router_pick_subset(struct router *router, const char *host, guint most)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, router->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &pool))
+		pool_pick_subset(pool, XXH64(host, strlen(host), 0), most);
+}
+
 bool upstream_takes_work(const struct upstream *upstream)
 {
-	return upstream->state == UPSTREAM_LIVE && !upstream->marked_leaving;
+	return upstream->used && upstream->state == UPSTREAM_LIVE &&
+	       !upstream->marked_leaving;
 }
 
 /* Calls that wait or run there, by the report and this host's own calls. */
--- a/decide/route.h
+++ b/decide/route.h
@@ -36,7 +36,8 @@
 	char *data_centre;
 	bool reclaimable;
 	enum upstream_state state; /* by the list of hosts */
-	bool marked_leaving;	   /* by a host that saw it first */
+	bool used; /* this host sends it work; see router_pick_subset */
+	bool marked_leaving; /* by a host that saw it first */
 	uint64_t mark_stamp;
 	struct upstream_load load;
 	int inflight;	      /* this host's own calls */
@@ -99,6 +100,10 @@
 /* Sets the weights of a pool. */
 void router_set_weights(struct router *router, const char *pool,
 			const struct route_weights *weights);
+/* Chooses which upstreams of each pool this host uses: all of a small pool,
+ * most of a large one, by rendezvous hash of the host's name, so that hosts
+ * share a large pool evenly. */
+void router_pick_subset(struct router *router, const char *host, guint most);
 /* Tells whether it gets new work. */
 bool upstream_takes_work(const struct upstream *upstream);
 /* Chooses an upstream, or NULL if none takes work now. */
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -47,6 +47,8 @@
 generated() {
 	mkdir -p "$LOG/gen/wire" "$LOG/gen/docs"
 	python3 tools/gen-settings.py schema/settings.json "$LOG/gen" &&
+		clang-format -i --style=file:.clang-format \
+			"$LOG"/gen/wire/conf-gen.[ch] &&
 		diff "$LOG/gen/wire/conf-gen.h" wire/conf-gen.h &&
 		diff "$LOG/gen/wire/conf-gen.c" wire/conf-gen.c &&
 		diff "$LOG/gen/docs/SETTINGS.md" docs/SETTINGS.md
