--- a/tests/sim-member.c
+++ b/tests/sim-member.c
@@ -249,7 +249,8 @@
 	cluster.nodes = g_new0(struct node, cluster.count);
 	for (int i = 0; i < cluster.count; i++)
 		node_start(&cluster, i);
-	sim_after(cluster.sim, seconds * 500, kill_victim, &cluster, NULL);
+	sim_after(cluster.sim, (clk_ms)seconds * 500, kill_victim, &cluster,
+		  NULL);
 	sim_run(cluster.sim, (clk_ms)seconds * CLK_SECOND);
 	ok = report(&cluster, seconds);
 	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -177,7 +177,8 @@
 static void alloc_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
 {
 	(void)handle;
-	*buf = uv_buf_init(g_malloc(suggested), (unsigned)suggested);
+	buf->base = g_malloc(suggested);
+	buf->len = suggested;
 }
 
 /* Answers a call of RW_SYNC. */
