Retries where nothing else is asked, and of answers that have begun

Cause: with the budget strict, an engine killed in a stream left the caller waiting for more than 30 s in a quiet system (test_engine_killed_in_stream failed): no first attempts paid for the retry. Now: an answer that has begun is continued in any case, with back-off; one retry is let through where there was no first attempt for 2 s.

--- a/daemon/entryd-job.c
+++ b/daemon/entryd-job.c
@@ -287,7 +287,7 @@
 	struct job *job = job_of(ctx, req);
 
 	if (job->attempts == 0)
-		retry_on_first(&job->pool->budget);
+		retry_on_first(&job->pool->budget, entryd_now(job->entryd));
 	if (!attempt_start(job))
 		job_attempt_failed(job, HTTP_REFUSED, true);
 }
@@ -441,23 +441,29 @@
 		job_wait(job, RETRY_LIMIT_MS);
 }
 
-/* Asks the budget for one more attempt and backs off before it; a denied one
- * is asked for again later. */
+/* Backs off before the next attempt. The first attempts of a request are
+ * retried as the budget allows; a denied one is asked for again later. An
+ * answer that has begun is continued in any case: what runs elsewhere in its
+ * place was lost, so that the pool's load does not grow. */
 static void job_retry(struct job *job)
 {
 	struct entryd *entryd = job->entryd;
+	struct retry_budget *budget = &job->pool->budget;
+	uint32_t random = entryd_random(entryd, 1000);
 	clk_ms wait;
 
 	if (job_overdue(job))
 		return;
-	wait = retry_ask(&job->pool->budget, job->attempts,
-			 entryd_random(entryd, 1000), entryd_now(entryd),
-			 retry_until(job));
+	if (req_piece_count(job->req) > 0)
+		wait = retry_wait(budget, job->attempts, random);
+	else
+		wait = retry_ask(budget, job->attempts, random,
+				 entryd_now(entryd), retry_until(job));
 	job->denied = wait < 0;
 	entryd_count(entryd, job->denied ? CTR_retries_denied : CTR_retries);
-	job_wait(job, job->denied ? RETRY_ASK_MS +
-					    entryd_random(entryd, RETRY_ASK_MS)
-				  : wait);
+	if (job->denied)
+		wait = RETRY_ASK_MS + entryd_random(entryd, RETRY_ASK_MS);
+	job_wait(job, wait);
 }
 
 void job_attempt_failed(struct job *job, enum http_result result,
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -5,6 +5,7 @@
 
 #define MAX_DOUBLINGS 8
 #define HEALTHY_AFTER_MS 1000 /* without a failure */
+#define QUIET_MS 2000	      /* without a first attempt */
 #define SUCCESS_SHARE 0.5     /* retries that one success makes room for */
 
 void retry_budget_init(struct retry_budget *budget,
@@ -16,8 +17,9 @@
 	};
 }
 
-void retry_on_first(struct retry_budget *budget)
+void retry_on_first(struct retry_budget *budget, clk_ms now)
 {
+	budget->last_first = now;
 	budget->saved = MIN(budget->saved + budget->options.share,
 			    budget->options.burst);
 }
@@ -45,12 +47,30 @@
 	return MIN(options->base << doublings, options->limit);
 }
 
+clk_ms retry_wait(const struct retry_budget *budget, unsigned attempts,
+		  uint32_t random)
+{
+	clk_ms mean = back_off(&budget->options, attempts ? attempts - 1 : 0);
+
+	return mean / 2 + mean * (clk_ms)random / 1000;
+}
+
+/* Lets one retry through where no first attempts are: it can't multiply a
+ * load that is not there, and finds a pool healthy again. */
+static void trickle(struct retry_budget *budget, clk_ms now)
+{
+	if (now - budget->last_first < QUIET_MS)
+		return;
+	budget->last_first = now;
+	budget->saved = MAX(budget->saved, 1);
+}
+
 clk_ms retry_ask(struct retry_budget *budget, unsigned attempts,
 		 uint32_t random, clk_ms now, clk_ms deadline)
 {
-	clk_ms mean = back_off(&budget->options, attempts ? attempts - 1 : 0);
-	clk_ms wait = mean / 2 + mean * (clk_ms)random / 1000;
+	clk_ms wait = retry_wait(budget, attempts, random);
 
+	trickle(budget, now);
 	if (attempts >= budget->options.most || budget->saved < 1 ||
 	    (deadline != CLK_NEVER && now + wait >= deadline)) {
 		budget->denied++;
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -24,6 +24,7 @@
 	struct retry_options options;
 	double saved;	     /* retries that may be made now */
 	clk_ms last_failure; /* 0: none yet */
+	clk_ms last_first;   /* when a first attempt was made */
 	uint64_t made;
 	uint64_t denied;
 };
@@ -31,12 +32,16 @@
 void retry_budget_init(struct retry_budget *budget,
 		       const struct retry_options *options);
 /* A request makes its first attempt. */
-void retry_on_first(struct retry_budget *budget);
+void retry_on_first(struct retry_budget *budget, clk_ms now);
 /* A call of the pool failed. */
 void retry_on_failure(struct retry_budget *budget, clk_ms now);
 /* A call of the pool succeeded: if none failed for a while, the pool is
  * healthy, and retries may go on. */
 void retry_on_success(struct retry_budget *budget, clk_ms now);
+/* The jittered back-off before the attempt after so many, in ms; random is
+ * in 0 to 999. */
+clk_ms retry_wait(const struct retry_budget *budget, unsigned attempts,
+		  uint32_t random);
 /* Asks for one retry after so many attempts; random is in 0 to 999. Returns
  * the back-off in ms, or -1 if it is denied or would pass the deadline. */
 clk_ms retry_ask(struct retry_budget *budget, unsigned attempts,
--- a/decide/route.c
+++ b/decide/route.c
@@ -12,10 +12,11 @@
 #define FAILURE_PAUSE_MS 500  /* before a failed upstream is tried again */
 #define LOAD_STALE_MS 10000   /* a report that old counts no more */
 #define PROBE_SHARE                                                            \
-	0.05		 /* of the places, sent above what is free: by it a    \
-			  * host that comes new gets a part of a full pool */
-#define DOUBT_SHARE 0.35 /* of the root of the places: error of what is known  \
-			  */
+	0.05 /* of the places, sent above what is free: by it a                \
+	      * host that comes new gets a part of a full pool */
+#define DOUBT_SHARE                                                            \
+	0.35 /* of the root of the places: error of what is known              \
+	      */
 #define DEFAULT_SLOTS 16
 #define DEFAULT_SERVICE_MS 100.0
 
--- a/tests/sim-route.c
+++ b/tests/sim-route.c
@@ -292,7 +292,7 @@
 	}
 	if (request->attempts++ == 0) {
 		world->firsts++;
-		retry_on_first(&entry->budget);
+		retry_on_first(&entry->budget, world->sim->now);
 	}
 	request->begun = world->sim->now;
 	request->upstream = upstream;
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -408,7 +408,7 @@
 
 	retry_budget_init(&budget, &options);
 	for (int i = 0; i < 10000; i++) {
-		retry_on_first(&budget);
+		retry_on_first(&budget, 0);
 		/* Every attempt fails, and asks for the next. */
 		for (unsigned n = 1; n < 5; n++)
 			if (retry_ask(&budget, n, 500, 0, CLK_NEVER) >= 0)
