Tries at the platform are spread and grow rarer

Cause: every pending swap and read was repeated each 250 ms by all hosts at once; with a data centre of the target size lost in an outage that is some 600 calls/s at its end, over the platform's rate. Now 250 ms doubling to 2 s, and longer by up to half, by the host's name.

--- a/decide/home-guard.c
+++ b/decide/home-guard.c
@@ -3,8 +3,7 @@
 
 #include <string.h>
 
-#define SEAL_RETRY_MS 250 /* between two tries at the platform */
-#define SEAL_READS_MAX 40 /* a swap may be late: its record is read again */
+#define SEAL_READS_MAX 8 /* a swap may be late: its record is read again */
 
 static void req_free_value(void *req)
 {
@@ -329,6 +328,7 @@
 {
 	guard->state = GUARD_SEALING;
 	guard->record.state = RECORD_NONE;
+	guard->tries = 0;
 	guard->next_try = home->now;
 	/* What may be repeated needs no seal. */
 	guard_take_over(home, guard, true);
@@ -425,7 +425,7 @@
 {
 	if (!clk_passed(guard->next_try, home->now))
 		return;
-	guard->next_try = home->now + SEAL_RETRY_MS;
+	guard->next_try = home->now + home_platform_wait(home, guard->tries++);
 	if (guard->state == GUARD_SEALING) {
 		if (guard->record.state == RECORD_NONE)
 			home->options.ops->read(home->options.ctx, guard->home);
--- a/decide/home-int.h
+++ b/decide/home-int.h
@@ -23,6 +23,11 @@
 /* Hands a request to the dispatcher. */
 void home_run(struct home *home, struct req *req);
 
+/* How long to wait for the platform before try number tries + 1: longer each
+ * time, and differing from host to host, so that not all come back at once
+ * when an outage ends. */
+clk_ms home_platform_wait(const struct home *home, unsigned tries);
+
 /* home-record.c */
 /* The host that holds are sent to now, or "" if none is needed. */
 const char *home_holder(const struct home *home);
--- a/decide/home-record.c
+++ b/decide/home-record.c
@@ -3,11 +3,19 @@
 
 #include <string.h>
 
-#define RETRY_MS 250	   /* between two tries at the platform */
+#define RETRY_MS 250 /* between the first two tries at the platform */
+#define RETRY_DOUBLINGS 3
 #define OPEN_ALONE_MS 1500 /* before a record is opened without guardian */
 #define COPY_WAIT_MS 3000  /* for a candidate to take all copies */
 #define LOOK_MS 1000	   /* between looks for a better guardian */
 
+clk_ms home_platform_wait(const struct home *home, unsigned tries)
+{
+	clk_ms wait = RETRY_MS << MIN(tries, RETRY_DOUBLINGS);
+
+	return wait + g_str_hash(home->self) % wait / 2;
+}
+
 const char *home_holder(const struct home *home)
 {
 	return home->state == HOME_OPEN ? home->record.peer : home->candidate;
@@ -40,7 +48,7 @@
 /* Sends, or repeats, the swap that is under way. */
 static void record_swap(struct home *home)
 {
-	home->next_try = home->now + RETRY_MS;
+	home->next_try = home->now + home_platform_wait(home, home->tries++);
 	home->options.ops->swap(home->options.ctx, home->self, &home->wanted);
 }
 
@@ -201,6 +209,7 @@
 		release_send(home, home->record.peer, home->wanted.epoch);
 	home->record = home->wanted;
 	home->record.mod = mod;
+	home->tries = 0;
 	home->state = HOME_OPEN;
 	home->next_try = home->now;
 	for (GList *at = home->active.head; at; at = at->next)
--- a/decide/home.h
+++ b/decide/home.h
@@ -166,6 +166,7 @@
 	struct home_record record; /* the seal that is being written */
 	clk_ms next_try;
 	clk_ms closed_at; /* when it was sealed or retired */
+	unsigned tries;	  /* calls to the platform without an answer */
 	unsigned reads;	  /* of a record that names another guardian */
 	GHashTable *reqs; /* id -> struct req with acting == home */
 };
@@ -179,6 +180,7 @@
 	char candidate[RID_INCARNATION_MAX + 1]; /* the next guardian */
 	unsigned turn;				 /* of picking a guardian */
 	clk_ms copy_until;  /* when another candidate is tried */
+	unsigned tries;	    /* swaps sent without an answer */
 	bool guardian_lost; /* the record's guardian is dead */
 	clk_ms next_try;
 	int64_t changes;  /* swaps begun, for unique change ids */
--- a/tests/sim-route.c
+++ b/tests/sim-route.c
@@ -26,10 +26,10 @@
 #define ACCOUNTS 5
 #define REPORT_MS 1000 /* between two load reports */
 #define LAG_MS 500     /* age of a report when it arrives */
-#define RUN_MS 120000
-#define WARM_MS 20000 /* not counted */
-#define DECODE_MS 20  /* of a token */
-#define DISTANCE_MS 1 /* to another data centre, one way */
+#define RUN_MS ((clk_ms)120000)
+#define WARM_MS ((clk_ms)20000) /* not counted */
+#define DECODE_MS 20		/* of a token */
+#define DISTANCE_MS 1		/* to another data centre, one way */
 
 /* The size and mix of a deployment. */
 struct mix {
