--- a/Makefile
+++ b/Makefile
@@ -41,10 +41,10 @@
 $(B)/rw-fake-service: $(B)/fakes/service.o $(B)/fakes/fake.o $(B)/librw.a
 	$(link)
 $(B)/rw-entryd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/entryd*.c)) \
-		$(B)/librw.a
+		$(B)/daemon/args.o $(B)/librw.a
 	$(link)
 $(B)/rw-admind: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/admind*.c)) \
-		$(B)/librw.a
+		$(B)/daemon/args.o $(B)/librw.a
 	$(link)
 $(B)/rwctl: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/ctl*.c)) $(B)/librw.a
 	$(link)
--- a/daemon/admind.c
+++ b/daemon/admind.c
@@ -1,13 +1,13 @@
 /* rw-admind: paths and process. */
 #include "admind.h"
 
-#include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "../wire/log.h"
+#include "args.h"
 
 #define MAX_BODY (1 << 20)
 #define SETTINGS_PATH "/v1/settings/"
@@ -335,15 +335,10 @@
 	static uv_signal_t term;
 	static uv_timer_t tick;
 	GError *error = NULL;
-	const char *path;
-	struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
-	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
+	const char *path = args_settings_file(argc, argv);
 
-	poptSetOtherOptionHelp(popt, "SETTINGS-FILE");
-	if (poptGetNextOpt(popt) < -1 || !(path = poptGetArg(popt))) {
-		poptPrintUsage(popt, stderr, 0);
+	if (!path)
 		return EXIT_FAILURE;
-	}
 	signal(SIGPIPE, SIG_IGN);
 	if (!admind_open(&admind, path, &error)) {
 		fprintf(stderr, "rw-admind: %s\n", error->message);
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -1,12 +1,13 @@
 /* rw-entryd: settings, loop, timer, signals. */
 #include "entryd.h"
 
-#include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "args.h"
+
 #define TICK_MS 20
 #define RESEND_MS 250
 #define REVOKE_WAIT_MS 1500
@@ -285,15 +286,10 @@
 {
 	static struct entryd entryd;
 	GError *error = NULL;
-	const char *path;
-	struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
-	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
+	const char *path = args_settings_file(argc, argv);
 
-	poptSetOtherOptionHelp(popt, "SETTINGS-FILE");
-	if (poptGetNextOpt(popt) < -1 || !(path = poptGetArg(popt))) {
-		poptPrintUsage(popt, stderr, 0);
+	if (!path)
 		return EXIT_FAILURE;
-	}
 	signal(SIGPIPE, SIG_IGN);
 	if (!entryd_open(&entryd, path, &error)) {
 		fprintf(stderr, "rw-entryd: %s\n", error->message);
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -79,12 +79,6 @@
 	struct faults faults;
 };
 
-struct endpoint {
-	const char *method;
-	const char *path;
-	void (*fn)(struct engine *engine, struct http_call *call);
-};
-
 static void engine_admit(struct engine *engine);
 
 /* Moves a block to the front of the cache; returns whether it was there. */
@@ -382,8 +376,9 @@
 	reader_pump(reader);
 }
 
-static void completions(struct engine *engine, struct http_call *call)
+static void completions(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	struct json_object *body = fake_body(call);
 	char *id;
 	struct stream *stream;
@@ -412,8 +407,9 @@
 }
 
 /* GET /v1/resume?stream=ID&from=N */
-static void resume(struct engine *engine, struct http_call *call)
+static void resume(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	char *id = http_call_query(call, "stream");
 	struct stream *stream =
 		id ? g_hash_table_lookup(engine->streams, id) : NULL;
@@ -426,8 +422,9 @@
 		stream_attach(stream, call, from, false);
 }
 
-static void cancel(struct engine *engine, struct http_call *call)
+static void cancel(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	struct json_object *body = fake_body(call);
 	struct stream *stream;
 
@@ -443,8 +440,9 @@
 	fake_reply(call, stream ? 200 : 404, json_object_new_object());
 }
 
-static void kv_export(struct engine *engine, struct http_call *call)
+static void kv_export(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	struct json_object *body = fake_body(call);
 	struct json_object *obj;
 	struct stream *stream;
@@ -464,8 +462,9 @@
 	fake_reply(call, 200, obj);
 }
 
-static void kv_import(struct engine *engine, struct http_call *call)
+static void kv_import(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	struct json_object *body = fake_body(call);
 	const char *prompt;
 	char *key;
@@ -482,8 +481,9 @@
 }
 
 /* Takes an order; an old fencing number is refused if that is checked. */
-static void orders(struct engine *engine, struct http_call *call)
+static void orders(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	struct json_object *body = fake_body(call);
 	int64_t fence;
 	char *model;
@@ -537,24 +537,31 @@
 	engine->load = load_make(engine);
 }
 
-static void load_get(struct engine *engine, struct http_call *call)
+static void load_get(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
+
 	fake_reply(call, 200, json_object_get(engine->load));
 }
 
-static void counters_get(struct engine *engine, struct http_call *call)
+static void counters_get(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
+
 	fake_reply(call, 200, load_make(engine));
 }
 
-static void cache_events(struct engine *engine, struct http_call *call)
+static void cache_events(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
+
 	http_call_reply(call, 200, "text/plain", engine->events->str,
 			engine->events->len);
 }
 
-static void fault_set(struct engine *engine, struct http_call *call)
+static void fault_set(void *ctx, struct http_call *call)
 {
+	struct engine *engine = ctx;
 	struct json_object *body = fake_body(call);
 	struct faults *faults = &engine->faults;
 
@@ -570,7 +577,7 @@
 	fake_reply(call, 200, json_object_new_object());
 }
 
-static const struct endpoint endpoints[] = {
+static const struct fake_path paths[] = {
 	{ "POST", "/v1/completions", completions },
 	{ "GET", "/v1/resume", resume },
 	{ "POST", "/v1/cancel", cancel },
@@ -581,17 +588,12 @@
 	{ "GET", "/v1/cache_events", cache_events },
 	{ "GET", "/counters", counters_get },
 	{ "POST", "/fault", fault_set },
+	{ .path = NULL },
 };
 
 static void engine_on_call(void *ctx, struct http_call *call)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(endpoints); i++) {
-		if (fake_is(call, endpoints[i].method, endpoints[i].path)) {
-			endpoints[i].fn(ctx, call);
-			return;
-		}
-	}
-	fake_reply_error(call, 404, "no such path");
+	fake_dispatch(paths, ctx, call);
 }
 
 int main(int argc, const char **argv)
--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -50,6 +50,18 @@
 	       p.len == strlen(path) && !memcmp(p.ptr, path, p.len);
 }
 
+void fake_dispatch(const struct fake_path *paths, void *ctx,
+		   struct http_call *call)
+{
+	for (; paths->path; paths++) {
+		if (fake_is(call, paths->method, paths->path)) {
+			paths->fn(ctx, call);
+			return;
+		}
+	}
+	fake_reply_error(call, 404, "no such path");
+}
+
 char *fake_text(struct http_view view)
 {
 	return g_strndup(view.ptr, view.len);
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -16,6 +16,16 @@
 /* Tells whether the call has this method and path. */
 bool fake_is(const struct http_call *call, const char *method,
 	     const char *path);
+/* One path of a stand-in. */
+struct fake_path {
+	const char *method;
+	const char *path;
+	void (*fn)(void *ctx, struct http_call *call);
+};
+
+/* Serves a call by a table that ends with an empty path. */
+void fake_dispatch(const struct fake_path *paths, void *ctx,
+		   struct http_call *call);
 /* Returns a copy of a view as text; the caller frees it. */
 char *fake_text(struct http_view view);
 /* Returns a query parameter as a number, or fallback. */
--- a/fakes/service.c
+++ b/fakes/service.c
@@ -44,12 +44,6 @@
 	struct faults faults;
 };
 
-struct endpoint {
-	const char *method;
-	const char *path;
-	void (*fn)(struct service *service, struct http_call *call);
-};
-
 /* Raises the fencing number of a home; returns whether it was not old. */
 static bool fence_raise(struct service *service, const char *home,
 			int64_t number)
@@ -149,8 +143,9 @@
 }
 
 /* POST /ledger/OPERATION */
-static void ledger_post(struct service *service, struct http_call *call)
+static void ledger_post(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	struct http_view path = http_call_path(call);
 	size_t skip = strlen("/ledger/");
 	struct delayed *delayed;
@@ -174,8 +169,9 @@
 		       (uint64_t)service->faults.delay_ms, 0);
 }
 
-static void ledger_get(struct service *service, struct http_call *call)
+static void ledger_get(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	struct json_object *obj = json_object_new_object();
 	struct json_object *list = json_object_new_array();
 
@@ -193,8 +189,9 @@
 }
 
 /* GET /status?id=ID: whether a call with this id was executed. */
-static void status_get(struct service *service, struct http_call *call)
+static void status_get(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	char *id = http_call_query(call, "id");
 	struct entry *entry =
 		id ? g_hash_table_lookup(service->by_id, id) : NULL;
@@ -210,8 +207,9 @@
 }
 
 /* POST /status: the same, the id in the header, for routed callers. */
-static void status_post(struct service *service, struct http_call *call)
+static void status_post(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	struct json_object *body = fake_body(call);
 	struct json_object *obj;
 	struct entry *entry;
@@ -227,8 +225,9 @@
 }
 
 /* POST /fence {"home": TEXT, "fence": N}: older numbers are refused. */
-static void fence_post(struct service *service, struct http_call *call)
+static void fence_post(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	struct json_object *body = fake_body(call);
 	bool raised;
 
@@ -241,8 +240,9 @@
 		   json_object_new_object());
 }
 
-static void fault_set(struct service *service, struct http_call *call)
+static void fault_set(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	struct json_object *body = fake_body(call);
 	struct faults *faults = &service->faults;
 
@@ -256,8 +256,9 @@
 }
 
 /* Answers a load report: a plain service takes all it gets. */
-static void load_get(struct service *service, struct http_call *call)
+static void load_get(void *ctx, struct http_call *call)
 {
+	struct service *service = ctx;
 	struct json_object *obj = json_object_new_object();
 
 	json_add_int(obj, "running", 0);
@@ -267,7 +268,7 @@
 	fake_reply(call, 200, obj);
 }
 
-static const struct endpoint endpoints[] = {
+static const struct fake_path paths[] = {
 	{ "POST", "/ledger/stock", ledger_post },
 	{ "POST", "/ledger/permit", ledger_post },
 	{ "POST", "/ledger/wallet", ledger_post },
@@ -277,17 +278,12 @@
 	{ "POST", "/fence", fence_post },
 	{ "GET", "/v1/load", load_get },
 	{ "POST", "/fault", fault_set },
+	{ .path = NULL },
 };
 
 static void service_on_call(void *ctx, struct http_call *call)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(endpoints); i++) {
-		if (fake_is(call, endpoints[i].method, endpoints[i].path)) {
-			endpoints[i].fn(ctx, call);
-			return;
-		}
-	}
-	fake_reply_error(call, 404, "no such path");
+	fake_dispatch(paths, ctx, call);
 }
 
 int main(int argc, const char **argv)
