Membership in three files; unused parts removed; pieces in the history

Fields and functions that nothing used are gone; the prefix hits that the router counted are a counter.

--- a/daemon/entryd-attempt.c
+++ b/daemon/entryd-attempt.c
@@ -190,7 +190,7 @@
 			g_free(job->not_this);
 			job->not_this = g_strdup(attempt->upstream->name);
 		}
-		job_attempt_failed(job, result, false);
+		job_attempt_failed(job, false);
 	}
 	attempt_free(attempt);
 }
@@ -345,7 +345,7 @@
 	} else if (!whole) {
 		g_free(job->not_this);
 		job->not_this = g_strdup(attempt->upstream->name);
-		job_attempt_failed(job, result, not_run);
+		job_attempt_failed(job, not_run);
 	}
 	attempt_free(attempt);
 }
--- a/daemon/entryd-job.c
+++ b/daemon/entryd-job.c
@@ -289,7 +289,7 @@
 	if (job->attempts == 0)
 		retry_on_first(&job->pool->budget, entryd_now(job->entryd));
 	if (!attempt_start(job))
-		job_attempt_failed(job, HTTP_REFUSED, true);
+		job_attempt_failed(job, true);
 }
 
 static void op_probe(void *ctx, struct req *req)
@@ -466,14 +466,12 @@
 	job_wait(job, wait);
 }
 
-void job_attempt_failed(struct job *job, enum http_result result,
-			bool proved_not_run)
+void job_attempt_failed(struct job *job, bool proved_not_run)
 {
 	struct entryd *entryd = job->entryd;
 	struct req *req = job->req;
 	clk_ms now = entryd_now(entryd);
 
-	(void)result;
 	job->attempt = NULL;
 	if (req->answer.ended)
 		return;
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -111,6 +111,7 @@
 	values[CTR_gossip_out] = rpc->datagrams_out;
 	values[CTR_members_dead] = entryd->members->died;
 	values[CTR_suspicions_refuted] = entryd->members->refuted;
+	values[CTR_prefix_hits] = entryd->router->prefix_hits;
 	values[CTR_settings_stale] = entryd->settings->stale;
 }
 
--- a/daemon/entryd.h
+++ b/daemon/entryd.h
@@ -211,8 +211,7 @@
 bool attempt_start(struct job *job);
 void attempt_cancel(struct attempt *attempt);
 /* What follows when an attempt has ended without the whole answer. */
-void job_attempt_failed(struct job *job, enum http_result result,
-			bool proved_not_run);
+void job_attempt_failed(struct job *job, bool proved_not_run);
 void probe_start(struct job *job);
 
 /* entryd-record.c: home_ops towards platform and peers */
--- a/daemon/load-caller.c
+++ b/daemon/load-caller.c
@@ -152,6 +152,7 @@
 	else
 		g_array_append_val(load->gap_ms, gap);
 	request->last = now;
+	load_note(load, "piece", request->id, request->kind->name, text);
 	request->pieces++;
 	g_string_append(request->text, text);
 }
--- a/decide/admit.h
+++ b/decide/admit.h
@@ -38,7 +38,6 @@
 	GHashTable *finished; /* account -> double *: virtual finish time */
 	double virtual_time;
 	guint most; /* tickets */
-	uint64_t refused;
 };
 
 struct admit_queue *admit_queue_create(guint most);
--- /dev/null
+++ b/decide/member-probe.c
@@ -0,0 +1,249 @@
+/* Probing, suspecting, forgetting, and full exchanges. */
+#include "member-int.h"
+
+#include <string.h>
+
+#define SUSPICION_DOUBLINGS 3 /* of hosts; up to that the setting holds */
+#define HELPERS 3	      /* hosts asked to probe in another's place */
+#define DOUBT_PERIODS 4	      /* periods without a tick: was paused */
+#define FULL_SYNC_HOSTS 16    /* above it full exchanges become rarer */
+
+/* Asks some others to probe the host that did not answer. */
+static void probe_help(struct member_list *list)
+{
+	struct member_msg msg;
+
+	list->helped = true;
+	for (unsigned i = 0; i < HELPERS && list->order->len > 1; i++) {
+		guint at = list->options.ops->random(list->options.ctx,
+						     list->order->len);
+		const struct member *helper =
+			g_ptr_array_index(list->order, at);
+
+		if (helper->info.state >= MEMBER_SUSPECT ||
+		    !strcmp(helper->info.incarnation, list->probed))
+			continue;
+		member_msg_build(list, &msg, MEMBER_PING_REQ, list->own_probe);
+		g_strlcpy(msg.target, list->probed, sizeof(msg.target));
+		member_msg_send(list, helper->info.rpc, &msg);
+	}
+}
+
+/* Probes a seed, so that a host that knows nobody becomes known. */
+static void probe_seed(struct member_list *list)
+{
+	char **seeds = list->options.seeds;
+	guint count = seeds ? g_strv_length(seeds) : 0;
+	struct member_msg msg;
+	const char *seed;
+
+	if (count == 0)
+		return;
+	seed = seeds[list->options.ops->random(list->options.ctx, count)];
+	if (!strcmp(seed, list->self.rpc))
+		return;
+	member_msg_build(list, &msg, MEMBER_PING, ++list->probe);
+	member_msg_send(list, seed, &msg);
+}
+
+void member_probe_next(struct member_list *list, clk_ms now)
+{
+	struct member_msg msg;
+
+	list->period_start = now;
+	list->helped = false;
+	list->probed[0] = '\0';
+	for (guint i = 0; i < list->order->len; i++) {
+		guint at = list->next++ % list->order->len;
+		const struct member *member =
+			g_ptr_array_index(list->order, at);
+
+		if (member->info.state == MEMBER_DEAD)
+			continue;
+		list->own_probe = ++list->probe;
+		member_msg_build(list, &msg, MEMBER_PING, list->own_probe);
+		g_strlcpy(list->probed, member->info.incarnation,
+			  sizeof(list->probed));
+		if (member->info.state == MEMBER_SUSPECT)
+			msg.updates[msg.update_count++] = member->info;
+		member_msg_send(list, member->info.rpc, &msg);
+		return;
+	}
+	probe_seed(list);
+}
+
+/* Tells a host that this one suspects it, so that it can refute that. */
+static void tell_suspect(struct member_list *list, const struct member *member)
+{
+	struct member_msg msg;
+
+	member_msg_build(list, &msg, MEMBER_PING, ++list->probe);
+	msg.updates[msg.update_count++] = member->info;
+	member_msg_send(list, member->info.rpc, &msg);
+}
+
+/* Tells all that this host itself suspects, once a period. */
+static void tell_suspects(struct member_list *list)
+{
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+
+		if (member->own_suspect && member->info.state == MEMBER_SUSPECT)
+			tell_suspect(list, member);
+	}
+}
+
+/* Suspects the probed host if it did not answer in its period. */
+static void probe_judge(struct member_list *list, clk_ms now)
+{
+	struct member *member;
+
+	if (!list->probed[0])
+		return;
+	member = member_get(list, list->probed);
+	if (!member || member->info.state >= MEMBER_SUSPECT)
+		return;
+	member->own_suspect = true;
+	member_set(list, member, MEMBER_SUSPECT, now);
+}
+
+/* How long a suspect has to refute: longer, the longer news travel. */
+static clk_ms suspicion_time(const struct member_list *list)
+{
+	unsigned doublings = 0;
+
+	for (guint n = list->order->len; n > 1; n /= 2)
+		doublings++;
+	return list->options.suspicion * MAX(doublings, SUSPICION_DOUBLINGS) /
+	       SUSPICION_DOUBLINGS;
+}
+
+/* Declares suspects dead, forgets those long dead. */
+static void members_age(struct member_list *list, clk_ms now)
+{
+	for (guint i = list->order->len; i-- > 0;) {
+		struct member *member = g_ptr_array_index(list->order, i);
+		clk_ms age = now - member->since;
+
+		if (member->info.state == MEMBER_SUSPECT &&
+		    age >= suspicion_time(list))
+			member_set(list, member, MEMBER_DEAD, now);
+		if (member->info.state == MEMBER_DEAD &&
+		    now - member->since >= list->options.dead_keep) {
+			g_ptr_array_remove_index(list->order, i);
+			g_hash_table_remove(list->members,
+					    member->info.incarnation);
+		}
+	}
+}
+
+/* Picks a seed for a full exchange, or NULL. */
+static const char *sync_seed(const struct member_list *list, guint seeds)
+{
+	if (seeds == 0)
+		return NULL;
+	return list->options
+		.seeds[list->options.ops->random(list->options.ctx, seeds)];
+}
+
+/* Picks a live member for a full exchange, or NULL. */
+static const char *sync_member(const struct member_list *list)
+{
+	guint hosts = list->order->len;
+	const struct member *member;
+
+	if (hosts == 0)
+		return NULL;
+	member = g_ptr_array_index(
+		list->order,
+		list->options.ops->random(list->options.ctx, hosts));
+	return member->info.state == MEMBER_DEAD ? NULL : member->info.rpc;
+}
+
+/* Exchanges everything with one host, so that no update is lost for ever.
+ * Every other time it is a seed, whatever is known of it: hosts that found
+ * only each other, or were cut off for long, come together again. */
+static void sync_tick(struct member_list *list, clk_ms now)
+{
+	guint seeds =
+		list->options.seeds ? g_strv_length(list->options.seeds) : 0;
+	guint hosts = list->order->len;
+	clk_ms factor = 1 + hosts / FULL_SYNC_HOSTS;
+	const char *rpc;
+
+	if (now < list->next_sync)
+		return;
+	list->next_sync =
+		now + (hosts + 1 < seeds ? list->options.period
+					 : list->options.sync_period * factor);
+	list->sync_turn = !list->sync_turn;
+	rpc = list->sync_turn ? sync_seed(list, seeds) : sync_member(list);
+	if (rpc && strcmp(rpc, list->self.rpc) != 0)
+		list->options.ops->sync(list->options.ctx, rpc);
+}
+
+/* After a pause nothing that was due is judged: the answers are unread. */
+static bool was_paused(struct member_list *list, clk_ms now)
+{
+	clk_ms gap = now - list->last_tick;
+	bool paused =
+		list->last_tick && gap > DOUBT_PERIODS * list->options.period;
+
+	list->last_tick = now;
+	if (!paused)
+		return false;
+	list->in_doubt = true;
+	for (guint i = 0; i < list->order->len; i++) {
+		struct member *member = g_ptr_array_index(list->order, i);
+
+		member->since += gap;
+	}
+	member_probe_next(list, now);
+	return true;
+}
+
+void member_tick(struct member_list *list, clk_ms now)
+{
+	clk_ms age = now - list->period_start;
+
+	if (was_paused(list, now))
+		return;
+	if (list->probed[0] && !list->helped && age >= list->options.ack_wait)
+		probe_help(list);
+	if (age >= list->options.period) {
+		probe_judge(list, now);
+		tell_suspects(list);
+		member_probe_next(list, now);
+	}
+	members_age(list, now);
+	member_relays_age(list, now);
+	sync_tick(list, now);
+}
+
+void member_leave(struct member_list *list, clk_ms now)
+{
+	struct member_msg msg;
+
+	list->self.state = MEMBER_LEAVING;
+	list->self.seq++;
+	/* Few wait for this: all are told at once, in a small cluster. */
+	for (guint i = 0; i < list->order->len && i < FULL_SYNC_HOSTS; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+
+		if (member->info.state == MEMBER_DEAD)
+			continue;
+		member_msg_build(list, &msg, MEMBER_PING, ++list->probe);
+		member_msg_send(list, member->info.rpc, &msg);
+	}
+	list->probed[0] = '\0';
+	list->period_start = now;
+}
+
+void member_renew(struct member_list *list, const char *incarnation, clk_ms now)
+{
+	g_strlcpy(list->self.incarnation, incarnation,
+		  sizeof(list->self.incarnation));
+	list->self.seq = 0;
+	list->next_sync = now;
+	member_probe_next(list, now);
+}
--- a/decide/member.h
+++ b/decide/member.h
@@ -121,7 +121,6 @@
 	clk_ms next_sync;
 	bool sync_turn; /* the next one is with a seed */
 	clk_ms last_tick;
-	clk_ms last_heard; /* when any peer's message came */
 	bool in_doubt;	   /* was not run for long: may be declared dead */
 	uint64_t settings; /* revisions to show to peers */
 	uint64_t hosts;
--- a/decide/rid.c
+++ b/decide/rid.c
@@ -88,8 +88,3 @@
 {
 	snprintf(buf, size, "%.*s~%08x", HOST_MAX, host, random);
 }
-
-size_t rid_host_len(const char *incarnation)
-{
-	return strcspn(incarnation, "~");
-}
--- a/decide/rid.h
+++ b/decide/rid.h
@@ -28,8 +28,6 @@
 void rid_prefix(char *buf, size_t size, const char *home, clk_ms time);
 /* Writes an incarnation to buf. */
 void rid_incarnation(char *buf, size_t size, const char *host, unsigned random);
-/* Returns the length of the host name in an incarnation. */
-size_t rid_host_len(const char *incarnation);
 /* Tells whether text is usable as a host name. */
 bool rid_host_ok(const char *text, size_t len);
 
--- a/decide/route.c
+++ b/decide/route.c
@@ -466,8 +466,6 @@
 	upstream->since++;
 	if (ask->prefix && has_prefix(upstream, ask->prefix, now))
 		router->prefix_hits++;
-	else if (ask->prefix)
-		router->prefix_misses++;
 	prefix_note(upstream, ask->prefix, now);
 }
 
--- a/decide/route.h
+++ b/decide/route.h
@@ -89,7 +89,6 @@
 	void *ctx;
 	guint turn; /* of round robin */
 	uint64_t prefix_hits;
-	uint64_t prefix_misses;
 };
 
 struct router *router_create(uint32_t (*random)(void *ctx, uint32_t n),
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -69,7 +69,8 @@
 	bool check_fence;
 	int64_t fence;
 	int64_t event_seq;
-	GString *events;
+	GString *events;    /* of the cache, as reported, with lag and gaps */
+	GString *fresh;	    /* events that are not reported yet */
 	int64_t prefilled;  /* tokens computed for prompts */
 	int64_t cached;	    /* prompt tokens found in the cache */
 	int64_t recomputed; /* prefilled tokens of resumed generations */
@@ -98,7 +99,7 @@
 	g_hash_table_insert(engine->blocks, kept, engine->lru.head);
 	engine->event_seq++;
 	if (engine->event_seq % EVENT_GAP_EVERY != 0)
-		g_string_append_printf(engine->events,
+		g_string_append_printf(engine->fresh,
 				       "%" PRId64 " add %016" PRIx64 "\n",
 				       engine->event_seq, hash);
 	if ((int)engine->lru.length > engine->cache_blocks) {
@@ -535,6 +536,9 @@
 
 	json_object_put(engine->load);
 	engine->load = load_make(engine);
+	g_string_append_len(engine->events, engine->fresh->str,
+			    (gssize)engine->fresh->len);
+	g_string_truncate(engine->fresh, 0);
 }
 
 static void load_get(void *ctx, struct http_call *call)
@@ -633,6 +637,7 @@
 	engine.blocks = g_hash_table_new(g_int64_hash, g_int64_equal);
 	engine.models = g_hash_table_new(g_str_hash, g_str_equal);
 	engine.events = g_string_new(NULL);
+	engine.fresh = g_string_new(NULL);
 	g_queue_init(&engine.waiting);
 	g_queue_init(&engine.lru);
 	engine.load = load_make(&engine);
--- a/wire/ctr.c
+++ b/wire/ctr.c
@@ -7,22 +7,6 @@
 #undef CTR_NAME
 };
 
-static const char *const docs[CTR_COUNT] = {
-#define CTR_DOC(name, doc) doc,
-	CTR_LIST(CTR_DOC)
-#undef CTR_DOC
-};
-
-const char *ctr_name(enum ctr ctr)
-{
-	return names[ctr];
-}
-
-const char *ctr_doc(enum ctr ctr)
-{
-	return docs[ctr];
-}
-
 GString *ctr_print(const struct ctrs *ctrs)
 {
 	GString *text = g_string_new(NULL);
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -28,6 +28,7 @@
 	X(restarted, "streams continued at another engine")                    \
 	X(pieces, "pieces of answers received from upstreams")                 \
 	X(pieces_dropped, "pieces of another attempt, late or repeated")       \
+	X(prefix_hits, "completions sent where their prefix was sent before")  \
 	X(tokens_again, "tokens sent to be computed again after a loss")       \
 	X(probes, "outcomes asked for after a host was lost")                  \
 	X(settings_changes, "settings objects adopted")                        \
@@ -53,10 +54,6 @@
 	uint64_t values[CTR_COUNT];
 };
 
-/* Returns the name of a counter. */
-const char *ctr_name(enum ctr ctr);
-/* Returns what a counter counts. */
-const char *ctr_doc(enum ctr ctr);
 /* Prints all as "name value" lines; the caller frees the text. */
 GString *ctr_print(const struct ctrs *ctrs);
 
--- a/wire/log.c
+++ b/wire/log.c
@@ -58,7 +58,6 @@
 LOG_FUNCTION(log_error, LOG4C_PRIORITY_ERROR)
 LOG_FUNCTION(log_warn, LOG4C_PRIORITY_WARN)
 LOG_FUNCTION(log_notice, LOG4C_PRIORITY_NOTICE)
-LOG_FUNCTION(log_info, LOG4C_PRIORITY_INFO)
 
 void log_close(void)
 {
--- a/wire/log.h
+++ b/wire/log.h
@@ -10,7 +10,6 @@
 void log_error(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void log_warn(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void log_notice(const char *format, ...) __attribute__((format(printf, 1, 2)));
-void log_info(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void log_close(void);
 
 #endif
