The engine stand-in's crossed pieces are another prompt's

Cause: a trial without the check of attempt ids passed crossed_answers: the crossed piece had the right text under a later number.

--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -127,13 +127,13 @@
 	return missed;
 }
 
-/* Appends the event of token n, under the given id. */
-static void event_append(GString *out, const struct stream *stream,
-			 const char *id, int n)
+/* Appends the event of token n of a prompt, under the given id. */
+static void event_append(GString *out, const char *prompt, const char *id,
+			 int n)
 {
 	char text[TOKEN_TEXT_MAX];
 
-	token_text(stream->prompt, n, text, sizeof(text));
+	token_text(prompt, n, text, sizeof(text));
 	g_string_append_printf(
 		out,
 		"data: {\"id\":\"%s\",\"n\":%d,"
@@ -191,16 +191,16 @@
 	}
 	if (faults->cross > 0) {
 		faults->cross--;
-		event_append(out, stream, "another-attempt", n + 7);
+		event_append(out, "another prompt", "another-attempt", n);
 	}
 	if (faults->swap > 0 && n + 1 < stream->made) {
 		faults->swap--;
-		event_append(out, stream, stream->id, n + 1);
+		event_append(out, stream->prompt, stream->id, n + 1);
 	}
-	event_append(out, stream, stream->id, n);
+	event_append(out, stream->prompt, stream->id, n);
 	if (faults->repeat > 0) {
 		faults->repeat--;
-		event_append(out, stream, stream->id, n);
+		event_append(out, stream->prompt, stream->id, n);
 	}
 	http_call_write(reader->call, out->str, out->len);
 	g_string_free(out, TRUE);
