--- a/daemon/entryd-conf.c
+++ b/daemon/entryd-conf.c
@@ -97,6 +97,7 @@
 	struct setting *setting = setting_get(entryd, key);
 	GError *error = NULL;
 	void *conf = NULL;
+	void *old;
 
 	if (!setting)
 		return;
@@ -110,14 +111,13 @@
 		g_error_free(error);
 		return;
 	}
-	/* An account's limit may still point at the old struct. */
-	if (setting->key.kind != CONF_ACCOUNT)
-		conf_free(setting->key.kind, setting->conf);
+	old = setting->conf;
 	setting->conf = conf;
 	if (setting->key.kind == CONF_ACCOUNT)
 		account_apply(entryd, setting);
 	else if (setting->key.kind == CONF_ROUTING && conf)
 		routing_apply(entryd, setting);
+	conf_free(setting->key.kind, old);
 }
 
 /* Spreads that an upstream leaves, or is back, as the first to learn it. */
