An id of a home that never was is answered at once

Cause: a call with such an id, well-formed and made up, searched for 8 s and read the platform some 40 times; whoever sends them could use up its rate, and the caller was held back although nobody could know more. Searches for lost homes now grow rarer (200 to 800 ms). Ruled out: hosts that can't yet have a record: they name themselves as homes only when it is open.

--- a/daemon/entryd-forward.c
+++ b/daemon/entryd-forward.c
@@ -9,9 +9,10 @@
 
 #include <string.h>
 
-#define FORWARD_HOPS 4	      /* hosts that a call passes at most */
-#define FORWARD_FOR_MS 8000   /* for a host with authority to be found */
-#define FORWARD_GAP_MS 200    /* between two tries */
+#define FORWARD_HOPS 4	    /* hosts that a call passes at most */
+#define FORWARD_FOR_MS 8000 /* for a host with authority to be found */
+#define FORWARD_GAP_MS 200  /* between the first two tries */
+#define GAP_DOUBLINGS 2
 #define FORWARD_IDLE_MS 30000 /* silence of a host that answers */
 #define RECORD_HOPS 4	      /* seals followed from one home on */
 
@@ -28,6 +29,7 @@
 	char *target;		/* incarnation that is tried now */
 	unsigned seals;		/* records followed */
 	unsigned hops;
+	unsigned tries; /* searches begun anew */
 	char *method;
 	char *path;
 	char *headers;
@@ -124,7 +126,9 @@
 	g_free(forward->target);
 	forward->target = g_strdup(forward->home);
 	forward->seals = 0;
-	uv_timer_start(&forward->timer, forward_on_timer, FORWARD_GAP_MS, 0);
+	uv_timer_start(&forward->timer, forward_on_timer,
+		       FORWARD_GAP_MS << MIN(forward->tries++, GAP_DOUBLINGS),
+		       0);
 }
 
 static void relay_on_head(void *ctx, int status)
@@ -217,7 +221,12 @@
 	struct entryd *entryd = forward->entryd;
 	bool mine = home_is_self(entryd->home, record->peer);
 
-	if (record->state == RECORD_NONE || !record->peer[0]) {
+	if (record->state == RECORD_NONE) {
+		/* No host is known by that name, and none has a record. */
+		forward_fail(forward, RW_EUNKNOWN);
+		return;
+	}
+	if (!record->peer[0]) {
 		forward_again(forward);
 		return;
 	}
--- a/tests/procs.py
+++ b/tests/procs.py
@@ -251,6 +251,30 @@
         assert len(rig.ledger()) == 1
 
 
+def test_unknown_home():
+    """An id of a home that never was: unknown at once, one read a call."""
+    with Rig(entries=2, centres=2) as rig:
+        rig.wait_ready()
+        entry = rig.entries["e0"]
+        prefix = locate(entry)["home"].split(".")[1]
+        before = json.loads(call(rig.platform.address, "GET",
+                                 "/counters")[1])["reads"]
+        begun = time.time()
+        for n in range(20):
+            headers = dict(COOP, **{"x-request-id": "nobody~0123456%x.%s-a"
+                                    % (n % 16, prefix)})
+            status, text, _ = call(entry.address, "POST", "/v1/call/stock",
+                                   {"q": 1}, headers)
+            assert status == 504 and '"unknown"' in text, text
+        took = time.time() - begun
+        reads = json.loads(call(rig.platform.address, "GET",
+                                "/counters")[1])["reads"] - before
+        assert took < 5, "%.1f s for 20 calls" % took
+        # The hosts' own watches and reads of the list are among them.
+        assert reads <= 20 + 4 * (took + 1), "%d reads" % reads
+        assert not rig.ledger()
+
+
 def test_home_killed_in_stream():
     """kill -9 of the home: the guardian goes on; nothing is recomputed."""
     with Rig(engine_args=("--decode", "20")) as rig:
