--- a/daemon/entryd-forward.c
+++ b/daemon/entryd-forward.c
@@ -118,6 +118,8 @@
 /* Tries again a little later, or gives up. */
 static void forward_again(struct forward *forward)
 {
+	uint64_t wait;
+
 	if (entryd_now(forward->entryd) >= forward->until) {
 		forward_fail(forward, RW_EUNKNOWN);
 		return;
@@ -126,9 +128,9 @@
 	g_free(forward->target);
 	forward->target = g_strdup(forward->home);
 	forward->seals = 0;
-	uv_timer_start(&forward->timer, forward_on_timer,
-		       FORWARD_GAP_MS << MIN(forward->tries++, GAP_DOUBLINGS),
-		       0);
+	wait = FORWARD_GAP_MS << MIN(forward->tries, GAP_DOUBLINGS);
+	forward->tries++;
+	uv_timer_start(&forward->timer, forward_on_timer, wait, 0);
 }
 
 static void relay_on_head(void *ctx, int status)
