One JSON answer, one name of the holder, one request path

The daemon, the administration API and the stand-ins each had the same function that answers a call with an object: json_reply serves all three. home_holder_name only called home_holder, which is public now. The path of requests stood as a text in three places. Behaviour is the same; no test changed but for the function's name. Looked at and left: a change of guardian looks at all known requests at every tick (copies_done), where the active ones would do; the tables of callbacks in daemon and tests, which are alike by their form only.

--- a/daemon/admind-answer.c
+++ b/daemon/admind-answer.c
@@ -1,15 +1,6 @@
 /* Answers of the administration API. */
 #include "admind.h"
 
-void admind_answer(struct http_call *call, int status, struct json_object *obj)
-{
-	size_t len;
-	const char *text = json_print(obj, &len);
-
-	http_call_reply(call, status, "application/json", text, len);
-	json_object_put(obj);
-}
-
 void admind_error(struct http_call *call, enum err_kind kind,
 		  const char *detail, struct json_object *more)
 {
@@ -20,5 +11,5 @@
 	json_add_text(obj, "text", answer->text);
 	if (detail && detail[0])
 		json_add_text(obj, "detail", detail);
-	admind_answer(call, answer->status, obj);
+	json_reply(call, answer->status, obj);
 }
--- a/daemon/admind-change.c
+++ b/daemon/admind-change.c
@@ -87,7 +87,7 @@
 {
 	if (change->call) {
 		http_call_on_close(change->call, NULL, NULL);
-		admind_answer(change->call, 200, obj);
+		json_reply(change->call, 200, obj);
 	} else {
 		json_object_put(obj);
 	}
--- a/daemon/admind.c
+++ b/daemon/admind.c
@@ -140,7 +140,7 @@
 	if (listing->call)
 		http_call_on_close(listing->call, NULL, NULL);
 	if (listing->call && answer)
-		admind_answer(listing->call, 200, obj);
+		json_reply(listing->call, 200, obj);
 	else if (listing->call)
 		admind_error(listing->call, RW_EPLATFORM, "", obj);
 	else
--- a/daemon/admind.h
+++ b/daemon/admind.h
@@ -37,6 +37,5 @@
 /* admind-answer.c */
 void admind_error(struct http_call *call, enum err_kind kind,
 		  const char *detail, struct json_object *more);
-void admind_answer(struct http_call *call, int status, struct json_object *obj);
 
 #endif
--- a/daemon/entryd-answer.c
+++ b/daemon/entryd-answer.c
@@ -6,15 +6,6 @@
 
 #define DETAIL_MAX 200 /* bytes of an error's detail */
 
-void answer_json(struct http_call *call, int status, struct json_object *obj)
-{
-	size_t len;
-	const char *text = json_print(obj, &len);
-
-	http_call_reply(call, status, JSON_TYPE, text, len);
-	json_object_put(obj);
-}
-
 /* Builds the body of an error. */
 static struct json_object *error_body(enum err_kind kind, clk_ms come_back,
 				      const char *detail)
@@ -47,7 +38,7 @@
 			   (come_back + CLK_SECOND - 1) / CLK_SECOND);
 		http_call_add_header(call, "retry-after", seconds);
 	}
-	answer_json(call, answer->status, error_body(kind, come_back, detail));
+	json_reply(call, answer->status, error_body(kind, come_back, detail));
 }
 
 /* When a refused caller is to come back: spread by half of the time. */
@@ -220,7 +211,7 @@
 	json_object_object_add(
 		obj, "text",
 		json_object_new_string_len(bytes->str, (int)bytes->len));
-	answer_json(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 void caller_pump(struct caller *caller)
--- a/daemon/entryd-call.c
+++ b/daemon/entryd-call.c
@@ -7,7 +7,6 @@
 #define LOCATE_KEEP_MS 30000 /* how long a caller may use an answer */
 #define LOCATE_HOSTS 3	     /* addresses in an answer */
 #define CALL_PREFIX "/v1/call/"
-#define REQUEST_PREFIX "/v1/requests/"
 #define FUTURE_MAX_MS 60000 /* a home's clock may be ahead by so much */
 
 /* A call taken apart. */
@@ -392,5 +391,5 @@
 	json_add_text(obj, "home", home);
 	json_object_object_add(obj, "addresses", list);
 	json_add_int(obj, "keep_ms", LOCATE_KEEP_MS);
-	answer_json(call, 200, obj);
+	json_reply(call, 200, obj);
 }
--- a/daemon/entryd-forward.c
+++ b/daemon/entryd-forward.c
@@ -362,11 +362,11 @@
 {
 	struct http_view header = http_call_header(call, "x-request-id");
 	struct http_view path = http_call_path(call);
-	size_t skip = strlen("/v1/requests/");
+	size_t skip = strlen(REQUEST_PREFIX);
 
 	if (header.len > 0)
 		return g_strndup(header.ptr, header.len);
-	if (path.len > skip && !memcmp(path.ptr, "/v1/requests/", skip))
+	if (path.len > skip && !memcmp(path.ptr, REQUEST_PREFIX, skip))
 		return g_strndup(path.ptr + skip, path.len - skip);
 	return g_strdup("");
 }
@@ -401,7 +401,7 @@
 	forward->rest = true;
 	forward->started = started;
 	forward->method = g_strdup("GET");
-	forward->path = g_strdup_printf("/v1/requests/%s", id);
+	forward->path = g_strconcat(REQUEST_PREFIX, id, NULL);
 	if (streaming)
 		g_string_append(headers, "accept: text/event-stream\r\n");
 	if (next > 0)
--- a/daemon/entryd-http.c
+++ b/daemon/entryd-http.c
@@ -16,7 +16,7 @@
 	{ "GET", "/v1/locate", false, true, call_locate },
 	{ "POST", "/v1/completions", false, true, call_completion },
 	{ "POST", "/v1/call/", true, true, call_service },
-	{ "GET", "/v1/requests/", true, true, call_request },
+	{ "GET", REQUEST_PREFIX, true, true, call_request },
 	{ "GET", "/v1/health", false, false, operate_health },
 	{ "GET", "/v1/counters", false, false, operate_counters },
 	{ "GET", "/v1/hosts", false, false, operate_hosts },
--- a/daemon/entryd-job.c
+++ b/daemon/entryd-job.c
@@ -269,7 +269,7 @@
 	if (!entryd->home->record.peer[0])
 		entryd_count(entryd, CTR_accepted_alone);
 	trace_end(entryd->tracer, &job->hold_span, "guardian", req->id,
-		  home_holder_name(entryd->home));
+		  home_holder(entryd->home));
 	job_pump_callers(job);
 	if (!job->pool) {
 		home_refuse(entryd->home, req, RW_ENOROUTE, entryd_now(entryd));
--- a/daemon/entryd-operate.c
+++ b/daemon/entryd-operate.c
@@ -38,7 +38,7 @@
 	}
 	json_object_object_add(obj, "hosts", list);
 	json_add_text(obj, "guardian", entryd->home->record.peer);
-	answer_json(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 void operate_upstreams(struct entryd *entryd, struct http_call *call)
@@ -67,7 +67,7 @@
 		json_object_array_add(list, item);
 	}
 	json_object_object_add(obj, "upstreams", list);
-	answer_json(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 static void setting_add(void *ctx, const struct store_item *item)
@@ -91,7 +91,7 @@
 	store_each_after(entryd->settings, 0, setting_add, list);
 	json_add_int(obj, "revision", entryd->settings->revision);
 	json_object_object_add(obj, "settings", list);
-	answer_json(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 void operate_counters(struct entryd *entryd, struct http_call *call)
@@ -124,7 +124,7 @@
 			       json_object_new_boolean(entryd->ready));
 	json_object_object_add(obj, "stopping",
 			       json_object_new_boolean(entryd->stopping));
-	answer_json(call, serves ? 200 : 503, obj);
+	json_reply(call, serves ? 200 : 503, obj);
 }
 
 /* POST /v1/drain?upstream=NAME&back=1: marks an upstream for all hosts. */
@@ -140,7 +140,7 @@
 	if (name && g_hash_table_contains(entryd->router->upstreams, name)) {
 		g_strlcpy(mark.upstream, name, sizeof(mark.upstream));
 		member_on_mark(entryd->members, &mark);
-		answer_json(call, 200, json_object_new_object());
+		json_reply(call, 200, json_object_new_object());
 	} else {
 		answer_error(call, RW_EBADFIELD, 0, "no such upstream");
 	}
--- a/daemon/entryd.h
+++ b/daemon/entryd.h
@@ -24,8 +24,9 @@
 #include "../wire/rpc.h"
 #include "../wire/trace.h"
 
-#define SETTINGS_PREFIX "settings/" /* of the operators' keys */
-#define RECORD_PREFIX "home/"	    /* of the homes' records */
+#define SETTINGS_PREFIX "settings/"    /* of the operators' keys */
+#define RECORD_PREFIX "home/"	       /* of the homes' records */
+#define REQUEST_PREFIX "/v1/requests/" /* of paths that name an id */
 #define JSON_TYPE "application/json"
 #define EVENT_TYPE "text/event-stream"
 
@@ -152,7 +153,6 @@
 /* entryd-answer.c: answers to callers */
 void answer_error(struct http_call *call, enum err_kind kind, clk_ms come_back,
 		  const char *detail);
-void answer_json(struct http_call *call, int status, struct json_object *obj);
 /* Sends a caller what it lacks, and the end. */
 void caller_pump(struct caller *caller);
 struct caller *caller_attach(struct entryd *entryd, struct http_call *call,
--- a/decide/home-int.h
+++ b/decide/home-int.h
@@ -29,8 +29,6 @@
 clk_ms home_platform_wait(const struct home *home, unsigned tries);
 
 /* home-record.c */
-/* The host that holds are sent to now, or "" if none is needed. */
-const char *home_holder(const struct home *home);
 /* The epoch that holds are sent under now. */
 int64_t home_holder_epoch(const struct home *home);
 void home_record_tick(struct home *home);
--- a/decide/home-record.c
+++ b/decide/home-record.c
@@ -21,11 +21,6 @@
 	return home->state == HOME_OPEN ? home->record.peer : home->candidate;
 }
 
-const char *home_holder_name(const struct home *home)
-{
-	return home_holder(home);
-}
-
 int64_t home_holder_epoch(const struct home *home)
 {
 	return home->record.epoch + (home->state != HOME_OPEN);
--- a/decide/home.h
+++ b/decide/home.h
@@ -264,7 +264,7 @@
 void home_end(struct home *home, struct req *req, enum err_kind kind,
 	      int status, clk_ms now);
 /* The guardian that holds go to now, "" if there is none. */
-const char *home_holder_name(const struct home *home);
+const char *home_holder(const struct home *home);
 /* How many requests are not at their end and this host's to answer. */
 size_t home_open_count(const struct home *home);
 /* How many homes this host guards that are not taken over. */
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -171,7 +171,7 @@
 	json_add_text(obj, "id", stream->id);
 	json_object_object_add(obj, "choices", choices);
 	g_string_free(text, TRUE);
-	fake_reply(reader->call, 200, obj);
+	json_reply(reader->call, 200, obj);
 }
 
 /* Sends one token, with the faults that are switched on. */
@@ -438,7 +438,7 @@
 		stream_finish(stream);
 	}
 	json_object_put(body);
-	fake_reply(call, stream ? 200 : 404, json_object_new_object());
+	json_reply(call, stream ? 200 : 404, json_object_new_object());
 }
 
 static void kv_export(void *ctx, struct http_call *call)
@@ -460,7 +460,7 @@
 	obj = json_object_new_object();
 	json_add_text(obj, "prompt", stream->prompt);
 	json_add_int(obj, "from", stream->made);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 static void kv_import(void *ctx, struct http_call *call)
@@ -478,7 +478,7 @@
 	cache_touch(engine, XXH64(key, strlen(key), 1));
 	g_free(key);
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 /* Takes an order; an old fencing number is refused if that is checked. */
@@ -504,7 +504,7 @@
 	else
 		g_hash_table_remove(engine->models, model);
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 static struct json_object *load_make(struct engine *engine)
@@ -545,14 +545,14 @@
 {
 	struct engine *engine = ctx;
 
-	fake_reply(call, 200, json_object_get(engine->load));
+	json_reply(call, 200, json_object_get(engine->load));
 }
 
 static void counters_get(void *ctx, struct http_call *call)
 {
 	struct engine *engine = ctx;
 
-	fake_reply(call, 200, load_make(engine));
+	json_reply(call, 200, load_make(engine));
 }
 
 static void cache_events(void *ctx, struct http_call *call)
@@ -578,7 +578,7 @@
 	faults->refuse = json_int(body, "refuse", faults->refuse);
 	faults->hang = json_flag(body, "hang", faults->hang);
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 static const struct fake_path paths[] = {
--- a/fakes/fake.c
+++ b/fakes/fake.c
@@ -8,21 +8,12 @@
 
 #define MAX_BODY (8 << 20) /* bytes */
 
-void fake_reply(struct http_call *call, int status, struct json_object *obj)
-{
-	size_t len;
-	const char *text = json_print(obj, &len);
-
-	http_call_reply(call, status, "application/json", text, len);
-	json_object_put(obj);
-}
-
 void fake_reply_error(struct http_call *call, int status, const char *text)
 {
 	struct json_object *obj = json_object_new_object();
 
 	json_add_text(obj, "error", text);
-	fake_reply(call, status, obj);
+	json_reply(call, status, obj);
 }
 
 void fake_lose(struct http_call *call)
--- a/fakes/fake.h
+++ b/fakes/fake.h
@@ -5,8 +5,6 @@
 #include "../wire/http.h"
 #include "../wire/json.h"
 
-/* Answers with obj and gives up the reference to it. */
-void fake_reply(struct http_call *call, int status, struct json_object *obj);
 /* Answers {"error": text}. */
 void fake_reply_error(struct http_call *call, int status, const char *text);
 /* Answers nothing and breaks the connection, as a lost answer. */
--- a/fakes/platform.c
+++ b/fakes/platform.c
@@ -175,7 +175,7 @@
 			continue;
 		}
 		http_call_on_close(waiter->call, NULL, NULL);
-		fake_reply(waiter->call, 200, obj);
+		json_reply(waiter->call, 200, obj);
 		g_ptr_array_remove_index_fast(platform->waiters, i);
 	}
 }
@@ -213,7 +213,7 @@
 		json_add_int(obj, "mod", 0);
 	}
 	json_add_int(obj, "revision", platform->revision);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 	g_free(key);
 }
 
@@ -222,7 +222,7 @@
 	char *prefix = http_call_query(call, "prefix");
 	size_t count;
 
-	fake_reply(call, 200,
+	json_reply(call, 200,
 		   range_to_json(platform, prefix ? prefix : "", 0, false,
 				 &count));
 	g_free(prefix);
@@ -265,7 +265,7 @@
 		fake_lose(call);
 		return;
 	}
-	fake_reply(call, won ? 200 : 409, obj);
+	json_reply(call, won ? 200 : 409, obj);
 }
 
 static void kv_cas(struct platform *platform, struct http_call *call)
@@ -305,7 +305,7 @@
 
 	json_add_int(obj, "lease", lease ? lease->id : 0);
 	json_add_int(obj, "ttl_ms", lease ? lease->ttl : 0);
-	fake_reply(call, status, obj);
+	json_reply(call, status, obj);
 }
 
 static void lease_grant(struct platform *platform, struct http_call *call)
@@ -412,7 +412,7 @@
 	/* The revision is that up to which nothing is missing. */
 	json_add_int(obj, "revision", MIN(shown, hidden - 1));
 	json_object_object_add(obj, "items", list);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 static void hosts_set(struct platform *platform, struct http_call *call)
@@ -423,7 +423,7 @@
 		return;
 	host_set(platform, body, platform->host_lag);
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 static void cloud_rent(struct platform *platform, struct http_call *call)
@@ -444,7 +444,7 @@
 	json_add_text(body, "name", name);
 	json_add_text(body, "state", "live");
 	host_set(platform, body, platform->host_lag);
-	fake_reply(call, 200, body);
+	json_reply(call, 200, body);
 }
 
 static void cloud_release(struct platform *platform, struct http_call *call)
@@ -461,7 +461,7 @@
 		host_set(platform, host->fields, platform->host_lag);
 	}
 	json_object_put(body);
-	fake_reply(call, host ? 200 : 404, json_object_new_object());
+	json_reply(call, host ? 200 : 404, json_object_new_object());
 }
 
 /* Takes hosts back: a notice for each, and "leaving" in the list. */
@@ -498,7 +498,7 @@
 		json_add_int(fields, "mod", host->mod);
 	}
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 static void cloud_notices(struct platform *platform, struct http_call *call)
@@ -512,7 +512,7 @@
 						    platform->notices, i)));
 	json_add_int(obj, "next", platform->notices->len);
 	json_object_object_add(obj, "notices", list);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 static void fault_set(struct platform *platform, struct http_call *call)
@@ -531,7 +531,7 @@
 		json_int(body, "stale_watch", faults->stale_watch);
 	platform->host_lag = json_int(body, "host_lag_ms", platform->host_lag);
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 static void counters_get(struct platform *platform, struct http_call *call)
@@ -541,7 +541,7 @@
 	json_add_int(obj, "writes", platform->total_writes);
 	json_add_int(obj, "reads", platform->total_reads);
 	json_add_int(obj, "revision", platform->revision);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 static const struct endpoint endpoints[] = {
--- a/fakes/service.c
+++ b/fakes/service.c
@@ -113,7 +113,7 @@
 	json_add_text(obj, "done", delayed->operation);
 	json_add_text(obj, "id", delayed->id);
 	json_add_int(obj, "entry", service->ledger->len);
-	fake_reply(delayed->call, 200, obj);
+	json_reply(delayed->call, 200, obj);
 }
 
 static void delayed_on_closed(uv_handle_t *handle)
@@ -185,7 +185,7 @@
 		json_object_array_add(list, line);
 	}
 	json_object_object_add(obj, "ledger", list);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 /* GET /status?id=ID: whether a call with this id was executed. */
@@ -203,7 +203,7 @@
 	if (entry)
 		json_add_text(obj, "done", entry->operation);
 	g_free(id);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 /* POST /status: the same, the id in the header, for routed callers. */
@@ -221,7 +221,7 @@
 	json_object_object_add(obj, "ran",
 			       json_object_new_boolean(entry != NULL));
 	json_object_put(body);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 /* POST /fence {"home": TEXT, "fence": N}: older numbers are refused. */
@@ -236,7 +236,7 @@
 	raised = fence_raise(service, json_text(body, "home", ""),
 			     json_int(body, "fence", 0));
 	json_object_put(body);
-	fake_reply(call, raised && service->check_fence ? 200 : 409,
+	json_reply(call, raised && service->check_fence ? 200 : 409,
 		   json_object_new_object());
 }
 
@@ -252,7 +252,7 @@
 	faults->lose = json_int(body, "lose", faults->lose);
 	faults->refuse = json_int(body, "refuse", faults->refuse);
 	json_object_put(body);
-	fake_reply(call, 200, json_object_new_object());
+	json_reply(call, 200, json_object_new_object());
 }
 
 /* Answers a load report: a plain service takes all it gets. */
@@ -265,7 +265,7 @@
 	json_add_int(obj, "queued", 0);
 	json_add_int(obj, "slots", 64);
 	json_add_int(obj, "completions", service->ledger->len);
-	fake_reply(call, 200, obj);
+	json_reply(call, 200, obj);
 }
 
 static const struct fake_path paths[] = {
--- a/tests/sim-home.c
+++ b/tests/sim-home.c
@@ -529,8 +529,7 @@
 	struct delivery *want;
 
 	ticket_of(host->world, req->id)->accepted = true;
-	ticket_of(host->world, req->id)->alone =
-		!home_holder_name(host->home)[0];
+	ticket_of(host->world, req->id)->alone = !home_holder(host->home)[0];
 	say(host->world, host->home->self, req->id);
 	if (req->want_run)
 		return;
--- a/wire/json.c
+++ b/wire/json.c
@@ -3,6 +3,8 @@
 
 #include <limits.h>
 
+#include "http.h"
+
 #define PARSE_DEPTH 32 /* nested objects and arrays */
 
 /* Counts the lines of text up to offset at, from 1. */
@@ -115,3 +117,12 @@
 		obj, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE,
 		len);
 }
+
+void json_reply(struct http_call *call, int status, struct json_object *obj)
+{
+	size_t len;
+	const char *text = json_print(obj, &len);
+
+	http_call_reply(call, status, "application/json", text, len);
+	json_object_put(obj);
+}
