--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,10 @@
 
 DECIDE = $(wildcard decide/*.c)
 WIRE = $(wildcard wire/*.c)
+PLATFORM = $(wildcard platform/*.c)
 LIB_OBJ = $(patsubst %.c,$(B)/%.o,$(DECIDE) $(WIRE))
-BINS = rw-entryd rw-admind rwctl rw-load rw-fake-platform rw-fake-engine \
+PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(PLATFORM))
+BINS = rw-entryd rw-proxyd rw-admind rwctl rw-load rw-fake-platform rw-fake-engine \
        rw-fake-service
 
 all: $(addprefix $(B)/,$(BINS))
@@ -43,6 +45,9 @@
 $(B)/rw-entryd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/entryd*.c)) \
 		$(B)/daemon/args.o $(B)/librw.a
 	$(link)
+$(B)/rw-proxyd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/proxyd*.c)) \
+		$(B)/daemon/args.o $(PLATFORM_OBJ) $(B)/librw.a
+	$(link)
 $(B)/rw-admind: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/admind*.c)) \
 		$(B)/daemon/args.o $(B)/librw.a
 	$(link)
--- a/daemon/entryd-member.c
+++ b/daemon/entryd-member.c
@@ -1,6 +1,8 @@
 /* Membership towards the sockets and the rest of the process. */
 #include "entryd.h"
 
+#include "../wire/sync.h"
+
 #include <string.h>
 
 #define SYNC_TIMEOUT_MS 2000
@@ -96,30 +98,6 @@
 	.random = entryd_random,
 };
 
-/* Puts received items into a replica. */
-static void items_take(struct store *store, const w_items *items)
-{
-	GHashTable *present = g_hash_table_new(g_str_hash, g_str_equal);
-
-	for (u_int i = 0; i < items->items.items_len; i++) {
-		const w_item *item = &items->items.items_val[i];
-		GBytes *value = item->deleted
-					? NULL
-					: g_bytes_new(item->value.value_val,
-						      item->value.value_len);
-
-		store_put(store, item->key, value, item->mod);
-		g_hash_table_add(present, item->key);
-		if (value)
-			g_bytes_unref(value);
-	}
-	if (items->full)
-		store_snapshot(store, present, items->revision);
-	else
-		store_complete(store, items->revision);
-	g_hash_table_destroy(present);
-}
-
 static void sync_on_done(void *ctx, const w_sync_res *res)
 {
 	struct sync_call *call = ctx;
@@ -138,8 +116,8 @@
 		for (u_int i = 0; i < res->marks.marks_len; i++)
 			if (rpc_mark_from_wire(&res->marks.marks_val[i], &mark))
 				member_on_mark(entryd->members, &mark);
-		items_take(entryd->settings, &res->settings);
-		items_take(entryd->hosts, &res->hosts);
+		sync_items_take(entryd->settings, &res->settings);
+		sync_items_take(entryd->hosts, &res->hosts);
 	}
 	g_free(call);
 }
@@ -157,70 +135,6 @@
 		      call);
 }
 
-/* A list of items that is being filled. */
-struct fill {
-	w_items *items;
-	u_int size;
-};
-
-static void fill_add(void *ctx, const struct store_item *item)
-{
-	struct fill *fill = ctx;
-	w_items *items = fill->items;
-	w_item *slot;
-	gsize len = 0;
-	const void *data =
-		item->value ? g_bytes_get_data(item->value, &len) : NULL;
-
-	if (items->items.items_len == fill->size) {
-		fill->size = MAX(2 * fill->size, 16);
-		items->items.items_val = g_realloc_n(items->items.items_val,
-						     fill->size, sizeof(*slot));
-	}
-	slot = &items->items.items_val[items->items.items_len++];
-	slot->key = g_strdup(item->key);
-	slot->deleted = item->value == NULL;
-	slot->value.value_val = g_memdup2(data, len);
-	slot->value.value_len = (u_int)len;
-	slot->mod = item->mod;
-}
-
-/* Lists what a peer lacks of a replica; all, if deletions may be missing. */
-static void items_fill(const struct store *store, int64_t after, w_items *items)
-{
-	struct fill fill = { .items = items };
-
-	items->full = after < store->since;
-	items->revision = store->revision;
-	store_each_after(store, items->full ? 0 : after, fill_add, &fill);
-}
-
-static void update_copy(const struct member_update *update, w_update *wire)
-{
-	wire->incarnation = g_strdup(update->incarnation);
-	wire->http = g_strdup(update->http);
-	wire->rpc = g_strdup(update->rpc);
-	wire->data_centre = g_strdup(update->data_centre);
-	wire->state = update->state;
-	wire->seq = update->seq;
-}
-
-/* Lists the members, this host first. */
-static void updates_fill(const struct member_list *members, w_sync_res *res)
-{
-	u_int count = members->order->len + 1;
-
-	res->updates.updates_val = g_new0(w_update, count);
-	res->updates.updates_len = count;
-	update_copy(&members->self, &res->updates.updates_val[0]);
-	for (u_int i = 1; i < count; i++) {
-		const struct member *member =
-			g_ptr_array_index(members->order, i - 1);
-
-		update_copy(&member->info, &res->updates.updates_val[i]);
-	}
-}
-
 /* Lists the marks that are still in force. */
 static void marks_fill(struct entryd *entryd, w_sync_res *res)
 {
@@ -250,8 +164,8 @@
 
 	if (rpc_update_from_wire(&args->self, &self))
 		member_on_update(entryd->members, &self, entryd_now(entryd));
-	updates_fill(entryd->members, res);
+	sync_updates_fill(entryd->members, res);
 	marks_fill(entryd, res);
-	items_fill(entryd->settings, args->settings_after, &res->settings);
-	items_fill(entryd->hosts, args->hosts_after, &res->hosts);
+	sync_items_fill(entryd->settings, args->settings_after, &res->settings);
+	sync_items_fill(entryd->hosts, args->hosts_after, &res->hosts);
 }
--- /dev/null
+++ b/daemon/proxyd-attempt.c
@@ -0,0 +1,319 @@
+/* One attempt at an upstream. */
+#include "proxyd-xfer.h"
+
+#include <string.h>
+
+#define BODY_MAX (16 << 20)  /* bytes of an answer that is passed on whole */
+#define UNSENT_MAX (4 << 20) /* bytes that a slow caller may owe */
+#define AGAIN_MIN_MS 60	     /* that another attempt needs */
+#define FIRST_PATIENCE 2.5   /* times the aim, for a stream's first event */
+#define GAP_PATIENCE_MS 1500 /* between two events */
+#define PATIENCE_SHARE 0.5   /* of a call's time, if it may be repeated */
+
+static void attempt_over(struct xfer *xfer, enum px_end end, const char *why);
+
+/* Forgets the response of the attempt. */
+static void response_clear(struct xfer_response *response)
+{
+	if (response->headers)
+		g_string_free(response->headers, TRUE);
+	if (response->body)
+		g_string_free(response->body, TRUE);
+	*response = (struct xfer_response){ .seen = false };
+}
+
+/* Lets go of the worker. */
+static void attempt_clear(struct xfer *xfer)
+{
+	if (!xfer->worker)
+		return;
+	fleet_end(xfer->worker, &xfer->ask, xfer->had_first);
+	fleet_worker_unref(xfer->worker);
+	xfer->worker = NULL;
+	xfer->sent_at = 0;
+	response_clear(&xfer->response);
+	sse_restart(&xfer->sse);
+}
+
+void attempt_cancel(struct xfer *xfer)
+{
+	if (xfer->attempt)
+		hc_cancel(xfer->attempt);
+	xfer->attempt = NULL;
+	attempt_clear(xfer);
+}
+
+/* Whether there is another upstream, time and budget for one more. */
+static struct px_room room_of(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	clk_ms now = proxyd_now(proxyd);
+
+	return (struct px_room){
+		.time = xfer->end - now >= AGAIN_MIN_MS,
+		.budget = retry_has(
+			&proxyd_pool(proxyd, xfer->pool->name)->budget, now),
+		.other = fleet_has_other(proxyd->fleet, xfer->pool->name,
+					 xfer->worker),
+	};
+}
+
+/* The attempt has ended: what follows is decided, and done. */
+static void attempt_over(struct xfer *xfer, enum px_end end, const char *why)
+{
+	static const enum ctr counters[] = {
+		[PX_END_UNSENT] = CTR_ends_unsent,
+		[PX_END_NOT_RUN] = CTR_ends_not_run,
+		[PX_END_WHOLE] = CTR_attempts,
+		[PX_END_FAILED] = CTR_ends_failed,
+		[PX_END_CUT] = CTR_ends_cut,
+	};
+	static const enum fleet_verdict verdicts[] = {
+		[PX_END_UNSENT] = FLEET_BROKEN, [PX_END_NOT_RUN] = FLEET_GOOD,
+		[PX_END_WHOLE] = FLEET_GOOD,	[PX_END_FAILED] = FLEET_FAILED,
+		[PX_END_CUT] = FLEET_BROKEN,
+	};
+	struct proxyd *proxyd = xfer->proxyd;
+	struct px_room room = room_of(xfer);
+
+	proxyd_count(proxyd, counters[end]);
+	if (end != PX_END_NOT_RUN)
+		fleet_judge(xfer->worker, verdicts[end], proxyd_now(proxyd));
+	if (end != PX_END_WHOLE)
+		slog(SLOG_INFO, "attempt",
+		     "id=%s worker=%s attempt=%u sent_ms=%" G_GINT64_FORMAT
+		     " status=%d why=%s time=%d budget=%d other=%d",
+		     xfer->id, xfer->worker->entry.id, xfer->px.attempts,
+		     xfer->sent_at ? proxyd_now(proxyd) - xfer->sent_at : -1,
+		     xfer->response.status, why, room.time, room.budget,
+		     room.other);
+	xfer->ask.not_this = NULL;
+	if (end != PX_END_WHOLE && room.other)
+		xfer->ask.not_this = xfer->worker;
+	xfer_do(xfer, px_on_end(&xfer->px, end, &room), why);
+}
+
+/* The request has begun to run: it is counted, once. */
+static void count_begun(struct xfer *xfer, clk_ms ago)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+
+	if (xfer->counted || !xfer->account)
+		return;
+	xfer->counted = true;
+	usage_add(&proxyd->usage, proxyd->members->self.incarnation,
+		  xfer->account->name, proxyd_wall(proxyd) - ago);
+}
+
+static void on_sent(void *ctx, bool reused)
+{
+	struct xfer *xfer = ctx;
+	struct proxyd *proxyd = xfer->proxyd;
+	clk_ms now = proxyd_now(proxyd);
+
+	(void)reused;
+	if (xfer->px.attempts == 0)
+		hist_add(&proxyd->placed_ms, now - xfer->at);
+	xfer->sent_at = now;
+	xfer->last_at = now;
+	px_on_sent(&xfer->px);
+}
+
+/* The attempt has brought its first sign of running. */
+static void on_first(struct xfer *xfer, clk_ms ago)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+
+	if (xfer->had_first)
+		return;
+	xfer->had_first = true;
+	fleet_first(xfer->worker, &xfer->ask);
+	count_begun(xfer, ago);
+	if (!xfer->px.begun)
+		hist_add(&proxyd->first_ms, proxyd_now(proxyd) - xfer->at);
+}
+
+static void on_head(void *ctx, const struct h1_head *head)
+{
+	struct xfer *xfer = ctx;
+	struct xfer_response *response = &xfer->response;
+	clk_ms now = proxyd_now(xfer->proxyd);
+
+	xfer->last_at = now;
+	response->seen = true;
+	response->status = head->status;
+	head_response_parse(head, &response->says);
+	if (response->says.has_load)
+		fleet_on_load(xfer->worker, response->says.running,
+			      response->says.waiting, now);
+	if (!response->says.not_run && head->status / 100 == 2 &&
+	    !response->says.is_signed) {
+		hc_cancel(xfer->attempt);
+		xfer->attempt = NULL;
+		attempt_over(xfer, PX_END_CUT, "unsigned_answer");
+		return;
+	}
+	response->headers = head_response_build(head);
+	response->body = g_string_sized_new(0);
+	response->events =
+		head->status / 100 == 2 &&
+		(xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE);
+	if (!response->events && !response->says.not_run)
+		on_first(xfer, now - xfer->sent_at);
+}
+
+/* Passes whole events on. */
+static void events_pass(struct xfer *xfer, const GString *events)
+{
+	if (events->len == 0)
+		return;
+	on_first(xfer, 0);
+	if (!xfer->px.begun) {
+		hs_begin(xfer->call, xfer->response.status,
+			 xfer->response.headers->str);
+		xfer->px.begun = true;
+	}
+	hs_send(xfer->call, events->str, events->len);
+}
+
+static void on_data(void *ctx, const char *ptr, size_t len)
+{
+	struct xfer *xfer = ctx;
+	struct xfer_response *response = &xfer->response;
+	const char *why = "gap_in_events";
+	bool ok;
+
+	xfer->last_at = proxyd_now(xfer->proxyd);
+	if (response->events) {
+		GString *out = g_string_sized_new(len + 256);
+
+		ok = sse_take(&xfer->sse, ptr, len, out);
+		events_pass(xfer, out);
+		g_string_free(out, TRUE);
+		if (ok && hs_unsent(xfer->call) > UNSENT_MAX) {
+			xfer_do(xfer, PX_BREAK, "caller_does_not_read");
+			return;
+		}
+	} else {
+		ok = response->body->len + len <= BODY_MAX;
+		why = "answer_too_large";
+		if (ok)
+			g_string_append_len(response->body, ptr, (gssize)len);
+	}
+	if (ok)
+		return;
+	hc_cancel(xfer->attempt);
+	xfer->attempt = NULL;
+	attempt_over(xfer, PX_END_CUT, why);
+}
+
+static void on_end(void *ctx, enum hc_end end)
+{
+	struct xfer *xfer = ctx;
+	const struct xfer_response *response = &xfer->response;
+
+	xfer->attempt = NULL;
+	if (response->seen && response->says.not_run) {
+		attempt_over(xfer, PX_END_NOT_RUN, "upstream_refused");
+		return;
+	}
+	switch (end) {
+	case HC_UNSENT:
+		attempt_over(xfer, PX_END_UNSENT, "no_connection");
+		return;
+	case HC_CUT:
+	case HC_BAD:
+		if (xfer->px.kind == PX_ONCE)
+			count_begun(xfer, 0);
+		attempt_over(xfer, PX_END_CUT,
+			     end == HC_BAD ? "no_response" : "cut_off");
+		return;
+	case HC_WHOLE:
+		break;
+	}
+	if (response->events && !sse_is_whole(&xfer->sse))
+		attempt_over(xfer, PX_END_CUT, "event_cut_off");
+	else if (response->status >= 500)
+		attempt_over(xfer, PX_END_FAILED, "upstream_failed");
+	else
+		attempt_over(xfer, PX_END_WHOLE, "answered");
+}
+
+void attempt_stalled(struct xfer *xfer)
+{
+	proxyd_count(xfer->proxyd, CTR_stalls);
+	hc_cancel(xfer->attempt);
+	xfer->attempt = NULL;
+	attempt_over(xfer, PX_END_CUT, "silent");
+}
+
+clk_ms attempt_patience(const struct xfer *xfer)
+{
+	switch (xfer->px.kind) {
+	case PX_ONCE:
+	case PX_STREAM:
+		/* Another attempt is not allowed: only the end counts. */
+		return CLK_NEVER / 2;
+	case PX_IDEMPOTENT:
+		return (clk_ms)((double)(xfer->end - xfer->at) *
+				PATIENCE_SHARE);
+	case PX_RESUMABLE:
+		return xfer->had_first ? GAP_PATIENCE_MS
+				       : (clk_ms)((double)xfer->route->target *
+						  FIRST_PATIENCE);
+	}
+	return CLK_NEVER / 2;
+}
+
+void attempt_start(struct xfer *xfer, const struct fleet_choice *choice)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct http_view body = hs_call_body(xfer->call);
+	clk_ms now = proxyd_now(proxyd);
+	struct fleet_worker *worker = choice->worker;
+	struct head_added added = {
+		.account = xfer->account ? xfer->account->name : NULL,
+		.worker = worker->entry.id,
+		.time_left = MAX(xfer->end - now, 1),
+		.priority = xfer->pool->engine ? xfer->priority : -1,
+		.last_event = xfer->px.begun ? xfer->sse.last_id : -1,
+		.body_len = body.len,
+		.has_body = body.len > 0 ||
+			    hs_call_head(xfer->call)->framing != H1_NONE,
+	};
+	GString *head = head_request_build(hs_call_head(xfer->call), &added);
+	GBytes *bytes = body.len > 0 ? g_bytes_new(body.ptr, body.len) : NULL;
+	struct hc_spec spec = {
+		.head = head->str,
+		.head_len = head->len,
+		.body = bytes,
+		.id = xfer->id,
+		.head_only =
+			h1_view_is(hs_call_head(xfer->call)->method, "HEAD"),
+		.on_sent = on_sent,
+		.on_head = on_head,
+		.on_data = on_data,
+		.on_end = on_end,
+		.ctx = xfer,
+	};
+
+	slog(SLOG_INFO, "send",
+	     "id=%s route=%s account=%s worker=%s cost_ms=%.0f cached=%d "
+	     "tokens=%d inflight=%u others=%d report_age_ms=%" G_GINT64_FORMAT
+	     " candidates=%u config=%" G_GINT64_FORMAT
+	     " left_ms=%" G_GINT64_FORMAT,
+	     xfer->id, xfer->route->name,
+	     xfer->account ? xfer->account->name : "", worker->entry.id,
+	     choice->cost, choice->cached, xfer->ask.prompt_tokens,
+	     worker->inflight, worker->others,
+	     worker->reported_at ? now - worker->reported_at : -1,
+	     choice->candidates, proxyd->tab_revision, added.time_left);
+	xfer->worker = fleet_worker_ref(worker);
+	xfer->had_first = false;
+	xfer->sent_at = 0;
+	fleet_begin(worker, &xfer->ask, now);
+	xfer->attempt = hc_start(worker->peer, &spec);
+	g_string_free(head, TRUE);
+	if (bytes)
+		g_bytes_unref(bytes);
+}
--- /dev/null
+++ b/daemon/proxyd-door.c
@@ -0,0 +1,71 @@
+/* Questions to the host itself: look-ups, readiness, metrics. */
+#include "proxyd.h"
+
+#include <string.h>
+
+#define ADDRESSES_MAX 64 /* in one answer */
+
+/* Whether this host takes callers. */
+static bool is_ready(const struct proxyd *proxyd)
+{
+	return follow_ready(proxyd) && !proxyd->stopping;
+}
+
+static void answer_addresses(struct proxyd *proxyd, struct hs_call *call)
+{
+	char *addresses[ADDRESSES_MAX];
+	const GPtrArray *order = proxyd->members->order;
+	size_t count = 0;
+
+	if (is_ready(proxyd))
+		addresses[count++] = proxyd->conf->front;
+	for (guint i = 0; i < order->len && count < ADDRESSES_MAX; i++) {
+		struct member *member = g_ptr_array_index(order, i);
+
+		if (member->info.state == MEMBER_ALIVE)
+			addresses[count++] = member->info.http;
+	}
+	slog(SLOG_INFO, "lookup", "hosts=%zu", count);
+	if (count == 0)
+		hs_reply(call, 503, NULL, "", 0);
+	else
+		door_reply_addresses(
+			call, addresses, count,
+			(clk_ms)(proxyd->conf->lookup_keep_s * CLK_SECOND));
+}
+
+void door_on_call(void *ctx, struct hs_call *call)
+{
+	struct proxyd *proxyd = ctx;
+
+	switch (door_question(call)) {
+	case DOOR_ADDRESSES:
+		answer_addresses(proxyd, call);
+		return;
+	case DOOR_READY:
+		door_reply_ready(call, is_ready(proxyd));
+		return;
+	case DOOR_NONE:
+		hs_reply(call, 404, NULL, "", 0);
+		return;
+	}
+}
+
+void door_on_metrics(void *ctx, struct hs_call *call)
+{
+	struct proxyd *proxyd = ctx;
+	GString *text = ctr_print(&proxyd->ctrs);
+
+	hist_print(&proxyd->placed_ms, "placed_ms", text);
+	hist_print(&proxyd->first_ms, "first_ms", text);
+	hist_print(&proxyd->whole_ms, "whole_ms", text);
+	g_string_append_printf(
+		text,
+		"requests_open %zu\nhosts_live %u\n"
+		"config_revision %" G_GINT64_FORMAT "\nworkers %u\n",
+		proxyd->xfers, proxyd_hosts(proxyd), proxyd->tab_revision,
+		g_hash_table_size(proxyd->fleet->workers));
+	hs_reply(call, 200, "Content-Type: text/plain\r\n", text->str,
+		 text->len);
+	g_string_free(text, TRUE);
+}
--- /dev/null
+++ b/daemon/proxyd-duty.c
@@ -0,0 +1,330 @@
+/* The singleton duties: holding them, and reports of usage. */
+#include "proxyd-leader.h"
+
+#include <string.h>
+
+#include "../wire/json.h"
+
+#define SETTLE_MS 2500 /* after a window, for all hosts' counts */
+#define CLOUD_TIMEOUT_MS 1500
+#define REPORT_RETRY_MS 400
+#define USAGE_LEASE_MS 600000 /* windows' counts are kept in the store */
+#define CATCH_UP_WINDOWS 3    /* that a new holder still reports */
+
+static void on_claimed(void *ctx, enum kv_outcome outcome, int64_t revision);
+static void window_send(struct proxyd *proxyd);
+
+void duty_start(struct proxyd *proxyd)
+{
+	proxyd->leader = g_new0(struct leader, 1);
+	scale_start(proxyd);
+}
+
+/* The holder's key names the host and its lease. */
+void duty_on_item(struct proxyd *proxyd, const struct store_item *item)
+{
+	struct json_object *obj;
+	bool ours = false;
+	gsize len;
+	const char *ptr;
+
+	if (strcmp(item->key, HOLDER_KEY) != 0)
+		return;
+	if (item->value) {
+		ptr = g_bytes_get_data(item->value, &len);
+		obj = json_parse_object(ptr, len);
+		ours = obj && proxyd->duty.lease &&
+		       json_int(obj, "lease", 0) == proxyd->duty.lease;
+		if (obj)
+			json_object_put(obj);
+	}
+	slog(SLOG_NOTICE, "duty", "revision=%" G_GINT64_FORMAT " outcome=%s",
+	     item->mod,
+	     !item->value ? "free"
+	     : ours	  ? "held_here"
+			  : "held_elsewhere");
+	if (ours)
+		/* The answer to the claim may be lost: this is as good. */
+		duty_on_claim(&proxyd->duty, true, item->mod,
+			      proxyd_boot_now());
+	duty_on_key(&proxyd->duty, item->value != NULL, ours,
+		    proxyd_boot_now());
+}
+
+void duty_on_snapshot(struct proxyd *proxyd)
+{
+	const struct store_item *item =
+		store_get(proxyd->follow[FOLLOW_OWN].replica, HOLDER_KEY);
+
+	if (!item || !item->value)
+		duty_on_key(&proxyd->duty, false, false, proxyd_boot_now());
+}
+
+static void on_lease(void *ctx, enum kv_outcome outcome, int64_t lease)
+{
+	struct proxyd *proxyd = ctx;
+	char *value;
+
+	duty_on_lease(&proxyd->duty, outcome == KV_OK, lease,
+		      proxyd_boot_now());
+	if (proxyd->duty.state != DUTY_CLAIMING)
+		return;
+	value = g_strdup_printf("{\"host\":\"%s\",\"lease\":%" G_GINT64_FORMAT
+				"}",
+				proxyd->conf->name, lease);
+	kv_change(proxyd->kv,
+		  &(struct kv_change){
+			  .key = HOLDER_KEY,
+			  .value = value,
+			  .lease = lease,
+		  },
+		  on_claimed, proxyd);
+	g_free(value);
+}
+
+static void on_claimed(void *ctx, enum kv_outcome outcome, int64_t revision)
+{
+	struct proxyd *proxyd = ctx;
+
+	/* Without an answer the key itself tells, when it is seen. */
+	if (outcome != KV_UNSURE)
+		duty_on_claim(&proxyd->duty, outcome == KV_OK, revision,
+			      proxyd_boot_now());
+}
+
+static void on_renewed(void *ctx, enum kv_outcome outcome, int64_t number)
+{
+	struct proxyd *proxyd = ctx;
+
+	(void)number;
+	duty_on_renewal(&proxyd->duty, outcome == KV_OK, outcome == KV_MISSING,
+			proxyd_boot_now());
+}
+
+/* Usage. */
+
+static void counts_add(void *ctx, const char *account, int64_t count)
+{
+	struct json_object *obj = ctx;
+
+	json_add_int(obj, account, json_int(obj, account, 0) + count);
+}
+
+/* Adds a window's counts up. */
+static char *window_counts(struct proxyd *proxyd, int64_t window)
+{
+	struct json_object *obj = json_object_new_object();
+	size_t len;
+	char *text;
+
+	usage_each(&proxyd->usage, NULL, window, counts_add, obj);
+	text = g_strdup(json_print(obj, &len));
+	json_object_put(obj);
+	return text;
+}
+
+/* The report under way is over. */
+static void report_end(struct proxyd *proxyd, bool done)
+{
+	struct leader *leader = proxyd->leader;
+
+	leader->reporting = false;
+	if (done)
+		leader->reported = leader->window;
+	else
+		leader->next_report = proxyd_now(proxyd) + REPORT_RETRY_MS;
+	g_free(leader->counts);
+	leader->counts = NULL;
+}
+
+static void on_reported(void *ctx, enum cloud_outcome outcome)
+{
+	struct proxyd *proxyd = ctx;
+	struct leader *leader = proxyd->leader;
+
+	slog(SLOG_NOTICE, "usage",
+	     "window=%" G_GINT64_FORMAT " fence=%" G_GINT64_FORMAT
+	     " counts=%s outcome=%s",
+	     leader->window, proxyd->duty.fence, leader->counts,
+	     outcome == CLOUD_DONE ? "accepted" : "not_accepted");
+	if (outcome == CLOUD_DONE)
+		proxyd_count(proxyd, CTR_usage_reports);
+	report_end(proxyd, outcome == CLOUD_DONE);
+}
+
+/* Sends what the store holds for the window. */
+static void window_send(struct proxyd *proxyd)
+{
+	struct cloud_holder holder = {
+		.host = proxyd->conf->name,
+		.fence = proxyd->duty.fence,
+	};
+
+	if (!duty_may_act(&proxyd->duty, proxyd_boot_now())) {
+		report_end(proxyd, false);
+		return;
+	}
+	cloud_report_usage(proxyd->cloud, &holder, proxyd->leader->window,
+			   proxyd->leader->counts, CLOUD_TIMEOUT_MS,
+			   on_reported, proxyd);
+}
+
+/* Another holder has fixed the window's counts, or this one has and did not
+ * hear of it: they are read and sent as they are. */
+static void on_window_read(void *ctx, enum kv_outcome outcome,
+			   const struct kv_page *page)
+{
+	struct proxyd *proxyd = ctx;
+	struct leader *leader = proxyd->leader;
+	char *key = g_strdup_printf(USAGE_PREFIX "%" G_GINT64_FORMAT,
+				    leader->window);
+	GBytes *found = NULL;
+	gsize len;
+	const char *ptr;
+
+	for (size_t i = 0; outcome == KV_OK && i < page->count; i++)
+		if (!strcmp(page->items[i].key, key))
+			found = page->items[i].value;
+	g_free(key);
+	if (!found) {
+		report_end(proxyd, false);
+		return;
+	}
+	ptr = g_bytes_get_data(found, &len);
+	g_free(leader->counts);
+	leader->counts = g_strndup(ptr, len);
+	window_send(proxyd);
+}
+
+static void window_read(struct proxyd *proxyd)
+{
+	char *key = g_strdup_printf(USAGE_PREFIX "%" G_GINT64_FORMAT,
+				    proxyd->leader->window);
+
+	kv_range(proxyd->kv, key, "", on_window_read, proxyd);
+	g_free(key);
+}
+
+static void on_window_written(void *ctx, enum kv_outcome outcome,
+			      int64_t revision)
+{
+	struct proxyd *proxyd = ctx;
+
+	(void)revision;
+	if (outcome == KV_OK) {
+		window_send(proxyd);
+	} else if (outcome == KV_CONFLICT || outcome == KV_UNSURE) {
+		window_read(proxyd);
+	} else {
+		proxyd->leader->usage_lease = 0; /* it may have ended */
+		report_end(proxyd, false);
+	}
+}
+
+/* Counts are written before they are sent, so that whoever sends the window
+ * again sends the same. */
+static void window_write(struct proxyd *proxyd)
+{
+	struct leader *leader = proxyd->leader;
+	char *key;
+
+	key = g_strdup_printf(USAGE_PREFIX "%" G_GINT64_FORMAT, leader->window);
+	kv_change(proxyd->kv,
+		  &(struct kv_change){
+			  .key = key,
+			  .value = leader->counts,
+			  .lease = leader->usage_lease,
+		  },
+		  on_window_written, proxyd);
+	g_free(key);
+}
+
+static void on_usage_lease(void *ctx, enum kv_outcome outcome, int64_t lease)
+{
+	struct proxyd *proxyd = ctx;
+	struct leader *leader = proxyd->leader;
+
+	if (outcome != KV_OK) {
+		report_end(proxyd, false);
+		return;
+	}
+	leader->usage_lease = lease;
+	leader->lease_until = proxyd_boot_now() + USAGE_LEASE_MS / 2;
+	window_write(proxyd);
+}
+
+/* Reports the next window that is over and settled. */
+static void usage_run(struct proxyd *proxyd)
+{
+	struct leader *leader = proxyd->leader;
+	clk_ms wall = proxyd_wall(proxyd);
+	int64_t ended = usage_window(&proxyd->usage, wall - SETTLE_MS) - 1;
+	int64_t oldest = usage_window(&proxyd->usage, wall) - CATCH_UP_WINDOWS;
+
+	if (leader->reporting || proxyd_now(proxyd) < leader->next_report)
+		return;
+	if (leader->reported < oldest - 1)
+		leader->reported = oldest - 1;
+	if (leader->reported >= ended)
+		return;
+	leader->reporting = true;
+	leader->window = leader->reported + 1;
+	leader->counts = window_counts(proxyd, leader->window);
+	if (leader->usage_lease && proxyd_boot_now() < leader->lease_until)
+		window_write(proxyd);
+	else
+		kv_lease(proxyd->kv, USAGE_LEASE_MS, on_usage_lease, proxyd);
+}
+
+/* Does what the duties ask for next. */
+static void step_do(struct proxyd *proxyd, enum duty_step step)
+{
+	switch (step) {
+	case DUTY_NOTHING:
+		return;
+	case DUTY_ASK_LEASE:
+		kv_lease(proxyd->kv, proxyd->conf->lease_ms, on_lease, proxyd);
+		return;
+	case DUTY_RENEW:
+		kv_keep(proxyd->kv, proxyd->duty.lease, on_renewed, proxyd);
+		return;
+	}
+}
+
+void duty_run(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_boot_now();
+	struct leader *leader = proxyd->leader;
+	bool holds;
+
+	if (!proxyd->cloud)
+		return;
+	step_do(proxyd, duty_tick(&proxyd->duty,
+				  member_self_rank(proxyd->members, DUTY_RANK),
+				  follow_ready(proxyd) && !proxyd->stopping &&
+					  proxyd->follow[FOLLOW_OWN].whole,
+				  now));
+	holds = duty_may_act(&proxyd->duty, now);
+	if (holds != leader->was_holder) {
+		leader->was_holder = holds;
+		slog(SLOG_NOTICE, "duty",
+		     "fence=%" G_GINT64_FORMAT " outcome=%s",
+		     proxyd->duty.fence, holds ? "acting" : "not_acting");
+		if (holds) {
+			proxyd_count(proxyd, CTR_duty_terms);
+			scale_forget_orders(proxyd);
+		}
+	}
+	if (!holds)
+		return;
+	usage_run(proxyd);
+	scale_run(proxyd);
+}
+
+void duty_stop(struct proxyd *proxyd)
+{
+	int64_t lease = proxyd->duty.lease;
+
+	if (duty_resign(&proxyd->duty, proxyd_boot_now()))
+		kv_lease_end(proxyd->kv, lease);
+}
--- /dev/null
+++ b/daemon/proxyd-follow.c
@@ -0,0 +1,354 @@
+/* Replicas of the platform's store, and what they mean here. */
+#include "proxyd.h"
+
+#include <string.h>
+
+#define WATCH_WAIT_MS 8000 /* of one watch; a silent store shows after it */
+#define RETRY_MS 300	   /* after a failed call; doubled, up to */
+#define RETRY_MAX_MS 2400
+#define RETURN_MS 2500 /* entries that lapsed are back after it */
+
+static const char *const prefixes[FOLLOW_COUNT] = {
+	[FOLLOW_CONFIG] = DECODE_CONFIG_PREFIX,
+	[FOLLOW_WORKERS] = DECODE_WORKER_PREFIX,
+	[FOLLOW_OWN] = OWN_PREFIX,
+};
+
+static void follow_next(struct follow *follow);
+
+/* Puts the limits on callers in force. */
+static void limits_apply(struct proxyd *proxyd, const struct tab_limits *limits)
+{
+	struct hs_limits front = {
+		.head_max = limits->head_max,
+		.body_max = limits->body_max,
+		.head_timeout = limits->head_timeout,
+		.idle_timeout = limits->idle_timeout,
+		.connections = (size_t)MAX(proxyd->conf->descriptors / 2, 64),
+	};
+
+	hs_set_limits(proxyd->front, &front);
+}
+
+/* Puts the accounts' limits in force; one that is gone keeps its state. */
+static void accounts_apply(struct proxyd *proxyd, const struct tab *tab)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, tab->accounts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct tab_account *account = value;
+		struct quota *quota =
+			g_hash_table_lookup(proxyd->quotas, account->name);
+
+		if (!quota) {
+			quota = quota_create();
+			g_hash_table_insert(proxyd->quotas,
+					    g_strdup(account->name), quota);
+		}
+		quota_set(quota, account->rate, account->burst,
+			  account->counts_tokens ? proxyd->conf->quota_tolerance
+						 : 0,
+			  proxyd_now(proxyd));
+	}
+}
+
+/* Puts a configuration in force, unless it can't be read. */
+static void config_apply(struct proxyd *proxyd, const struct store_item *item)
+{
+	GError *error = NULL;
+	struct tab *tab;
+
+	if (strcmp(item->key, DECODE_CONFIG_KEY) != 0 || !item->value)
+		return;
+	tab = decode_config(item->value, &error);
+	if (!tab) {
+		proxyd_count(proxyd, CTR_settings_bad);
+		slog(SLOG_WARN, "config",
+		     "revision=%" G_GINT64_FORMAT
+		     " outcome=kept_old cause=\"%s\"",
+		     item->mod, error->message);
+		g_error_free(error);
+		return;
+	}
+	proxyd_count(proxyd, CTR_settings_changes);
+	tab_unref(proxyd->tab);
+	proxyd->tab = tab;
+	proxyd->tab_revision = item->mod;
+	limits_apply(proxyd, &tab->limits);
+	accounts_apply(proxyd, tab);
+	slog(SLOG_NOTICE, "config",
+	     "revision=%" G_GINT64_FORMAT " version=%" G_GINT64_FORMAT
+	     " routes=%u accounts=%u outcome=in_force",
+	     item->mod, tab->version, g_hash_table_size(tab->routes),
+	     g_hash_table_size(tab->accounts));
+}
+
+/* Whether entries may be missing only because the store was away. */
+static bool store_was_away(const struct proxyd *proxyd)
+{
+	return proxyd->store_lost_at ||
+	       (proxyd->store_back_at &&
+		proxyd_now(proxyd) - proxyd->store_back_at < RETURN_MS);
+}
+
+/* A worker's entry is missing. */
+static void worker_missing(struct proxyd *proxyd, const char *id)
+{
+	struct fleet_worker *worker = fleet_find(proxyd->fleet, id);
+
+	if (!worker)
+		return;
+	if (store_was_away(proxyd)) {
+		worker->gone_at = proxyd_now(proxyd) + RETURN_MS;
+		slog(SLOG_NOTICE, "worker",
+		     "worker=%s outcome=doubted why=store_was_away", id);
+		return;
+	}
+	slog(SLOG_NOTICE, "worker", "worker=%s outcome=gone", id);
+	fleet_remove(proxyd->fleet, id);
+}
+
+/* Puts a worker's entry in force. */
+static void worker_apply(struct proxyd *proxyd, const struct store_item *item)
+{
+	const char *id = item->key + strlen(DECODE_WORKER_PREFIX);
+	const struct fleet_worker *worker = fleet_find(proxyd->fleet, id);
+	struct fleet_entry entry;
+	GError *error = NULL;
+	bool known = worker && !worker->gone_at;
+	bool was_leaving = worker && worker->entry.leaving;
+
+	if (!item->value) {
+		worker_missing(proxyd, id);
+		return;
+	}
+	if (!decode_worker(id, item->value, &entry, &error)) {
+		proxyd_count(proxyd, CTR_workers_bad);
+		slog(SLOG_WARN, "worker",
+		     "worker=%s revision=%" G_GINT64_FORMAT
+		     " outcome=not_used cause=\"%s\"",
+		     id, item->mod, error->message);
+		g_error_free(error);
+		fleet_remove(proxyd->fleet, id);
+		return;
+	}
+	worker = fleet_put(proxyd->fleet, &entry, item->mod);
+	if (!known || was_leaving != worker->entry.leaving)
+		slog(SLOG_NOTICE, "worker",
+		     "worker=%s pool=%s address=%s data_centre=%s spot=%d "
+		     "revision=%" G_GINT64_FORMAT " outcome=%s",
+		     worker->entry.id, worker->entry.pool,
+		     worker->entry.address, worker->entry.data_centre,
+		     worker->entry.spot, item->mod,
+		     worker->entry.leaving ? "leaving" : "takes_work");
+}
+
+static void own_apply(struct proxyd *proxyd, const struct store_item *item)
+{
+	gsize len;
+	const char *ptr;
+	char *address;
+
+	duty_on_item(proxyd, item);
+	if (!g_str_has_prefix(item->key, HOST_PREFIX) || !item->value)
+		return;
+	ptr = g_bytes_get_data(item->value, &len);
+	address = g_strndup(ptr, len);
+	peer_on_host_key(proxyd, address);
+	g_free(address);
+}
+
+static void on_changed(void *ctx, const struct store_item *item)
+{
+	static void (*const apply[FOLLOW_COUNT])(
+		struct proxyd * proxyd, const struct store_item *item) = {
+		[FOLLOW_CONFIG] = config_apply,
+		[FOLLOW_WORKERS] = worker_apply,
+		[FOLLOW_OWN] = own_apply,
+	};
+	struct follow *follow = ctx;
+
+	apply[follow - follow->proxyd->follow](follow->proxyd, item);
+}
+
+/* The store answers, or does not: the change is logged. */
+static void store_seen(struct proxyd *proxyd, bool answers)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	if (answers && proxyd->store_lost_at) {
+		slog(SLOG_NOTICE, "store",
+		     "outcome=regained lost_ms=%" G_GINT64_FORMAT,
+		     now - proxyd->store_lost_at);
+		proxyd->store_lost_at = 0;
+		proxyd->store_back_at = now;
+	} else if (!answers && !proxyd->store_lost_at) {
+		slog(SLOG_WARN, "store", "outcome=lost");
+		proxyd->store_lost_at = now;
+	}
+}
+
+/* A call of a follower has failed: it is made again later. */
+static void follow_failed(struct follow *follow, enum kv_outcome outcome)
+{
+	struct proxyd *proxyd = follow->proxyd;
+	clk_ms wait =
+		MIN((clk_ms)RETRY_MS << MIN(follow->failures, 4), RETRY_MAX_MS);
+
+	follow->failures++;
+	follow->next = proxyd_now(proxyd) + wait / 2 +
+		       proxyd_random(proxyd, (uint32_t)wait / 2);
+	if (outcome == KV_COMPACT) {
+		slog(SLOG_NOTICE, "follow",
+		     "prefix=%s revision=%" G_GINT64_FORMAT
+		     " outcome=history_gone",
+		     follow->prefix, follow->replica->revision);
+		follow->whole = false;
+		follow->next = proxyd_now(proxyd);
+	} else {
+		store_seen(proxyd, false);
+	}
+}
+
+static void items_put(struct follow *follow, const struct kv_page *page)
+{
+	for (size_t i = 0; i < page->count; i++) {
+		const struct kv_item *item = &page->items[i];
+
+		store_put(follow->replica, item->key, item->value,
+			  item->revision);
+		if (follow->present)
+			g_hash_table_add(follow->present, g_strdup(item->key));
+	}
+}
+
+/* A page of a snapshot has come. */
+static void on_range(void *ctx, enum kv_outcome outcome,
+		     const struct kv_page *page)
+{
+	struct follow *follow = ctx;
+	struct proxyd *proxyd = follow->proxyd;
+
+	follow->reading = false;
+	if (outcome != KV_OK) {
+		g_hash_table_remove_all(follow->present);
+		follow_failed(follow, outcome);
+		return;
+	}
+	store_seen(proxyd, true);
+	follow->failures = 0;
+	if (follow->snapshot_at == 0)
+		follow->snapshot_at = page->at;
+	items_put(follow, page);
+	if (page->more && page->count > 0) {
+		follow->reading = true;
+		kv_range(proxyd->kv, follow->prefix,
+			 page->items[page->count - 1].key, on_range, follow);
+		return;
+	}
+	/* What changed while the pages were read comes with the watch. */
+	store_snapshot(follow->replica, follow->present, follow->snapshot_at);
+	g_hash_table_destroy(follow->present);
+	follow->present = NULL;
+	follow->whole = true;
+	if (follow == &proxyd->follow[FOLLOW_OWN])
+		duty_on_snapshot(proxyd);
+	slog(SLOG_NOTICE, "follow",
+	     "prefix=%s revision=%" G_GINT64_FORMAT " outcome=snapshot",
+	     follow->prefix, follow->snapshot_at);
+	follow_next(follow);
+}
+
+static void on_watch(void *ctx, enum kv_outcome outcome,
+		     const struct kv_page *page)
+{
+	struct follow *follow = ctx;
+
+	follow->reading = false;
+	if (outcome != KV_OK) {
+		follow_failed(follow, outcome);
+		return;
+	}
+	store_seen(follow->proxyd, true);
+	follow->failures = 0;
+	items_put(follow, page);
+	if (page->at > 0)
+		store_complete(follow->replica, page->at);
+	follow_next(follow);
+}
+
+/* Makes the next call of a follower. */
+static void follow_next(struct follow *follow)
+{
+	struct proxyd *proxyd = follow->proxyd;
+
+	follow->reading = true;
+	if (follow->whole) {
+		kv_watch(proxyd->kv, follow->prefix, follow->replica->revision,
+			 WATCH_WAIT_MS, on_watch, follow);
+		return;
+	}
+	if (follow->present)
+		g_hash_table_remove_all(follow->present);
+	else
+		follow->present = g_hash_table_new_full(g_str_hash, g_str_equal,
+							g_free, NULL);
+	follow->snapshot_at = 0;
+	kv_range(proxyd->kv, follow->prefix, "", on_range, follow);
+}
+
+void follow_start(struct proxyd *proxyd)
+{
+	for (int i = 0; i < FOLLOW_COUNT; i++) {
+		struct follow *follow = &proxyd->follow[i];
+
+		follow->proxyd = proxyd;
+		follow->prefix = prefixes[i];
+		follow->replica = store_create(on_changed, follow);
+	}
+}
+
+/* Removes the workers whose entries have not come back. */
+static void doubts_end(struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer value;
+	struct fleet_worker *gone = NULL;
+	clk_ms now = proxyd_now(proxyd);
+
+	if (proxyd->store_lost_at)
+		return;
+	g_hash_table_iter_init(&iter, proxyd->fleet->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fleet_worker *worker = value;
+
+		if (worker->gone_at && now >= worker->gone_at)
+			gone = worker;
+	}
+	if (!gone)
+		return;
+	slog(SLOG_NOTICE, "worker", "worker=%s outcome=gone why=entry_not_back",
+	     gone->entry.id);
+	fleet_remove(proxyd->fleet, gone->entry.id);
+}
+
+void follow_tick(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	for (int i = 0; i < FOLLOW_COUNT; i++) {
+		struct follow *follow = &proxyd->follow[i];
+
+		if (!follow->reading && now >= follow->next)
+			follow_next(follow);
+	}
+	doubts_end(proxyd);
+}
+
+bool follow_ready(const struct proxyd *proxyd)
+{
+	return proxyd->tab &&
+	       proxyd->follow[FOLLOW_WORKERS].replica->revision > 0;
+}
--- /dev/null
+++ b/daemon/proxyd-front.c
@@ -0,0 +1,208 @@
+/* A caller's request: what it is allowed, and what it needs. */
+#include "proxyd-xfer.h"
+
+#include <string.h>
+
+#define DEADLINE_DEFAULT_MS 15000 /* of a request that states none */
+#define ENGINE_PRIORITIES 10	  /* 0 to 9 */
+#define ROUTE_PRIORITIES 3	  /* told apart within an account's */
+#define PRIORITY_DEFAULT 1	  /* of an account that states none */
+
+void front_answer(struct proxyd *proxyd, struct hs_call *call,
+		  enum err_kind kind, clk_ms retry_after, const char *why)
+{
+	const struct err_answer *answer = err_answer(kind);
+	const struct http_view id = h1_find(hs_call_head(call), HEAD_ID);
+	GString *headers = head_answer_build(retry_after);
+	char body[256];
+	int len = g_snprintf(body, sizeof(body),
+			     "{\"code\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}",
+			     answer->name, err_ran_name(answer->ran),
+			     answer->text);
+
+	slog(SLOG_INFO, "answer",
+	     "id=%.*s status=%d code=%s ran=%s retry_after_ms=%" G_GINT64_FORMAT
+	     " config=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT
+	     " why=%s",
+	     SLOG_VIEW(id), answer->status, answer->name,
+	     err_ran_name(answer->ran), retry_after, proxyd->tab_revision,
+	     proxyd_now(proxyd) - hs_call_at(call), why);
+	hs_reply(call, answer->status, headers->str, body, (size_t)len);
+	g_string_free(headers, TRUE);
+}
+
+void front_on_refused(void *ctx, int status)
+{
+	struct proxyd *proxyd = ctx;
+
+	proxyd_count(proxyd, CTR_bad_input);
+	slog(SLOG_INFO, "answer", "id= status=%d why=not_a_whole_request",
+	     status);
+}
+
+/* How often a request names itself. */
+static unsigned id_count(const struct h1_head *head)
+{
+	unsigned count = 0;
+
+	for (size_t i = 0; i < head->count; i++)
+		count += h1_view_is(head->headers[i].name, HEAD_ID);
+	return count;
+}
+
+/* Finds the route; NULL if no route takes the request. */
+static const struct tab_route *route_of(const struct tab *tab,
+					const struct hs_call *call)
+{
+	struct http_view host = h1_find(hs_call_head(call), "host");
+	struct http_view path = hs_call_path(call);
+	const char *colon = memchr(host.ptr, ':', host.len);
+	size_t len = colon ? (size_t)(colon - host.ptr) : host.len;
+
+	return tab_find(tab, host.ptr, len, path.ptr, path.len);
+}
+
+/* What a request counts against its account's limit. */
+static double units_of(const struct tab_account *account,
+		       const struct head_request *says)
+{
+	if (!account->counts_tokens)
+		return 1;
+	if (!says->states_tokens)
+		return account->default_tokens;
+	return says->prompt_tokens + says->output_tokens_max;
+}
+
+/* The priority at an engine: the account's first, then the route's. */
+static int priority_of(const struct tab_route *route,
+		       const struct tab_account *account)
+{
+	int first = account && account->priority >= 0 ? account->priority
+						      : PRIORITY_DEFAULT;
+	int second = CLAMP(route->priority, 0, ROUTE_PRIORITIES - 1);
+
+	return MIN(first * ROUTE_PRIORITIES + second, ENGINE_PRIORITIES - 1);
+}
+
+/* Fills what the choice of a worker needs. */
+static void ask_fill(struct xfer *xfer)
+{
+	const struct head_request *says = &xfer->says;
+
+	xfer->ask = (struct fleet_ask){
+		.pool = xfer->pool->name,
+		.engine = xfer->pool->engine,
+		.data_centre = xfer->proxyd->conf->data_centre,
+		.prompt_tokens = says->prompt_tokens,
+		.part_count = says->part_count,
+	};
+	memcpy(xfer->ask.parts, says->parts, sizeof(says->parts));
+}
+
+/* Makes a request of what passed all checks. */
+static struct xfer *xfer_create(struct proxyd *proxyd, struct hs_call *call,
+				const struct tab_route *route,
+				const struct tab_account *account,
+				const struct head_request *says)
+{
+	struct xfer *xfer = g_new0(struct xfer, 1);
+	clk_ms left =
+		says->time_left >= 0 ? says->time_left : DEADLINE_DEFAULT_MS;
+
+	xfer->proxyd = proxyd;
+	xfer->call = call;
+	xfer->tab = tab_ref(proxyd->tab);
+	xfer->route = route;
+	xfer->account = account;
+	xfer->pool = tab_pick(route, g_rand_int(proxyd->rand));
+	xfer->says = *says;
+	xfer->id = g_strndup(says->id.ptr, says->id.len);
+	xfer->px = (struct px){
+		.kind = route->kind,
+		.max_attempts = route->max_attempts,
+	};
+	sse_init(&xfer->sse, says->last_event);
+	xfer->priority = priority_of(route, account);
+	xfer->at = hs_call_at(call);
+	xfer->end = xfer->at + MIN(left, route->timeout);
+	ask_fill(xfer);
+	return xfer;
+}
+
+/* Checks a request's key; returns false if it has been answered. */
+static bool account_check(struct proxyd *proxyd, struct hs_call *call,
+			  const struct tab_route *route,
+			  const struct head_request *says,
+			  const struct tab_account **account)
+{
+	*account = NULL;
+	if (route->is_public || !proxyd->tab->has_accounts)
+		return true;
+	*account = says->key.len > 0
+			   ? tab_account_of(proxyd->tab, says->key.ptr,
+					    says->key.len)
+			   : NULL;
+	if (*account)
+		return true;
+	proxyd_count(proxyd, CTR_refused_key);
+	front_answer(proxyd, call, RW_EKEY, 0, "unknown_key");
+	return false;
+}
+
+/* Takes a request out of its account's limit; returns false if that has
+ * none left, and the request has been answered. */
+static bool quota_check(struct proxyd *proxyd, struct hs_call *call,
+			const struct tab_account *account, double units,
+			struct quota **quota)
+{
+	clk_ms come_back = 0;
+
+	*quota = account ? g_hash_table_lookup(proxyd->quotas, account->name)
+			 : NULL;
+	if (!*quota || quota_take(*quota, units, proxyd_hosts(proxyd),
+				  proxyd_now(proxyd), &come_back))
+		return true;
+	proxyd_count(proxyd, CTR_refused_limit);
+	front_answer(proxyd, call, RW_ELIMIT, come_back, "over_limit");
+	return false;
+}
+
+void front_on_call(void *ctx, struct hs_call *call)
+{
+	struct proxyd *proxyd = ctx;
+	const struct tab_account *account;
+	const struct tab_route *route;
+	struct head_request says;
+	struct quota *quota;
+	struct xfer *xfer;
+	double units;
+
+	proxyd_count(proxyd, CTR_requests);
+	if (!follow_ready(proxyd)) {
+		front_answer(proxyd, call, RW_ENOTREADY,
+			     err_answer(RW_ENOTREADY)->come_back_ms,
+			     "no_configuration");
+		return;
+	}
+	head_request_parse(hs_call_head(call), &says);
+	route = route_of(proxyd->tab, call);
+	if (!route) {
+		proxyd_count(proxyd, CTR_refused_route);
+		front_answer(proxyd, call, RW_ENOROUTE, 0, "no_route");
+		return;
+	}
+	if (!account_check(proxyd, call, route, &says, &account))
+		return;
+	if (id_count(hs_call_head(call)) != 1 || says.id.len == 0) {
+		proxyd_count(proxyd, CTR_bad_input);
+		front_answer(proxyd, call, RW_EBADFIELD, 0, "no_single_id");
+		return;
+	}
+	units = account ? units_of(account, &says) : 0;
+	if (!quota_check(proxyd, call, account, units, &quota))
+		return;
+	xfer = xfer_create(proxyd, call, route, account, &says);
+	xfer->quota = quota;
+	xfer->units = units;
+	xfer_start(xfer);
+}
--- /dev/null
+++ b/daemon/proxyd-leader.h
@@ -0,0 +1,24 @@
+/* What the holder of the duties keeps. */
+#ifndef DAEMON_PROXYD_LEADER_H
+#define DAEMON_PROXYD_LEADER_H
+
+#include "../decide/scale.h"
+#include "proxyd.h"
+
+struct leader {
+	GHashTable *scaled; /* pool -> struct scaled; proxyd-scale.c */
+	clk_ms next_scale;
+	int64_t reported; /* newest window whose report is done */
+	bool reporting;	  /* a report is under way */
+	int64_t window;	  /* of the report under way */
+	char *counts;	  /* its JSON object */
+	clk_ms next_report;
+	int64_t usage_lease; /* of the windows' keys; 0: none */
+	clk_ms lease_until;  /* windows are written under it */
+	bool was_holder;
+};
+
+/* What the holder before has ordered is not known. */
+void scale_forget_orders(struct proxyd *proxyd);
+
+#endif
--- /dev/null
+++ b/daemon/proxyd-scale.c
@@ -0,0 +1,289 @@
+/* Orders of workers: what the holder of the duties does for all. */
+#include "proxyd-leader.h"
+
+#include <string.h>
+
+#define DEMAND_OLD_MS 3000 /* a host's report no longer counts */
+#define DRY_MS 1500	   /* before an order that found none is repeated */
+#define ORDER_TIMEOUT_MS 1500
+#define REPEAT_MS 5000 /* an order is sent again, if it isn't met */
+#define RUN_PERIOD_MS 500
+#define NEED_START 6.0	    /* busy workers, before any demand is known */
+#define LOWER_AFTER_MS 4000 /* workers are given up only after it */
+
+/* What one host asked of one pool. */
+struct demand {
+	double busy;
+	clk_ms at;
+};
+
+/* The orders for one kind of worker in one data centre. */
+struct order {
+	struct proxyd *proxyd;
+	char *pool;
+	char *zone;
+	bool spot;
+	int ordered; /* that the platform has accepted; -1: none yet */
+	int asked;   /* of the call under way */
+	bool busy;   /* a call is under way */
+	clk_ms sent_at;
+	clk_ms dry_until;   /* none are to be had */
+	clk_ms above_since; /* more are ordered than wanted; 0: not */
+};
+
+/* One pool that is scaled. */
+struct scaled {
+	struct scale_need need;
+	GHashTable *demand; /* process -> struct demand */
+	GHashTable *orders; /* "zone\nkind" -> struct order */
+};
+
+static struct scaled *scaled_of(struct proxyd *proxyd, const char *pool)
+{
+	GHashTable *table = proxyd->leader->scaled;
+	struct scaled *scaled = g_hash_table_lookup(table, pool);
+
+	if (scaled)
+		return scaled;
+	scaled = g_new0(struct scaled, 1);
+	scaled->need.busy = NEED_START;
+	scaled->demand =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	scaled->orders = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(table, g_strdup(pool), scaled);
+	return scaled;
+}
+
+void scale_on_demand(struct proxyd *proxyd, const char *process,
+		     const char *pool, double busy)
+{
+	struct scaled *scaled = scaled_of(proxyd, pool);
+	struct demand *demand = g_hash_table_lookup(scaled->demand, process);
+
+	if (!demand) {
+		demand = g_new0(struct demand, 1);
+		g_hash_table_insert(scaled->demand, g_strdup(process), demand);
+	}
+	demand->busy = busy;
+	demand->at = proxyd_now(proxyd);
+}
+
+/* The demand of all hosts, in busy workers. */
+static double demand_sum(struct scaled *scaled, clk_ms now)
+{
+	GHashTableIter iter;
+	gpointer value;
+	double sum = 0;
+
+	g_hash_table_iter_init(&iter, scaled->demand);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct demand *demand = value;
+
+		if (now - demand->at > DEMAND_OLD_MS)
+			g_hash_table_iter_remove(&iter);
+		else
+			sum += demand->busy;
+	}
+	return sum;
+}
+
+static struct order *order_of(struct proxyd *proxyd, struct scaled *scaled,
+			      const char *pool, const char *zone, bool spot)
+{
+	char *key = g_strdup_printf("%s\n%d", zone, spot);
+	struct order *order = g_hash_table_lookup(scaled->orders, key);
+
+	if (order) {
+		g_free(key);
+		return order;
+	}
+	order = g_new0(struct order, 1);
+	order->proxyd = proxyd;
+	order->pool = g_strdup(pool);
+	order->zone = g_strdup(zone);
+	order->spot = spot;
+	order->ordered = -1;
+	g_hash_table_insert(scaled->orders, key, order);
+	return order;
+}
+
+static void on_ordered(void *ctx, enum cloud_outcome outcome)
+{
+	static const char *const names[] = {
+		[CLOUD_DONE] = "accepted",
+		[CLOUD_NONE_THERE] = "none_there",
+		[CLOUD_REFUSED] = "refused",
+		[CLOUD_UNSURE] = "no_answer",
+	};
+	struct order *order = ctx;
+	struct proxyd *proxyd = order->proxyd;
+
+	order->busy = false;
+	if (outcome == CLOUD_DONE) {
+		order->ordered = order->asked;
+		proxyd_count(proxyd, CTR_orders);
+	} else if (outcome == CLOUD_NONE_THERE) {
+		order->dry_until = proxyd_now(proxyd) + DRY_MS;
+		proxyd_count(proxyd, CTR_orders_none);
+	} else if (outcome == CLOUD_UNSURE) {
+		order->ordered = -1;
+	}
+	slog(SLOG_NOTICE, "order",
+	     "pool=%s data_centre=%s spot=%d count=%d outcome=%s", order->pool,
+	     order->zone, order->spot, order->asked, names[outcome]);
+}
+
+/* Sends an order, if it is due. */
+static void order_send(struct order *order, int want, int ready)
+{
+	struct proxyd *proxyd = order->proxyd;
+	clk_ms now = proxyd_now(proxyd);
+	struct cloud_holder holder = {
+		.host = proxyd->conf->name,
+		.fence = proxyd->duty.fence,
+	};
+	struct cloud_order wanted = {
+		.pool = order->pool,
+		.data_centre = order->zone,
+		.count = want,
+		.spot = order->spot,
+	};
+	bool unmet = ready < want && now - order->sent_at >= REPEAT_MS;
+
+	if (order->busy || (want == order->ordered && !unmet) ||
+	    now < order->dry_until || now - order->sent_at < RUN_PERIOD_MS)
+		return;
+	order->busy = true;
+	order->asked = want;
+	order->sent_at = now;
+	cloud_order(proxyd->cloud, &holder, &wanted, ORDER_TIMEOUT_MS,
+		    on_ordered, order);
+}
+
+/* Workers are given up only if they are not needed for a while, and others
+ * have come in their place. */
+static int order_lowered(struct order *order, int want, int ready, bool safe,
+			 clk_ms now)
+{
+	int present = MAX(order->ordered, ready);
+
+	if (want >= present) {
+		order->above_since = 0;
+		return want;
+	}
+	if (!order->above_since)
+		order->above_since = now;
+	if (!safe || now - order->above_since < LOWER_AFTER_MS)
+		return present;
+	return want;
+}
+
+/* Fills what is to be had in a pool's data centres. */
+static size_t zones_fill(struct proxyd *proxyd, struct scaled *scaled,
+			 const struct tab_pool *pool, struct scale_zone *zones)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	size_t count = 0;
+	clk_ms now = proxyd_now(proxyd);
+
+	g_hash_table_iter_init(&iter, pool->scaling.zone_prices);
+	while (g_hash_table_iter_next(&iter, &key, &value) &&
+	       count < SCALE_ZONES_MAX) {
+		const struct order *spot =
+			order_of(proxyd, scaled, pool->name, key, true);
+		const struct order *full =
+			order_of(proxyd, scaled, pool->name, key, false);
+
+		zones[count++] = (struct scale_zone){
+			.name = key,
+			.price = *(double *)value,
+			.spot_dry = now < spot->dry_until,
+			.full_dry = now < full->dry_until,
+			.spot_ready = (int)fleet_count_at(
+				proxyd->fleet, pool->name, key, true),
+			.full_ready = (int)fleet_count_at(
+				proxyd->fleet, pool->name, key, false),
+		};
+	}
+	return count;
+}
+
+static void pool_run(struct proxyd *proxyd, const struct tab_pool *pool)
+{
+	struct scaled *scaled = scaled_of(proxyd, pool->name);
+	struct scale_zone zones[SCALE_ZONES_MAX];
+	struct scale_limits limits = {
+		.min = pool->scaling.min,
+		.max = pool->scaling.max,
+		.spot_price = pool->scaling.spot_price,
+	};
+	clk_ms now = proxyd_now(proxyd);
+	size_t count = zones_fill(proxyd, scaled, pool, zones);
+	double busy = demand_sum(scaled, now);
+	bool safe = true;
+
+	scale_need_add(&scaled->need, busy, now);
+	scale_plan(zones, count, &limits, scaled->need.busy);
+	/* Nothing is given up before what replaces it is there. */
+	for (size_t i = 0; i < count; i++)
+		safe = safe && (zones[i].spot_ready >= zones[i].want_spot ||
+				zones[i].spot_dry);
+	for (size_t i = 0; i < count; i++) {
+		struct scale_zone *zone = &zones[i];
+		struct order *spot =
+			order_of(proxyd, scaled, pool->name, zone->name, true);
+		struct order *full =
+			order_of(proxyd, scaled, pool->name, zone->name, false);
+
+		order_send(spot,
+			   order_lowered(spot, zone->want_spot,
+					 zone->spot_ready, true, now),
+			   zone->spot_ready);
+		order_send(full,
+			   order_lowered(full, zone->want_full,
+					 zone->full_ready, safe, now),
+			   zone->full_ready);
+	}
+}
+
+void scale_run(struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!proxyd->tab || proxyd_now(proxyd) < proxyd->leader->next_scale)
+		return;
+	proxyd->leader->next_scale = proxyd_now(proxyd) + RUN_PERIOD_MS;
+	g_hash_table_iter_init(&iter, proxyd->tab->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct tab_pool *pool = value;
+
+		if (pool->scaling.enabled)
+			pool_run(proxyd, pool);
+	}
+}
+
+void scale_start(struct proxyd *proxyd)
+{
+	proxyd->leader->scaled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+void scale_forget_orders(struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxyd->leader->scaled);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct scaled *scaled = value;
+		GHashTableIter orders;
+		gpointer order;
+
+		g_hash_table_iter_init(&orders, scaled->orders);
+		while (g_hash_table_iter_next(&orders, NULL, &order))
+			((struct order *)order)->ordered = -1;
+	}
+}
--- /dev/null
+++ b/daemon/proxyd-xfer.c
@@ -0,0 +1,249 @@
+/* One request's life: placed, sent, answered or given up. */
+#include "proxyd-xfer.h"
+
+#include <string.h>
+
+#define BACK_MIN_MS 150 /* before a refused caller comes back */
+#define BACK_SPREAD_MS 450
+#define OUTPUT_TOKEN_MS 0.225 /* of an engine's time, at half a batch */
+
+static void xfer_end(struct xfer *xfer);
+static void xfer_arm(struct xfer *xfer);
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	struct xfer *xfer = handle->data;
+
+	sse_clear(&xfer->sse);
+	tab_unref(xfer->tab);
+	g_free(xfer->id);
+	g_free(xfer);
+}
+
+/* Ends a request whose caller is answered, or gone. */
+static void xfer_end(struct xfer *xfer)
+{
+	attempt_cancel(xfer);
+	xfer->proxyd->xfers--;
+	uv_timer_stop(&xfer->timer);
+	uv_close((uv_handle_t *)&xfer->timer, on_timer_closed);
+}
+
+/* Takes the call for its answer: nothing is to be told of its end. */
+static struct hs_call *call_take(struct xfer *xfer)
+{
+	struct hs_call *call = xfer->call;
+
+	hs_call_on_gone(call, NULL, NULL);
+	xfer->call = NULL;
+	return call;
+}
+
+/* When a refused caller is to come back: spread, the urgent ones first. */
+static clk_ms come_back(const struct xfer *xfer)
+{
+	return BACK_MIN_MS + xfer->route->priority * BACK_MIN_MS +
+	       proxyd_random(xfer->proxyd, BACK_SPREAD_MS);
+}
+
+/* Answers on our own behalf. */
+static void answer_own(struct xfer *xfer, enum err_kind kind, const char *why)
+{
+	clk_ms back = 0;
+
+	attempt_cancel(xfer);
+	if (err_answer(kind)->ran == ERR_RAN_NO) {
+		back = come_back(xfer);
+		if (xfer->quota)
+			quota_give(xfer->quota, xfer->units);
+	}
+	front_answer(xfer->proxyd, call_take(xfer), kind, back, why);
+	xfer_end(xfer);
+}
+
+/* Passes an answer on, or ends a stream that has been. */
+static void answer_deliver(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct xfer_response *response = &xfer->response;
+	clk_ms took = proxyd_now(proxyd) - xfer->at;
+	bool failed = response->status >= 500;
+	struct hs_call *call = call_take(xfer);
+
+	proxyd_count(proxyd, failed ? CTR_passed_failed : CTR_passed_whole);
+	hist_add(&proxyd->whole_ms, took);
+	slog(SLOG_INFO, "answer",
+	     "id=%s status=%d worker=%s attempts=%u events=%" G_GUINT64_FORMAT
+	     " after_ms=%" G_GINT64_FORMAT " why=%s",
+	     xfer->id, response->status,
+	     xfer->worker ? xfer->worker->entry.id : "", xfer->px.attempts,
+	     xfer->sse.events, took,
+	     failed ? "upstream_failed" : "upstream_answered");
+	if (xfer->px.begun)
+		hs_finish(call);
+	else
+		hs_reply(call, response->status, response->headers->str,
+			 response->body->str, response->body->len);
+	xfer_end(xfer);
+}
+
+/* Breaks off an answer that has begun. */
+static void answer_break(struct xfer *xfer, const char *why)
+{
+	struct hs_call *call = call_take(xfer);
+
+	proxyd_count(xfer->proxyd, CTR_broken_off);
+	slog(SLOG_INFO, "answer",
+	     "id=%s status=broken_off worker=%s attempts=%u "
+	     "events=%" G_GUINT64_FORMAT " after_ms=%" G_GINT64_FORMAT
+	     " why=%s",
+	     xfer->id, xfer->worker ? xfer->worker->entry.id : "",
+	     xfer->px.attempts, xfer->sse.events,
+	     proxyd_now(xfer->proxyd) - xfer->at, why);
+	attempt_cancel(xfer);
+	hs_abort(call);
+	xfer_end(xfer);
+}
+
+void xfer_do(struct xfer *xfer, enum px_step step, const char *why)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+
+	switch (step) {
+	case PX_AGAIN:
+	case PX_RESUME:
+		if (xfer->px.attempts > 0) {
+			retry_spend(
+				&proxyd_pool(proxyd, xfer->pool->name)->budget);
+			proxyd_count(proxyd, CTR_retries);
+		}
+		slog(SLOG_INFO, "again",
+		     "id=%s attempts=%u last_event=%" G_GINT64_FORMAT
+		     " why=%s outcome=%s",
+		     xfer->id, xfer->px.attempts, xfer->sse.last_id, why,
+		     step == PX_RESUME ? "resumed" : "sent_again");
+		attempt_cancel(xfer);
+		xfer_send(xfer);
+		return;
+	case PX_DELIVER:
+		answer_deliver(xfer);
+		return;
+	case PX_REFUSE:
+		proxyd_count(proxyd, CTR_refused_not_run);
+		answer_own(xfer, RW_EBUSY, why);
+		return;
+	case PX_UNKNOWN:
+		proxyd_count(proxyd, CTR_answered_unknown);
+		answer_own(xfer, RW_EUPSTREAM, why);
+		return;
+	case PX_LATE:
+		proxyd_count(proxyd, CTR_answered_late);
+		answer_own(xfer, RW_EUNKNOWN, why);
+		return;
+	case PX_BREAK:
+		answer_break(xfer, why);
+		return;
+	}
+}
+
+void xfer_on_gone(void *ctx)
+{
+	struct xfer *xfer = ctx;
+
+	xfer->call = NULL;
+	proxyd_count(xfer->proxyd, CTR_callers_gone);
+	slog(SLOG_INFO, "caller_gone",
+	     "id=%s worker=%s events=%" G_GUINT64_FORMAT
+	     " after_ms=%" G_GINT64_FORMAT,
+	     xfer->id, xfer->worker ? xfer->worker->entry.id : "",
+	     xfer->sse.events, proxyd_now(xfer->proxyd) - xfer->at);
+	xfer_end(xfer);
+}
+
+static void on_timer(uv_timer_t *timer)
+{
+	struct xfer *xfer = timer->data;
+	clk_ms now = proxyd_now(xfer->proxyd);
+
+	if (now >= xfer->end) {
+		/* An attempt that has sent nothing runs nowhere. */
+		bool running = xfer->attempt && xfer->sent_at;
+
+		if (running && xfer->worker)
+			fleet_judge(xfer->worker,
+				    xfer->had_first ? FLEET_GOOD : FLEET_BROKEN,
+				    now);
+		xfer_do(xfer, px_on_timeout(&xfer->px, running), "time_over");
+		return;
+	}
+	if (xfer->attempt && xfer->sent_at &&
+	    now >= xfer->last_at + attempt_patience(xfer)) {
+		attempt_stalled(xfer);
+		return;
+	}
+	xfer_arm(xfer);
+}
+
+/* Sets the timer to what comes next: the end, or the end of patience. */
+static void xfer_arm(struct xfer *xfer)
+{
+	clk_ms now = proxyd_now(xfer->proxyd);
+	clk_ms next = xfer->end;
+
+	if (xfer->attempt) {
+		clk_ms from = xfer->sent_at ? xfer->last_at : now;
+
+		next = MIN(next, from + attempt_patience(xfer));
+	}
+	uv_timer_start(&xfer->timer, on_timer, (uint64_t)MAX(next - now, 1), 0);
+}
+
+/* Work that a request means for an engine, in ms. */
+static double work_of(const struct xfer *xfer,
+		      const struct fleet_choice *choice)
+{
+	const struct head_request *says = &xfer->says;
+	int output = says->output_tokens_hint > 0 ? says->output_tokens_hint
+						  : says->output_tokens_max;
+
+	if (!xfer->pool->engine)
+		return 0;
+	return (says->prompt_tokens - choice->cached) *
+		       xfer->proxyd->fleet->speed.prefill_ms +
+	       output * OUTPUT_TOKEN_MS;
+}
+
+void xfer_send(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	clk_ms now = proxyd_now(proxyd);
+	struct fleet_choice choice =
+		fleet_choose(proxyd->fleet, &xfer->ask, now);
+	struct pool_state *pool = proxyd_pool(proxyd, xfer->pool->name);
+
+	if (!choice.worker) {
+		bool again = xfer->px.begun;
+
+		xfer_do(xfer,
+			again			? PX_BREAK
+			: xfer->px.may_have_run ? PX_UNKNOWN
+						: PX_REFUSE,
+			"no_worker");
+		return;
+	}
+	if (xfer->px.attempts == 0 && xfer->px.unsent == 0) {
+		retry_on_first(&pool->budget, now);
+		pool->busy_ms += work_of(xfer, &choice);
+	}
+	attempt_start(xfer, &choice);
+	xfer_arm(xfer);
+}
+
+void xfer_start(struct xfer *xfer)
+{
+	xfer->proxyd->xfers++;
+	uv_timer_init(&xfer->proxyd->loop, &xfer->timer);
+	xfer->timer.data = xfer;
+	hs_call_on_gone(xfer->call, xfer_on_gone, xfer);
+	xfer_send(xfer);
+}
--- /dev/null
+++ b/daemon/proxyd-xfer.h
@@ -0,0 +1,66 @@
+/*
+ * One request on its way through rw-proxyd. decide/px.h says what follows
+ * from the end of an attempt; this says how it is done.
+ */
+#ifndef DAEMON_PROXYD_XFER_H
+#define DAEMON_PROXYD_XFER_H
+
+#include "proxyd.h"
+
+/* The response of the attempt under way. */
+struct xfer_response {
+	bool seen; /* its head has come */
+	int status;
+	struct head_response says;
+	GString *headers; /* for the caller */
+	GString *body;	  /* of a response that is passed on whole */
+	bool events;	  /* its events are passed on as they come */
+};
+
+struct xfer {
+	struct proxyd *proxyd;
+	struct hs_call *call; /* NULL: the caller is answered, or gone */
+	struct tab *tab;      /* by which it was routed */
+	const struct tab_route *route;
+	const struct tab_account *account; /* NULL: the route is public */
+	const struct tab_pool *pool;
+	struct quota *quota; /* that units were taken from, or NULL */
+	double units;
+	char *id;
+	struct head_request says; /* views into the call */
+	struct px px;
+	struct sse sse;
+	struct fleet_ask ask;
+	struct fleet_worker *worker; /* of the attempt under way, or NULL */
+	struct hc_call *attempt;
+	struct xfer_response response;
+	bool had_first; /* the attempt has brought an event or a head */
+	bool counted;	/* it is in the usage */
+	int priority;	/* of an engine, 0 first */
+	clk_ms at;	/* when the request was whole */
+	clk_ms end;	/* its time is over */
+	clk_ms sent_at; /* of the attempt */
+	clk_ms last_at; /* when the attempt last brought something */
+	uv_timer_t timer;
+	uint64_t events;
+};
+
+/* Starts a request that is allowed; the xfer owns its references. */
+void xfer_start(struct xfer *xfer);
+/* Sends it to an upstream, after the last attempt is over. */
+void xfer_send(struct xfer *xfer);
+/* Does what decide/px said. */
+void xfer_do(struct xfer *xfer, enum px_step step, const char *why);
+/* The caller has gone. */
+void xfer_on_gone(void *ctx);
+
+/* proxyd-attempt.c: begins an attempt at xfer->worker. */
+void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
+/* Breaks the attempt under way off, if there is one. */
+void attempt_cancel(struct xfer *xfer);
+/* How long the upstream may be silent before it is given up, in ms. */
+clk_ms attempt_patience(const struct xfer *xfer);
+/* The upstream was silent for too long. */
+void attempt_stalled(struct xfer *xfer);
+
+#endif
--- /dev/null
+++ b/daemon/proxyd.c
@@ -0,0 +1,440 @@
+/* rw-proxyd: settings, loop, signals, planned stop. */
+#include "proxyd.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
+
+#include "args.h"
+
+#define TICK_MS 100		/* of everything that is looked at by time */
+#define SETTINGS_PERIOD_MS 1000 /* between looks at the settings file */
+#define PROBE_PERIOD_MS 500	/* of the membership */
+#define SUSPICION_MS 1500	/* from suspected to dead */
+#define DEAD_KEEP_MS 60000	/* a dead host is remembered */
+#define SYNC_PERIOD_MS 10000	/* between full exchanges */
+#define IDLE_MAX_MS 8000	/* of connections to workers */
+#define PEER_LIMIT_MS 2500	/* for a silent worker's host */
+#define STORE_IDLE_MS 30000	/* of connections to the store */
+#define STORE_PEER_MS 2000	/* for a silent store */
+#define CONNECT_MAX_MS 1000	/* to the store and the cloud */
+#define DESCRIPTORS_KEPT 300	/* for files, workers, hosts and the store */
+#define DOOR_CONNECTIONS 512	/* of callers that only ask */
+#define STOP_LISTEN_MS 4000	/* callers keep old answers so long */
+#define STOP_MARGIN_MS 400	/* before the kill */
+#define DOOR_HEAD_MAX 8192	/* bytes */
+#define DOOR_IDLE_MS 10000
+#define CACHED_FOR_MS 60000 /* parts of prompts are dropped sooner or later */
+#define RUNNING_MS 2	    /* that a running request adds to a first token */
+
+static void on_signal(uv_signal_t *handle, int signum);
+
+clk_ms proxyd_now(const struct proxyd *proxyd)
+{
+	return (clk_ms)uv_now(&proxyd->loop);
+}
+
+clk_ms proxyd_boot_now(void)
+{
+	struct timespec at;
+
+	clock_gettime(CLOCK_BOOTTIME, &at);
+	return (clk_ms)at.tv_sec * CLK_SECOND + at.tv_nsec / 1000000;
+}
+
+clk_ms proxyd_wall(struct proxyd *proxyd)
+{
+	return wall_read(&proxyd->wall, g_get_real_time() / 1000,
+			 proxyd_boot_now());
+}
+
+uint32_t proxyd_random(void *ctx, uint32_t n)
+{
+	struct proxyd *proxyd = ctx;
+
+	return n > 1 ? (uint32_t)g_rand_int_range(proxyd->rand, 0, (gint32)n)
+		     : 0;
+}
+
+void proxyd_count(struct proxyd *proxyd, enum ctr ctr)
+{
+	proxyd->ctrs.values[ctr]++;
+}
+
+unsigned proxyd_hosts(const struct proxyd *proxyd)
+{
+	return 1 + (unsigned)member_live_count(proxyd->members);
+}
+
+struct pool_state *proxyd_pool(struct proxyd *proxyd, const char *name)
+{
+	struct pool_state *pool = g_hash_table_lookup(proxyd->pools, name);
+	struct retry_options options = {
+		/* Other hosts may be judged dead wrongly: a margin is left. */
+		.share = 0.75 * proxyd->conf->retry_ratio,
+		.burst = MAX(0.75 * proxyd->conf->retry_extra /
+				     proxyd_hosts(proxyd),
+			     1),
+		.most = G_MAXUINT,
+	};
+
+	if (pool)
+		return pool;
+	pool = g_new0(struct pool_state, 1);
+	pool->name = g_strdup(name);
+	retry_budget_init(&pool->budget, &options);
+	g_hash_table_insert(proxyd->pools, pool->name, pool);
+	return pool;
+}
+
+/* When the settings file was changed, in ns; 0: not known. */
+static int64_t settings_stamp(const char *path)
+{
+	struct stat info;
+
+	if (stat(path, &info) != 0)
+		return 0;
+	return (int64_t)info.st_mtim.tv_sec * 1000000000 + info.st_mtim.tv_nsec;
+}
+
+/* Puts in force what may change while the process runs. */
+static void settings_reload(struct proxyd *proxyd, const char *why)
+{
+	GError *error = NULL;
+	struct conf_proxy *conf =
+		conf_load(CONF_PROXY, proxyd->settings_path, &error);
+
+	proxyd->settings_changed_at = settings_stamp(proxyd->settings_path);
+	if (!conf) {
+		slog(SLOG_WARN, "reload", "why=%s outcome=refused cause=\"%s\"",
+		     why, error->message);
+		g_error_free(error);
+		return;
+	}
+	/* Addresses are bound once; the old settings stay with their users. */
+	proxyd->conf = conf;
+	slog_set(slog_level_parse(conf->log_level), (int)conf->log_rate);
+	proxyd->fleet->speed.prefill_ms = conf->prefill_us / 1000;
+	proxyd->fleet->speed.distance_ms = conf->distance_ms;
+	slog(SLOG_NOTICE, "reload", "why=%s outcome=adopted", why);
+}
+
+static void settings_tick(struct proxyd *proxyd)
+{
+	static clk_ms next;
+	clk_ms now = proxyd_now(proxyd);
+	int64_t stamp;
+
+	if (now < next)
+		return;
+	next = now + SETTINGS_PERIOD_MS;
+	stamp = settings_stamp(proxyd->settings_path);
+	if (stamp && stamp != proxyd->settings_changed_at)
+		settings_reload(proxyd, "file_changed");
+}
+
+/* Copies the counters that others keep. */
+static void counters_tick(struct proxyd *proxyd)
+{
+	uint64_t *values = proxyd->ctrs.values;
+	const struct hc_counters *http = hc_counters(proxyd->upstreams);
+	const struct kv_counters *kv = kv_counters(proxyd->kv);
+	const struct rpc_counters *rpc = rpc_counters(proxyd->rpc);
+
+	values[CTR_connects] = http->connects;
+	values[CTR_reuses] = http->reuses;
+	values[CTR_strays] = http->strays;
+	values[CTR_dirty] = http->dirty;
+	values[CTR_platform_calls] = kv->calls;
+	values[CTR_platform_failures] = kv->failures;
+	values[CTR_rpc_bytes_in] = rpc->bytes_in;
+	values[CTR_rpc_bytes_out] = rpc->bytes_out;
+	values[CTR_gossip_out] = rpc->datagrams_out;
+	values[CTR_log_dropped] = slog_dropped();
+	if (proxyd->cloud) {
+		values[CTR_cloud_calls] = cloud_counters(proxyd->cloud)->calls;
+		values[CTR_cloud_failures] =
+			cloud_counters(proxyd->cloud)->failures;
+	}
+}
+
+/* Takes the next step of a planned stop. */
+static void stop_tick(struct proxyd *proxyd)
+{
+	clk_ms age = proxyd_now(proxyd) - proxyd->stop_at;
+	clk_ms grace = (clk_ms)(proxyd->conf->grace_s * CLK_SECOND);
+
+	if (age >= STOP_LISTEN_MS)
+		hs_stop_listening(proxyd->front);
+	if ((age >= STOP_LISTEN_MS && hs_open_calls(proxyd->front) == 0) ||
+	    age >= grace - STOP_MARGIN_MS) {
+		slog(SLOG_NOTICE, "stopped",
+		     "after_ms=%" G_GINT64_FORMAT " open=%zu", age,
+		     hs_open_calls(proxyd->front));
+		uv_stop(&proxyd->loop);
+	}
+}
+
+static void stop_begin(struct proxyd *proxyd)
+{
+	if (proxyd->stopping)
+		return;
+	proxyd->stopping = true;
+	proxyd->stop_at = proxyd_now(proxyd);
+	slog(SLOG_NOTICE, "stopping", "open=%zu connections=%zu",
+	     hs_open_calls(proxyd->front), hs_connections(proxyd->front));
+	member_leave(proxyd->members, proxyd_now(proxyd));
+	hs_drain(proxyd->front);
+	duty_stop(proxyd);
+}
+
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	if (signum == SIGHUP)
+		settings_reload(handle->data, "signal");
+	else
+		stop_begin(handle->data);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct proxyd *proxyd = timer->data;
+
+	follow_tick(proxyd);
+	peer_tick(proxyd);
+	duty_run(proxyd);
+	settings_tick(proxyd);
+	counters_tick(proxyd);
+	if (proxyd->stopping)
+		stop_tick(proxyd);
+}
+
+/* Opens one listener for questions. */
+static struct hs *door_open(struct proxyd *proxyd, const char *address,
+			    void (*fn)(void *ctx, struct hs_call *call),
+			    GError **error)
+{
+	struct hs_options options = {
+		.address = address,
+		.limits = {
+			.head_max = DOOR_HEAD_MAX,
+			.head_timeout = DOOR_IDLE_MS,
+			.idle_timeout = DOOR_IDLE_MS,
+			.connections = DOOR_CONNECTIONS,
+		},
+		.on_call = fn,
+		.ctx = proxyd,
+	};
+
+	return hs_create(&proxyd->loop, &options, error);
+}
+
+/* A port of those for traffic between hosts, or 0. */
+static int internal_port(const struct conf_proxy *conf, guint at)
+{
+	if (!conf->internal_ports || g_strv_length(conf->internal_ports) < 2)
+		return 0;
+	return (int)g_ascii_strtoll(conf->internal_ports[0], NULL, 10) +
+	       (int)at;
+}
+
+static bool front_open(struct proxyd *proxyd, GError **error)
+{
+	const struct conf_proxy *conf = proxyd->conf;
+	struct hs_options options = {
+		.address = conf->front,
+		.limits = {
+			.head_max = 16384,
+			.body_max = 4194304,
+			.head_timeout = 3000,
+			.idle_timeout = 15000,
+			.connections = (size_t)MAX(
+				conf->descriptors - DESCRIPTORS_KEPT, 64),
+		},
+		.on_call = front_on_call,
+		.on_refused = front_on_refused,
+		.ctx = proxyd,
+	};
+
+	proxyd->front = hs_create(&proxyd->loop, &options, error);
+	return proxyd->front != NULL;
+}
+
+/* Opens the sockets. */
+static bool listen_all(struct proxyd *proxyd, GError **error)
+{
+	const struct conf_proxy *conf = proxyd->conf;
+	struct rpc_handlers handlers = {
+		.on_gossip = peer_on_gossip,
+		.on_sync = peer_on_sync,
+		.on_report = peer_on_report,
+		.on_bad = peer_on_bad,
+		.ctx = proxyd,
+	};
+	char metrics[MEMBER_ADDRESS_MAX];
+
+	if (!front_open(proxyd, error))
+		return false;
+	proxyd->ready = door_open(proxyd, conf->ready, door_on_call, error);
+	if (!proxyd->ready)
+		return false;
+	if (conf->lookup[0]) {
+		proxyd->lookup =
+			door_open(proxyd, conf->lookup, door_on_call, error);
+		if (!proxyd->lookup)
+			return false;
+	}
+	g_snprintf(metrics, sizeof(metrics), "%s:%d", conf->address,
+		   internal_port(conf, 1));
+	proxyd->metrics = door_open(proxyd, metrics, door_on_metrics, error);
+	if (!proxyd->metrics)
+		return false;
+	g_snprintf(proxyd->rpc_address, sizeof(proxyd->rpc_address), "%s:%d",
+		   conf->address, internal_port(conf, 0));
+	proxyd->rpc = rpc_create(&proxyd->loop, conf->address,
+				 internal_port(conf, 0), &handlers, error);
+	return proxyd->rpc != NULL;
+}
+
+/* A worker is new: connections to it are kept apart from all others. */
+static void on_worker_added(void *ctx, struct fleet_worker *worker)
+{
+	struct proxyd *proxyd = ctx;
+
+	worker->peer = hc_peer_add(proxyd->upstreams, worker->entry.address);
+}
+
+static void on_worker_removed(void *ctx, struct fleet_worker *worker)
+{
+	(void)ctx;
+	hc_peer_drop(worker->peer);
+	worker->peer = NULL;
+}
+
+static void clients_create(struct proxyd *proxyd)
+{
+	const struct conf_proxy *conf = proxyd->conf;
+	struct hc_options upstreams = {
+		.connect_timeout = conf->connect_ms,
+		.idle_max = IDLE_MAX_MS,
+		.peer_limit = PEER_LIMIT_MS,
+		.id_header = HEAD_ID,
+	};
+	struct hc_options platform = {
+		.connect_timeout = CONNECT_MAX_MS,
+		.idle_max = STORE_IDLE_MS,
+		.peer_limit = STORE_PEER_MS,
+	};
+
+	proxyd->upstreams = hc_create(&proxyd->loop, &upstreams);
+	proxyd->platform = hc_create(&proxyd->loop, &platform);
+	proxyd->kv = kv_create(&proxyd->loop, proxyd->platform, conf->store);
+	if (conf->cloud[0])
+		proxyd->cloud = cloud_create(&proxyd->loop, proxyd->platform,
+					     conf->cloud);
+}
+
+/* Creates the decisions' objects. */
+static void decide_create(struct proxyd *proxyd)
+{
+	const struct conf_proxy *conf = proxyd->conf;
+	struct fleet fleet = {
+		.speed = {
+			.prefill_ms = conf->prefill_us / 1000,
+			.running_ms = RUNNING_MS,
+			.distance_ms = conf->distance_ms,
+			.cached_for = CACHED_FOR_MS,
+		},
+		.random = proxyd_random,
+		.on_added = on_worker_added,
+		.on_removed = on_worker_removed,
+		.ctx = proxyd,
+	};
+	struct member_options member = {
+		.ops = &peer_member_ops,
+		.ctx = proxyd,
+		.period = PROBE_PERIOD_MS,
+		.ack_wait = PROBE_PERIOD_MS / 2,
+		.suspicion = SUSPICION_MS,
+		.dead_keep = DEAD_KEEP_MS,
+		.sync_period = SYNC_PERIOD_MS,
+	};
+	struct member_update self = { .state = MEMBER_ALIVE };
+
+	rid_incarnation(self.incarnation, sizeof(self.incarnation), conf->name,
+			g_rand_int(proxyd->rand));
+	g_strlcpy(self.http, conf->front, sizeof(self.http));
+	g_strlcpy(self.rpc, proxyd->rpc_address, sizeof(self.rpc));
+	g_strlcpy(self.data_centre, conf->data_centre,
+		  sizeof(self.data_centre));
+	proxyd->members = member_list_create(&self, &member);
+	proxyd->fleet = fleet_create(&fleet);
+	proxyd->quotas = g_hash_table_new(g_str_hash, g_str_equal);
+	proxyd->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	wall_init(&proxyd->wall, g_get_real_time() / 1000, proxyd_boot_now());
+	usage_init(&proxyd->usage, (clk_ms)(conf->usage_window_s * CLK_SECOND));
+	duty_init(&proxyd->duty, conf->lease_ms);
+}
+
+static void loop_start(struct proxyd *proxyd)
+{
+	static const int signums[] = { SIGTERM, SIGINT, SIGHUP };
+
+	uv_timer_init(&proxyd->loop, &proxyd->tick);
+	proxyd->tick.data = proxyd;
+	uv_timer_start(&proxyd->tick, on_tick, 1, TICK_MS);
+	for (size_t i = 0; i < G_N_ELEMENTS(signums); i++) {
+		uv_signal_init(&proxyd->loop, &proxyd->signals[i]);
+		proxyd->signals[i].data = proxyd;
+		uv_signal_start(&proxyd->signals[i], on_signal, signums[i]);
+	}
+}
+
+/* Builds the process from its settings. */
+static bool proxyd_open(struct proxyd *proxyd, const char *path, GError **error)
+{
+	struct conf_proxy *conf = conf_load(CONF_PROXY, path, error);
+
+	if (!conf)
+		return false;
+	proxyd->conf = conf;
+	proxyd->settings_path = path;
+	proxyd->settings_changed_at = settings_stamp(path);
+	proxyd->rand = g_rand_new();
+	uv_loop_init(&proxyd->loop);
+	slog_open(&proxyd->loop, conf->name, slog_level_parse(conf->log_level),
+		  (int)conf->log_rate);
+	if (!listen_all(proxyd, error))
+		return false;
+	clients_create(proxyd);
+	decide_create(proxyd);
+	follow_start(proxyd);
+	peer_start(proxyd);
+	duty_start(proxyd);
+	loop_start(proxyd);
+	return true;
+}
+
+int main(int argc, const char **argv)
+{
+	static struct proxyd proxyd;
+	GError *error = NULL;
+	const char *path = args_settings_file(argc, argv);
+
+	if (!path)
+		return EXIT_FAILURE;
+	signal(SIGPIPE, SIG_IGN);
+	if (!proxyd_open(&proxyd, path, &error)) {
+		fprintf(stderr, "rw-proxyd: %s\n", error->message);
+		return EXIT_FAILURE;
+	}
+	slog(SLOG_NOTICE, "started", "data_centre=%s front=%s incarnation=%s",
+	     proxyd.conf->data_centre, proxyd.conf->front,
+	     proxyd.members->self.incarnation);
+	uv_run(&proxyd.loop, UV_RUN_DEFAULT);
+	slog_flush();
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/daemon/proxyd.h
@@ -0,0 +1,176 @@
+/*
+ * rw-proxyd: the process between callers and upstreams on a platform whose
+ * callers send each request once, to one host, and never ask for it again.
+ *
+ * Its parts, each in a file: proxyd.c (settings, loop, signals, stop),
+ * proxyd-follow.c (replicas of the platform's store), proxyd-peer.c (other
+ * hosts), proxyd-front.c (what a caller's request is allowed), proxyd-xfer.c
+ * and proxyd-attempt.c (its way to an upstream and back), proxyd-door.c
+ * (questions to the host itself), proxyd-duty.c and proxyd-scale.c (what one
+ * host does for all).
+ */
+#ifndef DAEMON_PROXYD_H
+#define DAEMON_PROXYD_H
+
+#include <glib.h>
+#include <uv.h>
+
+#include "../decide/duty.h"
+#include "../decide/err.h"
+#include "../decide/fleet.h"
+#include "../decide/member.h"
+#include "../decide/px.h"
+#include "../decide/quota.h"
+#include "../decide/retry.h"
+#include "../decide/sse.h"
+#include "../decide/store.h"
+#include "../decide/tab.h"
+#include "../decide/usage.h"
+#include "../decide/wall.h"
+#include "../platform/cloud.h"
+#include "../platform/decode.h"
+#include "../platform/door.h"
+#include "../platform/head.h"
+#include "../platform/kv.h"
+#include "../wire/conf.h"
+#include "../wire/ctr.h"
+#include "../wire/hist.h"
+#include "../wire/hs.h"
+#include "../wire/rpc.h"
+#include "../wire/slog.h"
+
+#define OWN_PREFIX "rw/"	 /* of this system's own keys */
+#define HOLDER_KEY "rw/holder"	 /* of the holder of the duties */
+#define HOST_PREFIX "rw/host/"	 /* before a host's name */
+#define USAGE_PREFIX "rw/usage/" /* before a window's number */
+#define DUTY_RANK "duty"	 /* ranks hosts for holding the duties */
+#define DUTY_CANDIDATES 3	 /* hosts that collect all counts */
+
+struct proxyd;
+struct xfer;
+
+/* What is kept of one pool besides the routing table. */
+struct pool_state {
+	char *name;
+	struct retry_budget budget;
+	double busy_ms; /* work asked for since the last report, in ms */
+	double busy;	/* work asked for, in busy workers, aged */
+};
+
+/* One prefix of the store that is followed. */
+struct follow {
+	struct proxyd *proxyd;
+	const char *prefix;
+	struct store *replica;
+	GHashTable *present; /* keys of the snapshot that is being read */
+	int64_t snapshot_at; /* revision of its first page */
+	bool reading;	     /* a call is under way */
+	bool whole;	     /* a snapshot was read: only changes are watched */
+	bool lost;	     /* the last call had no usable answer */
+	clk_ms next;	     /* of the next call */
+	unsigned failures;   /* in a row */
+};
+
+enum { FOLLOW_CONFIG, FOLLOW_WORKERS, FOLLOW_OWN, FOLLOW_COUNT };
+
+struct proxyd {
+	uv_loop_t loop;
+	const char *settings_path;
+	struct conf_proxy *conf;
+	int64_t settings_changed_at; /* of the file, in ns */
+	GRand *rand;
+	struct ctrs ctrs;
+	struct hist first_ms;  /* to the first byte of an answer */
+	struct hist whole_ms;  /* to the end of an answer */
+	struct hist placed_ms; /* to the first send */
+	struct hs *front;
+	struct hs *ready;
+	struct hs *lookup;
+	struct hs *metrics;
+	struct hc *upstreams; /* connections to workers */
+	struct hc *platform;  /* connections to store and cloud */
+	struct kv *kv;
+	struct cloud *cloud; /* NULL: there are no duties */
+	struct rpc *rpc;
+	char rpc_address[MEMBER_ADDRESS_MAX];
+	struct member_list *members;
+	char **seeds; /* RPC addresses */
+	struct follow follow[FOLLOW_COUNT];
+	clk_ms store_lost_at; /* 0: it answers */
+	clk_ms store_back_at; /* when it answered again */
+	struct tab *tab;      /* NULL: no configuration yet */
+	int64_t tab_revision;
+	struct fleet *fleet;
+	GHashTable *quotas; /* account -> struct quota */
+	GHashTable *pools;  /* name -> struct pool_state */
+	struct usage usage;
+	struct wall wall;
+	struct duty duty;
+	int64_t host_lease; /* of this host's own key; 0: none */
+	bool host_busy;	    /* a call for it is under way */
+	clk_ms host_next;
+	struct leader *leader; /* proxyd-duty.c */
+	clk_ms next_report;
+	clk_ms sync_until;
+	size_t xfers; /* requests under way */
+	uv_timer_t tick;
+	uv_signal_t signals[3];
+	bool stopping;
+	clk_ms stop_at; /* when the signal came */
+};
+
+/* proxyd.c */
+clk_ms proxyd_now(const struct proxyd *proxyd);
+/* A clock that counts suspended time, in ms. */
+clk_ms proxyd_boot_now(void);
+/* The wall clock without its jumps, in ms. */
+clk_ms proxyd_wall(struct proxyd *proxyd);
+uint32_t proxyd_random(void *ctx, uint32_t n);
+void proxyd_count(struct proxyd *proxyd, enum ctr ctr);
+/* Hosts that share limits, this one included. */
+unsigned proxyd_hosts(const struct proxyd *proxyd);
+struct pool_state *proxyd_pool(struct proxyd *proxyd, const char *name);
+
+/* proxyd-follow.c */
+void follow_start(struct proxyd *proxyd);
+void follow_tick(struct proxyd *proxyd);
+/* Whether the host knows enough to serve. */
+bool follow_ready(const struct proxyd *proxyd);
+
+/* proxyd-peer.c */
+extern const struct member_ops peer_member_ops;
+void peer_start(struct proxyd *proxyd);
+void peer_tick(struct proxyd *proxyd);
+void peer_on_gossip(void *ctx, const struct member_msg *msg);
+void peer_on_sync(void *ctx, const w_sync_args *args, w_sync_res *res);
+void peer_on_report(void *ctx, const w_report *report);
+void peer_on_bad(void *ctx);
+/* An own key of another host was seen: its RPC address. */
+void peer_on_host_key(struct proxyd *proxyd, const char *address);
+
+/* proxyd-front.c: a caller's request */
+void front_on_call(void *ctx, struct hs_call *call);
+void front_on_refused(void *ctx, int status);
+/* Answers on our own behalf. */
+void front_answer(struct proxyd *proxyd, struct hs_call *call,
+		  enum err_kind kind, clk_ms retry_after, const char *why);
+
+/* proxyd-door.c */
+void door_on_call(void *ctx, struct hs_call *call);
+void door_on_metrics(void *ctx, struct hs_call *call);
+
+/* proxyd-duty.c and proxyd-scale.c */
+void duty_start(struct proxyd *proxyd);
+void duty_run(struct proxyd *proxyd);
+/* An item under OWN_PREFIX has changed. */
+void duty_on_item(struct proxyd *proxyd, const struct store_item *item);
+/* All items under OWN_PREFIX were read. */
+void duty_on_snapshot(struct proxyd *proxyd);
+void duty_stop(struct proxyd *proxyd);
+/* What a host asked of a pool. */
+void scale_on_demand(struct proxyd *proxyd, const char *process,
+		     const char *pool, double busy);
+void scale_run(struct proxyd *proxyd);
+void scale_start(struct proxyd *proxyd);
+
+#endif
--- a/decide/err.h
+++ b/decide/err.h
@@ -24,6 +24,8 @@
 	RW_ETOOLARGE,	/* the body is over the limit */
 	RW_ENOROUTE,	/* no such path, route or model */
 	RW_ENOACCOUNT,	/* no such account */
+	RW_EKEY,	/* no account has this key */
+	RW_ENOTREADY,	/* this host knows no configuration yet */
 	RW_EMETHOD,	/* the path does not take this method */
 	RW_ECONFLICT,	/* a compare-and-swap lost */
 	RW_ESETTINGS,	/* a settings object breaks a rule */
--- /dev/null
+++ b/decide/fleet.c
@@ -0,0 +1,414 @@
+/* Workers and which one gets a request. */
+#include "fleet.h"
+
+#include <string.h>
+
+#define FAILURE_AGE 0.2	   /* weight of the newest attempt */
+#define FAILURE_MS 2000.0  /* cost of a certain failure */
+#define FAILURE_FLOOR 0.25 /* failures that callers' own errors explain */
+#define AVOID_MS 250	   /* after a failure; doubled for each in a row */
+#define AVOID_DOUBLINGS 5
+#define NEAR_MS 2.0	     /* costs this close are equal */
+#define NEAR_SHARE 0.05	     /* as are those that differ by this part */
+#define REPORT_OLD_MS 3000   /* a report counts half after it */
+#define SERVICE_WAIT_MS 60.0 /* for a busy place of a plain service */
+#define PARTS_KEEP 4096	     /* parts remembered of one worker */
+
+static gpointer part_key(uint64_t id)
+{
+	return GSIZE_TO_POINTER((gsize)id);
+}
+
+struct fleet *fleet_create(const struct fleet *options)
+{
+	struct fleet *fleet = g_new0(struct fleet, 1);
+
+	*fleet = *options;
+	fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return fleet;
+}
+
+void fleet_entry_clear(struct fleet_entry *entry)
+{
+	g_free(entry->id);
+	g_free(entry->pool);
+	g_free(entry->address);
+	g_free(entry->data_centre);
+	g_free(entry->version);
+	*entry = (struct fleet_entry){ 0 };
+}
+
+struct fleet_worker *fleet_worker_ref(struct fleet_worker *worker)
+{
+	worker->refs++;
+	return worker;
+}
+
+void fleet_worker_unref(struct fleet_worker *worker)
+{
+	if (--worker->refs > 0)
+		return;
+	fleet_entry_clear(&worker->entry);
+	g_hash_table_destroy(worker->parts);
+	g_free(worker);
+}
+
+struct fleet_worker *fleet_find(const struct fleet *fleet, const char *id)
+{
+	return g_hash_table_lookup(fleet->workers, id);
+}
+
+/* The workers of a pool; NULL if there were never any. */
+static GPtrArray *pool_of(const struct fleet *fleet, const char *pool)
+{
+	return g_hash_table_lookup(fleet->pools, pool);
+}
+
+static void pool_add(struct fleet *fleet, struct fleet_worker *worker)
+{
+	GPtrArray *pool = pool_of(fleet, worker->entry.pool);
+
+	if (!pool) {
+		pool = g_ptr_array_new();
+		g_hash_table_insert(fleet->pools, g_strdup(worker->entry.pool),
+				    pool);
+	}
+	g_ptr_array_add(pool, worker);
+}
+
+void fleet_remove(struct fleet *fleet, const char *id)
+{
+	struct fleet_worker *worker = fleet_find(fleet, id);
+
+	if (!worker)
+		return;
+	g_hash_table_remove(fleet->workers, id);
+	g_ptr_array_remove_fast(pool_of(fleet, worker->entry.pool), worker);
+	worker->removed = true;
+	if (fleet->on_removed)
+		fleet->on_removed(fleet->ctx, worker);
+	fleet_worker_unref(worker);
+}
+
+/* Whether an entry is of another process than the one known. */
+static bool is_reborn(const struct fleet_worker *worker,
+		      const struct fleet_entry *entry)
+{
+	return strcmp(worker->entry.address, entry->address) != 0 ||
+	       strcmp(worker->entry.pool, entry->pool) != 0 ||
+	       (worker->entry.born && entry->born &&
+		worker->entry.born != entry->born);
+}
+
+struct fleet_worker *fleet_put(struct fleet *fleet, struct fleet_entry *entry,
+			       int64_t revision)
+{
+	struct fleet_worker *worker = fleet_find(fleet, entry->id);
+
+	if (worker && is_reborn(worker, entry)) {
+		fleet_remove(fleet, entry->id);
+		worker = NULL;
+	}
+	if (worker) {
+		struct fleet_entry old = worker->entry;
+
+		/* The table's key is the old entry's text. */
+		g_hash_table_remove(fleet->workers, old.id);
+		worker->entry = *entry;
+		g_hash_table_insert(fleet->workers, worker->entry.id, worker);
+		fleet_entry_clear(&old);
+	} else {
+		worker = g_new0(struct fleet_worker, 1);
+		worker->refs = 1;
+		worker->entry = *entry;
+		worker->parts = g_hash_table_new(NULL, NULL);
+		g_hash_table_insert(fleet->workers, worker->entry.id, worker);
+		pool_add(fleet, worker);
+		if (fleet->on_added)
+			fleet->on_added(fleet->ctx, worker);
+	}
+	worker->revision = revision;
+	worker->gone_at = 0;
+	*entry = (struct fleet_entry){ 0 };
+	return worker;
+}
+
+bool fleet_takes_work(const struct fleet_worker *worker)
+{
+	return !worker->entry.leaving && !worker->marked && !worker->removed;
+}
+
+bool fleet_has_other(const struct fleet *fleet, const char *pool,
+		     const struct fleet_worker *not_this)
+{
+	const GPtrArray *workers = pool_of(fleet, pool);
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		if (worker != not_this && fleet_takes_work(worker))
+			return true;
+	}
+	return false;
+}
+
+unsigned fleet_count(const struct fleet *fleet, const char *pool)
+{
+	const GPtrArray *workers = pool_of(fleet, pool);
+	unsigned count = 0;
+
+	for (guint i = 0; workers && i < workers->len; i++)
+		count += fleet_takes_work(g_ptr_array_index(workers, i));
+	return count;
+}
+
+unsigned fleet_count_at(const struct fleet *fleet, const char *pool,
+			const char *data_centre, bool spot)
+{
+	const GPtrArray *workers = pool_of(fleet, pool);
+	unsigned count = 0;
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		count += fleet_takes_work(worker) &&
+			 worker->entry.spot == spot &&
+			 !strcmp(worker->entry.data_centre, data_centre);
+	}
+	return count;
+}
+
+/* Tokens of a prompt that a worker is expected to have cached: the parts
+ * from the start that were read there not long ago. */
+static int cached_tokens(const struct fleet *fleet,
+			 const struct fleet_worker *worker,
+			 const struct fleet_ask *ask, clk_ms now)
+{
+	int tokens = 0;
+
+	for (size_t i = 0; i < ask->part_count; i++) {
+		gpointer at = g_hash_table_lookup(worker->parts,
+						  part_key(ask->parts[i].id));
+
+		if (!at || now - (clk_ms)GPOINTER_TO_SIZE(at) >
+				   fleet->speed.cached_for)
+			break;
+		tokens += ask->parts[i].tokens;
+	}
+	return MIN(tokens, ask->prompt_tokens);
+}
+
+/* A number that ranks workers for a part in the same way on every host. */
+static uint32_t rank_of(const struct fleet_worker *worker, uint64_t part)
+{
+	uint64_t hash = g_str_hash(worker->entry.id) * 0x9e3779b97f4a7c15u;
+
+	hash ^= part * 0xc2b2ae3d27d4eb4fu;
+	hash ^= hash >> 29;
+	hash *= 0xbf58476d1ce4e5b9u;
+	return (uint32_t)(hash >> 32);
+}
+
+/* The part by which requests of one session are kept together: the last one
+ * that they share. */
+static uint64_t session_of(const struct fleet_ask *ask)
+{
+	if (ask->part_count < 2)
+		return ask->part_count ? ask->parts[0].id : 0;
+	return ask->parts[ask->part_count - 2].id;
+}
+
+/* What the other hosts have at a worker, by its last report. */
+static double others_now(const struct fleet_worker *worker, clk_ms now)
+{
+	if (!worker->reported_at)
+		return 0;
+	return now - worker->reported_at > REPORT_OLD_MS ? worker->others / 2.0
+							 : worker->others;
+}
+
+/* What a worker's record of failures adds to its cost. */
+static double health_cost(const struct fleet_worker *worker)
+{
+	return MAX(worker->health.failure - FAILURE_FLOOR, 0) * FAILURE_MS;
+}
+
+/* Tokens of the parts that a prompt shares with others. */
+static int shared_tokens(const struct fleet_ask *ask)
+{
+	int tokens = 0;
+
+	for (size_t i = 0; i + 1 < ask->part_count; i++)
+		tokens += ask->parts[i].tokens;
+	return MIN(tokens, ask->prompt_tokens);
+}
+
+/* Expected ms to the first token. Other hosts send a session's requests to
+ * its home too: its parts count as cached there. */
+static double cost_of(const struct fleet *fleet,
+		      const struct fleet_worker *worker,
+		      const struct fleet_worker *home,
+		      const struct fleet_ask *ask, clk_ms now, int *cached)
+{
+	const struct fleet_speed *speed = &fleet->speed;
+	double load = worker->inflight + others_now(worker, now);
+	double cost = health_cost(worker);
+
+	*cached = 0;
+	if (strcmp(worker->entry.data_centre, ask->data_centre) != 0)
+		cost += speed->distance_ms;
+	if (!ask->engine) {
+		int slots = MAX(worker->entry.slots, 1);
+
+		return cost + SERVICE_WAIT_MS * load / slots;
+	}
+	*cached = cached_tokens(fleet, worker, ask, now);
+	if (worker == home)
+		*cached = MAX(*cached, shared_tokens(ask));
+	cost += (worker->prompt_tokens + ask->prompt_tokens - *cached) *
+		speed->prefill_ms;
+	cost += load * speed->running_ms;
+	if (worker->entry.slots > 0 && load >= worker->entry.slots)
+		cost += (load - worker->entry.slots + 1) * SERVICE_WAIT_MS;
+	return cost;
+}
+
+/* The worker where a session's requests meet, among those that take work. */
+static const struct fleet_worker *home_of(const GPtrArray *workers,
+					  const struct fleet_ask *ask)
+{
+	uint64_t session = session_of(ask);
+	const struct fleet_worker *home = NULL;
+	uint32_t best = 0;
+
+	for (guint i = 0; session && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+		uint32_t rank = rank_of(worker, session);
+
+		if (fleet_takes_work(worker) && (!home || rank > best)) {
+			home = worker;
+			best = rank;
+		}
+	}
+	return home;
+}
+
+/* Whether a worker is left out while others can be chosen. */
+static bool is_avoided(const struct fleet_worker *worker, clk_ms now)
+{
+	return !clk_passed(worker->health.avoid_until, now);
+}
+
+/* Chooses among the workers that are avoided, or among the others. */
+static struct fleet_choice choose_among(struct fleet *fleet,
+					const GPtrArray *workers,
+					const struct fleet_ask *ask,
+					bool avoided, clk_ms now)
+{
+	const struct fleet_worker *home =
+		ask->engine ? home_of(workers, ask) : NULL;
+	struct fleet_choice best = { .cost = 0 };
+	unsigned equal = 0;
+
+	for (guint i = 0; i < workers->len; i++) {
+		struct fleet_worker *worker = g_ptr_array_index(workers, i);
+		double cost;
+		int cached;
+
+		if (!fleet_takes_work(worker) || worker == ask->not_this ||
+		    is_avoided(worker, now) != avoided)
+			continue;
+		best.candidates++;
+		cost = cost_of(fleet, worker, home, ask, now, &cached);
+		if (best.worker &&
+		    cost > best.cost + NEAR_MS + NEAR_SHARE * best.cost)
+			continue;
+		if (best.worker &&
+		    cost > best.cost - NEAR_MS - NEAR_SHARE * best.cost) {
+			/* One of the near-equal ones is taken at random. */
+			if (fleet->random(fleet->ctx, ++equal) != 0)
+				continue;
+		} else {
+			equal = 1;
+		}
+		best.worker = worker;
+		best.cost = cost;
+		best.cached = cached;
+	}
+	return best;
+}
+
+struct fleet_choice fleet_choose(struct fleet *fleet,
+				 const struct fleet_ask *ask, clk_ms now)
+{
+	const GPtrArray *workers = pool_of(fleet, ask->pool);
+	struct fleet_choice choice = { .worker = NULL };
+
+	if (!workers)
+		return choice;
+	choice = choose_among(fleet, workers, ask, false, now);
+	if (!choice.worker)
+		choice = choose_among(fleet, workers, ask, true, now);
+	return choice;
+}
+
+void fleet_begin(struct fleet_worker *worker, const struct fleet_ask *ask,
+		 clk_ms now)
+{
+	worker->inflight++;
+	if (!ask->engine)
+		return;
+	worker->prompt_tokens += ask->prompt_tokens;
+	if (g_hash_table_size(worker->parts) > PARTS_KEEP)
+		g_hash_table_remove_all(worker->parts);
+	for (size_t i = 0; i < ask->part_count; i++)
+		g_hash_table_insert(worker->parts, part_key(ask->parts[i].id),
+				    GSIZE_TO_POINTER((gsize)now));
+}
+
+void fleet_first(struct fleet_worker *worker, const struct fleet_ask *ask)
+{
+	if (ask->engine)
+		worker->prompt_tokens =
+			MAX(worker->prompt_tokens - ask->prompt_tokens, 0);
+}
+
+void fleet_end(struct fleet_worker *worker, const struct fleet_ask *ask,
+	       bool had_first)
+{
+	worker->inflight--;
+	if (!had_first)
+		fleet_first(worker, ask);
+}
+
+void fleet_judge(struct fleet_worker *worker, enum fleet_verdict verdict,
+		 clk_ms now)
+{
+	struct fleet_health *health = &worker->health;
+	double failed = verdict == FLEET_GOOD ? 0 : 1;
+
+	health->failure += FAILURE_AGE * (failed - health->failure);
+	if (verdict == FLEET_BROKEN) {
+		health->avoid_until = now + (AVOID_MS << MIN(health->in_a_row,
+							     AVOID_DOUBLINGS));
+		health->in_a_row++;
+	} else if (verdict == FLEET_GOOD) {
+		health->in_a_row = 0;
+		health->avoid_until = 0;
+	}
+}
+
+void fleet_on_load(struct fleet_worker *worker, int running, int waiting,
+		   clk_ms now)
+{
+	int all = running + waiting - (int)worker->inflight;
+
+	worker->others = MAX(all, 0);
+	worker->others_waiting = MIN(waiting, worker->others);
+	worker->reported_at = now;
+}
--- /dev/null
+++ b/decide/fleet.h
@@ -0,0 +1,151 @@
+/*
+ * Workers and which one gets a request.
+ *
+ * The cost of an engine is the time to the first token that is expected
+ * there: prompts that wait before this one, the part of this prompt that is
+ * not cached, and what the running requests slow it down. Own requests are
+ * counted exactly, those of other hosts are taken from load reports, whose
+ * age is known. A service's worker costs the wait for a free place.
+ */
+#ifndef DECIDE_FLEET_H
+#define DECIDE_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "clk.h"
+
+#define FLEET_PARTS_MAX 16 /* parts of one prompt that are looked at */
+
+/* How an attempt ended, for the judgement of its worker. */
+enum fleet_verdict {
+	FLEET_GOOD,
+	FLEET_FAILED, /* a whole answer that reports a failure */
+	FLEET_BROKEN, /* no connection, no answer, or none in time */
+};
+
+/* What the platform's list says of a worker. */
+struct fleet_entry {
+	char *id;
+	char *pool;
+	char *address; /* "IP:port" */
+	char *data_centre;
+	char *version; /* of its software */
+	int slots;
+	bool leaving;
+	bool spot;	  /* it may be reclaimed */
+	clk_ms leaves_in; /* ms that it still serves; -1: not known */
+	clk_ms cold_left; /* ms that it stays slow after its start */
+	int64_t born;	  /* wall clock of its start, in ms */
+};
+
+/* How a worker's attempts ended lately. */
+struct fleet_health {
+	double failure;	    /* aged share of failed attempts, 0 to 1 */
+	unsigned in_a_row;  /* failures */
+	clk_ms avoid_until; /* not chosen while others can be */
+};
+
+struct fleet_worker {
+	struct fleet_entry entry;
+	int64_t revision; /* the list's revision of the entry */
+	bool marked;	  /* a peer says that it leaves */
+	clk_ms gone_at;	  /* when a missing entry counts as gone; 0: is there */
+	struct fleet_health health;
+	unsigned inflight;    /* own requests that are there */
+	double prompt_tokens; /* of own requests before their first token */
+	int others;	      /* requests of other hosts, at the last report */
+	int others_waiting;   /* of these, waiting */
+	clk_ms reported_at;   /* when the report came; 0: never */
+	GHashTable *parts;    /* part -> when it was last read, in clk_ms */
+	void *peer;	      /* of the caller: its connections */
+	unsigned refs;	      /* requests that point here, and the fleet */
+	bool removed;
+};
+
+/* What is known of engines' and services' speed; from the settings. */
+struct fleet_speed {
+	double prefill_ms;  /* for a token that is not cached */
+	double running_ms;  /* that a running request adds */
+	double distance_ms; /* for another data centre */
+	clk_ms cached_for;  /* a part read longer ago may have been dropped */
+};
+
+/* One part of a prompt. */
+struct fleet_part {
+	uint64_t id;
+	int tokens;
+};
+
+/* What is to be placed. */
+struct fleet_ask {
+	const char *pool;
+	bool engine;
+	const char *data_centre; /* of this host */
+	int prompt_tokens;
+	struct fleet_part parts[FLEET_PARTS_MAX];
+	size_t part_count;
+	const struct fleet_worker *not_this; /* or NULL */
+};
+
+/* Where a request is placed, and what decided it. */
+struct fleet_choice {
+	struct fleet_worker *worker; /* NULL: none takes work */
+	double cost;		     /* expected ms to the first token */
+	int cached;		     /* tokens that are expected to be cached */
+	unsigned candidates;
+};
+
+struct fleet {
+	GHashTable *workers; /* id -> struct fleet_worker */
+	GHashTable *pools;   /* pool -> GPtrArray of struct fleet_worker */
+	struct fleet_speed speed;
+	uint32_t (*random)(void *ctx, uint32_t n);
+	/* A worker is new, or no longer used: connections are made, dropped. */
+	void (*on_added)(void *ctx, struct fleet_worker *worker);
+	void (*on_removed)(void *ctx, struct fleet_worker *worker);
+	void *ctx;
+};
+
+struct fleet *fleet_create(const struct fleet *options);
+/* Takes an entry of the list, which is given up to the fleet. Returns the
+ * worker. */
+struct fleet_worker *fleet_put(struct fleet *fleet, struct fleet_entry *entry,
+			       int64_t revision);
+/* A worker is gone from the list. */
+void fleet_remove(struct fleet *fleet, const char *id);
+struct fleet_worker *fleet_find(const struct fleet *fleet, const char *id);
+void fleet_entry_clear(struct fleet_entry *entry);
+struct fleet_worker *fleet_worker_ref(struct fleet_worker *worker);
+void fleet_worker_unref(struct fleet_worker *worker);
+/* Whether it gets new work. */
+bool fleet_takes_work(const struct fleet_worker *worker);
+
+/* Chooses a worker. */
+struct fleet_choice fleet_choose(struct fleet *fleet,
+				 const struct fleet_ask *ask, clk_ms now);
+/* Whether a pool has another worker that takes work. */
+bool fleet_has_other(const struct fleet *fleet, const char *pool,
+		     const struct fleet_worker *not_this);
+/* Workers of a pool that take work. */
+unsigned fleet_count(const struct fleet *fleet, const char *pool);
+/* Workers of a pool that take work, and are in a data centre, of a kind. */
+unsigned fleet_count_at(const struct fleet *fleet, const char *pool,
+			const char *data_centre, bool spot);
+
+/* An own request was sent to a worker, or has had its first token, or has
+ * ended there. */
+void fleet_begin(struct fleet_worker *worker, const struct fleet_ask *ask,
+		 clk_ms now);
+void fleet_first(struct fleet_worker *worker, const struct fleet_ask *ask);
+void fleet_end(struct fleet_worker *worker, const struct fleet_ask *ask,
+	       bool had_first);
+/* Judges a worker by the end of an attempt there. */
+void fleet_judge(struct fleet_worker *worker, enum fleet_verdict verdict,
+		 clk_ms now);
+/* A load report of a worker. */
+void fleet_on_load(struct fleet_worker *worker, int running, int waiting,
+		   clk_ms now);
+
+#endif
--- a/decide/member.c
+++ b/decide/member.c
@@ -184,20 +184,46 @@
 	return best;
 }
 
+/* Counts the live members, this host included, of a greater weight. */
+static unsigned rank_of(const struct member_list *list, const char *key,
+			uint64_t weight)
+{
+	unsigned better = weight_of(list->self.incarnation, key) > weight;
+
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+
+		if (member->info.state == MEMBER_ALIVE &&
+		    weight_of(member->info.incarnation, key) > weight)
+			better++;
+	}
+	return better;
+}
+
+unsigned member_self_rank(const struct member_list *list, const char *key)
+{
+	return rank_of(list, key, weight_of(list->self.incarnation, key));
+}
+
 bool member_self_is_among(const struct member_list *list, const char *key,
 			  unsigned n)
 {
-	uint64_t own = weight_of(list->self.incarnation, key);
-	unsigned better = 0;
+	return member_self_rank(list, key) < n;
+}
 
+void member_each_first(const struct member_list *list, const char *key,
+		       unsigned n,
+		       void (*fn)(void *ctx, const struct member *member),
+		       void *ctx)
+{
 	for (guint i = 0; i < list->order->len; i++) {
 		const struct member *member = g_ptr_array_index(list->order, i);
 
 		if (member->info.state == MEMBER_ALIVE &&
-		    weight_of(member->info.incarnation, key) > own)
-			better++;
+		    rank_of(list, key,
+			    weight_of(member->info.incarnation, key)) < n)
+			fn(ctx, member);
 	}
-	return better < n;
 }
 
 size_t member_live_count(const struct member_list *list)
--- a/decide/member.h
+++ b/decide/member.h
@@ -157,6 +157,14 @@
 /* Tells whether this host is among the n first for a key. */
 bool member_self_is_among(const struct member_list *list, const char *key,
 			  unsigned n);
+/* Counts the live members that rank before this host for a key. */
+unsigned member_self_rank(const struct member_list *list, const char *key);
+/* Calls fn for each live member that ranks among the n first for a key, this
+ * host counted among the candidates. */
+void member_each_first(const struct member_list *list, const char *key,
+		       unsigned n,
+		       void (*fn)(void *ctx, const struct member *member),
+		       void *ctx);
 size_t member_live_count(const struct member_list *list);
 
 #endif
--- /dev/null
+++ b/decide/quota.h
@@ -0,0 +1,45 @@
+/*
+ * An account's limit over all hosts.
+ *
+ * Each host knows what it has let through itself and, from the others'
+ * reports, what they have. It fills one bucket for all hosts and takes both
+ * out of it, so an account can spend its whole limit wherever its callers
+ * connect. Between reports a host lets through a multiple of its equal share
+ * at most, which bounds what all hosts together can pass by; a host that
+ * hears of no other keeps to its equal share.
+ */
+#ifndef DECIDE_QUOTA_H
+#define DECIDE_QUOTA_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "clk.h"
+
+struct quota {
+	double rate;  /* units a second over all hosts; 0: no limit */
+	double burst; /* units that may be saved up, over all hosts */
+	double slack; /* units by which all hosts may pass the limit */
+	double all;   /* units left in the bucket of all hosts */
+	double own;   /* units left of this host's share */
+	clk_ms last;
+	double spent;	    /* units that this host has let through, in all */
+	GHashTable *others; /* process -> double: what it has let through */
+	clk_ms heard;	    /* when a report came last; 0: never */
+};
+
+struct quota *quota_create(void);
+/* Sets the limit. */
+void quota_set(struct quota *quota, double rate, double burst, double slack,
+	       clk_ms now);
+/* Takes units for a request; hosts: those that share the limit. If there are
+ * too few, returns false and sets come_back to the ms until there are. */
+bool quota_take(struct quota *quota, double units, unsigned hosts, clk_ms now,
+		clk_ms *come_back);
+/* Gives back what a request that was not run had taken. */
+void quota_give(struct quota *quota, double units);
+/* Another host's report of all that it has let through. */
+void quota_on_report(struct quota *quota, const char *process, double spent,
+		     unsigned hosts, clk_ms now);
+
+#endif
--- a/decide/retry.c
+++ b/decide/retry.c
@@ -65,18 +65,28 @@
 	budget->saved = MAX(budget->saved, 1);
 }
 
+bool retry_has(struct retry_budget *budget, clk_ms now)
+{
+	trickle(budget, now);
+	return budget->saved >= 1;
+}
+
+void retry_spend(struct retry_budget *budget)
+{
+	budget->saved -= 1;
+	budget->made++;
+}
+
 clk_ms retry_ask(struct retry_budget *budget, unsigned attempts,
 		 uint32_t random, clk_ms now, clk_ms deadline)
 {
 	clk_ms wait = retry_wait(budget, attempts, random);
 
-	trickle(budget, now);
-	if (attempts >= budget->options.most || budget->saved < 1 ||
+	if (!retry_has(budget, now) || attempts >= budget->options.most ||
 	    (deadline != CLK_NEVER && now + wait >= deadline)) {
 		budget->denied++;
 		return -1;
 	}
-	budget->saved -= 1;
-	budget->made++;
+	retry_spend(budget);
 	return wait;
 }
--- a/decide/retry.h
+++ b/decide/retry.h
@@ -38,6 +38,9 @@
 /* A call of the pool succeeded: if none failed for a while, the pool is
  * healthy, and retries may go on. */
 void retry_on_success(struct retry_budget *budget, clk_ms now);
+/* Whether a retry may be made now; retry_spend makes it. */
+bool retry_has(struct retry_budget *budget, clk_ms now);
+void retry_spend(struct retry_budget *budget);
 /* The jittered back-off before the attempt after so many, in ms; random is
  * in 0 to 999. */
 clk_ms retry_wait(const struct retry_budget *budget, unsigned attempts,
--- /dev/null
+++ b/decide/scale.h
@@ -0,0 +1,51 @@
+/*
+ * How many workers of a pool to order, of which kind, in which data centre.
+ *
+ * Reclaimable workers are the cheap ones, and are lost a data centre at a
+ * time: they are spread so that what is left after the loss of one data
+ * centre's carries the need. Full-price workers fill what reclaimable ones
+ * that are to be had do not.
+ */
+#ifndef DECIDE_SCALE_H
+#define DECIDE_SCALE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "clk.h"
+
+#define SCALE_ZONES_MAX 16 /* data centres of one pool */
+
+/* What is to be had, and wanted, in one data centre. */
+struct scale_zone {
+	const char *name;
+	double price;	/* of a full worker, per second */
+	bool spot_dry;	/* no reclaimable ones are to be had now */
+	bool full_dry;	/* no full ones */
+	int spot_ready; /* reclaimable workers that take work */
+	int full_ready;
+	int want_spot; /* result */
+	int want_full; /* result */
+};
+
+/* What binds a pool. */
+struct scale_limits {
+	int min; /* workers per data centre, of both kinds together */
+	int max;
+	double spot_price; /* part of a full worker's price */
+};
+
+/* Busy workers that a pool's demand means, followed over time: up at once,
+ * down slowly. */
+struct scale_need {
+	double busy;
+	clk_ms at;
+};
+
+/* Takes a new measure of the demand. */
+void scale_need_add(struct scale_need *need, double busy, clk_ms now);
+/* Plans for so many busy workers. */
+void scale_plan(struct scale_zone *zones, size_t count,
+		const struct scale_limits *limits, double busy);
+
+#endif
--- /dev/null
+++ b/decide/sse.c
@@ -0,0 +1,88 @@
+/* Streams of server-sent events. */
+#include "sse.h"
+
+#include <string.h>
+
+void sse_init(struct sse *sse, int64_t last_id)
+{
+	*sse = (struct sse){
+		.part = g_string_new(NULL),
+		.last_id = last_id,
+	};
+}
+
+void sse_clear(struct sse *sse)
+{
+	if (sse->part)
+		g_string_free(sse->part, TRUE);
+	sse->part = NULL;
+}
+
+void sse_restart(struct sse *sse)
+{
+	g_string_truncate(sse->part, 0);
+	sse->scanned = 0;
+}
+
+/* Returns an event's number, or -1 if it has none. */
+static int64_t event_id(const char *ptr, size_t len)
+{
+	const char *end = ptr + len;
+
+	while (ptr < end) {
+		const char *line = ptr;
+		const char *stop = memchr(ptr, '\n', (size_t)(end - ptr));
+		size_t size = (size_t)((stop ? stop : end) - line);
+
+		if (size > 3 && memcmp(line, "id:", 3) == 0)
+			return g_ascii_strtoll(line + 3, NULL, 10);
+		ptr = stop ? stop + 1 : end;
+	}
+	return -1;
+}
+
+/* Passes on one whole event; false if events before it are missing. */
+static bool event_take(struct sse *sse, const char *ptr, size_t len,
+		       GString *out)
+{
+	int64_t id = event_id(ptr, len);
+
+	if (id >= 0) {
+		if (id <= sse->last_id)
+			return true;
+		if (sse->last_id >= 0 && id != sse->last_id + 1)
+			return false;
+		sse->last_id = id;
+	}
+	sse->events++;
+	g_string_append_len(out, ptr, (gssize)len);
+	return true;
+}
+
+bool sse_take(struct sse *sse, const char *ptr, size_t len, GString *out)
+{
+	size_t start = 0;
+	GString *part = sse->part;
+
+	g_string_append_len(part, ptr, (gssize)len);
+	for (size_t i = sse->scanned; i < part->len; i++) {
+		bool ends = i > 0 && part->str[i] == '\n' &&
+			    (part->str[i - 1] == '\n' ||
+			     (i > 2 && part->str[i - 1] == '\r' &&
+			      part->str[i - 2] == '\n'));
+
+		if (!ends || i + 1 - start < 2)
+			continue;
+		if (!event_take(sse, part->str + start, i + 1 - start, out))
+			return false;
+		start = i + 1;
+	}
+	g_string_erase(part, 0, (gssize)start);
+	sse->scanned = part->len > 0 ? part->len - 1 : 0;
+	return true;
+}
+
+bool sse_is_whole(const struct sse *sse)
+{
+	return sse->part->len == 0;
+}
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -8,6 +8,7 @@
 /* The kinds of settings objects. */
 enum conf_kind {
 	CONF_ENTRY,
+	CONF_PROXY,
 	CONF_ADMIN,
 	CONF_MODEL,
 	CONF_ROUTE,
@@ -40,6 +41,37 @@
 	char *trace_file;
 };
 
+/* The settings file of one rw-proxyd process. */
+struct conf_proxy {
+	char *name;
+	char *data_centre;
+	char *address;
+	char *front;
+	char *ready;
+	char *lookup;
+	char **internal_ports;
+	char **seeds;
+	char *store;
+	char *cloud;
+	char **duties;
+	int64_t memory_mb;
+	int64_t descriptors;
+	double cores;
+	double grace_s;
+	double retry_ratio;
+	double retry_extra;
+	double quota_tolerance;
+	int64_t lease_ms;
+	double usage_window_s;
+	double usage_delay_s;
+	double lookup_keep_s;
+	int64_t connect_ms;
+	double prefill_us;
+	double distance_ms;
+	char *log_level;
+	int64_t log_rate;
+};
+
 /* The settings file of one rw-admind process. */
 struct conf_admin {
 	char *address;
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -41,7 +41,34 @@
 	X(platform_failures, "calls to the platform without an answer")        \
 	X(rpc_bytes_in, "bytes received from other entry hosts")               \
 	X(rpc_bytes_out, "bytes sent to other entry hosts")                    \
-	X(gossip_out, "membership datagrams sent")
+	X(gossip_out, "membership datagrams sent")                             \
+	X(passed_whole, "requests whose upstream answer was passed on whole")  \
+	X(passed_failed, "upstream failures passed on to callers")             \
+	X(refused_key, "requests with an unknown key")                         \
+	X(refused_route, "requests that no route takes")                       \
+	X(refused_not_run, "requests refused that had not run")                \
+	X(answered_unknown, "requests of which nobody knows if they ran")      \
+	X(answered_late, "requests whose time was over")                       \
+	X(broken_off, "answers broken off after they had begun")               \
+	X(callers_gone, "callers who left before their answer")                \
+	X(events, "events of streams passed on")                               \
+	X(ends_unsent, "attempts of which not a byte was sent")                \
+	X(ends_not_run, "attempts that an upstream refused, not run")          \
+	X(ends_failed, "attempts that ended in an upstream's failure")         \
+	X(ends_cut, "attempts cut off, or answered by what is no answer")      \
+	X(stalls, "attempts given up for an upstream's silence")               \
+	X(connects, "connections made to upstreams")                           \
+	X(reuses, "requests on a kept connection")                             \
+	X(strays, "responses of other requests, dropped")                      \
+	X(dirty, "connections closed for unexpected bytes")                    \
+	X(workers_bad, "entries of workers that could not be read")            \
+	X(duty_terms, "times that this host took the duties")                  \
+	X(usage_reports, "reports of usage that were accepted")                \
+	X(orders, "orders of workers that were accepted")                      \
+	X(orders_none, "orders for which there were no workers")               \
+	X(cloud_calls, "calls for the duties")                                 \
+	X(cloud_failures, "calls for the duties that were not accepted")       \
+	X(log_dropped, "lines that the log dropped")
 
 enum ctr {
 #define CTR_ENUM(name, doc) CTR_##name,
--- /dev/null
+++ b/wire/h1.c
@@ -0,0 +1,264 @@
+/* HTTP/1.1 messages: heads and the framing of bodies. */
+#include "h1.h"
+
+#include <string.h>
+
+#define NUMBER_DIGITS_MAX 18 /* fit into an int64_t */
+
+/* libh2o exports its parser, but its package has no header of it. */
+struct phr_header {
+	const char *name;
+	size_t name_len;
+	const char *value;
+	size_t value_len;
+};
+
+int phr_parse_request(const char *buf, size_t len, const char **method,
+		      size_t *method_len, const char **path, size_t *path_len,
+		      int *minor_version, struct phr_header *headers,
+		      size_t *num_headers, size_t last_len);
+int phr_parse_response(const char *buf, size_t len, int *minor_version,
+		       int *status, const char **msg, size_t *msg_len,
+		       struct phr_header *headers, size_t *num_headers,
+		       size_t last_len);
+ssize_t phr_decode_chunked(struct h1_chunks *decoder, char *buf, size_t *size);
+
+static bool framing_read(struct h1_head *head, int minor);
+
+bool h1_view_is(struct http_view view, const char *text)
+{
+	return view.len == strlen(text) &&
+	       g_ascii_strncasecmp(view.ptr, text, view.len) == 0;
+}
+
+int64_t h1_view_number(struct http_view view)
+{
+	int64_t number = 0;
+
+	if (view.len == 0 || view.len > NUMBER_DIGITS_MAX)
+		return -1;
+	for (size_t i = 0; i < view.len; i++) {
+		if (!g_ascii_isdigit(view.ptr[i]))
+			return -1;
+		number = number * 10 + (view.ptr[i] - '0');
+	}
+	return number;
+}
+
+struct http_view h1_find(const struct h1_head *head, const char *name)
+{
+	for (size_t i = 0; i < head->count; i++)
+		if (h1_view_is(head->headers[i].name, name))
+			return head->headers[i].value;
+	return (struct http_view){ NULL, 0 };
+}
+
+/* Whether a comma-separated list holds a word. */
+static bool list_holds(struct http_view list, struct http_view word)
+{
+	size_t start = 0;
+
+	while (start <= list.len && list.len > 0) {
+		size_t end = start;
+		struct http_view item;
+
+		while (end < list.len && list.ptr[end] != ',')
+			end++;
+		item = (struct http_view){ list.ptr + start, end - start };
+		while (item.len && g_ascii_isspace(item.ptr[0]))
+			item.ptr++, item.len--;
+		while (item.len && g_ascii_isspace(item.ptr[item.len - 1]))
+			item.len--;
+		if (item.len == word.len &&
+		    g_ascii_strncasecmp(item.ptr, word.ptr, word.len) == 0)
+			return true;
+		start = end + 1;
+	}
+	return false;
+}
+
+/* Whether some Connection header holds a word. */
+static bool connection_holds(const struct h1_head *head, struct http_view word)
+{
+	for (size_t i = 0; i < head->count; i++)
+		if (h1_view_is(head->headers[i].name, "connection") &&
+		    list_holds(head->headers[i].value, word))
+			return true;
+	return false;
+}
+
+static bool connection_says(const struct h1_head *head, const char *word)
+{
+	return connection_holds(head, (struct http_view){ word, strlen(word) });
+}
+
+bool h1_is_hop(const struct h1_head *head, const struct h1_header *header)
+{
+	static const char *const hop[] = {
+		"connection",
+		"keep-alive",
+		"proxy-connection",
+		"proxy-authenticate",
+		"proxy-authorization",
+		"te",
+		"trailer",
+		"transfer-encoding",
+		"upgrade",
+		"expect",
+		"content-length",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hop); i++)
+		if (h1_view_is(header->name, hop[i]))
+			return true;
+	return connection_holds(head, header->name);
+}
+
+/* Copies the parser's headers; a continued line is refused. */
+static bool headers_copy(struct h1_head *head, const struct phr_header *from)
+{
+	for (size_t i = 0; i < head->count; i++) {
+		if (!from[i].name)
+			return false;
+		head->headers[i] = (struct h1_header){
+			.name = { from[i].name, from[i].name_len },
+			.value = { from[i].value, from[i].value_len },
+		};
+	}
+	return true;
+}
+
+/* Reads the headers that frame the message. */
+static bool framing_read(struct h1_head *head, int minor)
+{
+	int64_t length = -1;
+	bool chunked = false;
+
+	head->keep_alive_s = -1;
+	for (size_t i = 0; i < head->count; i++) {
+		const struct h1_header *header = &head->headers[i];
+
+		if (h1_view_is(header->name, "content-length")) {
+			int64_t number = h1_view_number(header->value);
+
+			if (number < 0 || (length >= 0 && length != number))
+				return false;
+			length = number;
+		} else if (h1_view_is(header->name, "transfer-encoding")) {
+			if (chunked || !h1_view_is(header->value, "chunked"))
+				return false;
+			chunked = true;
+		} else if (h1_view_is(header->name, "expect")) {
+			head->expects_continue =
+				h1_view_is(header->value, "100-continue");
+		} else if (h1_view_is(header->name, "keep-alive")) {
+			const char *at = g_strstr_len(header->value.ptr,
+						      (gssize)header->value.len,
+						      "timeout=");
+
+			if (at)
+				head->keep_alive_s =
+					(int)g_ascii_strtoll(at + 8, NULL, 10);
+		}
+	}
+	if (chunked && (length >= 0 || minor < 1))
+		return false;
+	head->close = connection_says(head, "close") ||
+		      (minor < 1 && !connection_says(head, "keep-alive"));
+	head->framing = chunked	      ? H1_CHUNKED
+			: length >= 0 ? H1_LENGTH
+				      : H1_NONE;
+	head->length = length > 0 ? (uint64_t)length : 0;
+	return true;
+}
+
+ssize_t h1_parse_request(const char *buf, size_t len, size_t seen,
+			 struct h1_head *head)
+{
+	struct phr_header headers[H1_HEADERS_MAX];
+	int minor;
+	int used;
+
+	memset(head, 0, offsetof(struct h1_head, headers));
+	head->expects_continue = false;
+	head->count = H1_HEADERS_MAX;
+	used = phr_parse_request(buf, len, &head->method.ptr, &head->method.len,
+				 &head->target.ptr, &head->target.len, &minor,
+				 headers, &head->count, seen);
+	if (used < 0)
+		return used == -2 ? H1_MORE : H1_BAD;
+	if (!headers_copy(head, headers) || !framing_read(head, minor))
+		return H1_BAD;
+	return used;
+}
+
+ssize_t h1_parse_response(const char *buf, size_t len, size_t seen,
+			  bool head_only, struct h1_head *head)
+{
+	struct phr_header headers[H1_HEADERS_MAX];
+	const char *text;
+	size_t text_len;
+	int minor;
+	int used;
+
+	memset(head, 0, offsetof(struct h1_head, headers));
+	head->expects_continue = false;
+	head->count = H1_HEADERS_MAX;
+	used = phr_parse_response(buf, len, &minor, &head->status, &text,
+				  &text_len, headers, &head->count, seen);
+	if (used < 0)
+		return used == -2 ? H1_MORE : H1_BAD;
+	if (!headers_copy(head, headers) || !framing_read(head, minor))
+		return H1_BAD;
+	if (head_only || head->status / 100 == 1 || head->status == 204 ||
+	    head->status == 304)
+		head->framing = H1_NONE;
+	else if (head->framing == H1_NONE)
+		head->framing = H1_UNTIL_CLOSE;
+	if (head->framing == H1_UNTIL_CLOSE)
+		head->close = true;
+	return used;
+}
+
+void h1_body_start(struct h1_body *body, const struct h1_head *head)
+{
+	*body = (struct h1_body){
+		.framing = head->framing,
+		.left = head->length,
+		.chunks = { .consume_trailer = 1 },
+	};
+	body->done = head->framing == H1_NONE ||
+		     (head->framing == H1_LENGTH && head->length == 0);
+}
+
+bool h1_body_take(struct h1_body *body, char *buf, size_t len, size_t *out,
+		  size_t *used)
+{
+	size_t size = len;
+	ssize_t rest;
+
+	*out = *used = 0;
+	if (body->done)
+		return true;
+	switch (body->framing) {
+	case H1_NONE:
+		return true;
+	case H1_UNTIL_CLOSE:
+		*out = *used = len;
+		return true;
+	case H1_LENGTH:
+		*out = *used = (size_t)MIN((uint64_t)len, body->left);
+		body->left -= *out;
+		body->done = body->left == 0;
+		return true;
+	case H1_CHUNKED:
+		rest = phr_decode_chunked(&body->chunks, buf, &size);
+		if (rest == -1)
+			return false;
+		*out = size;
+		body->done = rest >= 0;
+		*used = body->done ? len - (size_t)rest : len;
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/wire/hs.h
@@ -0,0 +1,74 @@
+/*
+ * HTTP/1.1 server that goes on reading while a request is answered, so that
+ * a caller's close is noticed at once.
+ *
+ * A request is handed over when it is whole. It is answered by hs_reply, or
+ * by hs_begin, hs_send and hs_finish, or broken off by hs_abort; each of
+ * hs_reply, hs_finish and hs_abort ends the request's life.
+ */
+#ifndef WIRE_HS_H
+#define WIRE_HS_H
+
+#include "h1.h"
+
+struct hs;
+struct hs_call;
+
+/* Limits on what a caller may send. */
+struct hs_limits {
+	size_t head_max;     /* bytes */
+	size_t body_max;     /* bytes */
+	clk_ms head_timeout; /* from a head's first byte to its last, in ms */
+	clk_ms idle_timeout; /* without a request, or between bytes of one */
+	size_t connections;  /* most open ones */
+};
+
+struct hs_options {
+	const char *address; /* "IP:port" */
+	struct hs_limits limits;
+	/* A whole request has come. */
+	void (*on_call)(void *ctx, struct hs_call *call);
+	/* A request was refused before it was whole; may be NULL. */
+	void (*on_refused)(void *ctx, int status);
+	void *ctx;
+};
+
+struct hs *hs_create(uv_loop_t *loop, const struct hs_options *options,
+		     GError **error);
+void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
+/* From now on every answer ends its connection; idle ones are closed. */
+void hs_drain(struct hs *hs);
+/* Connections are no longer accepted. */
+void hs_stop_listening(struct hs *hs);
+/* Requests that are not answered to the end. */
+size_t hs_open_calls(const struct hs *hs);
+size_t hs_connections(const struct hs *hs);
+
+const struct h1_head *hs_call_head(const struct hs_call *call);
+/* The path without the query. */
+struct http_view hs_call_path(const struct hs_call *call);
+struct http_view hs_call_body(const struct hs_call *call);
+/* Returns a copy of a query parameter, or NULL; g_free it. */
+char *hs_call_query(const struct hs_call *call, const char *name);
+/* Loop time at which the request was whole, in ms. */
+clk_ms hs_call_at(const struct hs_call *call);
+/* How many requests came on this connection before this one. */
+unsigned hs_call_earlier(const struct hs_call *call);
+/* Sets what is called, at most once, if the caller goes away. The call is
+ * gone when fn returns. */
+void hs_call_on_gone(struct hs_call *call, void (*fn)(void *ctx), void *ctx);
+
+/* Answers whole; headers are "Name: value\r\n" each. The framing headers and
+ * Connection are added. */
+void hs_reply(struct hs_call *call, int status, const char *headers,
+	      const char *body, size_t len);
+/* Begins an answer of unknown length. */
+void hs_begin(struct hs_call *call, int status, const char *headers);
+void hs_send(struct hs_call *call, const char *ptr, size_t len);
+/* Bytes of the answer that the caller has not taken yet. */
+size_t hs_unsent(const struct hs_call *call);
+void hs_finish(struct hs_call *call);
+/* Breaks the answer off, so that the caller sees that it is not whole. */
+void hs_abort(struct hs_call *call);
+
+#endif
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -146,6 +146,43 @@
 };
 typedef struct w_sync_res w_sync_res;
 
+struct w_count {
+	quad_t window;
+	char *account;
+	quad_t count;
+};
+typedef struct w_count w_count;
+
+struct w_demand {
+	char *pool;
+	double busy;
+	double waiting;
+};
+typedef struct w_demand w_demand;
+
+struct w_spent {
+	char *account;
+	double units;
+};
+typedef struct w_spent w_spent;
+
+struct w_report {
+	char *process;
+	struct {
+		u_int counts_len;
+		w_count *counts_val;
+	} counts;
+	struct {
+		u_int demand_len;
+		w_demand *demand_val;
+	} demand;
+	struct {
+		u_int spent_len;
+		w_spent *spent_val;
+	} spent;
+};
+typedef struct w_report w_report;
+
 #define RW_PROGRAM 0x20525750
 #define RW_VERSION 1
 
@@ -159,6 +196,9 @@
 #define RW_SYNC 3
 extern  w_sync_res * rw_sync_1(w_sync_args *, CLIENT *);
 extern  w_sync_res * rw_sync_1_svc(w_sync_args *, struct svc_req *);
+#define RW_REPORT 4
+extern  void * rw_report_1(w_report *, CLIENT *);
+extern  void * rw_report_1_svc(w_report *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -171,6 +211,9 @@
 #define RW_SYNC 3
 extern  w_sync_res * rw_sync_1();
 extern  w_sync_res * rw_sync_1_svc();
+#define RW_REPORT 4
+extern  void * rw_report_1();
+extern  void * rw_report_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -186,6 +229,10 @@
 extern  bool_t xdr_w_items (XDR *, w_items*);
 extern  bool_t xdr_w_sync_args (XDR *, w_sync_args*);
 extern  bool_t xdr_w_sync_res (XDR *, w_sync_res*);
+extern  bool_t xdr_w_count (XDR *, w_count*);
+extern  bool_t xdr_w_demand (XDR *, w_demand*);
+extern  bool_t xdr_w_spent (XDR *, w_spent*);
+extern  bool_t xdr_w_report (XDR *, w_report*);
 
 #else /* K&R C */
 extern bool_t xdr_w_update ();
@@ -197,6 +244,10 @@
 extern bool_t xdr_w_items ();
 extern bool_t xdr_w_sync_args ();
 extern bool_t xdr_w_sync_res ();
+extern bool_t xdr_w_count ();
+extern bool_t xdr_w_demand ();
+extern bool_t xdr_w_spent ();
+extern bool_t xdr_w_report ();
 
 #endif /* K&R C */
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -108,10 +108,40 @@
 	w_items hosts;
 };
 
+/* Requests of one account that began in one window. */
+struct w_count {
+	hyper window;
+	string account<W_NAME>;
+	hyper count;
+};
+
+/* Work that a host was asked for in one pool of upstreams. */
+struct w_demand {
+	string pool<W_NAME>;
+	double busy;
+	double waiting;
+};
+
+/* Units that an account has used at a host, in all. */
+struct w_spent {
+	string account<W_NAME>;
+	double units;
+};
+
+/* RW_REPORT: what a host counts, for those that add it up; nothing is
+ * returned. */
+struct w_report {
+	string process<W_INCARNATION>;
+	w_count counts<W_ITEMS>;
+	w_demand demand<W_ITEMS>;
+	w_spent spent<W_ITEMS>;
+};
+
 program RW_PROGRAM {
 	version RW_VERSION {
 		void RW_GOSSIP(w_gossip) = 1;
 		void RW_HOME(w_home) = 2;
 		w_sync_res RW_SYNC(w_sync_args) = 3;
+		void RW_REPORT(w_report) = 4;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -398,3 +398,62 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_w_count (XDR *xdrs, w_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->window))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->account, W_NAME))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_demand (XDR *xdrs, w_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->pool, W_NAME))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->busy))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->waiting))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_spent (XDR *xdrs, w_spent *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->account, W_NAME))
+		 return FALSE;
+	 if (!xdr_double (xdrs, &objp->units))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_report (XDR *xdrs, w_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, W_ITEMS,
+		sizeof (w_count), (xdrproc_t) xdr_w_count))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, W_ITEMS,
+		sizeof (w_demand), (xdrproc_t) xdr_w_demand))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
+		sizeof (w_spent), (xdrproc_t) xdr_w_spent))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -220,6 +220,7 @@
 	struct rpc *rpc = conn->rpc;
 	w_home home = { .kind = 0 };
 	w_sync_args sync = { .settings_after = 0 };
+	w_report report = { .process = NULL };
 	bool ok = false;
 
 	switch (msg->rm_call.cb_proc) {
@@ -235,6 +236,12 @@
 			serve_sync(conn, msg->rm_xid, &sync);
 		xdr_free((xdrproc_t)xdr_w_sync_args, &sync);
 		break;
+	case RW_REPORT:
+		ok = xdr_w_report(xdr, &report);
+		if (ok && rpc->handlers.on_report)
+			rpc->handlers.on_report(rpc->handlers.ctx, &report);
+		xdr_free((xdrproc_t)xdr_w_report, &report);
+		break;
 	default:
 		break;
 	}
@@ -420,6 +427,11 @@
 	rpc_home_wire_clear(&wire);
 }
 
+void rpc_send_report(struct rpc *rpc, const char *to, const w_report *report)
+{
+	call_send(rpc, to, RW_REPORT, (xdrproc_t)xdr_w_report, report);
+}
+
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
 		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
 		   void *ctx)
--- /dev/null
+++ b/wire/tcp.c
@@ -0,0 +1,231 @@
+/* One TCP connection on a libuv loop. */
+#include "tcp.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+
+#define READ_BYTES 65536   /* taken from the kernel at once */
+#define LISTEN_BACKLOG 512 /* connections that wait to be accepted */
+#define PROBE_SHARE 3	   /* keep-alive probes within the limit */
+#define IN_KEEP_BYTES 8192 /* an emptied buffer larger than it is freed */
+
+/* Bytes that are being written. */
+struct tcp_out {
+	uv_write_t write;
+	struct tcp *tcp;
+	size_t len;
+	char bytes[];
+};
+
+static char read_buffer[READ_BYTES]; /* libuv fills and hands over at once */
+
+bool tcp_address(const char *text, struct sockaddr_in *addr)
+{
+	const char *colon = strrchr(text, ':');
+	char host[INET_ADDRSTRLEN];
+	gint64 port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(host))
+		return false;
+	memcpy(host, text, (size_t)(colon - text));
+	host[colon - text] = '\0';
+	port = g_ascii_strtoll(colon + 1, NULL, 10);
+	return port > 0 && port <= G_MAXUINT16 &&
+	       uv_ip4_addr(host, (int)port, addr) == 0;
+}
+
+struct tcp *tcp_create(uv_loop_t *loop, const struct tcp_ops *ops, void *ctx)
+{
+	struct tcp *tcp = g_new0(struct tcp, 1);
+
+	uv_tcp_init(loop, &tcp->handle);
+	tcp->handle.data = tcp;
+	tcp->ops = ops;
+	tcp->ctx = ctx;
+	tcp->in = g_string_sized_new(0);
+	return tcp;
+}
+
+bool tcp_accept(struct tcp *tcp, uv_stream_t *listener)
+{
+	if (uv_accept(listener, (uv_stream_t *)&tcp->handle) != 0)
+		return false;
+	uv_tcp_nodelay(&tcp->handle, 1);
+	return true;
+}
+
+static void on_connected(uv_connect_t *request, int status)
+{
+	struct tcp *tcp = request->data;
+
+	if (!tcp->closing)
+		tcp->on_connect(tcp->ctx, status == 0);
+}
+
+bool tcp_connect(struct tcp *tcp, const char *address,
+		 void (*fn)(void *ctx, bool ok))
+{
+	struct sockaddr_in addr;
+
+	if (!tcp_address(address, &addr))
+		return false;
+	tcp->on_connect = fn;
+	tcp->connect.data = tcp;
+	if (uv_tcp_connect(&tcp->connect, &tcp->handle,
+			   (const struct sockaddr *)&addr, on_connected) != 0)
+		return false;
+	uv_tcp_nodelay(&tcp->handle, 1);
+	return true;
+}
+
+void tcp_watch_peer(struct tcp *tcp, clk_ms limit)
+{
+	unsigned timeout = (unsigned)limit;
+	int probe = (int)MAX(limit / PROBE_SHARE / CLK_SECOND, 1);
+	int probes = PROBE_SHARE;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&tcp->handle, &fd) != 0)
+		return;
+	uv_tcp_keepalive(&tcp->handle, 1, (unsigned)probe);
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe, sizeof(probe));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+		   sizeof(timeout));
+}
+
+static void on_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	(void)handle;
+	(void)size;
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	struct tcp *tcp = stream->data;
+
+	if (tcp->closing || len == 0)
+		return;
+	if (len < 0) {
+		uv_read_stop(stream);
+		tcp->ops->on_end(tcp->ctx, len == UV_EOF);
+		return;
+	}
+	g_string_append_len(tcp->in, buf->base, len);
+	tcp->ops->on_data(tcp->ctx);
+}
+
+void tcp_read_start(struct tcp *tcp)
+{
+	uv_read_start((uv_stream_t *)&tcp->handle, on_alloc, on_read);
+}
+
+void tcp_read_stop(struct tcp *tcp)
+{
+	uv_read_stop((uv_stream_t *)&tcp->handle);
+}
+
+static void on_written(uv_write_t *request, int status)
+{
+	struct tcp_out *out = request->data;
+	struct tcp *tcp = out->tcp;
+
+	if (!tcp->closing) {
+		tcp->pending -= out->len;
+		if (status != 0)
+			tcp->ops->on_end(tcp->ctx, false);
+		else if (tcp->pending == 0 && tcp->ops->on_drain)
+			tcp->ops->on_drain(tcp->ctx);
+	}
+	g_free(out);
+}
+
+void tcp_write(struct tcp *tcp, const char *ptr, size_t len)
+{
+	uv_buf_t buf = uv_buf_init((char *)ptr, (unsigned)len);
+	struct tcp_out *out;
+	int done = 0;
+
+	if (tcp->closing || len == 0)
+		return;
+	if (tcp->pending == 0)
+		done = uv_try_write((uv_stream_t *)&tcp->handle, &buf, 1);
+	if (done < 0)
+		done = 0; /* the queued write reports what is wrong */
+	if ((size_t)done == len)
+		return;
+	len -= (size_t)done;
+	out = g_malloc(sizeof(*out) + len);
+	memcpy(out->bytes, ptr + done, len);
+	out->tcp = tcp;
+	out->len = len;
+	out->write.data = out;
+	tcp->pending += len;
+	buf = uv_buf_init(out->bytes, (unsigned)len);
+	uv_write(&out->write, (uv_stream_t *)&tcp->handle, &buf, 1, on_written);
+}
+
+static void on_shutdown(uv_shutdown_t *request, int status)
+{
+	(void)status; /* the reading side learns of a broken connection */
+	g_free(request);
+}
+
+void tcp_shutdown(struct tcp *tcp)
+{
+	uv_shutdown_t *request;
+
+	if (tcp->closing || tcp->shut)
+		return;
+	tcp->shut = true;
+	request = g_new0(uv_shutdown_t, 1);
+	if (uv_shutdown(request, (uv_stream_t *)&tcp->handle, on_shutdown) != 0)
+		g_free(request);
+}
+
+static void on_closed(uv_handle_t *handle)
+{
+	struct tcp *tcp = handle->data;
+
+	g_string_free(tcp->in, TRUE);
+	g_free(tcp);
+}
+
+void tcp_close(struct tcp *tcp)
+{
+	if (tcp->closing)
+		return;
+	tcp->closing = true;
+	uv_close((uv_handle_t *)&tcp->handle, on_closed);
+}
+
+void tcp_consume(struct tcp *tcp, size_t len)
+{
+	g_string_erase(tcp->in, 0, (gssize)len);
+	if (tcp->in->len == 0 && tcp->in->allocated_len > IN_KEEP_BYTES) {
+		g_string_free(tcp->in, TRUE);
+		tcp->in = g_string_sized_new(0);
+	}
+}
+
+bool tcp_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
+		uv_connection_cb fn, GError **error)
+{
+	struct sockaddr_in addr;
+	int code = UV_EINVAL;
+
+	uv_tcp_init(loop, listener);
+	if (tcp_address(address, &addr)) {
+		code = uv_tcp_bind(listener, (const struct sockaddr *)&addr, 0);
+		if (code == 0)
+			code = uv_listen((uv_stream_t *)listener,
+					 LISTEN_BACKLOG, fn);
+	}
+	if (code == 0)
+		return true;
+	g_set_error(error, g_quark_from_static_string("tcp"), code,
+		    "cannot listen on \"%s\": %s", address, uv_strerror(code));
+	return false;
+}
