Rules: resets, failures within a stream, doubted workers, quota at restart

ORDER: a 500 of the upstream that went on with a stream finished the stream. DRAIN: a host that the store had turned away went on using a worker whose entry was gone for good. A missing entry is now used only if nothing else is. QUOTA: hosts restarted with full buckets, and passed by more than their share between two reports.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -233,7 +233,8 @@
 	}
 	if (response->events && !sse_is_whole(&xfer->sse))
 		attempt_over(xfer, PX_END_CUT, "event_cut_off");
-	else if (response->status >= 500)
+	else if (response->status >= 500 ||
+		 (xfer->px.begun && !response->events))
 		attempt_over(xfer, PX_END_FAILED, "upstream_failed");
 	else
 		attempt_over(xfer, PX_END_WHOLE, "answered");
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -50,7 +50,7 @@
 		quota_set(quota, account->rate, account->burst,
 			  account->counts_tokens ? proxyd->conf->quota_tolerance
 						 : 0,
-			  proxyd_now(proxyd));
+			  proxyd->conf->first_start, proxyd_now(proxyd));
 	}
 }
 
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -137,7 +137,27 @@
 
 bool fleet_takes_work(const struct fleet_worker *worker)
 {
-	return !worker->entry.leaving && !worker->marked && !worker->removed;
+	return !worker->entry.leaving && !worker->marked && !worker->removed &&
+	       !worker->gone_at;
+}
+
+/* Which workers a choice is made among, in the order of preference. */
+enum group {
+	GROUP_SOUND,
+	GROUP_AVOIDED, /* they have failed lately */
+	GROUP_DOUBTED, /* their entries are missing after an outage */
+	GROUP_COUNT,
+};
+
+/* The group of a worker; GROUP_COUNT: it is not chosen at all. */
+static enum group group_of(const struct fleet_worker *worker, clk_ms now)
+{
+	if (worker->gone_at && !worker->entry.leaving && !worker->removed)
+		return GROUP_DOUBTED;
+	if (!fleet_takes_work(worker))
+		return GROUP_COUNT;
+	return clk_passed(worker->health.avoid_until, now) ? GROUP_SOUND
+							   : GROUP_AVOIDED;
 }
 
 bool fleet_has_other(const struct fleet *fleet, const char *pool,
@@ -298,17 +318,11 @@
 	return home;
 }
 
-/* Whether a worker is left out while others can be chosen. */
-static bool is_avoided(const struct fleet_worker *worker, clk_ms now)
-{
-	return !clk_passed(worker->health.avoid_until, now);
-}
-
-/* Chooses among the workers that are avoided, or among the others. */
+/* Chooses among the workers of one group. */
 static struct fleet_choice choose_among(struct fleet *fleet,
 					const GPtrArray *workers,
 					const struct fleet_ask *ask,
-					bool avoided, clk_ms now)
+					enum group group, clk_ms now)
 {
 	const struct fleet_worker *home =
 		ask->engine ? home_of(workers, ask) : NULL;
@@ -320,8 +334,7 @@
 		double cost;
 		int cached;
 
-		if (!fleet_takes_work(worker) || worker == ask->not_this ||
-		    is_avoided(worker, now) != avoided)
+		if (worker == ask->not_this || group_of(worker, now) != group)
 			continue;
 		best.candidates++;
 		cost = cost_of(fleet, worker, home, ask, now, &cached);
@@ -351,9 +364,9 @@
 
 	if (!workers)
 		return choice;
-	choice = choose_among(fleet, workers, ask, false, now);
-	if (!choice.worker)
-		choice = choose_among(fleet, workers, ask, true, now);
+	for (int group = 0; group < GROUP_COUNT && !choice.worker; group++)
+		choice = choose_among(fleet, workers, ask, (enum group)group,
+				      now);
 	return choice;
 }
 
--- a/decide/px.c
+++ b/decide/px.c
@@ -44,8 +44,11 @@
 		return try_again(px, room);
 	case PX_END_FAILED:
 		px->may_have_run = true;
-		if (px_may_repeat(px->kind) && !px->begun &&
-		    try_again(px, room) == PX_AGAIN)
+		/* A failure can't end an answer that has begun. */
+		if (px->begun)
+			return px_may_repeat(px->kind) ? try_again(px, room)
+						       : PX_BREAK;
+		if (px_may_repeat(px->kind) && try_again(px, room) == PX_AGAIN)
 			return PX_AGAIN;
 		return PX_DELIVER;
 	case PX_END_CUT:
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -42,7 +42,7 @@
 }
 
 void quota_set(struct quota *quota, double rate, double burst, double slack,
-	       clk_ms now)
+	       bool full, clk_ms now)
 {
 	bool first = quota->rate <= 0;
 
@@ -51,7 +51,9 @@
 	quota->rate = rate;
 	quota->burst = burst;
 	quota->slack = slack;
-	quota->all = first ? all_max(quota) : MIN(quota->all, all_max(quota));
+	if (first)
+		quota->all = full ? all_max(quota) : 0;
+	quota->all = MIN(quota->all, all_max(quota));
 	quota->own = quota->all;
 	quota->last = now;
 }
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -29,9 +29,11 @@
 };
 
 struct quota *quota_create(void);
-/* Sets the limit. */
+/* Sets the limit. full: a limit that is new begins with all that may be saved
+ * up; a host that has restarted can't know what is left, and begins with
+ * nothing. */
 void quota_set(struct quota *quota, double rate, double burst, double slack,
-	       clk_ms now);
+	       bool full, clk_ms now);
 /* Takes units for a request; hosts: those that share the limit. If there are
  * too few, returns false and sets come_back to the ms until there are. */
 bool quota_take(struct quota *quota, double units, unsigned hosts, clk_ms now,
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -215,6 +215,12 @@
 		.type = CONF_TYPE_LIST,
 		.offset = offsetof(struct conf_proxy, duties),
 	},
+	{
+		.name = "first_start",
+		.type = CONF_TYPE_BOOL,
+		.offset = offsetof(struct conf_proxy, first_start),
+		.fallback = "false",
+	},
 	{
 		.name = "memory_mb",
 		.type = CONF_TYPE_INT,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -54,6 +54,7 @@
 	char *store;
 	char *cloud;
 	char **duties;
+	bool first_start;
 	int64_t memory_mb;
 	int64_t descriptors;
 	double cores;
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define READ_BYTES 65536   /* taken from the kernel at once */
 #define LISTEN_BACKLOG 512 /* connections that wait to be accepted */
@@ -102,6 +103,25 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/* libuv also reports an end when a reset follows bytes that it has read: the
+ * socket tells which it is. What is left to read is read first. */
+static void end_read(struct tcp *tcp)
+{
+	uv_os_fd_t fd;
+	ssize_t len = -1;
+
+	if (uv_fileno((uv_handle_t *)&tcp->handle, &fd) == 0) {
+		while ((len = recv(fd, read_buffer, sizeof(read_buffer),
+				   MSG_DONTWAIT)) > 0) {
+			g_string_append_len(tcp->in, read_buffer, len);
+			tcp->ops->on_data(tcp->ctx);
+			if (tcp->closing)
+				return;
+		}
+	}
+	tcp->ops->on_end(tcp->ctx, len == 0);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
 {
 	struct tcp *tcp = stream->data;
@@ -110,7 +130,10 @@
 		return;
 	if (len < 0) {
 		uv_read_stop(stream);
-		tcp->ops->on_end(tcp->ctx, len == UV_EOF);
+		if (len == UV_EOF)
+			end_read(tcp);
+		else
+			tcp->ops->on_end(tcp->ctx, false);
 		return;
 	}
 	g_string_append_len(tcp->in, buf->base, len);
