Tests of rw-proxyd's decisions, its HTTP and its adapter; quota bound

Tables of cases in tests/unit-proxy.c, tests/http.c, tests/platform.c, and a check that the platform's words stay in platform/. Causes: what the others had spent beyond the bucket was forgotten, and each host's own bucket was as large as its part of the burst. It now holds 0.6 s of its part. A refusal without the upstream's proof (an unsigned 503) is no longer passed on: it would promise that the request has not run.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -207,6 +207,13 @@
 	attempt_over(xfer, PX_END_CUT, why);
 }
 
+/* Whether a status tells a caller that its request has not run: without the
+ * upstream's proof it may not be passed on. */
+static bool promises_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static void on_end(void *ctx, enum hc_end end)
 {
 	struct xfer *xfer = ctx;
@@ -233,6 +240,9 @@
 	}
 	if (response->events && !sse_is_whole(&xfer->sse))
 		attempt_over(xfer, PX_END_CUT, "event_cut_off");
+	else if (!response->says.is_signed &&
+		 promises_not_run(response->status))
+		attempt_over(xfer, PX_END_CUT, "unproved_refusal");
 	else if (response->status >= 500 ||
 		 (xfer->px.begun && !response->events))
 		attempt_over(xfer, PX_END_FAILED, "upstream_failed");
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -3,6 +3,7 @@
 
 #define HEARD_MS 3000	 /* a report is recent for this long */
 #define OWN_MULTIPLE 2.5 /* of the equal share, while reports are recent */
+#define OWN_SAVED_S 0.6	 /* of the own part that is saved up between reports */
 #define SLACK_SHARE 0.5	 /* of the slack that is used */
 
 struct quota *quota_create(void)
@@ -20,6 +21,12 @@
 	return quota->burst + SLACK_SHARE * quota->slack;
 }
 
+/* The most that this host's own bucket holds. */
+static double own_max(const struct quota *quota, double part)
+{
+	return MIN(quota->rate * part * OWN_SAVED_S, all_max(quota) * part);
+}
+
 /* This host's part of the limit. */
 static double own_part(const struct quota *quota, unsigned hosts, clk_ms now)
 {
@@ -38,7 +45,7 @@
 	quota->last = now;
 	quota->all = MIN(quota->all + seconds * quota->rate, all_max(quota));
 	quota->own = MIN(quota->own + seconds * quota->rate * part,
-			 all_max(quota) * part);
+			 own_max(quota, part));
 }
 
 void quota_set(struct quota *quota, double rate, double burst, double slack,
@@ -72,7 +79,7 @@
 	part = own_part(quota, hosts, now);
 	/* A request larger than a bucket passes when the bucket is full. */
 	need_all = MIN(units, all_max(quota));
-	need_own = MIN(units, all_max(quota) * part);
+	need_own = MIN(units, own_max(quota, part));
 	if (quota->all >= need_all && quota->own >= need_own) {
 		quota->all -= units;
 		quota->own -= units;
@@ -104,7 +111,7 @@
 		g_hash_table_insert(quota->others, g_strdup(process), known);
 	}
 	fill(quota, hosts, now);
-	quota->all = MAX(quota->all - (spent - *known), -all_max(quota));
+	quota->all -= spent - *known;
 	*known = spent;
 	quota->heard = now;
 }
--- /dev/null
+++ b/tests/platform.c
@@ -0,0 +1,322 @@
+/* Tables of cases for the adapter: what it decodes and what it writes. */
+#include <string.h>
+
+#include "../platform/decode.h"
+#include "../platform/head.h"
+#include "run.h"
+
+/* Workers' entries. */
+
+static const struct {
+	const char *text;
+	bool ok;
+	bool leaving;
+	bool spot;
+} worker_cases[] = {
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	  "\"state\":\"ready\",\"slots\":4,\"born\":5}",
+	  true, false, false },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	  "\"state\":\"draining\",\"slots\":4,\"spot_instance\":true,"
+	  "\"leaves_ms\":2100.5}",
+	  true, true, true },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	  "\"state\":\"asleep\",\"slots\":4}",
+	  false, false, false },
+	{ "{\"service\":7,\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	  "\"state\":\"ready\",\"slots\":4}",
+	  false, false, false },
+	{ "{\"address\":\"10.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\","
+	  "\"slots\":4}",
+	  false, false, false },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	  "\"state\":\"ready\",\"slots\":\"4\"}",
+	  false, false, false },
+	{ "{\"service\":", false, false, false },
+	{ "\xff\xfe", false, false, false },
+	{ "[]", false, false, false },
+	{ "", false, false, false },
+};
+
+START_TEST(worker_is_decoded)
+{
+	const char *text = worker_cases[_i].text;
+	GBytes *value = g_bytes_new(text, strlen(text));
+	struct fleet_entry entry;
+	GError *error = NULL;
+	bool ok = decode_worker("i-1", value, &entry, &error);
+
+	ck_assert_int_eq(ok, worker_cases[_i].ok);
+	if (ok) {
+		ck_assert_str_eq(entry.id, "i-1");
+		ck_assert_str_eq(entry.pool, "s");
+		ck_assert_str_eq(entry.data_centre, "z");
+		ck_assert_int_eq(entry.leaving, worker_cases[_i].leaving);
+		ck_assert_int_eq(entry.spot, worker_cases[_i].spot);
+		fleet_entry_clear(&entry);
+	} else {
+		ck_assert_ptr_nonnull(error);
+		g_error_free(error);
+	}
+	g_bytes_unref(value);
+}
+END_TEST
+
+/* The configuration. */
+
+static const char config[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"A.example\",\"path_prefix\":\"/a/\","
+	"\"kind\":\"streaming\",\"stream_resumption\":true,"
+	"\"timeout_ms\":15000,\"target_latency_ms\":1000,\"priority\":1,"
+	"\"max_attempts\":2,\"public\":false,"
+	"\"traffic_split\":[{\"service\":\"s1\",\"weight\":90},"
+	"{\"service\":\"s2\",\"weight\":10}]},"
+	"{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/b/\","
+	"\"kind\":\"non_idempotent\",\"service\":\"s2\",\"public\":true},"
+	"{\"name\":\"r3\",\"host\":\"a.example\",\"path_prefix\":\"/c/\","
+	"\"kind\":\"idempotent\",\"service\":\"s2\"},"
+	"{\"name\":\"r4\",\"host\":\"a.example\",\"path_prefix\":\"/d/\","
+	"\"kind\":\"streaming\",\"service\":\"s1\"},"
+	"{\"name\":\"r5\",\"host\":\"a.example\",\"path_prefix\":\"/e/\","
+	"\"kind\":\"something_new\",\"service\":\"s1\"}],"
+	"\"services\":[{\"name\":\"s1\",\"connection_limit\":360,"
+	"\"inference_engine\":{\"slots\":64,\"kv_cache_tokens\":625190},"
+	"\"scaling\":{\"minimum\":1,\"maximum\":6,\"boot_time_s\":4.0,"
+	"\"spot_price\":0.18,\"zone_prices\":{\"z1\":1.0,\"z2\":0.8}}},"
+	"{\"name\":\"s2\",\"connection_limit\":96}],"
+	"\"limits\":{\"max_header_bytes\":1000,\"max_body_bytes\":2000,"
+	"\"header_timeout_ms\":3000,\"idle_timeout_ms\":9000},"
+	"\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\",\"k2\"],"
+	"\"priority\":0,\"unit\":\"tokens\",\"uncached_tokens\":200,"
+	"\"rate_per_s\":100,\"burst\":50}]}";
+
+static const struct {
+	const char *path;
+	const char *route;
+	enum px_kind kind;
+	bool is_public;
+} route_cases[] = {
+	{ "/a/x", "r1", PX_RESUMABLE, false },
+	{ "/b/", "r2", PX_ONCE, true },
+	{ "/c/", "r3", PX_IDEMPOTENT, false },
+	{ "/d/", "r4", PX_STREAM, false },
+	/* What is not known may run at most once. */
+	{ "/e/", "r5", PX_ONCE, false },
+};
+
+START_TEST(config_is_decoded)
+{
+	GBytes *value = g_bytes_new(config, strlen(config));
+	struct tab *tab = decode_config(value, NULL);
+	const struct tab_route *route;
+
+	ck_assert_ptr_nonnull(tab);
+	route = tab_find(tab, "a.example", 9, route_cases[_i].path,
+			 strlen(route_cases[_i].path));
+	ck_assert_ptr_nonnull(route);
+	ck_assert_str_eq(route->name, route_cases[_i].route);
+	ck_assert_int_eq(route->kind, route_cases[_i].kind);
+	ck_assert_int_eq(route->is_public, route_cases[_i].is_public);
+	ck_assert_int_eq(tab->version, 7);
+	ck_assert_uint_eq(tab->limits.head_max, 1000);
+	ck_assert_str_eq(tab_account_of(tab, "k2", 2)->name, "t");
+	ck_assert_ptr_null(tab_account_of(tab, "k", 1));
+	ck_assert(tab_pool_get(tab, "s1")->scaling.enabled);
+	ck_assert(!tab_pool_get(tab, "s2")->engine);
+	tab_unref(tab);
+	g_bytes_unref(value);
+}
+END_TEST
+
+static const char *const bad_configs[] = { "", "{", "[]", "{}",
+					   "{\"routes\":3}" };
+
+START_TEST(bad_config_is_refused)
+{
+	GBytes *value = g_bytes_new(bad_configs[_i], strlen(bad_configs[_i]));
+	GError *error = NULL;
+
+	ck_assert_ptr_null(decode_config(value, &error));
+	ck_assert_ptr_nonnull(error);
+	g_error_free(error);
+	g_bytes_unref(value);
+}
+END_TEST
+
+/* What goes on to an upstream. */
+
+static const struct {
+	const char *headers; /* of the caller */
+	const char *holds;   /* a line that the upstream gets; or NULL */
+	const char *lacks;   /* a text that it does not get; or NULL */
+} forward_cases[] = {
+	{ "X-Other: 1\r\n", "X-Other: 1\r\n", NULL },
+	{ "Authorization: Bearer secret\r\n", NULL, "secret" },
+	{ "Redwingpitch-Tenant-Name: forged\r\n",
+	  "Redwingpitch-Tenant-Name: real\r\n", "forged" },
+	{ "Redwingpitch-Expected-Instance: forged\r\n",
+	  "Redwingpitch-Expected-Instance: i-1\r\n", "forged" },
+	{ "Redwingpitch-Deadline-Remaining: 99999\r\n",
+	  "Redwingpitch-Deadline-Remaining: 700\r\n", "99999" },
+	{ "Redwingpitch-Request-Priority: 0\r\n",
+	  "Redwingpitch-Request-Priority: 4\r\n", "Priority: 0" },
+	{ "Redwingpitch-Kv-Backup: forged\r\n", NULL, "forged" },
+	{ "Redwingpitch-Cache-Retention: forged\r\n", NULL, "forged" },
+	{ "Redwingpitch-Pin-Duration: forged\r\n", NULL, "forged" },
+	{ "Kv-From: forged\r\n", NULL, "forged" },
+	{ "kV-fRoM: forged\r\n", NULL, "forged" },
+	{ "Kv-Fetch: forged\r\n", NULL, "forged" },
+	{ "Connection: X-Gone\r\nX-Gone: 1\r\n", NULL, "X-Gone" },
+	/* What the request is can't be dropped on the way. */
+	{ "Connection: Redwingpitch-Model-Name\r\n"
+	  "Redwingpitch-Model-Name: m\r\n",
+	  "Redwingpitch-Model-Name: m\r\n", NULL },
+	{ "Connection: Redwingpitch-Attempt-Id\r\n",
+	  "Redwingpitch-Attempt-Id: abc\r\n", NULL },
+	{ "Transfer-Encoding: chunked\r\n", "Content-Length: 5\r\n",
+	  "chunked" },
+	{ "Upgrade: h2c\r\n", NULL, "h2c" },
+	{ "Last-Event-Id: 12\r\n", "Last-Event-Id: 12\r\n", NULL },
+};
+
+START_TEST(request_is_forwarded)
+{
+	char *text = g_strdup_printf("POST /a/b?c=d HTTP/1.1\r\nHost: h\r\n"
+				     "Redwingpitch-Attempt-Id: abc\r\n%s\r\n",
+				     forward_cases[_i].headers);
+	struct head_added added = {
+		.account = "real",
+		.worker = "i-1",
+		.time_left = 700,
+		.priority = 4,
+		.last_event = -1,
+		.body_len = 5,
+		.has_body = true,
+	};
+	struct h1_head head;
+	GString *out;
+
+	ck_assert_int_gt(h1_parse_request(text, strlen(text), 0, &head), 0);
+	out = head_request_build(&head, &added);
+	ck_assert(g_str_has_prefix(out->str, "POST /a/b?c=d HTTP/1.1\r\n"));
+	ck_assert_ptr_nonnull(strstr(out->str, "\r\nHost: h\r\n"));
+	if (forward_cases[_i].holds)
+		ck_assert_msg(strstr(out->str, forward_cases[_i].holds) != NULL,
+			      "%s", out->str);
+	if (forward_cases[_i].lacks)
+		ck_assert_msg(strstr(out->str, forward_cases[_i].lacks) == NULL,
+			      "%s", out->str);
+	g_string_free(out, TRUE);
+	g_free(text);
+}
+END_TEST
+
+START_TEST(resumption_replaces_the_last_event)
+{
+	const char *text = "POST / HTTP/1.1\r\nHost: h\r\n"
+			   "Last-Event-Id: 12\r\n\r\n";
+	struct head_added added = {
+		.worker = "i-1",
+		.priority = -1,
+		.last_event = 40,
+	};
+	struct h1_head head;
+	GString *out;
+
+	h1_parse_request(text, strlen(text), 0, &head);
+	out = head_request_build(&head, &added);
+	ck_assert_ptr_nonnull(strstr(out->str, "Last-Event-Id: 40\r\n"));
+	ck_assert_ptr_null(strstr(out->str, "Last-Event-Id: 12"));
+	ck_assert_ptr_null(strstr(out->str, "Content-Length"));
+	g_string_free(out, TRUE);
+}
+END_TEST
+
+START_TEST(request_is_read)
+{
+	const char *text =
+		"POST / HTTP/1.1\r\nHost: h\r\n"
+		"Redwingpitch-Attempt-Id: abc\r\n"
+		"Authorization: bearer key\r\n"
+		"Redwingpitch-Token-Counts: 1460,80\r\n"
+		"Redwingpitch-Length-Hint: 33\r\n"
+		"Redwingpitch-Deadline-Remaining: 15000\r\n"
+		"Redwingpitch-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n\r\n";
+	struct head_request says;
+	struct h1_head head;
+
+	h1_parse_request(text, strlen(text), 0, &head);
+	head_request_parse(&head, &says);
+	ck_assert(h1_view_is(says.id, "abc"));
+	ck_assert(h1_view_is(says.key, "key"));
+	ck_assert_int_eq(says.prompt_tokens, 1460);
+	ck_assert_int_eq(says.output_tokens_max, 80);
+	ck_assert_int_eq(says.output_tokens_hint, 33);
+	ck_assert_int_eq(says.time_left, 15000);
+	ck_assert_int_eq(says.last_event, -1);
+	ck_assert_uint_eq(says.part_count, 2);
+	ck_assert_uint_eq(says.parts[1].id, 0x91bd3f06u);
+	ck_assert_int_eq(says.parts[1].tokens, 410);
+}
+END_TEST
+
+static const struct {
+	const char *text;
+	bool not_run;
+	bool is_signed;
+	int running; /* -1: no load */
+} response_cases[] = {
+	{ "HTTP/1.1 200 OK\r\nRedwingpitch-Response-Signature: s\r\n"
+	  "Redwingpitch-Server-Load: 3,0,8\r\n\r\n",
+	  false, true, 3 },
+	{ "HTTP/1.1 503 No\r\nRedwingpitch-Not-Executed: 1\r\n\r\n", true,
+	  false, -1 },
+	{ "HTTP/1.1 421 No\r\nRedwingpitch-Instance-Id: i-2\r\n\r\n", true,
+	  false, -1 },
+	{ "HTTP/1.1 503 No\r\n\r\n", false, false, -1 },
+	{ "HTTP/1.1 200 OK\r\nRedwingpitch-Server-Load: 3,x\r\n\r\n", false,
+	  false, -1 },
+};
+
+START_TEST(response_is_read)
+{
+	const char *text = response_cases[_i].text;
+	struct head_response says;
+	struct h1_head head;
+
+	ck_assert_int_gt(h1_parse_response(text, strlen(text), 0, false, &head),
+			 0);
+	head_response_parse(&head, &says);
+	ck_assert_int_eq(says.not_run, response_cases[_i].not_run);
+	ck_assert_int_eq(says.is_signed, response_cases[_i].is_signed);
+	ck_assert_int_eq(says.has_load ? says.running : -1,
+			 response_cases[_i].running);
+}
+END_TEST
+
+static Suite *platform_suite(void)
+{
+	Suite *suite = suite_create("platform");
+	TCase *tcase = tcase_create("tables");
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_loop_test(tcase, worker_is_decoded, 0,
+			    G_N_ELEMENTS(worker_cases));
+	tcase_add_loop_test(tcase, config_is_decoded, 0,
+			    G_N_ELEMENTS(route_cases));
+	tcase_add_loop_test(tcase, bad_config_is_refused, 0,
+			    G_N_ELEMENTS(bad_configs));
+	tcase_add_loop_test(tcase, request_is_forwarded, 0,
+			    G_N_ELEMENTS(forward_cases));
+	tcase_add_test(tcase, resumption_replaces_the_last_event);
+	tcase_add_test(tcase, request_is_read);
+	tcase_add_loop_test(tcase, response_is_read, 0,
+			    G_N_ELEMENTS(response_cases));
+	return suite;
+}
+
+int main(void)
+{
+	return run_suite(platform_suite(), "platform");
+}
--- /dev/null
+++ b/tests/unit-proxy.c
@@ -0,0 +1,740 @@
+/* Tables of cases for the decisions of rw-proxyd. */
+#include <string.h>
+
+#include "../decide/duty.h"
+#include "../decide/fleet.h"
+#include "../decide/px.h"
+#include "../decide/quota.h"
+#include "../decide/scale.h"
+#include "../decide/sse.h"
+#include "../decide/tab.h"
+#include "../decide/usage.h"
+#include "../decide/wall.h"
+#include "run.h"
+
+#define YES true
+#define NO false
+
+/* What follows from the end of an attempt. */
+
+static const struct {
+	const char *what;
+	struct px px;
+	enum px_end end;
+	struct px_room room;
+	enum px_step step;
+} px_cases[] = {
+	{ "whole",
+	  { PX_ONCE, 1, 1, 0, NO, NO },
+	  PX_END_WHOLE,
+	  { YES, YES, YES },
+	  PX_DELIVER },
+	{ "once, cut: nobody knows",
+	  { PX_ONCE, 2, 1, 0, NO, NO },
+	  PX_END_CUT,
+	  { YES, YES, YES },
+	  PX_UNKNOWN },
+	{ "once, proved not run: again",
+	  { PX_ONCE, 2, 1, 0, NO, NO },
+	  PX_END_NOT_RUN,
+	  { YES, YES, YES },
+	  PX_AGAIN },
+	{ "once, proved not run, no attempt left",
+	  { PX_ONCE, 1, 1, 0, NO, NO },
+	  PX_END_NOT_RUN,
+	  { YES, YES, YES },
+	  PX_REFUSE },
+	{ "once, failed: the failure is the answer",
+	  { PX_ONCE, 2, 1, 0, NO, NO },
+	  PX_END_FAILED,
+	  { YES, YES, YES },
+	  PX_DELIVER },
+	{ "unsent costs no attempt",
+	  { PX_ONCE, 1, 0, 0, NO, NO },
+	  PX_END_UNSENT,
+	  { YES, NO, YES },
+	  PX_AGAIN },
+	{ "unsent too often",
+	  { PX_ONCE, 1, 0, 3, NO, NO },
+	  PX_END_UNSENT,
+	  { YES, YES, YES },
+	  PX_REFUSE },
+	{ "idempotent, cut: again",
+	  { PX_IDEMPOTENT, 2, 1, 0, NO, NO },
+	  PX_END_CUT,
+	  { YES, YES, YES },
+	  PX_AGAIN },
+	{ "idempotent, cut, no budget",
+	  { PX_IDEMPOTENT, 2, 1, 0, NO, NO },
+	  PX_END_CUT,
+	  { YES, NO, YES },
+	  PX_UNKNOWN },
+	{ "idempotent, cut, no time",
+	  { PX_IDEMPOTENT, 2, 1, 0, NO, NO },
+	  PX_END_CUT,
+	  { NO, YES, YES },
+	  PX_UNKNOWN },
+	{ "idempotent, refused after it may have run",
+	  { PX_IDEMPOTENT, 2, 2, 0, YES, NO },
+	  PX_END_NOT_RUN,
+	  { YES, YES, YES },
+	  PX_UNKNOWN },
+	{ "idempotent, failed: again",
+	  { PX_IDEMPOTENT, 2, 1, 0, NO, NO },
+	  PX_END_FAILED,
+	  { YES, YES, YES },
+	  PX_AGAIN },
+	{ "idempotent, failed twice",
+	  { PX_IDEMPOTENT, 2, 2, 0, YES, NO },
+	  PX_END_FAILED,
+	  { YES, YES, YES },
+	  PX_DELIVER },
+	{ "stream, cut before the first event",
+	  { PX_STREAM, 2, 1, 0, NO, NO },
+	  PX_END_CUT,
+	  { YES, YES, YES },
+	  PX_UNKNOWN },
+	{ "stream, cut after it",
+	  { PX_STREAM, 2, 1, 0, NO, YES },
+	  PX_END_CUT,
+	  { YES, YES, YES },
+	  PX_BREAK },
+	{ "resumable, cut: goes on",
+	  { PX_RESUMABLE, 2, 1, 0, NO, YES },
+	  PX_END_CUT,
+	  { YES, YES, YES },
+	  PX_RESUME },
+	{ "resumable, cut, no other",
+	  { PX_RESUMABLE, 2, 1, 0, NO, YES },
+	  PX_END_CUT,
+	  { YES, YES, NO },
+	  PX_BREAK },
+	/* A 500 of the second upstream must not end the answer as whole. */
+	{ "resumable, fails while it goes on",
+	  { PX_RESUMABLE, 2, 2, 0, YES, YES },
+	  PX_END_FAILED,
+	  { YES, YES, YES },
+	  PX_BREAK },
+	{ "resumable, fails, one attempt left",
+	  { PX_RESUMABLE, 3, 2, 0, YES, YES },
+	  PX_END_FAILED,
+	  { YES, YES, YES },
+	  PX_RESUME },
+};
+
+START_TEST(px_ends)
+{
+	struct px px = px_cases[_i].px;
+	enum px_step step =
+		px_on_end(&px, px_cases[_i].end, &px_cases[_i].room);
+
+	ck_assert_msg(step == px_cases[_i].step, "%s: step %d, not %d",
+		      px_cases[_i].what, step, px_cases[_i].step);
+}
+END_TEST
+
+static const struct {
+	struct px px;
+	bool running;
+	enum px_step step;
+} px_late_cases[] = {
+	{ { PX_ONCE, 1, 1, 0, NO, NO }, YES, PX_LATE },
+	{ { PX_ONCE, 1, 0, 1, NO, NO }, NO, PX_REFUSE },
+	{ { PX_IDEMPOTENT, 2, 1, 0, YES, NO }, NO, PX_LATE },
+	{ { PX_STREAM, 1, 1, 0, NO, YES }, YES, PX_BREAK },
+};
+
+START_TEST(px_is_late)
+{
+	ck_assert_int_eq(
+		px_on_timeout(&px_late_cases[_i].px, px_late_cases[_i].running),
+		px_late_cases[_i].step);
+}
+END_TEST
+
+/* Streams of events. */
+
+static const struct {
+	int64_t last;
+	const char *in[4];
+	bool ok;
+	const char *out;
+	bool whole;
+	int64_t last_after;
+} sse_cases[] = {
+	{ -1,
+	  { "id: 0\ndata: a\n\nid: 1\nda", "ta: b\n\n" },
+	  YES,
+	  "id: 0\ndata: a\n\nid: 1\ndata: b\n\n",
+	  YES,
+	  1 },
+	/* A cut event is not passed on. */
+	{ -1,
+	  { "id: 0\ndata: a\n\nid: 1\ndata: b\n" },
+	  YES,
+	  "id: 0\ndata: a\n\n",
+	  NO,
+	  0 },
+	/* Repeated events are dropped after a resumption. */
+	{ 1,
+	  { "id: 1\ndata: b\n\nid: 2\ndata: c\n\n" },
+	  YES,
+	  "id: 2\ndata: c\n\n",
+	  YES,
+	  2 },
+	{ 1, { "id: 3\ndata: d\n\n" }, NO, "", NO, 1 },
+	{ -1,
+	  { "id: 0\r\ndata: a\r\n", "\r\n" },
+	  YES,
+	  "id: 0\r\ndata: a\r\n\r\n",
+	  YES,
+	  0 },
+	{ -1, { "data: x\n\n" }, YES, "data: x\n\n", YES, -1 },
+};
+
+START_TEST(sse_is_taken_apart)
+{
+	struct sse sse;
+	GString *out = g_string_new(NULL);
+	bool ok = true;
+
+	sse_init(&sse, sse_cases[_i].last);
+	for (int i = 0; i < 4 && sse_cases[_i].in[i]; i++)
+		ok = ok && sse_take(&sse, sse_cases[_i].in[i],
+				    strlen(sse_cases[_i].in[i]), out);
+	ck_assert_int_eq(ok, sse_cases[_i].ok);
+	ck_assert_str_eq(out->str, sse_cases[_i].out);
+	ck_assert_int_eq(sse.last_id, sse_cases[_i].last_after);
+	if (ok)
+		ck_assert_int_eq(sse_is_whole(&sse), sse_cases[_i].whole);
+	sse_clear(&sse);
+	g_string_free(out, TRUE);
+}
+END_TEST
+
+START_TEST(sse_takes_any_cut)
+{
+	const char *text = "id: 7\ndata: a\n\nid: 8\ndata: b\n\n";
+
+	for (size_t cut = 0; cut <= strlen(text); cut++) {
+		struct sse sse;
+		GString *out = g_string_new(NULL);
+
+		sse_init(&sse, 6);
+		ck_assert(sse_take(&sse, text, cut, out));
+		ck_assert(sse_take(&sse, text + cut, strlen(text) - cut, out));
+		ck_assert_str_eq(out->str, text);
+		sse_clear(&sse);
+		g_string_free(out, TRUE);
+	}
+}
+END_TEST
+
+/* Routes. */
+
+static const struct {
+	const char *host;
+	const char *path;
+	const char *route; /* NULL: none */
+} tab_cases[] = {
+	{ "a.example", "/x/1", "x" },  { "A.Example", "/x/y/1", "xy" },
+	{ "a.example", "/x/y", "x" }, /* no slash after the y */
+	{ "a.example", "/x", NULL },   { "a.example", "/z/1", NULL },
+	{ "b.example", "/x/1", NULL }, { "b.example", "/any", "root" },
+};
+
+START_TEST(tab_finds_the_longest_prefix)
+{
+	static const char *const routes[][3] = {
+		{ "a.example", "/x/", "x" },
+		{ "a.example", "/x/y/", "xy" },
+		{ "b.example", "/", "root" },
+	};
+	struct tab *tab = tab_create();
+	const struct tab_route *route;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(routes); i++)
+		tab_route_add(tab, routes[i][0], routes[i][1],
+			      tab_route_create(routes[i][2]));
+	if (_i == 5)
+		g_hash_table_remove(tab->routes, "b.example\n/");
+	route = tab_find(tab, tab_cases[_i].host, strlen(tab_cases[_i].host),
+			 tab_cases[_i].path, strlen(tab_cases[_i].path));
+	if (tab_cases[_i].route) {
+		ck_assert_ptr_nonnull(route);
+		ck_assert_str_eq(route->name, tab_cases[_i].route);
+	} else {
+		ck_assert_ptr_null(route);
+	}
+	tab_unref(tab);
+}
+END_TEST
+
+START_TEST(tab_splits_by_weight)
+{
+	struct tab *tab = tab_create();
+	struct tab_route *route = tab_route_create("r");
+	int first = 0;
+
+	tab_target_add(route, tab_pool_get(tab, "p"), 90);
+	tab_target_add(route, tab_pool_get(tab, "q"), 10);
+	tab_route_add(tab, "h", "/", route);
+	for (uint32_t i = 0; i < 1000; i++)
+		first += !strcmp(tab_pick(route, i)->name, "p");
+	ck_assert_int_eq(first, 900);
+	tab_unref(tab);
+}
+END_TEST
+
+/* Workers. */
+
+static uint32_t no_random(void *ctx, uint32_t n)
+{
+	(void)ctx;
+	(void)n;
+	return 0;
+}
+
+static struct fleet *fleet_make(unsigned workers)
+{
+	struct fleet options = {
+		.speed = {
+			.prefill_ms = 0.02,
+			.running_ms = 2,
+			.distance_ms = 2,
+			.cached_for = 60000,
+		},
+		.random = no_random,
+	};
+	struct fleet *fleet = fleet_create(&options);
+
+	for (unsigned i = 0; i < workers; i++) {
+		struct fleet_entry entry = {
+			.id = g_strdup_printf("w%u", i),
+			.pool = g_strdup("pool"),
+			.address = g_strdup_printf("10.0.0.%u:1", i),
+			.data_centre = g_strdup("dc"),
+			.version = g_strdup(""),
+			.slots = 4,
+		};
+
+		fleet_put(fleet, &entry, 1);
+	}
+	return fleet;
+}
+
+START_TEST(fleet_uses_a_doubted_worker_last)
+{
+	struct fleet *fleet = fleet_make(2);
+	struct fleet_ask ask = { .pool = "pool", .data_centre = "dc" };
+	struct fleet_worker *first = fleet_find(fleet, "w0");
+	struct fleet_worker *second = fleet_find(fleet, "w1");
+
+	/* The entry is missing; the other worker fails: it goes first. */
+	first->gone_at = 5000;
+	for (int i = 0; i < 8; i++)
+		fleet_judge(second, FLEET_BROKEN, 1000);
+	ck_assert_ptr_eq(fleet_choose(fleet, &ask, 1000).worker, second);
+	ck_assert_uint_eq(fleet_count(fleet, "pool"), 1);
+	/* Nothing else is there: the doubted one is better than none. */
+	second->entry.leaving = true;
+	ck_assert_ptr_eq(fleet_choose(fleet, &ask, 1000).worker, first);
+	first->entry.leaving = true;
+	ck_assert_ptr_null(fleet_choose(fleet, &ask, 1000).worker);
+}
+END_TEST
+
+START_TEST(fleet_keeps_sessions_together)
+{
+	struct fleet *fleet = fleet_make(8);
+	struct fleet_ask ask = {
+		.pool = "pool",
+		.engine = true,
+		.data_centre = "dc",
+		.prompt_tokens = 11000,
+		.parts = { { 1, 500 }, { 42, 5000 }, { 7, 5500 } },
+		.part_count = 3,
+	};
+	struct fleet_worker *home = fleet_choose(fleet, &ask, 0).worker;
+	struct fleet_choice choice;
+
+	/* Another host that knows nothing of the first request agrees. */
+	ck_assert_str_eq(fleet_choose(fleet_make(8), &ask, 0).worker->entry.id,
+			 home->entry.id);
+	ck_assert_int_eq(fleet_choose(fleet, &ask, 0).cached, 5500);
+	/* Where many prompts wait, the cache is not worth the wait. */
+	for (int i = 0; i < 3; i++)
+		fleet_begin(home, &ask, 0);
+	choice = fleet_choose(fleet, &ask, 0);
+	ck_assert_ptr_ne(choice.worker, home);
+	ck_assert_int_eq(choice.cached, 0);
+}
+END_TEST
+
+START_TEST(fleet_forgets_a_reborn_worker)
+{
+	struct fleet *fleet = fleet_make(1);
+	struct fleet_worker *old = fleet_worker_ref(fleet_find(fleet, "w0"));
+	struct fleet_entry entry = {
+		.id = g_strdup("w0"),
+		.pool = g_strdup("pool"),
+		.address = g_strdup("10.0.0.0:1"),
+		.data_centre = g_strdup("dc"),
+		.version = g_strdup(""),
+		.slots = 4,
+		.born = 2,
+	};
+
+	old->entry.born = 1;
+	ck_assert_ptr_ne(fleet_put(fleet, &entry, 2), old);
+	ck_assert(old->removed);
+	ck_assert(!fleet_takes_work(old));
+	fleet_worker_unref(old);
+}
+END_TEST
+
+START_TEST(fleet_avoids_what_fails)
+{
+	struct fleet *fleet = fleet_make(3);
+	struct fleet_ask ask = { .pool = "pool", .data_centre = "dc" };
+	struct fleet_worker *bad = fleet_find(fleet, "w1");
+	clk_ms now = 0;
+
+	/* It fails half of its calls, whole: it is left out, not at once. */
+	for (int i = 0; i < 40; i++) {
+		fleet_judge(bad, i % 2 ? FLEET_FAILED : FLEET_GOOD, now);
+		now += 10;
+	}
+	for (int i = 0; i < 10; i++)
+		ck_assert_ptr_ne(fleet_choose(fleet, &ask, now).worker, bad);
+}
+END_TEST
+
+/* Limits over all hosts: a hot account, hosts that hear of each other late,
+ * and restarts of all of them. */
+
+#define QUOTA_HOSTS 6
+#define QUOTA_WINDOW_MS 8000 /* in which the limit is checked */
+#define QUOTA_LAG_MS 600     /* of reports */
+
+static const struct {
+	const char *what;
+	double rate; /* units a second that the account asks for */
+	clk_ms restart_at;
+	bool cut;	   /* hosts don't hear of each other */
+	bool one;	   /* all callers are at one host */
+	double served_min; /* part of what is asked for, or of the limit */
+} quota_cases[] = {
+	{ "usual", 60000, 0, NO, NO, 0.97 },
+	{ "usual, all at one host", 15000, 0, NO, YES, 0.9 },
+	{ "hot", 800000, 0, NO, NO, 0.9 },
+	{ "hot, all hosts restart", 800000, 9000, NO, NO, 0.7 },
+	{ "hot, cut off from each other", 800000, 0, YES, NO, 0.8 },
+};
+
+START_TEST(quota_holds_over_hosts)
+{
+	const double rate = 107683;
+	const double slack = 140000;
+	const double allowed =
+		(rate * QUOTA_WINDOW_MS / 1000 + rate) * 1.1 + slack;
+	const double asked = quota_cases[_i].rate;
+	struct quota *quotas[QUOTA_HOSTS];
+	double run[30000 / 50] = { 0 };
+	double total = 0;
+	double owed = 0;
+	double told[QUOTA_HOSTS] = { 0 };
+	GRand *rand = g_rand_new_with_seed(7);
+	int incarnation = 0;
+
+	for (int i = 0; i < QUOTA_HOSTS; i++) {
+		quotas[i] = quota_create();
+		quota_set(quotas[i], rate, rate, slack, true, 0);
+	}
+	for (clk_ms now = 0; now < 30000; now += 5) {
+		double units = g_rand_double_range(rand, 500, 14000);
+
+		if (quota_cases[_i].restart_at == now && now > 0) {
+			incarnation++;
+			for (int i = 0; i < QUOTA_HOSTS; i++) {
+				quotas[i] = quota_create();
+				quota_set(quotas[i], rate, rate, slack, false,
+					  now);
+			}
+		}
+		for (int i = 0; now % QUOTA_LAG_MS == 0 && i < QUOTA_HOSTS; i++)
+			told[i] = quotas[i]->spent;
+		for (int i = 0; now % QUOTA_LAG_MS == 300 &&
+				!quota_cases[_i].cut && i < QUOTA_HOSTS;
+		     i++) {
+			char name[32];
+
+			g_snprintf(name, sizeof(name), "h%d~%d", i,
+				   incarnation);
+			for (int j = 0; j < QUOTA_HOSTS; j++)
+				if (i != j)
+					quota_on_report(quotas[j], name,
+							told[i], QUOTA_HOSTS,
+							now);
+		}
+		/* As many requests as the account's rate means. */
+		for (double left = asked * 5 / 1000; left > 0;) {
+			int host = quota_cases[_i].one
+					   ? 0
+					   : g_rand_int_range(rand, 0,
+							      QUOTA_HOSTS);
+			clk_ms back;
+
+			if (units > left && g_rand_double(rand) > left / units)
+				break;
+			left -= units;
+			owed += units;
+			if (!quota_take(quotas[host], units, QUOTA_HOSTS, now,
+					&back))
+				continue;
+			run[now / 50] += units;
+			total += units;
+		}
+	}
+	for (size_t i = 0; i + QUOTA_WINDOW_MS / 50 <= G_N_ELEMENTS(run); i++) {
+		double sum = 0;
+
+		for (size_t j = i; j < i + QUOTA_WINDOW_MS / 50; j++)
+			sum += run[j];
+		ck_assert_msg(sum <= allowed, "%s: %.0f in a window, not %.0f",
+			      quota_cases[_i].what, sum, allowed);
+	}
+	ck_assert_msg(total >=
+			      quota_cases[_i].served_min * MIN(owed, rate * 30),
+		      "%s: %.0f of %.0f served", quota_cases[_i].what, total,
+		      MIN(owed, rate * 30));
+	g_rand_free(rand);
+}
+END_TEST
+
+/* The duties. */
+
+START_TEST(duty_is_taken_renewed_and_lost)
+{
+	struct duty duty;
+
+	duty_init(&duty, 3000);
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 0), DUTY_NOTHING);
+	duty_on_key(&duty, false, false, 1000);
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 1100), DUTY_NOTHING);
+	ck_assert_int_eq(duty_tick(&duty, 0, false, 1300), DUTY_NOTHING);
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 1300), DUTY_ASK_LEASE);
+	duty_on_lease(&duty, true, 7, 1310);
+	duty_on_claim(&duty, true, 42, 1320);
+	ck_assert_int_eq(duty.fence, 42);
+	/* The holder before may act for as long as a lease lasts. */
+	ck_assert(!duty_may_act(&duty, 2000));
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 2400), DUTY_RENEW);
+	duty_on_renewal(&duty, true, false, 2410);
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 3500), DUTY_RENEW);
+	duty_on_renewal(&duty, true, false, 3510);
+	ck_assert(duty_may_act(&duty, 4400));
+	/* No answer to the renewal: it stops before the lease can lapse. */
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 4600), DUTY_RENEW);
+	duty_on_renewal(&duty, false, false, 6100);
+	ck_assert(duty_may_act(&duty, 5800));
+	ck_assert(!duty_may_act(&duty, 5950));
+	/* The lease had paused with the store: it holds again. */
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 6200), DUTY_RENEW);
+	duty_on_renewal(&duty, true, false, 6210);
+	ck_assert(duty_may_act(&duty, 6300));
+	ck_assert_int_eq(duty.fence, 42);
+	/* It has lapsed: the next term has another fence. */
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 7300), DUTY_RENEW);
+	duty_on_renewal(&duty, false, true, 7310);
+	ck_assert(!duty_may_act(&duty, 7320));
+	ck_assert_int_eq(duty.fence, 0);
+}
+END_TEST
+
+START_TEST(duty_frozen_holder_does_not_act)
+{
+	struct duty duty;
+
+	duty_init(&duty, 3000);
+	duty_on_key(&duty, false, false, 0);
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 300), DUTY_ASK_LEASE);
+	duty_on_lease(&duty, true, 7, 310);
+	duty_on_claim(&duty, true, 42, 320);
+	for (clk_ms now = 1400; now < 5000; now += 1000) {
+		ck_assert_int_eq(duty_tick(&duty, 0, true, now), DUTY_RENEW);
+		duty_on_renewal(&duty, true, false, now + 10);
+	}
+	ck_assert(duty_may_act(&duty, 5000));
+	/* It was frozen while the answer was on its way. */
+	ck_assert_int_eq(duty_tick(&duty, 0, true, 5400), DUTY_RENEW);
+	duty_on_renewal(&duty, true, false, 9500);
+	ck_assert(!duty_may_act(&duty, 9500));
+}
+END_TEST
+
+START_TEST(duty_two_hosts_never_act_at_once)
+{
+	struct duty a;
+	struct duty b;
+
+	duty_init(&a, 3000);
+	duty_init(&b, 3000);
+	duty_on_key(&a, false, false, 0);
+	ck_assert_int_eq(duty_tick(&a, 0, true, 300), DUTY_ASK_LEASE);
+	duty_on_lease(&a, true, 1, 310);
+	duty_on_claim(&a, true, 10, 320);
+	for (clk_ms now = 1400; now < 4000; now += 1000) {
+		ck_assert_int_eq(duty_tick(&a, 0, true, now), DUTY_RENEW);
+		duty_on_renewal(&a, true, false, now + 10);
+	}
+	/* a is cut off at 4000; its lease, last renewed at 3400, lapses at
+	 * 6400 at the earliest, and b sees the key go. */
+	duty_on_key(&b, false, false, 6400);
+	ck_assert_int_eq(duty_tick(&b, 1, true, 6700), DUTY_NOTHING);
+	ck_assert_int_eq(duty_tick(&b, 1, true, 7000), DUTY_ASK_LEASE);
+	duty_on_lease(&b, true, 2, 7010);
+	duty_on_claim(&b, true, 20, 7020);
+	for (clk_ms now = 4000; now < 12000; now += 10)
+		ck_assert(!(duty_may_act(&a, now) && duty_may_act(&b, now)));
+	ck_assert_int_gt(b.fence, 10);
+}
+END_TEST
+
+/* Usage. */
+
+static void sum_add(void *ctx, const char *account, int64_t count)
+{
+	(void)account;
+	*(int64_t *)ctx += count;
+}
+
+START_TEST(usage_survives_repeats_and_losses)
+{
+	struct usage usage;
+	int64_t sum = 0;
+
+	usage_init(&usage, 5000);
+	for (int i = 0; i < 7; i++)
+		usage_add(&usage, "self", "a", 12000);
+	usage_take(&usage, "peer", "a", 2, 5);
+	usage_take(&usage, "peer", "a", 2, 9);
+	usage_take(&usage, "peer", "a", 2, 5); /* late */
+	usage_take(&usage, "gone", "a", 2, 1); /* its host was killed */
+	usage_each(&usage, NULL, 2, sum_add, &sum);
+	ck_assert_int_eq(sum, 17);
+	/* Old windows make room. */
+	usage_add(&usage, "self", "a", 60000);
+	sum = 0;
+	usage_each(&usage, NULL, 2, sum_add, &sum);
+	ck_assert_int_eq(sum, 0);
+}
+END_TEST
+
+START_TEST(wall_ignores_jumps)
+{
+	struct wall wall;
+
+	wall_init(&wall, 1000000, 0);
+	ck_assert_int_eq(wall_read(&wall, 1001000, 1000), 1001000);
+	/* The clock is set back by two seconds, and forward again. */
+	ck_assert_int_eq(wall_read(&wall, 1000000, 2000), 1002000);
+	ck_assert_int_eq(wall_read(&wall, 1006000, 6000), 1006000);
+	/* It drifts, and is followed. */
+	ck_assert_int_eq(wall_read(&wall, 1007020, 7000), 1007020);
+	/* What lasts is adopted. */
+	wall_read(&wall, 1010000, 8000);
+	ck_assert_int_eq(wall_read(&wall, 1080000, 78000), 1080000);
+}
+END_TEST
+
+/* How many workers. */
+
+static const struct {
+	const char *what;
+	double busy;
+	bool dry[4];
+	int ready[4];
+	int spot[4];
+	int full;    /* in all */
+	int full_at; /* data centre that gets them; -1: none */
+} scale_cases[] = {
+	/* 1.35 times 6 busy ones are 9 after the loss of a data centre. */
+	{ "spread", 6, { 0 }, { 3, 3, 3, 3 }, { 3, 3, 3, 3 }, 0, -1 },
+	/* Until they have come, full ones carry the load. */
+	{ "not there yet", 6, { 0 }, { 0, 0, 0, 0 }, { 3, 3, 3, 3 }, 9, 1 },
+	{ "one data centre dry",
+	  6,
+	  { YES },
+	  { 0, 5, 5, 5 },
+	  { 0, 5, 5, 5 },
+	  1,
+	  0 },
+	{ "all dry", 4, { YES, YES, YES, YES }, { 0 }, { 0 }, 6, 1 },
+	{ "small", 0.1, { 0 }, { 1, 1, 1, 1 }, { 1, 1, 1, 1 }, 0, -1 },
+};
+
+START_TEST(scale_plans)
+{
+	struct scale_zone zones[4] = {
+		{ .name = "a", .price = 1.0 },
+		{ .name = "b", .price = 0.8 },
+		{ .name = "c", .price = 1.25 },
+		{ .name = "d", .price = 0.9 },
+	};
+	struct scale_limits limits = { .min = 1, .max = 6, .spot_price = 0.2 };
+	int full = 0;
+
+	for (int i = 0; i < 4; i++) {
+		zones[i].spot_dry = scale_cases[_i].dry[i];
+		zones[i].spot_ready = scale_cases[_i].ready[i];
+	}
+	scale_plan(zones, 4, &limits, scale_cases[_i].busy);
+	for (int i = 0; i < 4; i++) {
+		ck_assert_msg(zones[i].want_spot == scale_cases[_i].spot[i],
+			      "%s: data centre %d: %d", scale_cases[_i].what, i,
+			      zones[i].want_spot);
+		ck_assert_int_ge(zones[i].want_spot + zones[i].want_full, 1);
+		ck_assert_int_le(zones[i].want_spot + zones[i].want_full, 6);
+		full += zones[i].want_full;
+	}
+	ck_assert_msg(full == scale_cases[_i].full, "%s: %d full ones",
+		      scale_cases[_i].what, full);
+	if (scale_cases[_i].full_at >= 0)
+		ck_assert_int_gt(zones[scale_cases[_i].full_at].want_full, 0);
+}
+END_TEST
+
+static Suite *proxy_suite(void)
+{
+	Suite *suite = suite_create("unit-proxy");
+	TCase *tcase = tcase_create("tables");
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_loop_test(tcase, px_ends, 0, G_N_ELEMENTS(px_cases));
+	tcase_add_loop_test(tcase, px_is_late, 0, G_N_ELEMENTS(px_late_cases));
+	tcase_add_loop_test(tcase, sse_is_taken_apart, 0,
+			    G_N_ELEMENTS(sse_cases));
+	tcase_add_test(tcase, sse_takes_any_cut);
+	tcase_add_loop_test(tcase, tab_finds_the_longest_prefix, 0,
+			    G_N_ELEMENTS(tab_cases));
+	tcase_add_test(tcase, tab_splits_by_weight);
+	tcase_add_test(tcase, fleet_uses_a_doubted_worker_last);
+	tcase_add_test(tcase, fleet_keeps_sessions_together);
+	tcase_add_test(tcase, fleet_forgets_a_reborn_worker);
+	tcase_add_test(tcase, fleet_avoids_what_fails);
+	tcase_add_loop_test(tcase, quota_holds_over_hosts, 0,
+			    G_N_ELEMENTS(quota_cases));
+	tcase_add_test(tcase, duty_is_taken_renewed_and_lost);
+	tcase_add_test(tcase, duty_frozen_holder_does_not_act);
+	tcase_add_test(tcase, duty_two_hosts_never_act_at_once);
+	tcase_add_test(tcase, usage_survives_repeats_and_losses);
+	tcase_add_test(tcase, wall_ignores_jumps);
+	tcase_add_loop_test(tcase, scale_plans, 0, G_N_ELEMENTS(scale_cases));
+	return suite;
+}
+
+int main(void)
+{
+	return run_suite(proxy_suite(), "unit-proxy");
+}
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -15,6 +15,7 @@
 #include "../wire/conf.h"
 #include "../wire/json.h"
 #include "../wire/trace.h"
+#include "run.h"
 
 /* Request ids. */
 
@@ -473,13 +474,5 @@
 
 int main(void)
 {
-	SRunner *runner = srunner_create(unit_suite());
-	int failed;
-
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	printf("unit: %d passed, %d failed\n",
-	       srunner_ntests_run(runner) - failed, failed);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_suite(unit_suite(), "unit");
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -64,7 +64,11 @@
 run lint tools/lint.sh
 run purity tools/purity.sh
 run generated generated
+run words tools/words.sh
 run unit "$B/tests/unit"
+run unit_proxy "$B/tests/unit-proxy"
+run http "$B/tests/http"
+run platform "$B/tests/platform"
 for seed in 1 1001 2001; do
 	run "sim_home_$seed" "$B/tests/sim-home" --seed $seed --runs 1000
 done
