Scaling by smoothed demand, dry data centres; quota with fresher reports; stop waits for callers

Smoothed over 3 s, the fall over 8 s. - Full-price workers stayed for 4 s after the others had come: 1 s. - An account's own bucket refused two large requests in a row at one host.

--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -163,6 +163,12 @@
 				  proxyd_now(proxyd), &come_back))
 		return true;
 	proxyd_count(proxyd, CTR_refused_limit);
+	slog(SLOG_INFO, "limit",
+	     "id=%.*s account=%s units=%.0f rate=%.0f left_all=%.0f "
+	     "left_own=%.0f hosts=%u heard_ms=%" G_GINT64_FORMAT,
+	     SLOG_VIEW(h1_find(hs_call_head(call), HEAD_ID)), account->name,
+	     units, (*quota)->rate, (*quota)->all, (*quota)->own,
+	     proxyd_hosts(proxyd), proxyd_now(proxyd) - (*quota)->heard);
 	front_answer(proxyd, call, RW_ELIMIT, come_back, "over_limit");
 	return false;
 }
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -316,6 +316,19 @@
 	report->spent.spent_len = at;
 }
 
+/* Whether some account comes near its limit. */
+static bool accounts_pressed(const struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxyd->quotas);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (quota_pressed(value))
+			return true;
+	return false;
+}
+
 static void demand_fill(struct proxyd *proxyd, w_report *report)
 {
 	GHashTableIter iter;
@@ -341,29 +354,47 @@
 }
 
 /* Where a report goes. */
-struct report_send {
+struct report_target {
 	struct proxyd *proxyd;
 	const w_report *report;
 };
 
 static void report_to(void *ctx, const struct member *member)
 {
-	struct report_send *send = ctx;
+	struct report_target *send = ctx;
 
 	rpc_send_report(send->proxyd->rpc, member->info.rpc, send->report);
 }
 
+/* Sends a report to those that add up, and frees it. */
+static void report_send(struct report_target *send, unsigned hosts)
+{
+	member_each_first(send->proxyd->members, DUTY_RANK,
+			  hosts <= SMALL_CLUSTER ? hosts : DUTY_CANDIDATES,
+			  report_to, send);
+	g_free(send->report->counts.counts_val);
+	g_free(send->report->demand.demand_val);
+	g_free(send->report->spent.spent_val);
+}
+
 static void report_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
 	int64_t newest = usage_window(&proxyd->usage, proxyd_wall(proxyd));
 	const char *self = proxyd->members->self.incarnation;
 	w_report report = { .process = (char *)self };
-	struct report_send send = { .proxyd = proxyd, .report = &report };
+	struct report_target send = { .proxyd = proxyd, .report = &report };
 	unsigned hosts = proxyd_hosts(proxyd);
+	bool due = now >= proxyd->next_report;
 
-	if (now < proxyd->next_report)
+	if (!due && !accounts_pressed(proxyd))
+		return;
+	spent_fill(proxyd, &report);
+	if (!due) {
+		/* Only what is pressing. */
+		report_send(&send, hosts);
 		return;
+	}
 	proxyd->next_report = now + REPORT_PERIOD_MS;
 	for (int64_t window = newest - USAGE_WINDOWS + 1; window <= newest;
 	     window++) {
@@ -375,13 +406,7 @@
 		usage_each(&proxyd->usage, self, window, count_add, &fill);
 	}
 	demand_fill(proxyd, &report);
-	spent_fill(proxyd, &report);
-	member_each_first(proxyd->members, DUTY_RANK,
-			  hosts <= SMALL_CLUSTER ? hosts : DUTY_CANDIDATES,
-			  report_to, &send);
-	g_free(report.counts.counts_val);
-	g_free(report.demand.demand_val);
-	g_free(report.spent.spent_val);
+	report_send(&send, hosts);
 }
 
 void peer_on_report(void *ctx, const w_report *report)
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -8,8 +8,9 @@
 #define ORDER_TIMEOUT_MS 1500
 #define REPEAT_MS 5000 /* an order is sent again, if it isn't met */
 #define RUN_PERIOD_MS 500
-#define NEED_START 6.0	    /* busy workers, before any demand is known */
-#define LOWER_AFTER_MS 4000 /* workers are given up only after it */
+#define NEED_START 6.0	   /* busy workers, before any demand is known */
+#define LOWER_SPOT_MS 4000 /* reclaimable workers are given up after it */
+#define LOWER_FULL_MS 1000 /* full ones, which cost more */
 
 /* What one host asked of one pool. */
 struct demand {
@@ -34,6 +35,8 @@
 /* One pool that is scaled. */
 struct scaled {
 	struct scale_need need;
+	bool seen;	    /* there was some demand */
+	char *plan;	    /* that was logged last */
 	GHashTable *demand; /* process -> struct demand */
 	GHashTable *orders; /* "zone\nkind" -> struct order */
 };
@@ -173,7 +176,8 @@
 	}
 	if (!order->above_since)
 		order->above_since = now;
-	if (!safe || now - order->above_since < LOWER_AFTER_MS)
+	if (!safe || now - order->above_since <
+			     (order->spot ? LOWER_SPOT_MS : LOWER_FULL_MS))
 		return present;
 	return want;
 }
@@ -210,6 +214,27 @@
 	return count;
 }
 
+/* Logs a plan that differs from the one before. */
+static void plan_log(struct scaled *scaled, const struct tab_pool *pool,
+		     const struct scale_zone *zones, size_t count)
+{
+	GString *text = g_string_new(NULL);
+
+	for (size_t i = 0; i < count; i++)
+		g_string_append_printf(text, " %s=%d/%d+%d/%d", zones[i].name,
+				       zones[i].spot_ready, zones[i].want_spot,
+				       zones[i].full_ready, zones[i].want_full);
+	if (g_strcmp0(text->str, scaled->plan) == 0) {
+		g_string_free(text, TRUE);
+		return;
+	}
+	g_free(scaled->plan);
+	scaled->plan = g_string_free(text, FALSE);
+	slog(SLOG_NOTICE, "plan", "pool=%s busy=%.2f smoothed=%.2f%s",
+	     pool->name, scaled->need.busy, scaled->need.smoothed,
+	     scaled->plan);
+}
+
 static void pool_run(struct proxyd *proxyd, const struct tab_pool *pool)
 {
 	struct scaled *scaled = scaled_of(proxyd, pool->name);
@@ -224,8 +249,13 @@
 	double busy = demand_sum(scaled, now);
 	bool safe = true;
 
-	scale_need_add(&scaled->need, busy, now);
+	/* Before any demand is seen, what the start is prepared for holds. */
+	if (busy > 0)
+		scaled->seen = true;
+	if (scaled->seen)
+		scale_need_add(&scaled->need, busy, now);
 	scale_plan(zones, count, &limits, scaled->need.busy);
+	plan_log(scaled, pool, zones, count);
 	/* Nothing is given up before what replaces it is there. */
 	for (size_t i = 0; i < count; i++)
 		safe = safe && (zones[i].spot_ready >= zones[i].want_spot ||
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -169,7 +169,8 @@
 
 	if (age >= STOP_LISTEN_MS)
 		hs_stop_listening(proxyd->front);
-	if ((age >= STOP_LISTEN_MS && hs_open_calls(proxyd->front) == 0) ||
+	if ((age >= STOP_LISTEN_MS &&
+	     hs_busy_connections(proxyd->front) == 0) ||
 	    age >= grace - STOP_MARGIN_MS) {
 		slog(SLOG_NOTICE, "stopped",
 		     "after_ms=%" G_GINT64_FORMAT " open=%zu", age,
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -1,10 +1,14 @@
 /* An account's limit over all hosts. */
 #include "quota.h"
 
-#define HEARD_MS 3000	 /* a report is recent for this long */
-#define OWN_MULTIPLE 2.5 /* of the equal share, while reports are recent */
-#define OWN_SAVED_S 0.6	 /* of the own part that is saved up between reports */
-#define SLACK_SHARE 0.5	 /* of the slack that is used */
+#define FRESH_MS 450	    /* a report is new for this long */
+#define HEARD_MS 700	    /* and of some use for this long */
+#define OWN_MULTIPLE 2.5    /* of the equal share, while reports are recent */
+#define OWN_SAVED_S 0.3	    /* of the own part that is saved up */
+#define OWN_SLACK_SHARE 0.3 /* of the slack, over all hosts' own buckets */
+#define SLACK_SHARE 0.45    /* of the slack that the common bucket holds */
+#define OVERSHOOT 1.05	  /* of the rate that is let through; 1.1 is allowed */
+#define PRESSED_SHARE 0.6 /* of the common bucket: less is left under load */
 
 struct quota *quota_create(void)
 {
@@ -21,20 +25,36 @@
 	return quota->burst + SLACK_SHARE * quota->slack;
 }
 
-/* The most that this host's own bucket holds. */
-static double own_max(const struct quota *quota, double part)
+/* How sure it is what the others have spent: 1 with a new report, 0 with an
+ * old one, or none. */
+static double certainty(const struct quota *quota, unsigned hosts, clk_ms now)
 {
-	return MIN(quota->rate * part * OWN_SAVED_S, all_max(quota) * part);
+	double age = (double)(now - quota->heard);
+
+	if (hosts < 2 || !quota->heard)
+		return 0;
+	return CLAMP(1 - (age - FRESH_MS) / (HEARD_MS - FRESH_MS), 0, 1);
 }
 
 /* This host's part of the limit. */
 static double own_part(const struct quota *quota, unsigned hosts, clk_ms now)
 {
-	double part = 1.0 / MAX(hosts, 1);
+	double multiple = 1 + (OWN_MULTIPLE - 1) * certainty(quota, hosts, now);
 
-	if (hosts > 1 && quota->heard && now - quota->heard < HEARD_MS)
-		part *= OWN_MULTIPLE;
-	return MIN(part, 1);
+	return MIN(multiple / MAX(hosts, 1), 1);
+}
+
+/* The most that this host's own bucket holds: between reports, some requests
+ * of any size; alone, its part of what may be saved up. */
+static double own_max(const struct quota *quota, unsigned hosts, clk_ms now)
+{
+	double part = own_part(quota, hosts, now);
+	double most = MAX(quota->rate * part * OWN_SAVED_S,
+			  OWN_SLACK_SHARE * quota->slack / MAX(hosts, 1));
+
+	if (certainty(quota, hosts, now) == 0)
+		most = all_max(quota) * part;
+	return MIN(most, all_max(quota));
 }
 
 static void fill(struct quota *quota, unsigned hosts, clk_ms now)
@@ -43,9 +63,11 @@
 	double part = own_part(quota, hosts, now);
 
 	quota->last = now;
-	quota->all = MIN(quota->all + seconds * quota->rate, all_max(quota));
+	/* The rule's overshoot makes up for refusing others than the first. */
+	quota->all = MIN(quota->all + seconds * quota->rate * OVERSHOOT,
+			 all_max(quota));
 	quota->own = MIN(quota->own + seconds * quota->rate * part,
-			 own_max(quota, part));
+			 own_max(quota, hosts, now));
 }
 
 void quota_set(struct quota *quota, double rate, double burst, double slack,
@@ -69,25 +91,24 @@
 		clk_ms *come_back)
 {
 	double part;
-	double need_all;
-	double need_own;
+	double need;
 	double lacking;
 
 	if (quota->rate <= 0)
 		return true;
 	fill(quota, hosts, now);
 	part = own_part(quota, hosts, now);
-	/* A request larger than a bucket passes when the bucket is full. */
-	need_all = MIN(units, all_max(quota));
-	need_own = MIN(units, own_max(quota, part));
-	if (quota->all >= need_all && quota->own >= need_own) {
+	/* A request larger than the bucket passes when the bucket is full. The
+	 * own bucket lets one through as long as it is not empty. */
+	need = MIN(units, all_max(quota));
+	if (quota->all >= need && quota->own > 0) {
 		quota->all -= units;
 		quota->own -= units;
 		quota->spent += units;
 		return true;
 	}
-	lacking = MAX((need_all - quota->all) / quota->rate,
-		      (need_own - quota->own) / (quota->rate * part));
+	lacking = MAX((need - quota->all) / quota->rate,
+		      -quota->own / (quota->rate * part));
 	*come_back = (clk_ms)(lacking * CLK_SECOND) + 1;
 	return false;
 }
@@ -115,3 +136,8 @@
 	*known = spent;
 	quota->heard = now;
 }
+
+bool quota_pressed(const struct quota *quota)
+{
+	return quota->rate > 0 && quota->all < PRESSED_SHARE * all_max(quota);
+}
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -40,6 +40,9 @@
 		clk_ms *come_back);
 /* Gives back what a request that was not run had taken. */
 void quota_give(struct quota *quota, double units);
+/* Whether the account comes near its limit: reports are then to be sent more
+ * often. */
+bool quota_pressed(const struct quota *quota);
 /* Another host's report of all that it has let through. */
 void quota_on_report(struct quota *quota, const char *process, double spent,
 		     unsigned hosts, clk_ms now);
--- a/decide/scale.c
+++ b/decide/scale.c
@@ -3,19 +3,30 @@
 
 #include <math.h>
 
-#define RISE 0.35	/* weight of a measure over the present need */
-#define FALL_MS 15000.0 /* time in which the need falls to a third */
-#define HEAD_ROOM 1.35	/* workers for each busy one */
-#define WORKERS_MIN 2.0 /* that are left after a loss */
+#define SMOOTH_MS 3000.0 /* time in which measures are smoothed */
+#define FALL_MS 8000.0	 /* time in which the need falls by two thirds */
+#define HEAD_ROOM 1.35	 /* workers for each busy one */
+#define WORKERS_MIN 2.0	 /* that are left after a loss */
+
+/* The part of a difference that is left after some time. */
+static double left_after(clk_ms age, double time)
+{
+	return exp(-(double)age / time);
+}
 
 void scale_need_add(struct scale_need *need, double busy, clk_ms now)
 {
-	if (busy > need->busy)
-		need->busy += RISE * (busy - need->busy);
-	else
-		need->busy += (busy - need->busy) *
-			      (1 - exp(-(double)(now - need->at) / FALL_MS));
+	clk_ms age = now - need->at;
+
+	if (!need->at) {
+		need->smoothed = need->busy;
+		age = 0;
+	}
 	need->at = now;
+	need->smoothed =
+		busy + (need->smoothed - busy) * left_after(age, SMOOTH_MS);
+	need->busy = need->smoothed + fmax(need->busy - need->smoothed, 0) *
+					      left_after(age, FALL_MS);
 }
 
 /* Data centres where reclaimable workers are to be had. */
@@ -61,11 +72,11 @@
 	for (size_t i = 0; i < count; i++) {
 		struct scale_zone *zone = &zones[i];
 
+		/* Where no more are to be had, those that are there stay. */
+		zone->want_spot = zone->spot_dry ? zone->spot_ready : each;
+		if (zone->want_spot > limits->max)
+			zone->want_spot = limits->max;
 		zone->want_full = 0;
-		zone->want_spot = 0;
-		if (!zone->spot_dry)
-			zone->want_spot =
-				each < limits->max ? each : limits->max;
 		/* The operators' minimum holds where none are to be had. */
 		if (zone->want_spot < limits->min)
 			zone->want_full = limits->min - zone->want_spot;
--- a/decide/scale.h
+++ b/decide/scale.h
@@ -35,11 +35,13 @@
 	double spot_price; /* part of a full worker's price */
 };
 
-/* Busy workers that a pool's demand means, followed over time: up at once,
- * down slowly. */
+/* Busy workers that a pool's demand means. Single measures are noise, as a
+ * few large requests make them up: they are smoothed first. A rise of what is
+ * left is followed at once, a fall slowly. */
 struct scale_need {
-	double busy;
-	clk_ms at;
+	double busy;	 /* that are needed */
+	double smoothed; /* measure */
+	clk_ms at;	 /* of the last measure; 0: none yet */
 };
 
 /* Takes a new measure of the demand. */
--- a/tests/http.c
+++ b/tests/http.c
@@ -648,6 +648,41 @@
 }
 END_TEST
 
+START_TEST(server_is_busy_until_all_is_taken)
+{
+	static const char bytes[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
+	char *large = g_malloc0(32 << 20);
+	struct front *front;
+	bool ended = false;
+	int fd;
+
+	uv_loop_init(&loop);
+	front = front_start();
+	fd = front_connect();
+	loop_for(20);
+	ck_assert_uint_eq(hs_busy_connections(front->hs), 0);
+	send(fd, bytes, 10, 0);
+	loop_for(20);
+	ck_assert_uint_eq(hs_busy_connections(front->hs), 1);
+	send(fd, bytes + 10, strlen(bytes) - 10, 0);
+	loop_for(20);
+	hs_drain(front->hs);
+	hs_reply(front->held, 200, NULL, large, 32 << 20);
+	/* It is answered, but the caller has not taken the answer. */
+	loop_for(20);
+	ck_assert_uint_eq(hs_open_calls(front->hs), 0);
+	ck_assert_uint_eq(hs_busy_connections(front->hs), 1);
+	for (int i = 0; i < 200 && !ended; i++) {
+		g_free(front_read(fd, &ended));
+		loop_for(5);
+	}
+	close(fd);
+	loop_for(50);
+	ck_assert_uint_eq(hs_busy_connections(front->hs), 0);
+	g_free(large);
+}
+END_TEST
+
 START_TEST(server_drains)
 {
 	static const char bytes[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -714,6 +749,7 @@
 	tcase_add_test(tcase, client_refused_is_unsent);
 	tcase_add_loop_test(tcase, server_reads, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_test(tcase, server_sees_a_caller_go);
+	tcase_add_test(tcase, server_is_busy_until_all_is_taken);
 	tcase_add_test(tcase, server_drains);
 	tcase_add_test(tcase, server_aborts_visibly);
 	return suite;
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -415,7 +415,8 @@
 
 #define QUOTA_HOSTS 6
 #define QUOTA_WINDOW_MS 8000 /* in which the limit is checked */
-#define QUOTA_LAG_MS 600     /* of reports */
+#define QUOTA_PERIOD_MS 500  /* of reports */
+#define QUOTA_PRESSED_MS 120 /* of reports near the limit */
 
 static const struct {
 	const char *what;
@@ -425,11 +426,12 @@
 	bool one;	   /* all callers are at one host */
 	double served_min; /* part of what is asked for, or of the limit */
 } quota_cases[] = {
-	{ "usual", 60000, 0, NO, NO, 0.97 },
-	{ "usual, all at one host", 15000, 0, NO, YES, 0.9 },
+	{ "usual", 60000, 0, NO, NO, 0.995 },
+	{ "usual, all at one host", 30000, 0, NO, YES, 0.9 },
 	{ "hot", 800000, 0, NO, NO, 0.9 },
 	{ "hot, all hosts restart", 800000, 9000, NO, NO, 0.7 },
 	{ "hot, cut off from each other", 800000, 0, YES, NO, 0.8 },
+	{ "usual, cut off from each other", 60000, 0, YES, NO, 0.9 },
 };
 
 START_TEST(quota_holds_over_hosts)
@@ -453,6 +455,7 @@
 	}
 	for (clk_ms now = 0; now < 30000; now += 5) {
 		double units = g_rand_double_range(rand, 500, 14000);
+		bool cut = quota_cases[_i].cut && now > 6000 && now < 16000;
 
 		if (quota_cases[_i].restart_at == now && now > 0) {
 			incarnation++;
@@ -462,20 +465,22 @@
 					  now);
 			}
 		}
-		for (int i = 0; now % QUOTA_LAG_MS == 0 && i < QUOTA_HOSTS; i++)
-			told[i] = quotas[i]->spent;
-		for (int i = 0; now % QUOTA_LAG_MS == 300 &&
-				!quota_cases[_i].cut && i < QUOTA_HOSTS;
-		     i++) {
+		for (int i = 0; i < QUOTA_HOSTS; i++) {
 			char name[32];
 
+			if (cut ||
+			    now % (quota_pressed(quotas[i]) ? QUOTA_PRESSED_MS
+							    : QUOTA_PERIOD_MS))
+				continue;
 			g_snprintf(name, sizeof(name), "h%d~%d", i,
 				   incarnation);
+			/* What is told is as old as the last message. */
 			for (int j = 0; j < QUOTA_HOSTS; j++)
 				if (i != j)
 					quota_on_report(quotas[j], name,
 							told[i], QUOTA_HOSTS,
 							now);
+			told[i] = quotas[i]->spent;
 		}
 		/* As many requests as the account's rate means. */
 		for (double left = asked * 5 / 1000; left > 0;) {
@@ -671,6 +676,22 @@
 	  1,
 	  0 },
 	{ "all dry", 4, { YES, YES, YES, YES }, { 0 }, { 0 }, 6, 1 },
+	/* Orders find none, but those of three data centres still serve: no
+	 * full ones are ordered in their place. */
+	{ "dry after a loss",
+	  4,
+	  { YES, YES, YES, YES },
+	  { 0, 2, 2, 2 },
+	  { 0, 2, 2, 2 },
+	  1,
+	  0 },
+	{ "dry after two losses",
+	  4,
+	  { YES, YES, YES, YES },
+	  { 0, 0, 2, 2 },
+	  { 0, 0, 2, 2 },
+	  2,
+	  1 },
 	{ "small", 0.1, { 0 }, { 1, 1, 1, 1 }, { 1, 1, 1, 1 }, 0, -1 },
 };
 
@@ -705,6 +726,34 @@
 }
 END_TEST
 
+/* Load that comes in large requests, and a jump of it. */
+START_TEST(scale_follows_demand)
+{
+	struct scale_need need = { .busy = 6 };
+	GRand *rand = g_rand_new_with_seed(3);
+	double sum = 0;
+
+	for (clk_ms now = 500; now <= 60000; now += 500) {
+		double mean = now > 50000 ? 7.2 : 4.2;
+		double busy = 0;
+
+		/* Requests of 0.2 s each; 0.5 s have some ten of them. */
+		for (int i = 0; i < 100; i++)
+			if (g_rand_double(rand) < mean * 0.5 / 0.2 / 100)
+				busy += 0.2 / 0.5;
+		scale_need_add(&need, busy, now);
+		if (now > 20000 && now <= 50000)
+			sum += need.busy / 60;
+		if (now == 54000)
+			ck_assert_double_gt(need.busy, 5.8);
+	}
+	/* Not much more than the mean, not less. */
+	ck_assert_double_gt(sum, 4.2);
+	ck_assert_double_lt(sum, 4.2 * 1.3);
+	g_rand_free(rand);
+}
+END_TEST
+
 static Suite *proxy_suite(void)
 {
 	Suite *suite = suite_create("unit-proxy");
@@ -730,6 +779,7 @@
 	tcase_add_test(tcase, duty_two_hosts_never_act_at_once);
 	tcase_add_test(tcase, usage_survives_repeats_and_losses);
 	tcase_add_test(tcase, wall_ignores_jumps);
+	tcase_add_test(tcase, scale_follows_demand);
 	tcase_add_loop_test(tcase, scale_plans, 0, G_N_ELEMENTS(scale_cases));
 	return suite;
 }
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -435,6 +435,18 @@
 	return hs->conns->len;
 }
 
+size_t hs_busy_connections(const struct hs *hs)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < hs->conns->len; i++) {
+		const struct hs_conn *conn = g_ptr_array_index(hs->conns, i);
+
+		count += conn->phase != HS_IDLE || conn->tcp->pending > 0;
+	}
+	return count;
+}
+
 const struct h1_head *hs_call_head(const struct hs_call *call)
 {
 	return &call->head;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -43,6 +43,8 @@
 /* Requests that are not answered to the end. */
 size_t hs_open_calls(const struct hs *hs);
 size_t hs_connections(const struct hs *hs);
+/* Connections on which something is still to be read or written. */
+size_t hs_busy_connections(const struct hs *hs);
 
 const struct h1_head *hs_call_head(const struct hs_call *call);
 /* The path without the query. */
