--- a/daemon/entryd-member.c
+++ b/daemon/entryd-member.c
@@ -129,6 +129,7 @@
 
 	call->entryd = entryd;
 	rpc_update_to_wire(&entryd->members->self, &args.self);
+	args.members = true;
 	args.settings_after = entryd->settings->revision;
 	args.hosts_after = entryd->hosts->revision;
 	rpc_call_sync(entryd->rpc, rpc, &args, SYNC_TIMEOUT_MS, sync_on_done,
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -310,13 +310,14 @@
 
 	slog(SLOG_INFO, "send",
 	     "id=%s route=%s account=%s worker=%s cost_ms=%.0f cached=%d "
-	     "tokens=%d inflight=%u others=%d report_age_ms=%" G_GINT64_FORMAT
+	     "tokens=%d inflight=%u told=%d others=%d "
+	     "report_age_ms=%" G_GINT64_FORMAT
 	     " candidates=%u config=%" G_GINT64_FORMAT
 	     " left_ms=%" G_GINT64_FORMAT,
 	     xfer->id, xfer->route->name,
 	     xfer->account ? xfer->account->name : "", worker->entry.id,
 	     choice->cost, choice->cached, xfer->ask.prompt_tokens,
-	     worker->inflight, worker->others,
+	     worker->inflight, worker->told, worker->others,
 	     worker->reported_at ? now - worker->reported_at : -1,
 	     choice->candidates, proxyd->tab_revision, added.time_left);
 	xfer->worker = fleet_worker_ref(worker);
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -46,6 +46,10 @@
 			quota = quota_create();
 			g_hash_table_insert(proxyd->quotas,
 					    g_strdup(account->name), quota);
+			g_hash_table_insert(
+				proxyd->account_keys,
+				GUINT_TO_POINTER(sums_key(account->name)),
+				quota);
 		}
 		quota_set(quota, account->rate, account->burst,
 			  account->counts_tokens ? proxyd->conf->quota_tolerance
@@ -100,10 +104,12 @@
 
 	if (!worker)
 		return;
-	if (store_was_away(proxyd)) {
+	/* A host that learns it from others can't tell whether the store was
+	 * away. */
+	if (store_was_away(proxyd) || !proxyd->follow[FOLLOW_WORKERS].reading) {
 		worker->gone_at = proxyd_now(proxyd) + RETURN_MS;
-		slog(SLOG_NOTICE, "worker",
-		     "worker=%s outcome=doubted why=store_was_away", id);
+		slog(SLOG_NOTICE, "worker", "worker=%s outcome=doubted why=%s",
+		     id, store_was_away(proxyd) ? "store_was_away" : "told");
 		return;
 	}
 	slog(SLOG_NOTICE, "worker", "worker=%s outcome=gone", id);
@@ -249,6 +255,7 @@
 		return;
 	}
 	/* What changed while the pages were read comes with the watch. */
+	follow->reading = true;
 	store_snapshot(follow->replica, follow->present, follow->snapshot_at);
 	g_hash_table_destroy(follow->present);
 	follow->present = NULL;
@@ -258,7 +265,9 @@
 	slog(SLOG_NOTICE, "follow",
 	     "prefix=%s revision=%" G_GINT64_FORMAT " outcome=snapshot",
 	     follow->prefix, follow->snapshot_at);
-	follow_next(follow);
+	follow->reading = false;
+	if (peer_watches(proxyd))
+		follow_next(follow);
 }
 
 static void on_watch(void *ctx, enum kv_outcome outcome,
@@ -273,10 +282,14 @@
 	}
 	store_seen(follow->proxyd, true);
 	follow->failures = 0;
+	/* Entries are judged by whether this host follows them itself. */
+	follow->reading = true;
 	items_put(follow, page);
+	follow->reading = false;
 	if (page->at > 0)
 		store_complete(follow->replica, page->at);
-	follow_next(follow);
+	if (peer_watches(follow->proxyd))
+		follow_next(follow);
 }
 
 /* Makes the next call of a follower. */
@@ -341,7 +354,8 @@
 	for (int i = 0; i < FOLLOW_COUNT; i++) {
 		struct follow *follow = &proxyd->follow[i];
 
-		if (!follow->reading && now >= follow->next)
+		if (!follow->reading && now >= follow->next &&
+		    (!follow->whole || peer_watches(proxyd)))
 			follow_next(follow);
 	}
 	doubts_end(proxyd);
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -6,9 +6,12 @@
 #include "../wire/sync.h"
 
 #define SYNC_TIMEOUT_MS 1500
-#define SYNC_GAP_MS 300	     /* between two exchanges for newer items */
-#define REPORT_PERIOD_MS 500 /* of what others add up */
-#define SMALL_CLUSTER 12     /* up to it every host hears every report */
+#define SYNC_GAP_MS 300	   /* between two exchanges for newer items */
+#define ALL_WATCH_HOSTS 12 /* up to so many, every host follows the store */
+#define WATCH_HOSTS_MIN 3
+#define HOSTS_PER_WATCHER 24 /* that one host tells */
+#define BEAT_MS 1000	     /* between two messages to each of them */
+#define BEAT_LOST_MS 2500    /* without one, a host follows the store itself */
 #define SEEDS_MAX 8	     /* addresses that are remembered */
 #define HOST_LEASE_MS 30000  /* of this host's own key */
 #define HOST_RENEW_MS 10000
@@ -19,7 +22,75 @@
 	struct proxyd *proxyd;
 };
 
-static void sync_from(struct proxyd *proxyd, const char *rpc);
+static void sync_from(struct proxyd *proxyd, const char *rpc, bool members);
+
+unsigned peer_watchers(const struct proxyd *proxyd)
+{
+	unsigned hosts = proxyd_hosts(proxyd);
+
+	if (hosts <= ALL_WATCH_HOSTS)
+		return hosts;
+	return MAX(WATCH_HOSTS_MIN, hosts / HOSTS_PER_WATCHER + 1);
+}
+
+bool peer_tells(const struct member *member, unsigned rank, unsigned count)
+{
+	return sums_key(member->info.incarnation) % count == rank;
+}
+
+bool peer_is_first(const struct proxyd *proxyd)
+{
+	return member_self_rank(proxyd->members, DUTY_RANK) <
+	       peer_watchers(proxyd);
+}
+
+bool peer_watches(const struct proxyd *proxyd)
+{
+	return peer_is_first(proxyd) ||
+	       proxyd_now(proxyd) - proxyd->beat_at > BEAT_LOST_MS;
+}
+
+/* A member that a beat may come from. */
+struct beat_source {
+	struct proxyd *proxyd;
+	const char *rpc;
+};
+
+static void beat_from(void *ctx, const struct member *member)
+{
+	struct beat_source *source = ctx;
+
+	if (!strcmp(member->info.rpc, source->rpc))
+		source->proxyd->beat_at = proxyd_now(source->proxyd);
+}
+
+/* Tells the members that do not follow the store what there is: each of the
+ * hosts that do tells its part of them. */
+static void beat_tick(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+	int64_t config = proxyd->follow[FOLLOW_CONFIG].replica->revision;
+	int64_t workers = proxyd->follow[FOLLOW_WORKERS].replica->revision;
+	unsigned count = peer_watchers(proxyd);
+	unsigned rank = member_self_rank(proxyd->members, DUTY_RANK);
+	bool news = config != proxyd->beat_config ||
+		    workers != proxyd->beat_workers;
+	const GPtrArray *order = proxyd->members->order;
+
+	if (rank >= count || proxyd_hosts(proxyd) <= ALL_WATCH_HOSTS ||
+	    proxyd->store_lost_at || (!news && now < proxyd->next_beat))
+		return;
+	proxyd->next_beat = now + BEAT_MS;
+	proxyd->beat_config = config;
+	proxyd->beat_workers = workers;
+	for (guint i = 0; i < order->len; i++) {
+		const struct member *member = g_ptr_array_index(order, i);
+
+		if (member->info.state == MEMBER_ALIVE &&
+		    peer_tells(member, rank, count))
+			member_ping(proxyd->members, member);
+	}
+}
 
 static void op_send(void *ctx, const char *rpc, const struct member_msg *msg)
 {
@@ -30,7 +101,7 @@
 
 static void op_sync(void *ctx, const char *rpc)
 {
-	sync_from(ctx, rpc);
+	sync_from(ctx, rpc, true);
 }
 
 /* A host has come, leaves or is dead. */
@@ -79,13 +150,16 @@
 {
 	struct proxyd *proxyd = ctx;
 	const struct follow *follow = proxyd->follow;
+	struct beat_source source = { .proxyd = proxyd, .rpc = rpc };
 
+	member_each_first(proxyd->members, DUTY_RANK, peer_watchers(proxyd),
+			  beat_from, &source);
 	if (proxyd_now(proxyd) < proxyd->sync_until ||
 	    ((int64_t)settings <= follow[FOLLOW_CONFIG].replica->revision &&
 	     (int64_t)hosts <= follow[FOLLOW_WORKERS].replica->revision))
 		return;
 	proxyd->sync_until = proxyd_now(proxyd) + SYNC_GAP_MS;
-	sync_from(proxyd, rpc);
+	sync_from(proxyd, rpc, false);
 }
 
 const struct member_ops peer_member_ops = {
@@ -115,13 +189,14 @@
 	sync_items_take(proxyd->follow[FOLLOW_WORKERS].replica, &res->hosts);
 }
 
-static void sync_from(struct proxyd *proxyd, const char *rpc)
+static void sync_from(struct proxyd *proxyd, const char *rpc, bool members)
 {
 	struct sync_call *call = g_new0(struct sync_call, 1);
 	w_sync_args args;
 
 	call->proxyd = proxyd;
 	rpc_update_to_wire(&proxyd->members->self, &args.self);
+	args.members = members;
 	args.settings_after = proxyd->follow[FOLLOW_CONFIG].replica->revision;
 	args.hosts_after = proxyd->follow[FOLLOW_WORKERS].replica->revision;
 	rpc_call_sync(proxyd->rpc, rpc, &args, SYNC_TIMEOUT_MS, sync_on_done,
@@ -135,7 +210,8 @@
 
 	if (rpc_update_from_wire(&args->self, &self))
 		member_on_update(proxyd->members, &self, proxyd_now(proxyd));
-	sync_updates_fill(proxyd->members, res);
+	if (args->members)
+		sync_updates_fill(proxyd->members, res);
 	sync_items_fill(proxyd->follow[FOLLOW_CONFIG].replica,
 			args->settings_after, &res->settings);
 	sync_items_fill(proxyd->follow[FOLLOW_WORKERS].replica,
@@ -272,169 +348,6 @@
 		kv_lease(proxyd->kv, HOST_LEASE_MS, on_host_lease, proxyd);
 }
 
-/* Reports: counts of begun requests, demand, what accounts have spent. */
-
-struct report_fill {
-	w_report *report;
-	int64_t window;
-};
-
-static void count_add(void *ctx, const char *account, int64_t count)
-{
-	struct report_fill *fill = ctx;
-	w_report *report = fill->report;
-	u_int at = report->counts.counts_len++;
-
-	report->counts.counts_val = g_renew(w_count, report->counts.counts_val,
-					    report->counts.counts_len);
-	report->counts.counts_val[at] = (w_count){
-		.window = fill->window,
-		.account = (char *)account,
-		.count = count,
-	};
-}
-
-static void spent_fill(struct proxyd *proxyd, w_report *report)
-{
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-	u_int at = 0;
-
-	report->spent.spent_val =
-		g_new0(w_spent, g_hash_table_size(proxyd->quotas));
-	g_hash_table_iter_init(&iter, proxyd->quotas);
-	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct quota *quota = value;
-
-		if (quota->rate > 0)
-			report->spent.spent_val[at++] = (w_spent){
-				.account = key,
-				.units = quota->spent,
-			};
-	}
-	report->spent.spent_len = at;
-}
-
-/* Whether some account comes near its limit. */
-static bool accounts_pressed(const struct proxyd *proxyd)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, proxyd->quotas);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		if (quota_pressed(value))
-			return true;
-	return false;
-}
-
-static void demand_fill(struct proxyd *proxyd, w_report *report)
-{
-	GHashTableIter iter;
-	gpointer value;
-	u_int at = 0;
-
-	report->demand.demand_val =
-		g_new0(w_demand, g_hash_table_size(proxyd->pools));
-	g_hash_table_iter_init(&iter, proxyd->pools);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool_state *pool = value;
-
-		pool->busy = pool->busy_ms / REPORT_PERIOD_MS;
-		pool->busy_ms = 0;
-		report->demand.demand_val[at++] = (w_demand){
-			.pool = pool->name,
-			.busy = pool->busy,
-		};
-		scale_on_demand(proxyd, proxyd->members->self.incarnation,
-				pool->name, pool->busy);
-	}
-	report->demand.demand_len = at;
-}
-
-/* Where a report goes. */
-struct report_target {
-	struct proxyd *proxyd;
-	const w_report *report;
-};
-
-static void report_to(void *ctx, const struct member *member)
-{
-	struct report_target *send = ctx;
-
-	rpc_send_report(send->proxyd->rpc, member->info.rpc, send->report);
-}
-
-/* Sends a report to those that add up, and frees it. */
-static void report_send(struct report_target *send, unsigned hosts)
-{
-	member_each_first(send->proxyd->members, DUTY_RANK,
-			  hosts <= SMALL_CLUSTER ? hosts : DUTY_CANDIDATES,
-			  report_to, send);
-	g_free(send->report->counts.counts_val);
-	g_free(send->report->demand.demand_val);
-	g_free(send->report->spent.spent_val);
-}
-
-static void report_tick(struct proxyd *proxyd)
-{
-	clk_ms now = proxyd_now(proxyd);
-	int64_t newest = usage_window(&proxyd->usage, proxyd_wall(proxyd));
-	const char *self = proxyd->members->self.incarnation;
-	w_report report = { .process = (char *)self };
-	struct report_target send = { .proxyd = proxyd, .report = &report };
-	unsigned hosts = proxyd_hosts(proxyd);
-	bool due = now >= proxyd->next_report;
-
-	if (!due && !accounts_pressed(proxyd))
-		return;
-	spent_fill(proxyd, &report);
-	if (!due) {
-		/* Only what is pressing. */
-		report_send(&send, hosts);
-		return;
-	}
-	proxyd->next_report = now + REPORT_PERIOD_MS;
-	for (int64_t window = newest - USAGE_WINDOWS + 1; window <= newest;
-	     window++) {
-		struct report_fill fill = {
-			.report = &report,
-			.window = window,
-		};
-
-		usage_each(&proxyd->usage, self, window, count_add, &fill);
-	}
-	demand_fill(proxyd, &report);
-	report_send(&send, hosts);
-}
-
-void peer_on_report(void *ctx, const w_report *report)
-{
-	struct proxyd *proxyd = ctx;
-
-	for (u_int i = 0; i < report->counts.counts_len; i++) {
-		const w_count *count = &report->counts.counts_val[i];
-
-		usage_take(&proxyd->usage, report->process, count->account,
-			   count->window, count->count);
-	}
-	for (u_int i = 0; i < report->demand.demand_len; i++)
-		scale_on_demand(proxyd, report->process,
-				report->demand.demand_val[i].pool,
-				report->demand.demand_val[i].busy);
-	for (u_int i = 0; i < report->spent.spent_len; i++) {
-		const w_spent *spent = &report->spent.spent_val[i];
-		struct quota *quota =
-			g_hash_table_lookup(proxyd->quotas, spent->account);
-
-		if (quota)
-			quota_on_report(quota, report->process, spent->units,
-					proxyd_hosts(proxyd),
-					proxyd_now(proxyd));
-	}
-}
-
 void peer_tick(struct proxyd *proxyd)
 {
 	struct member_list *members = proxyd->members;
@@ -445,5 +358,5 @@
 		(uint64_t)proxyd->follow[FOLLOW_WORKERS].replica->revision;
 	member_tick(members, proxyd_now(proxyd));
 	host_tick(proxyd);
-	report_tick(proxyd);
+	beat_tick(proxyd);
 }
--- /dev/null
+++ b/daemon/proxyd-report.c
@@ -0,0 +1,346 @@
+/*
+ * Figures that hosts add up: begun requests by account and window, demand,
+ * what accounts have spent, requests at workers.
+ *
+ * Where hosts are few, each tells all others. Where they are many, each tells
+ * the few that also follow the store, and these tell each of the others the
+ * sums of the rest.
+ */
+#include "proxyd.h"
+
+#include <string.h>
+
+#define REPORT_PERIOD_MS 500
+#define RELAY_PERIOD_MS 500
+#define ALL_HOSTS 12	  /* up to so many hosts, each tells all others */
+#define PRESSED_MS 300	  /* between reports near a limit, beyond that */
+#define TOLD_KEEP_MS 2500 /* a host's requests count after its last report */
+#define ALL_SAMPLES 0
+#define FEW_SAMPLES 3 /* workers drawn for a choice, where hosts are many */
+
+/* A report that is being made. */
+struct filling {
+	struct proxyd *proxyd;
+	w_report report;
+	int64_t window;
+};
+
+static void told_changed(void *ctx, uint32_t key, double total)
+{
+	struct proxyd *proxyd = ctx;
+
+	fleet_on_told(proxyd->fleet, key, total);
+}
+
+void report_start(struct proxyd *proxyd)
+{
+	proxyd->inflight = sums_create(told_changed, proxyd);
+}
+
+static void count_add(void *ctx, const char *account, int64_t count)
+{
+	struct filling *filling = ctx;
+	w_report *report = &filling->report;
+	u_int at = report->counts.counts_len++;
+
+	report->counts.counts_val = g_renew(w_count, report->counts.counts_val,
+					    report->counts.counts_len);
+	report->counts.counts_val[at] = (w_count){
+		.window = filling->window,
+		.account = (char *)account,
+		.count = count,
+	};
+}
+
+/* Lists this host's counts of the windows that are kept. */
+static void counts_fill(struct filling *filling)
+{
+	struct proxyd *proxyd = filling->proxyd;
+	int64_t newest = usage_window(&proxyd->usage, proxyd_wall(proxyd));
+
+	for (int64_t window = newest - USAGE_WINDOWS + 1; window <= newest;
+	     window++) {
+		filling->window = window;
+		usage_each(&proxyd->usage, proxyd->members->self.incarnation,
+			   window, count_add, filling);
+	}
+}
+
+/* Lists what is asked of each pool. */
+static void demand_fill(struct filling *filling)
+{
+	struct proxyd *proxyd = filling->proxyd;
+	w_report *report = &filling->report;
+	GHashTableIter iter;
+	gpointer value;
+	u_int at = 0;
+
+	report->demand.demand_val =
+		g_new0(w_demand, g_hash_table_size(proxyd->pools));
+	g_hash_table_iter_init(&iter, proxyd->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_state *pool = value;
+
+		pool->busy = pool->busy_ms / REPORT_PERIOD_MS;
+		pool->busy_ms = 0;
+		report->demand.demand_val[at++] = (w_demand){
+			.pool = pool->name,
+			.busy = pool->busy,
+		};
+		scale_on_demand(proxyd, proxyd->members->self.incarnation,
+				pool->name, pool->busy);
+	}
+	report->demand.demand_len = at;
+}
+
+/* Lists what accounts have spent here. */
+static void spent_fill(struct filling *filling)
+{
+	w_report *report = &filling->report;
+	GHashTable *table = filling->proxyd->account_keys;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+	u_int at = 0;
+
+	report->spent.spent_val = g_new0(w_part, g_hash_table_size(table));
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct quota *quota = value;
+
+		if (quota->rate > 0)
+			report->spent.spent_val[at++] = (w_part){
+				.key = GPOINTER_TO_UINT(key),
+				.value = quota->spent,
+			};
+	}
+	report->spent.spent_len = at;
+}
+
+/* Lists this host's requests at workers. */
+static void inflight_fill(struct filling *filling)
+{
+	w_report *report = &filling->report;
+	GHashTable *workers = filling->proxyd->fleet->workers;
+	GHashTableIter iter;
+	gpointer value;
+	u_int at = 0;
+
+	report->inflight.inflight_val =
+		g_new0(w_part, g_hash_table_size(workers));
+	g_hash_table_iter_init(&iter, workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fleet_worker *worker = value;
+
+		if (worker->inflight > 0)
+			report->inflight.inflight_val[at++] = (w_part){
+				.key = worker->key,
+				.value = worker->inflight,
+			};
+	}
+	report->inflight.inflight_len = at;
+}
+
+static void report_to(void *ctx, const struct member *member)
+{
+	struct filling *filling = ctx;
+
+	rpc_send_report(filling->proxyd->rpc, member->info.rpc,
+			&filling->report);
+}
+
+static void report_free(w_report *report)
+{
+	g_free(report->counts.counts_val);
+	g_free(report->demand.demand_val);
+	g_free(report->spent.spent_val);
+	g_free(report->inflight.inflight_val);
+}
+
+/* Whether some account comes near its limit. */
+static bool accounts_pressed(const struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxyd->quotas);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (quota_pressed(value))
+			return true;
+	return false;
+}
+
+/* Makes a report and sends it; full: with what is not pressing too. */
+static void report_make(struct proxyd *proxyd, unsigned hosts, bool full)
+{
+	struct filling filling = {
+		.proxyd = proxyd,
+		.report.process = proxyd->members->self.incarnation,
+	};
+
+	if (full) {
+		counts_fill(&filling);
+		demand_fill(&filling);
+	}
+	inflight_fill(&filling);
+	spent_fill(&filling);
+	member_each_first(proxyd->members, DUTY_RANK,
+			  hosts <= ALL_HOSTS ? hosts : peer_watchers(proxyd),
+			  report_to, &filling);
+	report_free(&filling.report);
+}
+
+/* The sums of all hosts but one, for that one. */
+
+struct relaying {
+	struct proxyd *proxyd;
+	const char *process; /* that it is for */
+	w_part *parts;
+	u_int count;
+};
+
+static void relay_inflight_add(void *ctx, uint32_t key, double total)
+{
+	struct relaying *relaying = ctx;
+	struct proxyd *proxyd = relaying->proxyd;
+	const struct fleet_worker *worker = g_hash_table_lookup(
+		proxyd->fleet->by_key, GUINT_TO_POINTER(key));
+	double others = total + (worker ? worker->inflight : 0) -
+			sums_of(proxyd->inflight, relaying->process, key);
+
+	if (worker && others > 0)
+		relaying->parts[relaying->count++] =
+			(w_part){ .key = key, .value = others };
+}
+
+static void relay_to(struct proxyd *proxyd, const struct member *member)
+{
+	struct relaying relaying = {
+		.proxyd = proxyd,
+		.process = member->info.incarnation,
+		.parts = g_new0(w_part,
+				g_hash_table_size(proxyd->inflight->totals)),
+	};
+	w_relay relay = { .process = proxyd->members->self.incarnation };
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	sums_each(proxyd->inflight, relay_inflight_add, &relaying);
+	relay.inflight.inflight_val = relaying.parts;
+	relay.inflight.inflight_len = relaying.count;
+	relay.spent.spent_val =
+		g_new0(w_part, g_hash_table_size(proxyd->account_keys));
+	g_hash_table_iter_init(&iter, proxyd->account_keys);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		relay.spent.spent_val[relay.spent.spent_len++] = (w_part){
+			.key = GPOINTER_TO_UINT(key),
+			.value = quota_without(value, relaying.process),
+		};
+	rpc_send_relay(proxyd->rpc, member->info.rpc, &relay);
+	g_free(relay.inflight.inflight_val);
+	g_free(relay.spent.spent_val);
+}
+
+/* Tells this host's part of the others the sums. */
+static void relay_all(struct proxyd *proxyd)
+{
+	unsigned count = peer_watchers(proxyd);
+	unsigned rank = member_self_rank(proxyd->members, DUTY_RANK);
+	const GPtrArray *order = proxyd->members->order;
+
+	for (guint i = 0; i < order->len; i++) {
+		const struct member *member = g_ptr_array_index(order, i);
+
+		if (member->info.state == MEMBER_ALIVE &&
+		    peer_tells(member, rank, count))
+			relay_to(proxyd, member);
+	}
+}
+
+void report_tick(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+	unsigned hosts = proxyd_hosts(proxyd);
+	bool few = hosts <= ALL_HOSTS;
+	bool due = now >= proxyd->next_report;
+	clk_ms age = now - proxyd->reported_at;
+
+	sums_expire(proxyd->inflight, now - TOLD_KEEP_MS);
+	proxyd->fleet->speed.samples = few ? ALL_SAMPLES : FEW_SAMPLES;
+	if (!due && (!accounts_pressed(proxyd) || (!few && age < PRESSED_MS)))
+		return;
+	proxyd->reported_at = now;
+	if (due)
+		proxyd->next_report = now + REPORT_PERIOD_MS;
+	report_make(proxyd, hosts, due);
+	if (!few && due && peer_is_first(proxyd))
+		relay_all(proxyd);
+}
+
+/* What hosts tell. */
+
+static void inflight_take(struct proxyd *proxyd, const char *process,
+			  const w_part *parts, u_int count)
+{
+	struct sums_part *taken = g_new(struct sums_part, count);
+
+	for (u_int i = 0; i < count; i++)
+		taken[i] = (struct sums_part){
+			.key = parts[i].key,
+			.value = parts[i].value,
+		};
+	sums_take(proxyd->inflight, process, taken, count, proxyd_now(proxyd));
+	g_free(taken);
+}
+
+static void spent_take(struct proxyd *proxyd, const char *process,
+		       const w_part *parts, u_int count)
+{
+	for (u_int i = 0; i < count; i++) {
+		struct quota *quota = g_hash_table_lookup(
+			proxyd->account_keys, GUINT_TO_POINTER(parts[i].key));
+
+		if (quota)
+			quota_on_report(quota, process, parts[i].value,
+					proxyd_hosts(proxyd),
+					proxyd_now(proxyd));
+	}
+}
+
+void peer_on_report(void *ctx, const w_report *report)
+{
+	struct proxyd *proxyd = ctx;
+
+	for (u_int i = 0; i < report->counts.counts_len; i++) {
+		const w_count *count = &report->counts.counts_val[i];
+
+		usage_take(&proxyd->usage, report->process, count->account,
+			   count->window, count->count);
+	}
+	for (u_int i = 0; i < report->demand.demand_len; i++)
+		scale_on_demand(proxyd, report->process,
+				report->demand.demand_val[i].pool,
+				report->demand.demand_val[i].busy);
+	inflight_take(proxyd, report->process, report->inflight.inflight_val,
+		      report->inflight.inflight_len);
+	spent_take(proxyd, report->process, report->spent.spent_val,
+		   report->spent.spent_len);
+}
+
+void peer_on_relay(void *ctx, const w_relay *relay)
+{
+	struct proxyd *proxyd = ctx;
+	char *process = g_strconcat("others~", relay->process, NULL);
+
+	/* One that adds up itself hears all hosts, and needs no sums. */
+	if (!peer_is_first(proxyd)) {
+		proxyd->beat_at = proxyd_now(proxyd);
+		sums_expire(proxyd->inflight, proxyd_now(proxyd));
+		inflight_take(proxyd, process, relay->inflight.inflight_val,
+			      relay->inflight.inflight_len);
+		spent_take(proxyd, process, relay->spent.spent_val,
+			   relay->spent.spent_len);
+	}
+	g_free(process);
+}
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -8,7 +8,7 @@
 #define ORDER_TIMEOUT_MS 1500
 #define REPEAT_MS 5000 /* an order is sent again, if it isn't met */
 #define RUN_PERIOD_MS 500
-#define NEED_START 6.0	   /* busy workers, before any demand is known */
+#define START_SHARE 0.55   /* busy workers of those present at the start */
 #define LOWER_SPOT_MS 4000 /* reclaimable workers are given up after it */
 #define LOWER_FULL_MS 1000 /* full ones, which cost more */
 
@@ -49,7 +49,6 @@
 	if (scaled)
 		return scaled;
 	scaled = g_new0(struct scaled, 1);
-	scaled->need.busy = NEED_START;
 	scaled->demand =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	scaled->orders = g_hash_table_new(g_str_hash, g_str_equal);
@@ -250,6 +249,10 @@
 	bool safe = true;
 
 	/* Before any demand is seen, what the start is prepared for holds. */
+	if (!scaled->need.at)
+		scaled->need.busy = MAX(
+			scaled->need.busy,
+			START_SHARE * fleet_count(proxyd->fleet, pool->name));
 	if (busy > 0)
 		scaled->seen = true;
 	if (scaled->seen)
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -5,7 +5,8 @@
 
 #define BACK_MIN_MS 150 /* before a refused caller comes back */
 #define BACK_SPREAD_MS 450
-#define OUTPUT_TOKEN_MS 0.225 /* of an engine's time, at half a batch */
+#define BATCH_SHARE                                                            \
+	0.6 /* of an engine's places that are taken when it is busy */
 
 static void xfer_end(struct xfer *xfer);
 static void xfer_arm(struct xfer *xfer);
@@ -198,6 +199,16 @@
 	uv_timer_start(&xfer->timer, on_timer, (uint64_t)MAX(next - now, 1), 0);
 }
 
+/* An engine's time for one token of an answer, in ms: its part of a step that
+ * makes one for each running request. */
+static double token_ms(const struct xfer *xfer)
+{
+	const struct conf_proxy *conf = xfer->proxyd->conf;
+	double batch = MAX(xfer->pool->slots * BATCH_SHARE, 1);
+
+	return (conf->step_us / batch + conf->step_slot_us) / 1000;
+}
+
 /* Work that a request means for an engine, in ms. */
 static double work_of(const struct xfer *xfer,
 		      const struct fleet_choice *choice)
@@ -210,7 +221,7 @@
 		return 0;
 	return (says->prompt_tokens - choice->cached) *
 		       xfer->proxyd->fleet->speed.prefill_ms +
-	       output * OUTPUT_TOKEN_MS;
+	       output * token_ms(xfer);
 }
 
 void xfer_send(struct xfer *xfer)
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -206,6 +206,7 @@
 
 	follow_tick(proxyd);
 	peer_tick(proxyd);
+	report_tick(proxyd);
 	duty_run(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
@@ -272,6 +273,7 @@
 		.on_gossip = peer_on_gossip,
 		.on_sync = peer_on_sync,
 		.on_report = peer_on_report,
+		.on_relay = peer_on_relay,
 		.on_bad = peer_on_bad,
 		.ctx = proxyd,
 	};
@@ -375,6 +377,7 @@
 	proxyd->fleet = fleet_create(&fleet);
 	proxyd->quotas = g_hash_table_new(g_str_hash, g_str_equal);
 	proxyd->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	proxyd->account_keys = g_hash_table_new(NULL, NULL);
 	wall_init(&proxyd->wall, g_get_real_time() / 1000, proxyd_boot_now());
 	usage_init(&proxyd->usage, (clk_ms)(conf->usage_window_s * CLK_SECOND));
 	duty_init(&proxyd->duty, conf->lease_ms);
@@ -414,6 +417,7 @@
 	decide_create(proxyd);
 	follow_start(proxyd);
 	peer_start(proxyd);
+	report_start(proxyd);
 	duty_start(proxyd);
 	loop_start(proxyd);
 	return true;
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -24,6 +24,7 @@
 #include "../decide/retry.h"
 #include "../decide/sse.h"
 #include "../decide/store.h"
+#include "../decide/sums.h"
 #include "../decide/tab.h"
 #include "../decide/usage.h"
 #include "../decide/wall.h"
@@ -109,8 +110,15 @@
 	int64_t host_lease; /* of this host's own key; 0: none */
 	bool host_busy;	    /* a call for it is under way */
 	clk_ms host_next;
-	struct leader *leader; /* proxyd-duty.c */
+	struct leader *leader;	  /* proxyd-duty.c */
+	struct sums *inflight;	  /* other hosts' requests at workers */
+	GHashTable *account_keys; /* sums_key of a name -> struct quota */
 	clk_ms next_report;
+	clk_ms reported_at;
+	clk_ms next_beat;
+	clk_ms beat_at;	     /* when a host that watches was heard last */
+	int64_t beat_config; /* revisions that were shown last */
+	int64_t beat_workers;
 	clk_ms sync_until;
 	size_t xfers; /* requests under way */
 	uv_timer_t tick;
@@ -131,6 +139,10 @@
 unsigned proxyd_hosts(const struct proxyd *proxyd);
 struct pool_state *proxyd_pool(struct proxyd *proxyd, const char *name);
 
+/* proxyd-report.c: figures that hosts add up */
+void report_start(struct proxyd *proxyd);
+void report_tick(struct proxyd *proxyd);
+
 /* proxyd-follow.c */
 void follow_start(struct proxyd *proxyd);
 void follow_tick(struct proxyd *proxyd);
@@ -138,12 +150,22 @@
 bool follow_ready(const struct proxyd *proxyd);
 
 /* proxyd-peer.c */
+/* How many hosts follow the store, and add the others' figures up. */
+unsigned peer_watchers(const struct proxyd *proxyd);
+/* Whether the one of these with a rank tells a member what there is. */
+bool peer_tells(const struct member *member, unsigned rank, unsigned count);
+/* Whether this host follows the store itself. Where hosts are many, a few do
+ * and tell the others; one that hears of none follows it too. */
+bool peer_watches(const struct proxyd *proxyd);
+/* Whether this host is one of the few by its rank. */
+bool peer_is_first(const struct proxyd *proxyd);
 extern const struct member_ops peer_member_ops;
 void peer_start(struct proxyd *proxyd);
 void peer_tick(struct proxyd *proxyd);
 void peer_on_gossip(void *ctx, const struct member_msg *msg);
 void peer_on_sync(void *ctx, const w_sync_args *args, w_sync_res *res);
 void peer_on_report(void *ctx, const w_report *report);
+void peer_on_relay(void *ctx, const w_relay *relay);
 void peer_on_bad(void *ctx);
 /* An own key of another host was seen: its RPC address. */
 void peer_on_host_key(struct proxyd *proxyd, const char *address);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -3,14 +3,17 @@
 
 #include <string.h>
 
+#include "sums.h"
+
 #define FAILURE_AGE 0.2	   /* weight of the newest attempt */
 #define FAILURE_MS 2000.0  /* cost of a certain failure */
 #define FAILURE_FLOOR 0.25 /* failures that callers' own errors explain */
 #define AVOID_MS 250	   /* after a failure; doubled for each in a row */
 #define AVOID_DOUBLINGS 5
-#define NEAR_MS 2.0	     /* costs this close are equal */
-#define NEAR_SHARE 0.05	     /* as are those that differ by this part */
-#define REPORT_OLD_MS 3000   /* a report counts half after it */
+#define NEAR_MS 2.0	  /* costs this close are equal */
+#define NEAR_SHARE 0.05	  /* as are those that differ by this part */
+#define REPORT_NEW_MS 250 /* a report of a worker goes before what hosts tell  \
+			   */
 #define SERVICE_WAIT_MS 60.0 /* for a busy place of a plain service */
 #define PARTS_KEEP 4096	     /* parts remembered of one worker */
 
@@ -25,6 +28,7 @@
 
 	*fleet = *options;
 	fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->by_key = g_hash_table_new(NULL, NULL);
 	fleet->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return fleet;
@@ -84,6 +88,7 @@
 
 	if (!worker)
 		return;
+	g_hash_table_remove(fleet->by_key, GUINT_TO_POINTER(worker->key));
 	g_hash_table_remove(fleet->workers, id);
 	g_ptr_array_remove_fast(pool_of(fleet, worker->entry.pool), worker);
 	worker->removed = true;
@@ -125,6 +130,9 @@
 		worker->entry = *entry;
 		worker->parts = g_hash_table_new(NULL, NULL);
 		g_hash_table_insert(fleet->workers, worker->entry.id, worker);
+		worker->key = sums_key(worker->entry.id);
+		g_hash_table_insert(fleet->by_key,
+				    GUINT_TO_POINTER(worker->key), worker);
 		pool_add(fleet, worker);
 		if (fleet->on_added)
 			fleet->on_added(fleet->ctx, worker);
@@ -225,7 +233,7 @@
 /* A number that ranks workers for a part in the same way on every host. */
 static uint32_t rank_of(const struct fleet_worker *worker, uint64_t part)
 {
-	uint64_t hash = g_str_hash(worker->entry.id) * 0x9e3779b97f4a7c15u;
+	uint64_t hash = worker->key * 0x9e3779b97f4a7c15u;
 
 	hash ^= part * 0xc2b2ae3d27d4eb4fu;
 	hash ^= hash >> 29;
@@ -242,13 +250,13 @@
 	return ask->parts[ask->part_count - 2].id;
 }
 
-/* What the other hosts have at a worker, by its last report. */
+/* What the other hosts have at a worker: by its own report if that is new,
+ * else by what they tell. */
 static double others_now(const struct fleet_worker *worker, clk_ms now)
 {
-	if (!worker->reported_at)
-		return 0;
-	return now - worker->reported_at > REPORT_OLD_MS ? worker->others / 2.0
-							 : worker->others;
+	if (worker->reported_at && now - worker->reported_at < REPORT_NEW_MS)
+		return worker->others;
+	return worker->told;
 }
 
 /* What a worker's record of failures adds to its cost. */
@@ -318,42 +326,96 @@
 	return home;
 }
 
-/* Chooses among the workers of one group. */
+static guint divisor_of(guint a, guint b)
+{
+	while (b) {
+		guint rest = a % b;
+
+		a = b;
+		b = rest;
+	}
+	return a;
+}
+
+/* A step through so many places that visits each of them. */
+static guint step_of(struct fleet *fleet, guint len)
+{
+	guint step = 1 + fleet->random(fleet->ctx, len - 1);
+
+	while (divisor_of(step, len) != 1)
+		step = step % len + 1;
+	return step;
+}
+
+/* A choice that is being made. */
+struct choosing {
+	struct fleet *fleet;
+	const struct fleet_ask *ask;
+	const struct fleet_worker *home;
+	clk_ms now;
+	unsigned equal; /* workers that are as good as the best */
+	struct fleet_choice best;
+};
+
+/* Looks at one worker. */
+static void consider(struct choosing *choosing, struct fleet_worker *worker)
+{
+	struct fleet_choice *best = &choosing->best;
+	int cached;
+	double cost = cost_of(choosing->fleet, worker, choosing->home,
+			      choosing->ask, choosing->now, &cached);
+	double near = NEAR_MS + NEAR_SHARE * best->cost;
+
+	best->candidates++;
+	if (best->worker && cost > best->cost + near)
+		return;
+	if (best->worker && cost > best->cost - near) {
+		/* One of the near-equal ones is taken at random. */
+		if (choosing->fleet->random(choosing->fleet->ctx,
+					    ++choosing->equal) != 0)
+			return;
+	} else {
+		choosing->equal = 1;
+	}
+	best->worker = worker;
+	best->cost = cost;
+	best->cached = cached;
+}
+
+/* Chooses among the workers of one group: all, or the home and some that are
+ * drawn, so that hosts that know the same don't all choose the same. */
 static struct fleet_choice choose_among(struct fleet *fleet,
 					const GPtrArray *workers,
 					const struct fleet_ask *ask,
 					enum group group, clk_ms now)
 {
-	const struct fleet_worker *home =
-		ask->engine ? home_of(workers, ask) : NULL;
-	struct fleet_choice best = { .cost = 0 };
-	unsigned equal = 0;
+	struct choosing choosing = {
+		.fleet = fleet,
+		.ask = ask,
+		.home = ask->engine ? home_of(workers, ask) : NULL,
+		.now = now,
+	};
+	unsigned samples = fleet->speed.samples;
+	guint from = fleet->random(fleet->ctx, workers->len);
+	/* Any step that has no divisor in common with the length visits all. */
+	guint step =
+		samples && workers->len > 2 ? step_of(fleet, workers->len) : 1;
+	unsigned drawn = 0;
 
 	for (guint i = 0; i < workers->len; i++) {
-		struct fleet_worker *worker = g_ptr_array_index(workers, i);
-		double cost;
-		int cached;
+		struct fleet_worker *worker = g_ptr_array_index(
+			workers, (from + i * step) % workers->len);
 
 		if (worker == ask->not_this || group_of(worker, now) != group)
 			continue;
-		best.candidates++;
-		cost = cost_of(fleet, worker, home, ask, now, &cached);
-		if (best.worker &&
-		    cost > best.cost + NEAR_MS + NEAR_SHARE * best.cost)
+		if (samples && worker != choosing.home && drawn++ >= samples) {
+			if (choosing.home == ask->not_this || !choosing.home)
+				break;
 			continue;
-		if (best.worker &&
-		    cost > best.cost - NEAR_MS - NEAR_SHARE * best.cost) {
-			/* One of the near-equal ones is taken at random. */
-			if (fleet->random(fleet->ctx, ++equal) != 0)
-				continue;
-		} else {
-			equal = 1;
 		}
-		best.worker = worker;
-		best.cost = cost;
-		best.cached = cached;
+		consider(&choosing, worker);
 	}
-	return best;
+	return choosing.best;
 }
 
 struct fleet_choice fleet_choose(struct fleet *fleet,
@@ -422,6 +484,14 @@
 	int all = running + waiting - (int)worker->inflight;
 
 	worker->others = MAX(all, 0);
-	worker->others_waiting = MIN(waiting, worker->others);
 	worker->reported_at = now;
 }
+
+void fleet_on_told(struct fleet *fleet, uint32_t key, double requests)
+{
+	struct fleet_worker *worker =
+		g_hash_table_lookup(fleet->by_key, GUINT_TO_POINTER(key));
+
+	if (worker)
+		worker->told = (int)(requests + 0.5);
+}
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -56,9 +56,10 @@
 	struct fleet_health health;
 	unsigned inflight;    /* own requests that are there */
 	double prompt_tokens; /* of own requests before their first token */
-	int others;	      /* requests of other hosts, at the last report */
-	int others_waiting;   /* of these, waiting */
-	clk_ms reported_at;   /* when the report came; 0: never */
+	int told;	      /* requests of other hosts, as these tell */
+	int others;	      /* the same, by the worker's last report */
+	clk_ms reported_at;   /* when that came; 0: never */
+	uint32_t key;	      /* sums_key of its id */
 	GHashTable *parts;    /* part -> when it was last read, in clk_ms */
 	void *peer;	      /* of the caller: its connections */
 	unsigned refs;	      /* requests that point here, and the fleet */
@@ -70,6 +71,8 @@
 	double prefill_ms;  /* for a token that is not cached */
 	double running_ms;  /* that a running request adds */
 	double distance_ms; /* for another data centre */
+	unsigned samples;   /* workers looked at besides a session's home;
+			     * 0: all, where hosts are few */
 	clk_ms cached_for;  /* a part read longer ago may have been dropped */
 };
 
@@ -103,6 +106,7 @@
 	GHashTable *pools;   /* pool -> GPtrArray of struct fleet_worker */
 	struct fleet_speed speed;
 	uint32_t (*random)(void *ctx, uint32_t n);
+	GHashTable *by_key; /* sums_key of an id -> struct fleet_worker */
 	/* A worker is new, or no longer used: connections are made, dropped. */
 	void (*on_added)(void *ctx, struct fleet_worker *worker);
 	void (*on_removed)(void *ctx, struct fleet_worker *worker);
@@ -145,6 +149,8 @@
 /* Judges a worker by the end of an attempt there. */
 void fleet_judge(struct fleet_worker *worker, enum fleet_verdict verdict,
 		 clk_ms now);
+/* What the other hosts have at the worker with a key; see decide/sums.h. */
+void fleet_on_told(struct fleet *fleet, uint32_t key, double requests);
 /* A load report of a worker. */
 void fleet_on_load(struct fleet_worker *worker, int running, int waiting,
 		   clk_ms now);
--- a/decide/member.h
+++ b/decide/member.h
@@ -165,6 +165,8 @@
 		       unsigned n,
 		       void (*fn)(void *ctx, const struct member *member),
 		       void *ctx);
+/* Probes a member out of turn, which shows it this host's revisions. */
+void member_ping(struct member_list *list, const struct member *member);
 size_t member_live_count(const struct member_list *list);
 
 #endif
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -123,20 +123,30 @@
 void quota_on_report(struct quota *quota, const char *process, double spent,
 		     unsigned hosts, clk_ms now)
 {
-	double *known = g_hash_table_lookup(quota->others, process);
+	struct quota_other *other = g_hash_table_lookup(quota->others, process);
 
-	if (!known) {
+	if (!other) {
 		/* What it spent before it was known here is in the past. */
-		known = g_new(double, 1);
-		*known = spent;
-		g_hash_table_insert(quota->others, g_strdup(process), known);
+		other = g_new(struct quota_other, 1);
+		*other = (struct quota_other){ .first = spent, .spent = spent };
+		g_hash_table_insert(quota->others, g_strdup(process), other);
 	}
 	fill(quota, hosts, now);
-	quota->all -= spent - *known;
-	*known = spent;
+	quota->all -= spent - other->spent;
+	quota->others_spent += spent - other->spent;
+	other->spent = spent;
 	quota->heard = now;
 }
 
+double quota_without(const struct quota *quota, const char *process)
+{
+	const struct quota_other *other =
+		g_hash_table_lookup(quota->others, process);
+
+	return quota->spent + quota->others_spent -
+	       (other ? other->spent - other->first : 0);
+}
+
 bool quota_pressed(const struct quota *quota)
 {
 	return quota->rate > 0 && quota->all < PRESSED_SHARE * all_max(quota);
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -23,9 +23,16 @@
 	double all;   /* units left in the bucket of all hosts */
 	double own;   /* units left of this host's share */
 	clk_ms last;
-	double spent;	    /* units that this host has let through, in all */
-	GHashTable *others; /* process -> double: what it has let through */
-	clk_ms heard;	    /* when a report came last; 0: never */
+	double spent;	     /* units that this host has let through, in all */
+	GHashTable *others;  /* process -> struct quota_other */
+	double others_spent; /* by others, since they are known here */
+	clk_ms heard;	     /* when a report came last; 0: never */
+};
+
+/* What another host has let through, in all. */
+struct quota_other {
+	double first; /* when it was first heard of */
+	double spent;
 };
 
 struct quota *quota_create(void);
@@ -40,6 +47,8 @@
 		clk_ms *come_back);
 /* Gives back what a request that was not run had taken. */
 void quota_give(struct quota *quota, double units);
+/* What all hosts but one have let through, for that one. */
+double quota_without(const struct quota *quota, const char *process);
 /* Whether the account comes near its limit: reports are then to be sent more
  * often. */
 bool quota_pressed(const struct quota *quota);
--- /dev/null
+++ b/decide/sums.c
@@ -0,0 +1,152 @@
+/* Figures of many hosts, added up. */
+#include "sums.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* What one process told. */
+struct told {
+	GHashTable *parts; /* key -> double */
+	clk_ms at;
+};
+
+static void told_free(gpointer data)
+{
+	struct told *told = data;
+
+	g_hash_table_destroy(told->parts);
+	g_free(told);
+}
+
+static GHashTable *parts_create(void)
+{
+	return g_hash_table_new_full(NULL, NULL, NULL, g_free);
+}
+
+uint32_t sums_key(const char *name)
+{
+	return XXH32(name, strlen(name), 0);
+}
+
+struct sums *sums_create(void (*changed)(void *ctx, uint32_t key, double total),
+			 void *ctx)
+{
+	struct sums *sums = g_new0(struct sums, 1);
+
+	sums->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    told_free);
+	sums->totals = parts_create();
+	sums->changed = changed;
+	sums->ctx = ctx;
+	return sums;
+}
+
+/* Returns a figure's place in a table, made if it is missing. */
+static double *place_of(GHashTable *table, uint32_t key)
+{
+	double *place = g_hash_table_lookup(table, GUINT_TO_POINTER(key));
+
+	if (!place) {
+		place = g_new0(double, 1);
+		g_hash_table_insert(table, GUINT_TO_POINTER(key), place);
+	}
+	return place;
+}
+
+/* Changes a total. */
+static void total_add(struct sums *sums, uint32_t key, double value)
+{
+	double *total = place_of(sums->totals, key);
+
+	*total += value;
+	if (sums->changed && value != 0)
+		sums->changed(sums->ctx, key, *total);
+}
+
+/* Takes what a process told before out of the totals. */
+static void told_withdraw(struct sums *sums, struct told *told)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, told->parts);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		total_add(sums, GPOINTER_TO_UINT(key), -*(double *)value);
+	g_hash_table_remove_all(told->parts);
+}
+
+void sums_take(struct sums *sums, const char *process,
+	       const struct sums_part *parts, size_t count, clk_ms now)
+{
+	struct told *told = g_hash_table_lookup(sums->hosts, process);
+	GHashTable *before;
+
+	if (!told) {
+		told = g_new0(struct told, 1);
+		told->parts = parts_create();
+		g_hash_table_insert(sums->hosts, g_strdup(process), told);
+	}
+	told->at = now;
+	before = told->parts;
+	told->parts = parts_create();
+	for (size_t i = 0; i < count; i++) {
+		double *old = g_hash_table_lookup(
+			before, GUINT_TO_POINTER(parts[i].key));
+
+		*place_of(told->parts, parts[i].key) = parts[i].value;
+		total_add(sums, parts[i].key,
+			  parts[i].value - (old ? *old : 0));
+		if (old)
+			*old = 0;
+	}
+	/* What it no longer tells is 0. */
+	told_withdraw(sums, &(struct told){ .parts = before });
+	g_hash_table_destroy(before);
+}
+
+void sums_expire(struct sums *sums, clk_ms before)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sums->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct told *told = value;
+
+		if (told->at >= before)
+			continue;
+		told_withdraw(sums, told);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+double sums_total(const struct sums *sums, uint32_t key)
+{
+	const double *total =
+		g_hash_table_lookup(sums->totals, GUINT_TO_POINTER(key));
+
+	return total ? *total : 0;
+}
+
+double sums_of(const struct sums *sums, const char *process, uint32_t key)
+{
+	const struct told *told = g_hash_table_lookup(sums->hosts, process);
+	const double *value =
+		told ? g_hash_table_lookup(told->parts, GUINT_TO_POINTER(key))
+		     : NULL;
+
+	return value ? *value : 0;
+}
+
+void sums_each(const struct sums *sums,
+	       void (*fn)(void *ctx, uint32_t key, double total), void *ctx)
+{
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, sums->totals);
+	while (g_hash_table_iter_next(&iter, &key, &value))
+		fn(ctx, GPOINTER_TO_UINT(key), *(double *)value);
+}
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -325,6 +325,22 @@
 		.max = 100000,
 		.fallback = "17.7",
 	},
+	{
+		.name = "step_us",
+		.type = CONF_TYPE_REAL,
+		.offset = offsetof(struct conf_proxy, step_us),
+		.min = 0,
+		.max = 1000000,
+		.fallback = "3790",
+	},
+	{
+		.name = "step_slot_us",
+		.type = CONF_TYPE_REAL,
+		.offset = offsetof(struct conf_proxy, step_slot_us),
+		.min = 0,
+		.max = 1000000,
+		.fallback = "91",
+	},
 	{
 		.name = "distance_ms",
 		.type = CONF_TYPE_REAL,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -68,6 +68,8 @@
 	double lookup_keep_s;
 	int64_t connect_ms;
 	double prefill_us;
+	double step_us;
+	double step_slot_us;
 	double distance_ms;
 	char *log_level;
 	int64_t log_rate;
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -127,6 +127,7 @@
 
 struct w_sync_args {
 	w_update self;
+	bool_t members;
 	quad_t settings_after;
 	quad_t hosts_after;
 };
@@ -156,15 +157,14 @@
 struct w_demand {
 	char *pool;
 	double busy;
-	double waiting;
 };
 typedef struct w_demand w_demand;
 
-struct w_spent {
-	char *account;
-	double units;
+struct w_part {
+	u_int key;
+	double value;
 };
-typedef struct w_spent w_spent;
+typedef struct w_part w_part;
 
 struct w_report {
 	char *process;
@@ -178,11 +178,28 @@
 	} demand;
 	struct {
 		u_int spent_len;
-		w_spent *spent_val;
+		w_part *spent_val;
 	} spent;
+	struct {
+		u_int inflight_len;
+		w_part *inflight_val;
+	} inflight;
 };
 typedef struct w_report w_report;
 
+struct w_relay {
+	char *process;
+	struct {
+		u_int spent_len;
+		w_part *spent_val;
+	} spent;
+	struct {
+		u_int inflight_len;
+		w_part *inflight_val;
+	} inflight;
+};
+typedef struct w_relay w_relay;
+
 #define RW_PROGRAM 0x20525750
 #define RW_VERSION 1
 
@@ -199,6 +216,9 @@
 #define RW_REPORT 4
 extern  void * rw_report_1(w_report *, CLIENT *);
 extern  void * rw_report_1_svc(w_report *, struct svc_req *);
+#define RW_RELAY 5
+extern  void * rw_relay_1(w_relay *, CLIENT *);
+extern  void * rw_relay_1_svc(w_relay *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -214,6 +234,9 @@
 #define RW_REPORT 4
 extern  void * rw_report_1();
 extern  void * rw_report_1_svc();
+#define RW_RELAY 5
+extern  void * rw_relay_1();
+extern  void * rw_relay_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -231,8 +254,9 @@
 extern  bool_t xdr_w_sync_res (XDR *, w_sync_res*);
 extern  bool_t xdr_w_count (XDR *, w_count*);
 extern  bool_t xdr_w_demand (XDR *, w_demand*);
-extern  bool_t xdr_w_spent (XDR *, w_spent*);
+extern  bool_t xdr_w_part (XDR *, w_part*);
 extern  bool_t xdr_w_report (XDR *, w_report*);
+extern  bool_t xdr_w_relay (XDR *, w_relay*);
 
 #else /* K&R C */
 extern bool_t xdr_w_update ();
@@ -246,8 +270,9 @@
 extern bool_t xdr_w_sync_res ();
 extern bool_t xdr_w_count ();
 extern bool_t xdr_w_demand ();
-extern bool_t xdr_w_spent ();
+extern bool_t xdr_w_part ();
 extern bool_t xdr_w_report ();
+extern bool_t xdr_w_relay ();
 
 #endif /* K&R C */
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -97,6 +97,7 @@
 /* RW_SYNC: a full exchange of members, and what settings are missing. */
 struct w_sync_args {
 	w_update self;
+	bool members;
 	hyper settings_after;
 	hyper hosts_after;
 };
@@ -119,13 +120,12 @@
 struct w_demand {
 	string pool<W_NAME>;
 	double busy;
-	double waiting;
 };
 
-/* Units that an account has used at a host, in all. */
-struct w_spent {
-	string account<W_NAME>;
-	double units;
+/* A figure of an account or a worker, which is named by a hash of its name. */
+struct w_part {
+	unsigned int key;
+	double value;
 };
 
 /* RW_REPORT: what a host counts, for those that add it up; nothing is
@@ -134,7 +134,16 @@
 	string process<W_INCARNATION>;
 	w_count counts<W_ITEMS>;
 	w_demand demand<W_ITEMS>;
-	w_spent spent<W_ITEMS>;
+	w_part spent<W_ITEMS>;
+	w_part inflight<W_ITEMS>;
+};
+
+/* RW_RELAY: the sums of all other hosts, for one that does not hear their
+ * reports itself; nothing is returned. */
+struct w_relay {
+	string process<W_INCARNATION>;
+	w_part spent<W_ITEMS>;
+	w_part inflight<W_ITEMS>;
 };
 
 program RW_PROGRAM {
@@ -143,5 +152,6 @@
 		void RW_HOME(w_home) = 2;
 		w_sync_res RW_SYNC(w_sync_args) = 3;
 		void RW_REPORT(w_report) = 4;
+		void RW_RELAY(w_relay) = 5;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -374,6 +374,8 @@
 
 	 if (!xdr_w_update (xdrs, &objp->self))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->members))
+		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->settings_after))
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->hosts_after))
@@ -422,19 +424,17 @@
 		 return FALSE;
 	 if (!xdr_double (xdrs, &objp->busy))
 		 return FALSE;
-	 if (!xdr_double (xdrs, &objp->waiting))
-		 return FALSE;
 	return TRUE;
 }
 
 bool_t
-xdr_w_spent (XDR *xdrs, w_spent *objp)
+xdr_w_part (XDR *xdrs, w_part *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_string (xdrs, &objp->account, W_NAME))
+	 if (!xdr_u_int (xdrs, &objp->key))
 		 return FALSE;
-	 if (!xdr_double (xdrs, &objp->units))
+	 if (!xdr_double (xdrs, &objp->value))
 		 return FALSE;
 	return TRUE;
 }
@@ -453,7 +453,26 @@
 		sizeof (w_demand), (xdrproc_t) xdr_w_demand))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
-		sizeof (w_spent), (xdrproc_t) xdr_w_spent))
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->inflight.inflight_val, (u_int *) &objp->inflight.inflight_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_relay (XDR *xdrs, w_relay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->inflight.inflight_val, (u_int *) &objp->inflight.inflight_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
 		 return FALSE;
 	return TRUE;
 }
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -2,6 +2,7 @@
 #include "rpc.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <string.h>
 #include <rpc/rpc.h>
 #include <rpc/rpc_msg.h>
@@ -13,6 +14,8 @@
 #define DATAGRAM_MAX 4096      /* bytes */
 #define PENDING_MAX (32 << 20) /* bytes queued for one peer */
 #define IDLE_MS 60000	       /* before an unused connection closes */
+#define CONNECT_MS 1000	       /* before a connection attempt is given up */
+#define PEER_LIMIT_MS 2500     /* for a host that does not acknowledge */
 #define CALL_SWEEP_MS 100      /* between looks at late answers */
 
 /* A connection, made or accepted. */
@@ -26,6 +29,7 @@
 	GByteArray *in;
 	GByteArray *pending; /* queued until it is connected */
 	clk_ms last_used;
+	clk_ms began;
 };
 
 /* A call of RW_SYNC that waits for its answer. */
@@ -133,6 +137,18 @@
 	uv_close((uv_handle_t *)&conn->tcp, conn_on_closed);
 }
 
+/* Has a connection to a host that fell silent end. */
+static void conn_watch_peer(struct rpc_conn *conn)
+{
+	unsigned timeout = PEER_LIMIT_MS;
+	uv_os_fd_t fd;
+
+	uv_tcp_keepalive(&conn->tcp, 1, 1);
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+			   sizeof(timeout));
+}
+
 static struct rpc_conn *conn_create(struct rpc *rpc)
 {
 	struct rpc_conn *conn = g_new0(struct rpc_conn, 1);
@@ -141,6 +157,7 @@
 	conn->in = g_byte_array_new();
 	conn->pending = g_byte_array_new();
 	conn->last_used = now_of(rpc);
+	conn->began = now_of(rpc);
 	uv_tcp_init(rpc->loop, &conn->tcp);
 	conn->tcp.data = conn;
 	return conn;
@@ -221,6 +238,7 @@
 	w_home home = { .kind = 0 };
 	w_sync_args sync = { .settings_after = 0 };
 	w_report report = { .process = NULL };
+	w_relay relay = { .process = NULL };
 	bool ok = false;
 
 	switch (msg->rm_call.cb_proc) {
@@ -242,6 +260,12 @@
 			rpc->handlers.on_report(rpc->handlers.ctx, &report);
 		xdr_free((xdrproc_t)xdr_w_report, &report);
 		break;
+	case RW_RELAY:
+		ok = xdr_w_relay(xdr, &relay);
+		if (ok && rpc->handlers.on_relay)
+			rpc->handlers.on_relay(rpc->handlers.ctx, &relay);
+		xdr_free((xdrproc_t)xdr_w_relay, &relay);
+		break;
 	default:
 		break;
 	}
@@ -362,6 +386,7 @@
 	}
 	conn->connected = true;
 	uv_tcp_nodelay(&conn->tcp, 1);
+	conn_watch_peer(conn);
 	uv_read_start((uv_stream_t *)&conn->tcp, alloc_buffer, conn_on_read);
 	if (len > 0) {
 		conn_write(conn, g_byte_array_free(conn->pending, FALSE), len);
@@ -432,6 +457,11 @@
 	call_send(rpc, to, RW_REPORT, (xdrproc_t)xdr_w_report, report);
 }
 
+void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay)
+{
+	call_send(rpc, to, RW_RELAY, (xdrproc_t)xdr_w_relay, relay);
+}
+
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
 		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
 		   void *ctx)
@@ -530,6 +560,7 @@
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
+	conn_watch_peer(conn);
 	uv_read_start((uv_stream_t *)&conn->tcp, alloc_buffer, conn_on_read);
 }
 
@@ -553,7 +584,8 @@
 	for (GList *at = conns; at; at = at->next) {
 		struct rpc_conn *conn = at->data;
 
-		if (now - conn->last_used > IDLE_MS)
+		if (now - conn->last_used > IDLE_MS ||
+		    (!conn->connected && now - conn->began > CONNECT_MS))
 			conn_close(conn);
 	}
 	g_list_free(conns);
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -24,6 +24,8 @@
 	void (*on_sync)(void *ctx, const w_sync_args *args, w_sync_res *res);
 	/* What a host counts; may be NULL. */
 	void (*on_report)(void *ctx, const w_report *report);
+	/* The sums of other hosts; may be NULL. */
+	void (*on_relay)(void *ctx, const w_relay *relay);
 	void (*on_bad)(void *ctx); /* a message that does not decode */
 	void *ctx;
 };
@@ -46,6 +48,7 @@
 		     const struct member_msg *msg);
 void rpc_send_home(struct rpc *rpc, const char *to, const struct home_msg *msg);
 void rpc_send_report(struct rpc *rpc, const char *to, const w_report *report);
+void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay);
 /* Calls RW_SYNC; fn gets NULL if there is no answer within the timeout. */
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
 		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
