--- a/daemon/proxyd-duty.c
+++ b/daemon/proxyd-duty.c
@@ -86,9 +86,12 @@
 	struct proxyd *proxyd = ctx;
 
 	/* Without an answer the key itself tells, when it is seen. */
-	if (outcome != KV_UNSURE)
-		duty_on_claim(&proxyd->duty, outcome == KV_OK, revision,
-			      proxyd_boot_now());
+	if (outcome == KV_UNSURE)
+		return;
+	if (outcome != KV_OK)
+		kv_lease_end(proxyd->kv, proxyd->duty.lease);
+	duty_on_claim(&proxyd->duty, outcome == KV_OK, revision,
+		      proxyd_boot_now());
 }
 
 static void on_renewed(void *ctx, enum kv_outcome outcome, int64_t number)
@@ -305,6 +308,7 @@
 	step_do(proxyd, duty_tick(&proxyd->duty,
 				  member_self_rank(proxyd->members, DUTY_RANK),
 				  follow_ready(proxyd) && !proxyd->stopping &&
+					  peer_is_first(proxyd) &&
 					  proxyd->follow[FOLLOW_OWN].whole,
 				  now));
 	holds = duty_may_act(&proxyd->duty, now);
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -6,7 +6,7 @@
 #define DEMAND_OLD_MS 3000 /* a host's report no longer counts */
 #define DRY_MS 1500	   /* before an order that found none is repeated */
 #define ORDER_TIMEOUT_MS 1500
-#define REPEAT_MS 5000 /* an order is sent again, if it isn't met */
+#define REPEAT_MS 2000 /* an order is sent again, if it isn't met */
 #define RUN_PERIOD_MS 500
 #define START_SHARE 0.55   /* busy workers of those present at the start */
 #define LOWER_SPOT_MS 4000 /* reclaimable workers are given up after it */
@@ -28,6 +28,7 @@
 	int asked;   /* of the call under way */
 	bool busy;   /* a call is under way */
 	clk_ms sent_at;
+	bool dry;	    /* the last order found none */
 	clk_ms dry_until;   /* none are to be had */
 	clk_ms above_since; /* more are ordered than wanted; 0: not */
 };
@@ -123,8 +124,10 @@
 	order->busy = false;
 	if (outcome == CLOUD_DONE) {
 		order->ordered = order->asked;
+		order->dry = false;
 		proxyd_count(proxyd, CTR_orders);
 	} else if (outcome == CLOUD_NONE_THERE) {
+		order->dry = true;
 		order->dry_until = proxyd_now(proxyd) + DRY_MS;
 		proxyd_count(proxyd, CTR_orders_none);
 	} else if (outcome == CLOUD_UNSURE) {
@@ -164,8 +167,7 @@
 
 /* Workers are given up only if they are not needed for a while, and others
  * have come in their place. */
-static int order_lowered(struct order *order, int want, int ready, bool safe,
-			 clk_ms now)
+static int order_lowered(struct order *order, int want, int ready, clk_ms now)
 {
 	int present = MAX(order->ordered, ready);
 
@@ -175,8 +177,8 @@
 	}
 	if (!order->above_since)
 		order->above_since = now;
-	if (!safe || now - order->above_since <
-			     (order->spot ? LOWER_SPOT_MS : LOWER_FULL_MS))
+	if (now - order->above_since <
+	    (order->spot ? LOWER_SPOT_MS : LOWER_FULL_MS))
 		return present;
 	return want;
 }
@@ -189,7 +191,6 @@
 	gpointer key;
 	gpointer value;
 	size_t count = 0;
-	clk_ms now = proxyd_now(proxyd);
 
 	g_hash_table_iter_init(&iter, pool->scaling.zone_prices);
 	while (g_hash_table_iter_next(&iter, &key, &value) &&
@@ -202,8 +203,8 @@
 		zones[count++] = (struct scale_zone){
 			.name = key,
 			.price = *(double *)value,
-			.spot_dry = now < spot->dry_until,
-			.full_dry = now < full->dry_until,
+			.spot_dry = spot->dry,
+			.full_dry = full->dry,
 			.spot_ready = (int)fleet_count_at(
 				proxyd->fleet, pool->name, key, true),
 			.full_ready = (int)fleet_count_at(
@@ -246,23 +247,17 @@
 	clk_ms now = proxyd_now(proxyd);
 	size_t count = zones_fill(proxyd, scaled, pool, zones);
 	double busy = demand_sum(scaled, now);
-	bool safe = true;
 
 	/* Before any demand is seen, what the start is prepared for holds. */
-	if (!scaled->need.at)
-		scaled->need.busy = MAX(
-			scaled->need.busy,
-			START_SHARE * fleet_count(proxyd->fleet, pool->name));
+	if (scaled->need.busy == 0)
+		scaled->need.busy =
+			START_SHARE * fleet_count(proxyd->fleet, pool->name);
 	if (busy > 0)
 		scaled->seen = true;
 	if (scaled->seen)
 		scale_need_add(&scaled->need, busy, now);
 	scale_plan(zones, count, &limits, scaled->need.busy);
 	plan_log(scaled, pool, zones, count);
-	/* Nothing is given up before what replaces it is there. */
-	for (size_t i = 0; i < count; i++)
-		safe = safe && (zones[i].spot_ready >= zones[i].want_spot ||
-				zones[i].spot_dry);
 	for (size_t i = 0; i < count; i++) {
 		struct scale_zone *zone = &zones[i];
 		struct order *spot =
@@ -272,11 +267,11 @@
 
 		order_send(spot,
 			   order_lowered(spot, zone->want_spot,
-					 zone->spot_ready, true, now),
+					 zone->spot_ready, now),
 			   zone->spot_ready);
 		order_send(full,
 			   order_lowered(full, zone->want_full,
-					 zone->full_ready, safe, now),
+					 zone->full_ready, now),
 			   zone->full_ready);
 	}
 }
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -11,6 +11,7 @@
 #include "args.h"
 
 #define TICK_MS 100		/* of everything that is looked at by time */
+#define STATUS_PERIOD_MS 10000	/* between lines that sum up */
 #define SETTINGS_PERIOD_MS 1000 /* between looks at the settings file */
 #define PROBE_PERIOD_MS 500	/* of the membership */
 #define SUSPICION_MS 1500	/* from suspected to dead */
@@ -161,6 +162,29 @@
 	}
 }
 
+/* Logs now and then what the process has done and knows. */
+static void status_tick(struct proxyd *proxyd)
+{
+	static clk_ms next;
+	clk_ms now = proxyd_now(proxyd);
+	const uint64_t *values = proxyd->ctrs.values;
+	const struct kv_counters *kv = kv_counters(proxyd->kv);
+
+	if (now < next)
+		return;
+	next = now + STATUS_PERIOD_MS;
+	slog(SLOG_NOTICE, "status",
+	     "requests=%" G_GUINT64_FORMAT " whole=%" G_GUINT64_FORMAT
+	     " open=%zu hosts=%u workers=%u follows_store=%d "
+	     "ranges=%" G_GUINT64_FORMAT " watches=%" G_GUINT64_FORMAT
+	     " changes=%" G_GUINT64_FORMAT " leases=%" G_GUINT64_FORMAT
+	     " store_failures=%" G_GUINT64_FORMAT,
+	     values[CTR_requests], values[CTR_passed_whole], proxyd->xfers,
+	     proxyd_hosts(proxyd), g_hash_table_size(proxyd->fleet->workers),
+	     peer_watches(proxyd), kv->ranges, kv->watches, kv->changes,
+	     kv->leases, kv->failures);
+}
+
 /* Takes the next step of a planned stop. */
 static void stop_tick(struct proxyd *proxyd)
 {
@@ -210,6 +234,7 @@
 	duty_run(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
+	status_tick(proxyd);
 	if (proxyd->stopping)
 		stop_tick(proxyd);
 }
--- a/decide/duty.c
+++ b/decide/duty.c
@@ -103,7 +103,9 @@
 	if (duty->state != DUTY_CLAIMING)
 		return;
 	if (!ok || now >= duty->valid_until) {
+		/* Somebody has it; that it is free again will be seen. */
 		reset(duty, now);
+		duty->key_taken = true;
 		return;
 	}
 	duty->state = DUTY_HELD;
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -10,10 +10,11 @@
 #define FAILURE_FLOOR 0.25 /* failures that callers' own errors explain */
 #define AVOID_MS 250	   /* after a failure; doubled for each in a row */
 #define AVOID_DOUBLINGS 5
-#define NEAR_MS 2.0	  /* costs this close are equal */
-#define NEAR_SHARE 0.05	  /* as are those that differ by this part */
-#define REPORT_NEW_MS 250 /* a report of a worker goes before what hosts tell  \
-			   */
+#define NEAR_MS 2.0	/* costs this close are equal */
+#define NEAR_SHARE 0.05 /* as are those that differ by this part */
+#define REPORT_NEW_MS                                                          \
+	250 /* a report of a worker goes before what hosts tell                \
+	     */
 #define SERVICE_WAIT_MS 60.0 /* for a busy place of a plain service */
 #define PARTS_KEEP 4096	     /* parts remembered of one worker */
 
--- a/decide/scale.c
+++ b/decide/scale.c
@@ -5,7 +5,8 @@
 
 #define SMOOTH_MS 3000.0 /* time in which measures are smoothed */
 #define FALL_MS 8000.0	 /* time in which the need falls by two thirds */
-#define HEAD_ROOM 1.35	 /* workers for each busy one */
+#define HEAD_ROOM 1.15	 /* workers for each busy one */
+#define SPREAD 0.5	 /* workers for the square root of the busy ones */
 #define WORKERS_MIN 2.0	 /* that are left after a loss */
 
 /* The part of a difference that is left after some time. */
@@ -29,7 +30,16 @@
 					      left_after(age, FALL_MS);
 }
 
-/* Data centres where reclaimable workers are to be had. */
+/* Workers that a need means: more than busy ones, as load comes unevenly,
+ * the less so the more there are. */
+static int workers_for(double busy)
+{
+	double need = busy * HEAD_ROOM + sqrt(busy) * SPREAD;
+
+	return (int)ceil(fmax(need, WORKERS_MIN));
+}
+
+/* Data centres where more reclaimable workers are to be had. */
 static size_t spot_zones(const struct scale_zone *zones, size_t count)
 {
 	size_t open = 0;
@@ -39,16 +49,41 @@
 	return open;
 }
 
-/* The cheapest data centre with room for one more full worker, or NULL. */
+/* Reclaimable workers for each of so many data centres, so that what is left
+ * after the loss of one is enough. */
+static int each_of(int need, size_t zones, int max)
+{
+	int each = zones > 1 ? (int)ceil((double)need / (double)(zones - 1))
+			     : need;
+
+	return each < max ? each : max;
+}
+
+static int least(int a, int b)
+{
+	return a < b ? a : b;
+}
+
+/* Reclaimable workers that are there, or come. */
+static int spot_coming(const struct scale_zone *zone)
+{
+	return zone->spot_dry ? least(zone->spot_ready, zone->want_spot)
+			      : zone->want_spot;
+}
+
+/* The cheapest data centre for one more full worker, or NULL: one where it is
+ * there already, or, if not kept, one where there is room for it. */
 static struct scale_zone *cheapest(struct scale_zone *zones, size_t count,
-				   int max)
+				   int max, bool kept)
 {
 	struct scale_zone *best = NULL;
 
 	for (size_t i = 0; i < count; i++) {
 		struct scale_zone *zone = &zones[i];
 
-		if (zone->full_dry || zone->want_spot + zone->want_full >= max)
+		if (kept ? zone->full_ready <= zone->want_full
+			 : zone->full_dry ||
+				    spot_coming(zone) + zone->want_full >= max)
 			continue;
 		if (!best || zone->price < best->price)
 			best = zone;
@@ -56,41 +91,47 @@
 	return best;
 }
 
+/* Adds full workers until there are enough; returns how many there are. */
+static int full_add(struct scale_zone *zones, size_t count, int max, bool kept,
+		    int have, int need)
+{
+	while (have < need) {
+		struct scale_zone *zone = cheapest(zones, count, max, kept);
+
+		if (!zone)
+			break;
+		zone->want_full++;
+		have++;
+	}
+	return have;
+}
+
 void scale_plan(struct scale_zone *zones, size_t count,
 		const struct scale_limits *limits, double busy)
 {
-	int need = (int)ceil(fmax(busy * HEAD_ROOM, WORKERS_MIN));
+	int need = workers_for(busy);
 	size_t open = spot_zones(zones, count);
-	int each = 0;
-	int have = 0;
-
-	/* The loss of one data centre's leaves what is needed. */
-	if (open > 1)
-		each = (int)ceil((double)need / (double)(open - 1));
-	else if (open == 1)
-		each = need;
+	int coming = 0;
+	int ready = 0;
+
 	for (size_t i = 0; i < count; i++) {
 		struct scale_zone *zone = &zones[i];
 
-		/* Where no more are to be had, those that are there stay. */
-		zone->want_spot = zone->spot_dry ? zone->spot_ready : each;
-		if (zone->want_spot > limits->max)
-			zone->want_spot = limits->max;
+		/* Where none are to be had, they are still asked for. */
+		zone->want_spot = each_of(need, zone->spot_dry ? count : open,
+					  limits->max);
 		zone->want_full = 0;
-		/* The operators' minimum holds where none are to be had. */
-		if (zone->want_spot < limits->min)
-			zone->want_full = limits->min - zone->want_spot;
-		/* What is there now counts, not what was ordered. */
-		have += zone->spot_ready < zone->want_spot ? zone->spot_ready
-							   : zone->want_spot;
-		have += zone->want_full;
-	}
-	while (have < need) {
-		struct scale_zone *zone = cheapest(zones, count, limits->max);
-
-		if (!zone)
-			return;
-		zone->want_full++;
-		have++;
+		if (spot_coming(zone) < limits->min)
+			zone->want_full = limits->min - spot_coming(zone);
+		coming += spot_coming(zone) + zone->want_full;
 	}
+	/* Full workers take as long to come as reclaimable ones: they are
+	 * ordered only for those that don't come. */
+	coming = full_add(zones, count, limits->max, true, coming, need);
+	full_add(zones, count, limits->max, false, coming, need);
+	/* Those that are there are kept until the others have come. */
+	for (size_t i = 0; i < count; i++)
+		ready += least(zones[i].spot_ready, zones[i].want_spot) +
+			 least(zones[i].full_ready, zones[i].want_full);
+	full_add(zones, count, limits->max, true, ready, need);
 }
