Overload is shed by expected wait; duties taken over sooner; late in a stop nothing is taken that can't end

A lease held for less than its length is left to lapse. - Everything waited at the four workers left: hosts tell each other the tokens that wait at workers, and refuse what is expected to come late, the less urgent first (decide/shed). - Need before any demand: by the full-price workers, however late listed.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -321,6 +321,7 @@
 	     worker->reported_at ? now - worker->reported_at : -1,
 	     choice->candidates, proxyd->tab_revision, added.time_left);
 	xfer->worker = fleet_worker_ref(worker);
+	xfer->ask.prefill_tokens = xfer->ask.prompt_tokens - choice->cached;
 	xfer->had_first = false;
 	xfer->sent_at = 0;
 	fleet_begin(worker, &xfer->ask, now);
--- a/daemon/proxyd-duty.c
+++ b/daemon/proxyd-duty.c
@@ -6,6 +6,7 @@
 #include "../wire/json.h"
 
 #define SETTLE_MS 2500 /* after a window, for all hosts' counts */
+#define TERM_SHARE 0.8 /* of the time in which holders may not change back */
 #define CLOUD_TIMEOUT_MS 1500
 #define REPORT_RETRY_MS 400
 #define USAGE_LEASE_MS 600000 /* windows' counts are kept in the store */
@@ -13,6 +14,14 @@
 static void on_claimed(void *ctx, enum kv_outcome outcome, int64_t revision);
 static void window_send(struct proxyd *proxyd);
 
+clk_ms duty_term(const struct proxyd *proxyd)
+{
+	/* Shorter than the time in which holders may not change back and
+	 * forth: two terms that lapse lie between, and the duties are taken
+	 * over sooner. */
+	return (clk_ms)((double)proxyd->conf->lease_ms * TERM_SHARE);
+}
+
 void duty_start(struct proxyd *proxyd)
 {
 	proxyd->leader = g_new0(struct leader, 1);
@@ -289,7 +298,7 @@
 	case DUTY_NOTHING:
 		return;
 	case DUTY_ASK_LEASE:
-		kv_lease(proxyd->kv, proxyd->conf->lease_ms, on_lease, proxyd);
+		kv_lease(proxyd->kv, duty_term(proxyd), on_lease, proxyd);
 		return;
 	case DUTY_RENEW:
 		kv_keep(proxyd->kv, proxyd->duty.lease, on_renewed, proxyd);
@@ -305,6 +314,7 @@
 
 	if (!proxyd->cloud)
 		return;
+	scale_observe(proxyd);
 	step_do(proxyd, duty_tick(&proxyd->duty,
 				  member_self_rank(proxyd->members, DUTY_RANK),
 				  follow_ready(proxyd) && !proxyd->stopping &&
@@ -332,6 +342,8 @@
 {
 	int64_t lease = proxyd->duty.lease;
 
-	if (duty_resign(&proxyd->duty, proxyd_boot_now()))
+	/* A call under way could arrive after the next holder's first. */
+	if (duty_resign(&proxyd->duty, proxyd_boot_now()) &&
+	    cloud_open_calls(proxyd->cloud) == 0)
 		kv_lease_end(proxyd->kv, lease);
 }
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -99,6 +99,17 @@
 	memcpy(xfer->ask.parts, says->parts, sizeof(says->parts));
 }
 
+/* When a request's time is over: its caller's, or its route's. */
+static clk_ms time_end(const struct hs_call *call,
+		       const struct head_request *says,
+		       const struct tab_route *route)
+{
+	clk_ms left =
+		says->time_left >= 0 ? says->time_left : DEADLINE_DEFAULT_MS;
+
+	return hs_call_at(call) + MIN(left, route->timeout);
+}
+
 /* Makes a request of what passed all checks. */
 static struct xfer *xfer_create(struct proxyd *proxyd, struct hs_call *call,
 				const struct tab_route *route,
@@ -106,8 +117,6 @@
 				const struct head_request *says)
 {
 	struct xfer *xfer = g_new0(struct xfer, 1);
-	clk_ms left =
-		says->time_left >= 0 ? says->time_left : DEADLINE_DEFAULT_MS;
 
 	xfer->proxyd = proxyd;
 	xfer->call = call;
@@ -124,7 +133,7 @@
 	sse_init(&xfer->sse, says->last_event);
 	xfer->priority = priority_of(route, account);
 	xfer->at = hs_call_at(call);
-	xfer->end = xfer->at + MIN(left, route->timeout);
+	xfer->end = time_end(call, says, route);
 	ask_fill(xfer);
 	return xfer;
 }
@@ -182,6 +191,7 @@
 	struct quota *quota;
 	struct xfer *xfer;
 	double units;
+	clk_ms end;
 
 	proxyd_count(proxyd, CTR_requests);
 	if (!follow_ready(proxyd)) {
@@ -204,6 +214,14 @@
 		front_answer(proxyd, call, RW_EBADFIELD, 0, "no_single_id");
 		return;
 	}
+	end = time_end(call, &says, route);
+	if (!proxyd_takes(proxyd, end)) {
+		proxyd_count(proxyd, CTR_refused_not_run);
+		front_answer(proxyd, call, RW_ESTOPPING,
+			     err_answer(RW_ESTOPPING)->come_back_ms,
+			     "stopping");
+		return;
+	}
 	units = account ? units_of(account, &says) : 0;
 	if (!quota_check(proxyd, call, account, units, &quota))
 		return;
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -7,6 +7,7 @@
 
 struct leader {
 	GHashTable *scaled; /* pool -> struct scaled; proxyd-scale.c */
+	clk_ms next_observe;
 	clk_ms next_scale;
 	int64_t reported; /* newest window whose report is done */
 	bool reporting;	  /* a report is under way */
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -32,9 +32,17 @@
 	fleet_on_told(proxyd->fleet, key, total);
 }
 
+static void prompts_changed(void *ctx, uint32_t key, double total)
+{
+	struct proxyd *proxyd = ctx;
+
+	fleet_on_told_prompts(proxyd->fleet, key, total);
+}
+
 void report_start(struct proxyd *proxyd)
 {
 	proxyd->inflight = sums_create(told_changed, proxyd);
+	proxyd->prompts = sums_create(prompts_changed, proxyd);
 }
 
 static void count_add(void *ctx, const char *account, int64_t count)
@@ -117,28 +125,30 @@
 	report->spent.spent_len = at;
 }
 
-/* Lists this host's requests at workers. */
+/* Lists this host's requests at workers, and their prompts. */
 static void inflight_fill(struct filling *filling)
 {
 	w_report *report = &filling->report;
 	GHashTable *workers = filling->proxyd->fleet->workers;
+	guint size = g_hash_table_size(workers);
 	GHashTableIter iter;
 	gpointer value;
-	u_int at = 0;
 
-	report->inflight.inflight_val =
-		g_new0(w_part, g_hash_table_size(workers));
+	report->inflight.inflight_val = g_new0(w_part, size);
+	report->prompts.prompts_val = g_new0(w_part, size);
 	g_hash_table_iter_init(&iter, workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct fleet_worker *worker = value;
 
 		if (worker->inflight > 0)
-			report->inflight.inflight_val[at++] = (w_part){
-				.key = worker->key,
-				.value = worker->inflight,
-			};
+			report->inflight
+				.inflight_val[report->inflight.inflight_len++] =
+				(w_part){ worker->key, worker->inflight };
+		if (worker->prompt_tokens > 0)
+			report->prompts
+				.prompts_val[report->prompts.prompts_len++] =
+				(w_part){ worker->key, worker->prompt_tokens };
 	}
-	report->inflight.inflight_len = at;
 }
 
 static void report_to(void *ctx, const struct member *member)
@@ -155,6 +165,7 @@
 	g_free(report->demand.demand_val);
 	g_free(report->spent.spent_val);
 	g_free(report->inflight.inflight_val);
+	g_free(report->prompts.prompts_val);
 }
 
 /* Whether some account comes near its limit. */
@@ -195,50 +206,82 @@
 struct relaying {
 	struct proxyd *proxyd;
 	const char *process; /* that it is for */
+	const struct sums *sums;
+	double (*own)(const struct fleet_worker *worker);
 	w_part *parts;
 	u_int count;
 };
 
-static void relay_inflight_add(void *ctx, uint32_t key, double total)
+static double own_inflight(const struct fleet_worker *worker)
+{
+	return worker->inflight;
+}
+
+static double own_prompts(const struct fleet_worker *worker)
+{
+	return worker->prompt_tokens;
+}
+
+static void relay_add(void *ctx, uint32_t key, double total)
 {
 	struct relaying *relaying = ctx;
-	struct proxyd *proxyd = relaying->proxyd;
 	const struct fleet_worker *worker = g_hash_table_lookup(
-		proxyd->fleet->by_key, GUINT_TO_POINTER(key));
-	double others = total + (worker ? worker->inflight : 0) -
-			sums_of(proxyd->inflight, relaying->process, key);
+		relaying->proxyd->fleet->by_key, GUINT_TO_POINTER(key));
+	double others;
 
-	if (worker && others > 0)
+	if (!worker)
+		return;
+	others = total + relaying->own(worker) -
+		 sums_of(relaying->sums, relaying->process, key);
+	if (others > 0)
 		relaying->parts[relaying->count++] =
 			(w_part){ .key = key, .value = others };
 }
 
-static void relay_to(struct proxyd *proxyd, const struct member *member)
+/* Lists the sums for one host; returns how many there are. */
+static u_int relay_fill(struct proxyd *proxyd, const char *process,
+			const struct sums *sums,
+			double (*own)(const struct fleet_worker *worker),
+			w_part **parts)
 {
 	struct relaying relaying = {
 		.proxyd = proxyd,
-		.process = member->info.incarnation,
-		.parts = g_new0(w_part,
-				g_hash_table_size(proxyd->inflight->totals)),
+		.process = process,
+		.sums = sums,
+		.own = own,
+		.parts = g_new0(w_part, g_hash_table_size(sums->totals)),
 	};
+
+	sums_each(sums, relay_add, &relaying);
+	*parts = relaying.parts;
+	return relaying.count;
+}
+
+static void relay_to(struct proxyd *proxyd, const struct member *member)
+{
+	const char *process = member->info.incarnation;
 	w_relay relay = { .process = proxyd->members->self.incarnation };
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 
-	sums_each(proxyd->inflight, relay_inflight_add, &relaying);
-	relay.inflight.inflight_val = relaying.parts;
-	relay.inflight.inflight_len = relaying.count;
+	relay.inflight.inflight_len =
+		relay_fill(proxyd, process, proxyd->inflight, own_inflight,
+			   &relay.inflight.inflight_val);
+	relay.prompts.prompts_len =
+		relay_fill(proxyd, process, proxyd->prompts, own_prompts,
+			   &relay.prompts.prompts_val);
 	relay.spent.spent_val =
 		g_new0(w_part, g_hash_table_size(proxyd->account_keys));
 	g_hash_table_iter_init(&iter, proxyd->account_keys);
 	while (g_hash_table_iter_next(&iter, &key, &value))
 		relay.spent.spent_val[relay.spent.spent_len++] = (w_part){
 			.key = GPOINTER_TO_UINT(key),
-			.value = quota_without(value, relaying.process),
+			.value = quota_without(value, process),
 		};
 	rpc_send_relay(proxyd->rpc, member->info.rpc, &relay);
 	g_free(relay.inflight.inflight_val);
+	g_free(relay.prompts.prompts_val);
 	g_free(relay.spent.spent_val);
 }
 
@@ -267,6 +310,7 @@
 	clk_ms age = now - proxyd->reported_at;
 
 	sums_expire(proxyd->inflight, now - TOLD_KEEP_MS);
+	sums_expire(proxyd->prompts, now - TOLD_KEEP_MS);
 	proxyd->fleet->speed.samples = few ? ALL_SAMPLES : FEW_SAMPLES;
 	if (!due && (!accounts_pressed(proxyd) || (!few && age < PRESSED_MS)))
 		return;
@@ -280,8 +324,8 @@
 
 /* What hosts tell. */
 
-static void inflight_take(struct proxyd *proxyd, const char *process,
-			  const w_part *parts, u_int count)
+static void parts_take(struct proxyd *proxyd, struct sums *sums,
+		       const char *process, const w_part *parts, u_int count)
 {
 	struct sums_part *taken = g_new(struct sums_part, count);
 
@@ -290,7 +334,7 @@
 			.key = parts[i].key,
 			.value = parts[i].value,
 		};
-	sums_take(proxyd->inflight, process, taken, count, proxyd_now(proxyd));
+	sums_take(sums, process, taken, count, proxyd_now(proxyd));
 	g_free(taken);
 }
 
@@ -322,8 +366,11 @@
 		scale_on_demand(proxyd, report->process,
 				report->demand.demand_val[i].pool,
 				report->demand.demand_val[i].busy);
-	inflight_take(proxyd, report->process, report->inflight.inflight_val,
-		      report->inflight.inflight_len);
+	parts_take(proxyd, proxyd->inflight, report->process,
+		   report->inflight.inflight_val,
+		   report->inflight.inflight_len);
+	parts_take(proxyd, proxyd->prompts, report->process,
+		   report->prompts.prompts_val, report->prompts.prompts_len);
 	spent_take(proxyd, report->process, report->spent.spent_val,
 		   report->spent.spent_len);
 }
@@ -337,8 +384,13 @@
 	if (!peer_is_first(proxyd)) {
 		proxyd->beat_at = proxyd_now(proxyd);
 		sums_expire(proxyd->inflight, proxyd_now(proxyd));
-		inflight_take(proxyd, process, relay->inflight.inflight_val,
-			      relay->inflight.inflight_len);
+		sums_expire(proxyd->prompts, proxyd_now(proxyd));
+		parts_take(proxyd, proxyd->inflight, process,
+			   relay->inflight.inflight_val,
+			   relay->inflight.inflight_len);
+		parts_take(proxyd, proxyd->prompts, process,
+			   relay->prompts.prompts_val,
+			   relay->prompts.prompts_len);
 		spent_take(proxyd, process, relay->spent.spent_val,
 			   relay->spent.spent_len);
 	}
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -246,16 +246,7 @@
 	};
 	clk_ms now = proxyd_now(proxyd);
 	size_t count = zones_fill(proxyd, scaled, pool, zones);
-	double busy = demand_sum(scaled, now);
 
-	/* Before any demand is seen, what the start is prepared for holds. */
-	if (scaled->need.busy == 0)
-		scaled->need.busy =
-			START_SHARE * fleet_count(proxyd->fleet, pool->name);
-	if (busy > 0)
-		scaled->seen = true;
-	if (scaled->seen)
-		scale_need_add(&scaled->need, busy, now);
 	scale_plan(zones, count, &limits, scaled->need.busy);
 	plan_log(scaled, pool, zones, count);
 	for (size_t i = 0; i < count; i++) {
@@ -276,23 +267,56 @@
 	}
 }
 
-void scale_run(struct proxyd *proxyd)
+/* Follows the demand of one pool. */
+static void pool_observe(struct proxyd *proxyd, const struct tab_pool *pool)
+{
+	struct scaled *scaled = scaled_of(proxyd, pool->name);
+	clk_ms now = proxyd_now(proxyd);
+	double busy = demand_sum(scaled, now);
+
+	/* Before any demand is seen, what the start is prepared for holds. */
+	if (busy > 0)
+		scaled->seen = true;
+	if (!scaled->seen)
+		scaled->need.busy =
+			MAX(scaled->need.busy,
+			    START_SHARE * fleet_count_full(proxyd->fleet,
+							   pool->name));
+	if (scaled->seen)
+		scale_need_add(&scaled->need, busy, now);
+}
+
+/* Calls fn for each pool that is scaled, now and then. */
+static void pools_each(struct proxyd *proxyd, clk_ms *next,
+		       void (*fn)(struct proxyd *proxyd,
+				  const struct tab_pool *pool))
 {
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!proxyd->tab || proxyd_now(proxyd) < proxyd->leader->next_scale)
+	if (!proxyd->tab || proxyd_now(proxyd) < *next)
 		return;
-	proxyd->leader->next_scale = proxyd_now(proxyd) + RUN_PERIOD_MS;
+	*next = proxyd_now(proxyd) + RUN_PERIOD_MS;
 	g_hash_table_iter_init(&iter, proxyd->tab->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct tab_pool *pool = value;
 
 		if (pool->scaling.enabled)
-			pool_run(proxyd, pool);
+			fn(proxyd, pool);
 	}
 }
 
+void scale_observe(struct proxyd *proxyd)
+{
+	/* Also where the duties are not held: they may come any moment. */
+	pools_each(proxyd, &proxyd->leader->next_observe, pool_observe);
+}
+
+void scale_run(struct proxyd *proxyd)
+{
+	pools_each(proxyd, &proxyd->leader->next_scale, pool_run);
+}
+
 void scale_start(struct proxyd *proxyd)
 {
 	proxyd->leader->scaled =
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -47,14 +47,15 @@
 	       proxyd_random(xfer->proxyd, BACK_SPREAD_MS);
 }
 
-/* Answers on our own behalf. */
-static void answer_own(struct xfer *xfer, enum err_kind kind, const char *why)
+/* Answers on our own behalf; back: when a caller of whom nothing has run may
+ * come again, in ms. */
+static void answer_own(struct xfer *xfer, enum err_kind kind, clk_ms back,
+		       const char *why)
 {
-	clk_ms back = 0;
-
 	attempt_cancel(xfer);
-	if (err_answer(kind)->ran == ERR_RAN_NO) {
-		back = come_back(xfer);
+	if (err_answer(kind)->ran != ERR_RAN_NO) {
+		back = 0;
+	} else {
 		if (xfer->quota)
 			quota_give(xfer->quota, xfer->units);
 	}
@@ -131,15 +132,15 @@
 		return;
 	case PX_REFUSE:
 		proxyd_count(proxyd, CTR_refused_not_run);
-		answer_own(xfer, RW_EBUSY, why);
+		answer_own(xfer, RW_EBUSY, come_back(xfer), why);
 		return;
 	case PX_UNKNOWN:
 		proxyd_count(proxyd, CTR_answered_unknown);
-		answer_own(xfer, RW_EUPSTREAM, why);
+		answer_own(xfer, RW_EUPSTREAM, 0, why);
 		return;
 	case PX_LATE:
 		proxyd_count(proxyd, CTR_answered_late);
-		answer_own(xfer, RW_EUNKNOWN, why);
+		answer_own(xfer, RW_EUNKNOWN, 0, why);
 		return;
 	case PX_BREAK:
 		answer_break(xfer, why);
@@ -224,6 +225,31 @@
 	       output * token_ms(xfer);
 }
 
+/* Refuses a request that can't be in time, or holds up more urgent ones. */
+static bool shed(struct xfer *xfer, const struct fleet_choice *choice)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct shed_ask ask = {
+		.expected_ms = choice->cost,
+		.target = xfer->route->target,
+		.left = xfer->end - proxyd_now(proxyd),
+		.urgency = xfer->route->priority,
+	};
+	clk_ms back;
+
+	if (!xfer->pool->engine || !shed_refuses(&ask, &back))
+		return false;
+	slog(SLOG_INFO, "shed",
+	     "id=%s route=%s expected_ms=%.0f target_ms=%" G_GINT64_FORMAT
+	     " left_ms=%" G_GINT64_FORMAT " urgency=%d worker=%s",
+	     xfer->id, xfer->route->name, ask.expected_ms, ask.target, ask.left,
+	     ask.urgency, choice->worker->entry.id);
+	proxyd_count(proxyd, CTR_refused_busy);
+	back += proxyd_random(proxyd, BACK_SPREAD_MS);
+	answer_own(xfer, RW_EBUSY, back, "overload");
+	return true;
+}
+
 void xfer_send(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
@@ -243,8 +269,11 @@
 		return;
 	}
 	if (xfer->px.attempts == 0 && xfer->px.unsent == 0) {
-		retry_on_first(&pool->budget, now);
+		/* What is refused is asked for all the same. */
 		pool->busy_ms += work_of(xfer, &choice);
+		if (shed(xfer, &choice))
+			return;
+		retry_on_first(&pool->budget, now);
 	}
 	attempt_start(xfer, &choice);
 	xfer_arm(xfer);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -26,6 +26,7 @@
 #define DOOR_CONNECTIONS 512	/* of callers that only ask */
 #define STOP_LISTEN_MS 4000	/* callers keep old answers so long */
 #define STOP_MARGIN_MS 400	/* before the kill */
+#define STOP_TAKE_MS 2700	/* callers may not know of the stop so long */
 #define DOOR_HEAD_MAX 8192	/* bytes */
 #define DOOR_IDLE_MS 10000
 #define CACHED_FOR_MS 60000 /* parts of prompts are dropped sooner or later */
@@ -65,6 +66,20 @@
 	proxyd->ctrs.values[ctr]++;
 }
 
+/* The loop time at which a stopping process ends at the latest. */
+static clk_ms stop_deadline(const struct proxyd *proxyd)
+{
+	return proxyd->stop_at + (clk_ms)(proxyd->conf->grace_s * CLK_SECOND) -
+	       STOP_MARGIN_MS;
+}
+
+bool proxyd_takes(const struct proxyd *proxyd, clk_ms end)
+{
+	return !proxyd->stopping ||
+	       proxyd_now(proxyd) - proxyd->stop_at < STOP_TAKE_MS ||
+	       end < stop_deadline(proxyd);
+}
+
 unsigned proxyd_hosts(const struct proxyd *proxyd)
 {
 	return 1 + (unsigned)member_live_count(proxyd->members);
@@ -189,13 +204,12 @@
 static void stop_tick(struct proxyd *proxyd)
 {
 	clk_ms age = proxyd_now(proxyd) - proxyd->stop_at;
-	clk_ms grace = (clk_ms)(proxyd->conf->grace_s * CLK_SECOND);
 
 	if (age >= STOP_LISTEN_MS)
 		hs_stop_listening(proxyd->front);
 	if ((age >= STOP_LISTEN_MS &&
 	     hs_busy_connections(proxyd->front) == 0) ||
-	    age >= grace - STOP_MARGIN_MS) {
+	    proxyd_now(proxyd) >= stop_deadline(proxyd)) {
 		slog(SLOG_NOTICE, "stopped",
 		     "after_ms=%" G_GINT64_FORMAT " open=%zu", age,
 		     hs_open_calls(proxyd->front));
@@ -405,7 +419,7 @@
 	proxyd->account_keys = g_hash_table_new(NULL, NULL);
 	wall_init(&proxyd->wall, g_get_real_time() / 1000, proxyd_boot_now());
 	usage_init(&proxyd->usage, (clk_ms)(conf->usage_window_s * CLK_SECOND));
-	duty_init(&proxyd->duty, conf->lease_ms);
+	duty_init(&proxyd->duty, duty_term(proxyd));
 }
 
 static void loop_start(struct proxyd *proxyd)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -22,6 +22,7 @@
 #include "../decide/px.h"
 #include "../decide/quota.h"
 #include "../decide/retry.h"
+#include "../decide/shed.h"
 #include "../decide/sse.h"
 #include "../decide/store.h"
 #include "../decide/sums.h"
@@ -111,6 +112,7 @@
 	bool host_busy;	    /* a call for it is under way */
 	clk_ms host_next;
 	struct leader *leader;	  /* proxyd-duty.c */
+	struct sums *prompts;	  /* other hosts' tokens that wait there */
 	struct sums *inflight;	  /* other hosts' requests at workers */
 	GHashTable *account_keys; /* sums_key of a name -> struct quota */
 	clk_ms next_report;
@@ -135,6 +137,9 @@
 clk_ms proxyd_wall(struct proxyd *proxyd);
 uint32_t proxyd_random(void *ctx, uint32_t n);
 void proxyd_count(struct proxyd *proxyd, enum ctr ctr);
+/* Whether a request that may last until a loop time is still taken: a host
+ * that stops can't promise to be there at its end. */
+bool proxyd_takes(const struct proxyd *proxyd, clk_ms end);
 /* Hosts that share limits, this one included. */
 unsigned proxyd_hosts(const struct proxyd *proxyd);
 struct pool_state *proxyd_pool(struct proxyd *proxyd, const char *name);
@@ -182,6 +187,8 @@
 void door_on_metrics(void *ctx, struct hs_call *call);
 
 /* proxyd-duty.c and proxyd-scale.c */
+/* The length of the lease of the duties, in ms. */
+clk_ms duty_term(const struct proxyd *proxyd);
 void duty_start(struct proxyd *proxyd);
 void duty_run(struct proxyd *proxyd);
 /* An item under OWN_PREFIX has changed. */
@@ -192,6 +199,8 @@
 /* What a host asked of a pool. */
 void scale_on_demand(struct proxyd *proxyd, const char *process,
 		     const char *pool, double busy);
+/* Follows the demand, whoever holds the duties. */
+void scale_observe(struct proxyd *proxyd);
 void scale_run(struct proxyd *proxyd);
 void scale_start(struct proxyd *proxyd);
 
--- a/decide/duty.c
+++ b/decide/duty.c
@@ -110,7 +110,7 @@
 	}
 	duty->state = DUTY_HELD;
 	duty->fence = revision;
-	duty->act_from = now + duty->term;
+	duty->held_from = now;
 	duty->asked_at = now;
 	duty->key_taken = true;
 	duty->renewing = false;
@@ -129,13 +129,13 @@
 
 bool duty_may_act(const struct duty *duty, clk_ms now)
 {
-	return duty->state == DUTY_HELD && now >= duty->act_from &&
-	       now < duty->valid_until;
+	return duty->state == DUTY_HELD && now < duty->valid_until;
 }
 
 bool duty_resign(struct duty *duty, clk_ms now)
 {
-	bool had = duty->lease != 0;
+	bool had =
+		duty->state == DUTY_HELD && now - duty->held_from >= duty->term;
 
 	reset(duty, now);
 	return had;
--- a/decide/duty.h
+++ b/decide/duty.h
@@ -4,8 +4,9 @@
  * The fencing number is the store's revision at which the holder's key was
  * written, so it grows with each holder. A holder acts only while a renewal
  * that is known to have succeeded covers the moment, by a clock that counts
- * suspended time; a new holder waits for as long as a lease lasts, so that
- * the one before it has stopped.
+ * suspended time, and well before its lease can lapse; so the one before has
+ * stopped when the key is free. A lease that was held for less than its length
+ * is not ended but left to lapse: holders do not change back and forth faster.
  */
 #ifndef DECIDE_DUTY_H
 #define DECIDE_DUTY_H
@@ -36,7 +37,7 @@
 	clk_ms term;	    /* length of a lease */
 	clk_ms asked_at;    /* when the call under way was sent */
 	clk_ms valid_until; /* the lease is sure to last */
-	clk_ms act_from;    /* the holder before has surely stopped */
+	clk_ms held_from;   /* when the key was written */
 	clk_ms next_try;
 	bool renewing;
 	bool key_taken;	   /* somebody holds the duties, as far as is known */
@@ -56,7 +57,7 @@
 void duty_on_renewal(struct duty *duty, bool ok, bool ended, clk_ms now);
 /* Whether this host may act now. */
 bool duty_may_act(const struct duty *duty, clk_ms now);
-/* Gives the duties up. Returns whether there is a lease to end. */
+/* Gives the duties up. Returns whether the lease is to be ended. */
 bool duty_resign(struct duty *duty, clk_ms now);
 
 #endif
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -194,6 +194,20 @@
 	return count;
 }
 
+unsigned fleet_count_full(const struct fleet *fleet, const char *pool)
+{
+	const GPtrArray *workers = pool_of(fleet, pool);
+	unsigned count = 0;
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		count += fleet_takes_work(worker) && !worker->entry.spot;
+	}
+	return count;
+}
+
 unsigned fleet_count_at(const struct fleet *fleet, const char *pool,
 			const char *data_centre, bool spot)
 {
@@ -298,7 +312,8 @@
 	*cached = cached_tokens(fleet, worker, ask, now);
 	if (worker == home)
 		*cached = MAX(*cached, shared_tokens(ask));
-	cost += (worker->prompt_tokens + ask->prompt_tokens - *cached) *
+	cost += (worker->prompt_tokens + worker->told_prompts +
+		 ask->prompt_tokens - *cached) *
 		speed->prefill_ms;
 	cost += load * speed->running_ms;
 	if (worker->entry.slots > 0 && load >= worker->entry.slots)
@@ -439,7 +454,7 @@
 	worker->inflight++;
 	if (!ask->engine)
 		return;
-	worker->prompt_tokens += ask->prompt_tokens;
+	worker->prompt_tokens += ask->prefill_tokens;
 	if (g_hash_table_size(worker->parts) > PARTS_KEEP)
 		g_hash_table_remove_all(worker->parts);
 	for (size_t i = 0; i < ask->part_count; i++)
@@ -451,7 +466,7 @@
 {
 	if (ask->engine)
 		worker->prompt_tokens =
-			MAX(worker->prompt_tokens - ask->prompt_tokens, 0);
+			MAX(worker->prompt_tokens - ask->prefill_tokens, 0);
 }
 
 void fleet_end(struct fleet_worker *worker, const struct fleet_ask *ask,
@@ -496,3 +511,12 @@
 	if (worker)
 		worker->told = (int)(requests + 0.5);
 }
+
+void fleet_on_told_prompts(struct fleet *fleet, uint32_t key, double tokens)
+{
+	struct fleet_worker *worker =
+		g_hash_table_lookup(fleet->by_key, GUINT_TO_POINTER(key));
+
+	if (worker)
+		worker->told_prompts = MAX(tokens, 0);
+}
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -56,6 +56,8 @@
 	struct fleet_health health;
 	unsigned inflight;    /* own requests that are there */
 	double prompt_tokens; /* of own requests before their first token */
+	double told_prompts;  /* tokens of others' requests before their answers
+			       */
 	int told;	      /* requests of other hosts, as these tell */
 	int others;	      /* the same, by the worker's last report */
 	clk_ms reported_at;   /* when that came; 0: never */
@@ -88,6 +90,7 @@
 	bool engine;
 	const char *data_centre; /* of this host */
 	int prompt_tokens;
+	int prefill_tokens; /* of these, not cached where it was placed */
 	struct fleet_part parts[FLEET_PARTS_MAX];
 	size_t part_count;
 	const struct fleet_worker *not_this; /* or NULL */
@@ -135,6 +138,8 @@
 		     const struct fleet_worker *not_this);
 /* Workers of a pool that take work. */
 unsigned fleet_count(const struct fleet *fleet, const char *pool);
+/* Workers of a pool that take work and can't be reclaimed. */
+unsigned fleet_count_full(const struct fleet *fleet, const char *pool);
 /* Workers of a pool that take work, and are in a data centre, of a kind. */
 unsigned fleet_count_at(const struct fleet *fleet, const char *pool,
 			const char *data_centre, bool spot);
@@ -151,6 +156,8 @@
 		 clk_ms now);
 /* What the other hosts have at the worker with a key; see decide/sums.h. */
 void fleet_on_told(struct fleet *fleet, uint32_t key, double requests);
+/* The same of tokens of prompts before their first answer. */
+void fleet_on_told_prompts(struct fleet *fleet, uint32_t key, double tokens);
 /* A load report of a worker. */
 void fleet_on_load(struct fleet_worker *worker, int running, int waiting,
 		   clk_ms now);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -387,6 +387,25 @@
         assert (await kept.receive()).status == 0
 
 
+async def test_proxy_stop_takes_nothing_it_cannot_end(net):
+    """Late in a stop, what may last beyond it is refused at once; what ends
+    in time is served."""
+    async with Rig(net) as rig:
+        host = rig.hosts[0]
+        rig.store.put("op/config", config(2, dict(
+            ROUTES, **{"/s/": dict(ROUTES["/s/"], timeout_ms=15000)})))
+        await asyncio.sleep(0.5)
+        for worker in rig.of("llm"):
+            worker.events, worker.gap_s = 1000, 0.02
+        host.signal(signal.SIGTERM)
+        await asyncio.sleep(3.2)
+        got = await host.ask("POST", "/s/x", b"b", left_ms=15000)
+        assert got.status == 503 and rig.ran(got.ident) == [], got.status
+        assert float(got.headers["retry-after"]) > 0
+        got = await host.ask("GET", "/i/x", left_ms=1000)
+        assert got.status == 200, got.status
+
+
 async def test_proxy_reload(net):
     async with Rig(net) as rig:
         host = rig.hosts[0]
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -184,6 +184,10 @@
 		u_int inflight_len;
 		w_part *inflight_val;
 	} inflight;
+	struct {
+		u_int prompts_len;
+		w_part *prompts_val;
+	} prompts;
 };
 typedef struct w_report w_report;
 
@@ -197,6 +201,10 @@
 		u_int inflight_len;
 		w_part *inflight_val;
 	} inflight;
+	struct {
+		u_int prompts_len;
+		w_part *prompts_val;
+	} prompts;
 };
 typedef struct w_relay w_relay;
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -136,6 +136,7 @@
 	w_demand demand<W_ITEMS>;
 	w_part spent<W_ITEMS>;
 	w_part inflight<W_ITEMS>;
+	w_part prompts<W_ITEMS>;
 };
 
 /* RW_RELAY: the sums of all other hosts, for one that does not hear their
@@ -144,6 +145,7 @@
 	string process<W_INCARNATION>;
 	w_part spent<W_ITEMS>;
 	w_part inflight<W_ITEMS>;
+	w_part prompts<W_ITEMS>;
 };
 
 program RW_PROGRAM {
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -458,6 +458,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->inflight.inflight_val, (u_int *) &objp->inflight.inflight_len, W_ITEMS,
 		sizeof (w_part), (xdrproc_t) xdr_w_part))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->prompts.prompts_val, (u_int *) &objp->prompts.prompts_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -474,5 +477,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->inflight.inflight_val, (u_int *) &objp->inflight.inflight_len, W_ITEMS,
 		sizeof (w_part), (xdrproc_t) xdr_w_part))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->prompts.prompts_val, (u_int *) &objp->prompts.prompts_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
 	return TRUE;
 }
