--- a/decide/scale.c
+++ b/decide/scale.c
@@ -5,8 +5,8 @@
 
 #define SMOOTH_MS 3000.0 /* time in which measures are smoothed */
 #define FALL_MS 8000.0	 /* time in which the need falls by two thirds */
-#define HEAD_ROOM 1.15	 /* workers for each busy one */
-#define SPREAD 0.5	 /* workers for the square root of the busy ones */
+#define HEAD_ROOM 1.4	 /* workers for each busy one */
+#define SPREAD 0.8	 /* workers for the square root of the busy ones */
 #define WORKERS_MIN 2.0	 /* that are left after a loss */
 
 /* The part of a difference that is left after some time. */
--- a/decide/shed.c
+++ b/decide/shed.c
@@ -8,7 +8,7 @@
 #define LEFT_SHARE 0.9	 /* of the time left, for the first token */
 
 /* Part of its aim that a request of a rank may be expected to wait. */
-static const double patience[] = { 1.5, 1.0, 0.5 };
+static const double patience[] = { 1.2, 0.7, 0.3 };
 
 #define RANKS (int)(sizeof(patience) / sizeof(patience[0]))
 
