Streams are moved with their memory from workers that leave

Change: 0.9 s before a leaving worker ends, what still runs there is stopped, its memory copied to a worker chosen as for a new request, and the request goes on there as the same run.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -10,8 +10,6 @@
 #define GAP_PATIENCE_MS 1500 /* between two events */
 #define PATIENCE_SHARE 0.5   /* of a call's time, if it may be repeated */
 
-static void attempt_over(struct xfer *xfer, enum px_end end, const char *why);
-
 /* Forgets the response of the attempt. */
 static void response_clear(struct xfer_response *response)
 {
@@ -28,6 +26,8 @@
 	if (!xfer->worker)
 		return;
 	fleet_end(xfer->worker, &xfer->ask, xfer->had_first);
+	if (xfer->worker->removed && xfer->worker->inflight == 0)
+		proxyd_drop_peer(xfer->worker);
 	fleet_worker_unref(xfer->worker);
 	xfer->worker = NULL;
 	xfer->sent_at = 0;
@@ -58,8 +58,7 @@
 	};
 }
 
-/* The attempt has ended: what follows is decided, and done. */
-static void attempt_over(struct xfer *xfer, enum px_end end, const char *why)
+void attempt_over(struct xfer *xfer, enum px_end end, const char *why)
 {
 	static const enum ctr counters[] = {
 		[PX_END_UNSENT] = CTR_ends_unsent,
@@ -116,7 +115,10 @@
 		hist_add(&proxyd->placed_ms, now - xfer->at);
 	xfer->sent_at = now;
 	xfer->last_at = now;
-	px_on_sent(&xfer->px);
+	/* What goes on with its memory is the same run. */
+	if (!xfer->same_run)
+		px_on_sent(&xfer->px);
+	xfer->same_run = false;
 }
 
 /* The attempt has brought its first sign of running. */
@@ -220,6 +222,8 @@
 	const struct xfer_response *response = &xfer->response;
 
 	xfer->attempt = NULL;
+	if (end != HC_WHOLE && move_on_source_end(xfer))
+		return;
 	if (response->seen && response->says.not_run) {
 		attempt_over(xfer, PX_END_NOT_RUN, "upstream_refused");
 		return;
@@ -288,6 +292,7 @@
 		.time_left = MAX(xfer->end - now, 1),
 		.priority = xfer->pool->engine ? xfer->priority : -1,
 		.last_event = xfer->px.begun ? xfer->sse.last_id : -1,
+		.memory = xfer->move.handle,
 		.body_len = body.len,
 		.has_body = body.len > 0 ||
 			    hs_call_head(xfer->call)->framing != H1_NONE,
--- a/daemon/proxyd-door.c
+++ b/daemon/proxyd-door.c
@@ -59,12 +59,13 @@
 	hist_print(&proxyd->placed_ms, "placed_ms", text);
 	hist_print(&proxyd->first_ms, "first_ms", text);
 	hist_print(&proxyd->whole_ms, "whole_ms", text);
-	g_string_append_printf(
-		text,
-		"requests_open %zu\nhosts_live %u\n"
-		"config_revision %" G_GINT64_FORMAT "\nworkers %u\n",
-		proxyd->xfers, proxyd_hosts(proxyd), proxyd->tab_revision,
-		g_hash_table_size(proxyd->fleet->workers));
+	g_string_append_printf(text,
+			       "requests_open %u\nhosts_live %u\n"
+			       "config_revision %" G_GINT64_FORMAT
+			       "\nworkers %u\n",
+			       g_hash_table_size(proxyd->open),
+			       proxyd_hosts(proxyd), proxyd->tab_revision,
+			       g_hash_table_size(proxyd->fleet->workers));
 	hs_reply(call, 200, "Content-Type: text/plain\r\n", text->str,
 		 text->len);
 	g_string_free(text, TRUE);
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -97,6 +97,16 @@
 		proxyd_now(proxyd) - proxyd->store_back_at < RETURN_MS);
 }
 
+/* A worker leaves, in some ms, or after the usual time if that is not known:
+ * its streams are seen to before. */
+static void worker_leaves(struct proxyd *proxyd, struct fleet_worker *worker,
+			  clk_ms left)
+{
+	if (!worker->leaves_at)
+		worker->leaves_at = proxyd_now(proxyd) +
+				    (left >= 0 ? left : proxyd->conf->drain_ms);
+}
+
 /* A worker's entry is missing. */
 static void worker_missing(struct proxyd *proxyd, const char *id)
 {
@@ -113,6 +123,7 @@
 		return;
 	}
 	slog(SLOG_NOTICE, "worker", "worker=%s outcome=gone", id);
+	worker_leaves(proxyd, worker, -1);
 	fleet_remove(proxyd->fleet, id);
 }
 
@@ -120,7 +131,7 @@
 static void worker_apply(struct proxyd *proxyd, const struct store_item *item)
 {
 	const char *id = item->key + strlen(DECODE_WORKER_PREFIX);
-	const struct fleet_worker *worker = fleet_find(proxyd->fleet, id);
+	struct fleet_worker *worker = fleet_find(proxyd->fleet, id);
 	struct fleet_entry entry;
 	GError *error = NULL;
 	bool known = worker && !worker->gone_at;
@@ -141,6 +152,10 @@
 		return;
 	}
 	worker = fleet_put(proxyd->fleet, &entry, item->mod);
+	if (worker->entry.leaving)
+		worker_leaves(proxyd, worker, worker->entry.leaves_in);
+	else
+		worker->leaves_at = 0;
 	if (!known || was_leaving != worker->entry.leaving)
 		slog(SLOG_NOTICE, "worker",
 		     "worker=%s pool=%s address=%s data_centre=%s spot=%d "
--- /dev/null
+++ b/daemon/proxyd-move.c
@@ -0,0 +1,156 @@
+/*
+ * Streams at workers that leave: what has not ended by itself when the notice
+ * is nearly over is moved with its memory, and goes on elsewhere.
+ */
+#include "proxyd-xfer.h"
+
+#include <string.h>
+
+#define MOVE_BEFORE_MS 900 /* the worker ends: for all of its streams */
+#define MOVE_WAIT_MS 1500  /* for the answer and the end of the old stream */
+
+/* The move is decided: goes on elsewhere, or with what the attempt's own end
+ * means. */
+static void move_finish(struct xfer *xfer)
+{
+	struct xfer_move *move = &xfer->move;
+	enum px_step step;
+
+	if (move->call || !move->source_ended)
+		return;
+	move->state = MOVE_DONE;
+	if (!move->handle) {
+		/* Nothing was moved: it was cut like any other. */
+		attempt_over(xfer, PX_END_CUT, "moved_in_vain");
+		return;
+	}
+	proxyd_count(xfer->proxyd, CTR_moves);
+	step = xfer->px.begun ? PX_RESUME : PX_AGAIN;
+	slog(SLOG_INFO, "move",
+	     "id=%s from=%s to=%s last_event=%" G_GINT64_FORMAT
+	     " took_ms=%" G_GINT64_FORMAT " outcome=goes_on",
+	     xfer->id, xfer->worker->entry.id, move->target->entry.id,
+	     xfer->sse.last_id, proxyd_now(xfer->proxyd) - move->at);
+	xfer_do(xfer, step, "moved");
+}
+
+static void on_moved(void *ctx, enum engine_outcome outcome, const char *handle)
+{
+	static const char *const names[] = {
+		[ENGINE_MOVED] = "moved",
+		[ENGINE_STOPPED] = "stopped",
+		[ENGINE_NO_RUN] = "no_run",
+		[ENGINE_FAILED] = "failed",
+	};
+	struct xfer *xfer = ctx;
+	struct xfer_move *move = &xfer->move;
+
+	move->call = NULL;
+	if (outcome != ENGINE_MOVED)
+		slog(SLOG_INFO, "move",
+		     "id=%s from=%s to=%s took_ms=%" G_GINT64_FORMAT
+		     " outcome=%s",
+		     xfer->id, xfer->worker->entry.id, move->target->entry.id,
+		     proxyd_now(xfer->proxyd) - move->at, names[outcome]);
+	if (outcome == ENGINE_MOVED) {
+		move->handle = g_strdup(handle);
+	} else if (outcome == ENGINE_STOPPED) {
+		/* It goes on where its memory is. */
+		move->handle = g_strdup(handle);
+		fleet_worker_unref(move->target);
+		move->target = fleet_worker_ref(xfer->worker);
+	} else if (outcome == ENGINE_NO_RUN && !move->source_ended) {
+		move->state = MOVE_DONE;
+		return;
+	}
+	move_finish(xfer);
+}
+
+bool move_on_source_end(struct xfer *xfer)
+{
+	struct xfer_move *move = &xfer->move;
+
+	if (move->state != MOVE_RUNNING)
+		return false;
+	move->source_ended = true;
+	move_finish(xfer);
+	return true;
+}
+
+void move_clear(struct xfer *xfer)
+{
+	struct xfer_move *move = &xfer->move;
+
+	if (move->call)
+		engine_move_cancel(move->call);
+	if (move->target)
+		fleet_worker_unref(move->target);
+	g_free(move->handle);
+	*move = (struct xfer_move){ .state = MOVE_NONE };
+}
+
+/* Whether a stream is to be moved now. */
+static bool is_due(const struct xfer *xfer, clk_ms now)
+{
+	const struct fleet_worker *worker = xfer->worker;
+
+	return worker && worker->leaves_at && xfer->attempt &&
+	       xfer->had_first && xfer->response.events &&
+	       xfer->move.state == MOVE_NONE && xfer->pool->engine &&
+	       worker->peer && now >= worker->leaves_at - MOVE_BEFORE_MS;
+}
+
+static void move_start(struct xfer *xfer, clk_ms now)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct xfer_move *move = &xfer->move;
+	struct fleet_choice choice =
+		fleet_choose(proxyd->fleet, &xfer->ask, now);
+
+	if (!choice.worker || choice.worker == xfer->worker)
+		return;
+	move->state = MOVE_RUNNING;
+	move->at = now;
+	move->target = fleet_worker_ref(choice.worker);
+	move->call = engine_move_start(
+		xfer->worker->peer, xfer->worker->entry.address, xfer->id,
+		choice.worker->entry.address, on_moved, xfer);
+}
+
+/* A move that takes too long is given up. */
+static void move_late(struct xfer *xfer)
+{
+	slog(SLOG_INFO, "move", "id=%s from=%s outcome=late", xfer->id,
+	     xfer->worker->entry.id);
+	if (xfer->move.call)
+		engine_move_cancel(xfer->move.call);
+	xfer->move.call = NULL;
+	if (xfer->attempt)
+		hc_cancel(xfer->attempt);
+	xfer->attempt = NULL;
+	xfer->move.source_ended = true;
+	move_finish(xfer);
+}
+
+void move_tick(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+	GHashTableIter iter;
+	gpointer key;
+	GPtrArray *late = g_ptr_array_new();
+
+	g_hash_table_iter_init(&iter, proxyd->open);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct xfer *xfer = key;
+
+		if (is_due(xfer, now))
+			move_start(xfer, now);
+		else if (xfer->move.state == MOVE_RUNNING &&
+			 now - xfer->move.at > MOVE_WAIT_MS)
+			g_ptr_array_add(late, xfer);
+	}
+	/* Giving up may end a request, and change the table. */
+	for (guint i = 0; i < late->len; i++)
+		move_late(g_ptr_array_index(late, i));
+	g_ptr_array_free(late, TRUE);
+}
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -8,8 +8,8 @@
 #define BATCH_SHARE                                                            \
 	0.6 /* of an engine's places that are taken when it is busy */
 
-static void xfer_end(struct xfer *xfer);
 static void xfer_arm(struct xfer *xfer);
+static void xfer_go_on(struct xfer *xfer);
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -25,7 +25,8 @@
 static void xfer_end(struct xfer *xfer)
 {
 	attempt_cancel(xfer);
-	xfer->proxyd->xfers--;
+	move_clear(xfer);
+	g_hash_table_remove(xfer->proxyd->open, xfer);
 	uv_timer_stop(&xfer->timer);
 	uv_close((uv_handle_t *)&xfer->timer, on_timer_closed);
 }
@@ -125,7 +126,10 @@
 		     xfer->id, xfer->px.attempts, xfer->sse.last_id, why,
 		     step == PX_RESUME ? "resumed" : "sent_again");
 		attempt_cancel(xfer);
-		xfer_send(xfer);
+		if (xfer->move.handle)
+			xfer_go_on(xfer);
+		else
+			xfer_send(xfer);
 		return;
 	case PX_DELIVER:
 		answer_deliver(xfer);
@@ -225,6 +229,26 @@
 	       output * token_ms(xfer);
 }
 
+/* Sends it to where its memory was moved. */
+static void xfer_go_on(struct xfer *xfer)
+{
+	struct fleet_choice choice = {
+		.worker = xfer->move.target,
+		.cached = xfer->ask.prompt_tokens,
+	};
+
+	if (!choice.worker->peer) {
+		xfer_do(xfer, xfer->px.begun ? PX_BREAK : PX_UNKNOWN,
+			"moved_to_lost_worker");
+		return;
+	}
+	xfer->same_run = true;
+	attempt_start(xfer, &choice);
+	/* A handle is used once. */
+	move_clear(xfer);
+	xfer_arm(xfer);
+}
+
 /* Refuses a request that can't be in time, or holds up more urgent ones. */
 static bool shed(struct xfer *xfer, const struct fleet_choice *choice)
 {
@@ -281,7 +305,7 @@
 
 void xfer_start(struct xfer *xfer)
 {
-	xfer->proxyd->xfers++;
+	g_hash_table_add(xfer->proxyd->open, xfer);
 	uv_timer_init(&xfer->proxyd->loop, &xfer->timer);
 	xfer->timer.data = xfer;
 	hs_call_on_gone(xfer->call, xfer_on_gone, xfer);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -17,6 +17,22 @@
 	bool events;	  /* its events are passed on as they come */
 };
 
+/* A stream that is being moved from a worker that leaves. */
+enum move_state {
+	MOVE_NONE,
+	MOVE_RUNNING, /* the old run stops, and its memory is copied */
+	MOVE_DONE,    /* it was tried at this worker */
+};
+
+struct xfer_move {
+	enum move_state state;
+	struct engine_move *call; /* NULL: it is answered */
+	bool source_ended;	  /* the old stream is over */
+	char *handle;		  /* of the copied memory, or NULL */
+	struct fleet_worker *target;
+	clk_ms at;
+};
+
 struct xfer {
 	struct proxyd *proxyd;
 	struct hs_call *call; /* NULL: the caller is answered, or gone */
@@ -42,7 +58,8 @@
 	clk_ms sent_at; /* of the attempt */
 	clk_ms last_at; /* when the attempt last brought something */
 	uv_timer_t timer;
-	uint64_t events;
+	struct xfer_move move;
+	bool same_run; /* the next send goes on with moved memory */
 };
 
 /* Starts a request that is allowed; the xfer owns its references. */
@@ -54,6 +71,14 @@
 /* The caller has gone. */
 void xfer_on_gone(void *ctx);
 
+/* proxyd-move.c: a stream's worker leaves. The old stream has ended: returns
+ * whether a move sees to what follows. */
+bool move_on_source_end(struct xfer *xfer);
+/* Forgets a move, broken off if it is under way. */
+void move_clear(struct xfer *xfer);
+
+/* An attempt has ended: what follows is decided, and done. */
+void attempt_over(struct xfer *xfer, enum px_end end, const char *why);
 /* proxyd-attempt.c: begins an attempt at xfer->worker. */
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
 /* Breaks the attempt under way off, if there is one. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -190,14 +190,14 @@
 	next = now + STATUS_PERIOD_MS;
 	slog(SLOG_NOTICE, "status",
 	     "requests=%" G_GUINT64_FORMAT " whole=%" G_GUINT64_FORMAT
-	     " open=%zu hosts=%u workers=%u follows_store=%d "
+	     " open=%u hosts=%u workers=%u follows_store=%d "
 	     "ranges=%" G_GUINT64_FORMAT " watches=%" G_GUINT64_FORMAT
 	     " changes=%" G_GUINT64_FORMAT " leases=%" G_GUINT64_FORMAT
 	     " store_failures=%" G_GUINT64_FORMAT,
-	     values[CTR_requests], values[CTR_passed_whole], proxyd->xfers,
-	     proxyd_hosts(proxyd), g_hash_table_size(proxyd->fleet->workers),
-	     peer_watches(proxyd), kv->ranges, kv->watches, kv->changes,
-	     kv->leases, kv->failures);
+	     values[CTR_requests], values[CTR_passed_whole],
+	     g_hash_table_size(proxyd->open), proxyd_hosts(proxyd),
+	     g_hash_table_size(proxyd->fleet->workers), peer_watches(proxyd),
+	     kv->ranges, kv->watches, kv->changes, kv->leases, kv->failures);
 }
 
 /* Takes the next step of a planned stop. */
@@ -246,6 +246,7 @@
 	peer_tick(proxyd);
 	report_tick(proxyd);
 	duty_run(proxyd);
+	move_tick(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
 	status_tick(proxyd);
@@ -349,11 +350,19 @@
 	worker->peer = hc_peer_add(proxyd->upstreams, worker->entry.address);
 }
 
+void proxyd_drop_peer(struct fleet_worker *worker)
+{
+	if (worker->peer)
+		hc_peer_drop(worker->peer);
+	worker->peer = NULL;
+}
+
+/* Requests that are still there may have to be moved away. */
 static void on_worker_removed(void *ctx, struct fleet_worker *worker)
 {
 	(void)ctx;
-	hc_peer_drop(worker->peer);
-	worker->peer = NULL;
+	if (worker->inflight == 0)
+		proxyd_drop_peer(worker);
 }
 
 static void clients_create(struct proxyd *proxyd)
@@ -417,6 +426,7 @@
 	proxyd->quotas = g_hash_table_new(g_str_hash, g_str_equal);
 	proxyd->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	proxyd->account_keys = g_hash_table_new(NULL, NULL);
+	proxyd->open = g_hash_table_new(NULL, NULL);
 	wall_init(&proxyd->wall, g_get_real_time() / 1000, proxyd_boot_now());
 	usage_init(&proxyd->usage, (clk_ms)(conf->usage_window_s * CLK_SECOND));
 	duty_init(&proxyd->duty, duty_term(proxyd));
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -32,6 +32,7 @@
 #include "../platform/cloud.h"
 #include "../platform/decode.h"
 #include "../platform/door.h"
+#include "../platform/engine.h"
 #include "../platform/head.h"
 #include "../platform/kv.h"
 #include "../wire/conf.h"
@@ -122,7 +123,7 @@
 	int64_t beat_config; /* revisions that were shown last */
 	int64_t beat_workers;
 	clk_ms sync_until;
-	size_t xfers; /* requests under way */
+	GHashTable *open; /* set of struct xfer: requests under way */
 	uv_timer_t tick;
 	uv_signal_t signals[3];
 	bool stopping;
@@ -140,6 +141,8 @@
 /* Whether a request that may last until a loop time is still taken: a host
  * that stops can't promise to be there at its end. */
 bool proxyd_takes(const struct proxyd *proxyd, clk_ms end);
+/* Closes the connections to a worker that is no longer listed. */
+void proxyd_drop_peer(struct fleet_worker *worker);
 /* Hosts that share limits, this one included. */
 unsigned proxyd_hosts(const struct proxyd *proxyd);
 struct pool_state *proxyd_pool(struct proxyd *proxyd, const char *name);
@@ -182,6 +185,9 @@
 void front_answer(struct proxyd *proxyd, struct hs_call *call,
 		  enum err_kind kind, clk_ms retry_after, const char *why);
 
+/* proxyd-move.c */
+void move_tick(struct proxyd *proxyd);
+
 /* proxyd-door.c */
 void door_on_call(void *ctx, struct hs_call *call);
 void door_on_metrics(void *ctx, struct hs_call *call);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -63,8 +63,10 @@
 	clk_ms reported_at;   /* when that came; 0: never */
 	uint32_t key;	      /* sums_key of its id */
 	GHashTable *parts;    /* part -> when it was last read, in clk_ms */
-	void *peer;	      /* of the caller: its connections */
-	unsigned refs;	      /* requests that point here, and the fleet */
+	clk_ms leaves_at; /* when it is expected to end; 0: not known to leave
+			   */
+	void *peer;	  /* of the caller: its connections */
+	unsigned refs;	  /* requests that point here, and the fleet */
 	bool removed;
 };
 
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -253,6 +253,14 @@
 		.max = 3600,
 		.fallback = "8",
 	},
+	{
+		.name = "drain_ms",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_proxy, drain_ms),
+		.min = 0,
+		.max = 3600000,
+		.fallback = "2000",
+	},
 	{
 		.name = "retry_ratio",
 		.type = CONF_TYPE_REAL,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -59,6 +59,7 @@
 	int64_t descriptors;
 	double cores;
 	double grace_s;
+	int64_t drain_ms;
 	double retry_ratio;
 	double retry_extra;
 	double quota_tolerance;
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -56,6 +56,7 @@
 	X(ends_not_run, "attempts that an upstream refused, not run")          \
 	X(ends_failed, "attempts that ended in an upstream's failure")         \
 	X(ends_cut, "attempts cut off, or answered by what is no answer")      \
+	X(moves, "streams moved from workers that leave")                      \
 	X(stalls, "attempts given up for an upstream's silence")               \
 	X(connects, "connections made to upstreams")                           \
 	X(reuses, "requests on a kept connection")                             \
