--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -165,6 +165,48 @@
         assert len(rig.ran(got.ident)) == 1
 
 
+async def test_proxy_stream_moves(net):
+    """A stream at a worker that leaves goes on elsewhere as the same run,
+    also one that may not be repeated."""
+    for more, how in enumerate(("notice", "removed")):
+        async with Rig(net + 50 * more) as rig:
+            for worker in rig.of("llm"):
+                worker.events, worker.gap_s = 80, 0.03
+            caller = rig.hosts[0].caller()
+            ident = await caller.send("POST", "/s1/x", b"b", left_ms=8000)
+            await rig.until("the run", lambda: rig.ran(ident))
+            source = [w for w in rig.of("llm") if ident in w.run][0]
+            other = [w for w in rig.of("llm") if w is not source][0]
+            await asyncio.sleep(0.3)
+            key = "servers/" + source.ident
+            if how == "notice":
+                rig.store.put(key, source.entry(
+                    state="draining", spot_instance=True, leaves_ms=1200))
+            else:
+                rig.store.remove(key)
+            got = await caller.receive()
+            assert got.whole and got.events() == list(range(80)), got.body
+            assert ident in other.run, how
+            assert "kv-from" in other.arrived[-1], how
+
+
+async def test_proxy_stream_that_cannot_move(net):
+    """A move that fails leaves a stream that is not whole, never one that
+    looks it."""
+    async with Rig(net) as rig:
+        for worker in rig.of("llm"):
+            worker.events, worker.gap_s, worker.mode = 80, 0.03, "no move"
+        caller = rig.hosts[0].caller()
+        ident = await caller.send("POST", "/s1/x", b"b", left_ms=8000)
+        await rig.until("the run", lambda: rig.ran(ident))
+        await asyncio.sleep(0.3)
+        source = [w for w in rig.of("llm") if ident in w.run][0]
+        rig.store.put("servers/" + source.ident,
+                      source.entry(state="draining", leaves_ms=1000))
+        got = await caller.receive()
+        assert not got.whole and len(rig.ran(ident)) == 1, got.body
+
+
 async def test_proxy_caller_leaves(net):
     async with Rig(net, llm=1, api=1) as rig:
         rig.of("api")[0].mode = "hang"
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -266,6 +266,8 @@
 class Worker:
     """One worker. `mode` says how it answers; see `serve_one`."""
 
+    handles = {}  # "address/handle" -> address that holds the memory
+
     def __init__(self, ident, service, address, zone="z1", slots=8):
         self.ident = ident
         self.service = service
@@ -279,6 +281,8 @@
         self.run = []         # ids of those that it ran
         self.at = {}          # id -> when it came
         self.dropped = []     # ids whose connection was closed early
+        self.stopped = set()  # ids whose run was stopped to be moved
+        self.running = set()
         self.writers = set()
 
     def entry(self, **changes):
@@ -317,6 +321,8 @@
     async def serve_one(self, head, body, reader, writer):
         """Answers one request; False ends the connection."""
         headers = head[1]
+        if head[0].startswith("POST /-/kv-move"):
+            return self.move(json.loads(body), writer)
         ident = headers["redwingpitch-attempt-id"]
         self.arrived.append(headers)
         self.at[ident] = time.monotonic()
@@ -324,6 +330,10 @@
         if named not in (None, self.ident):
             writer.write(answer(421))
             return True
+        if "kv-from" in headers and Worker.handles.pop(
+                headers["kv-from"], None) != self.address:
+            writer.write(answer(503, b"", ["Redwingpitch-Not-Executed: 1"]))
+            return True
         if self.mode == "full":
             writer.write(answer(503, b"", ["Redwingpitch-Not-Executed: 1"]))
             return True
@@ -357,12 +367,32 @@
                             own))
         return True
 
+    def move(self, body, writer):
+        """Stops a run and copies its memory."""
+        ident = body["identifier"]
+        if ident not in self.running:
+            writer.write(answer(404, b"{}"))
+            return True
+        self.stopped.add(ident)
+        if self.mode == "no move":
+            writer.write(answer(503, b"{}"))
+            return True
+        handle = "m-" + ident
+        Worker.handles[self.address + "/" + handle] = body["target"]
+        writer.write(answer(200, json.dumps(
+            {"copy_handle": handle, "created": 0}).encode()))
+        return True
+
     async def stream(self, ident, headers, own, reader, writer):
         first = int(headers.get("last-event-id", -1)) + 1
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(own) + "\r\n"
                       "Content-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n").encode())
+        self.running.add(ident)
         for number in range(first, self.events):
+            if ident in self.stopped:
+                self.running.discard(ident)
+                return False
             if self.mode == "break" and number == first + 3:
                 # In the middle of an event.
                 writer.write(b"8\r\nid: %d\nda\r\n" % number)
@@ -377,6 +407,7 @@
                 return False
             except asyncio.TimeoutError:
                 pass
+        self.running.discard(ident)
         writer.write(b"0\r\n\r\n")
         return True
 
