--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -256,6 +256,14 @@
 
 void attempt_stalled(struct xfer *xfer)
 {
+	struct px_room room = room_of(xfer);
+
+	/* Silence alone is no reason to end: only if another can try. */
+	if (xfer->px.attempts >= xfer->px.max_attempts || !room.time ||
+	    !room.budget || !room.other) {
+		xfer->last_at = proxyd_now(xfer->proxyd);
+		return;
+	}
 	proxyd_count(xfer->proxyd, CTR_stalls);
 	hc_cancel(xfer->attempt);
 	xfer->attempt = NULL;
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -185,7 +185,8 @@
 	if (xfer->attempt && xfer->sent_at &&
 	    now >= xfer->last_at + attempt_patience(xfer)) {
 		attempt_stalled(xfer);
-		return;
+		if (!xfer->attempt)
+			return;
 	}
 	xfer_arm(xfer);
 }
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -108,6 +108,16 @@
             assert time.monotonic() - started < 1.2, case
 
 
+async def test_proxy_silence_ends_nothing(net):
+    """A worker that is slow is waited for as long as no other may try."""
+    async with Rig(net, api=1) as rig:
+        rig.of("api")[0].mode = "slow"
+        for path in ("/p/x", "/i/x", "/o/x"):
+            got = await rig.hosts[0].ask("GET", path, left_ms=1000)
+            assert got.status == 200, (path, got.status)
+            assert len(rig.ran(got.ident)) == 1
+
+
 async def test_proxy_extra_answers(net):
     """A second answer on a connection is nobody's."""
     async with Rig(net, api=1) as rig:
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -355,6 +355,8 @@
             if not await reader.read(1):
                 self.dropped.append(ident)
             return False
+        if self.mode == "slow":
+            await asyncio.sleep(0.7)
         if self.mode == "unsigned":
             writer.write(answer(200, b"x", own[:1]))
             return True
