--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -8,6 +8,8 @@
 #define ORDER_TIMEOUT_MS 1500
 #define REPEAT_MS 2000 /* an order is sent again, if it isn't met */
 #define RUN_PERIOD_MS 500
+#define LISTED_MS                                                              \
+	2000 /* without a new worker, the list is whole at the start */
 #define START_SHARE 0.55   /* busy workers of those present at the start */
 #define LOWER_SPOT_MS 4000 /* reclaimable workers are given up after it */
 #define LOWER_FULL_MS 1000 /* full ones, which cost more */
@@ -37,6 +39,9 @@
 struct scaled {
 	struct scale_need need;
 	bool seen;	    /* there was some demand */
+	bool planned;	    /* a first plan was made */
+	unsigned listed;    /* workers, when they were counted last */
+	clk_ms listed_at;   /* when their number changed last */
 	char *plan;	    /* that was logged last */
 	GHashTable *demand; /* process -> struct demand */
 	GHashTable *orders; /* "zone\nkind" -> struct order */
@@ -235,6 +240,22 @@
 	     scaled->plan);
 }
 
+/* Whether enough is known to plan: some demand, or all workers that were
+ * provided for the start. */
+static bool pool_is_known(struct proxyd *proxyd, struct scaled *scaled,
+			  const struct tab_pool *pool)
+{
+	unsigned listed = fleet_count(proxyd->fleet, pool->name);
+	clk_ms now = proxyd_now(proxyd);
+
+	if (listed != scaled->listed) {
+		scaled->listed = listed;
+		scaled->listed_at = now;
+	}
+	return scaled->seen ||
+	       (listed > 0 && now - scaled->listed_at >= LISTED_MS);
+}
+
 static void pool_run(struct proxyd *proxyd, const struct tab_pool *pool)
 {
 	struct scaled *scaled = scaled_of(proxyd, pool->name);
@@ -247,6 +268,9 @@
 	clk_ms now = proxyd_now(proxyd);
 	size_t count = zones_fill(proxyd, scaled, pool, zones);
 
+	if (!scaled->planned && !pool_is_known(proxyd, scaled, pool))
+		return;
+	scaled->planned = true;
 	scale_plan(zones, count, &limits, scaled->need.busy);
 	plan_log(scaled, pool, zones, count);
 	for (size_t i = 0; i < count; i++) {
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -14,7 +14,8 @@
 import traceback
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from proxyrig import ROUTES, Rig, config  # noqa: E402
+from proxyrig import ROUTES, ZONES, Rig, config  # noqa: E402
+from standin import Worker  # noqa: E402
 
 TEST_LIMIT_S = 60
 CONFIG_BOUND_S = 2.0   # from a change's acknowledgement to its being in force
@@ -603,6 +604,26 @@
         duty_check(rig.cloud)
 
 
+async def test_proxy_no_orders_before_workers_are_listed(net):
+    """At the start workers are listed one after the other: those that were
+    provided are not given up for want of knowing them."""
+    async with Rig(net, llm=0) as rig:
+        await asyncio.sleep(3)
+        for i in range(8):
+            worker = Worker("w-late-%d" % i, "llm",
+                            rig.ip(120 + i) + ":8000", ZONES[i % 2])
+            rig.store.put("servers/" + worker.ident, worker.entry())
+            await asyncio.sleep(0.3)
+        await asyncio.sleep(5)
+        full = [row for row in rig.cloud.orders if not row[5]]
+        assert rig.cloud.orders
+        # Nothing has come in their place: all of them are kept.
+        assert all(row[6] >= 1 for row in full), full
+        for zone in ZONES:
+            counts = [row[6] for row in full if row[4] == zone]
+            assert sum(counts[-1:]) >= 2, (zone, full)
+
+
 async def test_proxy_orders(net):
     """Reclaimable workers are ordered, in both data centres; where there are
     none, full ones."""
--- /dev/null
+++ b/tests/proxysoak.py
@@ -0,0 +1,341 @@
+#!/usr/bin/env python3
+"""Randomized soak of rw-proxyd: faults from outside, promises checked.
+
+Real processes run against the stand-ins of the users' platform. Faults
+overlap and come in series: hosts are killed, paused, stopped, restarted and
+reloaded by signals; connections to workers are delayed, reset, cut one way or
+silenced by a proxy on loopback; the store turns hosts away, loses answers,
+forgets history and lets leases lapse; workers misbehave, leave and come back;
+the configuration changes. Callers keep their connections until the process is
+gone. What callers and workers saw is checked at the end.
+
+Usage: proxysoak.py [--seed N] [--runs N] [--seconds S] [--hosts N] [--keep]
+"""
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import sys
+import time
+import traceback
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from proxyrig import ROUTES, Rig, config  # noqa: E402
+from proxy import PROMISES, duty_check  # noqa: E402
+
+FAULT_GAP_S = 0.5      # mean time between two faults
+CALLERS = 12
+CALM_S = 5             # at the end, for what must be well again
+SERVED_MIN = 0.9       # of the requests after it
+MODES = ("ok", "ok", "ok", "error", "cut", "full", "hang", "break", "extra",
+         "unsigned", "unproved", "slow")
+PATHS = ("/s/x", "/s1/x", "/i/x", "/o/x", "/o2/x")
+ONCE = ("/s1/x", "/o/x", "/o2/x")
+
+
+class Link:
+    """A proxy on loopback between the hosts and one worker."""
+
+    def __init__(self, worker, address):
+        self.worker = worker
+        self.address = address
+        self.fault = None  # "delay", "silent", "one way", "reset"
+        self.pairs = set()
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self.server = await asyncio.start_server(self.serve, host, int(port))
+
+    async def serve(self, reader, writer):
+        if self.fault == "reset":
+            writer.transport.abort()
+            return
+        try:
+            host, port = self.worker.address.split(":")
+            back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.pairs.add((writer, back[1]))
+        await asyncio.gather(self.pump(reader, back[1], False),
+                             self.pump(back[0], writer, True))
+        self.pairs.discard((writer, back[1]))
+
+    async def pump(self, reader, writer, answers):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                while self.fault == "silent" or (
+                        self.fault == "one way" and answers):
+                    await asyncio.sleep(0.05)
+                if self.fault == "delay":
+                    await asyncio.sleep(0.1)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    def reset(self):
+        for pair in list(self.pairs):
+            for writer in pair:
+                writer.transport.abort()
+
+
+class Soak:
+    def __init__(self, rig, rand):
+        self.rig = rig
+        self.rand = rand
+        self.results = []   # (ident, path, answer or None, sent at)
+        self.log = []       # faults, for the report
+        self.links = {}
+        self.version = 1
+        self.done = False
+        self.calm_from = None
+
+    async def start(self):
+        for number, worker in enumerate(self.rig.workers):
+            link = Link(worker, self.rig.ip(100 + number) + ":8100")
+            await link.start()
+            self.links[worker.ident] = link
+            self.list_worker(worker)
+
+    def list_worker(self, worker, **changes):
+        self.rig.store.put(
+            "servers/" + worker.ident,
+            worker.entry(address=self.links[worker.ident].address, **changes))
+
+    def note(self, text):
+        self.log.append("%.2f %s" % (time.monotonic(), text))
+
+    # Faults. Each is a coroutine that also undoes itself.
+
+    async def host_killed(self):
+        host = self.rand.choice(self.rig.hosts)
+        if host.process.poll() is None:
+            self.note("kill " + host.name)
+            host.process.send_signal(signal.SIGCONT)
+            host.kill()
+        await asyncio.sleep(self.rand.uniform(0, 1.5))
+        if host.process.poll() is not None:
+            host.start(first_start=False)
+
+    async def host_stopped(self):
+        host = self.rand.choice(self.rig.hosts)
+        if host.process.poll() is None:
+            self.note("stop " + host.name)
+            host.signal(signal.SIGTERM)
+        while host.process.poll() is None:
+            await asyncio.sleep(0.05)
+        host.start(first_start=False)
+
+    async def host_paused(self):
+        host = self.rand.choice(self.rig.hosts)
+        if host.process.poll() is not None:
+            return
+        self.note("pause " + host.name)
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(self.rand.uniform(0.2, 4))
+        if host.process.poll() is None:
+            host.signal(signal.SIGCONT)
+
+    async def host_reloaded(self):
+        host = self.rand.choice(self.rig.hosts)
+        if host.process.poll() is None:
+            self.note("reload " + host.name)
+            host.write_settings(log_rate=self.rand.choice([5000, "bad"]))
+            host.signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        host.write_settings()
+
+    async def store_away(self):
+        where = self.rand.choice([None] + [h.name for h in self.rig.hosts])
+        how = self.rand.choice(["busy", "many", "reset", "silent"])
+        self.note("store %s for %s" % (how, where))
+        self.rig.store.faults[where] = how
+        await asyncio.sleep(self.rand.uniform(0.3, 3))
+        self.rig.store.faults.pop(where, None)
+
+    async def store_forgets(self):
+        self.note("store forgets or loses")
+        if self.rand.random() < 0.5:
+            self.rig.store.compact()
+            return
+        self.rig.store.lost = {"kv-txn", "kv-lease", "kv-keep"}
+        await asyncio.sleep(self.rand.uniform(0.3, 2))
+        self.rig.store.lost = set()
+
+    async def worker_bad(self):
+        worker = self.rand.choice(self.rig.workers)
+        worker.mode = self.rand.choice(MODES)
+        self.note("worker %s %s" % (worker.ident, worker.mode))
+        await asyncio.sleep(self.rand.uniform(0.3, 2))
+        worker.mode = "ok"
+
+    async def worker_leaves(self):
+        worker = self.rand.choice(self.rig.workers)
+        self.note("worker %s leaves" % worker.ident)
+        if self.rand.random() < 0.3:
+            self.rig.store.remove("servers/" + worker.ident)
+        else:
+            self.list_worker(worker, state="draining", leaves_ms=1500)
+        await asyncio.sleep(self.rand.uniform(1, 3))
+        self.list_worker(worker, born=self.rand.randrange(1, 1 << 30))
+
+    async def link_bad(self):
+        link = self.rand.choice(list(self.links.values()))
+        link.fault = self.rand.choice(["delay", "silent", "one way", "reset"])
+        self.note("link %s %s" % (link.worker.ident, link.fault))
+        if link.fault == "reset":
+            link.reset()
+        await asyncio.sleep(self.rand.uniform(0.2, 2))
+        link.fault = None
+
+    async def config_changes(self):
+        self.version += self.rand.randrange(1, 4)
+        self.note("config %d" % self.version)
+        self.rig.store.put("op/config", config(self.version, ROUTES))
+
+    async def faults(self, seconds):
+        kinds = [self.host_killed, self.host_stopped, self.host_paused,
+                 self.host_reloaded, self.store_away, self.store_forgets,
+                 self.worker_bad, self.worker_bad, self.worker_leaves,
+                 self.link_bad, self.link_bad, self.config_changes]
+        end = time.monotonic() + seconds
+        running = []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.rand.expovariate(1 / FAULT_GAP_S))
+            for _ in range(self.rand.choice([1, 1, 1, 2, 3])):
+                running.append(asyncio.create_task(
+                    self.rand.choice(kinds)()))
+        await asyncio.gather(*running)
+
+    # Callers.
+
+    async def caller(self, number):
+        rand = random.Random(self.rand.randrange(1 << 30) + number)
+        caller = None
+        while not self.done:
+            host = rand.choice(self.rig.hosts)
+            if caller is None or rand.random() < 0.1:
+                if caller:
+                    caller.close()
+                caller = host.caller()
+            path = rand.choice(PATHS)
+            sent = time.monotonic()
+            ident, got = None, None
+            try:
+                ident = await caller.send("POST", path, b"b", left_ms=2000)
+                got = await asyncio.wait_for(caller.receive(), 5)
+                if rand.random() < 0.03:
+                    caller.close()
+                    caller = None
+            except (OSError, asyncio.TimeoutError):
+                caller.close()
+                caller = None
+            if ident:
+                self.results.append((ident, path, got, sent))
+            await asyncio.sleep(rand.uniform(0, 0.05))
+
+    # Promises.
+
+    def check(self):
+        runs = {}
+        for worker in self.rig.workers:
+            for headers in worker.arrived:
+                assert headers.get("redwingpitch-tenant-name") == "t1"
+                assert "authorization" not in headers
+            for ident in worker.run:
+                runs.setdefault(ident, []).append(worker.ident)
+        moved = {i for w in self.rig.workers for i in w.stopped}
+        known = {ident for ident, _, _, _ in self.results}
+        served = late = 0
+        for ident, path, got, sent in self.results:
+            ran = runs.get(ident, [])
+            if path in ONCE:
+                assert len(ran) <= 1 or ident in moved, (ident, path, ran)
+            if got is None or got.status == 0:
+                continue
+            if got.status in PROMISES and path in ONCE:
+                assert not ran, (ident, path, got.status, ran)
+            if got.status == 200 and got.whole:
+                assert ran, (ident, path)
+                if path.startswith("/s"):
+                    assert got.events() == list(range(10)), (
+                        ident, path, got.events())
+                else:
+                    assert got.headers["redwingpitch-attempt-id"] == ident
+            assert got.status not in (400, 401, 404, 413, 431), (
+                ident, path, got.status)
+            if sent > self.calm_from:
+                late += 1
+                served += got.status == 200 and got.whole
+        assert set(runs) <= known | {i for i in runs if i.startswith("c")}
+        assert late > 20 and served >= SERVED_MIN * late, (served, late)
+        duty_check(self.rig.cloud)
+        for host in self.rig.hosts:
+            with open(host.log) as file:
+                text = file.read()
+            assert "invariant" not in text and "CRITICAL" not in text, \
+                host.log
+
+
+async def run_once(seed, seconds, hosts, net):
+    rand = random.Random(seed)
+    async with Rig(net, hosts=hosts, llm=3, api=3) as rig:
+        soak = Soak(rig, rand)
+        await soak.start()
+        await rig.until_members()
+        callers = [asyncio.create_task(soak.caller(i))
+                   for i in range(CALLERS)]
+        try:
+            await soak.faults(seconds)
+            for host in rig.hosts:
+                if host.process.poll() is not None:
+                    host.start(first_start=False)
+            for worker in rig.workers:
+                worker.mode = "ok"
+            await asyncio.sleep(CALM_S)
+            soak.calm_from = time.monotonic()
+            await asyncio.sleep(3)
+            soak.done = True
+            await asyncio.gather(*callers)
+            soak.check()
+        except BaseException:
+            path = os.path.join(rig.folder, "faults.json")
+            with open(path, "w") as file:
+                json.dump(soak.log, file, indent=1)
+            print("seed %d: logs and faults are in %s" % (seed, rig.folder))
+            raise
+        return len(soak.results), len(soak.log)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--hosts", type=int, default=4)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.seed, options.seed + options.runs):
+        try:
+            requests, faults = asyncio.run(run_once(
+                seed, options.seconds, options.hosts, 100 + seed % 90))
+            print("ok seed %d: %d requests, %d faults" %
+                  (seed, requests, faults), flush=True)
+        except BaseException:  # every way to fail is a result
+            failed += 1
+            print("FAILED seed %d\n%s" % (seed, traceback.format_exc()),
+                  flush=True)
+    print("soak: %d passed, %d failed" % (options.runs - failed, failed))
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
