--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -181,6 +181,12 @@
 	g_free(address);
 }
 
+static void own_on_snapshot(struct proxyd *proxyd)
+{
+	peer_on_snapshot(proxyd);
+	duty_on_snapshot(proxyd);
+}
+
 static void on_changed(void *ctx, const struct store_item *item)
 {
 	static void (*const apply[FOLLOW_COUNT])(
@@ -276,7 +282,7 @@
 	follow->present = NULL;
 	follow->whole = true;
 	if (follow == &proxyd->follow[FOLLOW_OWN])
-		duty_on_snapshot(proxyd);
+		own_on_snapshot(proxyd);
 	slog(SLOG_NOTICE, "follow",
 	     "prefix=%s revision=%" G_GINT64_FORMAT " outcome=snapshot",
 	     follow->prefix, follow->snapshot_at);
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -253,6 +253,22 @@
 	proxyd->members->options.seeds = proxyd->seeds;
 }
 
+void peer_on_snapshot(struct proxyd *proxyd)
+{
+	const struct store *own = proxyd->follow[FOLLOW_OWN].replica;
+	GHashTableIter iter;
+	gpointer value;
+
+	proxyd->listed_hosts = 0;
+	g_hash_table_iter_init(&iter, own->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct store_item *item = value;
+
+		proxyd->listed_hosts +=
+			item->value && g_str_has_prefix(item->key, HOST_PREFIX);
+	}
+}
+
 void peer_on_host_key(struct proxyd *proxyd, const char *address)
 {
 	struct sockaddr_in addr;
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -82,7 +82,10 @@
 
 unsigned proxyd_hosts(const struct proxyd *proxyd)
 {
-	return 1 + (unsigned)member_live_count(proxyd->members);
+	unsigned known = 1 + (unsigned)member_live_count(proxyd->members);
+
+	return quota_sharers(known, proxyd->listed_hosts,
+			     proxyd_now(proxyd) - proxyd->started_at);
 }
 
 struct pool_state *proxyd_pool(struct proxyd *proxyd, const char *name)
@@ -462,6 +465,7 @@
 		  (int)conf->log_rate);
 	if (!listen_all(proxyd, error))
 		return false;
+	proxyd->started_at = proxyd_now(proxyd);
 	clients_create(proxyd);
 	decide_create(proxyd);
 	follow_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -99,9 +99,11 @@
 	struct member_list *members;
 	char **seeds; /* RPC addresses */
 	struct follow follow[FOLLOW_COUNT];
-	clk_ms store_lost_at; /* 0: it answers */
-	clk_ms store_back_at; /* when it answered again */
-	struct tab *tab;      /* NULL: no configuration yet */
+	clk_ms started_at;
+	unsigned listed_hosts; /* by their keys in the store, at the start */
+	clk_ms store_lost_at;  /* 0: it answers */
+	clk_ms store_back_at;  /* when it answered again */
+	struct tab *tab;       /* NULL: no configuration yet */
 	int64_t tab_revision;
 	struct fleet *fleet;
 	GHashTable *quotas; /* account -> struct quota */
@@ -175,6 +177,8 @@
 void peer_on_report(void *ctx, const w_report *report);
 void peer_on_relay(void *ctx, const w_relay *relay);
 void peer_on_bad(void *ctx);
+/* All items under OWN_PREFIX were read. */
+void peer_on_snapshot(struct proxyd *proxyd);
 /* An own key of another host was seen: its RPC address. */
 void peer_on_host_key(struct proxyd *proxyd, const char *address);
 
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -8,8 +8,14 @@
 #define OWN_SLACK_SHARE 0.3 /* of the slack, over all hosts' own buckets */
 #define SLACK_SHARE 0.45    /* of the slack that the common bucket holds */
 #define OVERSHOOT 1.05	  /* of the rate that is let through; 1.1 is allowed */
+#define SETTLE_MS 4000	  /* after a start, to hear of all other hosts */
 #define PRESSED_SHARE 0.6 /* of the common bucket: less is left under load */
 
+unsigned quota_sharers(unsigned known, unsigned listed, clk_ms since_start)
+{
+	return since_start < SETTLE_MS ? MAX(known, listed) : known;
+}
+
 struct quota *quota_create(void)
 {
 	struct quota *quota = g_new0(struct quota, 1);
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -41,6 +41,10 @@
  * nothing. */
 void quota_set(struct quota *quota, double rate, double burst, double slack,
 	       bool full, clk_ms now);
+/* How many hosts share limits: those known, or, for some time after a start,
+ * those that were listed when this host started, if they are more. Hosts that
+ * start at once, and know nobody yet, must not each take all for theirs. */
+unsigned quota_sharers(unsigned known, unsigned listed, clk_ms since_start);
 /* Takes units for a request; hosts: those that share the limit. If there are
  * too few, returns false and sets come_back to the ms until there are. */
 bool quota_take(struct quota *quota, double units, unsigned hosts, clk_ms now,
