--- a/daemon/proxyd-door.c
+++ b/daemon/proxyd-door.c
@@ -59,13 +59,15 @@
 	hist_print(&proxyd->placed_ms, "placed_ms", text);
 	hist_print(&proxyd->first_ms, "first_ms", text);
 	hist_print(&proxyd->whole_ms, "whole_ms", text);
-	g_string_append_printf(text,
-			       "requests_open %u\nhosts_live %u\n"
-			       "config_revision %" G_GINT64_FORMAT
-			       "\nworkers %u\n",
-			       g_hash_table_size(proxyd->open),
-			       proxyd_hosts(proxyd), proxyd->tab_revision,
-			       g_hash_table_size(proxyd->fleet->workers));
+	g_string_append_printf(
+		text,
+		"hosts_reporting %u\nduty_fence %" G_GINT64_FORMAT
+		"\nrequests_open %u\nhosts_live %u\n"
+		"config_revision %" G_GINT64_FORMAT "\nworkers %u\n",
+		sums_hosts(proxyd->inflight), proxyd->duty.fence,
+		g_hash_table_size(proxyd->open), proxyd_hosts(proxyd),
+		proxyd->tab_revision,
+		g_hash_table_size(proxyd->fleet->workers));
 	hs_reply(call, 200, "Content-Type: text/plain\r\n", text->str,
 		 text->len);
 	g_string_free(text, TRUE);
--- a/daemon/proxyd-duty.c
+++ b/daemon/proxyd-duty.c
@@ -5,8 +5,10 @@
 
 #include "../wire/json.h"
 
-#define SETTLE_MS 2500 /* after a window, for all hosts' counts */
-#define TERM_SHARE 0.8 /* of the time in which holders may not change back */
+#define SETTLE_MS 2500	/* after a window, for all hosts' counts */
+#define TERM_SHARE 0.8	/* of the time in which holders may not change back */
+#define SETTLED_MS 3000 /* to know the other hosts, and their ranks */
+#define KNOWN_SHARE 0.8 /* of the hosts listed, to tell ranks sooner */
 #define CLOUD_TIMEOUT_MS 1500
 #define REPORT_RETRY_MS 400
 #define USAGE_LEASE_MS 600000 /* windows' counts are kept in the store */
@@ -306,6 +308,38 @@
 	}
 }
 
+/* Whether this host may take the duties: it is one of those that hear all
+ * reports, in the eyes of all. A host that has just started knows too few
+ * others to tell. */
+static bool is_eligible(const struct proxyd *proxyd)
+{
+	unsigned known = 1 + (unsigned)member_live_count(proxyd->members);
+	bool settled = proxyd_now(proxyd) - proxyd->started_at >= SETTLED_MS ||
+		       known >= proxyd->listed_hosts * KNOWN_SHARE;
+
+	return settled && follow_ready(proxyd) && !proxyd->stopping &&
+	       peer_is_first(proxyd) && proxyd->follow[FOLLOW_OWN].whole;
+}
+
+/* A holder to which the others do not report gives the duties up. */
+static void rank_check(struct proxyd *proxyd)
+{
+	struct leader *leader = proxyd->leader;
+	clk_ms now = proxyd_now(proxyd);
+
+	if (proxyd->duty.state != DUTY_HELD || peer_is_first(proxyd)) {
+		leader->first_at = now;
+		return;
+	}
+	if (now - leader->first_at < SETTLED_MS)
+		return;
+	slog(SLOG_NOTICE, "duty",
+	     "fence=%" G_GINT64_FORMAT
+	     " outcome=given_up why=others_rank_before hosts=%u",
+	     proxyd->duty.fence, proxyd_hosts(proxyd));
+	duty_stop(proxyd);
+}
+
 void duty_run(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_boot_now();
@@ -317,10 +351,8 @@
 	scale_observe(proxyd);
 	step_do(proxyd, duty_tick(&proxyd->duty,
 				  member_self_rank(proxyd->members, DUTY_RANK),
-				  follow_ready(proxyd) && !proxyd->stopping &&
-					  peer_is_first(proxyd) &&
-					  proxyd->follow[FOLLOW_OWN].whole,
-				  now));
+				  is_eligible(proxyd), now));
+	rank_check(proxyd);
 	holds = duty_may_act(&proxyd->duty, now);
 	if (holds != leader->was_holder) {
 		leader->was_holder = holds;
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -16,6 +16,7 @@
 	clk_ms next_report;
 	int64_t usage_lease; /* of the windows' keys; 0: none */
 	clk_ms lease_until;  /* windows are written under it */
+	clk_ms first_at;     /* when it was last known to be among the first */
 	bool was_holder;
 };
 
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -291,6 +291,16 @@
 	}
 }
 
+/* Workers that were there before this host knew of any demand: those that the
+ * operators provide, or, if they have been replaced, those that replaced
+ * them. */
+static unsigned provided(struct proxyd *proxyd, const struct tab_pool *pool)
+{
+	unsigned full = fleet_count_full(proxyd->fleet, pool->name);
+
+	return full ? full : fleet_count(proxyd->fleet, pool->name);
+}
+
 /* Follows the demand of one pool. */
 static void pool_observe(struct proxyd *proxyd, const struct tab_pool *pool)
 {
@@ -302,10 +312,8 @@
 	if (busy > 0)
 		scaled->seen = true;
 	if (!scaled->seen)
-		scaled->need.busy =
-			MAX(scaled->need.busy,
-			    START_SHARE * fleet_count_full(proxyd->fleet,
-							   pool->name));
+		scaled->need.busy = MAX(scaled->need.busy,
+					START_SHARE * provided(proxyd, pool));
 	if (scaled->seen)
 		scale_need_add(&scaled->need, busy, now);
 }
--- a/decide/sums.c
+++ b/decide/sums.c
@@ -121,6 +121,11 @@
 	}
 }
 
+unsigned sums_hosts(const struct sums *sums)
+{
+	return g_hash_table_size(sums->hosts);
+}
+
 double sums_total(const struct sums *sums, uint32_t key)
 {
 	const double *total =
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -640,6 +640,29 @@
         duty_check(rig.cloud)
 
 
+async def test_proxy_holder_hears_all_after_a_restart(net):
+    """Hosts that all start at once don't know their ranks at first: in the
+    end the duties are with one that all others report to."""
+    async with Rig(net, hosts=14, llm=1, api=1) as rig:
+        await rig.until_members()
+        for host in rig.hosts:
+            host.kill()
+        # The key of the holder lapses; one host is there before the others.
+        await asyncio.sleep(3)
+        rig.hosts[0].start(first_start=False)
+        await asyncio.sleep(1.5)
+        for host in rig.hosts[1:]:
+            host.start(first_start=False)
+        await asyncio.sleep(12)
+        heard = {}
+        for host in rig.hosts:
+            text = (await host.get(host.metrics, "/metrics")).body.decode()
+            values = dict(line.split(" ", 1) for line in text.splitlines())
+            if int(values["duty_fence"]):
+                heard[host.name] = int(values["hosts_reporting"])
+        assert len(heard) == 1 and min(heard.values()) >= 13, heard
+
+
 async def test_proxy_no_orders_before_workers_are_listed(net):
     """At the start workers are listed one after the other: those that were
     provided are not given up for want of knowing them."""
