--- a/Makefile
+++ b/Makefile
@@ -93,6 +93,11 @@
 soak: tests
 	$(B)/tests/sim-home --seed $(SEED) --runs $(RUNS)
 
+# Faults at random against rw-proxyd: make soak-faults SEED=1 RUNS=50
+SECONDS ?= 10
+soak-faults: all
+	tests/proxysoak.py --seed $(SEED) --runs $(RUNS) --seconds $(SECONDS)
+
 # Every measurement; see docs/PROOFS.md and docs/CAPACITY.md.
 bench: all tests
 	tools/bench.py
@@ -115,4 +120,4 @@
 clean:
 	rm -rf build build-asan
 
-.PHONY: tests demo check soak bench asan generate rpcgen format clean
+.PHONY: tests demo check soak soak-faults bench asan generate rpcgen format clean
--- a/tests/proxysoak.py
+++ b/tests/proxysoak.py
@@ -121,28 +121,32 @@
             self.note("kill " + host.name)
             host.process.send_signal(signal.SIGCONT)
             host.kill()
+        process = host.process
         await asyncio.sleep(self.rand.uniform(0, 1.5))
-        if host.process.poll() is not None:
+        if host.process is process and process.poll() is not None:
             host.start(first_start=False)
 
     async def host_stopped(self):
         host = self.rand.choice(self.rig.hosts)
-        if host.process.poll() is None:
+        process = host.process
+        if process.poll() is None:
             self.note("stop " + host.name)
-            host.signal(signal.SIGTERM)
-        while host.process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+        while process.poll() is None:
             await asyncio.sleep(0.05)
-        host.start(first_start=False)
+        # Another fault may have started it already.
+        if host.process is process:
+            host.start(first_start=False)
 
     async def host_paused(self):
         host = self.rand.choice(self.rig.hosts)
-        if host.process.poll() is not None:
+        process = host.process
+        if process.poll() is not None:
             return
         self.note("pause " + host.name)
-        host.signal(signal.SIGSTOP)
+        process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(self.rand.uniform(0.2, 4))
-        if host.process.poll() is None:
-            host.signal(signal.SIGCONT)
+        process.send_signal(signal.SIGCONT)
 
     async def host_reloaded(self):
         host = self.rand.choice(self.rig.hosts)
