--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -176,6 +176,7 @@
 		xfer->px.begun = true;
 	}
 	hs_send(xfer->call, events->str, events->len);
+	proxyd_count(xfer->proxyd, CTR_events);
 }
 
 static void on_data(void *ctx, const char *ptr, size_t len)
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "../wire/sync.h"
+#include "../wire/tcp.h"
 
 #define SYNC_TIMEOUT_MS 1500
 #define SYNC_GAP_MS 300	   /* between two exchanges for newer items */
@@ -273,9 +274,10 @@
 {
 	struct sockaddr_in addr;
 
-	if (uv_ip4_addr("0.0.0.0", 0, &addr) != 0 || !strchr(address, ':'))
-		return;
-	seed_add(proxyd, address);
+	if (tcp_address(address, &addr))
+		seed_add(proxyd, address);
+	else
+		slog(SLOG_WARN, "host", "address=%s outcome=not_used", address);
 }
 
 void peer_start(struct proxyd *proxyd)
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -8,9 +8,9 @@
 #define ORDER_TIMEOUT_MS 1500
 #define REPEAT_MS 2000 /* an order is sent again, if it isn't met */
 #define RUN_PERIOD_MS 500
-#define LISTED_MS                                                              \
-	2000 /* without a new worker, the list is whole at the start */
-#define START_SHARE 0.55   /* busy workers of those present at the start */
+#define LISTED_MS 2000	 /* without a new one, all provided workers are listed \
+			  */
+#define START_SHARE 0.55 /* busy workers of those present at the start */
 #define LOWER_SPOT_MS 4000 /* reclaimable workers are given up after it */
 #define LOWER_FULL_MS 1000 /* full ones, which cost more */
 
@@ -24,7 +24,7 @@
 struct order {
 	struct proxyd *proxyd;
 	char *pool;
-	char *zone;
+	char *dc;
 	bool spot;
 	int ordered; /* that the platform has accepted; -1: none yet */
 	int asked;   /* of the call under way */
@@ -44,7 +44,7 @@
 	clk_ms listed_at;   /* when their number changed last */
 	char *plan;	    /* that was logged last */
 	GHashTable *demand; /* process -> struct demand */
-	GHashTable *orders; /* "zone\nkind" -> struct order */
+	GHashTable *orders; /* "dc\nkind" -> struct order */
 };
 
 static struct scaled *scaled_of(struct proxyd *proxyd, const char *pool)
@@ -96,9 +96,9 @@
 }
 
 static struct order *order_of(struct proxyd *proxyd, struct scaled *scaled,
-			      const char *pool, const char *zone, bool spot)
+			      const char *pool, const char *dc, bool spot)
 {
-	char *key = g_strdup_printf("%s\n%d", zone, spot);
+	char *key = g_strdup_printf("%s\n%d", dc, spot);
 	struct order *order = g_hash_table_lookup(scaled->orders, key);
 
 	if (order) {
@@ -108,7 +108,7 @@
 	order = g_new0(struct order, 1);
 	order->proxyd = proxyd;
 	order->pool = g_strdup(pool);
-	order->zone = g_strdup(zone);
+	order->dc = g_strdup(dc);
 	order->spot = spot;
 	order->ordered = -1;
 	g_hash_table_insert(scaled->orders, key, order);
@@ -140,7 +140,7 @@
 	}
 	slog(SLOG_NOTICE, "order",
 	     "pool=%s data_centre=%s spot=%d count=%d outcome=%s", order->pool,
-	     order->zone, order->spot, order->asked, names[outcome]);
+	     order->dc, order->spot, order->asked, names[outcome]);
 }
 
 /* Sends an order, if it is due. */
@@ -154,7 +154,7 @@
 	};
 	struct cloud_order wanted = {
 		.pool = order->pool,
-		.data_centre = order->zone,
+		.data_centre = order->dc,
 		.count = want,
 		.spot = order->spot,
 	};
@@ -189,23 +189,23 @@
 }
 
 /* Fills what is to be had in a pool's data centres. */
-static size_t zones_fill(struct proxyd *proxyd, struct scaled *scaled,
-			 const struct tab_pool *pool, struct scale_zone *zones)
+static size_t dcs_fill(struct proxyd *proxyd, struct scaled *scaled,
+		       const struct tab_pool *pool, struct scale_dc *dcs)
 {
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 	size_t count = 0;
 
-	g_hash_table_iter_init(&iter, pool->scaling.zone_prices);
+	g_hash_table_iter_init(&iter, pool->scaling.dc_prices);
 	while (g_hash_table_iter_next(&iter, &key, &value) &&
-	       count < SCALE_ZONES_MAX) {
+	       count < SCALE_DCS_MAX) {
 		const struct order *spot =
 			order_of(proxyd, scaled, pool->name, key, true);
 		const struct order *full =
 			order_of(proxyd, scaled, pool->name, key, false);
 
-		zones[count++] = (struct scale_zone){
+		dcs[count++] = (struct scale_dc){
 			.name = key,
 			.price = *(double *)value,
 			.spot_dry = spot->dry,
@@ -221,14 +221,14 @@
 
 /* Logs a plan that differs from the one before. */
 static void plan_log(struct scaled *scaled, const struct tab_pool *pool,
-		     const struct scale_zone *zones, size_t count)
+		     const struct scale_dc *dcs, size_t count)
 {
 	GString *text = g_string_new(NULL);
 
 	for (size_t i = 0; i < count; i++)
-		g_string_append_printf(text, " %s=%d/%d+%d/%d", zones[i].name,
-				       zones[i].spot_ready, zones[i].want_spot,
-				       zones[i].full_ready, zones[i].want_full);
+		g_string_append_printf(text, " %s=%d/%d+%d/%d", dcs[i].name,
+				       dcs[i].spot_ready, dcs[i].want_spot,
+				       dcs[i].full_ready, dcs[i].want_full);
 	if (g_strcmp0(text->str, scaled->plan) == 0) {
 		g_string_free(text, TRUE);
 		return;
@@ -259,35 +259,34 @@
 static void pool_run(struct proxyd *proxyd, const struct tab_pool *pool)
 {
 	struct scaled *scaled = scaled_of(proxyd, pool->name);
-	struct scale_zone zones[SCALE_ZONES_MAX];
+	struct scale_dc dcs[SCALE_DCS_MAX];
 	struct scale_limits limits = {
 		.min = pool->scaling.min,
 		.max = pool->scaling.max,
-		.spot_price = pool->scaling.spot_price,
 	};
 	clk_ms now = proxyd_now(proxyd);
-	size_t count = zones_fill(proxyd, scaled, pool, zones);
+	size_t count = dcs_fill(proxyd, scaled, pool, dcs);
 
 	if (!scaled->planned && !pool_is_known(proxyd, scaled, pool))
 		return;
 	scaled->planned = true;
-	scale_plan(zones, count, &limits, scaled->need.busy);
-	plan_log(scaled, pool, zones, count);
+	scale_plan(dcs, count, &limits, scaled->need.busy);
+	plan_log(scaled, pool, dcs, count);
 	for (size_t i = 0; i < count; i++) {
-		struct scale_zone *zone = &zones[i];
+		struct scale_dc *dc = &dcs[i];
 		struct order *spot =
-			order_of(proxyd, scaled, pool->name, zone->name, true);
+			order_of(proxyd, scaled, pool->name, dc->name, true);
 		struct order *full =
-			order_of(proxyd, scaled, pool->name, zone->name, false);
-
-		order_send(spot,
-			   order_lowered(spot, zone->want_spot,
-					 zone->spot_ready, now),
-			   zone->spot_ready);
-		order_send(full,
-			   order_lowered(full, zone->want_full,
-					 zone->full_ready, now),
-			   zone->full_ready);
+			order_of(proxyd, scaled, pool->name, dc->name, false);
+
+		order_send(
+			spot,
+			order_lowered(spot, dc->want_spot, dc->spot_ready, now),
+			dc->spot_ready);
+		order_send(
+			full,
+			order_lowered(full, dc->want_full, dc->full_ready, now),
+			dc->full_ready);
 	}
 }
 
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -146,8 +146,7 @@
 
 bool fleet_takes_work(const struct fleet_worker *worker)
 {
-	return !worker->entry.leaving && !worker->marked && !worker->removed &&
-	       !worker->gone_at;
+	return !worker->entry.leaving && !worker->removed && !worker->gone_at;
 }
 
 /* Which workers a choice is made among, in the order of preference. */
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -50,7 +50,6 @@
 struct fleet_worker {
 	struct fleet_entry entry;
 	int64_t revision; /* the list's revision of the entry */
-	bool marked;	  /* a peer says that it leaves */
 	clk_ms gone_at;	  /* when a missing entry counts as gone; 0: is there.
 			   * Until then it is used only if nothing else is */
 	struct fleet_health health;
--- a/decide/scale.c
+++ b/decide/scale.c
@@ -40,21 +40,20 @@
 }
 
 /* Data centres where more reclaimable workers are to be had. */
-static size_t spot_zones(const struct scale_zone *zones, size_t count)
+static size_t spot_dcs(const struct scale_dc *dcs, size_t count)
 {
 	size_t open = 0;
 
 	for (size_t i = 0; i < count; i++)
-		open += !zones[i].spot_dry;
+		open += !dcs[i].spot_dry;
 	return open;
 }
 
 /* Reclaimable workers for each of so many data centres, so that what is left
  * after the loss of one is enough. */
-static int each_of(int need, size_t zones, int max)
+static int each_of(int need, size_t dcs, int max)
 {
-	int each = zones > 1 ? (int)ceil((double)need / (double)(zones - 1))
-			     : need;
+	int each = dcs > 1 ? (int)ceil((double)need / (double)(dcs - 1)) : need;
 
 	return each < max ? each : max;
 }
@@ -65,73 +64,73 @@
 }
 
 /* Reclaimable workers that are there, or come. */
-static int spot_coming(const struct scale_zone *zone)
+static int spot_coming(const struct scale_dc *dc)
 {
-	return zone->spot_dry ? least(zone->spot_ready, zone->want_spot)
-			      : zone->want_spot;
+	return dc->spot_dry ? least(dc->spot_ready, dc->want_spot)
+			    : dc->want_spot;
 }
 
 /* The cheapest data centre for one more full worker, or NULL: one where it is
  * there already, or, if not kept, one where there is room for it. */
-static struct scale_zone *cheapest(struct scale_zone *zones, size_t count,
-				   int max, bool kept)
+static struct scale_dc *cheapest(struct scale_dc *dcs, size_t count, int max,
+				 bool kept)
 {
-	struct scale_zone *best = NULL;
+	struct scale_dc *best = NULL;
 
 	for (size_t i = 0; i < count; i++) {
-		struct scale_zone *zone = &zones[i];
+		struct scale_dc *dc = &dcs[i];
 
-		if (kept ? zone->full_ready <= zone->want_full
-			 : zone->full_dry ||
-				    spot_coming(zone) + zone->want_full >= max)
+		if (kept ? dc->full_ready <= dc->want_full
+			 : dc->full_dry ||
+				    spot_coming(dc) + dc->want_full >= max)
 			continue;
-		if (!best || zone->price < best->price)
-			best = zone;
+		if (!best || dc->price < best->price)
+			best = dc;
 	}
 	return best;
 }
 
 /* Adds full workers until there are enough; returns how many there are. */
-static int full_add(struct scale_zone *zones, size_t count, int max, bool kept,
+static int full_add(struct scale_dc *dcs, size_t count, int max, bool kept,
 		    int have, int need)
 {
 	while (have < need) {
-		struct scale_zone *zone = cheapest(zones, count, max, kept);
+		struct scale_dc *dc = cheapest(dcs, count, max, kept);
 
-		if (!zone)
+		if (!dc)
 			break;
-		zone->want_full++;
+		dc->want_full++;
 		have++;
 	}
 	return have;
 }
 
-void scale_plan(struct scale_zone *zones, size_t count,
+void scale_plan(struct scale_dc *dcs, size_t count,
 		const struct scale_limits *limits, double busy)
 {
 	int need = workers_for(busy);
-	size_t open = spot_zones(zones, count);
+	size_t open = spot_dcs(dcs, count);
 	int coming = 0;
 	int ready = 0;
 
 	for (size_t i = 0; i < count; i++) {
-		struct scale_zone *zone = &zones[i];
+		struct scale_dc *dc = &dcs[i];
 
 		/* Where none are to be had, they are still asked for. */
-		zone->want_spot = each_of(need, zone->spot_dry ? count : open,
-					  limits->max);
-		zone->want_full = 0;
-		if (spot_coming(zone) < limits->min)
-			zone->want_full = limits->min - spot_coming(zone);
-		coming += spot_coming(zone) + zone->want_full;
+		dc->want_spot =
+			each_of(need, dc->spot_dry ? count : open, limits->max);
+		dc->want_full = 0;
+		if (spot_coming(dc) < limits->min)
+			dc->want_full = limits->min - spot_coming(dc);
+		coming += spot_coming(dc) + dc->want_full;
 	}
 	/* Full workers take as long to come as reclaimable ones: they are
 	 * ordered only for those that don't come. */
-	coming = full_add(zones, count, limits->max, true, coming, need);
-	full_add(zones, count, limits->max, false, coming, need);
+	coming = full_add(dcs, count, limits->max, true, coming, need);
+	full_add(dcs, count, limits->max, false, coming, need);
 	/* Those that are there are kept until the others have come. */
 	for (size_t i = 0; i < count; i++)
-		ready += least(zones[i].spot_ready, zones[i].want_spot) +
-			 least(zones[i].full_ready, zones[i].want_full);
-	full_add(zones, count, limits->max, true, ready, need);
+		ready += least(dcs[i].spot_ready, dcs[i].want_spot) +
+			 least(dcs[i].full_ready, dcs[i].want_full);
+	full_add(dcs, count, limits->max, true, ready, need);
 }
--- a/decide/scale.h
+++ b/decide/scale.h
@@ -14,10 +14,10 @@
 
 #include "clk.h"
 
-#define SCALE_ZONES_MAX 16 /* data centres of one pool */
+#define SCALE_DCS_MAX 16 /* data centres of one pool */
 
 /* What is to be had, and wanted, in one data centre. */
-struct scale_zone {
+struct scale_dc {
 	const char *name;
 	double price;	/* of a full worker, per second */
 	bool spot_dry;	/* no reclaimable ones are to be had now */
@@ -32,7 +32,6 @@
 struct scale_limits {
 	int min; /* workers per data centre, of both kinds together */
 	int max;
-	double spot_price; /* part of a full worker's price */
 };
 
 /* Busy workers that a pool's demand means. Single measures are noise, as a
@@ -47,7 +46,7 @@
 /* Takes a new measure of the demand. */
 void scale_need_add(struct scale_need *need, double busy, clk_ms now);
 /* Plans for so many busy workers. */
-void scale_plan(struct scale_zone *zones, size_t count,
+void scale_plan(struct scale_dc *dcs, size_t count,
 		const struct scale_limits *limits, double busy);
 
 #endif
--- a/decide/sums.c
+++ b/decide/sums.c
@@ -126,14 +126,6 @@
 	return g_hash_table_size(sums->hosts);
 }
 
-double sums_total(const struct sums *sums, uint32_t key)
-{
-	const double *total =
-		g_hash_table_lookup(sums->totals, GUINT_TO_POINTER(key));
-
-	return total ? *total : 0;
-}
-
 double sums_of(const struct sums *sums, const char *process, uint32_t key)
 {
 	const struct told *told = g_hash_table_lookup(sums->hosts, process);
--- a/decide/sums.h
+++ b/decide/sums.h
@@ -39,7 +39,6 @@
 void sums_expire(struct sums *sums, clk_ms before);
 /* Processes that are counted. */
 unsigned sums_hosts(const struct sums *sums);
-double sums_total(const struct sums *sums, uint32_t key);
 /* What a process told about something; 0 if nothing. */
 double sums_of(const struct sums *sums, const char *process, uint32_t key);
 /* Calls fn for each total. */
--- a/decide/tab.c
+++ b/decide/tab.c
@@ -7,8 +7,8 @@
 {
 	struct tab_pool *pool = data;
 
-	if (pool->scaling.zone_prices)
-		g_hash_table_destroy(pool->scaling.zone_prices);
+	if (pool->scaling.dc_prices)
+		g_hash_table_destroy(pool->scaling.dc_prices);
 	g_free(pool->name);
 	g_free(pool);
 }
--- a/decide/tab.h
+++ b/decide/tab.h
@@ -18,9 +18,9 @@
 	bool enabled;
 	int min; /* workers per data centre, of both kinds together */
 	int max;
-	clk_ms boot;	   /* from the order to the first request */
-	double spot_price; /* of a reclaimable worker, part of a full one */
-	GHashTable *zone_prices; /* data centre -> double, per second */
+	clk_ms boot;	       /* from the order to the first request */
+	double spot_price;     /* of a reclaimable worker, part of a full one */
+	GHashTable *dc_prices; /* data centre -> double, per second */
 };
 
 /* A pool of upstreams. */
--- a/tests/http.c
+++ b/tests/http.c
@@ -629,18 +629,26 @@
 }
 END_TEST
 
-START_TEST(server_sees_a_caller_go)
+/* Starts a server with a request that is not answered yet. */
+static struct front *front_hold(int *fd)
 {
 	static const char bytes[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
 	struct front *front;
-	int fd;
 
 	uv_loop_init(&loop);
 	front = front_start();
-	fd = front_connect();
-	send(fd, bytes, strlen(bytes), 0);
+	*fd = front_connect();
+	send(*fd, bytes, strlen(bytes), 0);
 	loop_for(50);
 	ck_assert_ptr_nonnull(front->held);
+	return front;
+}
+
+START_TEST(server_sees_a_caller_go)
+{
+	int fd;
+	struct front *front = front_hold(&fd);
+
 	close(fd);
 	loop_for(50);
 	ck_assert_int_eq(front->gone, 1);
@@ -685,17 +693,11 @@
 
 START_TEST(server_drains)
 {
-	static const char bytes[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
-	struct front *front;
 	bool ended;
 	char *answer;
 	int fd;
+	struct front *front = front_hold(&fd);
 
-	uv_loop_init(&loop);
-	front = front_start();
-	fd = front_connect();
-	send(fd, bytes, strlen(bytes), 0);
-	loop_for(50);
 	hs_drain(front->hs);
 	loop_for(50);
 	/* What is under way is answered, and the connection ends with it. */
@@ -713,17 +715,11 @@
 
 START_TEST(server_aborts_visibly)
 {
-	static const char bytes[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
-	struct front *front;
 	bool ended;
 	char *answer;
 	int fd;
+	struct front *front = front_hold(&fd);
 
-	uv_loop_init(&loop);
-	front = front_start();
-	fd = front_connect();
-	send(fd, bytes, strlen(bytes), 0);
-	loop_for(50);
 	hs_begin(front->held, 200, NULL);
 	hs_send(front->held, "hi", 2);
 	hs_abort(front->held);
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -753,27 +753,27 @@
 
 START_TEST(scale_plans)
 {
-	struct scale_zone zones[4] = {
+	struct scale_dc dcs[4] = {
 		{ .name = "a", .price = 1.0 },
 		{ .name = "b", .price = 0.8 },
 		{ .name = "c", .price = 1.25 },
 		{ .name = "d", .price = 0.9 },
 	};
-	struct scale_limits limits = { .min = 1, .max = 6, .spot_price = 0.2 };
+	struct scale_limits limits = { .min = 1, .max = 6 };
 
 	for (int i = 0; i < 4; i++) {
-		zones[i].spot_dry = scale_cases[_i].dry[i];
-		zones[i].spot_ready = scale_cases[_i].ready[i];
-		zones[i].full_ready = scale_cases[_i].full_ready[i];
+		dcs[i].spot_dry = scale_cases[_i].dry[i];
+		dcs[i].spot_ready = scale_cases[_i].ready[i];
+		dcs[i].full_ready = scale_cases[_i].full_ready[i];
 	}
-	scale_plan(zones, 4, &limits, scale_cases[_i].busy);
+	scale_plan(dcs, 4, &limits, scale_cases[_i].busy);
 	for (int i = 0; i < 4; i++) {
-		ck_assert_msg(zones[i].want_spot == scale_cases[_i].spot[i],
+		ck_assert_msg(dcs[i].want_spot == scale_cases[_i].spot[i],
 			      "%s: data centre %d: %d reclaimable ones",
-			      scale_cases[_i].what, i, zones[i].want_spot);
-		ck_assert_msg(zones[i].want_full == scale_cases[_i].full[i],
+			      scale_cases[_i].what, i, dcs[i].want_spot);
+		ck_assert_msg(dcs[i].want_full == scale_cases[_i].full[i],
 			      "%s: data centre %d: %d full ones",
-			      scale_cases[_i].what, i, zones[i].want_full);
+			      scale_cases[_i].what, i, dcs[i].want_full);
 	}
 }
 END_TEST
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -51,7 +51,7 @@
 	X(answered_late, "requests whose time was over")                       \
 	X(broken_off, "answers broken off after they had begun")               \
 	X(callers_gone, "callers who left before their answer")                \
-	X(events, "events of streams passed on")                               \
+	X(events, "writes of whole events to callers")                         \
 	X(ends_unsent, "attempts of which not a byte was sent")                \
 	X(ends_not_run, "attempts that an upstream refused, not run")          \
 	X(ends_failed, "attempts that ended in an upstream's failure")         \
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -362,7 +362,7 @@
 struct hc_call *hc_start(struct hc_peer *peer, const struct hc_spec *spec)
 {
 	struct hc_call *call = g_new0(struct hc_call, 1);
-	struct hc_conn *conn = spec->fresh ? NULL : peer_take_idle(peer);
+	struct hc_conn *conn = peer_take_idle(peer);
 
 	call->spec = *spec;
 	call->out = g_string_new_len(spec->head, (gssize)spec->head_len);
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -37,7 +37,6 @@
 	GBytes *body;	/* or NULL */
 	const char *id; /* value of the id header; NULL: not checked */
 	bool head_only; /* the method is HEAD */
-	bool fresh;	/* on a new connection only */
 	void (*on_sent)(void *ctx, bool reused); /* may be NULL */
 	void (*on_head)(void *ctx, const struct h1_head *head);
 	void (*on_data)(void *ctx, const char *ptr, size_t len);
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -497,11 +497,6 @@
 	return call->at;
 }
 
-unsigned hs_call_earlier(const struct hs_call *call)
-{
-	return call->conn->served;
-}
-
 void hs_call_on_gone(struct hs_call *call, void (*fn)(void *ctx), void *ctx)
 {
 	call->on_gone = fn;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -54,8 +54,6 @@
 char *hs_call_query(const struct hs_call *call, const char *name);
 /* Loop time at which the request was whole, in ms. */
 clk_ms hs_call_at(const struct hs_call *call);
-/* How many requests came on this connection before this one. */
-unsigned hs_call_earlier(const struct hs_call *call);
 /* Sets what is called, at most once, if the caller goes away. The call is
  * gone when fn returns. */
 void hs_call_on_gone(struct hs_call *call, void (*fn)(void *ctx), void *ctx);
