--- a/Makefile
+++ b/Makefile
@@ -43,13 +43,13 @@
 $(B)/rw-fake-service: $(B)/fakes/service.o $(B)/fakes/fake.o $(B)/librw.a
 	$(link)
 $(B)/rw-entryd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/entryd*.c)) \
-		$(B)/daemon/args.o $(B)/librw.a
+		$(B)/librw.a
 	$(link)
 $(B)/rw-proxyd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/proxyd*.c)) \
-		$(B)/daemon/args.o $(PLATFORM_OBJ) $(B)/librw.a
+		$(PLATFORM_OBJ) $(B)/librw.a
 	$(link)
 $(B)/rw-admind: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/admind*.c)) \
-		$(B)/daemon/args.o $(B)/librw.a
+		$(B)/librw.a
 	$(link)
 $(B)/rwctl: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/ctl*.c)) $(B)/librw.a
 	$(link)
--- a/daemon/admind.c
+++ b/daemon/admind.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #include "../wire/log.h"
-#include "args.h"
+#include "../wire/args.h"
 
 #define MAX_BODY (1 << 20)
 #define SETTINGS_PATH "/v1/settings/"
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "args.h"
+#include "../wire/args.h"
 
 #define TICK_MS 20
 #define RESEND_MS 250
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -8,7 +8,8 @@
 #define ORDER_TIMEOUT_MS 1500
 #define REPEAT_MS 2000 /* an order is sent again, if it isn't met */
 #define RUN_PERIOD_MS 500
-#define LISTED_MS 2000	 /* without a new one, all provided workers are listed \
+#define LISTED_MS                                                              \
+	2000		 /* without a new one, all provided workers are listed \
 			  */
 #define START_SHARE 0.55 /* busy workers of those present at the start */
 #define LOWER_SPOT_MS 4000 /* reclaimable workers are given up after it */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -8,7 +8,7 @@
 #include <sys/stat.h>
 #include <time.h>
 
-#include "args.h"
+#include "../wire/args.h"
 
 #define TICK_MS 100		/* of everything that is looked at by time */
 #define STATUS_PERIOD_MS 10000	/* between lines that sum up */
--- a/tests/sim-home.c
+++ b/tests/sim-home.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #include "../decide/home.h"
+#include "../wire/args.h"
 #include "sim.h"
 
 #define HOSTS 5
@@ -1219,8 +1220,13 @@
 	};
 	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
 
-	if (poptGetNextOpt(popt) < -1 || (off && !rule_parse(off, &rules_off)))
+	if (!args_read(popt, "sim-home"))
 		return 2;
+	if (off && !rule_parse(off, &rules_off)) {
+		fprintf(stderr, "sim-home: --off %s: there is no such rule\n",
+			off);
+		return 2;
+	}
 	for (int i = 0; i < runs; i++) {
 		run((guint32)(seed + i), rules_off, verbose, &world);
 		sum_up(&world, sums);
--- a/tests/sim-member.c
+++ b/tests/sim-member.c
@@ -12,6 +12,7 @@
 #include <time.h>
 
 #include "../decide/member.h"
+#include "../wire/args.h"
 #include "sim.h"
 
 #define PERIOD_MS 500
@@ -243,8 +244,13 @@
 	};
 	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
 
-	if (poptGetNextOpt(popt) < -1 || cluster.count <= cluster.victim)
+	if (!args_read(popt, "sim-member"))
 		return 2;
+	if (cluster.count <= cluster.victim) {
+		fprintf(stderr, "sim-member: --hosts %d: at least %d\n",
+			(int)cluster.count, (int)cluster.victim + 1);
+		return 2;
+	}
 	cluster.sim = sim_create((guint32)seed);
 	cluster.nodes = g_new0(struct node, cluster.count);
 	for (int i = 0; i < cluster.count; i++)
--- a/tests/sim-route.c
+++ b/tests/sim-route.c
@@ -18,6 +18,7 @@
 #include "../decide/admit.h"
 #include "../decide/retry.h"
 #include "../decide/route.h"
+#include "../wire/args.h"
 #include "sim.h"
 
 #define ENTRIES 6
@@ -680,11 +681,17 @@
 					POPT_AUTOHELP POPT_TABLEEND };
 	poptContext popt = poptGetContext(NULL, argc, argv, options, 0);
 
-	if (poptGetNextOpt(popt) < -1 || !(name = poptGetArg(popt)))
+	if (!args_read(popt, "sim-route"))
 		return 2;
+	name = poptGetArg(popt);
+	if (!name) {
+		fprintf(stderr, "sim-route: it takes the name of a bench\n");
+		return 2;
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(benches); i++)
 		if (!strcmp(benches[i].name, name))
 			return benches[i].fn((guint32)seed) ? EXIT_SUCCESS
 							    : EXIT_FAILURE;
+	fprintf(stderr, "sim-route: %s: there is no such bench\n", name);
 	return 2;
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -65,6 +65,13 @@
 run purity tools/purity.sh
 run generated generated
 run words tools/words.sh
+# A tool that can't take an argument says which, and why.
+bad_argument() {
+	"$1" "$2" 2>&1 | grep -q -- "$3"
+}
+run bad_argument_sim_home bad_argument "$B/tests/sim-home" \
+	--seed=4033277435 "seed=4033277435: number too large"
+run bad_argument_rw_proxyd bad_argument "$B/rw-proxyd" --no-such "no-such"
 run unit "$B/tests/unit"
 run unit_proxy "$B/tests/unit-proxy"
 run http "$B/tests/http"
--- a/daemon/args.c
+++ b/wire/args.c
@@ -1,9 +1,21 @@
-/* The command line of the processes that take one settings file. */
+/* Command lines. */
 #include "args.h"
 
 #include <popt.h>
 #include <stdio.h>
 
+bool args_read(poptContext popt, const char *program)
+{
+	int code = poptGetNextOpt(popt);
+
+	if (code >= -1)
+		return true;
+	fprintf(stderr, "%s: %s: %s\n", program,
+		poptBadOption(popt, POPT_BADOPTION_NOALIAS),
+		poptStrerror(code));
+	return false;
+}
+
 const char *args_settings_file(int argc, const char **argv)
 {
 	struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
@@ -11,7 +23,7 @@
 	const char *path = NULL;
 
 	poptSetOtherOptionHelp(popt, "SETTINGS-FILE");
-	if (poptGetNextOpt(popt) >= -1)
+	if (args_read(popt, argv[0]))
 		path = poptGetArg(popt);
 	if (!path)
 		poptPrintUsage(popt, stderr, 0);
