Test rig: ports below the range that connections are drawn from

The rig asked the kernel for a free port, let it go, and a connection of another test was given it before the process listened. Ports now come from 10000 to 31999, counted by each test process. Six process tests run after it: 6 passed. The whole check was not run again.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -4,12 +4,14 @@
 processes that it started, by id.
 """
 import http.client
+import itertools
 import json
 import os
 import signal
 import socket
 import subprocess
 import tempfile
+import threading
 import time
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -34,19 +36,38 @@
 SETTINGS.update({"town/account/" + name: {} for name in ACCOUNTS})
 
 
+# Below the range that the kernel draws from for connections: a port that is
+# free now is not taken by one before the process that is to listen starts.
+PORTS = range(10000, 32000)
+ports_lock = threading.Lock()
+ports_of = {}  # process id -> its ports; a forked process has its own
+
+
+def next_port():
+    """Returns a port that this process has not returned lately."""
+    with ports_lock:
+        pid = os.getpid()
+        if pid not in ports_of:
+            first = pid * 100 % len(PORTS)
+            ports_of[pid] = itertools.cycle(
+                itertools.chain(PORTS[first:], PORTS[:first]))
+        return next(ports_of[pid])
+
+
 def free_ports(count):
     """Returns TCP ports that are free for TCP and UDP now."""
     held, ports = [], []
     while len(ports) < count:
+        port = next_port()
         tcp = socket.socket()
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        tcp.bind(("127.0.0.1", 0))
+        held += [tcp, udp]
         try:
-            udp.bind(("127.0.0.1", tcp.getsockname()[1]))
-            ports.append(tcp.getsockname()[1])
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            ports.append(port)
         except OSError:
             pass
-        held += [tcp, udp]
     for sock in held:
         sock.close()
     return ports
