RPC on wire/tcp; one bound for few hosts; ranks by one sort

And member_each_first ranked each member by a pass over all, at every gossip message: with 80 hosts 6,400 hashes.

Change: rpc.c uses wire/tcp; peer_all_watch alone tells whether hosts are few; sync_updates_take; one table of ends; ranks by one sort.

--- a/daemon/entryd-member.c
+++ b/daemon/entryd-member.c
@@ -102,17 +102,12 @@
 {
 	struct sync_call *call = ctx;
 	struct entryd *entryd = call->entryd;
-	struct member_update update;
 	struct member_mark mark;
 
 	entryd->sync_until = 0;
 	if (res) {
 		entryd->peers_heard++;
-		for (u_int i = 0; i < res->updates.updates_len; i++)
-			if (rpc_update_from_wire(&res->updates.updates_val[i],
-						 &update))
-				member_on_update(entryd->members, &update,
-						 entryd_now(entryd));
+		sync_updates_take(entryd->members, res, entryd_now(entryd));
 		for (u_int i = 0; i < res->marks.marks_len; i++)
 			if (rpc_mark_from_wire(&res->marks.marks_val[i], &mark))
 				member_on_mark(entryd->members, &mark);
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -60,24 +60,24 @@
 
 void attempt_over(struct xfer *xfer, enum px_end end, const char *why)
 {
-	static const enum ctr counters[] = {
-		[PX_END_UNSENT] = CTR_ends_unsent,
-		[PX_END_NOT_RUN] = CTR_ends_not_run,
-		[PX_END_WHOLE] = CTR_attempts,
-		[PX_END_FAILED] = CTR_ends_failed,
-		[PX_END_CUT] = CTR_ends_cut,
-	};
-	static const enum fleet_verdict verdicts[] = {
-		[PX_END_UNSENT] = FLEET_BROKEN, [PX_END_NOT_RUN] = FLEET_GOOD,
-		[PX_END_WHOLE] = FLEET_GOOD,	[PX_END_FAILED] = FLEET_FAILED,
-		[PX_END_CUT] = FLEET_BROKEN,
+	static const struct {
+		enum ctr counter;
+		bool judged; /* it says something of the worker */
+		enum fleet_verdict verdict;
+	} ends[] = {
+		[PX_END_UNSENT] = { CTR_ends_unsent, true, FLEET_BROKEN },
+		[PX_END_NOT_RUN] = { CTR_ends_not_run, false, FLEET_GOOD },
+		[PX_END_WHOLE] = { CTR_attempts, true, FLEET_GOOD },
+		[PX_END_FAILED] = { CTR_ends_failed, true, FLEET_FAILED },
+		[PX_END_CUT] = { CTR_ends_cut, true, FLEET_BROKEN },
 	};
 	struct proxyd *proxyd = xfer->proxyd;
 	struct px_room room = room_of(xfer);
 
-	proxyd_count(proxyd, counters[end]);
-	if (end != PX_END_NOT_RUN)
-		fleet_judge(xfer->worker, verdicts[end], proxyd_now(proxyd));
+	proxyd_count(proxyd, ends[end].counter);
+	if (ends[end].judged)
+		fleet_judge(xfer->worker, ends[end].verdict,
+			    proxyd_now(proxyd));
 	if (end != PX_END_WHOLE)
 		slog(SLOG_INFO, "attempt",
 		     "id=%s worker=%s attempt=%u sent_ms=%" G_GINT64_FORMAT
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -34,6 +34,11 @@
 	return MAX(WATCH_HOSTS_MIN, hosts / HOSTS_PER_WATCHER + 1);
 }
 
+bool peer_all_watch(const struct proxyd *proxyd)
+{
+	return peer_watchers(proxyd) >= proxyd_hosts(proxyd);
+}
+
 bool peer_tells(const struct member *member, unsigned rank, unsigned count)
 {
 	return sums_key(member->info.incarnation) % count == rank;
@@ -78,8 +83,8 @@
 		    workers != proxyd->beat_workers;
 	const GPtrArray *order = proxyd->members->order;
 
-	if (rank >= count || proxyd_hosts(proxyd) <= ALL_WATCH_HOSTS ||
-	    proxyd->store_lost_at || (!news && now < proxyd->next_beat))
+	if (rank >= count || peer_all_watch(proxyd) || proxyd->store_lost_at ||
+	    (!news && now < proxyd->next_beat))
 		return;
 	proxyd->next_beat = now + BEAT_MS;
 	proxyd->beat_config = config;
@@ -177,15 +182,11 @@
 {
 	struct sync_call *call = ctx;
 	struct proxyd *proxyd = call->proxyd;
-	struct member_update update;
 
 	g_free(call);
 	if (!res)
 		return;
-	for (u_int i = 0; i < res->updates.updates_len; i++)
-		if (rpc_update_from_wire(&res->updates.updates_val[i], &update))
-			member_on_update(proxyd->members, &update,
-					 proxyd_now(proxyd));
+	sync_updates_take(proxyd->members, res, proxyd_now(proxyd));
 	sync_items_take(proxyd->follow[FOLLOW_CONFIG].replica, &res->settings);
 	sync_items_take(proxyd->follow[FOLLOW_WORKERS].replica, &res->hosts);
 }
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -12,7 +12,6 @@
 
 #define REPORT_PERIOD_MS 500
 #define RELAY_PERIOD_MS 500
-#define ALL_HOSTS 12	  /* up to so many hosts, each tells all others */
 #define PRESSED_MS 300	  /* between reports near a limit, beyond that */
 #define TOLD_KEEP_MS 2500 /* a host's requests count after its last report */
 #define ALL_SAMPLES 0
@@ -182,7 +181,7 @@
 }
 
 /* Makes a report and sends it; full: with what is not pressing too. */
-static void report_make(struct proxyd *proxyd, unsigned hosts, bool full)
+static void report_make(struct proxyd *proxyd, bool full)
 {
 	struct filling filling = {
 		.proxyd = proxyd,
@@ -195,8 +194,7 @@
 	}
 	inflight_fill(&filling);
 	spent_fill(&filling);
-	member_each_first(proxyd->members, DUTY_RANK,
-			  hosts <= ALL_HOSTS ? hosts : peer_watchers(proxyd),
+	member_each_first(proxyd->members, DUTY_RANK, peer_watchers(proxyd),
 			  report_to, &filling);
 	report_free(&filling.report);
 }
@@ -304,8 +302,7 @@
 void report_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
-	unsigned hosts = proxyd_hosts(proxyd);
-	bool few = hosts <= ALL_HOSTS;
+	bool few = peer_all_watch(proxyd);
 	bool due = now >= proxyd->next_report;
 	clk_ms age = now - proxyd->reported_at;
 
@@ -317,7 +314,7 @@
 	proxyd->reported_at = now;
 	if (due)
 		proxyd->next_report = now + REPORT_PERIOD_MS;
-	report_make(proxyd, hosts, due);
+	report_make(proxyd, due);
 	if (!few && due && peer_is_first(proxyd))
 		relay_all(proxyd);
 }
--- a/decide/member.c
+++ b/decide/member.c
@@ -184,46 +184,71 @@
 	return best;
 }
 
-/* Counts the live members, this host included, of a greater weight. */
-static unsigned rank_of(const struct member_list *list, const char *key,
-			uint64_t weight)
+unsigned member_self_rank(const struct member_list *list, const char *key)
 {
-	unsigned better = weight_of(list->self.incarnation, key) > weight;
+	uint64_t own = weight_of(list->self.incarnation, key);
+	unsigned better = 0;
 
 	for (guint i = 0; i < list->order->len; i++) {
 		const struct member *member = g_ptr_array_index(list->order, i);
 
 		if (member->info.state == MEMBER_ALIVE &&
-		    weight_of(member->info.incarnation, key) > weight)
+		    weight_of(member->info.incarnation, key) > own)
 			better++;
 	}
 	return better;
 }
 
-unsigned member_self_rank(const struct member_list *list, const char *key)
-{
-	return rank_of(list, key, weight_of(list->self.incarnation, key));
-}
-
 bool member_self_is_among(const struct member_list *list, const char *key,
 			  unsigned n)
 {
 	return member_self_rank(list, key) < n;
 }
 
+/* A candidate and its weight for a key; member is NULL for this host. */
+struct ranked {
+	uint64_t weight;
+	const struct member *member;
+};
+
+static gint ranked_order(gconstpointer a, gconstpointer b)
+{
+	uint64_t x = ((const struct ranked *)a)->weight;
+	uint64_t y = ((const struct ranked *)b)->weight;
+
+	return x < y ? 1 : x > y ? -1 : 0;
+}
+
 void member_each_first(const struct member_list *list, const char *key,
 		       unsigned n,
 		       void (*fn)(void *ctx, const struct member *member),
 		       void *ctx)
 {
+	GArray *ranked = g_array_sized_new(FALSE, FALSE, sizeof(struct ranked),
+					   list->order->len + 1);
+	struct ranked self = {
+		.weight = weight_of(list->self.incarnation, key),
+	};
+
+	g_array_append_val(ranked, self);
 	for (guint i = 0; i < list->order->len; i++) {
 		const struct member *member = g_ptr_array_index(list->order, i);
+		struct ranked one = { .member = member };
 
-		if (member->info.state == MEMBER_ALIVE &&
-		    rank_of(list, key,
-			    weight_of(member->info.incarnation, key)) < n)
-			fn(ctx, member);
+		if (member->info.state != MEMBER_ALIVE)
+			continue;
+		one.weight = weight_of(member->info.incarnation, key);
+		g_array_append_val(ranked, one);
+	}
+	g_array_sort(ranked, ranked_order);
+	for (guint i = 0; i < MIN(n, ranked->len); i++) {
+		const struct ranked *one =
+			&g_array_index(ranked, struct ranked, i);
+
+		if (one->member)
+			fn(ctx, one->member);
 	}
+	g_array_free(ranked, TRUE);
 }
 
 size_t member_live_count(const struct member_list *list)
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -2,11 +2,12 @@
 #include "rpc.h"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <rpc/rpc.h>
 #include <rpc/rpc_msg.h>
 
+#include "tcp.h"
+
 #define LISTEN_BACKLOG 256     /* connections */
 #define RECORD_MAX (24 << 20)  /* bytes of one record */
 #define MARK_BYTES 4	       /* of a record's header */
@@ -21,13 +22,11 @@
 /* A connection, made or accepted. */
 struct rpc_conn {
 	struct rpc *rpc;
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	char *peer; /* address, if this host made it */
+	struct tcp *tcp;
+	char *peer;	/* address, if this host made it */
+	size_t counted; /* bytes of tcp->in that the counter has */
 	bool connected;
 	bool closing;
-	GByteArray *in;
-	GByteArray *pending; /* queued until it is connected */
 	clk_ms last_used;
 	clk_ms began;
 };
@@ -54,33 +53,13 @@
 	char datagram[DATAGRAM_MAX];
 };
 
-/* One write under way. */
-struct rpc_write {
-	uv_write_t write;
-	void *data;
-};
+static const struct tcp_ops conn_ops;
 
 static clk_ms now_of(const struct rpc *rpc)
 {
 	return (clk_ms)uv_now(rpc->loop);
 }
 
-/* Splits "IP:port". */
-static bool address_parse(const char *text, struct sockaddr_in *addr)
-{
-	const char *colon = strrchr(text, ':');
-	char *host;
-	bool ok;
-
-	if (!colon)
-		return false;
-	host = g_strndup(text, (gsize)(colon - text));
-	ok = uv_ip4_addr(host, (int)g_ascii_strtoll(colon + 1, NULL, 10),
-			 addr) == 0;
-	g_free(host);
-	return ok;
-}
-
 /* Encodes a call; returns its length, or 0 if it does not fit. */
 static size_t call_encode(struct rpc *rpc, rpcproc_t proc, xdrproc_t encode,
 			  const void *args, char *buf, size_t size)
@@ -115,16 +94,6 @@
 
 /* Connections. */
 
-static void conn_on_closed(uv_handle_t *handle)
-{
-	struct rpc_conn *conn = handle->data;
-
-	g_byte_array_free(conn->in, TRUE);
-	g_byte_array_free(conn->pending, TRUE);
-	g_free(conn->peer);
-	g_free(conn);
-}
-
 static void conn_close(struct rpc_conn *conn)
 {
 	if (conn->closing)
@@ -134,19 +103,9 @@
 		g_hash_table_remove(conn->rpc->peers, conn->peer);
 	else
 		g_ptr_array_remove_fast(conn->rpc->accepted, conn);
-	uv_close((uv_handle_t *)&conn->tcp, conn_on_closed);
-}
-
-/* Has a connection to a host that fell silent end. */
-static void conn_watch_peer(struct rpc_conn *conn)
-{
-	unsigned timeout = PEER_LIMIT_MS;
-	uv_os_fd_t fd;
-
-	uv_tcp_keepalive(&conn->tcp, 1, 1);
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-			   sizeof(timeout));
+	tcp_close(conn->tcp);
+	g_free(conn->peer);
+	g_free(conn);
 }
 
 static struct rpc_conn *conn_create(struct rpc *rpc)
@@ -154,48 +113,26 @@
 	struct rpc_conn *conn = g_new0(struct rpc_conn, 1);
 
 	conn->rpc = rpc;
-	conn->in = g_byte_array_new();
-	conn->pending = g_byte_array_new();
 	conn->last_used = now_of(rpc);
 	conn->began = now_of(rpc);
-	uv_tcp_init(rpc->loop, &conn->tcp);
-	conn->tcp.data = conn;
+	conn->tcp = tcp_create(rpc->loop, &conn_ops, conn);
 	return conn;
 }
 
-static void write_on_done(uv_write_t *req, int status)
+/* Begins to read from a connection that is open. */
+static void conn_start(struct rpc_conn *conn)
 {
-	struct rpc_write *write = (struct rpc_write *)req;
-	struct rpc_conn *conn = req->handle->data;
-
-	if (status != 0)
-		conn_close(conn);
-	g_free(write->data);
-	g_free(write);
+	conn->connected = true;
+	tcp_watch_peer(conn->tcp, PEER_LIMIT_MS);
+	tcp_read_start(conn->tcp);
 }
 
-/* Writes bytes and takes them over. */
-static void conn_write(struct rpc_conn *conn, void *data, size_t len)
+/* Writes bytes; until it is connected, they are queued. */
+static void conn_write(struct rpc_conn *conn, const void *data, size_t len)
 {
-	struct rpc_write *write = g_new0(struct rpc_write, 1);
-	uv_buf_t buf = uv_buf_init(data, (unsigned)len);
-
-	write->data = data;
 	conn->last_used = now_of(conn->rpc);
 	conn->rpc->counters.bytes_out += len;
-	if (uv_write(&write->write, (uv_stream_t *)&conn->tcp, &buf, 1,
-		     write_on_done) != 0) {
-		g_free(data);
-		g_free(write);
-		conn_close(conn);
-	}
-}
-
-static void alloc_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
-{
-	(void)handle;
-	buf->base = g_malloc(suggested);
-	buf->len = suggested;
+	tcp_write(conn->tcp, data, len);
 }
 
 /* Answers a call of RW_SYNC. */
@@ -223,9 +160,8 @@
 
 		mark_put(buf, len);
 		conn_write(conn, buf, len + MARK_BYTES);
-	} else {
-		g_free(buf);
 	}
+	g_free(buf);
 	xdr_destroy(&xdr);
 	xdr_free((xdrproc_t)xdr_w_sync_res, &res);
 }
@@ -329,85 +265,73 @@
 /* Serves the whole records of what was read. */
 static bool take_input(struct rpc_conn *conn)
 {
+	const GString *in = conn->tcp->in;
 	size_t used = 0;
 
-	while (conn->in->len - used >= MARK_BYTES) {
+	while (in->len - used >= MARK_BYTES) {
 		u_int32_t mark;
 		size_t len;
 
-		memcpy(&mark, conn->in->data + used, MARK_BYTES);
+		memcpy(&mark, in->str + used, MARK_BYTES);
 		mark = ntohl(mark);
 		len = mark & ~MARK_LAST;
 		if (!(mark & MARK_LAST) || len > RECORD_MAX)
 			return false;
-		if (conn->in->len - used - MARK_BYTES < len)
+		if (in->len - used - MARK_BYTES < len)
 			break;
-		if (!take_record(conn,
-				 (char *)conn->in->data + used + MARK_BYTES,
-				 len))
+		if (!take_record(conn, in->str + used + MARK_BYTES, len))
 			return false;
 		used += MARK_BYTES + len;
 	}
 	if (used > 0)
-		g_byte_array_remove_range(conn->in, 0, (guint)used);
+		tcp_consume(conn->tcp, used);
 	return true;
 }
 
-static void conn_on_read(uv_stream_t *stream, ssize_t count,
-			 const uv_buf_t *buf)
+static void conn_on_data(void *ctx)
 {
-	struct rpc_conn *conn = stream->data;
+	struct rpc_conn *conn = ctx;
 
-	if (count > 0) {
-		conn->last_used = now_of(conn->rpc);
-		conn->rpc->counters.bytes_in += (uint64_t)count;
-		g_byte_array_append(conn->in, (guint8 *)buf->base,
-				    (guint)count);
-	}
-	g_free(buf->base);
-	if (count < 0) {
-		conn_close(conn);
-		return;
-	}
+	conn->last_used = now_of(conn->rpc);
+	conn->rpc->counters.bytes_in += conn->tcp->in->len - conn->counted;
 	if (!take_input(conn)) {
 		count_bad(conn->rpc);
 		conn_close(conn);
+		return;
 	}
+	conn->counted = conn->tcp->in->len;
 }
 
-static void conn_on_connect(uv_connect_t *req, int status)
+static void conn_on_end(void *ctx, bool clean)
 {
-	struct rpc_conn *conn = req->data;
-	guint len = conn->pending->len;
+	(void)clean; /* a record that is not whole counts for nothing */
+	conn_close(ctx);
+}
 
-	if (status != 0) {
-		conn_close(conn);
-		return;
-	}
-	conn->connected = true;
-	uv_tcp_nodelay(&conn->tcp, 1);
-	conn_watch_peer(conn);
-	uv_read_start((uv_stream_t *)&conn->tcp, alloc_buffer, conn_on_read);
-	if (len > 0) {
-		conn_write(conn, g_byte_array_free(conn->pending, FALSE), len);
-		conn->pending = g_byte_array_new();
-	}
+static const struct tcp_ops conn_ops = {
+	.on_data = conn_on_data,
+	.on_end = conn_on_end,
+};
+
+static void conn_on_connect(void *ctx, bool ok)
+{
+	if (ok)
+		conn_start(ctx);
+	else
+		conn_close(ctx);
 }
 
 /* Finds the connection to a peer, or begins to make one. */
 static struct rpc_conn *peer_get(struct rpc *rpc, const char *to)
 {
 	struct rpc_conn *conn = g_hash_table_lookup(rpc->peers, to);
-	struct sockaddr_in addr;
 
-	if (conn || !address_parse(to, &addr))
+	if (conn)
 		return conn;
 	conn = conn_create(rpc);
 	conn->peer = g_strdup(to);
-	conn->connect.data = conn;
 	g_hash_table_insert(rpc->peers, conn->peer, conn);
-	if (uv_tcp_connect(&conn->connect, &conn->tcp, (struct sockaddr *)&addr,
-			   conn_on_connect) != 0) {
+	if (!tcp_connect(conn->tcp, to, conn_on_connect)) {
 		conn_close(conn);
 		return NULL;
 	}
@@ -424,21 +348,14 @@
 	char *buf;
 	size_t len;
 
-	if (!conn || conn->pending->len > PENDING_MAX)
+	if (!conn || conn->tcp->pending > PENDING_MAX)
 		return ++rpc->xid;
 	buf = g_malloc(size + MARK_BYTES);
 	len = call_encode(rpc, proc, encode, args, buf + MARK_BYTES, size);
-	if (len == 0) {
-		g_free(buf);
-		return rpc->xid;
-	}
-	mark_put(buf, len);
-	if (conn->connected) {
+	if (len > 0) {
+		mark_put(buf, len);
 		conn_write(conn, buf, len + MARK_BYTES);
-		return rpc->xid;
 	}
-	g_byte_array_append(conn->pending, (guint8 *)buf,
-			    (guint)(len + MARK_BYTES));
 	g_free(buf);
 	return rpc->xid;
 }
@@ -490,7 +407,7 @@
 	uv_buf_t out;
 	size_t len;
 
-	if (!address_parse(to, &addr))
+	if (!tcp_address(to, &addr))
 		return;
 	rpc_gossip_to_wire(msg, &wire, updates, marks);
 	len = call_encode(rpc, RW_GOSSIP, (xdrproc_t)xdr_w_gossip, &wire, buf,
@@ -553,15 +470,11 @@
 	if (status != 0)
 		return;
 	conn = conn_create(rpc);
-	conn->connected = true;
 	g_ptr_array_add(rpc->accepted, conn);
-	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0) {
+	if (tcp_accept(conn->tcp, listener))
+		conn_start(conn);
+	else
 		conn_close(conn);
-		return;
-	}
-	uv_tcp_nodelay(&conn->tcp, 1);
-	conn_watch_peer(conn);
-	uv_read_start((uv_stream_t *)&conn->tcp, alloc_buffer, conn_on_read);
 }
 
 /* Tells callers whose answers are late, closes idle connections. */
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -1,6 +1,8 @@
 /* What hosts send each other in a full exchange. */
 #include "sync.h"
 
+#include "rpc.h"
+
 /* Puts received items into a replica. */
 void sync_items_take(struct store *store, const w_items *items)
 {
@@ -63,6 +65,16 @@
 	store_each_after(store, items->full ? 0 : after, fill_add, &fill);
 }
 
+void sync_updates_take(struct member_list *members, const w_sync_res *res,
+		       clk_ms now)
+{
+	struct member_update update;
+
+	for (u_int i = 0; i < res->updates.updates_len; i++)
+		if (rpc_update_from_wire(&res->updates.updates_val[i], &update))
+			member_on_update(members, &update, now);
+}
+
 static void update_copy(const struct member_update *update, w_update *wire)
 {
 	wire->incarnation = g_strdup(update->incarnation);
