Watches that a silent store has swallowed are made anew

Ruled out: gossip of revisions (no host had the newer one), the back-off (no call had failed yet).

Change: the watch of workers waits 1.8 s instead of 8, so that a silence is noticed; a lost store is probed by short watches, at most 1.2 s apart; when one call is answered again, the others' watches are made anew.

Test: proxy.py test_proxy_config_after_a_silent_outage; the stand-in's silence now swallows waiting calls.

--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -3,15 +3,23 @@
 
 #include <string.h>
 
-#define WATCH_WAIT_MS 8000 /* of one watch; a silent store shows after it */
+#define WATCH_WAIT_MS 8000 /* of one watch */
+/* Of the watch by which a silent store is noticed: with the time that an
+ * answer may take, less than the time after which hosts must be up to date
+ * again. */
+#define WATCH_SHORT_MS 1800
+#define WATCH_PROBE_MS 100 /* of a watch while the store is lost */
 #define RETRY_MS 300	   /* after a failed call; doubled, up to */
-#define RETRY_MAX_MS 2400
+#define RETRY_MAX_MS 1200
 #define RETURN_MS 2500 /* entries that lapsed are back after it */
 
-static const char *const prefixes[FOLLOW_COUNT] = {
-	[FOLLOW_CONFIG] = DECODE_CONFIG_PREFIX,
-	[FOLLOW_WORKERS] = DECODE_WORKER_PREFIX,
-	[FOLLOW_OWN] = OWN_PREFIX,
+static const struct {
+	const char *prefix;
+	clk_ms watch_wait;
+} followed[FOLLOW_COUNT] = {
+	[FOLLOW_CONFIG] = { DECODE_CONFIG_PREFIX, WATCH_WAIT_MS },
+	[FOLLOW_WORKERS] = { DECODE_WORKER_PREFIX, WATCH_SHORT_MS },
+	[FOLLOW_OWN] = { OWN_PREFIX, WATCH_WAIT_MS },
 };
 
 static void follow_next(struct follow *follow);
@@ -200,6 +208,20 @@
 	apply[follow - follow->proxyd->follow](follow->proxyd, item);
 }
 
+/* Makes the watches anew that the silence may have swallowed. */
+static void watches_renew(struct proxyd *proxyd)
+{
+	for (int i = 0; i < FOLLOW_COUNT; i++) {
+		struct follow *follow = &proxyd->follow[i];
+
+		if (!follow->watch)
+			continue;
+		kv_drop(follow->watch);
+		follow->watch = NULL;
+		follow_next(follow);
+	}
+}
+
 /* The store answers, or does not: the change is logged. */
 static void store_seen(struct proxyd *proxyd, bool answers)
 {
@@ -211,6 +233,7 @@
 		     now - proxyd->store_lost_at);
 		proxyd->store_lost_at = 0;
 		proxyd->store_back_at = now;
+		watches_renew(proxyd);
 	} else if (!answers && !proxyd->store_lost_at) {
 		slog(SLOG_WARN, "store", "outcome=lost");
 		proxyd->store_lost_at = now;
@@ -296,6 +319,7 @@
 {
 	struct follow *follow = ctx;
 
+	follow->watch = NULL;
 	follow->reading = false;
 	if (outcome != KV_OK) {
 		follow_failed(follow, outcome);
@@ -320,8 +344,14 @@
 
 	follow->reading = true;
 	if (follow->whole) {
-		kv_watch(proxyd->kv, follow->prefix, follow->replica->revision,
-			 WATCH_WAIT_MS, on_watch, follow);
+		clk_ms wait =
+			proxyd->store_lost_at
+				? WATCH_PROBE_MS
+				: followed[follow - proxyd->follow].watch_wait;
+
+		follow->watch = kv_watch(proxyd->kv, follow->prefix,
+					 follow->replica->revision, wait,
+					 on_watch, follow);
 		return;
 	}
 	if (follow->present)
@@ -339,7 +369,7 @@
 		struct follow *follow = &proxyd->follow[i];
 
 		follow->proxyd = proxyd;
-		follow->prefix = prefixes[i];
+		follow->prefix = followed[i].prefix;
 		follow->replica = store_create(on_changed, follow);
 	}
 }
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -69,9 +69,9 @@
 	int64_t snapshot_at; /* revision of its first page */
 	bool reading;	     /* a call is under way */
 	bool whole;	     /* a snapshot was read: only changes are watched */
-	bool lost;	     /* the last call had no usable answer */
-	clk_ms next;	     /* of the next call */
-	unsigned failures;   /* in a row */
+	struct kv_call *watch; /* that waits, or NULL */
+	clk_ms next;	       /* of the next call */
+	unsigned failures;     /* in a row */
 };
 
 enum { FOLLOW_CONFIG, FOLLOW_WORKERS, FOLLOW_OWN, FOLLOW_COUNT };
@@ -162,6 +162,8 @@
 /* proxyd-peer.c */
 /* How many hosts follow the store, and add the others' figures up. */
 unsigned peer_watchers(const struct proxyd *proxyd);
+/* Whether hosts are so few that each of them does. */
+bool peer_all_watch(const struct proxyd *proxyd);
 /* Whether the one of these with a rank tells a member what there is. */
 bool peer_tells(const struct member *member, unsigned rank, unsigned count);
 /* Whether this host follows the store itself. Where hosts are many, a few do
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -19,6 +19,7 @@
 
 TEST_LIMIT_S = 60
 CONFIG_BOUND_S = 2.0   # from a change's acknowledgement to its being in force
+STABLE_S = 3.0         # after an outage, until bounds hold again
 GONE_BOUND_S = 0.5     # from a caller's close to the end of its run
 DRAIN_BOUND_S = 2.0    # from a worker's leaving to no new work
 PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
@@ -349,6 +350,41 @@
             rig.store.faults.clear()
 
 
+async def test_proxy_config_after_a_silent_outage(net):
+    """A silence of the store swallows the calls that wait in it: changes
+    after it are in force in time all the same."""
+    async with Rig(net, hosts=2) as rig:
+        await rig.until_members()
+        version = 1
+        # A watch begins at each change; the silence comes some time later.
+        for gap, silence in ((0.1, 2.5), (1.0, 4.0), (2.0, 6.0)):
+            version += 1
+            rig.store.put("op/config", config(version))
+            await asyncio.sleep(gap)
+            rig.store.faults[None] = "silent"
+            await asyncio.sleep(silence)
+            rig.store.faults.clear()
+            back = time.monotonic()
+            await asyncio.sleep(1)
+            version += 1
+            prefix = "/n%d/" % version
+            rig.store.put("op/config", config(version, dict(
+                ROUTES, **{prefix: ROUTES["/i/"]})))
+            acked = time.monotonic()
+            waiting = set(rig.hosts)
+            while waiting and time.monotonic() < acked + 12:
+                for host in list(waiting):
+                    got = await host.ask("GET", prefix + "x")
+                    if got.status == 200:
+                        waiting.discard(host)
+                await asyncio.sleep(0.05)
+            now = time.monotonic()
+            print("config %.1f s after a silence of %.1f s: in force after "
+                  "%.2f s" % (acked - back, silence, now - acked))
+            assert now < max(acked + CONFIG_BOUND_S, back + STABLE_S), (
+                gap, silence, now - acked)
+
+
 async def test_proxy_key_is_revoked(net):
     async with Rig(net, hosts=2) as rig:
         await rig.until_members()
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -59,6 +59,7 @@
         self.faults = {}
         self.lost = set()   # kinds of calls whose answers are lost
         self.pause = False  # leases don't lapse
+        self.silent_at = {}  # host -> when the store was last silent to it
         self.calls = []     # (host, method, path)
         self.changed = asyncio.Event()
 
@@ -73,6 +74,9 @@
     async def tick(self):
         while True:
             await asyncio.sleep(0.05)
+            for host, fault in self.faults.items():
+                if fault == "silent":
+                    self.silent_at[host] = time.monotonic()
             if self.pause:
                 for lease in self.leases.values():
                     lease[0] = time.monotonic() + lease[1]
@@ -123,7 +127,11 @@
                 self.calls.append((host, method, path))
                 if not await self.meet(host, writer):
                     return
+                began = time.monotonic()
                 status, value = await self.call(method, path, query, body)
+                if max(self.silent_at.get(host, 0),
+                       self.silent_at.get(None, 0)) > began:
+                    await asyncio.sleep(3600)  # swallowed by the silence
                 if self.fault(host):
                     return
                 if path.split("/")[2] in self.lost and method != "GET":
