Limits where hosts are many: reports at once, one relay, no gap twice

Change: with more than half of the common bucket left, equal shares don't bind; a host that has spent a small part untold reports at once, and keeps to its share until it has. Sums are taken from one relay at a time; what was spent in a gap of its reports doesn't count again. A host that has just started takes what others say they have spent off what it has saved up.

Tried and dropped: free use without looking at what is untold: 176,400 units in test_proxy_quota_when_all_restart, 107,000 allowed.

--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -11,8 +11,16 @@
 #include <string.h>
 
 #define REPORT_PERIOD_MS 500
+#define REPORT_FEW_MS                                                          \
+	250 /* where hosts are few: what one that is killed has                \
+	     * not told is more of what all have */
 #define RELAY_PERIOD_MS 500
-#define PRESSED_MS 300	  /* between reports near a limit, beyond that */
+#define PRESSED_MS                                                             \
+	300 /* between reports near a limit, where hosts are many              \
+	     */
+#define RELAY_GAP_MS                                                           \
+	1500		  /* a host that is silent for so long reports to      \
+			   * others, where hosts are many */
 #define TOLD_KEEP_MS 2500 /* a host's requests count after its last report */
 #define ALL_SAMPLES 0
 #define FEW_SAMPLES 3 /* workers drawn for a choice, where hosts are many */
@@ -22,6 +30,7 @@
 	struct proxyd *proxyd;
 	w_report report;
 	int64_t window;
+	double since_full; /* ms since the last full report */
 };
 
 static void told_changed(void *ctx, uint32_t key, double total)
@@ -88,7 +97,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct pool_state *pool = value;
 
-		pool->busy = pool->busy_ms / REPORT_PERIOD_MS;
+		pool->busy = pool->busy_ms / filling->since_full;
 		pool->busy_ms = 0;
 		report->demand.demand_val[at++] = (w_demand){
 			.pool = pool->name,
@@ -113,13 +122,15 @@
 	report->spent.spent_val = g_new0(w_part, g_hash_table_size(table));
 	g_hash_table_iter_init(&iter, table);
 	while (g_hash_table_iter_next(&iter, &key, &value)) {
-		const struct quota *quota = value;
+		struct quota *quota = value;
 
-		if (quota->rate > 0)
-			report->spent.spent_val[at++] = (w_part){
-				.key = GPOINTER_TO_UINT(key),
-				.value = quota->spent,
-			};
+		if (quota->rate <= 0)
+			continue;
+		report->spent.spent_val[at++] = (w_part){
+			.key = GPOINTER_TO_UINT(key),
+			.value = quota->spent,
+		};
+		quota_on_told(quota);
 	}
 	report->spent.spent_len = at;
 }
@@ -180,19 +191,37 @@
 	return false;
 }
 
-/* Makes a report and sends it; full: with what is not pressing too. */
+/* Whether the others have to know at once what this host has let through. */
+static bool accounts_owe(const struct proxyd *proxyd)
+{
+	unsigned hosts = proxyd_hosts(proxyd);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxyd->quotas);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (quota_owes(value, hosts))
+			return true;
+	return false;
+}
+
+/* Makes a report and sends it; full: with more than accounts' spending. */
 static void report_make(struct proxyd *proxyd, bool full)
 {
 	struct filling filling = {
 		.proxyd = proxyd,
 		.report.process = proxyd->members->self.incarnation,
+		.report.full = full,
+		.since_full = (double)MAX(
+			proxyd_now(proxyd) - proxyd->full_report_at, 1),
 	};
 
 	if (full) {
 		counts_fill(&filling);
 		demand_fill(&filling);
+		inflight_fill(&filling);
+		proxyd->full_report_at = proxyd_now(proxyd);
 	}
-	inflight_fill(&filling);
 	spent_fill(&filling);
 	member_each_first(proxyd->members, DUTY_RANK, peer_watchers(proxyd),
 			  report_to, &filling);
@@ -255,20 +284,27 @@
 	return relaying.count;
 }
 
-static void relay_to(struct proxyd *proxyd, const struct member *member)
+/* full: with more than accounts' spending. */
+static void relay_to(struct proxyd *proxyd, const struct member *member,
+		     bool full)
 {
 	const char *process = member->info.incarnation;
-	w_relay relay = { .process = proxyd->members->self.incarnation };
+	w_relay relay = {
+		.process = proxyd->members->self.incarnation,
+		.full = full,
+	};
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
 
-	relay.inflight.inflight_len =
-		relay_fill(proxyd, process, proxyd->inflight, own_inflight,
-			   &relay.inflight.inflight_val);
-	relay.prompts.prompts_len =
-		relay_fill(proxyd, process, proxyd->prompts, own_prompts,
-			   &relay.prompts.prompts_val);
+	if (full) {
+		relay.inflight.inflight_len =
+			relay_fill(proxyd, process, proxyd->inflight,
+				   own_inflight, &relay.inflight.inflight_val);
+		relay.prompts.prompts_len =
+			relay_fill(proxyd, process, proxyd->prompts,
+				   own_prompts, &relay.prompts.prompts_val);
+	}
 	relay.spent.spent_val =
 		g_new0(w_part, g_hash_table_size(proxyd->account_keys));
 	g_hash_table_iter_init(&iter, proxyd->account_keys);
@@ -284,7 +320,7 @@
 }
 
 /* Tells this host's part of the others the sums. */
-static void relay_all(struct proxyd *proxyd)
+static void relay_all(struct proxyd *proxyd, bool full)
 {
 	unsigned count = peer_watchers(proxyd);
 	unsigned rank = member_self_rank(proxyd->members, DUTY_RANK);
@@ -295,7 +331,7 @@
 
 		if (member->info.state == MEMBER_ALIVE &&
 		    peer_tells(member, rank, count))
-			relay_to(proxyd, member);
+			relay_to(proxyd, member, full);
 	}
 }
 
@@ -309,14 +345,16 @@
 	sums_expire(proxyd->inflight, now - TOLD_KEEP_MS);
 	sums_expire(proxyd->prompts, now - TOLD_KEEP_MS);
 	proxyd->fleet->speed.samples = few ? ALL_SAMPLES : FEW_SAMPLES;
-	if (!due && (!accounts_pressed(proxyd) || (!few && age < PRESSED_MS)))
-		return;
-	proxyd->reported_at = now;
+	if (due || accounts_owe(proxyd) ||
+	    (accounts_pressed(proxyd) && (few || age >= PRESSED_MS))) {
+		proxyd->reported_at = now;
+		report_make(proxyd, due);
+	}
 	if (due)
-		proxyd->next_report = now + REPORT_PERIOD_MS;
-	report_make(proxyd, due);
-	if (!few && due && peer_is_first(proxyd))
-		relay_all(proxyd);
+		proxyd->next_report =
+			now + (few ? REPORT_FEW_MS : REPORT_PERIOD_MS);
+	if (!few && peer_is_first(proxyd) && (due || accounts_pressed(proxyd)))
+		relay_all(proxyd, due);
 }
 
 /* What hosts tell. */
@@ -338,12 +376,14 @@
 static void spent_take(struct proxyd *proxyd, const char *process,
 		       const w_part *parts, u_int count)
 {
+	clk_ms gap_max = peer_all_watch(proxyd) ? CLK_NEVER / 2 : RELAY_GAP_MS;
+
 	for (u_int i = 0; i < count; i++) {
 		struct quota *quota = g_hash_table_lookup(
 			proxyd->account_keys, GUINT_TO_POINTER(parts[i].key));
 
 		if (quota)
-			quota_on_report(quota, process, parts[i].value,
+			quota_on_report(quota, process, parts[i].value, gap_max,
 					proxyd_hosts(proxyd),
 					proxyd_now(proxyd));
 	}
@@ -363,11 +403,14 @@
 		scale_on_demand(proxyd, report->process,
 				report->demand.demand_val[i].pool,
 				report->demand.demand_val[i].busy);
-	parts_take(proxyd, proxyd->inflight, report->process,
-		   report->inflight.inflight_val,
-		   report->inflight.inflight_len);
-	parts_take(proxyd, proxyd->prompts, report->process,
-		   report->prompts.prompts_val, report->prompts.prompts_len);
+	if (report->full) {
+		parts_take(proxyd, proxyd->inflight, report->process,
+			   report->inflight.inflight_val,
+			   report->inflight.inflight_len);
+		parts_take(proxyd, proxyd->prompts, report->process,
+			   report->prompts.prompts_val,
+			   report->prompts.prompts_len);
+	}
 	spent_take(proxyd, report->process, report->spent.spent_val,
 		   report->spent.spent_len);
 }
@@ -375,21 +418,27 @@
 void peer_on_relay(void *ctx, const w_relay *relay)
 {
 	struct proxyd *proxyd = ctx;
-	char *process = g_strconcat("others~", relay->process, NULL);
+	clk_ms now = proxyd_now(proxyd);
+	char *process;
 
 	/* One that adds up itself hears all hosts, and needs no sums. */
-	if (!peer_is_first(proxyd)) {
-		proxyd->beat_at = proxyd_now(proxyd);
-		sums_expire(proxyd->inflight, proxyd_now(proxyd));
-		sums_expire(proxyd->prompts, proxyd_now(proxyd));
+	if (peer_is_first(proxyd))
+		return;
+	proxyd->beat_at = now;
+	if (!relay_accepts(&proxyd->relay, relay->process, now))
+		return;
+	process = g_strconcat("others~", relay->process, NULL);
+	if (relay->full) {
+		sums_expire(proxyd->inflight, now);
+		sums_expire(proxyd->prompts, now);
 		parts_take(proxyd, proxyd->inflight, process,
 			   relay->inflight.inflight_val,
 			   relay->inflight.inflight_len);
 		parts_take(proxyd, proxyd->prompts, process,
 			   relay->prompts.prompts_val,
 			   relay->prompts.prompts_len);
-		spent_take(proxyd, process, relay->spent.spent_val,
-			   relay->spent.spent_len);
 	}
+	spent_take(proxyd, process, relay->spent.spent_val,
+		   relay->spent.spent_len);
 	g_free(process);
 }
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -21,6 +21,7 @@
 #include "../decide/member.h"
 #include "../decide/px.h"
 #include "../decide/quota.h"
+#include "../decide/relay.h"
 #include "../decide/retry.h"
 #include "../decide/shed.h"
 #include "../decide/sse.h"
@@ -119,8 +120,10 @@
 	struct sums *inflight;	  /* other hosts' requests at workers */
 	GHashTable *account_keys; /* sums_key of a name -> struct quota */
 	clk_ms next_report;
+	clk_ms full_report_at; /* the last one with demand */
 	clk_ms reported_at;
 	clk_ms next_beat;
+	struct relay relay;  /* the host whose sums are taken */
 	clk_ms beat_at;	     /* when a host that watches was heard last */
 	int64_t beat_config; /* revisions that were shown last */
 	int64_t beat_workers;
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -10,6 +10,11 @@
 #define OVERSHOOT 1.05	  /* of the rate that is let through; 1.1 is allowed */
 #define SETTLE_MS 4000	  /* after a start, to hear of all other hosts */
 #define PRESSED_SHARE 0.6 /* of the common bucket: less is left under load */
+/* Of the common bucket: with more left, equal shares don't bind. What hosts
+ * owe to each other, and what they spend until they hear that less is left,
+ * has room in it. */
+#define FREE_SHARE 0.5
+#define OWED_SHARE 0.25 /* of the common bucket, over all hosts, untold */
 
 unsigned quota_sharers(unsigned known, unsigned listed, clk_ms since_start)
 {
@@ -86,8 +91,10 @@
 	quota->rate = rate;
 	quota->burst = burst;
 	quota->slack = slack;
-	if (first)
+	if (first) {
 		quota->all = full ? all_max(quota) : 0;
+		quota->since = now;
+	}
 	quota->all = MIN(quota->all, all_max(quota));
 	quota->own = quota->all;
 	quota->last = now;
@@ -103,6 +110,12 @@
 	if (quota->rate <= 0)
 		return true;
 	fill(quota, hosts, now);
+	if (certainty(quota, hosts, now) > 0 && !quota_owes(quota, hosts) &&
+	    quota->all - units >= FREE_SHARE * all_max(quota)) {
+		quota->all -= units;
+		quota->spent += units;
+		return true;
+	}
 	part = own_part(quota, hosts, now);
 	/* A request larger than the bucket passes when the bucket is full. The
 	 * own bucket lets one through as long as it is not empty. */
@@ -126,17 +139,37 @@
 	quota->spent -= units;
 }
 
+bool quota_owes(const struct quota *quota, unsigned hosts)
+{
+	return quota->rate > 0 &&
+	       quota->spent - quota->told >
+		       OWED_SHARE * all_max(quota) / MAX(hosts, 1);
+}
+
+void quota_on_told(struct quota *quota)
+{
+	quota->told = quota->spent;
+}
+
 void quota_on_report(struct quota *quota, const char *process, double spent,
-		     unsigned hosts, clk_ms now)
+		     clk_ms gap_max, unsigned hosts, clk_ms now)
 {
 	struct quota_other *other = g_hash_table_lookup(quota->others, process);
 
 	if (!other) {
-		/* What it spent before it was known here is in the past. */
+		/* What it spent before it was known here is in the past,
+		 * unless this host itself is new: then it may be what has been
+		 * saved up since. */
+		if (now - quota->since < SETTLE_MS)
+			quota->all -= MIN(spent, MAX(quota->all, 0));
 		other = g_new(struct quota_other, 1);
 		*other = (struct quota_other){ .first = spent, .spent = spent };
 		g_hash_table_insert(quota->others, g_strdup(process), other);
+	} else if (now - other->at > gap_max) {
+		other->first += spent - other->spent;
+		other->spent = spent;
 	}
+	other->at = now;
 	fill(quota, hosts, now);
 	quota->all -= spent - other->spent;
 	quota->others_spent += spent - other->spent;
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -4,9 +4,14 @@
  * Each host knows what it has let through itself and, from the others'
  * reports, what they have. It fills one bucket for all hosts and takes both
  * out of it, so an account can spend its whole limit wherever its callers
- * connect. Between reports a host lets through a multiple of its equal share
- * at most, which bounds what all hosts together can pass by; a host that
- * hears of no other keeps to its equal share.
+ * connect. Near the limit a host lets through a multiple of its equal share
+ * between reports at most, which bounds what all hosts together can pass by;
+ * a host that hears of no other keeps to its equal share.
+ *
+ * Where much is left for all, equal shares don't bind: with many hosts, one
+ * large request is many times a host's share. The bound is then that a host
+ * which has spent more than a small part of what all have reports at once,
+ * and keeps to its share until it has.
  */
 #ifndef DECIDE_QUOTA_H
 #define DECIDE_QUOTA_H
@@ -23,7 +28,9 @@
 	double all;   /* units left in the bucket of all hosts */
 	double own;   /* units left of this host's share */
 	clk_ms last;
+	clk_ms since;	     /* when the limit was set first */
 	double spent;	     /* units that this host has let through, in all */
+	double told;	     /* of these, the others know */
 	GHashTable *others;  /* process -> struct quota_other */
 	double others_spent; /* by others, since they are known here */
 	clk_ms heard;	     /* when a report came last; 0: never */
@@ -33,6 +40,7 @@
 struct quota_other {
 	double first; /* when it was first heard of */
 	double spent;
+	clk_ms at; /* of its last report */
 };
 
 struct quota *quota_create(void);
@@ -56,8 +64,15 @@
 /* Whether the account comes near its limit: reports are then to be sent more
  * often. */
 bool quota_pressed(const struct quota *quota);
-/* Another host's report of all that it has let through. */
+/* Whether this host has spent so much since its last report that the others
+ * have to know at once. */
+bool quota_owes(const struct quota *quota, unsigned hosts);
+/* This host's report is sent to the others. */
+void quota_on_told(struct quota *quota);
+/* Another host's report of all that it has let through. What it has spent in
+ * a gap between two reports that is longer than gap_max, in ms, does not
+ * count: it has told others, whose sums had it. */
 void quota_on_report(struct quota *quota, const char *process, double spent,
-		     unsigned hosts, clk_ms now);
+		     clk_ms gap_max, unsigned hosts, clk_ms now);
 
 #endif
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -168,6 +168,7 @@
 
 struct w_report {
 	char *process;
+	bool_t full;
 	struct {
 		u_int counts_len;
 		w_count *counts_val;
@@ -193,6 +194,7 @@
 
 struct w_relay {
 	char *process;
+	bool_t full;
 	struct {
 		u_int spent_len;
 		w_part *spent_val;
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -132,6 +132,7 @@
  * returned. */
 struct w_report {
 	string process<W_INCARNATION>;
+	bool full; /* else only what accounts have spent */
 	w_count counts<W_ITEMS>;
 	w_demand demand<W_ITEMS>;
 	w_part spent<W_ITEMS>;
@@ -143,6 +144,7 @@
  * reports itself; nothing is returned. */
 struct w_relay {
 	string process<W_INCARNATION>;
+	bool full; /* else only what accounts have spent */
 	w_part spent<W_ITEMS>;
 	w_part inflight<W_ITEMS>;
 	w_part prompts<W_ITEMS>;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -446,6 +446,8 @@
 
 	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, W_ITEMS,
 		sizeof (w_count), (xdrproc_t) xdr_w_count))
 		 return FALSE;
@@ -471,6 +473,8 @@
 
 	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
 		sizeof (w_part), (xdrproc_t) xdr_w_part))
 		 return FALSE;
