A host that starts greets all that are listed

Hosts learned of each other by gossip only, some 1 s.

Change: as it reads the hosts' keys, a host that has just started pings each (128 at most, in its first 3 s); an answer makes it a member.

--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -14,6 +14,8 @@
 #define BEAT_MS 1000	     /* between two messages to each of them */
 #define BEAT_LOST_MS 2500    /* without one, a host follows the store itself */
 #define SEEDS_MAX 8	     /* addresses that are remembered */
+#define GREET_MS 3000	     /* after its start, a host greets those listed */
+#define GREET_MAX 128	     /* of them; gossip reaches the others */
 #define HOST_LEASE_MS 30000  /* of this host's own key */
 #define HOST_RENEW_MS 10000
 #define HOST_RETRY_MS 1000
@@ -94,7 +96,7 @@
 
 		if (member->info.state == MEMBER_ALIVE &&
 		    peer_tells(member, rank, count))
-			member_ping(proxyd->members, member);
+			member_ping(proxyd->members, member->info.rpc);
 	}
 }
 
@@ -275,10 +277,19 @@
 {
 	struct sockaddr_in addr;
 
-	if (tcp_address(address, &addr))
-		seed_add(proxyd, address);
-	else
+	if (!tcp_address(address, &addr)) {
 		slog(SLOG_WARN, "host", "address=%s outcome=not_used", address);
+		return;
+	}
+	seed_add(proxyd, address);
+	/* Gossip would take a second or more to reach all, in which look-up
+	 * answers name few hosts, and limits are shared with nobody. */
+	if (proxyd->greeted < GREET_MAX &&
+	    proxyd_now(proxyd) - proxyd->started_at < GREET_MS &&
+	    strcmp(address, proxyd->rpc_address) != 0) {
+		proxyd->greeted++;
+		member_ping(proxyd->members, address);
+	}
 }
 
 void peer_start(struct proxyd *proxyd)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -102,6 +102,7 @@
 	struct follow follow[FOLLOW_COUNT];
 	clk_ms started_at;
 	unsigned listed_hosts; /* by their keys in the store, at the start */
+	unsigned greeted;      /* of them */
 	clk_ms store_lost_at;  /* 0: it answers */
 	clk_ms store_back_at;  /* when it answered again */
 	struct tab *tab;       /* NULL: no configuration yet */
--- a/decide/member-probe.c
+++ b/decide/member-probe.c
@@ -72,12 +72,12 @@
 	probe_seed(list);
 }
 
-void member_ping(struct member_list *list, const struct member *member)
+void member_ping(struct member_list *list, const char *rpc)
 {
 	struct member_msg msg;
 
 	member_msg_build(list, &msg, MEMBER_PING, ++list->probe);
-	member_msg_send(list, member->info.rpc, &msg);
+	member_msg_send(list, rpc, &msg);
 }
 
 /* Tells a host that this one suspects it, so that it can refute that. */
--- a/decide/member.h
+++ b/decide/member.h
@@ -165,8 +165,9 @@
 		       unsigned n,
 		       void (*fn)(void *ctx, const struct member *member),
 		       void *ctx);
-/* Probes a member out of turn, which shows it this host's revisions. */
-void member_ping(struct member_list *list, const struct member *member);
+/* Probes an RPC address out of turn, which shows it this host and its
+ * revisions; what answers there becomes a member. */
+void member_ping(struct member_list *list, const char *rpc);
 size_t member_live_count(const struct member_list *list);
 
 #endif
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -20,6 +20,7 @@
 TEST_LIMIT_S = 60
 CONFIG_BOUND_S = 2.0   # from a change's acknowledgement to its being in force
 STABLE_S = 3.0         # after an outage, until bounds hold again
+KNOWN_BOUND_S = 0.5    # from all hosts' readiness to their naming all others
 GONE_BOUND_S = 0.5     # from a caller's close to the end of its run
 DRAIN_BOUND_S = 2.0    # from a worker's leaving to no new work
 PROMISES = (408, 421, 429, 503)  # statuses that say "not run"
@@ -699,6 +700,24 @@
         assert len(heard) == 1 and min(heard.values()) >= 13, heard
 
 
+async def test_proxy_hosts_find_each_other_at_once(net):
+    """Hosts that all start again name each other in look-up answers as soon
+    as they take callers."""
+    async with Rig(net, hosts=14, llm=1, api=1) as rig:
+        await rig.until_members()
+        for host in rig.hosts:
+            host.kill()
+        for host in rig.hosts:
+            host.start(first_start=False)
+        for host in rig.hosts:
+            await rig.until_ready(host)
+        ready = time.monotonic()
+        await rig.until_members()
+        took = time.monotonic() - ready
+        print("all hosts known after %.2f s" % took)
+        assert took < KNOWN_BOUND_S, took
+
+
 async def test_proxy_no_orders_before_workers_are_listed(net):
     """At the start workers are listed one after the other: those that were
     provided are not given up for want of knowing them."""
