Limits hold while a part of the hosts is cut off, and over a restart

Change: what unheard hosts spend is taken to be like what the heard ones do, also for the time until their silence is noticed (quota_set_reach); a lost host counts as possibly running for 15 s, unless it said that it leaves or its address is taken again. A host's own bucket must hold a request, or be full. A relay that falls silent is replaced after 0.7 s instead of 1.2.

--- a/Makefile
+++ b/Makefile
@@ -64,11 +64,8 @@
 TEST_BINS = $(B)/tests/sim-home $(B)/tests/unit $(B)/tests/sim-member \
 	    $(B)/tests/sim-route $(B)/tests/unit-proxy \
 	    $(B)/tests/unit-quota $(B)/tests/http $(B)/tests/platform
-$(B)/tests/sim-home: $(B)/tests/sim-home.o $(B)/tests/sim.o $(B)/librw.a
-	$(link)
-$(B)/tests/sim-member: $(B)/tests/sim-member.o $(B)/tests/sim.o $(B)/librw.a
-	$(link)
-$(B)/tests/sim-route: $(B)/tests/sim-route.o $(B)/tests/sim.o $(B)/librw.a
+$(B)/tests/sim-home $(B)/tests/sim-member $(B)/tests/sim-route: \
+		$(B)/tests/%: $(B)/tests/%.o $(B)/sim/sim.o $(B)/librw.a
 	$(link)
 $(B)/tests/unit $(B)/tests/unit-proxy $(B)/tests/unit-quota $(B)/tests/http \
 	$(B)/tests/platform: \
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -15,12 +15,13 @@
 	250 /* where hosts are few: what one that is killed has                \
 	     * not told is more of what all have */
 #define RELAY_PERIOD_MS 500
-#define PRESSED_MS                                                             \
-	300 /* between reports near a limit, where hosts are many              \
-	     */
-#define RELAY_GAP_MS                                                           \
-	1500		  /* a host that is silent for so long reports to      \
-			   * others, where hosts are many */
+/* Between reports near a limit, where hosts are many. */
+#define PRESSED_MS 300
+/* A host that is silent for so long reports to others, where hosts are many. */
+#define RELAY_GAP_MS 1500
+#define HEARD_MS 1200	   /* a host that reported so lately is heard */
+#define LOST_KEEP_MS 15000 /* a host that was lost may be running, cut off */
+#define REACH_AFTER_MS 1500
 #define TOLD_KEEP_MS 2500 /* a host's requests count after its last report */
 #define ALL_SAMPLES 0
 #define FEW_SAMPLES 3 /* workers drawn for a choice, where hosts are many */
@@ -284,6 +285,27 @@
 	return relaying.count;
 }
 
+/* Hosts that may be spending: those lost lately may be cut off. */
+static unsigned hosts_possible(const struct proxyd *proxyd)
+{
+	clk_ms since = proxyd_now(proxyd) - LOST_KEEP_MS;
+
+	return 1 + (unsigned)member_possible_count(proxyd->members, since);
+}
+
+/* Hosts whose spending is known here. */
+static unsigned hosts_heard(const struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	if (!proxyd->hears_since)
+		return proxyd->relay_heard;
+	/* At first hosts are only beginning to report to this one. */
+	if (now - proxyd->hears_since < HEARD_MS)
+		return hosts_possible(proxyd);
+	return 1 + sums_heard(proxyd->inflight, now - HEARD_MS);
+}
+
 /* full: with more than accounts' spending. */
 static void relay_to(struct proxyd *proxyd, const struct member *member,
 		     bool full)
@@ -291,6 +313,7 @@
 	const char *process = member->info.incarnation;
 	w_relay relay = {
 		.process = proxyd->members->self.incarnation,
+		.heard = hosts_heard(proxyd),
 		.full = full,
 	};
 	GHashTableIter iter;
@@ -335,6 +358,26 @@
 	}
 }
 
+/* Sets what part of the hosts the accounts' buckets are known of. */
+static void reach_set(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+	double reach = 1;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!peer_all_watch(proxyd) && !peer_is_first(proxyd))
+		proxyd->hears_since = 0;
+	else if (!proxyd->hears_since)
+		proxyd->hears_since = now;
+	/* At the start the others are only being found. */
+	if (now - proxyd->started_at >= REACH_AFTER_MS)
+		reach = (double)hosts_heard(proxyd) / hosts_possible(proxyd);
+	g_hash_table_iter_init(&iter, proxyd->quotas);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		quota_set_reach(value, reach, now);
+}
+
 void report_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
@@ -344,6 +387,7 @@
 
 	sums_expire(proxyd->inflight, now - TOLD_KEEP_MS);
 	sums_expire(proxyd->prompts, now - TOLD_KEEP_MS);
+	reach_set(proxyd);
 	proxyd->fleet->speed.samples = few ? ALL_SAMPLES : FEW_SAMPLES;
 	if (due || accounts_owe(proxyd) ||
 	    (accounts_pressed(proxyd) && (few || age >= PRESSED_MS))) {
@@ -427,6 +471,7 @@
 	proxyd->beat_at = now;
 	if (!relay_accepts(&proxyd->relay, relay->process, now))
 		return;
+	proxyd->relay_heard = relay->heard;
 	process = g_strconcat("others~", relay->process, NULL);
 	if (relay->full) {
 		sums_expire(proxyd->inflight, now);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -124,9 +124,11 @@
 	clk_ms full_report_at; /* the last one with demand */
 	clk_ms reported_at;
 	clk_ms next_beat;
-	struct relay relay;  /* the host whose sums are taken */
-	clk_ms beat_at;	     /* when a host that watches was heard last */
-	int64_t beat_config; /* revisions that were shown last */
+	struct relay relay;   /* the host whose sums are taken */
+	unsigned relay_heard; /* hosts that these are of */
+	clk_ms hears_since;   /* all hosts report to this one; 0: they don't */
+	clk_ms beat_at;	      /* when a host that watches was heard last */
+	int64_t beat_config;  /* revisions that were shown last */
 	int64_t beat_workers;
 	clk_ms sync_until;
 	GHashTable *open; /* set of struct xfer: requests under way */
--- a/decide/member.c
+++ b/decide/member.c
@@ -45,6 +45,8 @@
 void member_set(struct member_list *list, struct member *member,
 		enum member_state state, clk_ms now)
 {
+	member->left = state == MEMBER_LEAVING ||
+		       (state == MEMBER_DEAD && member->left);
 	member->info.state = state;
 	member->since = now;
 	member->to_send = send_count(list);
@@ -262,3 +264,30 @@
 	}
 	return count;
 }
+
+/* Whether a live member has an address. */
+static bool address_is_live(const struct member_list *list, const char *rpc)
+{
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+
+		if (member->info.state != MEMBER_DEAD &&
+		    !strcmp(member->info.rpc, rpc))
+			return true;
+	}
+	return false;
+}
+
+size_t member_possible_count(const struct member_list *list, clk_ms since)
+{
+	size_t count = 0;
+
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+
+		count += member->info.state != MEMBER_DEAD ||
+			 (member->since >= since && !member->left &&
+			  !address_is_live(list, member->info.rpc));
+	}
+	return count;
+}
--- a/decide/member.h
+++ b/decide/member.h
@@ -71,6 +71,7 @@
 struct member {
 	struct member_update info;
 	clk_ms since;	  /* when it got its state */
+	bool left;	  /* it told that it leaves */
 	bool own_suspect; /* this host is the one that suspects it */
 	unsigned to_send; /* how often its update is still to be sent */
 };
@@ -169,5 +170,8 @@
  * revisions; what answers there becomes a member. */
 void member_ping(struct member_list *list, const char *rpc);
 size_t member_live_count(const struct member_list *list);
+/* Counts the members that may be running: the live ones, and those that were
+ * lost since a time, unless another one has come at their address. */
+size_t member_possible_count(const struct member_list *list, clk_ms since);
 
 #endif
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -1,6 +1,8 @@
 /* An account's limit over all hosts. */
 #include "quota.h"
 
+#include <math.h>
+
 #define FRESH_MS 450	    /* a report is new for this long */
 #define HEARD_MS 700	    /* and of some use for this long */
 #define OWN_MULTIPLE 2.5    /* of the equal share, while reports are recent */
@@ -14,7 +16,9 @@
  * owe to each other, and what they spend until they hear that less is left,
  * has room in it. */
 #define FREE_SHARE 0.5
-#define OWED_SHARE 0.25 /* of the common bucket, over all hosts, untold */
+#define RECENT_MS 1700.0 /* until a host's silence is noticed and told */
+#define REACH_MIN 0.2	 /* so few are heard only while all start */
+#define OWED_SHARE 0.25	 /* of the common bucket, over all hosts, untold */
 
 unsigned quota_sharers(unsigned known, unsigned listed, clk_ms since_start)
 {
@@ -25,6 +29,7 @@
 {
 	struct quota *quota = g_new0(struct quota, 1);
 
+	quota->reach = 1;
 	quota->others =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return quota;
@@ -73,6 +78,8 @@
 	double seconds = (double)(now - quota->last) / CLK_SECOND;
 	double part = own_part(quota, hosts, now);
 
+	quota->recent *= exp(-(double)(now - quota->last) / RECENT_MS);
+
 	quota->last = now;
 	/* The rule's overshoot makes up for refusing others than the first. */
 	quota->all = MIN(quota->all + seconds * quota->rate * OVERSHOOT,
@@ -100,11 +107,30 @@
 	quota->last = now;
 }
 
+/* Those that are heard have spent units. */
+static void all_spend(struct quota *quota, double units)
+{
+	quota->all -= units / quota->reach;
+	quota->recent += units;
+}
+
+void quota_set_reach(struct quota *quota, double reach, clk_ms now)
+{
+	double before = quota->reach;
+
+	quota->reach = CLAMP(reach, REACH_MIN, 1);
+	if (quota->rate <= 0 || quota->reach >= before)
+		return;
+	quota->recent *= exp(-(double)(now - quota->last) / RECENT_MS);
+	quota->all -= quota->recent * (1 / quota->reach - 1 / before);
+}
+
 bool quota_take(struct quota *quota, double units, unsigned hosts, clk_ms now,
 		clk_ms *come_back)
 {
 	double part;
 	double need;
+	double need_own;
 	double lacking;
 
 	if (quota->rate <= 0)
@@ -112,29 +138,29 @@
 	fill(quota, hosts, now);
 	if (certainty(quota, hosts, now) > 0 && !quota_owes(quota, hosts) &&
 	    quota->all - units >= FREE_SHARE * all_max(quota)) {
-		quota->all -= units;
+		all_spend(quota, units);
 		quota->spent += units;
 		return true;
 	}
 	part = own_part(quota, hosts, now);
-	/* A request larger than the bucket passes when the bucket is full. The
-	 * own bucket lets one through as long as it is not empty. */
+	/* A request larger than a bucket passes when the bucket is full. */
 	need = MIN(units, all_max(quota));
-	if (quota->all >= need && quota->own > 0) {
-		quota->all -= units;
+	need_own = MIN(units, own_max(quota, hosts, now));
+	if (quota->all >= need && quota->own >= need_own) {
+		all_spend(quota, units);
 		quota->own -= units;
 		quota->spent += units;
 		return true;
 	}
 	lacking = MAX((need - quota->all) / quota->rate,
-		      -quota->own / (quota->rate * part));
+		      (need_own - quota->own) / (quota->rate * part));
 	*come_back = (clk_ms)(lacking * CLK_SECOND) + 1;
 	return false;
 }
 
 void quota_give(struct quota *quota, double units)
 {
-	quota->all += units;
+	all_spend(quota, -units);
 	quota->own += units;
 	quota->spent -= units;
 }
@@ -171,7 +197,7 @@
 	}
 	other->at = now;
 	fill(quota, hosts, now);
-	quota->all -= spent - other->spent;
+	all_spend(quota, spent - other->spent);
 	quota->others_spent += spent - other->spent;
 	other->spent = spent;
 	quota->heard = now;
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -22,11 +22,13 @@
 #include "clk.h"
 
 struct quota {
-	double rate;  /* units a second over all hosts; 0: no limit */
-	double burst; /* units that may be saved up, over all hosts */
-	double slack; /* units by which all hosts may pass the limit */
-	double all;   /* units left in the bucket of all hosts */
-	double own;   /* units left of this host's share */
+	double rate;   /* units a second over all hosts; 0: no limit */
+	double burst;  /* units that may be saved up, over all hosts */
+	double slack;  /* units by which all hosts may pass the limit */
+	double all;    /* units left in the bucket of all hosts */
+	double own;    /* units left of this host's share */
+	double reach;  /* part of the hosts that are heard, 0 to 1 */
+	double recent; /* units that those heard have spent, aged */
 	clk_ms last;
 	clk_ms since;	     /* when the limit was set first */
 	double spent;	     /* units that this host has let through, in all */
@@ -57,6 +59,10 @@
  * too few, returns false and sets come_back to the ms until there are. */
 bool quota_take(struct quota *quota, double units, unsigned hosts, clk_ms now,
 		clk_ms *come_back);
+/* Sets the part of the hosts that report. What the others spend is taken to be
+ * like what these do, also since the last reports of the others: they may be
+ * cut off, and be spending. */
+void quota_set_reach(struct quota *quota, double reach, clk_ms now);
 /* Gives back what a request that was not run had taken. */
 void quota_give(struct quota *quota, double units);
 /* What all hosts but one have let through, for that one. */
--- a/decide/relay.c
+++ b/decide/relay.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
-#define SILENT_MS 1200 /* two periods of relays, and some */
+#define SILENT_MS 700 /* a period of relays, and some */
 
 bool relay_accepts(struct relay *relay, const char *process, clk_ms now)
 {
--- a/decide/sums.c
+++ b/decide/sums.c
@@ -126,6 +126,18 @@
 	return g_hash_table_size(sums->hosts);
 }
 
+unsigned sums_heard(const struct sums *sums, clk_ms since)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned count = 0;
+
+	g_hash_table_iter_init(&iter, sums->hosts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		count += ((const struct told *)value)->at >= since;
+	return count;
+}
+
 double sums_of(const struct sums *sums, const char *process, uint32_t key)
 {
 	const struct told *told = g_hash_table_lookup(sums->hosts, process);
--- a/decide/sums.h
+++ b/decide/sums.h
@@ -39,6 +39,8 @@
 void sums_expire(struct sums *sums, clk_ms before);
 /* Processes that are counted. */
 unsigned sums_hosts(const struct sums *sums);
+/* Processes that have told something since a time. */
+unsigned sums_heard(const struct sums *sums, clk_ms since);
 /* What a process told about something; 0 if nothing. */
 double sums_of(const struct sums *sums, const char *process, uint32_t key);
 /* Calls fn for each total. */
--- a/tests/sim.h
+++ b/sim/sim.h
@@ -1,6 +1,6 @@
-/* A virtual clock with events, for randomised tests of decide/. */
-#ifndef TESTS_SIM_H
-#define TESTS_SIM_H
+/* A virtual clock with events, for simulations of decide/. */
+#ifndef SIM_SIM_H
+#define SIM_SIM_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/tests/sim-home.c
+++ b/tests/sim-home.c
@@ -14,7 +14,7 @@
 
 #include "../decide/home.h"
 #include "../wire/args.h"
-#include "sim.h"
+#include "../sim/sim.h"
 
 #define HOSTS 5
 #define CENTRES 3
--- a/tests/sim-member.c
+++ b/tests/sim-member.c
@@ -13,7 +13,7 @@
 
 #include "../decide/member.h"
 #include "../wire/args.h"
-#include "sim.h"
+#include "../sim/sim.h"
 
 #define PERIOD_MS 500
 #define SUSPICION_MS 1500
--- a/tests/sim-route.c
+++ b/tests/sim-route.c
@@ -19,7 +19,7 @@
 #include "../decide/retry.h"
 #include "../decide/route.h"
 #include "../wire/args.h"
-#include "sim.h"
+#include "../sim/sim.h"
 
 #define ENTRIES 6
 #define MAX_ENGINES 16
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -194,6 +194,7 @@
 
 struct w_relay {
 	char *process;
+	u_int heard;
 	bool_t full;
 	struct {
 		u_int spent_len;
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -144,6 +144,7 @@
  * reports itself; nothing is returned. */
 struct w_relay {
 	string process<W_INCARNATION>;
+	unsigned int heard; /* hosts that the sums are of, the sender included */
 	bool full; /* else only what accounts have spent */
 	w_part spent<W_ITEMS>;
 	w_part inflight<W_ITEMS>;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -473,6 +473,8 @@
 
 	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->heard))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
