A host that adds up tells what accounts have left, not what was spent

Each host took sums of others' spending from its bucket; whatever was missed while the adding hosts change places stayed an error until the bucket was full again.

Change: relays carry what is left (quota_on_left), which replaces what a host knows, less what it has not told yet; sums of others are gone. Since buckets are no longer too low by chance, the limit is kept with less slack: 2% over the rate instead of 5, 0.3 of the slack instead of 0.45, equal shares bind below 0.6 of the bucket instead of 0.5, and all hosts that start again begin with 0.15 of the bucket in debt.

--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -316,6 +316,7 @@
 		.heard = hosts_heard(proxyd),
 		.full = full,
 	};
+	clk_ms now = proxyd_now(proxyd);
 	GHashTableIter iter;
 	gpointer key;
 	gpointer value;
@@ -328,18 +329,18 @@
 			relay_fill(proxyd, process, proxyd->prompts,
 				   own_prompts, &relay.prompts.prompts_val);
 	}
-	relay.spent.spent_val =
+	relay.left.left_val =
 		g_new0(w_part, g_hash_table_size(proxyd->account_keys));
 	g_hash_table_iter_init(&iter, proxyd->account_keys);
 	while (g_hash_table_iter_next(&iter, &key, &value))
-		relay.spent.spent_val[relay.spent.spent_len++] = (w_part){
+		relay.left.left_val[relay.left.left_len++] = (w_part){
 			.key = GPOINTER_TO_UINT(key),
-			.value = quota_without(value, process),
+			.value = quota_left(value, proxyd_hosts(proxyd), now),
 		};
 	rpc_send_relay(proxyd->rpc, member->info.rpc, &relay);
 	g_free(relay.inflight.inflight_val);
 	g_free(relay.prompts.prompts_val);
-	g_free(relay.spent.spent_val);
+	g_free(relay.left.left_val);
 }
 
 /* Tells this host's part of the others the sums. */
@@ -433,6 +434,19 @@
 	}
 }
 
+/* Takes what another host says that accounts have left. */
+static void left_take(struct proxyd *proxyd, const w_relay *relay)
+{
+	for (u_int i = 0; i < relay->left.left_len; i++) {
+		const w_part *part = &relay->left.left_val[i];
+		struct quota *quota = g_hash_table_lookup(
+			proxyd->account_keys, GUINT_TO_POINTER(part->key));
+
+		if (quota && quota->rate > 0)
+			quota_on_left(quota, part->value, proxyd_now(proxyd));
+	}
+}
+
 void peer_on_report(void *ctx, const w_report *report)
 {
 	struct proxyd *proxyd = ctx;
@@ -465,8 +479,10 @@
 	clk_ms now = proxyd_now(proxyd);
 	char *process;
 
-	/* One that adds up itself hears all hosts, and needs no sums. */
-	if (peer_is_first(proxyd))
+	/* One that adds up itself hears all hosts, and needs no sums once it
+	 * has heard them. */
+	if (peer_is_first(proxyd) && proxyd->hears_since &&
+	    now - proxyd->hears_since >= HEARD_MS)
 		return;
 	proxyd->beat_at = now;
 	if (!relay_accepts(&proxyd->relay, relay->process, now))
@@ -483,7 +499,6 @@
 			   relay->prompts.prompts_val,
 			   relay->prompts.prompts_len);
 	}
-	spent_take(proxyd, process, relay->spent.spent_val,
-		   relay->spent.spent_len);
+	left_take(proxyd, relay);
 	g_free(process);
 }
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -8,14 +8,15 @@
 #define OWN_MULTIPLE 2.5    /* of the equal share, while reports are recent */
 #define OWN_SAVED_S 0.3	    /* of the own part that is saved up */
 #define OWN_SLACK_SHARE 0.3 /* of the slack, over all hosts' own buckets */
-#define SLACK_SHARE 0.45    /* of the slack that the common bucket holds */
-#define OVERSHOOT 1.05	  /* of the rate that is let through; 1.1 is allowed */
+#define SLACK_SHARE 0.3	    /* of the slack that the common bucket holds */
+#define OVERSHOOT 1.02	  /* of the rate that is let through; 1.1 is allowed */
+#define DEBT_SHARE 0.15	  /* of the common bucket, owed at a restart */
 #define SETTLE_MS 4000	  /* after a start, to hear of all other hosts */
 #define PRESSED_SHARE 0.6 /* of the common bucket: less is left under load */
 /* Of the common bucket: with more left, equal shares don't bind. What hosts
  * owe to each other, and what they spend until they hear that less is left,
  * has room in it. */
-#define FREE_SHARE 0.5
+#define FREE_SHARE 0.6
 #define RECENT_MS 1700.0 /* until a host's silence is noticed and told */
 #define REACH_MIN 0.2	 /* so few are heard only while all start */
 #define OWED_SHARE 0.25	 /* of the common bucket, over all hosts, untold */
@@ -99,7 +100,7 @@
 	quota->burst = burst;
 	quota->slack = slack;
 	if (first) {
-		quota->all = full ? all_max(quota) : 0;
+		quota->all = all_max(quota) * (full ? 1 : -DEBT_SHARE);
 		quota->since = now;
 	}
 	quota->all = MIN(quota->all, all_max(quota));
@@ -189,27 +190,30 @@
 		if (now - quota->since < SETTLE_MS)
 			quota->all -= MIN(spent, MAX(quota->all, 0));
 		other = g_new(struct quota_other, 1);
-		*other = (struct quota_other){ .first = spent, .spent = spent };
+		*other = (struct quota_other){ .spent = spent };
 		g_hash_table_insert(quota->others, g_strdup(process), other);
 	} else if (now - other->at > gap_max) {
-		other->first += spent - other->spent;
 		other->spent = spent;
 	}
 	other->at = now;
 	fill(quota, hosts, now);
 	all_spend(quota, spent - other->spent);
-	quota->others_spent += spent - other->spent;
 	other->spent = spent;
 	quota->heard = now;
 }
 
-double quota_without(const struct quota *quota, const char *process)
+double quota_left(struct quota *quota, unsigned hosts, clk_ms now)
 {
-	const struct quota_other *other =
-		g_hash_table_lookup(quota->others, process);
+	fill(quota, hosts, now);
+	return quota->all;
+}
 
-	return quota->spent + quota->others_spent -
-	       (other ? other->spent - other->first : 0);
+void quota_on_left(struct quota *quota, double left, clk_ms now)
+{
+	double untold = (quota->spent - quota->told) / quota->reach;
+
+	quota->all = MIN(left - untold, all_max(quota));
+	quota->heard = now;
 }
 
 bool quota_pressed(const struct quota *quota)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -30,17 +30,15 @@
 	double reach;  /* part of the hosts that are heard, 0 to 1 */
 	double recent; /* units that those heard have spent, aged */
 	clk_ms last;
-	clk_ms since;	     /* when the limit was set first */
-	double spent;	     /* units that this host has let through, in all */
-	double told;	     /* of these, the others know */
-	GHashTable *others;  /* process -> struct quota_other */
-	double others_spent; /* by others, since they are known here */
-	clk_ms heard;	     /* when a report came last; 0: never */
+	clk_ms since;	    /* when the limit was set first */
+	double spent;	    /* units that this host has let through, in all */
+	double told;	    /* of these, the others know */
+	GHashTable *others; /* process -> struct quota_other */
+	clk_ms heard;	    /* when a report came last; 0: never */
 };
 
 /* What another host has let through, in all. */
 struct quota_other {
-	double first; /* when it was first heard of */
 	double spent;
 	clk_ms at; /* of its last report */
 };
@@ -65,8 +63,12 @@
 void quota_set_reach(struct quota *quota, double reach, clk_ms now);
 /* Gives back what a request that was not run had taken. */
 void quota_give(struct quota *quota, double units);
-/* What all hosts but one have let through, for that one. */
-double quota_without(const struct quota *quota, const char *process);
+/* What is left of the bucket of all hosts: what a host that adds up for others
+ * tells them. */
+double quota_left(struct quota *quota, unsigned hosts, clk_ms now);
+/* Takes what such a host tells in place of what is known here, less what this
+ * host has spent untold. */
+void quota_on_left(struct quota *quota, double left, clk_ms now);
 /* Whether the account comes near its limit: reports are then to be sent more
  * often. */
 bool quota_pressed(const struct quota *quota);
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -282,16 +282,12 @@
 static void net_relay_to(const struct net *net, const struct net_host *relay,
 			 struct net_host *host)
 {
-	char name[40];
-
 	if (relay == host ||
 	    !relay_accepts(&host->relay, relay->name, net->now))
 		return;
-	g_snprintf(name, sizeof(name), "others~%s", relay->name);
 	host->heard = net_heard(net, relay);
-	quota_on_report(host->quota, name,
-			quota_without(relay->quota, host->name), NET_GAP_MS,
-			NET_HOSTS, net->now);
+	quota_on_left(host->quota,
+		      quota_left(relay->quota, NET_HOSTS, net->now), net->now);
 }
 
 static bool net_is_relay(struct net *net, const struct net_host *host)
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -197,9 +197,9 @@
 	u_int heard;
 	bool_t full;
 	struct {
-		u_int spent_len;
-		w_part *spent_val;
-	} spent;
+		u_int left_len;
+		w_part *left_val;
+	} left;
 	struct {
 		u_int inflight_len;
 		w_part *inflight_val;
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -145,8 +145,8 @@
 struct w_relay {
 	string process<W_INCARNATION>;
 	unsigned int heard; /* hosts that the sums are of, the sender included */
-	bool full; /* else only what accounts have spent */
-	w_part spent<W_ITEMS>;
+	bool full; /* else only what accounts have left */
+	w_part left<W_ITEMS>; /* of the accounts' limits, over all hosts */
 	w_part inflight<W_ITEMS>;
 	w_part prompts<W_ITEMS>;
 };
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -477,7 +477,7 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->full))
 		 return FALSE;
-	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
+	 if (!xdr_array (xdrs, (char **)&objp->left.left_val, (u_int *) &objp->left.left_len, W_ITEMS,
 		sizeof (w_part), (xdrproc_t) xdr_w_part))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->inflight.inflight_val, (u_int *) &objp->inflight.inflight_len, W_ITEMS,
