rw-sim: loads and policies under a virtual clock, and tests that replay them

Models of engines (batch, chunks of prompts, kept parts, memory), of a plain service and of callers who come back drive decide/ as rw-proxyd does: placement, refusing, limits, retries, orders of engines. Scenario files in the settings' format (kinds scenario, load, change; teams can't write them, nor those of "proxy", which they could before), seeds, policies side by side, table, CSV, SVG. tests/loads.py replays nine loads with the plain ways beside them in the same run.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 PLATFORM = $(wildcard platform/*.c)
 LIB_OBJ = $(patsubst %.c,$(B)/%.o,$(DECIDE) $(WIRE))
 PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(PLATFORM))
-BINS = rw-entryd rw-proxyd rw-admind rwctl rw-load rw-fake-platform rw-fake-engine \
-       rw-fake-service
+BINS = rw-entryd rw-proxyd rw-admind rwctl rw-load rw-sim rw-fake-platform \
+       rw-fake-engine rw-fake-service
 
 all: $(addprefix $(B)/,$(BINS))
 
@@ -57,6 +57,9 @@
 		$(B)/fakes/token.o $(B)/librw.a
 	$(link)
 
+$(B)/rw-sim: $(patsubst %.c,$(B)/%.o,$(wildcard sim/*.c)) $(B)/librw.a
+	$(link)
+
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 .PHONY: all
 
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -3,10 +3,10 @@
 
 #include <string.h>
 
+#include "../decide/scale.h"
+
 #define BACK_MIN_MS 150 /* before a refused caller comes back */
 #define BACK_SPREAD_MS 450
-#define BATCH_SHARE                                                            \
-	0.6 /* of an engine's places that are taken when it is busy */
 
 static void xfer_arm(struct xfer *xfer);
 static void xfer_go_on(struct xfer *xfer);
@@ -205,29 +205,25 @@
 	uv_timer_start(&xfer->timer, on_timer, (uint64_t)MAX(next - now, 1), 0);
 }
 
-/* An engine's time for one token of an answer, in ms: its part of a step that
- * makes one for each running request. */
-static double token_ms(const struct xfer *xfer)
-{
-	const struct conf_proxy *conf = xfer->proxyd->conf;
-	double batch = MAX(xfer->pool->slots * BATCH_SHARE, 1);
-
-	return (conf->step_us / batch + conf->step_slot_us) / 1000;
-}
-
 /* Work that a request means for an engine, in ms. */
 static double work_of(const struct xfer *xfer,
 		      const struct fleet_choice *choice)
 {
+	const struct conf_proxy *conf = xfer->proxyd->conf;
 	const struct head_request *says = &xfer->says;
+	struct scale_speed speed = {
+		.prefill_ms = xfer->proxyd->fleet->speed.prefill_ms,
+		.step_ms = conf->step_us / 1000,
+		.step_slot_ms = conf->step_slot_us / 1000,
+		.slots = xfer->pool->slots,
+	};
 	int output = says->output_tokens_hint > 0 ? says->output_tokens_hint
 						  : says->output_tokens_max;
 
 	if (!xfer->pool->engine)
 		return 0;
-	return (says->prompt_tokens - choice->cached) *
-		       xfer->proxyd->fleet->speed.prefill_ms +
-	       output * token_ms(xfer);
+	return scale_work_ms(&speed, says->prompt_tokens - choice->cached,
+			     output);
 }
 
 /* Sends it to where its memory was moved. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -29,8 +29,6 @@
 #define STOP_TAKE_MS 2700	/* callers may not know of the stop so long */
 #define DOOR_HEAD_MAX 8192	/* bytes */
 #define DOOR_IDLE_MS 10000
-#define CACHED_FOR_MS 60000 /* parts of prompts are dropped sooner or later */
-#define RUNNING_MS 2	    /* that a running request adds to a first token */
 
 static void on_signal(uv_signal_t *handle, int signum);
 
@@ -398,9 +396,9 @@
 	struct fleet fleet = {
 		.speed = {
 			.prefill_ms = conf->prefill_us / 1000,
-			.running_ms = RUNNING_MS,
+			.running_ms = FLEET_RUNNING_MS,
 			.distance_ms = conf->distance_ms,
-			.cached_for = CACHED_FOR_MS,
+			.cached_for = FLEET_CACHED_FOR_MS,
 		},
 		.random = proxyd_random,
 		.on_added = on_worker_added,
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -17,6 +17,9 @@
 #include "clk.h"
 
 #define FLEET_PARTS_MAX 16 /* parts of one prompt that are looked at */
+#define FLEET_RUNNING_MS 2 /* that a running request adds to a first token */
+#define FLEET_CACHED_FOR_MS                                                    \
+	60000 /* parts of prompts are dropped sooner or later */
 
 /* How an attempt ended, for the judgement of its worker. */
 enum fleet_verdict {
--- a/decide/scale.c
+++ b/decide/scale.c
@@ -7,8 +7,18 @@
 #define FALL_MS 8000.0	 /* time in which the need falls by two thirds */
 #define HEAD_ROOM 1.4	 /* workers for each busy one */
 #define SPREAD 0.8	 /* workers for the square root of the busy ones */
+#define BATCH_SHARE 0.6	 /* of an engine's places that are taken when busy */
 #define WORKERS_MIN 2.0	 /* that are left after a loss */
 
+double scale_work_ms(const struct scale_speed *speed, int prompt_tokens,
+		     int answer_tokens)
+{
+	double batch = fmax(speed->slots * BATCH_SHARE, 1);
+
+	return prompt_tokens * speed->prefill_ms +
+	       answer_tokens * (speed->step_ms / batch + speed->step_slot_ms);
+}
+
 /* The part of a difference that is left after some time. */
 static double left_after(clk_ms age, double time)
 {
--- a/decide/scale.h
+++ b/decide/scale.h
@@ -43,6 +43,18 @@
 	clk_ms at;	 /* of the last measure; 0: none yet */
 };
 
+/* What is known of an engine's speed. */
+struct scale_speed {
+	double prefill_ms;   /* of a prompt token */
+	double step_ms;	     /* of a step, which makes a token of each answer */
+	double step_slot_ms; /* added for each running request */
+	int slots;
+};
+
+/* The work that a request means for an engine, in ms; prompt_tokens: those
+ * that it has not kept. */
+double scale_work_ms(const struct scale_speed *speed, int prompt_tokens,
+		     int answer_tokens);
 /* Takes a new measure of the demand. */
 void scale_need_add(struct scale_need *need, double busy, clk_ms now);
 /* Plans for so many busy workers. */
--- /dev/null
+++ b/sim/world-worker.c
@@ -0,0 +1,210 @@
+/* Workers: they come, are ordered, leave and are lost. */
+#include <math.h>
+#include <string.h>
+
+#include "world.h"
+
+#define PLAN_MS 500	 /* between two plans */
+#define LEAVE_MS 2000	 /* from the notice of a worker that is given up */
+#define FIRST_SHARE 0.55 /* of the engines, thought to be busy at first */
+
+struct world_worker *worker_of(const struct world *world,
+			       const struct fleet_worker *known)
+{
+	guint at = (guint)g_ascii_strtoull(known->entry.id + 1, NULL, 10);
+
+	return g_ptr_array_index(world->workers, at);
+}
+
+void worker_free(gpointer data)
+{
+	struct world_worker *worker = data;
+
+	engine_free(worker->engine);
+	g_free(worker->id);
+	g_free(worker);
+}
+
+/* Puts what is known of a worker into all hosts' fleets. */
+static void worker_tell(struct world *world, const struct world_worker *worker)
+{
+	const struct engine_kind *kind =
+		worker->service ? &world->service_kind : &world->engine_kind;
+
+	for (guint h = 0; h < world->hosts->len; h++) {
+		struct world_host *host = g_ptr_array_index(world->hosts, h);
+		struct fleet_entry entry = {
+			.id = g_strdup(worker->id),
+			.pool = g_strdup(worker->service ? "service"
+							 : "engine"),
+			.address = g_strdup("-"),
+			.data_centre = g_strdup_printf("dc%d", worker->dc),
+			.version = g_strdup(""),
+			.slots = kind->slots,
+			.leaving = worker->leaving,
+			.spot = worker->spot,
+		};
+
+		if (worker->gone)
+			fleet_remove(host->fleet, worker->id);
+		else
+			fleet_put(host->fleet, &entry, world->sim->now);
+		fleet_entry_clear(&entry);
+	}
+}
+
+struct world_worker *worker_add(struct world *world, int dc, bool service,
+				bool spot)
+{
+	struct world_worker *worker = g_new0(struct world_worker, 1);
+
+	worker->id = g_strdup_printf("w%u", world->workers->len);
+	worker->dc = dc;
+	worker->service = service;
+	worker->spot = spot;
+	worker->engine =
+		engine_create(world->sim, service ? &world->service_kind
+						  : &world->engine_kind);
+	g_ptr_array_add(world->workers, worker);
+	worker_tell(world, worker);
+	return worker;
+}
+
+void worker_lose(struct world *world, struct world_worker *worker)
+{
+	if (worker->gone)
+		return;
+	worker->gone = true;
+	worker->leaving = true;
+	worker_tell(world, worker);
+	engine_kill(worker->engine);
+}
+
+static void on_left(void *ctx, void *arg)
+{
+	worker_lose(ctx, arg);
+}
+
+void worker_leave(struct world *world, struct world_worker *worker,
+		  clk_ms after)
+{
+	if (worker->leaving)
+		return;
+	worker->leaving = true;
+	worker_tell(world, worker);
+	sim_after(world->sim, after, on_left, world, worker);
+}
+
+/* Counts the engines of a data centre that take work. */
+static int count_at(const struct world *world, int dc, bool spot)
+{
+	int count = 0;
+
+	for (guint i = 0; i < world->workers->len; i++) {
+		const struct world_worker *worker =
+			g_ptr_array_index(world->workers, i);
+
+		count += !worker->service && !worker->leaving &&
+			 worker->dc == dc && worker->spot == spot;
+	}
+	return count;
+}
+
+/* An engine that was ordered takes work. */
+struct boot {
+	int dc;
+	bool spot;
+};
+
+static void on_booted(void *ctx, void *arg)
+{
+	struct world *world = ctx;
+	struct boot *boot = arg;
+
+	world->booting[2 * boot->dc + boot->spot]--;
+	if (!boot->spot || world->sim->now >= world->dry_until[boot->dc])
+		worker_add(world, boot->dc, false, boot->spot);
+	g_free(boot);
+}
+
+/* Orders engines, or gives some up. */
+static void adjust(struct world *world, int dc, bool spot, int want)
+{
+	int *booting = &world->booting[(gsize)2 * (gsize)dc + spot];
+	int have = count_at(world, dc, spot) + *booting;
+
+	if (spot && world->sim->now < world->dry_until[dc])
+		return;
+	for (; have < want; have++) {
+		struct boot *boot = g_new(struct boot, 1);
+
+		*boot = (struct boot){ .dc = dc, .spot = spot };
+		(*booting)++;
+		sim_after(world->sim, world->conf->boot_ms, on_booted, world,
+			  boot);
+	}
+	for (guint i = world->workers->len; i > 0 && have > want; i--) {
+		struct world_worker *worker =
+			g_ptr_array_index(world->workers, i - 1);
+
+		if (worker->service || worker->leaving || worker->dc != dc ||
+		    worker->spot != spot)
+			continue;
+		worker_leave(world, worker, LEAVE_MS);
+		have--;
+	}
+}
+
+/* What engines cost until the next plan. */
+static void price_add(struct world *world)
+{
+	int dcs = (int)world->conf->data_centres;
+
+	for (int dc = 0; dc < dcs; dc++) {
+		int full = count_at(world, dc, false) + world->booting[2 * dc];
+		int spot =
+			count_at(world, dc, true) + world->booting[2 * dc + 1];
+
+		world->result->priced +=
+			(full + spot * world->conf->spot_price) * PLAN_MS /
+			CLK_SECOND;
+	}
+}
+
+static void plan_next(void *ctx, void *arg)
+{
+	struct world *world = ctx;
+	int dcs = (int)world->conf->data_centres;
+	struct scale_dc *plan = g_new0(struct scale_dc, (gsize)dcs);
+	struct scale_limits limits = {
+		.min = (int)world->conf->worker_min,
+		.max = (int)world->conf->worker_max,
+	};
+	clk_ms now = world->sim->now;
+
+	(void)arg;
+	scale_need_add(&world->need, world->busy_ms / PLAN_MS, now);
+	world->busy_ms = 0;
+	for (int dc = 0; dc < dcs; dc++)
+		plan[dc] = (struct scale_dc){
+			.price = 1,
+			.spot_dry = now < world->dry_until[dc],
+			.spot_ready = count_at(world, dc, true),
+			.full_ready = count_at(world, dc, false),
+		};
+	scale_plan(plan, (size_t)dcs, &limits, world->need.busy);
+	for (int dc = 0; dc < dcs; dc++) {
+		adjust(world, dc, true, plan[dc].want_spot);
+		adjust(world, dc, false, plan[dc].want_full);
+	}
+	price_add(world);
+	g_free(plan);
+	if (now < (clk_ms)(world->conf->length_s * CLK_SECOND))
+		sim_after(world->sim, PLAN_MS, plan_next, world, NULL);
+}
+
+void worker_scale_start(struct world *world)
+{
+	world->need.busy = (double)world->conf->workers * FIRST_SHARE;
+	sim_after(world->sim, PLAN_MS, plan_next, world, NULL);
+}
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -2,7 +2,7 @@
 # Checks the layout of the sources, or mends it with --fix.
 set -eu
 cd "$(dirname "$0")/.."
-FILES=$(ls decide/*.[ch] platform/*.[ch] daemon/*.[ch] fakes/*.[ch] wire/*.[ch] tests/*.[ch] |
+FILES=$(ls decide/*.[ch] platform/*.[ch] daemon/*.[ch] fakes/*.[ch] wire/*.[ch] sim/*.[ch] tests/*.[ch] |
 	grep -v 'wire/msg')
 if [ "${1:-}" = --fix ]; then
 	clang-format -i $FILES
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -14,6 +14,9 @@
 	CONF_ROUTE,
 	CONF_ACCOUNT,
 	CONF_ROUTING,
+	CONF_SCENARIO,
+	CONF_LOAD,
+	CONF_CHANGE,
 	CONF_KIND_COUNT,
 };
 
@@ -130,4 +133,78 @@
 	double retry_share;
 };
 
+/* A deployment that rw-sim plays: the object "scenario" of its file. */
+struct conf_scenario {
+	int64_t hosts;
+	int64_t data_centres;
+	double length_s;
+	int64_t report_ms;
+	double distance_ms;
+	double caller_ms;
+	int64_t workers;
+	int64_t slots;
+	int64_t queue;
+	double step_ms;
+	double step_slot_ms;
+	double prefill_us;
+	double pair_ms;
+	int64_t chunk;
+	int64_t stride;
+	int64_t memory;
+	int64_t service_workers;
+	int64_t service_slots;
+	int64_t service_queue;
+	bool scaled;
+	int64_t worker_min;
+	int64_t worker_max;
+	int64_t boot_ms;
+	double spot_price;
+	double worker_price;
+	double swing;
+	double swing_s;
+	int64_t accounts;
+	double account_limit;
+	double limit_slack;
+};
+
+/* A kind of request of a scenario: an entry of the list "loads" of its file. */
+struct conf_load {
+	char *name;
+	double rate;
+	bool service;
+	double worth;
+	double late_worth;
+	int64_t aim_ms;
+	int64_t deadline_ms;
+	int64_t urgency;
+	int64_t attempts;
+	bool repeats;
+	int64_t returns;
+	int64_t head_tokens;
+	int64_t heads;
+	int64_t session_tokens;
+	int64_t sessions;
+	int64_t own_tokens;
+	double own_spread;
+	int64_t own_max;
+	int64_t answer_tokens;
+	double answer_spread;
+	int64_t answer_max;
+	double work_ms;
+	double work_spread;
+};
+
+/* Something that happens in a scenario: an entry of the list "changes" of its
+ * file. */
+struct conf_change {
+	char *kind;
+	double at_s;
+	double for_s;
+	double share;
+	double x;
+	char *load;
+	int64_t data_centre;
+	bool anywhere;
+};
+
 #endif
--- a/wire/conf.c
+++ b/wire/conf.c
@@ -300,8 +300,13 @@
 /* Tells whether teams write objects of a kind; the others are files. */
 static bool is_team_kind(enum conf_kind kind)
 {
-	return kind != CONF_KIND_COUNT && kind != CONF_ENTRY &&
-	       kind != CONF_ADMIN;
+	static const bool is_file[CONF_KIND_COUNT] = {
+		[CONF_ENTRY] = true, [CONF_ADMIN] = true,
+		[CONF_PROXY] = true, [CONF_SCENARIO] = true,
+		[CONF_LOAD] = true,  [CONF_CHANGE] = true,
+	};
+
+	return kind != CONF_KIND_COUNT && !is_file[kind];
 }
 
 bool conf_key_parse(const char *key, struct conf_key *parts, GError **error)
