Accounts far from their limits are served at once after a loss of all hosts

Change: the first host by rank keeps the names of the accounts that are, or were in the last 10 s, near their limits under rw/limits in the store, and writes when they change. A host that starts, and not for the first time, begins with 0.7 of the bucket for accounts that are not named. Without the key, or with it unread, it begins as before. Left: if an account becomes hot while the store is away, and all hosts are lost, the list is too old.

--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -90,6 +90,7 @@
 	proxyd->tab_revision = item->mod;
 	limits_apply(proxyd, &tab->limits);
 	accounts_apply(proxyd, tab);
+	limits_recall(proxyd);
 	slog(SLOG_NOTICE, "config",
 	     "revision=%" G_GINT64_FORMAT " version=%" G_GINT64_FORMAT
 	     " routes=%u accounts=%u outcome=in_force",
@@ -193,6 +194,7 @@
 {
 	peer_on_snapshot(proxyd);
 	duty_on_snapshot(proxyd);
+	limits_recall(proxyd);
 }
 
 static void on_changed(void *ctx, const struct store_item *item)
--- /dev/null
+++ b/daemon/proxyd-limits.c
@@ -0,0 +1,113 @@
+/*
+ * Which accounts were near their limits, kept in the store: hosts that all
+ * start again can't know what had been spent, and would refuse callers of
+ * accounts that are far from their limits.
+ *
+ * The first host by rank writes the names when they change. An account stays
+ * listed for as long as what it has spent counts.
+ */
+#include "proxyd.h"
+
+#include <string.h>
+
+#define LIMITS_KEY OWN_PREFIX "limits"
+#define LISTED_MS                                                              \
+	10000 /* after it was last near its limit; a window and some */
+#define WRITE_GAP_MS 500 /* between two changes of the key */
+#define SEPARATOR " "
+
+/* Lists the accounts that are, or were lately, near their limits. */
+static char *pressed_list(struct proxyd *proxyd)
+{
+	GString *text = g_string_new(NULL);
+	clk_ms now = proxyd_now(proxyd);
+	GList *names = g_list_sort(g_hash_table_get_keys(proxyd->quotas),
+				   (GCompareFunc)strcmp);
+
+	for (GList *at = names; at; at = at->next) {
+		struct quota *quota =
+			g_hash_table_lookup(proxyd->quotas, at->data);
+
+		if (quota_pressed(quota))
+			quota->pressed_at = now;
+		if (!quota->pressed_at || now - quota->pressed_at > LISTED_MS)
+			continue;
+		if (text->len > 0)
+			g_string_append(text, SEPARATOR);
+		g_string_append(text, at->data);
+	}
+	g_list_free(names);
+	return g_string_free(text, FALSE);
+}
+
+static void on_written(void *ctx, enum kv_outcome outcome, int64_t revision)
+{
+	struct proxyd *proxyd = ctx;
+
+	proxyd->limits_busy = false;
+	/* A refused or lost write is made again; what came first is watched. */
+	slog(SLOG_NOTICE, "limits", "revision=%" G_GINT64_FORMAT " outcome=%s",
+	     revision, outcome == KV_OK ? "written" : "not_written");
+}
+
+void limits_tick(struct proxyd *proxyd)
+{
+	const struct store_item *item =
+		store_get(proxyd->follow[FOLLOW_OWN].replica, LIMITS_KEY);
+	clk_ms now = proxyd_now(proxyd);
+	char *text = pressed_list(proxyd);
+	gsize len = 0;
+	const char *known = item && item->value
+				    ? g_bytes_get_data(item->value, &len)
+				    : NULL;
+	bool same = known && len == strlen(text) && !memcmp(known, text, len);
+
+	if (!same && !proxyd->limits_busy && !proxyd->store_lost_at &&
+	    proxyd->follow[FOLLOW_OWN].whole && proxyd->tab &&
+	    now >= proxyd->limits_next &&
+	    now - proxyd->started_at >= LISTED_MS &&
+	    member_self_rank(proxyd->members, DUTY_RANK) == 0) {
+		proxyd->limits_busy = true;
+		proxyd->limits_next = now + WRITE_GAP_MS;
+		kv_change(proxyd->kv,
+			  &(struct kv_change){
+				  .key = LIMITS_KEY,
+				  .value = text,
+				  .expect = known ? item->mod : 0,
+			  },
+			  on_written, proxyd);
+	}
+	g_free(text);
+}
+
+void limits_recall(struct proxyd *proxyd)
+{
+	const struct store_item *item =
+		store_get(proxyd->follow[FOLLOW_OWN].replica, LIMITS_KEY);
+	GHashTableIter iter;
+	gpointer name;
+	gpointer quota;
+	const char *ptr;
+	char **listed;
+	char *text;
+	gsize len;
+
+	if (proxyd->limits_recalled || !proxyd->tab ||
+	    !proxyd->follow[FOLLOW_OWN].whole || proxyd->conf->first_start)
+		return;
+	proxyd->limits_recalled = true;
+	if (!item || !item->value)
+		return;
+	ptr = g_bytes_get_data(item->value, &len);
+	text = g_strndup(ptr, len);
+	listed = g_strsplit(text, SEPARATOR, 0);
+	g_hash_table_iter_init(&iter, proxyd->quotas);
+	while (g_hash_table_iter_next(&iter, &name, &quota))
+		if (!g_strv_contains((const char *const *)listed, name))
+			quota_on_calm(quota, proxyd_now(proxyd));
+	slog(SLOG_NOTICE, "limits",
+	     "revision=%" G_GINT64_FORMAT " near=\"%s\" outcome=recalled",
+	     item->mod, text);
+	g_strfreev(listed);
+	g_free(text);
+}
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -246,6 +246,7 @@
 	follow_tick(proxyd);
 	peer_tick(proxyd);
 	report_tick(proxyd);
+	limits_tick(proxyd);
 	duty_run(proxyd);
 	move_tick(proxyd);
 	settings_tick(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -110,6 +110,9 @@
 	struct fleet *fleet;
 	GHashTable *quotas; /* account -> struct quota */
 	GHashTable *pools;  /* name -> struct pool_state */
+	bool limits_busy;   /* a change of the list of accounts is under way */
+	clk_ms limits_next;
+	bool limits_recalled; /* the list of before the start was used */
 	struct usage usage;
 	struct wall wall;
 	struct duty duty;
@@ -165,6 +168,12 @@
 /* Whether the host knows enough to serve. */
 bool follow_ready(const struct proxyd *proxyd);
 
+/* proxyd-limits.c */
+/* Keeps the list of the accounts that are near their limits. */
+void limits_tick(struct proxyd *proxyd);
+/* Uses that list, once there is a configuration and all own items are read. */
+void limits_recall(struct proxyd *proxyd);
+
 /* proxyd-peer.c */
 /* How many hosts follow the store, and add the others' figures up. */
 unsigned peer_watchers(const struct proxyd *proxyd);
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -11,6 +11,7 @@
 #define SLACK_SHARE 0.3	    /* of the slack that the common bucket holds */
 #define OVERSHOOT 1.02	  /* of the rate that is let through; 1.1 is allowed */
 #define DEBT_SHARE 0.15	  /* of the common bucket, owed at a restart */
+#define CALM_SHARE 0.7	  /* of the common bucket, left to a calm account */
 #define SETTLE_MS 4000	  /* after a start, to hear of all other hosts */
 #define PRESSED_SHARE 0.6 /* of the common bucket: less is left under load */
 /* Of the common bucket: with more left, equal shares don't bind. What hosts
@@ -108,6 +109,17 @@
 	quota->last = now;
 }
 
+void quota_on_calm(struct quota *quota, clk_ms now)
+{
+	double left = CALM_SHARE * all_max(quota) - quota->spent;
+
+	if (quota->rate <= 0 || now - quota->since >= SETTLE_MS)
+		return;
+	quota->all = MAX(quota->all, left);
+	quota->own =
+		MAX(quota->own, left); /* no more than the own part holds */
+}
+
 /* Those that are heard have spent units. */
 static void all_spend(struct quota *quota, double units)
 {
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -30,6 +30,8 @@
 	double reach;  /* part of the hosts that are heard, 0 to 1 */
 	double recent; /* units that those heard have spent, aged */
 	clk_ms last;
+	clk_ms pressed_at;  /* of the caller: when it was near its limit; 0:
+			       never */
 	clk_ms since;	    /* when the limit was set first */
 	double spent;	    /* units that this host has let through, in all */
 	double told;	    /* of these, the others know */
@@ -61,6 +63,9 @@
  * like what these do, also since the last reports of the others: they may be
  * cut off, and be spending. */
 void quota_set_reach(struct quota *quota, double reach, clk_ms now);
+/* A host that has just started learns that the account was far from its limit
+ * before all hosts were lost: most of the bucket is left. */
+void quota_on_calm(struct quota *quota, clk_ms now);
 /* Gives back what a request that was not run had taken. */
 void quota_give(struct quota *quota, double units);
 /* What is left of the bucket of all hosts: what a host that adds up for others
--- a/sim/world-worker.c
+++ b/sim/world-worker.c
@@ -161,9 +161,9 @@
 	int dcs = (int)world->conf->data_centres;
 
 	for (int dc = 0; dc < dcs; dc++) {
-		int full = count_at(world, dc, false) + world->booting[2 * dc];
-		int spot =
-			count_at(world, dc, true) + world->booting[2 * dc + 1];
+		const int *booting = &world->booting[(gsize)2 * (gsize)dc];
+		int full = count_at(world, dc, false) + booting[0];
+		int spot = count_at(world, dc, true) + booting[1];
 
 		world->result->priced +=
 			(full + spot * world->conf->spot_price) * PLAN_MS /
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -592,6 +592,35 @@
         assert any(at > again + 1 for at in served)
 
 
+async def test_proxy_quota_of_a_calm_account(net):
+    """Hosts that are all killed and start again serve an account that was far
+    from its limit as before."""
+    async with Rig(net, hosts=6) as rig:
+        await rig.until_members()
+        rig.store.put("op/config", config(2, rate=40000))
+        await rig.until("the list of accounts",
+                        lambda: "rw/limits" in rig.store.items, 20)
+        for host in rig.hosts:
+            host.kill()
+        for host in rig.hosts:
+            host.start(first_start=False)
+        for host in rig.hosts:
+            await rig.until_ready(host)
+        statuses = []
+        started = time.monotonic()
+        at = started
+        while time.monotonic() < started + 2:
+            # Half of the limit, in requests of a sixth of a second's share.
+            host = rig.hosts[len(statuses) % len(rig.hosts)]
+            got = await host.ask(
+                "GET", "/i/x",
+                headers=("Redwingpitch-Token-Counts: 5000,1600",))
+            statuses.append(got.status)
+            at += 6600 / 20000
+            await asyncio.sleep(max(at - time.monotonic(), 0))
+        assert statuses.count(200) >= 0.95 * len(statuses), statuses
+
+
 # The duties.
 
 def duty_check(cloud):
