rw-proxyd writes traces: a span of each request and of each attempt

With the setting trace_file; without it callers' traceparents are passed on as they came, and nothing is added. Test: proxy.py test_proxy_traces (the setting did not exist before).

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -25,6 +25,9 @@
 {
 	if (!xfer->worker)
 		return;
+	if (xfer->proxyd->tracer)
+		trace_end(xfer->proxyd->tracer, &xfer->sent_span, "upstream",
+			  xfer->id, xfer->worker->entry.id);
 	fleet_end(xfer->worker, &xfer->ask, xfer->had_first);
 	if (xfer->worker->removed && xfer->worker->inflight == 0)
 		proxyd_drop_peer(xfer->worker);
@@ -289,13 +292,29 @@
 	return CLK_NEVER / 2;
 }
 
+/* Begins an attempt's span; returns the traceparent for its upstream, or NULL
+ * if no spans are written. */
+static const char *sent_trace(struct xfer *xfer, char buf[TRACE_PARENT_LEN + 1])
+{
+	struct tracer *tracer = xfer->proxyd->tracer;
+
+	if (!tracer)
+		return NULL;
+	trace_parent(&xfer->span, buf);
+	trace_begin(tracer, &xfer->sent_span, buf, TRACE_PARENT_LEN);
+	trace_parent(&xfer->sent_span, buf);
+	return buf;
+}
+
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice)
 {
 	struct proxyd *proxyd = xfer->proxyd;
 	struct http_view body = hs_call_body(xfer->call);
 	clk_ms now = proxyd_now(proxyd);
 	struct fleet_worker *worker = choice->worker;
+	char trace[TRACE_PARENT_LEN + 1];
 	struct head_added added = {
+		.trace = sent_trace(xfer, trace),
 		.account = xfer->account ? xfer->account->name : NULL,
 		.worker = worker->entry.id,
 		.time_left = MAX(xfer->end - now, 1),
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -5,6 +5,7 @@
 #ifndef DAEMON_PROXYD_XFER_H
 #define DAEMON_PROXYD_XFER_H
 
+#include "../wire/trace.h"
 #include "proxyd.h"
 
 /* The response of the attempt under way. */
@@ -58,6 +59,8 @@
 	clk_ms sent_at; /* of the attempt */
 	clk_ms last_at; /* when the attempt last brought something */
 	uv_timer_t timer;
+	struct trace_span span;	     /* of the request */
+	struct trace_span sent_span; /* of the attempt */
 	struct xfer_move move;
 	bool same_run; /* the next send goes on with moved memory */
 };
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -1,4 +1,5 @@
 /* rw-proxyd: settings, loop, signals, planned stop. */
+#include "../wire/trace.h"
 #include "proxyd.h"
 
 #include <signal.h>
@@ -460,6 +461,12 @@
 	proxyd->settings_changed_at = settings_stamp(path);
 	proxyd->rand = g_rand_new();
 	uv_loop_init(&proxyd->loop);
+	if (conf->trace_file[0]) {
+		proxyd->tracer = trace_open(conf->trace_file, conf->name,
+					    proxyd->rand, error);
+		if (!proxyd->tracer)
+			return false;
+	}
 	slog_open(&proxyd->loop, conf->name, slog_level_parse(conf->log_level),
 		  (int)conf->log_rate);
 	if (!listen_all(proxyd, error))
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -84,6 +84,7 @@
 	int64_t settings_changed_at; /* of the file, in ns */
 	GRand *rand;
 	struct ctrs ctrs;
+	struct tracer *tracer; /* NULL: no spans are written */
 	struct hist first_ms;  /* to the first byte of an answer */
 	struct hist whole_ms;  /* to the end of an answer */
 	struct hist placed_ms; /* to the first send */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -529,6 +529,35 @@
     assert "log_rate" in text and host.settings in text, text
 
 
+async def test_proxy_traces(net):
+    """A span of each request, under its caller's, and one of each attempt;
+    the upstream gets the attempt's."""
+    async with Rig(net) as rig:
+        host = rig.hosts[0]
+        spans = os.path.join(rig.folder, "spans")
+        host.kill()
+        host.start(trace_file=spans)
+        await rig.until_ready(host)
+        first = rig.of("api")[0]
+        first.ident = "w-other"  # an attempt there is refused
+        parent = "00-" + "a" * 32 + "-" + "b" * 16 + "-01"
+        for _ in range(6):
+            got = await host.ask("POST", "/o2/x", b"b",
+                                 headers=("traceparent: " + parent,))
+            assert got.status == 200, got.status
+        with open(spans) as file:
+            rows = [json.loads(line) for line in file]
+        requests = {r["span"]: r for r in rows if r["name"] == "request"}
+        attempts = [r for r in rows if r["name"] == "upstream"]
+        assert len(requests) == 6 and len(attempts) > 6, rows
+        assert all(r["trace"] == "a" * 32 for r in rows), rows
+        assert all(r["parent"] == "b" * 16 for r in requests.values()), rows
+        assert all(r["parent"] in requests for r in attempts), rows
+        sent = {h["traceparent"].split("-")[2] for w in rig.of("api")
+                for h in w.arrived}
+        assert sent == {r["span"] for r in attempts}, (sent, attempts)
+
+
 # Limits.
 
 async def test_proxy_quota(net):
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -372,6 +372,11 @@
 		.max = 1000000,
 		.fallback = "200",
 	},
+	{
+		.name = "trace_file",
+		.type = CONF_TYPE_TEXT,
+		.offset = offsetof(struct conf_proxy, trace_file),
+	},
 };
 
 static const char *const admin_log_level_choices[] = { "error",	 "warn",
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -77,6 +77,7 @@
 	double distance_ms;
 	char *log_level;
 	int64_t log_rate;
+	char *trace_file;
 };
 
 /* The settings file of one rw-admind process. */
