Large pools: a host is told of, and draws among, 192 workers

The busiest host sent 5,143 KB/s and took 69% of a core, over the 10 Mbit/s of its link; configuration was in force after 4.2 s, 8.4 s at most. Relays carry 24 bytes of each worker with requests, to 23 hosts, twice a second: 3.3 MB/s at that size. Ruled out: the store (acknowledges in 0.25 s).

Change: of a pool of more than 192 workers each host draws among some 192, by a hash of both, and is told of these only; a session's home may be any.

Test: unit-proxy fleet_draws_among_the_near_ones: of 3,000 workers 130 to 260 are drawn in 4,000 choices (without the limit the test fails); of 150 all.

--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -234,6 +234,7 @@
 struct relaying {
 	struct proxyd *proxyd;
 	const char *process; /* that it is for */
+	uint32_t host_key;
 	const struct sums *sums;
 	double (*own)(const struct fleet_worker *worker);
 	w_part *parts;
@@ -257,7 +258,8 @@
 		relaying->proxyd->fleet->by_key, GUINT_TO_POINTER(key));
 	double others;
 
-	if (!worker)
+	if (!worker ||
+	    !fleet_is_near(relaying->proxyd->fleet, worker, relaying->host_key))
 		return;
 	others = total + relaying->own(worker) -
 		 sums_of(relaying->sums, relaying->process, key);
@@ -275,6 +277,7 @@
 	struct relaying relaying = {
 		.proxyd = proxyd,
 		.process = process,
+		.host_key = sums_key(process),
 		.sums = sums,
 		.own = own,
 		.parts = g_new0(w_part, g_hash_table_size(sums->totals)),
@@ -390,6 +393,8 @@
 	sums_expire(proxyd->prompts, now - TOLD_KEEP_MS);
 	reach_set(proxyd);
 	proxyd->fleet->speed.samples = few ? ALL_SAMPLES : FEW_SAMPLES;
+	proxyd->fleet->speed.host_key =
+		sums_key(proxyd->members->self.incarnation);
 	if (due || accounts_owe(proxyd) ||
 	    (accounts_pressed(proxyd) && (few || age >= PRESSED_MS))) {
 		proxyd->reported_at = now;
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -18,6 +18,7 @@
 	250 /* a report of a worker goes before what hosts tell                \
 	     */
 #define SERVICE_WAIT_MS 60.0 /* for a busy place of a plain service */
+#define NEAR_MAX 192	     /* workers of a pool that a host is told of */
 #define PARTS_KEEP 4096	     /* parts remembered of one worker */
 
 static gpointer part_key(uint64_t id)
@@ -257,6 +258,16 @@
 	return (uint32_t)(hash >> 32);
 }
 
+bool fleet_is_near(const struct fleet *fleet, const struct fleet_worker *worker,
+		   uint32_t host_key)
+{
+	guint count = pool_of(fleet, worker->entry.pool)->len;
+
+	return count <= NEAR_MAX ||
+	       rank_of(worker, host_key) <
+		       (uint32_t)((double)UINT32_MAX * NEAR_MAX / count);
+}
+
 /* The part by which requests of one session are kept together: the last one
  * that they share. */
 static uint64_t session_of(const struct fleet_ask *ask)
@@ -410,11 +421,12 @@
 }
 
 /* Chooses among the workers of one group: all, or the home and some that are
- * drawn, so that hosts that know the same don't all choose the same. */
+ * drawn, so that hosts that know the same don't all choose the same. near:
+ * only those that are near are drawn. */
 static struct fleet_choice choose_among(struct fleet *fleet,
 					const GPtrArray *workers,
 					const struct fleet_ask *ask,
-					enum group group, clk_ms now)
+					enum group group, bool near, clk_ms now)
 {
 	struct choosing choosing = {
 		.fleet = fleet,
@@ -435,6 +447,9 @@
 
 		if (worker == ask->not_this || group_of(worker, now) != group)
 			continue;
+		if (near && worker != choosing.home &&
+		    !fleet_is_near(fleet, worker, fleet->speed.host_key))
+			continue;
 		if (samples && worker != choosing.home && drawn++ >= samples) {
 			if (choosing.home == ask->not_this || !choosing.home)
 				break;
@@ -453,9 +468,13 @@
 
 	if (!workers)
 		return choice;
-	for (int group = 0; group < GROUP_COUNT && !choice.worker; group++)
+	for (int group = 0; group < GROUP_COUNT && !choice.worker; group++) {
 		choice = choose_among(fleet, workers, ask, (enum group)group,
-				      now);
+				      fleet->speed.samples > 0, now);
+		if (!choice.worker && fleet->speed.samples > 0)
+			choice = choose_among(fleet, workers, ask,
+					      (enum group)group, false, now);
+	}
 	return choice;
 }
 
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -80,6 +80,7 @@
 	double distance_ms; /* for another data centre */
 	unsigned samples;   /* workers looked at besides a session's home;
 			     * 0: all, where hosts are few */
+	uint32_t host_key;  /* of this host: which workers are near to it */
 	clk_ms cached_for;  /* a part read longer ago may have been dropped */
 };
 
@@ -133,6 +134,11 @@
 void fleet_entry_clear(struct fleet_entry *entry);
 struct fleet_worker *fleet_worker_ref(struct fleet_worker *worker);
 void fleet_worker_unref(struct fleet_worker *worker);
+/* Whether a worker of a large pool is one of those whose load a host is told,
+ * and draws among; host_key: sums_key of the host's process. In a pool that is
+ * not large all are. */
+bool fleet_is_near(const struct fleet *fleet, const struct fleet_worker *worker,
+		   uint32_t host_key);
 /* Whether it gets new work. */
 bool fleet_takes_work(const struct fleet_worker *worker);
 
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -294,6 +294,15 @@
 	return 0;
 }
 
+static uint32_t any_random(void *ctx, uint32_t n)
+{
+	static uint32_t state = 1;
+
+	(void)ctx;
+	state = state * 1664525u + 1013904223u;
+	return (state >> 8) % n;
+}
+
 static struct fleet *fleet_make(unsigned workers)
 {
 	struct fleet options = {
@@ -393,6 +402,34 @@
 }
 END_TEST
 
+/* In a large pool a host draws among so many workers that what it has to be
+ * told does not grow with the pool; in a smaller one, among all. */
+START_TEST(fleet_draws_among_the_near_ones)
+{
+	static const struct {
+		int workers;
+		guint least; /* different ones that are drawn */
+		guint most;
+	} cases[] = { { 150, 145, 150 }, { 3000, 130, 260 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fleet *fleet = fleet_make(cases[i].workers);
+		struct fleet_ask ask = { .pool = "pool", .data_centre = "dc" };
+		GHashTable *drawn = g_hash_table_new(NULL, NULL);
+
+		fleet->random = any_random;
+		fleet->speed.samples = 3;
+		fleet->speed.host_key = 77;
+		for (int n = 0; n < 4000; n++)
+			g_hash_table_add(drawn,
+					 fleet_choose(fleet, &ask, 0).worker);
+		ck_assert_uint_ge(g_hash_table_size(drawn), cases[i].least);
+		ck_assert_uint_le(g_hash_table_size(drawn), cases[i].most);
+		g_hash_table_destroy(drawn);
+	}
+}
+END_TEST
+
 /* Every worker has failed: nothing is known of their times, and requests must
  * go on to show that they work again. */
 START_TEST(fleet_failures_are_no_wait)
@@ -757,6 +794,7 @@
 	tcase_add_test(tcase, fleet_forgets_a_reborn_worker);
 	tcase_add_test(tcase, fleet_avoids_what_fails);
 	tcase_add_test(tcase, fleet_failures_are_no_wait);
+	tcase_add_test(tcase, fleet_draws_among_the_near_ones);
 	tcase_add_test(tcase, fleet_tries_again_what_failed);
 	tcase_add_test(tcase, duty_is_taken_renewed_and_lost);
 	tcase_add_test(tcase, duty_frozen_holder_does_not_act);
