Relays of sums in a file of their own

daemon/proxyd-report.c had grown to 509 lines: what a host tells, what a few tell the others, and what comes in. proxyd-relay.c has the second part; struct relay_choice, as decide/member-int.h has a struct relay. No change of behaviour; proxy.py and unit-quota pass.

--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -3,8 +3,8 @@
  * what accounts have spent, requests at workers.
  *
  * Where hosts are few, each tells all others. Where they are many, each tells
- * the few that also follow the store, and these tell each of the others the
- * sums of the rest.
+ * the few that also follow the store, and these add up for the rest
+ * (proxyd-relay.c).
  */
 #include "proxyd.h"
 
@@ -14,14 +14,10 @@
 #define REPORT_FEW_MS                                                          \
 	250 /* where hosts are few: what one that is killed has                \
 	     * not told is more of what all have */
-#define RELAY_PERIOD_MS 500
 /* Between reports near a limit, where hosts are many. */
 #define PRESSED_MS 300
 /* A host that is silent for so long reports to others, where hosts are many. */
 #define RELAY_GAP_MS 1500
-#define HEARD_MS 1200	   /* a host that reported so lately is heard */
-#define LOST_KEEP_MS 15000 /* a host that was lost may be running, cut off */
-#define REACH_AFTER_MS 1500
 #define TOLD_KEEP_MS 2500 /* a host's requests count after its last report */
 #define ALL_SAMPLES 0
 #define FEW_SAMPLES 3 /* workers drawn for a choice, where hosts are many */
@@ -229,159 +225,6 @@
 	report_free(&filling.report);
 }
 
-/* The sums of all hosts but one, for that one. */
-
-struct relaying {
-	struct proxyd *proxyd;
-	const char *process; /* that it is for */
-	uint32_t host_key;
-	const struct sums *sums;
-	double (*own)(const struct fleet_worker *worker);
-	w_part *parts;
-	u_int count;
-};
-
-static double own_inflight(const struct fleet_worker *worker)
-{
-	return worker->inflight;
-}
-
-static double own_prompts(const struct fleet_worker *worker)
-{
-	return worker->prompt_tokens;
-}
-
-static void relay_add(void *ctx, uint32_t key, double total)
-{
-	struct relaying *relaying = ctx;
-	const struct fleet_worker *worker = g_hash_table_lookup(
-		relaying->proxyd->fleet->by_key, GUINT_TO_POINTER(key));
-	double others;
-
-	if (!worker ||
-	    !fleet_is_near(relaying->proxyd->fleet, worker, relaying->host_key))
-		return;
-	others = total + relaying->own(worker) -
-		 sums_of(relaying->sums, relaying->process, key);
-	if (others > 0)
-		relaying->parts[relaying->count++] =
-			(w_part){ .key = key, .value = others };
-}
-
-/* Lists the sums for one host; returns how many there are. */
-static u_int relay_fill(struct proxyd *proxyd, const char *process,
-			const struct sums *sums,
-			double (*own)(const struct fleet_worker *worker),
-			w_part **parts)
-{
-	struct relaying relaying = {
-		.proxyd = proxyd,
-		.process = process,
-		.host_key = sums_key(process),
-		.sums = sums,
-		.own = own,
-		.parts = g_new0(w_part, g_hash_table_size(sums->totals)),
-	};
-
-	sums_each(sums, relay_add, &relaying);
-	*parts = relaying.parts;
-	return relaying.count;
-}
-
-/* Hosts that may be spending: those lost lately may be cut off. */
-static unsigned hosts_possible(const struct proxyd *proxyd)
-{
-	clk_ms since = proxyd_now(proxyd) - LOST_KEEP_MS;
-
-	return 1 + (unsigned)member_possible_count(proxyd->members, since);
-}
-
-/* Hosts whose spending is known here. */
-static unsigned hosts_heard(const struct proxyd *proxyd)
-{
-	clk_ms now = proxyd_now(proxyd);
-
-	if (!proxyd->hears_since)
-		return proxyd->relay_heard;
-	/* At first hosts are only beginning to report to this one. */
-	if (now - proxyd->hears_since < HEARD_MS)
-		return hosts_possible(proxyd);
-	return 1 + sums_heard(proxyd->inflight, now - HEARD_MS);
-}
-
-/* full: with more than accounts' spending. */
-static void relay_to(struct proxyd *proxyd, const struct member *member,
-		     bool full)
-{
-	const char *process = member->info.incarnation;
-	w_relay relay = {
-		.process = proxyd->members->self.incarnation,
-		.heard = hosts_heard(proxyd),
-		.full = full,
-	};
-	clk_ms now = proxyd_now(proxyd);
-	GHashTableIter iter;
-	gpointer key;
-	gpointer value;
-
-	if (full) {
-		relay.inflight.inflight_len =
-			relay_fill(proxyd, process, proxyd->inflight,
-				   own_inflight, &relay.inflight.inflight_val);
-		relay.prompts.prompts_len =
-			relay_fill(proxyd, process, proxyd->prompts,
-				   own_prompts, &relay.prompts.prompts_val);
-	}
-	relay.left.left_val =
-		g_new0(w_part, g_hash_table_size(proxyd->account_keys));
-	g_hash_table_iter_init(&iter, proxyd->account_keys);
-	while (g_hash_table_iter_next(&iter, &key, &value))
-		relay.left.left_val[relay.left.left_len++] = (w_part){
-			.key = GPOINTER_TO_UINT(key),
-			.value = quota_left(value, proxyd_hosts(proxyd), now),
-		};
-	rpc_send_relay(proxyd->rpc, member->info.rpc, &relay);
-	g_free(relay.inflight.inflight_val);
-	g_free(relay.prompts.prompts_val);
-	g_free(relay.left.left_val);
-}
-
-/* Tells this host's part of the others the sums. */
-static void relay_all(struct proxyd *proxyd, bool full)
-{
-	unsigned count = peer_watchers(proxyd);
-	unsigned rank = member_self_rank(proxyd->members, DUTY_RANK);
-	const GPtrArray *order = proxyd->members->order;
-
-	for (guint i = 0; i < order->len; i++) {
-		const struct member *member = g_ptr_array_index(order, i);
-
-		if (member->info.state == MEMBER_ALIVE &&
-		    peer_tells(member, rank, count))
-			relay_to(proxyd, member, full);
-	}
-}
-
-/* Sets what part of the hosts the accounts' buckets are known of. */
-static void reach_set(struct proxyd *proxyd)
-{
-	clk_ms now = proxyd_now(proxyd);
-	double reach = 1;
-	GHashTableIter iter;
-	gpointer value;
-
-	if (!peer_all_watch(proxyd) && !peer_is_first(proxyd))
-		proxyd->hears_since = 0;
-	else if (!proxyd->hears_since)
-		proxyd->hears_since = now;
-	/* At the start the others are only being found. */
-	if (now - proxyd->started_at >= REACH_AFTER_MS)
-		reach = (double)hosts_heard(proxyd) / hosts_possible(proxyd);
-	g_hash_table_iter_init(&iter, proxyd->quotas);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		quota_set_reach(value, reach, now);
-}
-
 void report_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
@@ -391,7 +234,7 @@
 
 	sums_expire(proxyd->inflight, now - TOLD_KEEP_MS);
 	sums_expire(proxyd->prompts, now - TOLD_KEEP_MS);
-	reach_set(proxyd);
+	relay_reach_set(proxyd);
 	proxyd->fleet->speed.samples = few ? ALL_SAMPLES : FEW_SAMPLES;
 	proxyd->fleet->speed.host_key =
 		sums_key(proxyd->members->self.incarnation);
@@ -409,7 +252,7 @@
 
 /* What hosts tell. */
 
-static void parts_take(struct proxyd *proxyd, struct sums *sums,
+void report_parts_take(struct proxyd *proxyd, struct sums *sums,
 		       const char *process, const w_part *parts, u_int count)
 {
 	struct sums_part *taken = g_new(struct sums_part, count);
@@ -439,19 +282,6 @@
 	}
 }
 
-/* Takes what another host says that accounts have left. */
-static void left_take(struct proxyd *proxyd, const w_relay *relay)
-{
-	for (u_int i = 0; i < relay->left.left_len; i++) {
-		const w_part *part = &relay->left.left_val[i];
-		struct quota *quota = g_hash_table_lookup(
-			proxyd->account_keys, GUINT_TO_POINTER(part->key));
-
-		if (quota && quota->rate > 0)
-			quota_on_left(quota, part->value, proxyd_now(proxyd));
-	}
-}
-
 void peer_on_report(void *ctx, const w_report *report)
 {
 	struct proxyd *proxyd = ctx;
@@ -467,43 +297,13 @@
 				report->demand.demand_val[i].pool,
 				report->demand.demand_val[i].busy);
 	if (report->full) {
-		parts_take(proxyd, proxyd->inflight, report->process,
-			   report->inflight.inflight_val,
-			   report->inflight.inflight_len);
-		parts_take(proxyd, proxyd->prompts, report->process,
-			   report->prompts.prompts_val,
-			   report->prompts.prompts_len);
+		report_parts_take(proxyd, proxyd->inflight, report->process,
+				  report->inflight.inflight_val,
+				  report->inflight.inflight_len);
+		report_parts_take(proxyd, proxyd->prompts, report->process,
+				  report->prompts.prompts_val,
+				  report->prompts.prompts_len);
 	}
 	spent_take(proxyd, report->process, report->spent.spent_val,
 		   report->spent.spent_len);
 }
-
-void peer_on_relay(void *ctx, const w_relay *relay)
-{
-	struct proxyd *proxyd = ctx;
-	clk_ms now = proxyd_now(proxyd);
-	char *process;
-
-	/* One that adds up itself hears all hosts, and needs no sums once it
-	 * has heard them. */
-	if (peer_is_first(proxyd) && proxyd->hears_since &&
-	    now - proxyd->hears_since >= HEARD_MS)
-		return;
-	proxyd->beat_at = now;
-	if (!relay_accepts(&proxyd->relay, relay->process, now))
-		return;
-	proxyd->relay_heard = relay->heard;
-	process = g_strconcat("others~", relay->process, NULL);
-	if (relay->full) {
-		sums_expire(proxyd->inflight, now);
-		sums_expire(proxyd->prompts, now);
-		parts_take(proxyd, proxyd->inflight, process,
-			   relay->inflight.inflight_val,
-			   relay->inflight.inflight_len);
-		parts_take(proxyd, proxyd->prompts, process,
-			   relay->prompts.prompts_val,
-			   relay->prompts.prompts_len);
-	}
-	left_take(proxyd, relay);
-	g_free(process);
-}
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -128,11 +128,11 @@
 	clk_ms full_report_at; /* the last one with demand */
 	clk_ms reported_at;
 	clk_ms next_beat;
-	struct relay relay;   /* the host whose sums are taken */
-	unsigned relay_heard; /* hosts that these are of */
-	clk_ms hears_since;   /* all hosts report to this one; 0: they don't */
-	clk_ms beat_at;	      /* when a host that watches was heard last */
-	int64_t beat_config;  /* revisions that were shown last */
+	struct relay_choice relay; /* the host whose sums are taken */
+	unsigned relay_heard;	   /* hosts that these are of */
+	clk_ms hears_since;  /* all hosts report to this one; 0: they don't */
+	clk_ms beat_at;	     /* when a host that watches was heard last */
+	int64_t beat_config; /* revisions that were shown last */
 	int64_t beat_workers;
 	clk_ms sync_until;
 	GHashTable *open; /* set of struct xfer: requests under way */
@@ -162,6 +162,9 @@
 /* proxyd-report.c: figures that hosts add up */
 void report_start(struct proxyd *proxyd);
 void report_tick(struct proxyd *proxyd);
+/* Puts the figures that a process tells into sums. */
+void report_parts_take(struct proxyd *proxyd, struct sums *sums,
+		       const char *process, const w_part *parts, u_int count);
 
 /* proxyd-follow.c */
 void follow_start(struct proxyd *proxyd);
@@ -169,6 +172,13 @@
 /* Whether the host knows enough to serve. */
 bool follow_ready(const struct proxyd *proxyd);
 
+/* proxyd-relay.c */
+/* Tells this host's part of the others the sums; full: with more than what
+ * accounts have left. */
+void relay_all(struct proxyd *proxyd, bool full);
+/* Sets what part of the hosts the accounts' buckets are known of. */
+void relay_reach_set(struct proxyd *proxyd);
+
 /* proxyd-limits.c */
 /* Keeps the list of the accounts that are near their limits. */
 void limits_tick(struct proxyd *proxyd);
--- a/decide/relay.c
+++ b/decide/relay.c
@@ -6,7 +6,7 @@
 
 #define SILENT_MS 700 /* a period of relays, and some */
 
-bool relay_accepts(struct relay *relay, const char *process, clk_ms now)
+bool relay_accepts(struct relay_choice *relay, const char *process, clk_ms now)
 {
 	bool same = !strcmp(relay->from, process);
 
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -209,7 +209,7 @@
 struct net_host {
 	char name[24];
 	struct quota *quota;
-	struct relay relay;
+	struct relay_choice relay;
 	clk_ms next;		    /* report */
 	clk_ms heard_at[NET_HOSTS]; /* of a relay: reports of each host */
 	unsigned heard;		    /* hosts, by the last relayed sums */
@@ -438,7 +438,7 @@
 
 START_TEST(relay_listens_to_one)
 {
-	struct relay relay = { .heard = 0 };
+	struct relay_choice relay = { .heard = 0 };
 
 	ck_assert(relay_accepts(&relay, "a", 100));
 	ck_assert(!relay_accepts(&relay, "b", 200));
