--- a/sim/result.c
+++ b/sim/result.c
@@ -3,6 +3,8 @@
 
 #include <math.h>
 
+#include "sim.h"
+
 #define WHOLE_SHARE 0.5
 #define SPANS_SHARE 0.35
 #define LOAD_SHARE 0.15
@@ -125,22 +127,7 @@
 	       LOAD_SHARE * result_worst_load(result) - result_price(result);
 }
 
-static gint by_value(gconstpointer a, gconstpointer b)
-{
-	double left = *(const double *)a;
-	double right = *(const double *)b;
-
-	return (left > right) - (left < right);
-}
-
 double result_first_ms(const struct result *result, guint load, double share)
 {
-	GArray *values = result->loads[load].first_ms;
-
-	if (values->len == 0)
-		return 0;
-	g_array_sort(values, by_value);
-	return g_array_index(
-		values, double,
-		MIN((guint)(share * values->len), values->len - 1));
+	return sim_percentile(result->loads[load].first_ms, share);
 }
--- a/sim/sim.c
+++ b/sim/sim.c
@@ -74,3 +74,21 @@
 {
 	return sim_random(sim, 1000) < per_mille;
 }
+
+static gint by_value(gconstpointer a, gconstpointer b)
+{
+	double left = *(const double *)a;
+	double right = *(const double *)b;
+
+	return (left > right) - (left < right);
+}
+
+double sim_percentile(GArray *values, double share)
+{
+	if (values->len == 0)
+		return 0;
+	g_array_sort(values, by_value);
+	return g_array_index(
+		values, double,
+		MIN((guint)(share * values->len), values->len - 1));
+}
--- a/sim/sim.h
+++ b/sim/sim.h
@@ -25,5 +25,8 @@
 guint sim_random(struct sim *sim, guint n);
 /* True so many times in a thousand. */
 bool sim_chance(struct sim *sim, guint per_mille);
+/* The value below which a part of the values, doubles, lies; 0 if there are
+ * none. Sorts them. */
+double sim_percentile(GArray *values, double share);
 
 #endif
--- a/tests/sim-route.c
+++ b/tests/sim-route.c
@@ -511,24 +511,6 @@
 	sim_free(world->sim);
 }
 
-static gint by_value(gconstpointer a, gconstpointer b)
-{
-	double left = *(const double *)a;
-	double right = *(const double *)b;
-
-	return (left > right) - (left < right);
-}
-
-static double percentile(GArray *values, double share)
-{
-	if (values->len == 0)
-		return 0;
-	g_array_sort(values, by_value);
-	return g_array_index(
-		values, double,
-		MIN((guint)(share * values->len), values->len - 1));
-}
-
 static const char *const policy_names[ROUTE_POLICY_COUNT] = {
 	"cost",
 	"random",
@@ -554,10 +536,10 @@
 			world_open(&world, seed, &mixes[m],
 				   (enum route_policy)p, 0.7);
 			sim_run(world.sim, 2 * RUN_MS);
-			p95 = percentile(world.first, 0.95);
+			p95 = sim_percentile(world.first, 0.95);
 			printf("%-8s %-18s %6.0f ms %6.0f ms %8.1f%% %8.1f%%\n",
 			       mixes[m].name, policy_names[p],
-			       percentile(world.first, 0.5), p95,
+			       sim_percentile(world.first, 0.5), p95,
 			       100.0 * (double)world.prefilled /
 				       (double)world.prompt_tokens,
 			       100.0 * (double)world.whole /
@@ -603,7 +585,7 @@
 					       (double)world.arrivals,
 				       100.0 * (double)world.late /
 					       (double)world.arrivals,
-				       percentile(world.small, 0.95));
+				       sim_percentile(world.small, 0.95));
 				world_close(&world);
 			}
 			if (admission && last < 0.9 * peak)
