--- a/tools/check.sh
+++ b/tools/check.sh
@@ -91,7 +91,7 @@
 	run "sim_route_$bench" "$B/tests/sim-route" $bench --seed 1
 done
 run loads python3 tests/loads.py
-run bad_scenario bad_argument "$B/rw-sim" schema/settings.json \
+run bad_scenario bad_argument "$B/rw-sim" examples/entryd.json \
 	'there is no "scenario"'
 tests/model.sh >"$LOG/model" 2>&1
 while read -r word _ name _; do
