Usage: counts reach other hosts before they can be lost

Cause: a host reported its counts of started requests every 250 ms (500 ms where hosts are many). What it had counted since was lost when it was killed. Ruled out: counts lost at the receiver (it keeps the highest per process), the successor's sum (the logs show that it sends all it was told).

Change: decide/usage knows what was reported. When an account has two unreported requests, or 2% of its window over all hosts if that is more, the host reports the changed counts at once, to the hosts that any leader comes from. The window before counts for the size, as the present one has only begun. The leader's sum over processes is kept as counts arrive, in place of a pass over all of them. A host that takes a new incarnation reports first.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -105,8 +105,9 @@
 	if (xfer->usage_counted || !xfer->account)
 		return;
 	xfer->usage_counted = true;
-	usage_add(&proxyd->usage, proxyd->members->self.incarnation,
-		  xfer->account->name, proxyd_wall(proxyd) - ago);
+	if (usage_add(&proxyd->usage, proxyd->members->self.incarnation,
+		      xfer->account->name, proxyd_wall(proxyd) - ago))
+		report_send_counts(proxyd);
 }
 
 static void on_sent(void *ctx, bool reused)
--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -125,7 +125,7 @@
 {
 	struct json_object *obj = ctx;
 
-	json_add_int(obj, account, json_int(obj, account, 0) + count);
+	json_add_int(obj, account, count);
 }
 
 /* Returns the counts of a window over all hosts, as a JSON object. */
@@ -135,7 +135,7 @@
 	size_t len;
 	char *text;
 
-	usage_foreach(&proxyd->usage, NULL, window, count_add, obj);
+	usage_totals(&proxyd->usage, window, count_add, obj);
 	text = g_strdup(json_print(obj, &len));
 	json_object_put(obj);
 	return text;
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -152,6 +152,7 @@
 			g_rand_int(proxyd->rand));
 	slog(SLOG_WARN, "host", "peer=%s outcome=declared_dead now=%s",
 	     proxyd->members->self.incarnation, incarnation);
+	report_send_counts(proxyd); /* under the name they were counted for */
 	member_renew(proxyd->members, incarnation, proxyd_now(proxyd));
 	if (proxyd->stopping)
 		member_leave(proxyd->members, proxyd_now(proxyd));
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -28,7 +28,6 @@
 struct report_fill_ctx {
 	struct proxyd *proxyd;
 	w_report report;
-	int64_t window;
 	double since_full; /* ms since the last full report */
 };
 
@@ -52,7 +51,8 @@
 	proxyd->peer_prompts = aggregate_create(prompts_changed, proxyd);
 }
 
-static void count_add(void *ctx, const char *account, int64_t count)
+static void count_add(void *ctx, const char *account, int64_t window,
+		      int64_t count)
 {
 	struct report_fill_ctx *fill = ctx;
 	w_report *report = &fill->report;
@@ -61,24 +61,19 @@
 	report->counts.counts_val = g_renew(w_count, report->counts.counts_val,
 					    report->counts.counts_len);
 	report->counts.counts_val[at] = (w_count){
-		.window = fill->window,
+		.window = window,
 		.account = (char *)account,
 		.count = count,
 	};
 }
 
-/* Lists this host's counts of the windows that are kept. */
-static void counts_fill(struct report_fill_ctx *fill)
+/* Lists this host's counts: all, or those that it has not reported. */
+static void counts_fill(struct report_fill_ctx *fill, bool all)
 {
 	struct proxyd *proxyd = fill->proxyd;
-	int64_t newest = usage_window(&proxyd->usage, proxyd_wall(proxyd));
 
-	for (int64_t window = newest - USAGE_WINDOWS + 1; window <= newest;
-	     window++) {
-		fill->window = window;
-		usage_foreach(&proxyd->usage, proxyd->members->self.incarnation,
-			      window, count_add, fill);
-	}
+	usage_report(&proxyd->usage, proxyd->members->self.incarnation, all,
+		     count_add, fill);
 }
 
 /* Lists the demand of each pool, and records it as this host's own. */
@@ -205,6 +200,16 @@
 	return false;
 }
 
+/* Sends a report to the relays, and frees it. */
+static void report_send_all(struct report_fill_ctx *fill)
+{
+	struct proxyd *proxyd = fill->proxyd;
+
+	member_each_top(proxyd->members, LEADER_RANK, peer_relay_count(proxyd),
+			report_send_to, fill);
+	report_free(&fill->report);
+}
+
 /* Sends a report to the relays; full: include counts, demand and the load of
  * workers, besides the accounts' spending. */
 static void report_send(struct proxyd *proxyd, bool full)
@@ -218,15 +223,24 @@
 	};
 
 	if (full) {
-		counts_fill(&fill);
+		counts_fill(&fill, true);
 		demand_fill(&fill);
 		inflight_fill(&fill);
 		proxyd->full_report_at = proxyd_now(proxyd);
 	}
 	spent_fill(&fill);
-	member_each_top(proxyd->members, LEADER_RANK, peer_relay_count(proxyd),
-			report_send_to, &fill);
-	report_free(&fill.report);
+	report_send_all(&fill);
+}
+
+void report_send_counts(struct proxyd *proxyd)
+{
+	struct report_fill_ctx fill = {
+		.proxyd = proxyd,
+		.report.process = proxyd->members->self.incarnation,
+	};
+
+	counts_fill(&fill, false);
+	report_send_all(&fill);
 }
 
 void report_tick(struct proxyd *proxyd)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -168,6 +168,8 @@
 /* proxyd-report.c: reports that hosts aggregate */
 void report_start(struct proxyd *proxyd);
 void report_tick(struct proxyd *proxyd);
+/* Sends the counts of started requests that were not reported yet. */
+void report_send_counts(struct proxyd *proxyd);
 /* Replaces the values of a process in an aggregate by those it reports. */
 void report_parts_apply(struct proxyd *proxyd, struct aggregate *sums,
 			const char *process, const w_part *parts, u_int count);
--- a/decide/usage.c
+++ b/decide/usage.c
@@ -4,13 +4,20 @@
 #include <stdio.h>
 #include <string.h>
 
+/* Started requests of one account that a host may keep to itself, as they are
+ * lost if it is killed: so many, or this share of all in the window. Both are
+ * below the error that a report may have. */
+#define UNREPORTED_MAX 2
+#define UNREPORTED_SHARE 0.02
+
 /* One counter; its key in the table is made of its window, process and
- * account. */
+ * account. The process of a total over all processes is "". */
 struct usage_entry {
 	int64_t window;
 	char *process;
 	char *account;
 	int64_t count;
+	int64_t reported; /* of count, to other hosts */
 };
 
 static void entry_free(gpointer data)
@@ -22,12 +29,18 @@
 	g_free(entry);
 }
 
+static GHashTable *table_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     entry_free);
+}
+
 void usage_init(struct usage *usage, clk_ms window)
 {
 	*usage = (struct usage){
 		.window = window,
-		.counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						entry_free),
+		.counts = table_create(),
+		.totals = table_create(),
 		.newest_window = INT64_MIN,
 	};
 }
@@ -46,22 +59,19 @@
 	return entry->window <= usage->newest_window - USAGE_WINDOWS;
 }
 
-/* Returns a counter, created if missing; NULL if its window has expired. */
-static struct usage_entry *entry_get(struct usage *usage, const char *process,
+static char *entry_key(const char *process, const char *account, int64_t window)
+{
+	return g_strdup_printf("%" G_GINT64_FORMAT "\n%s\n%s", window, process,
+			       account);
+}
+
+/* Returns a counter of a table, created if missing. */
+static struct usage_entry *entry_get(GHashTable *table, const char *process,
 				     const char *account, int64_t window)
 {
-	char *key;
-	struct usage_entry *entry;
+	char *key = entry_key(process, account, window);
+	struct usage_entry *entry = g_hash_table_lookup(table, key);
 
-	if (window > usage->newest_window) {
-		usage->newest_window = window;
-		g_hash_table_foreach_remove(usage->counts, is_expired, usage);
-	}
-	if (window <= usage->newest_window - USAGE_WINDOWS)
-		return NULL;
-	key = g_strdup_printf("%" G_GINT64_FORMAT "\n%s\n%s", window, process,
-			      account);
-	entry = g_hash_table_lookup(usage->counts, key);
 	if (entry) {
 		g_free(key);
 		return entry;
@@ -70,43 +80,106 @@
 	entry->window = window;
 	entry->process = g_strdup(process);
 	entry->account = g_strdup(account);
-	g_hash_table_insert(usage->counts, key, entry);
+	g_hash_table_insert(table, key, entry);
+	return entry;
+}
+
+/* Adds to a process's count of a window, unless the window has expired;
+ * returns the counter, or NULL. */
+static struct usage_entry *count_raise(struct usage *usage, const char *process,
+				       const char *account, int64_t window,
+				       int64_t by)
+{
+	struct usage_entry *entry;
+
+	if (window > usage->newest_window) {
+		usage->newest_window = window;
+		g_hash_table_foreach_remove(usage->counts, is_expired, usage);
+		g_hash_table_foreach_remove(usage->totals, is_expired, usage);
+	}
+	if (window <= usage->newest_window - USAGE_WINDOWS)
+		return NULL;
+	entry = entry_get(usage->counts, process, account, window);
+	entry->count += by;
+	entry_get(usage->totals, "", account, window)->count += by;
 	return entry;
 }
 
-void usage_add(struct usage *usage, const char *process, const char *account,
+static int64_t total_of(const struct usage *usage, const char *account,
+			int64_t window)
+{
+	char *key = entry_key("", account, window);
+	const struct usage_entry *total =
+		g_hash_table_lookup(usage->totals, key);
+
+	g_free(key);
+	return total ? total->count : 0;
+}
+
+/* Returns how many requests of an account may be unreported in a window. */
+static double unreported_max(const struct usage *usage, const char *account,
+			     int64_t window)
+{
+	int64_t total = MAX(total_of(usage, account, window),
+			    total_of(usage, account, window - 1));
+
+	return MAX(UNREPORTED_MAX, UNREPORTED_SHARE * (double)total);
+}
+
+bool usage_add(struct usage *usage, const char *process, const char *account,
 	       clk_ms wall)
 {
+	int64_t window = usage_window(usage, wall);
 	struct usage_entry *entry =
-		entry_get(usage, process, account, usage_window(usage, wall));
+		count_raise(usage, process, account, window, 1);
 
-	if (entry)
-		entry->count++;
+	return entry && (double)(entry->count - entry->reported) >=
+				unreported_max(usage, account, window);
 }
 
 void usage_merge(struct usage *usage, const char *process, const char *account,
 		 int64_t window, int64_t count)
 {
-	struct usage_entry *entry = entry_get(usage, process, account, window);
+	struct usage_entry *entry =
+		count_raise(usage, process, account, window, 0);
 
-	if (entry)
-		entry->count = MAX(entry->count, count);
+	if (entry && count > entry->count)
+		count_raise(usage, process, account, window,
+			    count - entry->count);
 }
 
-void usage_foreach(const struct usage *usage, const char *process,
-		   int64_t window,
-		   void (*fn)(void *ctx, const char *account, int64_t count),
-		   void *ctx)
+void usage_report(struct usage *usage, const char *process, bool all,
+		  void (*fn)(void *ctx, const char *account, int64_t window,
+			     int64_t count),
+		  void *ctx)
 {
 	GHashTableIter iter;
 	gpointer value;
 
 	g_hash_table_iter_init(&iter, usage->counts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct usage_entry *entry = value;
+
+		if (strcmp(process, entry->process) != 0 ||
+		    (!all && entry->reported == entry->count))
+			continue;
+		entry->reported = entry->count;
+		fn(ctx, entry->account, entry->window, entry->count);
+	}
+}
+
+void usage_totals(const struct usage *usage, int64_t window,
+		  void (*fn)(void *ctx, const char *account, int64_t count),
+		  void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, usage->totals);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct usage_entry *entry = value;
 
-		if (entry->window == window &&
-		    (!process || !strcmp(process, entry->process)))
+		if (entry->window == window)
 			fn(ctx, entry->account, entry->count);
 	}
 }
--- a/decide/usage.h
+++ b/decide/usage.h
@@ -10,6 +10,7 @@
 #define DECIDE_USAGE_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "clk.h"
@@ -19,23 +20,30 @@
 struct usage {
 	clk_ms window;	    /* length of a window, in ms */
 	GHashTable *counts; /* "window\nprocess\naccount" -> count */
+	GHashTable *totals; /* the same with an empty process, over all */
 	int64_t newest_window;
 };
 
 void usage_init(struct usage *usage, clk_ms window);
 /* Returns the number of the window that contains a wall clock time in ms. */
 int64_t usage_window(const struct usage *usage, clk_ms wall);
-/* Counts a started request of an account. */
-void usage_add(struct usage *usage, const char *process, const char *account,
+/* Counts a started request of an account. Returns whether so many of its
+ * requests are unreported that they have to be reported at once: they would be
+ * missing from the window if this host were killed. */
+bool usage_add(struct usage *usage, const char *process, const char *account,
 	       clk_ms wall);
 /* Merges a count reported by a process: the higher one is kept. */
 void usage_merge(struct usage *usage, const char *process, const char *account,
 		 int64_t window, int64_t count);
-/* Calls fn for each count of a window, of one process or of all if process is
- * NULL. */
-void usage_foreach(const struct usage *usage, const char *process,
-		   int64_t window,
-		   void (*fn)(void *ctx, const char *account, int64_t count),
-		   void *ctx);
+/* Calls fn for each count of a process, or only for those that have changed
+ * since they were reported, and marks them as reported. */
+void usage_report(struct usage *usage, const char *process, bool all,
+		  void (*fn)(void *ctx, const char *account, int64_t window,
+			     int64_t count),
+		  void *ctx);
+/* Calls fn for each account's count of a window over all processes. */
+void usage_totals(const struct usage *usage, int64_t window,
+		  void (*fn)(void *ctx, const char *account, int64_t count),
+		  void *ctx);
 
 #endif
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -738,6 +738,32 @@
                 window, reported[window], want)
 
 
+async def test_proxy_usage_of_killed_leader(net):
+    """The requests that the leader served just before it was killed are in
+    the reports of their windows."""
+    async with Rig(net, hosts=3) as rig:
+        await rig.wait_membership()
+        await rig.wait_until("a report", lambda: rig.cloud.usage, 15)
+        name = rig.cloud.usage[-1][1]
+        leader = [h for h in rig.hosts if h.name == name][0]
+        caller = leader.caller()
+        start = rig.cloud.usage[-1][3]
+        sent = 0
+        for _ in range(60):
+            sent += (await caller.request("GET", "/i/x")).status == 200
+        leader.kill()
+        last = int(time.time() // 2)
+
+        def reports():
+            return {row[3]: row[4].get("t1", 0) for row in rig.cloud.usage}
+        await rig.wait_until("the window's report", lambda: last in reports(),
+                             20)
+        got = sum(count for window, count in reports().items()
+                  if window > start)
+        assert sent - max(0.05 * sent, 3) <= got <= sent, (got, sent)
+        check_duties(rig.cloud)
+
+
 async def test_proxy_duty_responses_lost(net):
     """When responses of the store and the cloud are lost, retries carry the
     same content."""
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -638,16 +638,71 @@
 	usage_merge(&usage, "peer", "a", 2, 9);
 	usage_merge(&usage, "peer", "a", 2, 5); /* late duplicate */
 	usage_merge(&usage, "gone", "a", 2, 1); /* its host was killed */
-	usage_foreach(&usage, NULL, 2, sum_add, &sum);
+	usage_totals(&usage, 2, sum_add, &sum);
 	ck_assert_int_eq(sum, 17);
 	/* Old windows are dropped. */
 	usage_add(&usage, "self", "a", 60000);
 	sum = 0;
-	usage_foreach(&usage, NULL, 2, sum_add, &sum);
+	usage_totals(&usage, 2, sum_add, &sum);
 	ck_assert_int_eq(sum, 0);
 }
 END_TEST
 
+static void reported_add(void *ctx, const char *account, int64_t window,
+			 int64_t count)
+{
+	(void)account;
+	(void)window;
+	*(int64_t *)ctx += count;
+}
+
+/* A host reports at once what would be missing if it were killed. */
+static const struct unreported {
+	int64_t peers; /* requests that other hosts counted in window 2 */
+	clk_ms at;     /* of the requests started here */
+	int own;       /* requests started here, unreported */
+	bool due;
+} unreported[] = {
+	{ 0, 12000, 1, false },
+	{ 0, 12000, 2, true },
+	{ 98, 12000, 2, true },
+	{ 198, 12000, 3, false },
+	{ 198, 12000, 4, false },
+	{ 198, 12000, 5, true },
+	{ 1000, 12000, 20, false },
+	{ 1000, 12000, 21, true },
+	/* A new window may become as large as the one before it. */
+	{ 198, 15001, 3, false },
+	{ 198, 15001, 4, true },
+	{ 198, 20001, 1, false },
+	{ 198, 20001, 2, true },
+};
+
+START_TEST(usage_reports_before_counts_can_be_lost)
+{
+	const struct unreported *step = &unreported[_i];
+	struct usage usage;
+	int64_t sum = 0;
+	bool due = false;
+
+	usage_init(&usage, 5000);
+	if (step->peers > 0)
+		usage_merge(&usage, "peer", "a", 2, step->peers);
+	for (int i = 0; i < step->own; i++)
+		due = usage_add(&usage, "self", "a", step->at);
+	ck_assert_int_eq(due, step->due);
+	usage_report(&usage, "self", false, reported_add, &sum);
+	ck_assert_int_eq(sum, step->own);
+	/* What was reported is not due again, and sent again only with all. */
+	sum = 0;
+	usage_report(&usage, "self", false, reported_add, &sum);
+	ck_assert_int_eq(sum, 0);
+	ck_assert(!usage_add(&usage, "self", "a", step->at));
+	usage_report(&usage, "self", true, reported_add, &sum);
+	ck_assert_int_eq(sum, step->own + 1);
+}
+END_TEST
+
 START_TEST(wall_ignores_jumps)
 {
 	struct wall wall;
@@ -821,6 +876,8 @@
 	tcase_add_test(tcase, lease_lost_claim_is_not_repeated);
 	tcase_add_test(tcase, lease_two_hosts_never_act_at_once);
 	tcase_add_test(tcase, usage_tolerates_duplicates_and_lost_hosts);
+	tcase_add_loop_test(tcase, usage_reports_before_counts_can_be_lost, 0,
+			    (int)G_N_ELEMENTS(unreported));
 	tcase_add_test(tcase, wall_ignores_jumps);
 	tcase_add_test(tcase, scale_follows_demand);
 	tcase_add_loop_test(tcase, scale_plans, 0, G_N_ELEMENTS(scale_cases));
