Orders: reclaimable workers at once, kept while scarce, one retry at a time

The leader waited until all initial workers were listed (6.2 s after the first) before it ordered the reclaimable ones that replace them; the count of listed workers changed again with each that came.

Change: decide/order holds when to order, apart from I/O. Reclaimable workers are ordered while the initial ones are still being listed; on-demand ones are not, as a number below that of the unlisted ones would release them. A plan made within 6 s of a refused order keeps the reclaimable workers that are ready. Where none are available the data centres of a pool take turns, one order every 1.5 s, and one accepted order ends it for all. An unmet order is repeated at once after a loss, otherwise after the boot time. Numbers that are already ready are not ordered again by a new leader. Orders leave out reclaimable workers for which the on-demand ones leave no room.

--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -4,16 +4,16 @@
 
 #include <string.h>
 
-#define DEMAND_TTL_MS 3000	  /* then a host's report no longer counts */
-#define UNAVAILABLE_RETRY_MS 1500 /* after an order that found no workers */
+#include "../decide/order.h"
+
+#define DEMAND_TTL_MS 3000 /* then a host's report no longer counts */
 #define ORDER_TIMEOUT_MS 1500
-#define ORDER_REPEAT_MS 2000 /* before an unmet order is sent again */
 #define RUN_PERIOD_MS 500
+/* Between orders while the initial workers are being listed. */
+#define LISTING_PERIOD_MS 1000
 /* Without a new worker for so long, all initial workers are listed. */
 #define LISTED_SETTLE_MS 2000
 #define START_BUSY_SHARE 0.55 /* of the initial workers, assumed to be busy */
-#define SPOT_RELEASE_MS 4000  /* before surplus reclaimable workers go */
-#define ON_DEMAND_RELEASE_MS 1000 /* on-demand ones, which cost more */
 
 /* The demand for a pool that a host reported last, in busy workers. */
 struct demand_report {
@@ -21,31 +21,27 @@
 	clk_ms at;
 };
 
-/* The order for one kind of worker in one data centre. */
-struct order {
+/* The order for one kind of worker in one data centre, and how to send it. */
+struct pool_order {
+	struct order order;
 	struct proxyd *proxyd;
+	struct pool_scaling *scaling;
 	char *pool;
 	char *dc;
-	bool spot;
-	int accepted_count;  /* of the last accepted order; -1: none known */
-	int requested_count; /* of the last call */
-	bool pending;
-	clk_ms sent_at;
-	bool unavailable; /* the last order found none */
-	clk_ms retry_at;
-	clk_ms excess_since; /* more are ordered than wanted; 0: not so */
 };
 
 /* Scaling state of one pool. */
 struct pool_scaling {
 	struct scale_demand demand;
 	bool demand_seen;
-	bool planned;
-	unsigned listed_count; /* workers, at the last count */
-	clk_ms listed_at;      /* when that number last changed */
-	char *last_plan;       /* as it was logged */
-	GHashTable *reports;   /* process -> struct demand_report */
-	GHashTable *orders;    /* "dc\nspot" -> struct order */
+	bool known; /* enough to plan */
+	clk_ms next_listing_order;
+	struct order_supply supply[2]; /* of on-demand and of spot workers */
+	unsigned listed_count;	       /* workers, at the last count */
+	clk_ms listed_at;	       /* when that number last changed */
+	char *last_plan;	       /* as it was logged */
+	GHashTable *reports;	       /* process -> struct demand_report */
+	GHashTable *orders;	       /* "dc\nspot" -> struct pool_order */
 };
 
 static struct pool_scaling *scaling_get(struct proxyd *proxyd, const char *pool)
@@ -98,61 +94,65 @@
 	return sum;
 }
 
-static struct order *order_get(struct proxyd *proxyd,
-			       struct pool_scaling *scaling, const char *pool,
-			       const char *dc, bool spot)
+static struct pool_order *order_get(struct proxyd *proxyd,
+				    struct pool_scaling *scaling,
+				    const char *pool, const char *dc, bool spot)
 {
 	char *key = g_strdup_printf("%s\n%d", dc, spot);
-	struct order *order = g_hash_table_lookup(scaling->orders, key);
+	struct pool_order *order = g_hash_table_lookup(scaling->orders, key);
 
 	if (order) {
 		g_free(key);
 		return order;
 	}
-	order = g_new0(struct order, 1);
+	order = g_new0(struct pool_order, 1);
+	order_init(&order->order, spot);
 	order->proxyd = proxyd;
+	order->scaling = scaling;
 	order->pool = g_strdup(pool);
 	order->dc = g_strdup(dc);
-	order->spot = spot;
-	order->accepted_count = -1;
 	g_hash_table_insert(scaling->orders, key, order);
 	return order;
 }
 
+static struct order_supply *order_supply(const struct pool_order *order)
+{
+	return &order->scaling->supply[order->order.spot];
+}
+
 static void on_ordered(void *ctx, enum cloud_outcome outcome)
 {
-	static const char *const names[] = {
-		[CLOUD_DONE] = "accepted",
-		[CLOUD_NO_CAPACITY] = "none_there",
-		[CLOUD_REFUSED] = "refused",
-		[CLOUD_UNKNOWN] = "no_answer",
+	static const struct {
+		const char *name;
+		enum order_result result;
+	} outcomes[] = {
+		[CLOUD_DONE] = { "accepted", ORDER_ACCEPTED },
+		[CLOUD_NO_CAPACITY] = { "none_there", ORDER_NO_CAPACITY },
+		[CLOUD_REFUSED] = { "refused", ORDER_NOT_DONE },
+		[CLOUD_UNKNOWN] = { "no_answer", ORDER_UNKNOWN },
 	};
-	struct order *order = ctx;
+	struct pool_order *order = ctx;
 	struct proxyd *proxyd = order->proxyd;
 
-	order->pending = false;
-	if (outcome == CLOUD_DONE) {
-		order->accepted_count = order->requested_count;
-		order->unavailable = false;
+	order_on_result(&order->order, order_supply(order),
+			outcomes[outcome].result, proxyd_now(proxyd));
+	if (outcome == CLOUD_DONE)
 		proxyd_count(proxyd, CTR_orders);
-	} else if (outcome == CLOUD_NO_CAPACITY) {
-		order->unavailable = true;
-		order->retry_at = proxyd_now(proxyd) + UNAVAILABLE_RETRY_MS;
+	else if (outcome == CLOUD_NO_CAPACITY)
 		proxyd_count(proxyd, CTR_orders_none);
-	} else if (outcome == CLOUD_UNKNOWN) {
-		order->accepted_count = -1;
-	}
 	slog(SLOG_NOTICE, "order",
 	     "pool=%s data_centre=%s spot=%d count=%d outcome=%s", order->pool,
-	     order->dc, order->spot, order->requested_count, names[outcome]);
+	     order->dc, order->order.spot, order->order.requested,
+	     outcomes[outcome].name);
 }
 
-/* Sends an order if the number of workers differs from the last accepted one,
- * or if that is still not met. */
-static void order_send(struct order *order, int want, int ready)
+/* Sends an order if one is due. */
+static void order_send(struct pool_order *order, int want, int ready,
+		       clk_ms boot)
 {
 	struct proxyd *proxyd = order->proxyd;
 	clk_ms now = proxyd_now(proxyd);
+	int count = order_count(&order->order, want, ready, now);
 	struct cloud_leader self = {
 		.host = proxyd->conf->name,
 		.fencing_token = proxyd->leader_lease.fencing_token,
@@ -160,41 +160,18 @@
 	struct cloud_order request = {
 		.pool = order->pool,
 		.data_centre = order->dc,
-		.count = want,
-		.spot = order->spot,
+		.count = count,
+		.spot = order->order.spot,
 	};
-	bool unmet = ready < want && now - order->sent_at >= ORDER_REPEAT_MS;
 
-	if (order->pending || (want == order->accepted_count && !unmet) ||
-	    now < order->retry_at || now - order->sent_at < RUN_PERIOD_MS)
+	if (!order_due(&order->order, order_supply(order), count, ready, boot,
+		       now))
 		return;
-	order->pending = true;
-	order->requested_count = want;
-	order->sent_at = now;
+	order_on_sent(&order->order, count, now);
 	cloud_order(proxyd->cloud, &self, &request, ORDER_TIMEOUT_MS,
 		    on_ordered, order);
 }
 
-/* Returns the number to order: it is lowered only when the surplus has lasted
- * for a while, so that workers are released only after their replacements have
- * come. */
-static int order_delay_release(struct order *order, int want, int ready,
-			       clk_ms now)
-{
-	int present = MAX(order->accepted_count, ready);
-
-	if (want >= present) {
-		order->excess_since = 0;
-		return want;
-	}
-	if (!order->excess_since)
-		order->excess_since = now;
-	if (now - order->excess_since <
-	    (order->spot ? SPOT_RELEASE_MS : ON_DEMAND_RELEASE_MS))
-		return present;
-	return want;
-}
-
 /* Fills in a pool's data centres: prices, ready workers and availability. */
 static size_t dcs_fill(struct proxyd *proxyd, struct pool_scaling *scaling,
 		       const struct tab_pool *pool, struct scale_dc *dcs)
@@ -207,16 +184,18 @@
 	g_hash_table_iter_init(&iter, pool->scaling.dc_prices);
 	while (g_hash_table_iter_next(&iter, &key, &value) &&
 	       count < SCALE_DCS_MAX) {
-		const struct order *spot =
+		const struct pool_order *spot =
 			order_get(proxyd, scaling, pool->name, key, true);
-		const struct order *on_demand =
+		const struct pool_order *on_demand =
 			order_get(proxyd, scaling, pool->name, key, false);
 
 		dcs[count++] = (struct scale_dc){
 			.name = key,
 			.price = *(double *)value,
-			.spot_unavailable = spot->unavailable,
-			.on_demand_unavailable = on_demand->unavailable,
+			.spot_unavailable = order_unavailable(
+				&spot->order, order_supply(spot)),
+			.on_demand_unavailable = order_unavailable(
+				&on_demand->order, order_supply(on_demand)),
 			.spot_ready = (int)fleet_count_in_dc(
 				proxyd->fleet, pool->name, key, true),
 			.on_demand_ready = (int)fleet_count_in_dc(
@@ -248,20 +227,69 @@
 	     scaling->last_plan);
 }
 
+/* Counts the workers that were present before this host knew of any demand:
+ * those that the operators provide, which are on-demand ones, or, if these have
+ * been replaced, their replacements. */
+static unsigned pool_initial_workers(struct proxyd *proxyd,
+				     const struct tab_pool *pool)
+{
+	unsigned on_demand = fleet_count_on_demand(proxyd->fleet, pool->name);
+
+	return on_demand ? on_demand : fleet_count(proxyd->fleet, pool->name);
+}
+
 /* Whether enough is known to plan: some demand or, once their number has not
  * changed for LISTED_SETTLE_MS, all initial workers. */
-static bool pool_can_plan(struct proxyd *proxyd, struct pool_scaling *scaling,
+static bool pool_is_known(struct proxyd *proxyd, struct pool_scaling *scaling,
 			  const struct tab_pool *pool)
 {
-	unsigned listed = fleet_count(proxyd->fleet, pool->name);
+	unsigned listed = pool_initial_workers(proxyd, pool);
 	clk_ms now = proxyd_now(proxyd);
 
 	if (listed != scaling->listed_count) {
 		scaling->listed_count = listed;
 		scaling->listed_at = now;
 	}
-	return scaling->demand_seen ||
-	       (listed > 0 && now - scaling->listed_at >= LISTED_SETTLE_MS);
+	scaling->known |=
+		scaling->demand_seen ||
+		(listed > 0 && now - scaling->listed_at >= LISTED_SETTLE_MS);
+	return scaling->known;
+}
+
+/* Orders reclaimable workers; those for which the on-demand ones leave no room
+ * are ordered when these have gone. */
+static void spot_order(struct proxyd *proxyd, struct pool_scaling *scaling,
+		       const struct tab_pool *pool, const struct scale_dc *dc,
+		       int want)
+{
+	int room = MAX(pool->scaling.max - dc->on_demand_ready, 0);
+
+	order_send(order_get(proxyd, scaling, pool->name, dc->name, true),
+		   MIN(want, room), dc->spot_ready, pool->scaling.boot_time);
+}
+
+/* Orders the reclaimable workers that replace the initial ones while these are
+ * still being listed: booting takes seconds, in which the initial ones cost the
+ * full price. On-demand workers are not ordered yet: a number below that of the
+ * unlisted ones would release them. */
+static void pool_order_early(struct proxyd *proxyd,
+			     struct pool_scaling *scaling,
+			     const struct tab_pool *pool,
+			     const struct scale_dc *dcs, size_t count)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	if (scaling->listed_count == 0 || now < scaling->next_listing_order)
+		return;
+	scaling->next_listing_order = now + LISTING_PERIOD_MS;
+	for (size_t i = 0; i < count; i++) {
+		const struct pool_order *spot = order_get(
+			proxyd, scaling, pool->name, dcs[i].name, true);
+		int ordered = MAX(spot->order.accepted, dcs[i].spot_ready);
+
+		spot_order(proxyd, scaling, pool, &dcs[i],
+			   MAX(dcs[i].want_spot, ordered));
+	}
 }
 
 static void pool_run(struct proxyd *proxyd, const struct tab_pool *pool)
@@ -271,42 +299,27 @@
 	struct scale_limits limits = {
 		.min = pool->scaling.min,
 		.max = pool->scaling.max,
+		.spot_scarce = order_scarce(&scaling->supply[true],
+					    proxyd_now(proxyd)),
 	};
-	clk_ms now = proxyd_now(proxyd);
+	bool known = pool_is_known(proxyd, scaling, pool);
 	size_t count = dcs_fill(proxyd, scaling, pool, dcs);
 
-	if (!scaling->planned && !pool_can_plan(proxyd, scaling, pool))
-		return;
-	scaling->planned = true;
 	scale_plan(dcs, count, &limits, scaling->demand.busy);
+	if (!known) {
+		pool_order_early(proxyd, scaling, pool, dcs, count);
+		return;
+	}
 	plan_log(scaling, pool, dcs, count);
 	for (size_t i = 0; i < count; i++) {
-		struct scale_dc *dc = &dcs[i];
-		struct order *spot =
-			order_get(proxyd, scaling, pool->name, dc->name, true);
-		struct order *on_demand =
-			order_get(proxyd, scaling, pool->name, dc->name, false);
-
-		order_send(spot,
-			   order_delay_release(spot, dc->want_spot,
-					       dc->spot_ready, now),
-			   dc->spot_ready);
-		order_send(on_demand,
-			   order_delay_release(on_demand, dc->want_on_demand,
-					       dc->on_demand_ready, now),
-			   dc->on_demand_ready);
-	}
-}
-
-/* Counts the workers that were present before this host knew of any demand:
- * those that the operators provide, which are on-demand ones, or, if these have
- * been replaced, their replacements. */
-static unsigned pool_initial_workers(struct proxyd *proxyd,
-				     const struct tab_pool *pool)
-{
-	unsigned on_demand = fleet_count_on_demand(proxyd->fleet, pool->name);
+		const struct scale_dc *dc = &dcs[i];
 
-	return on_demand ? on_demand : fleet_count(proxyd->fleet, pool->name);
+		spot_order(proxyd, scaling, pool, dc, dc->want_spot);
+		order_send(
+			order_get(proxyd, scaling, pool->name, dc->name, false),
+			dc->want_on_demand, dc->on_demand_ready,
+			pool->scaling.boot_time);
+	}
 }
 
 /* Updates the demand of one pool. */
@@ -379,6 +392,6 @@
 
 		g_hash_table_iter_init(&orders, scaling->orders);
 		while (g_hash_table_iter_next(&orders, NULL, &order))
-			((struct order *)order)->accepted_count = -1;
+			((struct pool_order *)order)->order.accepted = -1;
 	}
 }
--- a/decide/scale.c
+++ b/decide/scale.c
@@ -41,6 +41,11 @@
 		fmax(demand->busy - demand->smoothed, 0) * decay(age, DECAY_MS);
 }
 
+static int least(int a, int b)
+{
+	return a < b ? a : b;
+}
+
 /* Returns the workers needed for a demand: more than the busy ones, as load is
  * uneven, but relatively fewer the more there are. */
 static int workers_for(double busy)
@@ -67,12 +72,7 @@
 	int count =
 		dcs > 1 ? (int)ceil((double)need / (double)(dcs - 1)) : need;
 
-	return count < max ? count : max;
-}
-
-static int least(int a, int b)
-{
-	return a < b ? a : b;
+	return least(count, max);
 }
 
 /* Returns the reclaimable workers that are ready or can be expected. */
@@ -135,6 +135,8 @@
 		dc->want_spot = spot_per_dc(
 			need, dc->spot_unavailable ? count : available,
 			limits->max);
+		if (limits->spot_scarce && dc->want_spot < dc->spot_ready)
+			dc->want_spot = least(dc->spot_ready, limits->max);
 		dc->want_on_demand = 0;
 		if (spot_expected(dc) < limits->min)
 			dc->want_on_demand = limits->min - spot_expected(dc);
--- a/decide/scale.h
+++ b/decide/scale.h
@@ -32,6 +32,8 @@
 struct scale_limits {
 	int min; /* workers per data centre, of both kinds together */
 	int max;
+	bool spot_scarce; /* a reclaimable worker that is let go can't be had
+			   * again soon, and would be replaced at full price */
 };
 
 /* Demand of a pool, in busy workers. Single measurements are noisy, as a few
--- a/sim/world-worker.c
+++ b/sim/world-worker.c
@@ -190,7 +190,8 @@
 	scale_demand_update(&world->demand, world->busy_ms / PLAN_INTERVAL_MS,
 			    now);
 	world->busy_ms = 0;
-	for (int dc = 0; dc < dcs; dc++)
+	for (int dc = 0; dc < dcs; dc++) {
+		limits.spot_scarce |= now < world->spot_unavailable_until[dc];
 		plan[dc] = (struct scale_dc){
 			.price = 1,
 			.spot_unavailable =
@@ -198,6 +199,7 @@
 			.spot_ready = count_in_dc(world, dc, true),
 			.on_demand_ready = count_in_dc(world, dc, false),
 		};
+	}
 	scale_plan(plan, (size_t)dcs, &limits, world->demand.busy);
 	for (int dc = 0; dc < dcs; dc++) {
 		scale_adjust(world, dc, true, plan[dc].want_spot);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -81,6 +81,7 @@
 run unit "$B/tests/unit"
 run unit_proxy "$B/tests/unit-proxy"
 run unit_quota "$B/tests/unit-quota"
+run unit_scale "$B/tests/unit-scale"
 run http "$B/tests/http"
 run platform "$B/tests/platform"
 for seed in 1 1001 2001; do
