--- /dev/null
+++ b/daemon/mirror.c
@@ -0,0 +1,347 @@
+/* Local copies of the platform's store. */
+#include "mirror.h"
+
+#include <string.h>
+
+#include "../decide/check.h"
+#include "../wire/slog.h"
+
+/* A watch also detects a store that does not respond: together with the time
+ * that a response may take, it is shorter than the time after which hosts must
+ * be up to date again. */
+#define WATCH_WAIT_MS 1100
+#define WATCH_PROBE_MS 100 /* of a watch while the store is lost */
+#define WATCH_NOW_MS 1	   /* of one that only asks what is new */
+/* From a watch that returned changes to the next one: changes often come in
+ * series, and each call has a price. */
+#define WATCH_GAP_MS 150
+/* For so long after a start every host may take itself for a follower, and
+ * watches with longer gaps. */
+#define SETTLE_MS 1500
+#define SETTLE_GAP_MS 400
+#define CONFIRM_WAIT_MS 200 /* for another host to confirm a stale snapshot */
+#define RETRY_MS 300	    /* after a failed call; then doubled, up to */
+#define RETRY_MAX_MS 1200
+#define EVERYTHING "" /* prefix of all keys: one call serves all replicas */
+
+struct mirror_part {
+	struct mirror *mirror;
+	const char *prefix;
+	struct store *replica;
+	GHashTable *snapshot_keys; /* of the snapshot being read, or NULL */
+};
+
+struct mirror {
+	uv_loop_t *loop;
+	struct kv *kv;
+	const struct mirror_ops *ops;
+	void *ctx;
+	struct mirror_part parts[MIRROR_PREFIXES_MAX];
+	size_t count;
+	int64_t snapshot_revision; /* of the first page of the one being read */
+	bool reading;  /* a call is pending, or its response being applied */
+	bool applying; /* a response is being applied */
+	bool has_snapshot;
+	bool current;
+	bool linearizable; /* the next snapshot must not be a stale read */
+	clk_ms created_at;
+	clk_ms confirm_at; /* when the store is asked to confirm a snapshot */
+	struct kv_call *watch; /* the pending one, or NULL */
+	clk_ms next_call_at;
+	unsigned failures; /* consecutive */
+	clk_ms lost_at;
+	clk_ms regained_at;
+};
+
+static void mirror_next(struct mirror *mirror);
+
+static clk_ms mirror_now(const struct mirror *mirror)
+{
+	return (clk_ms)uv_now(mirror->loop);
+}
+
+static void on_item_changed(void *ctx, const struct store_item *item)
+{
+	struct mirror_part *part = ctx;
+	struct mirror *mirror = part->mirror;
+
+	mirror->ops->changed(mirror->ctx, (size_t)(part - mirror->parts), item);
+}
+
+struct mirror *mirror_create(uv_loop_t *loop, struct kv *kv,
+			     const char *const *prefixes, size_t count,
+			     const struct mirror_ops *ops, void *ctx)
+{
+	struct mirror *mirror = g_new0(struct mirror, 1);
+
+	dec_assert(count <= MIRROR_PREFIXES_MAX, "a mirror has few prefixes");
+	mirror->loop = loop;
+	mirror->created_at = mirror_now(mirror);
+	mirror->kv = kv;
+	mirror->ops = ops;
+	mirror->ctx = ctx;
+	mirror->count = count;
+	for (size_t i = 0; i < count; i++)
+		mirror->parts[i] = (struct mirror_part){
+			.mirror = mirror,
+			.prefix = prefixes[i],
+			.replica = store_create(on_item_changed,
+						&mirror->parts[i]),
+		};
+	return mirror;
+}
+
+struct store *mirror_replica(const struct mirror *mirror, size_t prefix)
+{
+	return mirror->parts[prefix].replica;
+}
+
+bool mirror_has_snapshot(const struct mirror *mirror)
+{
+	return mirror->has_snapshot;
+}
+
+bool mirror_is_current(const struct mirror *mirror)
+{
+	return mirror->current;
+}
+
+void mirror_confirm(struct mirror *mirror)
+{
+	mirror->current = true;
+}
+
+bool mirror_is_applying(const struct mirror *mirror)
+{
+	return mirror->applying;
+}
+
+bool mirror_reads_store(const struct mirror *mirror)
+{
+	return mirror->current && !mirror->lost_at &&
+	       mirror->ops->follows(mirror->ctx);
+}
+
+clk_ms mirror_lost_at(const struct mirror *mirror)
+{
+	return mirror->lost_at;
+}
+
+clk_ms mirror_regained_at(const struct mirror *mirror)
+{
+	return mirror->regained_at;
+}
+
+/* Restarts the pending watch: it may have been lost while the store was
+ * unreachable. */
+static void watch_restart(struct mirror *mirror)
+{
+	if (!mirror->watch)
+		return;
+	kv_cancel(mirror->watch);
+	mirror->watch = NULL;
+	mirror_next(mirror);
+}
+
+/* Records whether the store responds, and logs a change. */
+static void set_reachable(struct mirror *mirror, bool reachable)
+{
+	clk_ms now = mirror_now(mirror);
+
+	if (reachable && mirror->lost_at) {
+		slog(SLOG_NOTICE, "store",
+		     "outcome=regained lost_ms=%" G_GINT64_FORMAT,
+		     now - mirror->lost_at);
+		mirror->lost_at = 0;
+		mirror->regained_at = now;
+		watch_restart(mirror);
+	} else if (!reachable && !mirror->lost_at) {
+		slog(SLOG_WARN, "store", "outcome=lost");
+		mirror->lost_at = now;
+	}
+}
+
+/* A call has failed: schedules the next one, with backoff and jitter. */
+static void call_failed(struct mirror *mirror, enum kv_outcome outcome)
+{
+	clk_ms wait =
+		MIN((clk_ms)RETRY_MS << MIN(mirror->failures, 4), RETRY_MAX_MS);
+
+	mirror->failures++;
+	mirror->linearizable = true;
+	mirror->next_call_at =
+		mirror_now(mirror) + wait / 2 +
+		mirror->ops->random(mirror->ctx, (uint32_t)wait / 2);
+	if (outcome == KV_COMPACTED) {
+		slog(SLOG_NOTICE, "follow", "outcome=history_gone");
+		mirror->has_snapshot = false;
+		mirror->next_call_at = mirror_now(mirror);
+		return;
+	}
+	set_reachable(mirror, false);
+	if (mirror->has_snapshot && !mirror->current) {
+		/* Seconds old at most, and the best that can be had. */
+		slog(SLOG_WARN, "follow", "outcome=unconfirmed");
+		mirror->current = true;
+	}
+}
+
+static struct mirror_part *part_of(struct mirror *mirror, const char *key)
+{
+	for (size_t i = 0; i < mirror->count; i++)
+		if (g_str_has_prefix(key, mirror->parts[i].prefix))
+			return &mirror->parts[i];
+	return NULL;
+}
+
+static void items_put(struct mirror *mirror, const struct kv_page *page)
+{
+	for (size_t i = 0; i < page->count; i++) {
+		const struct kv_item *item = &page->items[i];
+		struct mirror_part *part = part_of(mirror, item->key);
+
+		if (!part)
+			continue;
+		store_put(part->replica, item->key, item->value,
+			  item->revision);
+		if (part->snapshot_keys)
+			g_hash_table_add(part->snapshot_keys,
+					 g_strdup(item->key));
+	}
+}
+
+static void snapshot_begin(struct mirror *mirror)
+{
+	mirror->snapshot_revision = 0;
+	for (size_t i = 0; i < mirror->count; i++) {
+		struct mirror_part *part = &mirror->parts[i];
+
+		if (part->snapshot_keys)
+			g_hash_table_destroy(part->snapshot_keys);
+		part->snapshot_keys = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free, NULL);
+	}
+}
+
+/* All pages were read: applies the deletions. Changes made meanwhile arrive
+ * with the next watch. */
+static void snapshot_end(struct mirror *mirror)
+{
+	for (size_t i = 0; i < mirror->count; i++) {
+		struct mirror_part *part = &mirror->parts[i];
+
+		store_snapshot(part->replica, part->snapshot_keys,
+			       mirror->snapshot_revision);
+		g_hash_table_destroy(part->snapshot_keys);
+		part->snapshot_keys = NULL;
+	}
+	mirror->has_snapshot = true;
+	mirror->current |= mirror->linearizable;
+	mirror->confirm_at = mirror_now(mirror) + CONFIRM_WAIT_MS;
+	slog(SLOG_NOTICE, "follow",
+	     "revision=%" G_GINT64_FORMAT " stale_read=%d outcome=snapshot",
+	     mirror->snapshot_revision, !mirror->linearizable);
+	mirror->ops->snapshot(mirror->ctx);
+}
+
+/* Stores a page of a snapshot; then requests the next page or a watch. */
+static void on_range(void *ctx, enum kv_outcome outcome,
+		     const struct kv_page *page)
+{
+	struct mirror *mirror = ctx;
+
+	mirror->reading = false;
+	if (outcome != KV_OK) {
+		call_failed(mirror, outcome);
+		return;
+	}
+	set_reachable(mirror, true);
+	mirror->failures = 0;
+	if (mirror->snapshot_revision == 0)
+		mirror->snapshot_revision = page->revision;
+	mirror->applying = true;
+	items_put(mirror, page);
+	if (page->more && page->count > 0) {
+		mirror->applying = false;
+		mirror->reading = true;
+		kv_range(mirror->kv, EVERYTHING,
+			 page->items[page->count - 1].key,
+			 !mirror->linearizable, on_range, mirror);
+		return;
+	}
+	snapshot_end(mirror);
+	mirror->applying = false;
+	mirror->ops->applied(mirror->ctx);
+	if (mirror->current && mirror->ops->follows(mirror->ctx))
+		mirror_next(mirror);
+}
+
+static void on_watch(void *ctx, enum kv_outcome outcome,
+		     const struct kv_page *page)
+{
+	struct mirror *mirror = ctx;
+	clk_ms now = mirror_now(mirror);
+
+	mirror->watch = NULL;
+	mirror->reading = false;
+	if (outcome != KV_OK) {
+		call_failed(mirror, outcome);
+		return;
+	}
+	set_reachable(mirror, true);
+	mirror->failures = 0;
+	mirror->applying = true;
+	items_put(mirror, page);
+	mirror->applying = false;
+	for (size_t i = 0; i < mirror->count && page->revision > 0; i++)
+		store_complete(mirror->parts[i].replica, page->revision);
+	mirror->current = true;
+	mirror->ops->applied(mirror->ctx);
+	if (page->count > 0)
+		mirror->next_call_at =
+			now + (now - mirror->created_at < SETTLE_MS
+				       ? SETTLE_GAP_MS
+				       : WATCH_GAP_MS);
+	else if (mirror->ops->follows(mirror->ctx))
+		mirror_next(mirror);
+}
+
+/* Returns the revision up to which all replicas are complete. */
+static int64_t revision_min(const struct mirror *mirror)
+{
+	int64_t revision = mirror->parts[0].replica->revision;
+
+	for (size_t i = 1; i < mirror->count; i++)
+		revision = MIN(revision, mirror->parts[i].replica->revision);
+	return revision;
+}
+
+/* Makes the next call: a watch, or the first page of a snapshot. */
+static void mirror_next(struct mirror *mirror)
+{
+	mirror->reading = true;
+	if (mirror->has_snapshot) {
+		clk_ms wait = !mirror->current	? WATCH_NOW_MS
+			      : mirror->lost_at ? WATCH_PROBE_MS
+						: WATCH_WAIT_MS;
+
+		mirror->watch =
+			kv_watch(mirror->kv, EVERYTHING, revision_min(mirror),
+				 wait, on_watch, mirror);
+		return;
+	}
+	snapshot_begin(mirror);
+	kv_range(mirror->kv, EVERYTHING, "", !mirror->linearizable, on_range,
+		 mirror);
+}
+
+void mirror_tick(struct mirror *mirror)
+{
+	clk_ms now = mirror_now(mirror);
+	bool due = !mirror->has_snapshot ||
+		   (mirror->current ? mirror->ops->follows(mirror->ctx)
+				    : now >= mirror->confirm_at);
+
+	if (due && !mirror->reading && now >= mirror->next_call_at)
+		mirror_next(mirror);
+}
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -1,38 +1,24 @@
 /*
- * Replicas of three prefixes of the platform's store (configuration, workers,
- * this system's own keys), and the application of their changes.
+ * Application of the items in the replicas of the store: configuration, workers
+ * and this system's own keys.
  *
- * A replica is read as a snapshot and then kept up to date by watches, on the
- * hosts that follow the store themselves; the others fetch changes from them
- * (proxyd-peer.c).
+ * Followers read the store themselves (mirror.c); the other hosts fetch changes
+ * from them (proxyd-peer.c).
  */
 #include "proxyd.h"
 
 #include <string.h>
 
-#define WATCH_WAIT_MS 8000 /* of one watch */
-/* The watch of the workers is shorter, as it also detects a store that does not
- * respond: together with the time that a response may take, it is less than the
- * time after which hosts must be up to date again. */
-#define WATCH_SHORT_MS 1800
-#define WATCH_PROBE_MS 100 /* of a watch while the store is lost */
-#define RETRY_MS 300	   /* after a failed call; then doubled, up to */
-#define RETRY_MAX_MS 1200
 /* After the store is reachable again, entries that expired meanwhile are back
  * within this time. */
 #define ENTRY_RETURN_MS 2500
 
-static const struct {
-	const char *prefix;
-	clk_ms watch_wait;
-} prefixes[FOLLOW_COUNT] = {
-	[FOLLOW_CONFIG] = { DECODE_CONFIG_PREFIX, WATCH_WAIT_MS },
-	[FOLLOW_WORKERS] = { DECODE_WORKER_PREFIX, WATCH_SHORT_MS },
-	[FOLLOW_OWN] = { OWN_PREFIX, WATCH_WAIT_MS },
+static const char *const prefixes[MIRROR_COUNT] = {
+	[MIRROR_CONFIG] = DECODE_CONFIG_PREFIX,
+	[MIRROR_WORKERS] = DECODE_WORKER_PREFIX,
+	[MIRROR_OWN] = OWN_PREFIX,
 };
 
-static void follow_next(struct follow *follow);
-
 /* Applies the limits of callers' connections and requests. */
 static void front_limits_apply(struct proxyd *proxyd,
 			       const struct tab_limits *limits)
@@ -114,10 +100,11 @@
  * that they expired. */
 static bool store_was_unreachable(const struct proxyd *proxyd)
 {
-	return proxyd->store_lost_at ||
-	       (proxyd->store_regained_at &&
-		proxyd_now(proxyd) - proxyd->store_regained_at <
-			ENTRY_RETURN_MS);
+	clk_ms regained_at = mirror_regained_at(proxyd->mirror);
+
+	return mirror_lost_at(proxyd->mirror) ||
+	       (regained_at &&
+		proxyd_now(proxyd) - regained_at < ENTRY_RETURN_MS);
 }
 
 /* Records when a worker will leave, unless that is known already; its streams
@@ -143,7 +130,7 @@
 	/* A host that received this from another host can't tell whether the
 	 * store was unreachable. */
 	if (store_was_unreachable(proxyd) ||
-	    !proxyd->follow[FOLLOW_WORKERS].reading) {
+	    !mirror_is_applying(proxyd->mirror)) {
 		worker->removal_due_at = proxyd_now(proxyd) + ENTRY_RETURN_MS;
 		slog(SLOG_NOTICE, "worker", "worker=%s outcome=doubted why=%s",
 		     id,
@@ -205,202 +192,63 @@
 		return;
 	ptr = g_bytes_get_data(item->value, &len);
 	address = g_strndup(ptr, len);
-	peer_on_host_key(proxyd, address);
+	peer_on_host_key(proxyd, item, address);
 	g_free(address);
 }
 
-static void own_on_snapshot(struct proxyd *proxyd)
+static void on_snapshot(void *ctx)
 {
-	peer_on_snapshot(proxyd);
-	leader_on_snapshot(proxyd);
-	limits_restore(proxyd);
+	peer_on_snapshot(ctx);
+	leader_on_snapshot(ctx);
+	limits_restore(ctx);
 }
 
-static void on_item_changed(void *ctx, const struct store_item *item)
+static void on_changed(void *ctx, size_t prefix, const struct store_item *item)
 {
-	static void (*const apply[FOLLOW_COUNT])(
+	static void (*const apply[MIRROR_COUNT])(
 		struct proxyd * proxyd, const struct store_item *item) = {
-		[FOLLOW_CONFIG] = config_apply,
-		[FOLLOW_WORKERS] = worker_apply,
-		[FOLLOW_OWN] = own_apply,
+		[MIRROR_CONFIG] = config_apply,
+		[MIRROR_WORKERS] = worker_apply,
+		[MIRROR_OWN] = own_apply,
 	};
-	struct follow *follow = ctx;
-
-	apply[follow - follow->proxyd->follow](follow->proxyd, item);
-}
-
-/* Restarts the pending watches: they may have been lost while the store was
- * unreachable. */
-static void watches_restart(struct proxyd *proxyd)
-{
-	for (int i = 0; i < FOLLOW_COUNT; i++) {
-		struct follow *follow = &proxyd->follow[i];
-
-		if (!follow->watch)
-			continue;
-		kv_cancel(follow->watch);
-		follow->watch = NULL;
-		follow_next(follow);
-	}
-}
 
-/* Records whether the store responds, and logs a change. */
-static void store_set_reachable(struct proxyd *proxyd, bool reachable)
-{
-	clk_ms now = proxyd_now(proxyd);
-
-	if (reachable && proxyd->store_lost_at) {
-		slog(SLOG_NOTICE, "store",
-		     "outcome=regained lost_ms=%" G_GINT64_FORMAT,
-		     now - proxyd->store_lost_at);
-		proxyd->store_lost_at = 0;
-		proxyd->store_regained_at = now;
-		watches_restart(proxyd);
-	} else if (!reachable && !proxyd->store_lost_at) {
-		slog(SLOG_WARN, "store", "outcome=lost");
-		proxyd->store_lost_at = now;
-	}
+	apply[prefix](ctx, item);
 }
 
-/* A call has failed: schedules the next one, with backoff and jitter. */
-static void follow_failed(struct follow *follow, enum kv_outcome outcome)
+static void on_applied(void *ctx)
 {
-	struct proxyd *proxyd = follow->proxyd;
-	clk_ms wait =
-		MIN((clk_ms)RETRY_MS << MIN(follow->failures, 4), RETRY_MAX_MS);
-
-	follow->failures++;
-	follow->next_call_at = proxyd_now(proxyd) + wait / 2 +
-			       proxyd_random(proxyd, (uint32_t)wait / 2);
-	if (outcome == KV_COMPACTED) {
-		slog(SLOG_NOTICE, "follow",
-		     "prefix=%s revision=%" G_GINT64_FORMAT
-		     " outcome=history_gone",
-		     follow->prefix, follow->replica->revision);
-		follow->has_snapshot = false;
-		follow->next_call_at = proxyd_now(proxyd);
-	} else {
-		store_set_reachable(proxyd, false);
-	}
-}
-
-static void items_put(struct follow *follow, const struct kv_page *page)
-{
-	for (size_t i = 0; i < page->count; i++) {
-		const struct kv_item *item = &page->items[i];
-
-		store_put(follow->replica, item->key, item->value,
-			  item->revision);
-		if (follow->snapshot_keys)
-			g_hash_table_add(follow->snapshot_keys,
-					 g_strdup(item->key));
-	}
+	peer_send_heartbeats(ctx);
 }
 
-/* Stores a page of a snapshot; then requests the next page or a watch. */
-static void on_range(void *ctx, enum kv_outcome outcome,
-		     const struct kv_page *page)
+static bool follows(void *ctx)
 {
-	struct follow *follow = ctx;
-	struct proxyd *proxyd = follow->proxyd;
+	const struct proxyd *proxyd = ctx;
 
-	follow->reading = false;
-	if (outcome != KV_OK) {
-		g_hash_table_remove_all(follow->snapshot_keys);
-		follow_failed(follow, outcome);
-		return;
-	}
-	store_set_reachable(proxyd, true);
-	follow->failures = 0;
-	if (follow->snapshot_revision == 0)
-		follow->snapshot_revision = page->revision;
-	items_put(follow, page);
-	if (page->more && page->count > 0) {
-		follow->reading = true;
-		kv_range(proxyd->kv, follow->prefix,
-			 page->items[page->count - 1].key, on_range, follow);
-		return;
-	}
-	/* Changes made while the pages were read arrive with the first watch.
-	 * The call counts as pending until all deletions are applied:
-	 * worker_on_missing uses this to tell that this host read the store
-	 * itself. */
-	follow->reading = true;
-	store_snapshot(follow->replica, follow->snapshot_keys,
-		       follow->snapshot_revision);
-	g_hash_table_destroy(follow->snapshot_keys);
-	follow->snapshot_keys = NULL;
-	follow->has_snapshot = true;
-	if (follow == &proxyd->follow[FOLLOW_OWN])
-		own_on_snapshot(proxyd);
-	slog(SLOG_NOTICE, "follow",
-	     "prefix=%s revision=%" G_GINT64_FORMAT " outcome=snapshot",
-	     follow->prefix, follow->snapshot_revision);
-	follow->reading = false;
-	if (peer_follows_store(proxyd))
-		follow_next(follow);
+	return feed_follows(&proxyd->feed, proxyd_now(proxyd));
 }
 
-static void on_watch(void *ctx, enum kv_outcome outcome,
-		     const struct kv_page *page)
+void follow_start(struct proxyd *proxyd)
 {
-	struct follow *follow = ctx;
+	static const struct mirror_ops ops = {
+		.changed = on_changed,
+		.snapshot = on_snapshot,
+		.applied = on_applied,
+		.follows = follows,
+		.random = proxyd_random,
+	};
 
-	follow->watch = NULL;
-	follow->reading = false;
-	if (outcome != KV_OK) {
-		follow_failed(follow, outcome);
-		return;
-	}
-	store_set_reachable(follow->proxyd, true);
-	follow->failures = 0;
-	/* worker_on_missing uses this to tell that this host read the store
-	 * itself. */
-	follow->reading = true;
-	items_put(follow, page);
-	follow->reading = false;
-	if (page->revision > 0)
-		store_complete(follow->replica, page->revision);
-	if (peer_follows_store(follow->proxyd))
-		follow_next(follow);
+	proxyd->mirror = mirror_create(&proxyd->loop, proxyd->kv, prefixes,
+				       MIRROR_COUNT, &ops, proxyd);
 }
 
-/* Makes the next call for a prefix: a watch, or the first page of a
- * snapshot. */
-static void follow_next(struct follow *follow)
+int64_t follow_config_revision(const struct proxyd *proxyd)
 {
-	struct proxyd *proxyd = follow->proxyd;
-
-	follow->reading = true;
-	if (follow->has_snapshot) {
-		clk_ms wait =
-			proxyd->store_lost_at
-				? WATCH_PROBE_MS
-				: prefixes[follow - proxyd->follow].watch_wait;
-
-		follow->watch = kv_watch(proxyd->kv, follow->prefix,
-					 follow->replica->revision, wait,
-					 on_watch, follow);
-		return;
-	}
-	if (follow->snapshot_keys)
-		g_hash_table_remove_all(follow->snapshot_keys);
-	else
-		follow->snapshot_keys = g_hash_table_new_full(
-			g_str_hash, g_str_equal, g_free, NULL);
-	follow->snapshot_revision = 0;
-	kv_range(proxyd->kv, follow->prefix, "", on_range, follow);
+	return mirror_replica(proxyd->mirror, MIRROR_CONFIG)->revision;
 }
 
-void follow_start(struct proxyd *proxyd)
+int64_t follow_workers_revision(const struct proxyd *proxyd)
 {
-	for (int i = 0; i < FOLLOW_COUNT; i++) {
-		struct follow *follow = &proxyd->follow[i];
-
-		follow->proxyd = proxyd;
-		follow->prefix = prefixes[i].prefix;
-		follow->replica = store_create(on_item_changed, follow);
-	}
+	return mirror_replica(proxyd->mirror, MIRROR_WORKERS)->revision;
 }
 
 /* Removes a worker whose entry has not come back in time; one per call. */
@@ -411,7 +259,7 @@
 	struct fleet_worker *expired = NULL;
 	clk_ms now = proxyd_now(proxyd);
 
-	if (proxyd->store_lost_at)
+	if (mirror_lost_at(proxyd->mirror))
 		return;
 	g_hash_table_iter_init(&iter, proxyd->fleet->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -429,20 +277,12 @@
 
 void follow_tick(struct proxyd *proxyd)
 {
-	clk_ms now = proxyd_now(proxyd);
-
-	for (int i = 0; i < FOLLOW_COUNT; i++) {
-		struct follow *follow = &proxyd->follow[i];
-
-		if (!follow->reading && now >= follow->next_call_at &&
-		    (!follow->has_snapshot || peer_follows_store(proxyd)))
-			follow_next(follow);
-	}
+	mirror_tick(proxyd->mirror);
 	missing_remove(proxyd);
 }
 
 bool follow_ready(const struct proxyd *proxyd)
 {
-	return proxyd->tab &&
-	       proxyd->follow[FOLLOW_WORKERS].replica->revision > 0;
+	return proxyd->tab && mirror_is_current(proxyd->mirror) &&
+	       follow_workers_revision(proxyd) > 0;
 }
--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -67,8 +67,8 @@
 
 void leader_on_snapshot(struct proxyd *proxyd)
 {
-	const struct store_item *item =
-		store_get(proxyd->follow[FOLLOW_OWN].replica, LEADER_KEY);
+	const struct store_item *item = store_get(
+		mirror_replica(proxyd->mirror, MIRROR_OWN), LEADER_KEY);
 
 	if (!item || !item->value)
 		lease_on_key(&proxyd->leader_lease, false, false,
@@ -220,7 +220,7 @@
 	char *key = g_strdup_printf(USAGE_PREFIX "%" G_GINT64_FORMAT,
 				    proxyd->leader->report_window);
 
-	kv_range(proxyd->kv, key, "", on_window_read, proxyd);
+	kv_range(proxyd->kv, key, "", false, on_window_read, proxyd);
 	g_free(key);
 }
 
@@ -323,9 +323,9 @@
 	}
 }
 
-/* Whether this host can be the leader: only a relay can, as it receives the
- * reports of all hosts, and the others must rank it as one too. A host that has
- * just started knows too few other hosts to determine its rank. */
+/* Whether this host can be the leader: only a follower can, as it receives the
+ * reports of all hosts and sees the leader's key. A host that has just started
+ * knows too few other hosts to determine its rank. */
 static bool is_eligible(const struct proxyd *proxyd)
 {
 	unsigned known = 1 + (unsigned)member_live_count(proxyd->members);
@@ -334,21 +334,22 @@
 		known >= proxyd->listed_hosts * KNOWN_HOSTS_SHARE;
 
 	return settled && follow_ready(proxyd) && !proxyd->stopping &&
-	       peer_is_relay(proxyd) && proxyd->follow[FOLLOW_OWN].has_snapshot;
+	       proxyd->feed.role == FEED_FOLLOWER;
 }
 
-/* Resigns if this host has not been a relay for RANK_SETTLE_MS: the others do
- * not report to it any more. */
-static void relay_check(struct proxyd *proxyd)
+/* Resigns if this host has not been a follower for RANK_SETTLE_MS: it does not
+ * see the leader's key any more. */
+static void role_check(struct proxyd *proxyd)
 {
 	struct leader *leader = proxyd->leader;
 	clk_ms now = proxyd_now(proxyd);
 
-	if (proxyd->leader_lease.state != LEASE_HELD || peer_is_relay(proxyd)) {
-		leader->last_relay_at = now;
+	if (proxyd->leader_lease.state != LEASE_HELD ||
+	    proxyd->feed.role == FEED_FOLLOWER) {
+		leader->last_follower_at = now;
 		return;
 	}
-	if (now - leader->last_relay_at < RANK_SETTLE_MS)
+	if (now - leader->last_follower_at < RANK_SETTLE_MS)
 		return;
 	slog(SLOG_NOTICE, "duty",
 	     "fence=%" G_GINT64_FORMAT
@@ -366,11 +367,9 @@
 	if (!proxyd->cloud)
 		return;
 	scale_observe(proxyd);
-	lease_act(proxyd,
-		  lease_tick(&proxyd->leader_lease,
-			     member_self_rank(proxyd->members, LEADER_RANK),
-			     is_eligible(proxyd), now));
-	relay_check(proxyd);
+	lease_act(proxyd, lease_tick(&proxyd->leader_lease, proxyd->feed.rank,
+				     is_eligible(proxyd), now));
+	role_check(proxyd);
 	acting = lease_may_act(&proxyd->leader_lease, now);
 	if (acting != leader->was_acting) {
 		leader->was_acting = acting;
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -16,7 +16,7 @@
 	clk_ms report_retry_at;
 	int64_t usage_lease;	  /* of the windows' keys; 0: none */
 	clk_ms usage_lease_until; /* when to replace that lease */
-	clk_ms last_relay_at;	  /* when this host was last a relay */
+	clk_ms last_follower_at;  /* when this host was last a follower */
 	bool was_acting;
 };
 
--- a/daemon/proxyd-limits.c
+++ b/daemon/proxyd-limits.c
@@ -56,8 +56,8 @@
 
 void limits_tick(struct proxyd *proxyd)
 {
-	const struct store_item *item =
-		store_get(proxyd->follow[FOLLOW_OWN].replica, LIMITS_KEY);
+	const struct store_item *item = store_get(
+		mirror_replica(proxyd->mirror, MIRROR_OWN), LIMITS_KEY);
 	clk_ms now = proxyd_now(proxyd);
 	char *text = near_limit_list(proxyd);
 	gsize len = 0;
@@ -66,11 +66,11 @@
 				     : NULL;
 	bool same = stored && len == strlen(text) && !memcmp(stored, text, len);
 
-	if (!same && !proxyd->limits_write_pending && !proxyd->store_lost_at &&
-	    proxyd->follow[FOLLOW_OWN].has_snapshot && proxyd->tab &&
+	if (!same && !proxyd->limits_write_pending && proxyd->tab &&
+	    mirror_reads_store(proxyd->mirror) &&
 	    now >= proxyd->next_limits_write &&
 	    now - proxyd->started_at >= NEAR_LIMIT_KEEP_MS &&
-	    member_self_rank(proxyd->members, LEADER_RANK) == 0) {
+	    proxyd->feed.rank == 0) {
 		proxyd->limits_write_pending = true;
 		proxyd->next_limits_write = now + WRITE_GAP_MS;
 		kv_change(proxyd->kv,
@@ -86,8 +86,8 @@
 
 void limits_restore(struct proxyd *proxyd)
 {
-	const struct store_item *item =
-		store_get(proxyd->follow[FOLLOW_OWN].replica, LIMITS_KEY);
+	const struct store_item *item = store_get(
+		mirror_replica(proxyd->mirror, MIRROR_OWN), LIMITS_KEY);
 	GHashTableIter iter;
 	gpointer name;
 	gpointer quota;
@@ -97,8 +97,7 @@
 	gsize len;
 
 	if (proxyd->limits_restored || !proxyd->tab ||
-	    !proxyd->follow[FOLLOW_OWN].has_snapshot ||
-	    proxyd->conf->first_start)
+	    !mirror_has_snapshot(proxyd->mirror) || proxyd->conf->first_start)
 		return;
 	proxyd->limits_restored = true;
 	if (!item || !item->value)
--- a/daemon/proxyd-local.c
+++ b/daemon/proxyd-local.c
@@ -64,7 +64,7 @@
 		"hosts_reporting %u\nduty_fence %" G_GINT64_FORMAT
 		"\nrequests_open %u\nhosts_live %u\n"
 		"config_revision %" G_GINT64_FORMAT "\nworkers %u\n",
-		aggregate_host_count(proxyd->peer_inflight),
+		relay_hosts_reporting(proxyd) - 1,
 		proxyd->leader_lease.fencing_token,
 		g_hash_table_size(proxyd->open_requests),
 		proxyd_host_count(proxyd), proxyd->tab_revision,
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -2,11 +2,9 @@
  * Other hosts: membership, exchange of newer replicas, and this host's own key
  * in the store.
  *
- * The relays, the few hosts that rank first, follow the store. Where hosts are
- * few, all of them are relays. Where they are many, each relay sends heartbeats
- * with its replicas' revisions to its part of the other hosts, which fetch
- * newer items from it; a host that receives no heartbeat follows the store
- * itself.
+ * Where hosts are many, a few follow the store and the others learn of changes
+ * by heartbeats with the revisions of the sender's replicas (decide/feed.h).
+ * Whoever receives a greater revision fetches the newer items from the sender.
  */
 #include "proxyd.h"
 
@@ -16,19 +14,19 @@
 #include "../wire/tcp.h"
 
 #define SYNC_TIMEOUT_MS 1500
-#define SYNC_GAP_MS 300	  /* between two exchanges for newer items */
-#define ALL_RELAYS_MAX 12 /* up to so many hosts, each is a relay */
-#define RELAYS_MIN 3
-#define HOSTS_PER_RELAY 24 /* that one relay serves */
-#define HEARTBEAT_MS 1000  /* between two heartbeats to a host */
-/* A host that receives no heartbeat for so long follows the store itself. */
-#define HEARTBEAT_TIMEOUT_MS 2500
+#define SYNC_GAP_MS 300	      /* between two exchanges for newer items */
+#define HEARTBEAT_MS 1000     /* between two heartbeats to a host */
 #define SEEDS_MAX 8	      /* addresses; a new one replaces the oldest */
 #define STARTUP_PING_MS 3000  /* how long a new host pings the listed ones */
 #define STARTUP_PINGS_MAX 128 /* gossip reaches the others */
-#define HOST_KEY_LEASE_MS 30000
-#define HOST_KEY_RENEW_MS 10000
+/* The host keys are read only by hosts that start: a key may outlive its host
+ * for a while, which saves calls. */
+#define HOST_KEY_LEASE_MS 600000
+#define HOST_KEY_RENEW_MS 200000
 #define HOST_KEY_RETRY_MS 1000
+#define HOST_KEY_CONFLICT_MS 10000
+/* Part of the hosts listed in the store that must be known for their ranks. */
+#define KNOWN_HOSTS_SHARE 0.8
 
 /* A full exchange with one host. */
 struct sync_call {
@@ -36,78 +34,70 @@
 };
 
 static void sync_from(struct proxyd *proxyd, const char *rpc, bool members);
+static void newer_fetch(struct proxyd *proxyd);
 
-unsigned peer_relay_count(const struct proxyd *proxyd)
+void peer_incarnation(struct proxyd *proxyd, char *buf, size_t size)
 {
-	unsigned hosts = proxyd_host_count(proxyd);
-
-	if (hosts <= ALL_RELAYS_MAX)
-		return hosts;
-	return MAX(RELAYS_MIN, hosts / HOSTS_PER_RELAY + 1);
-}
-
-bool peer_all_relays(const struct proxyd *proxyd)
-{
-	return peer_relay_count(proxyd) >= proxyd_host_count(proxyd);
-}
-
-bool peer_relay_serves(const struct member *member, unsigned rank,
-		       unsigned count)
-{
-	return aggregate_key(member->info.incarnation) % count == rank;
-}
-
-bool peer_is_relay(const struct proxyd *proxyd)
-{
-	return member_self_rank(proxyd->members, LEADER_RANK) <
-	       peer_relay_count(proxyd);
+	rid_incarnation(buf, size, proxyd->conf->name,
+			g_rand_int(proxyd->rand));
+	g_strlcat(buf, FEED_VERSION_MARK, size);
 }
 
-bool peer_follows_store(const struct proxyd *proxyd)
+/* Assigns the roles of the hosts anew after a change of the members. */
+static void feed_refresh(struct proxyd *proxyd)
 {
-	return peer_is_relay(proxyd) ||
-	       proxyd_now(proxyd) - proxyd->heartbeat_at > HEARTBEAT_TIMEOUT_MS;
-}
-
-/* The sender of a message, which is a heartbeat if the sender is a relay. */
-struct heartbeat_sender {
-	struct proxyd *proxyd;
-	const char *rpc;
-};
+	const GPtrArray *order = proxyd->members->order;
+	struct feed_host *hosts = g_new(struct feed_host, order->len);
+	unsigned generation = proxyd->feed.generation;
+	size_t count = 0;
 
-static void heartbeat_receive(void *ctx, const struct member *member)
-{
-	struct heartbeat_sender *sender = ctx;
+	for (guint i = 0; i < order->len; i++) {
+		const struct member *member = g_ptr_array_index(order, i);
 
-	if (!strcmp(member->info.rpc, sender->rpc))
-		sender->proxyd->heartbeat_at = proxyd_now(sender->proxyd);
+		if (member->info.state == MEMBER_ALIVE)
+			hosts[count++] = (struct feed_host){
+				.incarnation = member->info.incarnation,
+				.rpc = member->info.rpc,
+			};
+	}
+	proxyd->feed_host_count = proxyd_host_count(proxyd);
+	proxyd->feed_outdated = false;
+	feed_update(&proxyd->feed, proxyd->members->self.incarnation, hosts,
+		    count, proxyd->feed_host_count);
+	/* New relays do not know what the former ones were told. */
+	if (proxyd->feed.generation != generation)
+		proxyd->next_counts_refresh = 0;
+	g_free(hosts);
 }
 
-/* Sends the replicas' revisions to the members that this relay serves, when
- * they change and as a heartbeat. */
-static void heartbeat_tick(struct proxyd *proxyd)
+void peer_send_heartbeats(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
-	int64_t config = proxyd->follow[FOLLOW_CONFIG].replica->revision;
-	int64_t workers = proxyd->follow[FOLLOW_WORKERS].replica->revision;
-	unsigned count = peer_relay_count(proxyd);
-	unsigned rank = member_self_rank(proxyd->members, LEADER_RANK);
+	int64_t config = follow_config_revision(proxyd);
+	int64_t workers = follow_workers_revision(proxyd);
+	bool reads_store = mirror_reads_store(proxyd->mirror);
+	bool fresh = feed_is_fresh(&proxyd->feed, reads_store, now);
 	bool changed = config != proxyd->heartbeat_config ||
 		       workers != proxyd->heartbeat_workers;
-	const GPtrArray *order = proxyd->members->order;
-
-	if (rank >= count || peer_all_relays(proxyd) || proxyd->store_lost_at ||
-	    (!changed && now < proxyd->next_heartbeat))
+	const GArray *targets = proxyd->feed.targets;
+
+	/* A relay that may lack changes reports no revisions, so that its
+	 * messages are not taken for heartbeats. */
+	proxyd->members->settings =
+		fresh || proxyd->feed.role == FEED_LEAF ? (uint64_t)config : 0;
+	proxyd->members->hosts =
+		fresh || proxyd->feed.role == FEED_LEAF ? (uint64_t)workers : 0;
+	if (!fresh || (!changed && now < proxyd->next_heartbeat))
 		return;
-	proxyd->next_heartbeat = now + HEARTBEAT_MS;
+	proxyd->next_heartbeat = now + FEED_HEARTBEAT_MS;
 	proxyd->heartbeat_config = config;
 	proxyd->heartbeat_workers = workers;
-	for (guint i = 0; i < order->len; i++) {
-		const struct member *member = g_ptr_array_index(order, i);
+	for (guint i = 0; i < targets->len; i++) {
+		const struct feed_target *target =
+			&g_array_index(targets, struct feed_target, i);
 
-		if (member->info.state == MEMBER_ALIVE &&
-		    peer_relay_serves(member, rank, count))
-			member_ping(proxyd->members, member->info.rpc);
+		if (feed_sends_to(&proxyd->feed, target, reads_store))
+			member_announce(proxyd->members, target->rpc);
 	}
 }
 
@@ -134,6 +124,7 @@
 	};
 	struct proxyd *proxyd = ctx;
 
+	proxyd->feed_outdated = true;
 	if (member->info.state == MEMBER_DEAD)
 		proxyd_count(proxyd, CTR_members_dead);
 	slog(SLOG_NOTICE, "host", "peer=%s address=%s outcome=%s",
@@ -148,12 +139,12 @@
 	char incarnation[RID_INCARNATION_MAX + 1];
 
 	proxyd_count(proxyd, CTR_lost_self);
-	rid_incarnation(incarnation, sizeof(incarnation), proxyd->conf->name,
-			g_rand_int(proxyd->rand));
+	peer_incarnation(proxyd, incarnation, sizeof(incarnation));
 	slog(SLOG_WARN, "host", "peer=%s outcome=declared_dead now=%s",
 	     proxyd->members->self.incarnation, incarnation);
 	report_send_counts(proxyd); /* under the name they were counted for */
 	member_renew(proxyd->members, incarnation, proxyd_now(proxyd));
+	proxyd->feed_outdated = true;
 	if (proxyd->stopping)
 		member_leave(proxyd->members, proxyd_now(proxyd));
 }
@@ -164,22 +155,41 @@
 	(void)notice;
 }
 
-/* A peer reports its revisions: newer items are fetched from it. */
+/* Whether enough other hosts are known to tell which of them are relays. */
+static bool ranks_are_known(const struct proxyd *proxyd)
+{
+	unsigned known = 1 + (unsigned)member_live_count(proxyd->members);
+
+	return known > 1 && known >= proxyd->listed_hosts * KNOWN_HOSTS_SHARE;
+}
+
+static bool is_newer(const struct proxyd *proxyd, int64_t config,
+		     int64_t workers)
+{
+	return config > follow_config_revision(proxyd) ||
+	       workers > follow_workers_revision(proxyd);
+}
+
+/* A peer reports its revisions: newer items are fetched from it, now or when
+ * the next exchange is allowed. */
 static void op_revisions(void *ctx, const char *rpc, uint64_t settings,
 			 uint64_t hosts)
 {
 	struct proxyd *proxyd = ctx;
-	const struct follow *follow = proxyd->follow;
-	struct heartbeat_sender sender = { .proxyd = proxyd, .rpc = rpc };
-
-	member_each_top(proxyd->members, LEADER_RANK, peer_relay_count(proxyd),
-			heartbeat_receive, &sender);
-	if (proxyd_now(proxyd) < proxyd->next_sync ||
-	    ((int64_t)settings <= follow[FOLLOW_CONFIG].replica->revision &&
-	     (int64_t)hosts <= follow[FOLLOW_WORKERS].replica->revision))
+	clk_ms now = proxyd_now(proxyd);
+	bool heartbeat = settings > 0 && ranks_are_known(proxyd);
+
+	if (heartbeat)
+		feed_on_heartbeat(&proxyd->feed, rpc, now);
+	if (!is_newer(proxyd, (int64_t)settings, (int64_t)hosts)) {
+		if (heartbeat && feed_is_relay(&proxyd->feed, rpc))
+			mirror_confirm(proxyd->mirror);
 		return;
-	proxyd->next_sync = proxyd_now(proxyd) + SYNC_GAP_MS;
-	sync_from(proxyd, rpc, false);
+	}
+	g_strlcpy(proxyd->newer.rpc, rpc, sizeof(proxyd->newer.rpc));
+	proxyd->newer.config = (int64_t)settings;
+	proxyd->newer.workers = (int64_t)hosts;
+	newer_fetch(proxyd);
 }
 
 const struct member_ops peer_member_ops = {
@@ -192,6 +202,20 @@
 	.random = proxyd_random,
 };
 
+/* Fetches the newer items that a peer has reported, if it still has any. */
+static void newer_fetch(struct proxyd *proxyd)
+{
+	struct newer_peer *newer = &proxyd->newer;
+
+	if (!newer->rpc[0] || proxyd_now(proxyd) < proxyd->next_sync)
+		return;
+	if (is_newer(proxyd, newer->config, newer->workers)) {
+		proxyd->next_sync = proxyd_now(proxyd) + SYNC_GAP_MS;
+		sync_from(proxyd, newer->rpc, false);
+	}
+	newer->rpc[0] = '\0';
+}
+
 static void sync_on_done(void *ctx, const w_sync_res *res)
 {
 	struct sync_call *call = ctx;
@@ -201,8 +225,11 @@
 	if (!res)
 		return;
 	sync_updates_apply(proxyd->members, res, proxyd_now(proxyd));
-	sync_items_apply(proxyd->follow[FOLLOW_CONFIG].replica, &res->settings);
-	sync_items_apply(proxyd->follow[FOLLOW_WORKERS].replica, &res->hosts);
+	sync_items_apply(mirror_replica(proxyd->mirror, MIRROR_CONFIG),
+			 &res->settings);
+	sync_items_apply(mirror_replica(proxyd->mirror, MIRROR_WORKERS),
+			 &res->hosts);
+	peer_send_heartbeats(proxyd);
 }
 
 static void sync_from(struct proxyd *proxyd, const char *rpc, bool members)
@@ -213,8 +240,8 @@
 	call->proxyd = proxyd;
 	rpc_update_to_wire(&proxyd->members->self, &args.self);
 	args.members = members;
-	args.settings_after = proxyd->follow[FOLLOW_CONFIG].replica->revision;
-	args.hosts_after = proxyd->follow[FOLLOW_WORKERS].replica->revision;
+	args.settings_after = follow_config_revision(proxyd);
+	args.hosts_after = follow_workers_revision(proxyd);
 	rpc_call_sync(proxyd->rpc, rpc, &args, SYNC_TIMEOUT_MS, sync_on_done,
 		      call);
 }
@@ -228,9 +255,9 @@
 		member_on_update(proxyd->members, &self, proxyd_now(proxyd));
 	if (args->members)
 		sync_updates_fill(proxyd->members, res);
-	sync_items_fill(proxyd->follow[FOLLOW_CONFIG].replica,
+	sync_items_fill(mirror_replica(proxyd->mirror, MIRROR_CONFIG),
 			args->settings_after, &res->settings);
-	sync_items_fill(proxyd->follow[FOLLOW_WORKERS].replica,
+	sync_items_fill(mirror_replica(proxyd->mirror, MIRROR_WORKERS),
 			args->hosts_after, &res->hosts);
 }
 
@@ -271,7 +298,7 @@
 
 void peer_on_snapshot(struct proxyd *proxyd)
 {
-	const struct store *own = proxyd->follow[FOLLOW_OWN].replica;
+	const struct store *own = mirror_replica(proxyd->mirror, MIRROR_OWN);
 	GHashTableIter iter;
 	gpointer value;
 
@@ -285,7 +312,8 @@
 	}
 }
 
-void peer_on_host_key(struct proxyd *proxyd, const char *address)
+void peer_on_host_key(struct proxyd *proxyd, const struct store_item *item,
+		      const char *address)
 {
 	struct sockaddr_in addr;
 
@@ -293,6 +321,14 @@
 		slog(SLOG_WARN, "host", "address=%s outcome=not_used", address);
 		return;
 	}
+	if (!strcmp(item->key + strlen(HOST_PREFIX), proxyd->conf->name)) {
+		proxyd->host_key_revision = item->mod;
+		/* An earlier process of this host has written it. */
+		if (!strcmp(address, proxyd->rpc_address) &&
+		    !proxyd->host_lease)
+			proxyd->next_host_call =
+				proxyd_now(proxyd) + HOST_KEY_RENEW_MS;
+	}
 	seed_add(proxyd, address);
 	/* Gossip alone takes a second or more to reach all hosts. During that
 	 * time look-up answers would name few hosts, and limits would be shared
@@ -310,6 +346,7 @@
 	char **seeds = proxyd->conf->seeds;
 	const char *port = strrchr(proxyd->rpc_address, ':');
 
+	feed_init(&proxyd->feed, proxyd_now(proxyd));
 	/* The settings' seeds have another port of the same hosts. */
 	for (guint i = 0; seeds && seeds[i]; i++) {
 		const char *colon = strrchr(seeds[i], ':');
@@ -337,15 +374,18 @@
 {
 	struct proxyd *proxyd = ctx;
 
-	(void)number;
+	if (outcome == KV_OK)
+		proxyd->host_key_revision = number;
 	if (outcome == KV_OK || outcome == KV_UNKNOWN) {
 		host_key_schedule(proxyd, HOST_KEY_RENEW_MS);
 		return;
 	}
-	/* On a conflict, an earlier process of this host still has the key. */
 	kv_lease_revoke(proxyd->kv, proxyd->host_lease);
 	proxyd->host_lease = 0;
-	host_key_schedule(proxyd, outcome == KV_CONFLICT ? HOST_KEY_RENEW_MS
+	/* On a conflict, the key has changed unseen or has expired. */
+	if (outcome == KV_CONFLICT)
+		proxyd->host_key_revision = 0;
+	host_key_schedule(proxyd, outcome == KV_CONFLICT ? HOST_KEY_CONFLICT_MS
 							 : HOST_KEY_RETRY_MS);
 }
 
@@ -366,6 +406,7 @@
 			  .key = key,
 			  .value = proxyd->rpc_address,
 			  .lease = lease,
+			  .expected_revision = proxyd->host_key_revision,
 		  },
 		  on_host_key_written, proxyd);
 	g_free(key);
@@ -386,6 +427,7 @@
 static void host_key_tick(struct proxyd *proxyd)
 {
 	if (proxyd->host_call_pending || proxyd->stopping ||
+	    !mirror_has_snapshot(proxyd->mirror) ||
 	    proxyd_now(proxyd) < proxyd->next_host_call)
 		return;
 	proxyd->host_call_pending = true;
@@ -399,13 +441,11 @@
 
 void peer_tick(struct proxyd *proxyd)
 {
-	struct member_list *members = proxyd->members;
-
-	members->settings =
-		(uint64_t)proxyd->follow[FOLLOW_CONFIG].replica->revision;
-	members->hosts =
-		(uint64_t)proxyd->follow[FOLLOW_WORKERS].replica->revision;
-	member_tick(members, proxyd_now(proxyd));
+	member_tick(proxyd->members, proxyd_now(proxyd));
+	if (proxyd->feed_outdated ||
+	    proxyd_host_count(proxyd) != proxyd->feed_host_count)
+		feed_refresh(proxyd);
 	host_key_tick(proxyd);
-	heartbeat_tick(proxyd);
+	newer_fetch(proxyd);
+	peer_send_heartbeats(proxyd);
 }
--- a/daemon/proxyd-relay.c
+++ b/daemon/proxyd-relay.c
@@ -1,8 +1,8 @@
 /*
- * Aggregated reports. Where hosts are many, all of them report to a few, the
- * relays. Each relay serves its part of the other hosts: it sends each of them
- * the sums over all hosts but that one, and what remains of the accounts'
- * limits. See decide/relay.h.
+ * Aggregated reports. Where hosts are many, the relays know the sums over all
+ * hosts (proxyd-group.c). Each relay sends the hosts that it feeds the sums
+ * without the host's own values, and what remains of the accounts' limits. See
+ * decide/relay.h.
  */
 #include "proxyd.h"
 
@@ -27,16 +27,6 @@
 	u_int count;
 };
 
-static double local_inflight(const struct fleet_worker *worker)
-{
-	return worker->inflight;
-}
-
-static double local_prompts(const struct fleet_worker *worker)
-{
-	return worker->prompt_tokens;
-}
-
 static void relay_add(void *ctx, uint32_t key, double total)
 {
 	struct relay_fill_ctx *fill = ctx;
@@ -83,8 +73,7 @@
 	return 1 + (unsigned)member_maybe_running_count(proxyd->members, since);
 }
 
-/* Counts the hosts whose spending is known here. */
-static unsigned hosts_reporting(const struct proxyd *proxyd)
+unsigned relay_hosts_reporting(const struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
 
@@ -93,19 +82,21 @@
 	/* A new relay: the hosts have only begun to report to it. */
 	if (now - proxyd->collecting_since < REPORTING_MS)
 		return hosts_maybe_running(proxyd);
+	if (proxyd->feed.grouped)
+		return group_reporting(proxyd);
 	return 1 + aggregate_active_count(proxyd->peer_inflight,
 					  now - REPORTING_MS);
 }
 
 /* full: include the load of workers, besides what remains of the accounts'
  * limits. */
-static void relay_to(struct proxyd *proxyd, const struct member *member,
+static void relay_to(struct proxyd *proxyd, const struct feed_target *target,
 		     bool full)
 {
-	const char *process = member->info.incarnation;
+	const char *process = target->incarnation;
 	w_relay relay = {
 		.process = proxyd->members->self.incarnation,
-		.heard = hosts_reporting(proxyd),
+		.heard = relay_hosts_reporting(proxyd),
 		.full = full,
 	};
 	clk_ms now = proxyd_now(proxyd);
@@ -115,11 +106,11 @@
 
 	if (full) {
 		relay.inflight.inflight_len = relay_fill(
-			proxyd, process, proxyd->peer_inflight, local_inflight,
-			&relay.inflight.inflight_val);
-		relay.prompts.prompts_len =
-			relay_fill(proxyd, process, proxyd->peer_prompts,
-				   local_prompts, &relay.prompts.prompts_val);
+			proxyd, process, proxyd->peer_inflight,
+			fleet_own_requests, &relay.inflight.inflight_val);
+		relay.prompts.prompts_len = relay_fill(
+			proxyd, process, proxyd->peer_prompts,
+			fleet_own_prompts, &relay.prompts.prompts_val);
 	}
 	relay.left.left_val =
 		g_new0(w_part, g_hash_table_size(proxyd->quotas_by_key));
@@ -130,7 +121,7 @@
 			.value = quota_remaining(
 				value, proxyd_host_count(proxyd), now),
 		};
-	rpc_send_relay(proxyd->rpc, member->info.rpc, &relay);
+	rpc_send_relay(proxyd->rpc, target->rpc, &relay);
 	g_free(relay.inflight.inflight_val);
 	g_free(relay.prompts.prompts_val);
 	g_free(relay.left.left_val);
@@ -138,16 +129,14 @@
 
 void relay_send_all(struct proxyd *proxyd, bool full)
 {
-	unsigned count = peer_relay_count(proxyd);
-	unsigned rank = member_self_rank(proxyd->members, LEADER_RANK);
-	const GPtrArray *order = proxyd->members->order;
+	const GArray *targets = proxyd->feed.targets;
 
-	for (guint i = 0; i < order->len; i++) {
-		const struct member *member = g_ptr_array_index(order, i);
+	for (guint i = 0; i < targets->len; i++) {
+		const struct feed_target *target =
+			&g_array_index(targets, struct feed_target, i);
 
-		if (member->info.state == MEMBER_ALIVE &&
-		    peer_relay_serves(member, rank, count))
-			relay_to(proxyd, member, full);
+		if (target->primary)
+			relay_to(proxyd, target, full);
 	}
 }
 
@@ -158,14 +147,14 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	if (!peer_all_relays(proxyd) && !peer_is_relay(proxyd))
+	if (proxyd->feed.role == FEED_LEAF)
 		proxyd->collecting_since = 0;
 	else if (!proxyd->collecting_since)
 		proxyd->collecting_since = now;
 	/* A host that has just started is still discovering the others: until
 	 * COVERAGE_AFTER_MS it assumes that all of them report. */
 	if (now - proxyd->started_at >= COVERAGE_AFTER_MS)
-		coverage = (double)hosts_reporting(proxyd) /
+		coverage = (double)relay_hosts_reporting(proxyd) /
 			   hosts_maybe_running(proxyd);
 	g_hash_table_iter_init(&iter, proxyd->quotas);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -194,10 +183,9 @@
 
 	/* A relay receives the reports of all hosts itself: it needs no sums
 	 * once these have arrived. */
-	if (peer_is_relay(proxyd) && proxyd->collecting_since &&
+	if (proxyd->feed.role != FEED_LEAF && proxyd->collecting_since &&
 	    now - proxyd->collecting_since >= REPORTING_MS)
 		return;
-	proxyd->heartbeat_at = now;
 	if (!relay_accepts(&proxyd->relay, relay->process, now))
 		return;
 	proxyd->relay_host_count = relay->heard;
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -3,8 +3,8 @@
  * window, demand of pools, spending of accounts, requests at workers.
  *
  * Where hosts are few, each reports to all others. Where they are many, each
- * reports to the relays, which aggregate the reports for the others
- * (proxyd-relay.c).
+ * reports to one relay; the relays exchange sums (proxyd-group.c) and send them
+ * to the others (proxyd-relay.c).
  */
 #include "proxyd.h"
 
@@ -19,6 +19,7 @@
 /* Where hosts are many, a host from which no report comes for so long has
  * reported to other relays meanwhile. */
 #define RELAYED_GAP_MS 1500
+#define COUNTS_REFRESH_MS 2500
 #define REPORT_TTL_MS 2500 /* how long a host's last report of load counts */
 #define SAMPLES_ALL 0
 /* Workers compared for a choice, where hosts are many. */
@@ -28,7 +29,6 @@
 struct report_fill_ctx {
 	struct proxyd *proxyd;
 	w_report report;
-	double since_full; /* ms since the last full report */
 };
 
 static void inflight_changed(void *ctx, uint32_t key, double total)
@@ -51,8 +51,7 @@
 	proxyd->peer_prompts = aggregate_create(prompts_changed, proxyd);
 }
 
-static void count_add(void *ctx, const char *account, int64_t window,
-		      int64_t count)
+static void count_add(void *ctx, const struct usage_count *count)
 {
 	struct report_fill_ctx *fill = ctx;
 	w_report *report = &fill->report;
@@ -61,9 +60,9 @@
 	report->counts.counts_val = g_renew(w_count, report->counts.counts_val,
 					    report->counts.counts_len);
 	report->counts.counts_val[at] = (w_count){
-		.window = window,
-		.account = (char *)account,
-		.count = count,
+		.window = count->window,
+		.account = (char *)count->account,
+		.count = count->count,
 	};
 }
 
@@ -76,7 +75,26 @@
 		     count_add, fill);
 }
 
-/* Lists the demand of each pool, and records it as this host's own. */
+void report_update_demand(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+	double age = (double)MAX(now - proxyd->full_report_at, 1);
+	GHashTableIter iter;
+	gpointer value;
+
+	proxyd->full_report_at = now;
+	g_hash_table_iter_init(&iter, proxyd->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct pool_state *pool = value;
+
+		pool->demand = pool->demand_ms / age;
+		pool->demand_ms = 0;
+		scale_set_demand(proxyd, proxyd->members->self.incarnation,
+				 pool->name, pool->demand);
+	}
+}
+
+/* Lists the demand of each pool. */
 static void demand_fill(struct report_fill_ctx *fill)
 {
 	struct proxyd *proxyd = fill->proxyd;
@@ -89,16 +107,12 @@
 		g_new0(w_demand, g_hash_table_size(proxyd->pools));
 	g_hash_table_iter_init(&iter, proxyd->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct pool_state *pool = value;
+		const struct pool_state *pool = value;
 
-		pool->demand = pool->demand_ms / fill->since_full;
-		pool->demand_ms = 0;
 		report->demand.demand_val[at++] = (w_demand){
 			.pool = pool->name,
 			.busy = pool->demand,
 		};
-		scale_set_demand(proxyd, proxyd->members->self.incarnation,
-				 pool->name, pool->demand);
 	}
 	report->demand.demand_len = at;
 }
@@ -156,13 +170,6 @@
 	}
 }
 
-static void report_send_to(void *ctx, const struct member *member)
-{
-	struct report_fill_ctx *fill = ctx;
-
-	rpc_send_report(fill->proxyd->rpc, member->info.rpc, &fill->report);
-}
-
 static void report_free(w_report *report)
 {
 	g_free(report->counts.counts_val);
@@ -200,13 +207,33 @@
 	return false;
 }
 
-/* Sends a report to the relays, and frees it. */
+/* Whether to report all counts again, in case a message was lost. */
+static bool counts_refresh_due(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	if (now < proxyd->next_counts_refresh)
+		return false;
+	proxyd->next_counts_refresh = now + COUNTS_REFRESH_MS;
+	return true;
+}
+
+/* Sends a report to this host's parent or to all relays, and frees it. */
 static void report_send_all(struct report_fill_ctx *fill)
 {
 	struct proxyd *proxyd = fill->proxyd;
+	GHashTableIter iter;
+	gpointer relay;
 
-	member_each_top(proxyd->members, LEADER_RANK, peer_relay_count(proxyd),
-			report_send_to, fill);
+	if (proxyd->feed.grouped) {
+		rpc_send_report(proxyd->rpc, proxyd->feed.parent,
+				&fill->report);
+		report_free(&fill->report);
+		return;
+	}
+	g_hash_table_iter_init(&iter, proxyd->feed.relays);
+	while (g_hash_table_iter_next(&iter, &relay, NULL))
+		rpc_send_report(proxyd->rpc, relay, &fill->report);
 	report_free(&fill->report);
 }
 
@@ -218,15 +245,13 @@
 		.proxyd = proxyd,
 		.report.process = proxyd->members->self.incarnation,
 		.report.full = full,
-		.since_full = (double)MAX(
-			proxyd_now(proxyd) - proxyd->full_report_at, 1),
 	};
 
 	if (full) {
-		counts_fill(&fill, true);
+		report_update_demand(proxyd);
+		counts_fill(&fill, counts_refresh_due(proxyd));
 		demand_fill(&fill);
 		inflight_fill(&fill);
-		proxyd->full_report_at = proxyd_now(proxyd);
 	}
 	spent_fill(&fill);
 	report_send_all(&fill);
@@ -239,6 +264,10 @@
 		.report.process = proxyd->members->self.incarnation,
 	};
 
+	if (group_is_active(proxyd)) {
+		group_send_counts(proxyd);
+		return;
+	}
 	counts_fill(&fill, false);
 	report_send_all(&fill);
 }
@@ -246,28 +275,31 @@
 void report_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
-	bool all_relays = peer_all_relays(proxyd);
+	bool all_relays = proxyd->feed.all_follow;
 	bool due = now >= proxyd->next_report;
+	bool near_limit = accounts_near_limit(proxyd);
 	clk_ms age = now - proxyd->reported_at;
 
 	aggregate_expire(proxyd->peer_inflight, now - REPORT_TTL_MS);
 	aggregate_expire(proxyd->peer_prompts, now - REPORT_TTL_MS);
+	group_expire(proxyd, now - REPORT_TTL_MS);
 	relay_update_coverage(proxyd);
 	proxyd->fleet->params.samples =
 		all_relays ? SAMPLES_ALL : SAMPLES_MANY_HOSTS;
 	proxyd->fleet->params.host_key =
 		aggregate_key(proxyd->members->self.incarnation);
-	if (due || accounts_report_due(proxyd) ||
-	    (accounts_near_limit(proxyd) &&
-	     (all_relays || age >= NEAR_LIMIT_MS))) {
+	if (group_is_active(proxyd)) {
+		group_tick(proxyd, near_limit);
+	} else if (due || accounts_report_due(proxyd) ||
+		   (near_limit && (all_relays || age >= NEAR_LIMIT_MS))) {
 		proxyd->reported_at = now;
 		report_send(proxyd, due);
 	}
 	if (due)
 		proxyd->next_report = now + (all_relays ? REPORT_FEW_HOSTS_MS
 							: REPORT_PERIOD_MS);
-	if (!all_relays && peer_is_relay(proxyd) &&
-	    (due || accounts_near_limit(proxyd)))
+	if (!all_relays && proxyd->feed.role != FEED_LEAF &&
+	    (due || near_limit))
 		relay_send_all(proxyd, due);
 }
 
@@ -291,16 +323,22 @@
 			const w_part *parts, u_int count)
 {
 	clk_ms gap_max =
-		peer_all_relays(proxyd) ? CLK_NEVER / 2 : RELAYED_GAP_MS;
+		proxyd->feed.all_follow ? CLK_NEVER / 2 : RELAYED_GAP_MS;
+	bool grouped = group_is_active(proxyd);
 
 	for (u_int i = 0; i < count; i++) {
 		struct quota *quota = g_hash_table_lookup(
 			proxyd->quotas_by_key, GUINT_TO_POINTER(parts[i].key));
 
-		if (quota)
-			quota_on_report(quota, process, parts[i].value, gap_max,
+		double units;
+
+		if (!quota)
+			continue;
+		units = quota_on_report(quota, process, parts[i].value, gap_max,
 					proxyd_host_count(proxyd),
 					proxyd_now(proxyd));
+		if (grouped)
+			quota_add_to_group(quota, units);
 	}
 }
 
@@ -312,8 +350,11 @@
 		const w_count *count = &report->counts.counts_val[i];
 
 		usage_merge(&proxyd->usage, report->process, count->account,
-			    count->window, count->count);
+			    count->window, count->count,
+			    group_is_active(proxyd));
 	}
+	if (group_is_active(proxyd))
+		group_on_report(proxyd, report);
 	for (u_int i = 0; i < report->demand.demand_len; i++)
 		scale_set_demand(proxyd, report->process,
 				 report->demand.demand_val[i].pool,
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -194,8 +194,9 @@
 			.price = *(double *)value,
 			.spot_unavailable = order_unavailable(
 				&spot->order, order_supply(spot)),
-			.on_demand_unavailable = order_unavailable(
-				&on_demand->order, order_supply(on_demand)),
+			.on_demand_unavailable = order_blocked(
+				&on_demand->order, order_supply(on_demand),
+				proxyd_now(proxyd)),
 			.spot_ready = (int)fleet_count_in_dc(
 				proxyd->fleet, pool->name, key, true),
 			.on_demand_ready = (int)fleet_count_in_dc(
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -202,8 +202,8 @@
 	     g_hash_table_size(proxyd->open_requests),
 	     proxyd_host_count(proxyd),
 	     g_hash_table_size(proxyd->fleet->workers),
-	     peer_follows_store(proxyd), kv->ranges, kv->watches, kv->changes,
-	     kv->leases, kv->failures);
+	     feed_follows(&proxyd->feed, now), kv->ranges, kv->watches,
+	     kv->changes, kv->leases, kv->failures);
 }
 
 /* Advances a planned stop: stops listening once callers have refreshed their
@@ -322,6 +322,7 @@
 		.on_sync = peer_on_sync,
 		.on_report = peer_on_report,
 		.on_relay = peer_on_relay,
+		.on_group = peer_on_group,
 		.on_malformed = peer_on_malformed,
 		.ctx = proxyd,
 	};
@@ -426,8 +427,7 @@
 	};
 	struct member_update self = { .state = MEMBER_ALIVE };
 
-	rid_incarnation(self.incarnation, sizeof(self.incarnation), conf->name,
-			g_rand_int(proxyd->rand));
+	peer_incarnation(proxyd, self.incarnation, sizeof(self.incarnation));
 	g_strlcpy(self.http, conf->front, sizeof(self.http));
 	g_strlcpy(self.rpc, proxyd->rpc_address, sizeof(self.rpc));
 	g_strlcpy(self.data_centre, conf->data_centre,
@@ -485,6 +485,7 @@
 	follow_start(proxyd);
 	peer_start(proxyd);
 	report_start(proxyd);
+	group_start(proxyd);
 	leader_start(proxyd);
 	loop_start(proxyd);
 	return true;
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -2,12 +2,12 @@
  * rw-proxyd: the proxy between callers and upstreams, for a platform whose
  * callers send each request once, to one host, and never poll for its result.
  *
- * Files: proxyd.c (settings, event loop, signals, planned stop),
- * proxyd-follow.c (replicas of the platform's store), proxyd-peer.c (other
- * hosts), proxyd-report.c and proxyd-relay.c (reports between hosts),
- * proxyd-limits.c (accounts near their limits, kept in the store),
- * proxyd-front.c (checks on a caller's request), proxyd-xfer.c,
- * proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
+ * Files: proxyd.c (settings, event loop, signals, planned stop), mirror.c
+ * (replicas of the platform's store), proxyd-follow.c (application of their
+ * items), proxyd-peer.c (other hosts), proxyd-report.c, proxyd-group.c and
+ * proxyd-relay.c (reports between hosts), proxyd-limits.c (accounts near their
+ * limits, kept in the store), proxyd-front.c (checks on a caller's request),
+ * proxyd-xfer.c, proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
  * proxyd-local.c (the host's own HTTP endpoints), proxyd-leader.c and
  * proxyd-scale.c (the leader's duties).
  */
@@ -19,6 +19,7 @@
 
 #include "../decide/lease.h"
 #include "../decide/err.h"
+#include "../decide/feed.h"
 #include "../decide/fleet.h"
 #include "../decide/member.h"
 #include "../decide/px.h"
@@ -44,13 +45,12 @@
 #include "../wire/hs.h"
 #include "../wire/rpc.h"
 #include "../wire/slog.h"
+#include "mirror.h"
 
 #define OWN_PREFIX "rw/"	 /* of the keys that this system writes */
 #define LEADER_KEY "rw/holder"	 /* names the leader and its lease */
 #define HOST_PREFIX "rw/host/"	 /* before a host's name */
 #define USAGE_PREFIX "rw/usage/" /* before a usage window's number */
-#define LEADER_RANK "duty"	 /* ranking of hosts as leader and relays */
-#define DUTY_CANDIDATES 3	 /* hosts that collect all usage counts */
 
 struct proxyd;
 struct xfer;
@@ -63,21 +63,24 @@
 	double demand;	  /* in the last full report, in busy workers */
 };
 
-/* A replica of all items under one prefix of the store. */
-struct follow {
-	struct proxyd *proxyd;
-	const char *prefix;
-	struct store *replica;
-	GHashTable *snapshot_keys; /* of the snapshot being read, or NULL */
-	int64_t snapshot_revision; /* of its first page */
-	bool reading; /* a call is pending or its result is being applied */
-	bool has_snapshot; /* one was read: from then on changes are watched */
-	struct kv_call *watch; /* the pending watch, or NULL */
-	clk_ms next_call_at;
-	unsigned failures; /* consecutive */
+/* The replicas of the store. */
+enum { MIRROR_CONFIG, MIRROR_WORKERS, MIRROR_OWN, MIRROR_COUNT };
+
+/* A peer that has reported newer items than this host's. */
+struct newer_peer {
+	char rpc[MEMBER_ADDRESS_MAX]; /* "": none */
+	int64_t config;		      /* its revisions */
+	int64_t workers;
 };
 
-enum { FOLLOW_CONFIG, FOLLOW_WORKERS, FOLLOW_OWN, FOLLOW_COUNT };
+/* What a relay knows of the hosts that report to it, and of other relays. */
+struct group {
+	struct aggregate *inflight; /* requests at workers */
+	struct aggregate *prompts;  /* prompt tokens queued at workers */
+	struct aggregate *demand; /* for pools, by aggregate_key of the name */
+	GHashTable *peers;	  /* process of a relay -> struct peer_group */
+	clk_ms next_send;
+};
 
 struct proxyd {
 	uv_loop_t loop;
@@ -102,15 +105,15 @@
 	char rpc_address[MEMBER_ADDRESS_MAX];
 	struct member_list *members;
 	char **seeds; /* RPC addresses */
-	struct follow follow[FOLLOW_COUNT];
+	struct mirror *mirror;
+	struct feed feed;
+	bool feed_outdated;	  /* the members have changed */
+	unsigned feed_host_count; /* at the last update of feed */
 	clk_ms started_at;
-	unsigned listed_hosts;	  /* hosts with a key in the store when the last
-				   * snapshot of own keys was read */
-	unsigned pinged_hosts;	  /* of these, pinged after the start */
-	clk_ms store_lost_at;	  /* when the store became unreachable; 0: it is
-				   * reachable */
-	clk_ms store_regained_at; /* when it last became reachable again */
-	struct tab *tab;	  /* NULL: no configuration yet */
+	unsigned listed_hosts; /* hosts with a key in the store when the last
+				* snapshot of own keys was read */
+	unsigned pinged_hosts; /* of these, pinged after the start */
+	struct tab *tab;       /* NULL: no configuration yet */
 	int64_t tab_revision;
 	struct fleet *fleet;
 	GHashTable *quotas; /* account -> struct quota */
@@ -121,13 +124,16 @@
 	struct usage usage;
 	struct wall wall;
 	struct lease leader_lease;
-	int64_t host_lease; /* lease of this host's own key; 0: none */
+	int64_t host_lease;	   /* lease of this host's own key; 0: none */
+	int64_t host_key_revision; /* of that key; 0: none */
 	bool host_call_pending;
 	clk_ms next_host_call;
 	struct leader *leader;		 /* proxyd-leader.h */
 	struct aggregate *peer_prompts;	 /* other hosts' queued prompt tokens */
 	struct aggregate *peer_inflight; /* other hosts' requests at workers */
 	GHashTable *quotas_by_key; /* aggregate_key of a name -> struct quota */
+	struct group group;
+	clk_ms next_counts_refresh; /* of all usage counts */
 	clk_ms next_report;
 	clk_ms full_report_at; /* last report with counts and demand */
 	clk_ms reported_at;
@@ -136,9 +142,9 @@
 	unsigned relay_host_count; /* hosts that these reports cover */
 	clk_ms collecting_since;   /* since when all hosts report to this one;
 				    * 0: they don't */
-	clk_ms heartbeat_at;	   /* last message from a relay */
 	int64_t heartbeat_config;  /* revisions in the last heartbeat sent */
 	int64_t heartbeat_workers;
+	struct newer_peer newer;
 	clk_ms next_sync;	   /* no exchange for newer items before */
 	GHashTable *open_requests; /* set of struct xfer */
 	uv_timer_t tick;
@@ -170,13 +176,18 @@
 void report_tick(struct proxyd *proxyd);
 /* Sends the counts of started requests that were not reported yet. */
 void report_send_counts(struct proxyd *proxyd);
+/* Updates this host's demand for each pool, measured since the last update. */
+void report_update_demand(struct proxyd *proxyd);
 /* Replaces the values of a process in an aggregate by those it reports. */
 void report_parts_apply(struct proxyd *proxyd, struct aggregate *sums,
 			const char *process, const w_part *parts, u_int count);
 
-/* proxyd-follow.c: replicas of the platform's store */
+/* proxyd-follow.c: application of the store's items */
 void follow_start(struct proxyd *proxyd);
 void follow_tick(struct proxyd *proxyd);
+/* Revisions of the replicas of the configuration and the workers. */
+int64_t follow_config_revision(const struct proxyd *proxyd);
+int64_t follow_workers_revision(const struct proxyd *proxyd);
 /* Whether the host has a configuration and the list of workers, which it needs
  * to serve. */
 bool follow_ready(const struct proxyd *proxyd);
@@ -185,9 +196,28 @@
 /* Sends aggregated reports to the hosts that this relay serves; full: include
  * the load of workers, besides what remains of the accounts' limits. */
 void relay_send_all(struct proxyd *proxyd, bool full);
+/* Counts the hosts whose spending and load are known here. */
+unsigned relay_hosts_reporting(const struct proxyd *proxyd);
 /* Sets for all accounts the share of the hosts whose spending is known here. */
 void relay_update_coverage(struct proxyd *proxyd);
 
+/* proxyd-group.c: sums over groups of hosts, exchanged by relays */
+void group_start(struct proxyd *proxyd);
+/* Whether this host is a relay that exchanges sums with others. */
+bool group_is_active(const struct proxyd *proxyd);
+/* Sends this group's sums when they are due; near_limit: some account is near
+ * its limit, so that they are due at once. */
+void group_tick(struct proxyd *proxyd, bool near_limit);
+/* Sends the usage counts that are not reported yet. */
+void group_send_counts(struct proxyd *proxyd);
+/* Adds the report of a host to this relay's group. */
+void group_on_report(struct proxyd *proxyd, const w_report *report);
+/* Drops the values of hosts that have not reported since a time. */
+void group_expire(struct proxyd *proxyd, clk_ms before);
+/* Counts the hosts in the sums of all relays. */
+unsigned group_reporting(const struct proxyd *proxyd);
+void peer_on_group(void *ctx, const w_group *message);
+
 /* proxyd-limits.c: the stored list of accounts near their limits */
 /* Updates the list when it has changed. */
 void limits_tick(struct proxyd *proxyd);
@@ -196,32 +226,23 @@
 void limits_restore(struct proxyd *proxyd);
 
 /* proxyd-peer.c: other hosts */
-/* The number of relays: hosts that follow the store, aggregate the reports of
- * all hosts and send the sums to the others. */
-unsigned peer_relay_count(const struct proxyd *proxyd);
-/* Whether there are so few hosts that all of them are relays. */
-bool peer_all_relays(const struct proxyd *proxyd);
-/* Whether the relay with this rank, of count, sends a member its heartbeats and
- * aggregated reports. */
-bool peer_relay_serves(const struct member *member, unsigned rank,
-		       unsigned count);
-/* Whether this host follows the store itself: it is a relay, or it receives no
- * heartbeats of relays. */
-bool peer_follows_store(const struct proxyd *proxyd);
-/* Whether this host is a relay, by its rank. */
-bool peer_is_relay(const struct proxyd *proxyd);
 extern const struct member_ops peer_member_ops;
 void peer_start(struct proxyd *proxyd);
+/* Makes up a new incarnation of this host. */
+void peer_incarnation(struct proxyd *proxyd, char *buf, size_t size);
 void peer_tick(struct proxyd *proxyd);
 void peer_on_gossip(void *ctx, const struct member_msg *msg);
 void peer_on_sync(void *ctx, const w_sync_args *args, w_sync_res *res);
 void peer_on_report(void *ctx, const w_report *report);
 void peer_on_relay(void *ctx, const w_relay *relay);
 void peer_on_malformed(void *ctx);
+/* Tells the hosts that this one feeds of newer replicas, and of its life. */
+void peer_send_heartbeats(struct proxyd *proxyd);
 /* All items under OWN_PREFIX were read. */
 void peer_on_snapshot(struct proxyd *proxyd);
-/* A host's own key was read; address is the RPC address in it. */
-void peer_on_host_key(struct proxyd *proxyd, const char *address);
+/* A host's key was read; address is the RPC address in it. */
+void peer_on_host_key(struct proxyd *proxyd, const struct store_item *item,
+		      const char *address);
 
 /* proxyd-front.c: checks on a caller's request */
 void front_on_request(void *ctx, struct hs_request *call);
--- a/decide/aggregate.c
+++ b/decide/aggregate.c
@@ -153,6 +153,14 @@
 	return value ? *value : 0;
 }
 
+double aggregate_total(const struct aggregate *aggregate, uint32_t key)
+{
+	const double *total =
+		g_hash_table_lookup(aggregate->totals, GUINT_TO_POINTER(key));
+
+	return total ? *total : 0;
+}
+
 void aggregate_foreach(const struct aggregate *aggregate,
 		       void (*fn)(void *ctx, uint32_t key, double total),
 		       void *ctx)
--- a/decide/aggregate.h
+++ b/decide/aggregate.h
@@ -47,6 +47,8 @@
 /* Returns the value that a process reported for a key; 0 if none. */
 double aggregate_lookup(const struct aggregate *aggregate, const char *process,
 			uint32_t key);
+/* Returns the sum of a key's values; 0 if there are none. */
+double aggregate_total(const struct aggregate *aggregate, uint32_t key);
 /* Calls fn for each total. */
 void aggregate_foreach(const struct aggregate *aggregate,
 		       void (*fn)(void *ctx, uint32_t key, double total),
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -577,3 +577,13 @@
 	if (worker)
 		worker->peer_prompt_tokens = MAX(tokens, 0);
 }
+
+double fleet_own_requests(const struct fleet_worker *worker)
+{
+	return worker->inflight;
+}
+
+double fleet_own_prompts(const struct fleet_worker *worker)
+{
+	return worker->prompt_tokens;
+}
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -180,4 +180,9 @@
 void fleet_on_load(struct fleet_worker *worker, int running, int waiting,
 		   clk_ms now);
 
+/* Returns this host's own requests at a worker, or the prompt tokens of those
+ * before their first token. */
+double fleet_own_requests(const struct fleet_worker *worker);
+double fleet_own_prompts(const struct fleet_worker *worker);
+
 #endif
--- a/decide/member-probe.c
+++ b/decide/member-probe.c
@@ -81,6 +81,15 @@
 	member_msg_send(list, rpc, &msg);
 }
 
+void member_announce(struct member_list *list, const char *rpc)
+{
+	struct member_msg msg;
+
+	/* An ack of no probe is processed, but not answered. */
+	member_msg_build(list, &msg, MEMBER_ACK, 0);
+	member_msg_send(list, rpc, &msg);
+}
+
 /* Informs a member that this host suspects it, so that it can refute it. */
 static void notify_suspect(struct member_list *list,
 			   const struct member *member)
--- a/decide/member.c
+++ b/decide/member.c
@@ -159,8 +159,7 @@
 	return member && member->info.state != MEMBER_DEAD;
 }
 
-/* Returns the rendezvous weight of an incarnation for a key. */
-static uint64_t rendezvous_weight(const char *incarnation, const char *key)
+uint64_t member_weight(const char *incarnation, const char *key)
 {
 	return XXH64(incarnation, strlen(incarnation),
 		     XXH64(key, strlen(key), 0));
@@ -180,7 +179,7 @@
 
 		if (member->info.state != MEMBER_ALIVE)
 			continue;
-		weight = rendezvous_weight(member->info.incarnation, key);
+		weight = member_weight(member->info.incarnation, key);
 		if (best &&
 		    (best_other_dc > other_dc ||
 		     (best_other_dc == other_dc && best_weight >= weight)))
@@ -194,14 +193,14 @@
 
 unsigned member_self_rank(const struct member_list *list, const char *key)
 {
-	uint64_t own = rendezvous_weight(list->self.incarnation, key);
+	uint64_t own = member_weight(list->self.incarnation, key);
 	unsigned higher = 0;
 
 	for (guint i = 0; i < list->order->len; i++) {
 		const struct member *member = g_ptr_array_index(list->order, i);
 
 		if (member->info.state == MEMBER_ALIVE &&
-		    rendezvous_weight(member->info.incarnation, key) > own)
+		    member_weight(member->info.incarnation, key) > own)
 			higher++;
 	}
 	return higher;
@@ -235,7 +234,7 @@
 	GArray *ranked = g_array_sized_new(FALSE, FALSE, sizeof(struct ranked),
 					   list->order->len + 1);
 	struct ranked self = {
-		.weight = rendezvous_weight(list->self.incarnation, key),
+		.weight = member_weight(list->self.incarnation, key),
 	};
 
 	g_array_append_val(ranked, self);
@@ -245,8 +244,7 @@
 
 		if (member->info.state != MEMBER_ALIVE)
 			continue;
-		candidate.weight =
-			rendezvous_weight(member->info.incarnation, key);
+		candidate.weight = member_weight(member->info.incarnation, key);
 		g_array_append_val(ranked, candidate);
 	}
 	g_array_sort(ranked, ranked_cmp);
--- a/decide/member.h
+++ b/decide/member.h
@@ -157,6 +157,8 @@
 				 const char *incarnation);
 /* Returns whether an incarnation is known and not dead. */
 bool member_is_live(const struct member_list *list, const char *incarnation);
+/* Returns the rendezvous weight of an incarnation for a key. */
+uint64_t member_weight(const char *incarnation, const char *key);
 /* Returns the MEMBER_ALIVE member that ranks highest for a key by rendezvous
  * hash, or NULL if there is none. Members outside avoid_dc are preferred. */
 const struct member *member_pick(const struct member_list *list,
@@ -175,6 +177,8 @@
 /* Probes an RPC address outside the probing order. The ping reports this host
  * and its revisions, and the host that answers becomes a member. */
 void member_ping(struct member_list *list, const char *rpc);
+/* Sends this host's state and its revisions without asking for a reply. */
+void member_announce(struct member_list *list, const char *rpc);
 size_t member_live_count(const struct member_list *list);
 /* Counts the members that may be running: the live ones, and those that were
  * declared dead since a time without having announced that they were leaving,
--- a/decide/order.c
+++ b/decide/order.c
@@ -20,6 +20,12 @@
 	       order->unavailable_in == supply->accepted_again;
 }
 
+bool order_blocked(const struct order *order, const struct order_supply *supply,
+		   clk_ms now)
+{
+	return order_unavailable(order, supply) && now < order->retry_at;
+}
+
 bool order_scarce(const struct order_supply *supply, clk_ms now)
 {
 	return supply->refused_at && now - supply->refused_at < SCARCE_MS;
@@ -60,7 +66,7 @@
 	if (ready > order->ready_max)
 		order->ready_max = ready;
 	if (order->pending || now - order->sent_at < PERIOD_MS ||
-	    (order_unavailable(order, supply) && now < order->retry_at))
+	    order_blocked(order, supply, now))
 		return false;
 	/* Without a known order, the workers that are ready are those that were
 	 * provided or ordered before. */
--- a/decide/order.h
+++ b/decide/order.h
@@ -46,6 +46,9 @@
 /* Whether no such workers are available, as far as is known. */
 bool order_unavailable(const struct order *order,
 		       const struct order_supply *supply);
+/* Whether none are available and it is too soon to try again. */
+bool order_blocked(const struct order *order, const struct order_supply *supply,
+		   clk_ms now);
 /* Whether workers of this kind were refused recently somewhere. */
 bool order_scarce(const struct order_supply *supply, clk_ms now);
 /* Returns the number to order for a wanted number, given the ready ones. */
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -20,6 +20,7 @@
 #define BELOW_LIMIT_SHARE 0.7	/* remaining for an account below its limit */
 #define NEAR_LIMIT_SHARE 0.6	/* with less, the account is near its limit */
 #define UNREPORTED_SHARE 0.25	/* that all hosts may leave unreported */
+#define GROUP_UNREPORTED_SHARE 0.1 /* that all relays may, in addition */
 /* While more remains, equal shares don't apply. This much covers the hosts'
  * unreported spending, and what they spend until they receive a report that
  * less remains. */
@@ -206,18 +207,20 @@
 	quota->reported = quota->spent;
 }
 
-void quota_on_report(struct quota *quota, const char *process, double spent,
-		     clk_ms gap_max, unsigned hosts, clk_ms now)
+double quota_on_report(struct quota *quota, const char *process, double spent,
+		       clk_ms gap_max, unsigned hosts, clk_ms now)
 {
 	struct quota_peer *peer = g_hash_table_lookup(quota->peers, process);
+	double added = 0;
 
 	if (!peer) {
 		/* Its earlier spending is already refilled, unless this host
 		 * itself is new: then it may have used up what was saved up
 		 * since. */
-		if (now - quota->set_at < DISCOVERY_MS)
-			quota->global_units -=
-				MIN(spent, MAX(quota->global_units, 0));
+		if (now - quota->set_at < DISCOVERY_MS) {
+			added = MIN(spent, MAX(quota->global_units, 0));
+			quota->global_units -= added;
+		}
 		peer = g_new(struct quota_peer, 1);
 		*peer = (struct quota_peer){ .spent = spent };
 		g_hash_table_insert(quota->peers, g_strdup(process), peer);
@@ -227,8 +230,34 @@
 	peer->reported_at = now;
 	refill(quota, hosts, now);
 	global_spend(quota, spent - peer->spent);
+	added += spent - peer->spent;
 	peer->spent = spent;
 	quota->last_report_at = now;
+	return added;
+}
+
+void quota_add_to_group(struct quota *quota, double units)
+{
+	quota->children_spent += units;
+}
+
+double quota_group_spent(const struct quota *quota)
+{
+	return quota->spent + quota->children_spent;
+}
+
+bool quota_group_due(const struct quota *quota, unsigned relays)
+{
+	return quota->rate > 0 &&
+	       quota_group_spent(quota) - quota->group_reported >
+		       GROUP_UNREPORTED_SHARE * global_max(quota) /
+			       MAX(relays, 1);
+}
+
+void quota_on_group_sent(struct quota *quota)
+{
+	quota->group_reported = quota_group_spent(quota);
+	quota->reported = quota->spent;
 }
 
 double quota_remaining(struct quota *quota, unsigned hosts, clk_ms now)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -35,6 +35,8 @@
 	clk_ms set_at;	       /* when the limit was first set */
 	double spent;	       /* units spent by this host in total */
 	double reported;       /* of these, reported to the other hosts */
+	double children_spent; /* by hosts that report to this relay */
+	double group_reported; /* of spent and children_spent, to relays */
 	GHashTable *peers;     /* process -> struct quota_peer */
 	clk_ms last_report_at; /* when a report last arrived; 0: never */
 };
@@ -83,10 +85,21 @@
 bool quota_report_due(const struct quota *quota, unsigned hosts);
 /* This host's report was sent to the others. */
 void quota_on_report_sent(struct quota *quota);
-/* Another host reports its total spending. Spending in a gap between two
- * reports of more than gap_max ms is not subtracted: it was in the aggregated
- * reports that this host received meanwhile. */
-void quota_on_report(struct quota *quota, const char *process, double spent,
-		     clk_ms gap_max, unsigned hosts, clk_ms now);
+/* Another host, or a relay for a group of them, reports its total spending.
+ * Spending in a gap between two reports of more than gap_max ms is not
+ * subtracted: it was in the aggregated reports that this host received
+ * meanwhile. Returns the units that are new. */
+double quota_on_report(struct quota *quota, const char *process, double spent,
+		       clk_ms gap_max, unsigned hosts, clk_ms now);
+
+/* A relay adds what a host that reports to it has spent to its group's total.
+ */
+void quota_add_to_group(struct quota *quota, double units);
+/* Returns the total spending of a relay and the hosts that report to it. */
+double quota_group_spent(const struct quota *quota);
+/* Whether a group has spent so much since the relay's last report to the other
+ * relays that it has to report at once; relays: their number. */
+bool quota_group_due(const struct quota *quota, unsigned relays);
+void quota_on_group_sent(struct quota *quota);
 
 #endif
--- a/decide/usage.c
+++ b/decide/usage.c
@@ -18,6 +18,7 @@
 	char *account;
 	int64_t count;
 	int64_t reported; /* of count, to other hosts */
+	bool forward;	  /* this host reports it */
 };
 
 static void entry_free(gpointer data)
@@ -88,7 +89,7 @@
  * returns the counter, or NULL. */
 static struct usage_entry *count_raise(struct usage *usage, const char *process,
 				       const char *account, int64_t window,
-				       int64_t by)
+				       int64_t by, bool forward)
 {
 	struct usage_entry *entry;
 
@@ -101,6 +102,7 @@
 		return NULL;
 	entry = entry_get(usage->counts, process, account, window);
 	entry->count += by;
+	entry->forward |= forward;
 	entry_get(usage->totals, "", account, window)->count += by;
 	return entry;
 }
@@ -131,26 +133,25 @@
 {
 	int64_t window = usage_window(usage, wall);
 	struct usage_entry *entry =
-		count_raise(usage, process, account, window, 1);
+		count_raise(usage, process, account, window, 1, true);
 
 	return entry && (double)(entry->count - entry->reported) >=
 				unreported_max(usage, account, window);
 }
 
 void usage_merge(struct usage *usage, const char *process, const char *account,
-		 int64_t window, int64_t count)
+		 int64_t window, int64_t count, bool forward)
 {
 	struct usage_entry *entry =
-		count_raise(usage, process, account, window, 0);
+		count_raise(usage, process, account, window, 0, forward);
 
 	if (entry && count > entry->count)
 		count_raise(usage, process, account, window,
-			    count - entry->count);
+			    count - entry->count, forward);
 }
 
 void usage_report(struct usage *usage, const char *process, bool all,
-		  void (*fn)(void *ctx, const char *account, int64_t window,
-			     int64_t count),
+		  void (*fn)(void *ctx, const struct usage_count *count),
 		  void *ctx)
 {
 	GHashTableIter iter;
@@ -159,12 +160,19 @@
 	g_hash_table_iter_init(&iter, usage->counts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct usage_entry *entry = value;
-
-		if (strcmp(process, entry->process) != 0 ||
+		struct usage_count count = {
+			.process = entry->process,
+			.account = entry->account,
+			.window = entry->window,
+			.count = entry->count,
+		};
+
+		if (!entry->forward ||
+		    (process && strcmp(process, entry->process) != 0) ||
 		    (!all && entry->reported == entry->count))
 			continue;
 		entry->reported = entry->count;
-		fn(ctx, entry->account, entry->window, entry->count);
+		fn(ctx, &count);
 	}
 }
 
--- a/decide/usage.h
+++ b/decide/usage.h
@@ -32,14 +32,22 @@
  * missing from the window if this host were killed. */
 bool usage_add(struct usage *usage, const char *process, const char *account,
 	       clk_ms wall);
-/* Merges a count reported by a process: the higher one is kept. */
+/* Merges a count reported by a process: the higher one is kept. forward: this
+ * host reports it to others. */
 void usage_merge(struct usage *usage, const char *process, const char *account,
-		 int64_t window, int64_t count);
-/* Calls fn for each count of a process, or only for those that have changed
- * since they were reported, and marks them as reported. */
+		 int64_t window, int64_t count, bool forward);
+/* A count to report. */
+struct usage_count {
+	const char *process;
+	const char *account;
+	int64_t window;
+	int64_t count;
+};
+/* Calls fn for each count that is to be reported, of one process or of all if
+ * process is NULL: those that have changed since they were reported, or all.
+ * Marks them as reported. */
 void usage_report(struct usage *usage, const char *process, bool all,
-		  void (*fn)(void *ctx, const char *account, int64_t window,
-			     int64_t count),
+		  void (*fn)(void *ctx, const struct usage_count *count),
 		  void *ctx);
 /* Calls fn for each account's count of a window over all processes. */
 void usage_totals(const struct usage *usage, int64_t window,
--- a/tests/unit-scale.c
+++ b/tests/unit-scale.c
@@ -80,6 +80,9 @@
 			order_on_result(&orders[i], &supply, ORDER_NO_CAPACITY,
 					now);
 			ck_assert(order_unavailable(&orders[i], &supply));
+			ck_assert(order_blocked(&orders[i], &supply, now));
+			ck_assert(!order_blocked(&orders[i], &supply,
+						 now + 9000));
 		}
 	/* The first order of each, then one every 1.5 s. */
 	ck_assert_int_eq(calls, 6 + 11);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -94,6 +94,9 @@
 for hosts in 8 32 128; do
 	run "sim_member_$hosts" "$B/tests/sim-member" --hosts $hosts --loss 5
 done
+for hosts in 30 300 865; do
+	run "sim_feed_$hosts" "$B/tests/sim-feed" --hosts $hosts
+done
 for bench in route load retry; do
 	run "sim_route_$bench" "$B/tests/sim-route" $bench --seed 1
 done
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -211,6 +211,39 @@
 };
 typedef struct w_relay w_relay;
 
+struct w_process_count {
+	char *process;
+	w_count count;
+};
+typedef struct w_process_count w_process_count;
+
+struct w_group {
+	char *process;
+	u_int reporting;
+	bool_t full;
+	struct {
+		u_int spent_len;
+		w_part *spent_val;
+	} spent;
+	struct {
+		u_int inflight_len;
+		w_part *inflight_val;
+	} inflight;
+	struct {
+		u_int prompts_len;
+		w_part *prompts_val;
+	} prompts;
+	struct {
+		u_int demand_len;
+		w_demand *demand_val;
+	} demand;
+	struct {
+		u_int counts_len;
+		w_process_count *counts_val;
+	} counts;
+};
+typedef struct w_group w_group;
+
 #define RW_PROGRAM 0x20525750
 #define RW_VERSION 1
 
@@ -230,6 +263,9 @@
 #define RW_RELAY 5
 extern  void * rw_relay_1(w_relay *, CLIENT *);
 extern  void * rw_relay_1_svc(w_relay *, struct svc_req *);
+#define RW_GROUP 6
+extern  void * rw_group_1(w_group *, CLIENT *);
+extern  void * rw_group_1_svc(w_group *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -248,6 +284,9 @@
 #define RW_RELAY 5
 extern  void * rw_relay_1();
 extern  void * rw_relay_1_svc();
+#define RW_GROUP 6
+extern  void * rw_group_1();
+extern  void * rw_group_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -268,6 +307,8 @@
 extern  bool_t xdr_w_part (XDR *, w_part*);
 extern  bool_t xdr_w_report (XDR *, w_report*);
 extern  bool_t xdr_w_relay (XDR *, w_relay*);
+extern  bool_t xdr_w_process_count (XDR *, w_process_count*);
+extern  bool_t xdr_w_group (XDR *, w_group*);
 
 #else /* K&R C */
 extern bool_t xdr_w_update ();
@@ -284,6 +325,8 @@
 extern bool_t xdr_w_part ();
 extern bool_t xdr_w_report ();
 extern bool_t xdr_w_relay ();
+extern bool_t xdr_w_process_count ();
+extern bool_t xdr_w_group ();
 
 #endif /* K&R C */
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -151,6 +151,25 @@
 	w_part prompts<W_ITEMS>;
 };
 
+/* Number of requests that one process started for an account in a window. */
+struct w_process_count {
+	string process<W_INCARNATION>;
+	w_count count;
+};
+
+/* RW_GROUP: the sums over a relay and the hosts that report to it, sent to the
+ * other relays; no reply is sent. */
+struct w_group {
+	string process<W_INCARNATION>; /* of the relay */
+	unsigned int reporting; /* hosts in the sums, the relay included */
+	bool full; /* otherwise without inflight, prompts and demand */
+	w_part spent<W_ITEMS>; /* by accounts, since the relay started */
+	w_part inflight<W_ITEMS>;
+	w_part prompts<W_ITEMS>;
+	w_demand demand<W_ITEMS>;
+	w_process_count counts<W_ITEMS>; /* those that have changed */
+};
+
 program RW_PROGRAM {
 	version RW_VERSION {
 		void RW_GOSSIP(w_gossip) = 1;
@@ -158,5 +177,6 @@
 		w_sync_res RW_SYNC(w_sync_args) = 3;
 		void RW_REPORT(w_report) = 4;
 		void RW_RELAY(w_relay) = 5;
+		void RW_GROUP(w_group) = 6;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -488,3 +488,44 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_w_process_count (XDR *xdrs, w_process_count *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_w_count (xdrs, &objp->count))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_group (XDR *xdrs, w_group *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reporting))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->full))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->spent.spent_val, (u_int *) &objp->spent.spent_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->inflight.inflight_val, (u_int *) &objp->inflight.inflight_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->prompts.prompts_val, (u_int *) &objp->prompts.prompts_len, W_ITEMS,
+		sizeof (w_part), (xdrproc_t) xdr_w_part))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demand.demand_val, (u_int *) &objp->demand.demand_len, W_ITEMS,
+		sizeof (w_demand), (xdrproc_t) xdr_w_demand))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->counts.counts_val, (u_int *) &objp->counts.counts_len, W_ITEMS,
+		sizeof (w_process_count), (xdrproc_t) xdr_w_process_count))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -175,6 +175,7 @@
 	w_sync_args sync = { .settings_after = 0 };
 	w_report report = { .process = NULL };
 	w_relay relay = { .process = NULL };
+	w_group group = { .reporting = 0 };
 	bool ok = false;
 
 	switch (msg->rm_call.cb_proc) {
@@ -202,6 +203,12 @@
 			rpc->handlers.on_relay(rpc->handlers.ctx, &relay);
 		xdr_free((xdrproc_t)xdr_w_relay, &relay);
 		break;
+	case RW_GROUP:
+		ok = xdr_w_group(xdr, &group);
+		if (ok && rpc->handlers.on_group)
+			rpc->handlers.on_group(rpc->handlers.ctx, &group);
+		xdr_free((xdrproc_t)xdr_w_group, &group);
+		break;
 	default:
 		break;
 	}
@@ -386,6 +393,11 @@
 	call_send(rpc, to, RW_RELAY, (xdrproc_t)xdr_w_relay, relay);
 }
 
+void rpc_send_group(struct rpc *rpc, const char *to, const w_group *group)
+{
+	call_send(rpc, to, RW_GROUP, (xdrproc_t)xdr_w_group, group);
+}
+
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
 		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
 		   void *ctx)
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -26,6 +26,8 @@
 	void (*on_report)(void *ctx, const w_report *report);
 	/* Aggregated reports of other hosts; may be NULL. */
 	void (*on_relay)(void *ctx, const w_relay *relay);
+	/* The sums of a relay and the hosts that report to it; may be NULL. */
+	void (*on_group)(void *ctx, const w_group *group);
 	void (*on_malformed)(void *ctx); /* a message could not be decoded */
 	void *ctx;
 };
@@ -50,6 +52,7 @@
 		      const struct replica_msg *msg);
 void rpc_send_report(struct rpc *rpc, const char *to, const w_report *report);
 void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay);
+void rpc_send_group(struct rpc *rpc, const char *to, const w_group *group);
 /* Calls RW_SYNC; fn gets NULL if there is no reply within the timeout. */
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
 		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
