Peers: replies compressed, one fetch at a time, fewer counts repeated

A host that lacked the list of workers asked for it every 0.3 s while the first reply, of 0.9 MB, was still on its way over a link of 20 Mbit/s; relays resent all usage counts of six windows every 2.5 s. Ruled out: the followers' reads (three watches), heartbeats (100 bytes).

Change: RW_SYNC_PACKED returns the same result compressed by zlib, and a relay keeps the last one, as the hosts that it feeds mostly lack the same. A host has one fetch of newer items pending at a time. Only the counts of the last two windows are sent again, every 4 s.

Tests: unit-proxy sync_packs (truncated, damaged and oversized replies are refused); the tests of processes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Builds redwingpitch. `make demo` and `make check` are the two commands of
 # the README; each installs what it needs first.
 CC = gcc
-PKGS = libh2o libuv popt log4c glib-2.0 libtirpc json-c libxxhash
+PKGS = libh2o libuv popt log4c glib-2.0 libtirpc json-c libxxhash zlib
 CSTD = -std=gnu11 -D_GNU_SOURCE
 WARN = -Wall -Wextra -Werror
 OPT ?= -O2 -g
--- a/daemon/entryd-member.c
+++ b/daemon/entryd-member.c
@@ -135,8 +135,8 @@
 	args.members = true;
 	args.settings_after = entryd->settings->revision;
 	args.hosts_after = entryd->hosts->revision;
-	rpc_call_sync(entryd->rpc, rpc, &args, SYNC_TIMEOUT_MS, sync_on_done,
-		      call);
+	rpc_call_sync(entryd->rpc, rpc, &args, false, SYNC_TIMEOUT_MS,
+		      sync_on_done, call);
 }
 
 /* Lists the leaving notice in force for each upstream that has had one. */
--- a/daemon/proxyd-group.c
+++ b/daemon/proxyd-group.c
@@ -11,7 +11,7 @@
 
 #define GROUP_PERIOD_MS 500
 /* After so long all counts are sent again, in case a message was lost. */
-#define COUNTS_REFRESH_MS 2500
+#define COUNTS_REFRESH_MS 4000
 /* A group whose last sums are older does not count as reporting. */
 #define REPORTING_MS 1200
 /* A relay that was silent for so long may have been replaced meanwhile. */
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -14,7 +14,7 @@
 #include "../wire/tcp.h"
 
 #define SYNC_TIMEOUT_MS 1500
-#define SYNC_GAP_MS 300	      /* between two exchanges for newer items */
+#define SYNC_GAP_MS 100	      /* between two exchanges for newer items */
 #define HEARTBEAT_MS 1000     /* between two heartbeats to a host */
 #define SEEDS_MAX 8	      /* addresses; a new one replaces the oldest */
 #define STARTUP_PING_MS 3000  /* how long a new host pings the listed ones */
@@ -28,9 +28,10 @@
 /* Part of the hosts listed in the store that must be known for their ranks. */
 #define KNOWN_HOSTS_SHARE 0.8
 
-/* A full exchange with one host. */
+/* An exchange with one host. */
 struct sync_call {
 	struct proxyd *proxyd;
+	bool members; /* a full one, else for newer items only */
 };
 
 static void sync_from(struct proxyd *proxyd, const char *rpc, bool members);
@@ -207,10 +208,14 @@
 {
 	struct newer_peer *newer = &proxyd->newer;
 
-	if (!newer->rpc[0] || proxyd_now(proxyd) < proxyd->next_sync)
+	/* One at a time: a reply that takes long must not be asked for again
+	 * and again. */
+	if (!newer->rpc[0] || proxyd->fetching ||
+	    proxyd_now(proxyd) < proxyd->next_sync)
 		return;
 	if (is_newer(proxyd, newer->config, newer->workers)) {
 		proxyd->next_sync = proxyd_now(proxyd) + SYNC_GAP_MS;
+		proxyd->fetching = true;
 		sync_from(proxyd, newer->rpc, false);
 	}
 	newer->rpc[0] = '\0';
@@ -221,6 +226,8 @@
 	struct sync_call *call = ctx;
 	struct proxyd *proxyd = call->proxyd;
 
+	if (!call->members)
+		proxyd->fetching = false;
 	g_free(call);
 	if (!res)
 		return;
@@ -238,12 +245,13 @@
 	w_sync_args args;
 
 	call->proxyd = proxyd;
+	call->members = members;
 	rpc_update_to_wire(&proxyd->members->self, &args.self);
 	args.members = members;
 	args.settings_after = follow_config_revision(proxyd);
 	args.hosts_after = follow_workers_revision(proxyd);
-	rpc_call_sync(proxyd->rpc, rpc, &args, SYNC_TIMEOUT_MS, sync_on_done,
-		      call);
+	rpc_call_sync(proxyd->rpc, rpc, &args, proxyd->feed.all_current,
+		      SYNC_TIMEOUT_MS, sync_on_done, call);
 }
 
 void peer_on_sync(void *ctx, const w_sync_args *args, w_sync_res *res)
@@ -261,6 +269,58 @@
 			args->hosts_after, &res->hosts);
 }
 
+/* Whether the last packed reply answers a request as well. */
+static bool packed_is_valid(const struct proxyd *proxyd,
+			    const w_sync_args *args)
+{
+	const struct packed_reply *packed = &proxyd->packed;
+
+	return packed->data && !args->members && !packed->members &&
+	       packed->config_after == args->settings_after &&
+	       packed->workers_after == args->hosts_after &&
+	       packed->config == follow_config_revision(proxyd) &&
+	       packed->workers == follow_workers_revision(proxyd);
+}
+
+static void packed_update(struct proxyd *proxyd, const w_sync_args *args)
+{
+	w_sync_res plain = { .updates.updates_len = 0 };
+	w_packed packed;
+
+	peer_on_sync(proxyd, args, &plain);
+	sync_pack(&plain, &packed);
+	xdr_free((xdrproc_t)xdr_w_sync_res, &plain);
+	if (proxyd->packed.data)
+		g_bytes_unref(proxyd->packed.data);
+	proxyd->packed = (struct packed_reply){
+		.members = args->members,
+		.config_after = args->settings_after,
+		.workers_after = args->hosts_after,
+		.config = follow_config_revision(proxyd),
+		.workers = follow_workers_revision(proxyd),
+		.size = packed.size,
+		.data = g_bytes_new_take(packed.data.data_val,
+					 packed.data.data_len),
+	};
+}
+
+void peer_on_sync_packed(void *ctx, const w_sync_args *args, w_packed *res)
+{
+	struct proxyd *proxyd = ctx;
+	struct member_update self;
+	gsize len;
+	const void *data;
+
+	if (!packed_is_valid(proxyd, args))
+		packed_update(proxyd, args);
+	else if (rpc_update_from_wire(&args->self, &self))
+		member_on_update(proxyd->members, &self, proxyd_now(proxyd));
+	data = g_bytes_get_data(proxyd->packed.data, &len);
+	res->size = proxyd->packed.size;
+	res->data.data_val = g_memdup2(data, len);
+	res->data.data_len = (u_int)len;
+}
+
 void peer_on_gossip(void *ctx, const struct member_msg *msg)
 {
 	struct proxyd *proxyd = ctx;
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -19,7 +19,7 @@
 /* Where hosts are many, a host from which no report comes for so long has
  * reported to other relays meanwhile. */
 #define RELAYED_GAP_MS 1500
-#define COUNTS_REFRESH_MS 2500
+#define COUNTS_REFRESH_MS 4000
 #define REPORT_TTL_MS 2500 /* how long a host's last report of load counts */
 #define SAMPLES_ALL 0
 /* Workers compared for a choice, where hosts are many. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -320,6 +320,7 @@
 	struct rpc_handlers handlers = {
 		.on_gossip = peer_on_gossip,
 		.on_sync = peer_on_sync,
+		.on_sync_packed = peer_on_sync_packed,
 		.on_report = peer_on_report,
 		.on_relay = peer_on_relay,
 		.on_group = peer_on_group,
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -82,6 +82,17 @@
 	clk_ms next_send;
 };
 
+/* The last packed reply: the hosts that a relay feeds mostly lack the same. */
+struct packed_reply {
+	bool members;	      /* it lists the members, too */
+	int64_t config_after; /* what the hosts that asked for it have */
+	int64_t workers_after;
+	int64_t config; /* this host's revisions in it */
+	int64_t workers;
+	unsigned size; /* of the result before it was compressed */
+	GBytes *data;  /* NULL: there is none */
+};
+
 struct proxyd {
 	uv_loop_t loop;
 	const char *settings_path;
@@ -145,6 +156,8 @@
 	int64_t heartbeat_config;  /* revisions in the last heartbeat sent */
 	int64_t heartbeat_workers;
 	struct newer_peer newer;
+	struct packed_reply packed;
+	bool fetching;		   /* newer items, from another host */
 	clk_ms next_sync;	   /* no exchange for newer items before */
 	GHashTable *open_requests; /* set of struct xfer */
 	uv_timer_t tick;
@@ -233,6 +246,7 @@
 void peer_tick(struct proxyd *proxyd);
 void peer_on_gossip(void *ctx, const struct member_msg *msg);
 void peer_on_sync(void *ctx, const w_sync_args *args, w_sync_res *res);
+void peer_on_sync_packed(void *ctx, const w_sync_args *args, w_packed *res);
 void peer_on_report(void *ctx, const w_report *report);
 void peer_on_relay(void *ctx, const w_relay *relay);
 void peer_on_malformed(void *ctx);
--- a/decide/feed.c
+++ b/decide/feed.c
@@ -171,8 +171,8 @@
 	feed->reporting_key = key;
 }
 
-/* Whether all hosts know the messages between relays. */
-static bool all_know_groups(const struct feed_host *hosts, size_t count)
+/* Whether all hosts know all messages. */
+static bool all_are_current(const struct feed_host *hosts, size_t count)
 {
 	for (size_t i = 0; i < count; i++)
 		if (!g_str_has_suffix(hosts[i].incarnation, FEED_VERSION_MARK))
@@ -206,8 +206,9 @@
 		leaves_list(feed, ranked, count + 1, relays);
 	if (feed->role == FEED_LEAF)
 		parent_set(feed, ranked, relays, self);
-	feed->grouped = !feed->all_follow && relays > FOLLOWERS &&
-			all_know_groups(hosts, count);
+	feed->all_current = count > 0 && all_are_current(hosts, count);
+	feed->grouped =
+		!feed->all_follow && relays > FOLLOWERS && feed->all_current;
 	generation_update(feed);
 	g_free(ranked);
 }
--- a/decide/feed.h
+++ b/decide/feed.h
@@ -24,7 +24,7 @@
 #define FEED_RANKING "duty"   /* key of the ranking of hosts */
 #define FEED_HEARTBEAT_MS 400 /* between two heartbeats to a host */
 
-/* Ends the incarnation of a process that knows RW_GROUP messages. */
+/* Ends the incarnation of a process that knows RW_GROUP and RW_SYNC_PACKED. */
 #define FEED_VERSION_MARK "+2"
 
 enum feed_role {
@@ -56,6 +56,7 @@
 	 * Otherwise each host reports to all relays: there are few hosts, or
 	 * some run an older version. */
 	bool grouped;
+	bool all_current; /* no known host runs an older version */
 	char parent[MEMBER_ADDRESS_MAX]; /* of a leaf: first of its relays */
 	GHashTable *relays;		 /* RPC addresses of the other relays */
 	GHashTable *followers;		 /* of these, the followers */
--- a/decide/usage.c
+++ b/decide/usage.c
@@ -150,7 +150,7 @@
 			    count - entry->count, forward);
 }
 
-void usage_report(struct usage *usage, const char *process, bool all,
+void usage_report(struct usage *usage, const char *process, bool again,
 		  void (*fn)(void *ctx, const struct usage_count *count),
 		  void *ctx)
 {
@@ -169,7 +169,8 @@
 
 		if (!entry->forward ||
 		    (process && strcmp(process, entry->process) != 0) ||
-		    (!all && entry->reported == entry->count))
+		    (entry->reported == entry->count &&
+		     (!again || entry->window < usage->newest_window - 1)))
 			continue;
 		entry->reported = entry->count;
 		fn(ctx, &count);
--- a/decide/usage.h
+++ b/decide/usage.h
@@ -44,9 +44,9 @@
 	int64_t count;
 };
 /* Calls fn for each count that is to be reported, of one process or of all if
- * process is NULL: those that have changed since they were reported, or all.
- * Marks them as reported. */
-void usage_report(struct usage *usage, const char *process, bool all,
+ * process is NULL: those that have changed since they were reported or, if
+ * again is set, all of the last two windows as well. Marks them as reported. */
+void usage_report(struct usage *usage, const char *process, bool again,
 		  void (*fn)(void *ctx, const struct usage_count *count),
 		  void *ctx);
 /* Calls fn for each account's count of a window over all processes. */
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -9,6 +9,7 @@
 #include "../decide/tab.h"
 #include "../decide/usage.h"
 #include "../decide/wall.h"
+#include "../wire/sync.h"
 #include "run.h"
 
 #define YES true
@@ -707,6 +708,65 @@
 }
 END_TEST
 
+/* A packed reply that was damaged is refused. */
+static const struct damage {
+	const char *what;
+	unsigned size_more; /* than it was */
+	unsigned cut;	    /* bytes off the end */
+	int flip;	    /* a byte that is inverted; -1: none */
+	bool ok;
+} damages[] = {
+	{ "whole", 0, 0, -1, true },
+	{ "size too large", 1, 0, -1, false },
+	{ "size out of range", 1U << 31, 0, -1, false },
+	{ "truncated", 0, 5, -1, false },
+	{ "empty", 0, 1000000, -1, false },
+	{ "no zlib stream", 0, 0, 0, false },
+	{ "checksum", 0, 0, 1000000, false },
+};
+
+START_TEST(sync_packs)
+{
+	const struct damage *damage = &damages[_i];
+	struct store *store = store_create(NULL, NULL);
+	w_sync_res res = { .updates.updates_len = 0 };
+	w_sync_res got = { .updates.updates_len = 0 };
+	GString *text = g_string_new(NULL);
+	w_packed packed;
+	GBytes *value;
+	u_int last;
+
+	for (int i = 0; i < 400; i++)
+		g_string_append_printf(text, "{\"route\":\"r%d\"},", i);
+	value = g_bytes_new(text->str, text->len);
+	store_put(store, "op/config", value, 7);
+	sync_items_fill(store, 0, &res.settings);
+	sync_pack(&res, &packed);
+	ck_assert_uint_lt(packed.data.data_len, packed.size / 3);
+	last = packed.data.data_len - 1;
+	packed.size += damage->size_more;
+	if (damage->flip >= 0)
+		packed.data.data_val[MIN((u_int)damage->flip, last)] ^= 0x7f;
+	packed.data.data_len -= MIN(damage->cut, packed.data.data_len);
+	ck_assert_msg(sync_unpack(&packed, &got) == damage->ok, "%s",
+		      damage->what);
+	if (damage->ok) {
+		ck_assert_uint_eq(got.settings.items.items_len, 1);
+		ck_assert_str_eq(got.settings.items.items_val[0].key,
+				 "op/config");
+		ck_assert_uint_eq(
+			got.settings.items.items_val[0].value.value_len,
+			text->len);
+	}
+	xdr_free((xdrproc_t)xdr_w_sync_res, &got);
+	xdr_free((xdrproc_t)xdr_w_sync_res, &res);
+	g_free(packed.data.data_val);
+	g_bytes_unref(value);
+	g_string_free(text, TRUE);
+	store_free(store);
+}
+END_TEST
+
 START_TEST(wall_ignores_jumps)
 {
 	struct wall wall;
@@ -880,6 +940,7 @@
 	tcase_add_test(tcase, lease_lost_claim_is_not_repeated);
 	tcase_add_test(tcase, lease_two_hosts_never_act_at_once);
 	tcase_add_test(tcase, usage_tolerates_duplicates_and_lost_hosts);
+	tcase_add_loop_test(tcase, sync_packs, 0, (int)G_N_ELEMENTS(damages));
 	tcase_add_loop_test(tcase, usage_reports_before_counts_can_be_lost, 0,
 			    (int)G_N_ELEMENTS(unreported));
 	tcase_add_test(tcase, wall_ignores_jumps);
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -2,7 +2,7 @@
 # Installs the packages for building and testing that are missing.
 set -eu
 PACKAGES="gcc make pkg-config libuv1-dev libh2o-dev libssl-dev libpopt-dev
-liblog4c-dev libglib2.0-dev check libtirpc-dev libjson-c-dev libxxhash-dev
+liblog4c-dev libglib2.0-dev check libtirpc-dev libjson-c-dev libxxhash-dev zlib1g-dev
 python3 spin clang-format clang-tidy gnuplot-nox"
 missing=""
 for package in $PACKAGES; do
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -147,6 +147,15 @@
 };
 typedef struct w_sync_res w_sync_res;
 
+struct w_packed {
+	u_int size;
+	struct {
+		u_int data_len;
+		char *data_val;
+	} data;
+};
+typedef struct w_packed w_packed;
+
 struct w_count {
 	quad_t window;
 	char *account;
@@ -266,6 +275,9 @@
 #define RW_GROUP 6
 extern  void * rw_group_1(w_group *, CLIENT *);
 extern  void * rw_group_1_svc(w_group *, struct svc_req *);
+#define RW_SYNC_PACKED 7
+extern  w_packed * rw_sync_packed_1(w_sync_args *, CLIENT *);
+extern  w_packed * rw_sync_packed_1_svc(w_sync_args *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -287,6 +299,9 @@
 #define RW_GROUP 6
 extern  void * rw_group_1();
 extern  void * rw_group_1_svc();
+#define RW_SYNC_PACKED 7
+extern  w_packed * rw_sync_packed_1();
+extern  w_packed * rw_sync_packed_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -302,6 +317,7 @@
 extern  bool_t xdr_w_items (XDR *, w_items*);
 extern  bool_t xdr_w_sync_args (XDR *, w_sync_args*);
 extern  bool_t xdr_w_sync_res (XDR *, w_sync_res*);
+extern  bool_t xdr_w_packed (XDR *, w_packed*);
 extern  bool_t xdr_w_count (XDR *, w_count*);
 extern  bool_t xdr_w_demand (XDR *, w_demand*);
 extern  bool_t xdr_w_part (XDR *, w_part*);
@@ -320,6 +336,7 @@
 extern bool_t xdr_w_items ();
 extern bool_t xdr_w_sync_args ();
 extern bool_t xdr_w_sync_res ();
+extern bool_t xdr_w_packed ();
 extern bool_t xdr_w_count ();
 extern bool_t xdr_w_demand ();
 extern bool_t xdr_w_part ();
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -109,6 +109,12 @@
 	w_items hosts;
 };
 
+/* The result of RW_SYNC_PACKED: a w_sync_res, encoded and compressed. */
+struct w_packed {
+	unsigned int size; /* in bytes, before it was compressed */
+	opaque data<W_BODY>;
+};
+
 /* Number of requests of one account that started in one window. */
 struct w_count {
 	hyper window;
@@ -178,5 +184,6 @@
 		void RW_REPORT(w_report) = 4;
 		void RW_RELAY(w_relay) = 5;
 		void RW_GROUP(w_group) = 6;
+		w_packed RW_SYNC_PACKED(w_sync_args) = 7;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -401,6 +401,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_w_packed (XDR *xdrs, w_packed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->data.data_val, (u_int *) &objp->data.data_len, W_BODY))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_w_count (XDR *xdrs, w_count *objp)
 {
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -6,6 +6,7 @@
 #include <rpc/rpc.h>
 #include <rpc/rpc_msg.h>
 
+#include "sync.h"
 #include "tcp.h"
 
 #define LISTEN_BACKLOG 256		 /* connections */
@@ -35,6 +36,7 @@
 struct rpc_pending_call {
 	u_int32_t xid;
 	clk_ms deadline; /* loop time */
+	bool packed;	 /* the reply is a w_packed */
 	void (*fn)(void *ctx, const w_sync_res *res);
 	void *ctx;
 };
@@ -135,24 +137,21 @@
 	tcp_write(conn->tcp, data, len);
 }
 
-/* Sends the reply to a call of RW_SYNC. */
-static void reply_sync(struct rpc_conn *conn, u_int32_t xid,
-		       const w_sync_args *args)
+/* Sends the reply to a call. */
+static void reply_send(struct rpc_conn *conn, u_int32_t xid, xdrproc_t encode,
+		       void *res)
 {
-	struct rpc *rpc = conn->rpc;
-	w_sync_res res = { .updates.updates_len = 0 };
 	struct rpc_msg reply = { .rm_xid = xid, .rm_direction = REPLY };
 	size_t size;
 	char *buf;
 	XDR xdr;
 
-	rpc->handlers.on_sync(rpc->handlers.ctx, args, &res);
 	reply.rm_reply.rp_stat = MSG_ACCEPTED;
 	reply.acpted_rply.ar_verf = _null_auth;
 	reply.acpted_rply.ar_stat = SUCCESS;
-	reply.acpted_rply.ar_results.where = (caddr_t)&res;
-	reply.acpted_rply.ar_results.proc = (xdrproc_t)xdr_w_sync_res;
-	size = xdr_sizeof((xdrproc_t)xdr_w_sync_res, &res) + 256;
+	reply.acpted_rply.ar_results.where = res;
+	reply.acpted_rply.ar_results.proc = encode;
+	size = xdr_sizeof(encode, res) + 256;
 	buf = g_malloc(size + RECORD_MARK_BYTES);
 	xdrmem_create(&xdr, buf + RECORD_MARK_BYTES, (u_int)size, XDR_ENCODE);
 	if (xdr_replymsg(&xdr, &reply)) {
@@ -163,9 +162,30 @@
 	}
 	g_free(buf);
 	xdr_destroy(&xdr);
+}
+
+static void reply_sync(struct rpc_conn *conn, u_int32_t xid,
+		       const w_sync_args *args)
+{
+	struct rpc *rpc = conn->rpc;
+	w_sync_res res = { .updates.updates_len = 0 };
+
+	rpc->handlers.on_sync(rpc->handlers.ctx, args, &res);
+	reply_send(conn, xid, (xdrproc_t)xdr_w_sync_res, &res);
 	xdr_free((xdrproc_t)xdr_w_sync_res, &res);
 }
 
+static void reply_sync_packed(struct rpc_conn *conn, u_int32_t xid,
+			      const w_sync_args *args)
+{
+	struct rpc *rpc = conn->rpc;
+	w_packed res = { .size = 0 };
+
+	rpc->handlers.on_sync_packed(rpc->handlers.ctx, args, &res);
+	reply_send(conn, xid, (xdrproc_t)xdr_w_packed, &res);
+	xdr_free((xdrproc_t)xdr_w_packed, &res);
+}
+
 /* Decodes the arguments of a call and passes them to its handler. */
 static bool dispatch_call(struct rpc_conn *conn, const struct rpc_msg *msg,
 			  XDR *xdr)
@@ -203,6 +223,12 @@
 			rpc->handlers.on_relay(rpc->handlers.ctx, &relay);
 		xdr_free((xdrproc_t)xdr_w_relay, &relay);
 		break;
+	case RW_SYNC_PACKED:
+		ok = xdr_w_sync_args(xdr, &sync);
+		if (ok && rpc->handlers.on_sync_packed)
+			reply_sync_packed(conn, msg->rm_xid, &sync);
+		xdr_free((xdrproc_t)xdr_w_sync_args, &sync);
+		break;
 	case RW_GROUP:
 		ok = xdr_w_group(xdr, &group);
 		if (ok && rpc->handlers.on_group)
@@ -215,31 +241,58 @@
 	return ok;
 }
 
-/* Passes a reply to the call that awaits it. */
-static bool handle_reply(struct rpc *rpc, const char *ptr, size_t len)
+/* Removes the call that awaits a reply; returns false if there is none. */
+static bool pending_take(struct rpc *rpc, u_int32_t xid,
+			 struct rpc_pending_call *call)
+{
+	for (guint i = 0; i < rpc->pending_calls->len; i++) {
+		*call = g_array_index(rpc->pending_calls,
+				      struct rpc_pending_call, i);
+		if (call->xid != xid)
+			continue;
+		g_array_remove_index_fast(rpc->pending_calls, i);
+		return true;
+	}
+	return false;
+}
+
+static bool reply_decode(const char *ptr, size_t len, xdrproc_t decode,
+			 void *res)
 {
-	w_sync_res res = { .updates.updates_len = 0 };
 	struct rpc_msg reply = { .rm_direction = REPLY };
-	struct rpc_pending_call call = { .fn = NULL };
 	XDR xdr;
 	bool ok;
 
-	reply.acpted_rply.ar_results.where = (caddr_t)&res;
-	reply.acpted_rply.ar_results.proc = (xdrproc_t)xdr_w_sync_res;
+	reply.acpted_rply.ar_results.where = res;
+	reply.acpted_rply.ar_results.proc = decode;
 	xdrmem_create(&xdr, (char *)ptr, (u_int)len, XDR_DECODE);
 	ok = xdr_replymsg(&xdr, &reply) &&
 	     reply.rm_reply.rp_stat == MSG_ACCEPTED &&
 	     reply.acpted_rply.ar_stat == SUCCESS;
 	xdr_destroy(&xdr);
-	for (guint i = 0; ok && i < rpc->pending_calls->len; i++) {
-		call = g_array_index(rpc->pending_calls,
-				     struct rpc_pending_call, i);
-		if (call.xid == reply.rm_xid) {
-			g_array_remove_index_fast(rpc->pending_calls, i);
-			call.fn(call.ctx, &res);
-			break;
-		}
-	}
+	return ok;
+}
+
+/* Passes a reply to the call that awaits it; a reply that comes too late is
+ * dropped. */
+static bool handle_reply(struct rpc *rpc, const char *ptr, size_t len)
+{
+	w_sync_res res = { .updates.updates_len = 0 };
+	w_packed packed = { .size = 0 };
+	struct rpc_pending_call call;
+	u_int32_t xid;
+	bool ok;
+
+	memcpy(&xid, ptr, sizeof(xid));
+	if (!pending_take(rpc, ntohl(xid), &call))
+		return true;
+	if (call.packed)
+		ok = reply_decode(ptr, len, (xdrproc_t)xdr_w_packed, &packed) &&
+		     sync_unpack(&packed, &res);
+	else
+		ok = reply_decode(ptr, len, (xdrproc_t)xdr_w_sync_res, &res);
+	call.fn(call.ctx, ok ? &res : NULL);
+	xdr_free((xdrproc_t)xdr_w_packed, &packed);
 	xdr_free((xdrproc_t)xdr_w_sync_res, &res);
 	return ok;
 }
@@ -399,17 +452,18 @@
 }
 
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
-		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
-		   void *ctx)
+		   bool packed, clk_ms timeout,
+		   void (*fn)(void *ctx, const w_sync_res *res), void *ctx)
 {
 	struct rpc_pending_call call = {
+		.packed = packed,
 		.deadline = loop_now(rpc) + timeout,
 		.fn = fn,
 		.ctx = ctx,
 	};
 
-	call.xid =
-		call_send(rpc, to, RW_SYNC, (xdrproc_t)xdr_w_sync_args, args);
+	call.xid = call_send(rpc, to, packed ? RW_SYNC_PACKED : RW_SYNC,
+			     (xdrproc_t)xdr_w_sync_args, args);
 	g_array_append_val(rpc->pending_calls, call);
 }
 
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -22,6 +22,9 @@
 	void (*on_replica)(void *ctx, const struct replica_msg *msg);
 	/* Fills res, which is freed with xdr_free after it was sent. */
 	void (*on_sync)(void *ctx, const w_sync_args *args, w_sync_res *res);
+	/* The same for RW_SYNC_PACKED; may be NULL. */
+	void (*on_sync_packed)(void *ctx, const w_sync_args *args,
+			       w_packed *res);
 	/* A host's report of its counts; may be NULL. */
 	void (*on_report)(void *ctx, const w_report *report);
 	/* Aggregated reports of other hosts; may be NULL. */
@@ -53,10 +56,11 @@
 void rpc_send_report(struct rpc *rpc, const char *to, const w_report *report);
 void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay);
 void rpc_send_group(struct rpc *rpc, const char *to, const w_group *group);
-/* Calls RW_SYNC; fn gets NULL if there is no reply within the timeout. */
+/* Calls RW_SYNC or, if the other host knows it, RW_SYNC_PACKED; fn gets NULL if
+ * there is no valid reply within the timeout. */
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
-		   clk_ms timeout, void (*fn)(void *ctx, const w_sync_res *res),
-		   void *ctx);
+		   bool packed, clk_ms timeout,
+		   void (*fn)(void *ctx, const w_sync_res *res), void *ctx);
 
 /* Conversions between the messages of decide/ and XDR (rpc-replica.c,
  * rpc-gossip.c). */
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -1,6 +1,8 @@
 /* Contents of a full state exchange between hosts. */
 #include "sync.h"
 
+#include <zlib.h>
+
 #include "rpc.h"
 
 void sync_items_apply(struct store *store, const w_items *items)
@@ -64,6 +66,47 @@
 			 &list);
 }
 
+void sync_pack(const w_sync_res *res, w_packed *packed)
+{
+	size_t size = xdr_sizeof((xdrproc_t)xdr_w_sync_res, (void *)res);
+	char *plain = g_malloc(size);
+	uLongf len = compressBound(size);
+	XDR xdr;
+
+	xdrmem_create(&xdr, plain, (u_int)size, XDR_ENCODE);
+	xdr_w_sync_res(&xdr, (w_sync_res *)res);
+	packed->size = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	packed->data.data_val = g_malloc(len);
+	/* It cannot fail: there is room, and the level is valid. */
+	compress2((Bytef *)packed->data.data_val, &len, (Bytef *)plain,
+		  packed->size, Z_BEST_SPEED);
+	packed->data.data_len = (u_int)len;
+	g_free(plain);
+}
+
+bool sync_unpack(const w_packed *packed, w_sync_res *res)
+{
+	uLongf size = packed->size;
+	char *plain;
+	XDR xdr;
+	bool ok;
+
+	if (size > W_BODY)
+		return false;
+	plain = g_malloc(size + 1);
+	ok = uncompress((Bytef *)plain, &size, (Bytef *)packed->data.data_val,
+			packed->data.data_len) == Z_OK &&
+	     size == packed->size;
+	if (ok) {
+		xdrmem_create(&xdr, plain, (u_int)size, XDR_DECODE);
+		ok = xdr_w_sync_res(&xdr, res);
+		xdr_destroy(&xdr);
+	}
+	g_free(plain);
+	return ok;
+}
+
 void sync_updates_apply(struct member_list *members, const w_sync_res *res,
 			clk_ms now)
 {
--- a/wire/sync.h
+++ b/wire/sync.h
@@ -14,6 +14,11 @@
 /* Lists the items of a store changed after a revision; all items if the store
  * no longer has every deletion since then. */
 void sync_items_fill(const struct store *store, int64_t after, w_items *items);
+/* Encodes and compresses a result. */
+void sync_pack(const w_sync_res *res, w_packed *packed);
+/* Decodes it; returns false if it is malformed. The caller frees res with
+ * xdr_free in any case. */
+bool sync_unpack(const w_packed *packed, w_sync_res *res);
 /* Applies the members listed by a peer; malformed entries are skipped. */
 void sync_updates_apply(struct member_list *members, const w_sync_res *res,
 			clk_ms now);
