Groups: sums below 0 are accepted; usage counts reach followers within 0.3 s

A host that had spent before it reported to a new relay gives units of refused requests back: the total of the relay's group falls below 0, which the check on input took for damage. Ruled out: unknown senders (92 messages, all in the first second of the start), counts lost at a planned stop.

Change: decide/quota says which totals can be true. Between a host, its relay and the followers counts waited up to 0.5 s each and were repeated every 4 s, longer than the leader waits for them: changed counts are now sent every 0.2 s by hosts and every 0.1 s by relays, and again after 2 s. decide/usage lists what has changed in place of a search through all counts.

--- a/daemon/proxyd-group.c
+++ b/daemon/proxyd-group.c
@@ -11,7 +11,7 @@
 
 #define GROUP_PERIOD_MS 500
 /* After so long all counts are sent again, in case a message was lost. */
-#define COUNTS_REFRESH_MS 4000
+#define COUNTS_REFRESH_MS 2000
 /* A group whose last sums are older does not count as reporting. */
 #define REPORTING_MS 1200
 /* A relay that was silent for so long may have been replaced meanwhile. */
@@ -271,7 +271,6 @@
 								REPORTING_MS),
 	};
 
-	spent_fill(proxyd, &message);
 	usage_report(&proxyd->usage, NULL, false, count_add, &message);
 	send_to_all(proxyd, proxyd->feed.followers, NULL, &message);
 	message_clear(&message);
@@ -292,12 +291,20 @@
 		proxyd->group.next_send = now + GROUP_PERIOD_MS;
 	if (due || near_limit)
 		group_send(proxyd, due);
+	else if (usage_has_changed(&proxyd->usage))
+		group_send_counts(proxyd);
+}
+
+static bool is_load(double value)
+{
+	return isfinite(value) && value >= 0;
 }
 
-static bool parts_are_valid(const w_part *parts, u_int count)
+static bool parts_are_valid(const w_part *parts, u_int count,
+			    bool (*is_valid)(double value))
 {
 	for (u_int i = 0; i < count; i++)
-		if (!isfinite(parts[i].value) || parts[i].value < 0)
+		if (!is_valid(parts[i].value))
 			return false;
 	return true;
 }
@@ -309,12 +316,15 @@
 
 	if (!member_is_live(proxyd->members, message->process))
 		why = "unknown_host";
+	/* Spending may be below 0: units of requests that were not run are
+	 * given back. */
 	else if (!parts_are_valid(message->spent.spent_val,
-				  message->spent.spent_len) ||
+				  message->spent.spent_len,
+				  quota_spent_is_valid) ||
 		 !parts_are_valid(message->inflight.inflight_val,
-				  message->inflight.inflight_len) ||
+				  message->inflight.inflight_len, is_load) ||
 		 !parts_are_valid(message->prompts.prompts_val,
-				  message->prompts.prompts_len) ||
+				  message->prompts.prompts_len, is_load) ||
 		 message->reporting > W_ITEMS)
 		why = "bad_value";
 	if (!why)
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -19,7 +19,10 @@
 /* Where hosts are many, a host from which no report comes for so long has
  * reported to other relays meanwhile. */
 #define RELAYED_GAP_MS 1500
-#define COUNTS_REFRESH_MS 4000
+#define COUNTS_REFRESH_MS 2000
+/* What was counted since the last report is lost with a host. After a loss of
+ * all hosts a window must not lack more than it may be off. */
+#define COUNTS_PERIOD_MS 200
 #define REPORT_TTL_MS 2500 /* how long a host's last report of load counts */
 #define SAMPLES_ALL 0
 /* Workers compared for a choice, where hosts are many. */
@@ -268,6 +271,7 @@
 		group_send_counts(proxyd);
 		return;
 	}
+	proxyd->next_counts = proxyd_now(proxyd) + COUNTS_PERIOD_MS;
 	counts_fill(&fill, false);
 	report_send_all(&fill);
 }
@@ -294,6 +298,9 @@
 		   (near_limit && (all_relays || age >= NEAR_LIMIT_MS))) {
 		proxyd->reported_at = now;
 		report_send(proxyd, due);
+	} else if (proxyd->feed.grouped && now >= proxyd->next_counts &&
+		   usage_has_changed(&proxyd->usage)) {
+		report_send_counts(proxyd);
 	}
 	if (due)
 		proxyd->next_report = now + (all_relays ? REPORT_FEW_HOSTS_MS
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -236,6 +236,11 @@
 	return added;
 }
 
+bool quota_spent_is_valid(double spent)
+{
+	return isfinite(spent);
+}
+
 void quota_add_to_group(struct quota *quota, double units)
 {
 	quota->children_spent += units;
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -92,6 +92,10 @@
 double quota_on_report(struct quota *quota, const char *process, double spent,
 		       clk_ms gap_max, unsigned hosts, clk_ms now);
 
+/* Whether a reported total can be true. It may be below 0: units of requests
+ * that were not run are given back, also those spent before the first report
+ * that this host received. */
+bool quota_spent_is_valid(double spent);
 /* A relay adds what a host that reports to it has spent to its group's total.
  */
 void quota_add_to_group(struct quota *quota, double units);
--- a/decide/usage.c
+++ b/decide/usage.c
@@ -19,6 +19,7 @@
 	int64_t count;
 	int64_t reported; /* of count, to other hosts */
 	bool forward;	  /* this host reports it */
+	bool changed;	  /* it is listed as changed */
 };
 
 static void entry_free(gpointer data)
@@ -42,6 +43,7 @@
 		.window = window,
 		.counts = table_create(),
 		.totals = table_create(),
+		.changed = g_ptr_array_new(),
 		.newest_window = INT64_MIN,
 	};
 }
@@ -60,6 +62,18 @@
 	return entry->window <= usage->newest_window - USAGE_WINDOWS;
 }
 
+/* Drops the counts of windows that are too old. */
+static void windows_expire(struct usage *usage)
+{
+	GPtrArray *changed = usage->changed;
+
+	for (guint i = changed->len; i-- > 0;)
+		if (is_expired(NULL, g_ptr_array_index(changed, i), usage))
+			g_ptr_array_remove_index_fast(changed, i);
+	g_hash_table_foreach_remove(usage->counts, is_expired, usage);
+	g_hash_table_foreach_remove(usage->totals, is_expired, usage);
+}
+
 static char *entry_key(const char *process, const char *account, int64_t window)
 {
 	return g_strdup_printf("%" G_GINT64_FORMAT "\n%s\n%s", window, process,
@@ -95,14 +109,18 @@
 
 	if (window > usage->newest_window) {
 		usage->newest_window = window;
-		g_hash_table_foreach_remove(usage->counts, is_expired, usage);
-		g_hash_table_foreach_remove(usage->totals, is_expired, usage);
+		windows_expire(usage);
 	}
 	if (window <= usage->newest_window - USAGE_WINDOWS)
 		return NULL;
 	entry = entry_get(usage->counts, process, account, window);
 	entry->count += by;
 	entry->forward |= forward;
+	if (entry->forward && entry->count > entry->reported &&
+	    !entry->changed) {
+		entry->changed = true;
+		g_ptr_array_add(usage->changed, entry);
+	}
 	entry_get(usage->totals, "", account, window)->count += by;
 	return entry;
 }
@@ -150,6 +168,29 @@
 			    count - entry->count, forward);
 }
 
+bool usage_has_changed(const struct usage *usage)
+{
+	return usage->changed->len > 0;
+}
+
+/* Passes an entry on, if it is of the process, and marks it as reported. */
+static void entry_report(struct usage_entry *entry, const char *process,
+			 void (*fn)(void *ctx, const struct usage_count *count),
+			 void *ctx)
+{
+	struct usage_count count = {
+		.process = entry->process,
+		.account = entry->account,
+		.window = entry->window,
+		.count = entry->count,
+	};
+
+	if (process && strcmp(process, entry->process) != 0)
+		return;
+	entry->reported = entry->count;
+	fn(ctx, &count);
+}
+
 void usage_report(struct usage *usage, const char *process, bool again,
 		  void (*fn)(void *ctx, const struct usage_count *count),
 		  void *ctx)
@@ -157,23 +198,20 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	for (guint i = 0; i < usage->changed->len; i++) {
+		struct usage_entry *entry =
+			g_ptr_array_index(usage->changed, i);
+
+		entry->changed = false;
+		entry_report(entry, process, fn, ctx);
+	}
+	g_ptr_array_set_size(usage->changed, 0);
 	g_hash_table_iter_init(&iter, usage->counts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+	while (again && g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct usage_entry *entry = value;
-		struct usage_count count = {
-			.process = entry->process,
-			.account = entry->account,
-			.window = entry->window,
-			.count = entry->count,
-		};
-
-		if (!entry->forward ||
-		    (process && strcmp(process, entry->process) != 0) ||
-		    (entry->reported == entry->count &&
-		     (!again || entry->window < usage->newest_window - 1)))
-			continue;
-		entry->reported = entry->count;
-		fn(ctx, &count);
+
+		if (entry->forward && entry->window >= usage->newest_window - 1)
+			entry_report(entry, process, fn, ctx);
 	}
 }
 
--- a/decide/usage.h
+++ b/decide/usage.h
@@ -21,6 +21,7 @@
 	clk_ms window;	    /* length of a window, in ms */
 	GHashTable *counts; /* "window\nprocess\naccount" -> count */
 	GHashTable *totals; /* the same with an empty process, over all */
+	GPtrArray *changed; /* entries of counts to report */
 	int64_t newest_window;
 };
 
@@ -32,6 +33,8 @@
  * missing from the window if this host were killed. */
 bool usage_add(struct usage *usage, const char *process, const char *account,
 	       clk_ms wall);
+/* Whether some counts are not reported yet. */
+bool usage_has_changed(const struct usage *usage);
 /* Merges a count reported by a process: the higher one is kept. forward: this
  * host reports it to others. */
 void usage_merge(struct usage *usage, const char *process, const char *account,
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -695,7 +695,12 @@
 	sum = 0;
 	usage_report(&usage, "self", false, reported_add, &sum);
 	ck_assert_int_eq(sum, 0);
+	ck_assert(!usage_has_changed(&usage));
 	ck_assert(!usage_add(&usage, "self", "a", step->at));
+	ck_assert(usage_has_changed(&usage));
+	usage_report(&usage, "self", false, reported_add, &sum);
+	ck_assert_int_eq(sum, step->own + 1);
+	sum = 0;
 	usage_report(&usage, "self", true, reported_add, &sum);
 	ck_assert_int_eq(sum, step->own + 1);
 	/* A relay forwards what hosts report to it, and nothing of what other
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -1,5 +1,6 @@
 /* Tests of rate limits across all hosts, by simulated demand. */
 #include <glib.h>
+#include <math.h>
 
 #include "../decide/quota.h"
 #include "../decide/relay.h"
@@ -502,6 +503,27 @@
 }
 END_TEST
 
+/* A host reports to another relay after it had spent, and units are given back:
+ * the total of the relay's group falls below 0, which other relays accept. */
+START_TEST(quota_group_total_may_be_negative)
+{
+	struct quota *relay = quota_create();
+	double total;
+
+	quota_set(relay, NET_RATE, NET_RATE, NET_SLACK, true, 0);
+	quota_add_to_group(relay, quota_on_report(relay, "child", 5000,
+						  NET_GAP_MS, 20, 9000));
+	ck_assert_double_eq(quota_group_spent(relay), 0);
+	quota_add_to_group(relay, quota_on_report(relay, "child", 4000,
+						  NET_GAP_MS, 20, 9500));
+	total = quota_group_spent(relay);
+	ck_assert_double_eq(total, -1000);
+	ck_assert(quota_spent_is_valid(total));
+	ck_assert(!quota_spent_is_valid(NAN));
+	ck_assert(!quota_spent_is_valid(INFINITY));
+}
+END_TEST
+
 START_TEST(relay_accepts_one_source)
 {
 	struct relay_source source = { .last_report_at = 0 };
@@ -525,6 +547,7 @@
 			    G_N_ELEMENTS(quota_cases));
 	tcase_add_loop_test(tcase, quota_holds_over_many_hosts, 0,
 			    G_N_ELEMENTS(net_cases));
+	tcase_add_test(tcase, quota_group_total_may_be_negative);
 	tcase_add_test(tcase, relay_accepts_one_source);
 	suite_add_tcase(suite, tcase);
 	return run_suite(suite, "unit_quota");
