Remove the functions that the feed replaced; say what next_counts is for

member_each_top and aggregate_host_count have no callers left: decide/feed ranks the hosts once when the members change. No behaviour changes; unit and unit-quota pass.

--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -144,7 +144,7 @@
 	struct aggregate *peer_inflight; /* other hosts' requests at workers */
 	GHashTable *quotas_by_key; /* aggregate_key of a name -> struct quota */
 	struct group group;
-	clk_ms next_counts;
+	clk_ms next_counts; /* no changed usage counts are sent before */
 	clk_ms next_counts_refresh; /* of all usage counts */
 	clk_ms next_report;
 	clk_ms full_report_at; /* last report with counts and demand */
--- a/decide/aggregate.c
+++ b/decide/aggregate.c
@@ -123,11 +123,6 @@
 	}
 }
 
-unsigned aggregate_host_count(const struct aggregate *aggregate)
-{
-	return g_hash_table_size(aggregate->hosts);
-}
-
 unsigned aggregate_active_count(const struct aggregate *aggregate, clk_ms since)
 {
 	GHashTableIter iter;
--- a/decide/aggregate.h
+++ b/decide/aggregate.h
@@ -39,8 +39,6 @@
 		      clk_ms now);
 /* Drops reports received before a time. */
 void aggregate_expire(struct aggregate *aggregate, clk_ms before);
-/* Returns the number of processes that are included. */
-unsigned aggregate_host_count(const struct aggregate *aggregate);
 /* Returns the number of processes that have reported since a time. */
 unsigned aggregate_active_count(const struct aggregate *aggregate,
 				clk_ms since);
--- a/decide/member.c
+++ b/decide/member.c
@@ -212,52 +212,6 @@
 	return member_self_rank(list, key) < n;
 }
 
-/* A candidate and its weight for a key; member is NULL for this host. */
-struct ranked {
-	uint64_t weight;
-	const struct member *member;
-};
-
-static gint ranked_cmp(gconstpointer a, gconstpointer b)
-{
-	uint64_t x = ((const struct ranked *)a)->weight;
-	uint64_t y = ((const struct ranked *)b)->weight;
-
-	return x < y ? 1 : x > y ? -1 : 0;
-}
-
-void member_each_top(const struct member_list *list, const char *key,
-		     unsigned n,
-		     void (*fn)(void *ctx, const struct member *member),
-		     void *ctx)
-{
-	GArray *ranked = g_array_sized_new(FALSE, FALSE, sizeof(struct ranked),
-					   list->order->len + 1);
-	struct ranked self = {
-		.weight = member_weight(list->self.incarnation, key),
-	};
-
-	g_array_append_val(ranked, self);
-	for (guint i = 0; i < list->order->len; i++) {
-		const struct member *member = g_ptr_array_index(list->order, i);
-		struct ranked candidate = { .member = member };
-
-		if (member->info.state != MEMBER_ALIVE)
-			continue;
-		candidate.weight = member_weight(member->info.incarnation, key);
-		g_array_append_val(ranked, candidate);
-	}
-	g_array_sort(ranked, ranked_cmp);
-	for (guint i = 0; i < MIN(n, ranked->len); i++) {
-		const struct ranked *candidate =
-			&g_array_index(ranked, struct ranked, i);
-
-		if (candidate->member)
-			fn(ctx, candidate->member);
-	}
-	g_array_free(ranked, TRUE);
-}
-
 size_t member_live_count(const struct member_list *list)
 {
 	size_t count = 0;
--- a/decide/member.h
+++ b/decide/member.h
@@ -168,12 +168,6 @@
 			unsigned n);
 /* Counts the MEMBER_ALIVE members that rank above this host for a key. */
 unsigned member_self_rank(const struct member_list *list, const char *key);
-/* Calls fn for each MEMBER_ALIVE member among the top n for a key. This host is
- * ranked too, but fn is not called for it. */
-void member_each_top(const struct member_list *list, const char *key,
-		     unsigned n,
-		     void (*fn)(void *ctx, const struct member *member),
-		     void *ctx);
 /* Probes an RPC address outside the probing order. The ping reports this host
  * and its revisions, and the host that answers becomes a member. */
 void member_ping(struct member_list *list, const char *rpc);
