Scale: workers of data centres without supply count in the plan

While four of six data centres have no supply, each of the other two was ordered all that is needed, as if the workers that the four still have did not exist; they are kept now, so that it lasts.

Change: what the data centres with supply have to add is what is missing after the loss of any one data centre, the largest of the others included.

Tests: two rows of scale_plans fail before (6 workers in place of 5).

--- a/decide/scale.c
+++ b/decide/scale.c
@@ -65,14 +65,47 @@
 	return available;
 }
 
+static int divide_up(int value, size_t by)
+{
+	return value > 0 ? (int)ceil((double)value / (double)by) : 0;
+}
+
 /* Returns the reclaimable workers per data centre that suffice after the loss
  * of one of them. */
 static int spot_per_dc(int need, size_t dcs, int max)
 {
-	int count =
-		dcs > 1 ? (int)ceil((double)need / (double)(dcs - 1)) : need;
+	return least(dcs > 1 ? divide_up(need, dcs - 1) : need, max);
+}
+
+/* The reclaimable workers of data centres where no more are available. */
+struct stranded {
+	int all;
+	int most; /* in one of them */
+};
+
+static struct stranded count_stranded(const struct scale_dc *dcs, size_t count)
+{
+	struct stranded stranded = { 0 };
+
+	for (size_t i = 0; i < count; i++) {
+		if (!dcs[i].spot_unavailable)
+			continue;
+		stranded.all += dcs[i].spot_ready;
+		if (dcs[i].spot_ready > stranded.most)
+			stranded.most = dcs[i].spot_ready;
+	}
+	return stranded;
+}
+
+/* The same for each data centre where more are available: with the workers of
+ * the others they suffice, whichever data centre is lost. */
+static int spot_per_available_dc(const struct stranded *stranded, int need,
+				 size_t dcs, int max)
+{
+	int after_own = spot_per_dc(need - stranded->all, dcs, max);
+	int after_other = divide_up(need - stranded->all + stranded->most, dcs);
 
-	return least(count, max);
+	return least(after_own > after_other ? after_own : after_other, max);
 }
 
 /* Returns the reclaimable workers that are ready or can be expected. */
@@ -125,6 +158,7 @@
 {
 	int need = workers_for(busy);
 	size_t available = count_spot_dcs(dcs, count);
+	struct stranded stranded = count_stranded(dcs, count);
 	int expected = 0;
 	int ready = 0;
 
@@ -132,9 +166,11 @@
 		struct scale_dc *dc = &dcs[i];
 
 		/* They are ordered also where none are available now. */
-		dc->want_spot = spot_per_dc(
-			need, dc->spot_unavailable ? count : available,
-			limits->max);
+		dc->want_spot =
+			dc->spot_unavailable
+				? spot_per_dc(need, count, limits->max)
+				: spot_per_available_dc(&stranded, need,
+							available, limits->max);
 		if (limits->spot_scarce && dc->want_spot < dc->spot_ready)
 			dc->want_spot = least(dc->spot_ready, limits->max);
 		dc->want_on_demand = 0;
