Reports: a host tells its former parent to drop what it reported

Cause, by reading: when the relays change, a host reports to another relay, and its requests, queued prompts and demand stay in the former one's sums until they expire (2.5 s, then 3 s at the leader). With 295 hosts restarting in series the relays change every few seconds, so that demand is counted too high.

Change: a host that takes another parent, or becomes a relay, sends the former parent an empty report. A relay has no parent.

--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -50,6 +50,7 @@
 	const GPtrArray *order = proxyd->members->order;
 	struct feed_host *hosts = g_new(struct feed_host, order->len);
 	unsigned generation = proxyd->feed.generation;
+	char parent[MEMBER_ADDRESS_MAX];
 	size_t count = 0;
 
 	for (guint i = 0; i < order->len; i++) {
@@ -61,10 +62,13 @@
 				.rpc = member->info.rpc,
 			};
 	}
+	g_strlcpy(parent, proxyd->feed.parent, sizeof(parent));
 	proxyd->feed_host_count = proxyd_host_count(proxyd);
 	proxyd->feed_outdated = false;
 	feed_update(&proxyd->feed, proxyd->members->self.incarnation, hosts,
 		    count, proxyd->feed_host_count);
+	if (strcmp(parent, proxyd->feed.parent) != 0)
+		report_withdraw(proxyd, parent);
 	/* New relays do not know what the former ones were told. */
 	if (proxyd->feed.generation != generation)
 		proxyd->next_counts_refresh = 0;
--- a/daemon/proxyd-report.c
+++ b/daemon/proxyd-report.c
@@ -276,6 +276,17 @@
 	report_send_all(&fill);
 }
 
+void report_withdraw(struct proxyd *proxyd, const char *relay)
+{
+	w_report report = {
+		.process = proxyd->members->self.incarnation,
+		.full = true,
+	};
+
+	if (relay[0])
+		rpc_send_report(proxyd->rpc, relay, &report);
+}
+
 void report_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -190,6 +190,9 @@
 void report_tick(struct proxyd *proxyd);
 /* Sends the counts of started requests that were not reported yet. */
 void report_send_counts(struct proxyd *proxyd);
+/* Tells a former parent to drop what this host has reported: another relay has
+ * it now, and it would count twice until it expires. */
+void report_withdraw(struct proxyd *proxyd, const char *relay);
 /* Updates this host's demand for each pool, measured since the last update. */
 void report_update_demand(struct proxyd *proxyd);
 /* Replaces the values of a process in an aggregate by those it reports. */
--- a/decide/feed.c
+++ b/decide/feed.c
@@ -145,7 +145,6 @@
 {
 	uint64_t best = 0;
 
-	feed->parent[0] = '\0';
 	for (unsigned i = FOLLOWERS; i < relays; i++) {
 		uint64_t weight = parent_weight(&ranked[i], self);
 
@@ -204,6 +203,7 @@
 	relays_list(feed, ranked, relays);
 	if (feed->role == FEED_RELAY)
 		leaves_list(feed, ranked, count + 1, relays);
+	feed->parent[0] = '\0';
 	if (feed->role == FEED_LEAF)
 		parent_set(feed, ranked, relays, self);
 	feed->all_current = count > 0 && all_are_current(hosts, count);
