Test: a host is ready after a lost confirmation (fails)

Callers of a host that had just started got 404 for routes that were in force, and answers of removed routes. The host's first read of the store may be seconds old; when the watch that is to confirm it fails, the mirror takes that read for current (mirror.c, call_failed).

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -438,6 +438,23 @@
         await check_stale_read(rig)
 
 
+async def test_proxy_not_ready_after_lost_confirmation(net):
+    """A host whose first read is old isn't ready when the call that is to
+    confirm it gets no response."""
+    async with Rig(net) as rig:
+        store = rig.store
+        store.stale_revision = store.revision
+        store.put("op/config", config(2, {"/i/": ROUTES["/i/"]}))
+        await asyncio.sleep(1)
+        host = rig.hosts[0]
+        host.kill()
+        store.unanswered_watches = 1
+        host.start(first_start=False)
+        await rig.wait_ready(host)
+        assert (await host.request("GET", "/p/x", key=None)).status == 404
+        assert (await host.request("GET", "/i/x")).status == 200
+
+
 async def test_proxy_key_revoked(net):
     """A revoked key is rejected within the bound, also by a host whose calls
     the store resets, so that it gets the configuration from peers."""
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -67,6 +67,7 @@
         self.expiry_paused = False  # leases do not expire
         self.stale_revision = None  # stale reads show the items up to it
         self.watch_delay_s = 0  # before each response to a watch
+        self.unanswered_watches = 0  # so many more get no response
         self.last_silent = {}  # host -> last time its fault was silent
         self.calls = []     # (host, method, path)
         self.changed = asyncio.Event()
@@ -187,6 +188,9 @@
             return 200, {"entries": [self.encode_entry(k) for k in keys[:2]],
                          "has_more": len(keys) > 2, "at": self.revision}
         if path == "/-/kv-watch":
+            if self.unanswered_watches > 0:
+                self.unanswered_watches -= 1
+                await asyncio.sleep(3600)
             await asyncio.sleep(self.watch_delay_s)
             return await self.watch(prefix, int(query["after_revision"]),
                                     int(query["wait_timeout_ms"]) / 1000)
