Test: a large configuration over a slow link (fails)

A call to the store has a fixed time for its whole response: 1.7 s for a watch, 0.7 s while the store counts as lost.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -20,6 +20,7 @@
 
 TEST_LIMIT_S = 60
 CONFIG_BOUND_S = 2.0   # from the store's acknowledgement until it applies
+SLOW_CONFIG_BOUND_S = 3.0  # the same where links are slow
 RECOVERY_BOUND_S = 3.0  # after a store outage, until other bounds hold
 MEMBERSHIP_BOUND_S = 0.5  # from all hosts ready to complete look-up answers
 DISCONNECT_BOUND_S = 0.5  # from a caller's close until its run is cancelled
@@ -455,6 +456,24 @@
         assert (await host.request("GET", "/i/x")).status == 200
 
 
+async def test_proxy_large_config_over_slow_link(net):
+    """A configuration that takes longer to transfer than the store takes to
+    respond is in force in time, and the store isn't taken for lost."""
+    async with Rig(net) as rig:
+        store, host = rig.store, rig.hosts[0]
+        store.bytes_per_s = 600000
+        routes = {"/x%d/" % i: ROUTES["/i/"] for i in range(4000)}
+        large = config(2, dict(ROUTES, **routes))
+        assert 600000 < len(json.dumps(large)) < 1 << 20
+        store.put("op/config", large)
+        acked = time.monotonic()
+        await asyncio.sleep(SLOW_CONFIG_BOUND_S)
+        got = await host.request("GET", "/x3999/x")
+        assert got.status == 200, (got.status, time.monotonic() - acked)
+        assert not [line for line in host.log_events("store")
+                    if line["outcome"] == "lost"]
+
+
 async def test_proxy_key_revoked(net):
     """A revoked key is rejected within the bound, also by a host whose calls
     the store resets, so that it gets the configuration from peers."""
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -10,6 +10,7 @@
 import urllib.parse
 
 POLL_S = 0.01  # polling interval of wait_until()
+SEND_PERIOD_S = 0.02  # between two writes on a slow link
 
 
 async def read_head(reader):
@@ -68,6 +69,7 @@
         self.stale_revision = None  # stale reads show the items up to it
         self.watch_delay_s = 0  # before each response to a watch
         self.unanswered_watches = 0  # so many more get no response
+        self.bytes_per_s = 0  # of each response; 0: no limit
         self.last_silent = {}  # host -> last time its fault was silent
         self.calls = []     # (host, method, path)
         self.changed = asyncio.Event()
@@ -147,14 +149,23 @@
                 kind = path.split("/")[2]
                 if kind in self.lost_responses and method != "GET":
                     await asyncio.sleep(3600)
-                writer.write(response(status, json.dumps(value).encode()))
-                await writer.drain()
+                await self.send(writer, response(
+                    status, json.dumps(value).encode()))
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
             pass
         finally:
             writer.close()
 
+    async def send(self, writer, data):
+        """Writes a response, at the rate of a slow link if one is set."""
+        step = int(self.bytes_per_s * SEND_PERIOD_S) or len(data)
+        for start in range(0, len(data), step):
+            if start > 0:
+                await asyncio.sleep(SEND_PERIOD_S)
+            writer.write(data[start:start + step])
+            await writer.drain()
+
     def fault_for(self, host):
         return self.faults.get(host) or self.faults.get(None)
 
