--- a/daemon/mirror.c
+++ b/daemon/mirror.c
@@ -20,7 +20,11 @@
 #define SETTLE_MS 1500
 #define SETTLE_GAP_MS 400
 #define CONFIRM_WAIT_MS 200 /* for another host to confirm a stale snapshot */
-#define RETRY_MS 300	    /* after a failed call; then doubled, up to */
+/* After so many failed calls and so long, a stale snapshot that nobody has
+ * confirmed is used: an old configuration is better than none in an outage. */
+#define UNCONFIRMED_CALLS 4
+#define UNCONFIRMED_MS 4000
+#define RETRY_MS 300 /* after a failed call; then doubled, up to */
 #define RETRY_MAX_MS 1200
 #define EVERYTHING "" /* prefix of all keys: one call serves all replicas */
 
@@ -45,7 +49,8 @@
 	bool current;
 	bool linearizable; /* the next snapshot must not be a stale read */
 	clk_ms created_at;
-	clk_ms confirm_at; /* when the store is asked to confirm a snapshot */
+	clk_ms snapshot_at; /* when the snapshot was complete */
+	clk_ms confirm_at;  /* when the store is asked to confirm a snapshot */
 	struct kv_call *watch; /* the pending one, or NULL */
 	clk_ms next_call_at;
 	unsigned failures; /* consecutive */
@@ -161,6 +166,20 @@
 	}
 }
 
+/* Uses a snapshot that could not be confirmed. */
+static void unconfirmed_use(struct mirror *mirror)
+{
+	clk_ms age = mirror_now(mirror) - mirror->snapshot_at;
+
+	if (!mirror->has_snapshot || mirror->current ||
+	    mirror->failures < UNCONFIRMED_CALLS || age < UNCONFIRMED_MS)
+		return;
+	slog(SLOG_WARN, "follow",
+	     "age_ms=%" G_GINT64_FORMAT " failures=%u outcome=unconfirmed", age,
+	     mirror->failures);
+	mirror->current = true;
+}
+
 /* A call has failed: schedules the next one, with backoff and jitter. */
 static void call_failed(struct mirror *mirror, enum kv_outcome outcome)
 {
@@ -179,11 +198,7 @@
 		return;
 	}
 	set_reachable(mirror, false);
-	if (mirror->has_snapshot && !mirror->current) {
-		/* Seconds old at most, and the best that can be had. */
-		slog(SLOG_WARN, "follow", "outcome=unconfirmed");
-		mirror->current = true;
-	}
+	unconfirmed_use(mirror);
 }
 
 static struct mirror_part *part_of(struct mirror *mirror, const char *key)
@@ -237,7 +252,8 @@
 	}
 	mirror->has_snapshot = true;
 	mirror->current |= mirror->linearizable;
-	mirror->confirm_at = mirror_now(mirror) + CONFIRM_WAIT_MS;
+	mirror->snapshot_at = mirror_now(mirror);
+	mirror->confirm_at = mirror->snapshot_at + CONFIRM_WAIT_MS;
 	slog(SLOG_NOTICE, "follow",
 	     "revision=%" G_GINT64_FORMAT " stale_read=%d outcome=snapshot",
 	     mirror->snapshot_revision, !mirror->linearizable);
