Mirror: a host that starts during a store outage uses other hosts' state

Callers got 503 from such a host for the rest of the outage.

The older test starts its host at once, while the other one still counts as current.

--- a/daemon/mirror.c
+++ b/daemon/mirror.c
@@ -20,8 +20,8 @@
 #define SETTLE_MS 1500
 #define SETTLE_GAP_MS 400
 #define CONFIRM_WAIT_MS 200 /* for another host to confirm a stale snapshot */
-/* After so many failed calls and so long, a stale snapshot that nobody has
- * confirmed is used: an old configuration is better than none in an outage. */
+/* After so many failed calls and so long, items that nobody has confirmed are
+ * used: an old configuration is better than none in an outage. */
 #define UNCONFIRMED_CALLS 4
 #define UNCONFIRMED_MS 4000
 #define RETRY_MS 300 /* after a failed call; then doubled, up to */
@@ -166,17 +166,29 @@
 	}
 }
 
-/* Uses a snapshot that could not be confirmed. */
+/* Whether there are items, from the store or from other hosts. */
+static bool has_items(const struct mirror *mirror)
+{
+	for (size_t i = 0; i < mirror->count; i++)
+		if (mirror->parts[i].replica->revision > 0)
+			return true;
+	return false;
+}
+
+/* Uses items that could not be confirmed. */
 static void unconfirmed_use(struct mirror *mirror)
 {
-	clk_ms age = mirror_now(mirror) - mirror->snapshot_at;
+	clk_ms since =
+		mirror->has_snapshot ? mirror->snapshot_at : mirror->created_at;
+	clk_ms age = mirror_now(mirror) - since;
 
-	if (!mirror->has_snapshot || mirror->current ||
+	if (mirror->current || !has_items(mirror) ||
 	    mirror->failures < UNCONFIRMED_CALLS || age < UNCONFIRMED_MS)
 		return;
 	slog(SLOG_WARN, "follow",
-	     "age_ms=%" G_GINT64_FORMAT " failures=%u outcome=unconfirmed", age,
-	     mirror->failures);
+	     "snapshot=%d age_ms=%" G_GINT64_FORMAT
+	     " failures=%u outcome=unconfirmed",
+	     mirror->has_snapshot, age, mirror->failures);
 	mirror->current = true;
 }
 
--- a/daemon/mirror.h
+++ b/daemon/mirror.h
@@ -5,7 +5,8 @@
  *
  * The first snapshot may be a stale read, which is cheap where many hosts start
  * at once. Until it is confirmed, by the store or by a host that follows it,
- * the mirror is not current.
+ * the mirror is not current. In an outage of the store it becomes current after
+ * some seconds, with the first snapshot or with other hosts' items.
  */
 #ifndef DAEMON_MIRROR_H
 #define DAEMON_MIRROR_H
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -534,6 +534,20 @@
         assert seen - {503} == {200}, seen
 
 
+async def test_proxy_starts_late_in_store_outage(net):
+    """A host that starts when the other hosts have lost the store already gets
+    their state, and serves."""
+    async with Rig(net, hosts=2) as rig:
+        await rig.wait_membership()
+        rig.hosts[1].kill()
+        rig.store.faults[None] = "silent"
+        await asyncio.sleep(5)
+        rig.hosts[1].start(first_start=False)
+        await rig.wait_ready(rig.hosts[1])
+        assert (await rig.hosts[1].request("GET", "/i/x")).status == 200
+        assert (await rig.hosts[1].request("GET", "/n/x")).status == 404
+
+
 # Stops and settings.
 
 async def test_proxy_planned_stop(net):
