Test: one prompt part crashes one worker after the other (fails)

Each host sends every such request on, up to its route's attempts, and knows nothing of what the others saw.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -25,6 +25,7 @@
 MEMBERSHIP_BOUND_S = 0.5  # from all hosts ready to complete look-up answers
 DISCONNECT_BOUND_S = 0.5  # from a caller's close until its run is cancelled
 DRAIN_BOUND_S = 2.0    # from a worker's removal until it gets no new work
+STABLE_WINDOW_S = 3.0  # from the fifth crash on one prompt part
 NOT_EXECUTED = (408, 421, 429, 503)  # statuses that guarantee no execution
 
 
@@ -548,6 +549,64 @@
         assert (await rig.hosts[1].request("GET", "/n/x")).status == 404
 
 
+# Prompts that crash workers.
+
+async def send_prompts(rig, path, parts, period_s, until, results):
+    """Sends a stream every period_s, with the given prompt parts and one of
+    its own, to one host after the other."""
+    tasks = []
+
+    async def send(host, number):
+        prefix = ",".join("%s:50" % part for part in parts + [
+            "%x" % (0xabc000 + number)])
+        try:
+            got = await host.request("POST", path, b"b", headers=(
+                "Redwingpitch-Token-Counts: 200,40",
+                "Redwingpitch-Prompt-Prefix: " + prefix), remaining_ms=2000)
+        except OSError:
+            return
+        results.append((time.monotonic(), got))
+    number = 0
+    while time.monotonic() < until:
+        tasks.append(asyncio.create_task(
+            send(rig.hosts[number % len(rig.hosts)], number)))
+        number += 1
+        await asyncio.sleep(period_s)
+    await asyncio.gather(*tasks)
+
+
+async def test_proxy_deadly_prompt_part(net):
+    """Requests that share a prompt part on which workers crash are kept from
+    workers soon after the fifth crash, on all hosts, by a truthful refusal;
+    requests that share only their other parts are served."""
+    async with Rig(net, hosts=4, llm=8) as rig:
+        await rig.wait_membership()
+        workers = rig.workers_of("llm")
+        for worker in workers:
+            worker.deadly_part = "dead"
+        until = time.monotonic() + 13
+        sound, deadly = [], []
+        await asyncio.gather(
+            send_prompts(rig, "/s/x", ["f1", "f2"], 0.05, until, sound),
+            send_prompts(rig, "/s/x", ["f1", "f2", "dead"], 0.35, until,
+                         deadly))
+        crashes = sorted(at for w in workers for at in w.crashed_at)
+        arrivals = sorted(at for w in workers for at in w.deadly_at)
+        assert len(crashes) >= 5, crashes
+        fifth = crashes[4]
+        late = [at for at in arrivals if at > fifth + STABLE_WINDOW_S]
+        print("%d crashes, %d arrivals after the fifth and %.0f s" %
+              (len(crashes), len(late), STABLE_WINDOW_S))
+        assert len(late) <= 3, (len(crashes), len(late))
+        refused = [got for at, got in deadly if at > fifth + STABLE_WINDOW_S]
+        assert refused and all(got.status == 503 and "retry-after" in
+                               got.headers for got in refused)
+        calm = [got for at, got in sound if at > fifth + 2 * STABLE_WINDOW_S]
+        assert len(calm) >= 20
+        assert all(got.status == 200 and got.complete for got in calm), [
+            got.status for got in calm]
+
+
 # Stops and settings.
 
 async def test_proxy_planned_stop(net):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -343,6 +343,9 @@
         self.zone = zone
         self.slots = slots
         self.mode = "ok"
+        self.deadly_part = None  # hex id of a prompt part that crashes it
+        self.crashed_at = []
+        self.deadly_at = []      # arrivals of requests with that part
         self.event_count = 10   # in a stream
         self.event_gap_s = 0.02  # time between two events
         self.received = []      # headers of all requests
@@ -363,6 +366,13 @@
         host, port = self.address.split(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
 
+    async def crash(self):
+        """Resets every connection, and is back after a while."""
+        self.crashed_at.append(time.monotonic())
+        self.kill()
+        await asyncio.sleep(0.5)
+        await self.start()
+
     def kill(self):
         """Simulates a crash: resets every connection."""
         self.server.close()
@@ -413,6 +423,14 @@
                "Redwingpitch-Response-Signature: sig-" + self.ident,
                "Redwingpitch-Server-Load: %d,0,%d" % (len(self.writers),
                                                       self.slots)]
+        parts = [part.partition(":")[0] for part in
+                 headers.get("redwingpitch-prompt-prefix", "").split(",")]
+        if self.deadly_part in parts[:-1]:
+            self.deadly_at.append(time.monotonic())
+            writer.write(b"HTTP/1.1 200 OK\r\n")
+            await asyncio.sleep(0.05)
+            await self.crash()
+            return False
         if self.mode == "error":
             writer.write(response(500, b"broken", own))
             return True
