Prompts: a part on which workers crash is blocked on all hosts

Cause: a connection that ended without a response counted against the worker, never against the request, and no host knew what the others had seen. Ruled out: the choice of worker (the crashes were spread over all); fewer attempts alone (still a worker for each request).

Change: decide/poison collects evidence by prompt part: a crash before the request had output. A request with the part that runs deletes it. Hosts exchange both as notices (until now only for leaving upstreams of rw-entryd). A part with three crashes at different times is blocked: new requests get 503 with a Retry-After of 30 s, waiting ones are ended, nothing is repeated.

--- a/daemon/entryd-conf.c
+++ b/daemon/entryd-conf.c
@@ -137,14 +137,14 @@
 			    bool leaving)
 {
 	struct member_notice notice = {
-		.leaving = leaving,
+		.set = leaving,
 		.stamp = (uint64_t)entryd_wall_time(),
 	};
 	const struct upstream *upstream = router_get(entryd->router, name);
 
 	if (upstream->leaving_notice == leaving)
 		return;
-	g_strlcpy(notice.upstream, name, sizeof(notice.upstream));
+	g_strlcpy(notice.subject, name, sizeof(notice.subject));
 	member_on_notice(entryd->members, &notice);
 }
 
--- a/daemon/entryd-member.c
+++ b/daemon/entryd-member.c
@@ -72,13 +72,12 @@
 static void op_notice(void *ctx, const struct member_notice *notice)
 {
 	struct entryd *entryd = ctx;
-	struct upstream *upstream =
-		router_get(entryd->router, notice->upstream);
+	struct upstream *upstream = router_get(entryd->router, notice->subject);
 
-	upstream->leaving_notice = notice->leaving;
+	upstream->leaving_notice = notice->set;
 	upstream->notice_stamp = notice->stamp;
-	log_notice("upstream %s %s", notice->upstream,
-		   notice->leaving ? "is leaving" : "accepts work");
+	log_notice("upstream %s %s", notice->subject,
+		   notice->set ? "is leaving" : "accepts work");
 }
 
 /* Fetches settings and hosts from a peer that reports newer revisions. */
@@ -109,16 +108,12 @@
 {
 	struct sync_call *call = ctx;
 	struct entryd *entryd = call->entryd;
-	struct member_notice notice;
 
 	entryd->sync_until = 0;
 	if (res) {
 		entryd->peers_synced++;
 		sync_updates_apply(entryd->members, res, entryd_now(entryd));
-		for (u_int i = 0; i < res->marks.marks_len; i++)
-			if (rpc_leaving_notice_from_wire(
-				    &res->marks.marks_val[i], &notice))
-				member_on_notice(entryd->members, &notice);
+		sync_notices_apply(entryd->members, res);
 		sync_items_apply(entryd->settings, &res->settings);
 		sync_items_apply(entryd->hosts, &res->hosts);
 	}
--- a/daemon/entryd-operator.c
+++ b/daemon/entryd-operator.c
@@ -135,12 +135,12 @@
 	char *name = http_request_query(call, "upstream");
 	char *back = http_request_query(call, "back");
 	struct member_notice notice = {
-		.leaving = !back,
+		.set = !back,
 		.stamp = (uint64_t)entryd_wall_time(),
 	};
 
 	if (name && g_hash_table_contains(entryd->router->upstreams, name)) {
-		g_strlcpy(notice.upstream, name, sizeof(notice.upstream));
+		g_strlcpy(notice.subject, name, sizeof(notice.subject));
 		member_on_notice(entryd->members, &notice);
 		json_reply(call, 200, json_object_new_object());
 	} else {
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -137,6 +137,7 @@
 	if (xfer->has_output)
 		return;
 	xfer->has_output = true;
+	xfer->output_at = proxyd_now(proxyd);
 	fleet_first_token(xfer->worker, &xfer->fleet_request);
 	usage_count(xfer, ago);
 	if (!xfer->px.response_started)
@@ -179,6 +180,7 @@
 	if (events->len == 0)
 		return;
 	on_first_output(xfer, 0);
+	guard_on_output(xfer, false);
 	if (!xfer->px.response_started) {
 		hs_response_start(xfer->call, xfer->response.status,
 				  xfer->response.headers->str);
@@ -244,6 +246,8 @@
 		return;
 	case HC_TRUNCATED:
 	case HC_MALFORMED:
+		if (result == HC_TRUNCATED)
+			guard_on_cut(xfer);
 		if (xfer->px.kind == PX_AT_MOST_ONCE)
 			usage_count(xfer, 0);
 		attempt_end(xfer, PX_END_INCOMPLETE,
@@ -260,8 +264,10 @@
 	else if (response->status >= 500 ||
 		 (xfer->px.response_started && !response->is_event_stream))
 		attempt_end(xfer, PX_END_FAILED, "upstream_failed");
-	else
+	else {
+		guard_on_output(xfer, true);
 		attempt_end(xfer, PX_END_COMPLETE, "answered");
+	}
 }
 
 void attempt_on_stall(struct xfer *xfer)
@@ -367,6 +373,7 @@
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
 	xfer->has_output = false;
+	xfer->output_at = 0;
 	xfer->sent_at = 0;
 	fleet_begin(worker, &xfer->fleet_request, now);
 	xfer->attempt = hc_request_start(worker->http_peer, &spec);
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -227,6 +227,15 @@
 				  "stopping");
 		return;
 	}
+	/* The last part is the request's own, or its session's. */
+	if (!guard_admits(proxyd, request.parts,
+			  MAX(request.part_count, 1) - 1)) {
+		proxyd_count(proxyd, CTR_refused_poison);
+		front_reply_error(proxyd, call, RW_EPOISON,
+				  err_answer(RW_EPOISON)->retry_after_ms,
+				  "crashes_workers");
+		return;
+	}
 	units = account ? request_units(account, &request) : 0;
 	if (!quota_spend(proxyd, call, account, units, &quota))
 		return;
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -156,8 +156,7 @@
 
 static void op_notice_received(void *ctx, const struct member_notice *notice)
 {
-	(void)ctx; /* workers' entries arrive by revision instead */
-	(void)notice;
+	guard_on_notice(ctx, notice);
 }
 
 /* Whether enough other hosts are known to tell which of them are relays. */
@@ -236,6 +235,7 @@
 	if (!res)
 		return;
 	sync_updates_apply(proxyd->members, res, proxyd_now(proxyd));
+	sync_notices_apply(proxyd->members, res);
 	sync_items_apply(mirror_replica(proxyd->mirror, MIRROR_CONFIG),
 			 &res->settings);
 	sync_items_apply(mirror_replica(proxyd->mirror, MIRROR_WORKERS),
@@ -265,8 +265,10 @@
 
 	if (rpc_update_from_wire(&args->self, &self))
 		member_on_update(proxyd->members, &self, proxyd_now(proxyd));
-	if (args->members)
+	if (args->members) {
 		sync_updates_fill(proxyd->members, res);
+		sync_notices_fill(proxyd->members, res);
+	}
 	sync_items_fill(mirror_replica(proxyd->mirror, MIRROR_CONFIG),
 			args->settings_after, &res->settings);
 	sync_items_fill(mirror_replica(proxyd->mirror, MIRROR_WORKERS),
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -158,6 +158,19 @@
 	}
 }
 
+void xfer_give_up_prompt(struct xfer *xfer)
+{
+	enum px_action action = px_on_give_up(&xfer->px);
+
+	if (action != PX_REFUSE) {
+		xfer_perform(xfer, action, "crashes_workers");
+		return;
+	}
+	proxyd_count(xfer->proxyd, CTR_refused_poison);
+	reply_error(xfer, RW_EPOISON, err_answer(RW_EPOISON)->retry_after_ms,
+		    "crashes_workers");
+}
+
 void xfer_on_disconnect(void *ctx)
 {
 	struct xfer *xfer = ctx;
@@ -290,18 +303,17 @@
 	struct fleet_choice choice =
 		fleet_choose(proxyd->fleet, &xfer->fleet_request, now);
 	struct pool_state *pool = proxyd_pool(proxyd, xfer->pool->name);
+	bool again = xfer->px.attempts > 0 || xfer->px.unsent > 0;
 
+	if (again && guard_blocks(xfer)) {
+		xfer_give_up_prompt(xfer);
+		return;
+	}
 	if (!choice.worker) {
-		bool started = xfer->px.response_started;
-
-		xfer_perform(xfer,
-			     started		     ? PX_ABORT
-			     : xfer->px.may_have_run ? PX_UNKNOWN
-						     : PX_REFUSE,
-			     "no_worker");
+		xfer_perform(xfer, px_on_give_up(&xfer->px), "no_worker");
 		return;
 	}
-	if (xfer->px.attempts == 0 && xfer->px.unsent == 0) {
+	if (!again) {
 		/* Refused requests count as demand too. */
 		pool->demand_ms += request_work(xfer, &choice);
 		if (shed(xfer, &choice))
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -54,6 +54,8 @@
 	struct xfer_response response;
 	bool has_output;    /* the attempt has returned an event, or the head of
 			     * a response that is not a stream */
+	clk_ms output_at;   /* when it did; 0: it has not */
+	bool proved;	    /* it did not crash its worker */
 	bool usage_counted; /* counted in the account's usage */
 	int priority;	    /* in an engine's queue, 0 is first */
 	clk_ms received_at; /* when the caller's request was complete */
@@ -73,6 +75,8 @@
 void xfer_send(struct xfer *xfer);
 /* Carries out an action of decide/px. */
 void xfer_perform(struct xfer *xfer, enum px_action step, const char *why);
+/* Ends a request whose prompt has a part that crashes workers. */
+void xfer_give_up_prompt(struct xfer *xfer);
 /* The caller has disconnected. */
 void xfer_on_disconnect(void *ctx);
 
@@ -83,6 +87,14 @@
 /* Clears the move, and cancels it if it is in progress. */
 void move_clear(struct xfer *xfer);
 
+/* proxyd-guard.c: prompt parts that crash workers */
+/* The attempt's worker has ended its connection. */
+void guard_on_cut(struct xfer *xfer);
+/* The attempt has output. */
+void guard_on_output(struct xfer *xfer, bool complete);
+/* Whether the prompt has a part that crashes workers. */
+bool guard_blocks(const struct xfer *xfer);
+
 /* proxyd-attempt.c: one attempt at an upstream */
 /* Sends the request to the chosen worker. */
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -255,6 +255,7 @@
 	limits_tick(proxyd);
 	leader_tick(proxyd);
 	move_tick(proxyd);
+	guard_tick(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
 	status_tick(proxyd);
@@ -487,6 +488,7 @@
 	peer_start(proxyd);
 	report_start(proxyd);
 	group_start(proxyd);
+	guard_start(proxyd);
 	leader_start(proxyd);
 	loop_start(proxyd);
 	return true;
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -8,8 +8,8 @@
  * proxyd-relay.c (reports between hosts), proxyd-limits.c (accounts near their
  * limits, kept in the store), proxyd-front.c (checks on a caller's request),
  * proxyd-xfer.c, proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
- * proxyd-local.c (the host's own HTTP endpoints), proxyd-leader.c and
- * proxyd-scale.c (the leader's duties).
+ * proxyd-guard.c (prompts that crash workers), proxyd-local.c (the host's own
+ * HTTP endpoints), proxyd-leader.c and proxyd-scale.c (the leader's duties).
  */
 #ifndef DAEMON_PROXYD_H
 #define DAEMON_PROXYD_H
@@ -22,6 +22,7 @@
 #include "../decide/feed.h"
 #include "../decide/fleet.h"
 #include "../decide/member.h"
+#include "../decide/poison.h"
 #include "../decide/px.h"
 #include "../decide/quota.h"
 #include "../decide/relay.h"
@@ -134,6 +135,9 @@
 	bool limits_restored; /* the stored list was handled after start */
 	struct usage usage;
 	struct wall wall;
+	struct poison *poison;
+	GArray *crash_notices; /* of struct member_notice, not sent yet */
+	clk_ms next_crash_notices;
 	struct lease leader_lease;
 	int64_t host_lease;	   /* lease of this host's own key; 0: none */
 	int64_t host_key_revision; /* of that key; 0: none */
@@ -269,6 +273,14 @@
 void front_reply_error(struct proxyd *proxyd, struct hs_request *call,
 		       enum err_kind kind, clk_ms retry_after, const char *why);
 
+/* proxyd-guard.c: prompt parts that crash workers */
+void guard_start(struct proxyd *proxyd);
+void guard_tick(struct proxyd *proxyd);
+/* Whether a request may be sent to a worker as far as its prompt goes. */
+bool guard_admits(struct proxyd *proxyd, const struct fleet_part *parts,
+		  size_t count);
+void guard_on_notice(struct proxyd *proxyd, const struct member_notice *notice);
+
 /* proxyd-move.c: streams at workers that are leaving */
 void move_tick(struct proxyd *proxyd);
 
--- a/decide/err.h
+++ b/decide/err.h
@@ -32,6 +32,7 @@
 	RW_EIDREUSED,	/* the id was used before with another body */
 	RW_EUNSEEN,	/* no request with this id was ever accepted */
 	RW_ELIMIT,	/* the account is over its limit */
+	RW_EPOISON,	/* upstreams crash on a part of the prompt */
 	RW_EBUSY,	/* the deadline cannot be met under this load */
 	RW_ENOUPSTREAM, /* no upstream can serve this now */
 	RW_ENOHOME,	/* this host has no open record yet */
--- a/decide/member-int.h
+++ b/decide/member-int.h
@@ -12,7 +12,7 @@
 	clk_ms expires;
 };
 
-/* A leaving notice and how many messages are still to carry it. */
+/* A notice and how many messages are still to carry it. */
 struct notice_entry {
 	struct member_notice notice;
 	unsigned to_send;
--- a/decide/member-msg.c
+++ b/decide/member-msg.c
@@ -75,6 +75,23 @@
 	list->options.ops->send(list->options.ctx, rpc, msg);
 }
 
+void member_broadcast(struct member_list *list,
+		      const struct member_notice *notices, size_t count)
+{
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+		struct member_msg msg;
+
+		if (member->info.state == MEMBER_DEAD)
+			continue;
+		member_msg_build(list, &msg, MEMBER_ACK, 0);
+		msg.notice_count = MIN(count, MEMBER_NOTICES_MAX);
+		memcpy(msg.notices, notices,
+		       msg.notice_count * sizeof(*notices));
+		member_msg_send(list, member->info.rpc, &msg);
+	}
+}
+
 /* Informs a sender that it is listed as dead here, so that it takes a new
  * incarnation. */
 static void reply_declared_dead(struct member_list *list,
--- a/decide/member.c
+++ b/decide/member.c
@@ -127,18 +127,36 @@
 	member_set_state(list, member, update->state, now);
 }
 
+void member_forget_notice(struct member_list *list, const char *subject)
+{
+	g_hash_table_remove(list->notices, subject);
+}
+
+void member_each_notice(const struct member_list *list,
+			void (*fn)(void *ctx,
+				   const struct member_notice *notice),
+			void *ctx)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, list->notices);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(ctx, &((const struct notice_entry *)value)->notice);
+}
+
 void member_on_notice(struct member_list *list,
 		      const struct member_notice *notice)
 {
 	struct notice_entry *entry =
-		g_hash_table_lookup(list->notices, notice->upstream);
+		g_hash_table_lookup(list->notices, notice->subject);
 
 	if (entry && entry->notice.stamp >= notice->stamp)
 		return;
 	if (!entry) {
 		entry = g_new0(struct notice_entry, 1);
 		entry->notice = *notice;
-		g_hash_table_insert(list->notices, entry->notice.upstream,
+		g_hash_table_insert(list->notices, entry->notice.subject,
 				    entry);
 	}
 	entry->notice = *notice;
--- a/decide/member.h
+++ b/decide/member.h
@@ -19,11 +19,11 @@
 #include "clk.h"
 #include "rid.h"
 
-#define MEMBER_ADDRESS_MAX 48  /* bytes of "IP:port" */
-#define MEMBER_DC_MAX 32       /* bytes of a data centre's name */
-#define MEMBER_UPDATES_MAX 8   /* updates in one message */
-#define MEMBER_NOTICES_MAX 8   /* leaving notices in one message */
-#define MEMBER_UPSTREAM_MAX 64 /* bytes of an upstream's name */
+#define MEMBER_ADDRESS_MAX 48 /* bytes of "IP:port" */
+#define MEMBER_DC_MAX 32      /* bytes of a data centre's name */
+#define MEMBER_UPDATES_MAX 8  /* updates in one message */
+#define MEMBER_NOTICES_MAX 8  /* notices in one message */
+#define MEMBER_SUBJECT_MAX 64 /* bytes of a notice's subject */
 
 enum member_state {
 	MEMBER_ALIVE,
@@ -43,10 +43,11 @@
 	uint32_t seq; /* grows when the member refutes or leaves */
 };
 
-/* A leaving notice: whether an upstream is leaving. */
+/* A notice that all hosts are to receive: whether something is so. Subjects are
+ * defined by the daemon: that of an upstream's name is its leaving. */
 struct member_notice {
-	char upstream[MEMBER_UPSTREAM_MAX];
-	bool leaving;
+	char subject[MEMBER_SUBJECT_MAX];
+	bool set;
 	uint64_t stamp; /* the notice with the larger stamp applies */
 };
 
@@ -89,7 +90,7 @@
 	void (*changed)(void *ctx, const struct member *member);
 	/* Called when this host was declared dead: member_renew must follow. */
 	void (*declared_dead)(void *ctx);
-	/* Called for each new leaving notice. */
+	/* Called for each new notice. */
 	void (*notice_received)(void *ctx, const struct member_notice *notice);
 	/* Called with the revisions that a peer reports. */
 	void (*revisions)(void *ctx, const char *rpc, uint64_t settings,
@@ -115,7 +116,7 @@
 	GHashTable *members; /* incarnation -> struct member, not self */
 	GPtrArray *order;    /* members in probing order */
 	guint next_probed;   /* index into order */
-	GHashTable *notices; /* upstream -> struct notice_entry */
+	GHashTable *notices; /* subject -> struct notice_entry */
 	unsigned self_to_send;
 	uint32_t probe;	    /* number of the last probe, own or indirect */
 	uint32_t own_probe; /* number of this host's last own probe */
@@ -146,6 +147,17 @@
 		      const struct member_update *update, clk_ms now);
 void member_on_notice(struct member_list *list,
 		      const struct member_notice *notice);
+/* Sends up to MEMBER_NOTICES_MAX notices to all members that may be running,
+ * for those that gossip would reach too late. */
+void member_broadcast(struct member_list *list,
+		      const struct member_notice *notices, size_t count);
+/* Drops a notice that no longer matters. */
+void member_forget_notice(struct member_list *list, const char *subject);
+/* Calls fn for each notice. */
+void member_each_notice(const struct member_list *list,
+			void (*fn)(void *ctx,
+				   const struct member_notice *notice),
+			void *ctx);
 /* Announces that this host is leaving. */
 void member_leave(struct member_list *list, clk_ms now);
 /* Takes a new incarnation after the old one was declared dead. */
--- a/decide/px.c
+++ b/decide/px.c
@@ -13,8 +13,7 @@
 	px->attempts++;
 }
 
-/* Returns the action if no further attempt is made. */
-static enum px_action final_action(const struct px *px)
+enum px_action px_on_give_up(const struct px *px)
 {
 	if (px->response_started)
 		return PX_ABORT;
@@ -28,7 +27,7 @@
 {
 	if (px->attempts >= px->max_attempts || !cond->has_time ||
 	    !cond->has_upstream || (px->attempts > 0 && !cond->has_budget))
-		return final_action(px);
+		return px_on_give_up(px);
 	return px->response_started ? PX_RESUME : PX_RETRY;
 }
 
@@ -40,7 +39,7 @@
 		return PX_DELIVER;
 	case PX_END_UNSENT:
 		if (++px->unsent > UNSENT_MAX)
-			return final_action(px);
+			return px_on_give_up(px);
 		return retry_action(px, cond);
 	case PX_END_NOT_RUN:
 		return retry_action(px, cond);
@@ -58,9 +57,9 @@
 	case PX_END_INCOMPLETE:
 		px->may_have_run = true;
 		return px_is_repeatable(px->kind) ? retry_action(px, cond)
-						  : final_action(px);
+						  : px_on_give_up(px);
 	}
-	return final_action(px);
+	return px_on_give_up(px);
 }
 
 enum px_action px_on_timeout(const struct px *px, bool running)
--- a/decide/px.h
+++ b/decide/px.h
@@ -64,6 +64,8 @@
 /* Returns the action when the request's time is up. running: an attempt is in
  * progress. */
 enum px_action px_on_timeout(const struct px *px, bool running);
+/* Returns the action when no further attempt is made. */
+enum px_action px_on_give_up(const struct px *px);
 /* Returns whether requests of a kind may run more than once. */
 bool px_is_repeatable(enum px_kind kind);
 
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -3,6 +3,7 @@
 
 #include "../decide/lease.h"
 #include "../decide/fleet.h"
+#include "../decide/poison.h"
 #include "../decide/px.h"
 #include "../decide/scale.h"
 #include "../decide/sse.h"
@@ -932,6 +933,314 @@
 }
 END_TEST
 
+/* Prompt parts that crash workers. Parts are bits of a mask. */
+
+enum poison_step_kind {
+	STEP_END,
+	STEP_CRASH,	 /* of an own request */
+	STEP_TOLD,	 /* another host reports a crash */
+	STEP_RUN,	 /* an own request runs */
+	STEP_OTHERS_RUN, /* ten own requests without any of the parts run */
+	STEP_RUN_TOLD,	 /* another host reports a run */
+};
+
+enum {
+	FIRST = 1, /* shared by all prompts */
+	TOPIC = 2, /* shared by few */
+	DEADLY = 4,
+	POISON_PARTS = 3,
+};
+
+#define POISON_STEPS_MAX 16
+#define POISON_EPOCH 1000000 /* wall clock at the start */
+
+struct poison_step {
+	clk_ms at;
+	enum poison_step_kind kind;
+	unsigned parts;	 /* mask */
+	unsigned worker; /* and request, of a crash */
+};
+
+static const struct {
+	const char *what;
+	struct poison_step steps[POISON_STEPS_MAX];
+	clk_ms end;
+	unsigned blocked; /* mask of the parts that are blocked then */
+} poison_cases[] = {
+	{ "the part that never runs is blocked",
+	  { { 0, STEP_RUN, FIRST | TOPIC, 0 },
+	    { 1000, STEP_CRASH, FIRST | DEADLY, 1 },
+	    { 1100, STEP_RUN, FIRST, 0 },
+	    { 2000, STEP_TOLD, FIRST, 2 },
+	    { 2000, STEP_TOLD, DEADLY, 2 },
+	    { 2500, STEP_OTHERS_RUN, 0, 0 },
+	    { 2600, STEP_RUN, FIRST, 0 },
+	    { 3000, STEP_CRASH, FIRST | DEADLY, 3 },
+	    { 3100, STEP_RUN, FIRST, 0 } },
+	  3400,
+	  DEADLY },
+	{ "two crashes are not enough",
+	  { { 0, STEP_CRASH, DEADLY, 1 },
+	    { 1000, STEP_CRASH, DEADLY, 2 },
+	    { 1100, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  0 },
+	{ "crashes at about the same time count once",
+	  { { 0, STEP_TOLD, DEADLY, 1 },
+	    { 100, STEP_TOLD, DEADLY, 2 },
+	    { 300, STEP_TOLD, DEADLY, 3 },
+	    { 900, STEP_TOLD, DEADLY, 4 },
+	    { 1100, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  0 },
+	{ "a loss of several workers is no evidence",
+	  { { 0, STEP_CRASH, TOPIC, 1 },
+	    { 50, STEP_CRASH, TOPIC, 2 },
+	    { 100, STEP_CRASH, TOPIC, 3 },
+	    { 1000, STEP_CRASH, TOPIC, 4 },
+	    { 2000, STEP_CRASH, TOPIC, 5 },
+	    { 2100, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  0 },
+	{ "one request that crashes several workers is evidence",
+	  { { 0, STEP_CRASH, DEADLY, 1 },
+	    { 600, STEP_CRASH, DEADLY, 1 },
+	    { 1200, STEP_CRASH, DEADLY, 1 },
+	    { 1300, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  DEADLY },
+	{ "nothing is blocked while no request runs",
+	  { { 0, STEP_TOLD, FIRST, 1 },
+	    { 1000, STEP_TOLD, FIRST, 2 },
+	    { 2000, STEP_TOLD, FIRST, 3 },
+	    { 3000, STEP_TOLD, FIRST, 4 } },
+	  5000,
+	  0 },
+	{ "a part that has run needs more evidence",
+	  { { 0, STEP_RUN, TOPIC, 0 },
+	    { 1000, STEP_TOLD, TOPIC, 1 },
+	    { 2000, STEP_TOLD, TOPIC, 2 },
+	    { 3000, STEP_TOLD, TOPIC, 3 },
+	    { 4000, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  0 },
+	{ "a part that has run may be blocked, too",
+	  { { 0, STEP_RUN, DEADLY, 0 },
+	    { 1000, STEP_TOLD, DEADLY, 1 },
+	    { 2000, STEP_TOLD, DEADLY, 2 },
+	    { 3000, STEP_TOLD, DEADLY, 3 },
+	    { 4000, STEP_TOLD, DEADLY, 4 },
+	    { 5000, STEP_TOLD, DEADLY, 5 },
+	    { 6000, STEP_TOLD, DEADLY, 6 },
+	    { 6500, STEP_OTHERS_RUN, 0, 0 } },
+	  7000,
+	  DEADLY },
+	{ "the cause explains the crashes of its requests",
+	  { { 0, STEP_OTHERS_RUN, 0, 0 },
+	    { 100, STEP_TOLD, DEADLY, 1 },
+	    { 1000, STEP_TOLD, DEADLY | TOPIC, 2 },
+	    { 2000, STEP_TOLD, DEADLY | TOPIC, 3 },
+	    { 3000, STEP_TOLD, DEADLY | TOPIC, 4 },
+	    { 3100, STEP_OTHERS_RUN, 0, 0 } },
+	  4000,
+	  DEADLY },
+	{ "parts with equal evidence are blocked until one has more",
+	  { { 1000, STEP_TOLD, DEADLY | TOPIC, 1 },
+	    { 2000, STEP_TOLD, DEADLY | TOPIC, 2 },
+	    { 3000, STEP_TOLD, DEADLY | TOPIC, 3 },
+	    { 3100, STEP_OTHERS_RUN, 0, 0 },
+	    { 4000, STEP_TOLD, DEADLY, 4 } },
+	  5000,
+	  DEADLY },
+	{ "a run releases a part",
+	  { { 0, STEP_TOLD, TOPIC, 1 },
+	    { 1000, STEP_TOLD, TOPIC, 2 },
+	    { 2000, STEP_TOLD, TOPIC, 3 },
+	    { 2100, STEP_OTHERS_RUN, 0, 0 },
+	    { 4000, STEP_RUN_TOLD, TOPIC, 0 } },
+	  5000,
+	  0 },
+	{ "a crash before a known run does not count",
+	  { { 0, STEP_TOLD, TOPIC, 1 },
+	    { 1000, STEP_TOLD, TOPIC, 2 },
+	    { 1500, STEP_RUN_TOLD, TOPIC, 0 },
+	    { 1400, STEP_TOLD, TOPIC, 3 },
+	    { 2000, STEP_TOLD, TOPIC, 4 },
+	    { 2100, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  0 },
+	{ "a blocked part stays blocked for minutes",
+	  { { 0, STEP_TOLD, DEADLY, 1 },
+	    { 1000, STEP_TOLD, DEADLY, 2 },
+	    { 2000, STEP_TOLD, DEADLY, 3 },
+	    { 2100, STEP_OTHERS_RUN, 0, 0 } },
+	  500000,
+	  DEADLY },
+	{ "and is released at last",
+	  { { 0, STEP_TOLD, DEADLY, 1 },
+	    { 1000, STEP_TOLD, DEADLY, 2 },
+	    { 2000, STEP_TOLD, DEADLY, 3 },
+	    { 2100, STEP_OTHERS_RUN, 0, 0 } },
+	  700000,
+	  0 },
+};
+
+static void poison_ignore_crash(void *ctx, uint64_t part, uint32_t crash,
+				clk_ms at)
+{
+	(void)ctx;
+	(void)part;
+	(void)crash;
+	(void)at;
+}
+
+static void poison_ignore_run(void *ctx, uint64_t part, clk_ms at)
+{
+	(void)ctx;
+	(void)part;
+	(void)at;
+}
+
+static void poison_ignore_change(void *ctx, uint64_t part, bool blocked)
+{
+	(void)ctx;
+	(void)part;
+	(void)blocked;
+}
+
+/* Counts the crashes that other hosts need not be told of any more. */
+static void poison_count_dropped(void *ctx, uint64_t part, uint32_t crash)
+{
+	(void)part;
+	(void)crash;
+	if (ctx)
+		++*(unsigned *)ctx;
+}
+
+static void poison_ignore_forgotten(void *ctx, uint64_t part)
+{
+	(void)ctx;
+	(void)part;
+}
+
+static bool poison_this_host_tries(void *ctx, uint64_t part)
+{
+	(void)ctx;
+	(void)part;
+	return true;
+}
+
+static const struct poison_ops poison_test_ops = {
+	.crashed = poison_ignore_crash,
+	.harmless = poison_ignore_run,
+	.changed = poison_ignore_change,
+	.dropped = poison_count_dropped,
+	.forgotten = poison_ignore_forgotten,
+	.tries = poison_this_host_tries,
+};
+
+/* Lists the parts of a mask. */
+static size_t poison_parts(unsigned mask, struct fleet_part parts[POISON_PARTS])
+{
+	size_t count = 0;
+
+	for (unsigned i = 0; i < POISON_PARTS; i++)
+		if (mask & 1U << i)
+			parts[count++] = (struct fleet_part){ .id = 1U << i };
+	return count;
+}
+
+static void poison_take_step(struct poison *poison,
+			     const struct poison_step *step, uint32_t crash)
+{
+	struct fleet_part parts[POISON_PARTS];
+	size_t count = poison_parts(step->parts, parts);
+	clk_ms at = POISON_EPOCH + step->at;
+	struct poison_loss loss = {
+		.parts = parts,
+		.count = count,
+		.worker = step->worker,
+		.request = GUINT_TO_POINTER(step->worker),
+		.crash = crash,
+	};
+
+	if (step->kind == STEP_CRASH)
+		poison_on_crash(poison, &loss, at);
+	if (step->kind == STEP_RUN)
+		poison_on_run(poison, parts, count, at);
+	for (int i = 0; step->kind == STEP_OTHERS_RUN && i < 10; i++)
+		poison_on_run(poison, NULL, 0, at);
+	for (size_t i = 0; i < count; i++) {
+		if (step->kind == STEP_TOLD)
+			poison_add_crash(poison, parts[i].id, step->worker, at,
+					 at);
+		if (step->kind == STEP_RUN_TOLD)
+			poison_add_run(poison, parts[i].id, at);
+	}
+}
+
+START_TEST(poison_blocks_cause)
+{
+	struct poison *poison = poison_create(&poison_test_ops, NULL);
+	const struct poison_step *step = poison_cases[_i].steps;
+	unsigned blocked = 0;
+	clk_ms at = 0;
+
+	for (; step->kind != STEP_END; step++) {
+		for (; at < step->at; at += 50)
+			poison_tick(poison, POISON_EPOCH + at);
+		poison_take_step(poison, step,
+				 (uint32_t)(step - poison_cases[_i].steps) +
+					 100);
+	}
+	for (; at < poison_cases[_i].end; at += 50)
+		poison_tick(poison, POISON_EPOCH + at);
+	for (unsigned i = 0; i < POISON_PARTS; i++) {
+		struct fleet_part part = { .id = 1U << i };
+
+		if (poison_blocks(poison, &part, 1))
+			blocked |= 1U << i;
+	}
+	ck_assert_msg(blocked == poison_cases[_i].blocked, "%s: blocked 0x%x",
+		      poison_cases[_i].what, blocked);
+	poison_free(poison);
+}
+END_TEST
+
+START_TEST(poison_tries_blocked_part_seldom)
+{
+	unsigned dropped = 0;
+	struct poison *poison = poison_create(&poison_test_ops, &dropped);
+	struct fleet_part part = { .id = DEADLY };
+	unsigned tries = 0;
+	clk_ms first = 0;
+
+	for (uint32_t i = 1; i <= 3; i++)
+		poison_add_crash(poison, DEADLY, i, (clk_ms)i * CLK_SECOND,
+				 (clk_ms)i * CLK_SECOND);
+	for (int i = 0; i < 10; i++)
+		poison_on_run(poison, NULL, 0, 3000);
+	poison_tick(poison, 3000);
+	ck_assert(poison_blocks(poison, &part, 1));
+	for (clk_ms at = 3000; at < 303000; at += 100) {
+		poison_tick(poison, at);
+		if (!poison_admits(poison, &part, 1, at))
+			continue;
+		first = first ? first : at;
+		tries++;
+	}
+	/* After 30 s, 90 s and 210 s. */
+	ck_assert_int_eq(first, 33000);
+	ck_assert_uint_eq(tries, 3);
+	ck_assert_uint_eq(dropped, 0);
+	poison_on_run(poison, &part, 1, 303000);
+	poison_tick(poison, 303000);
+	ck_assert(!poison_blocks(poison, &part, 1));
+	ck_assert_uint_eq(dropped, 3);
+	poison_free(poison);
+}
+END_TEST
+
 static Suite *proxy_suite(void)
 {
 	Suite *suite = suite_create("unit-proxy");
@@ -963,6 +1272,9 @@
 	tcase_add_loop_test(tcase, sync_packs, 0, (int)G_N_ELEMENTS(damages));
 	tcase_add_loop_test(tcase, usage_reports_before_counts_can_be_lost, 0,
 			    (int)G_N_ELEMENTS(unreported));
+	tcase_add_loop_test(tcase, poison_blocks_cause, 0,
+			    G_N_ELEMENTS(poison_cases));
+	tcase_add_test(tcase, poison_tries_blocked_part_seldom);
 	tcase_add_test(tcase, wall_ignores_jumps);
 	tcase_add_test(tcase, scale_follows_demand);
 	tcase_add_loop_test(tcase, scale_plans, 0, G_N_ELEMENTS(scale_cases));
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -47,6 +47,7 @@
 	X(refused_key, "requests with an unknown key")                         \
 	X(refused_route, "requests that match no route")                       \
 	X(refused_not_run, "requests refused that had not run")                \
+	X(refused_poison, "requests with a prompt part that crashes workers")  \
 	X(answered_unknown, "requests for which it is unknown if they ran")    \
 	X(answered_late, "requests whose deadline had passed")                 \
 	X(broken_off, "responses aborted after they had begun")                \
--- a/wire/rpc-gossip.c
+++ b/wire/rpc-gossip.c
@@ -28,21 +28,19 @@
 	return true;
 }
 
-void rpc_leaving_notice_to_wire(const struct member_notice *notice,
-				w_mark *wire)
+void rpc_notice_to_wire(const struct member_notice *notice, w_mark *wire)
 {
-	wire->upstream = (char *)notice->upstream;
-	wire->leaving = notice->leaving;
+	wire->upstream = (char *)notice->subject;
+	wire->leaving = notice->set;
 	wire->stamp = notice->stamp;
 }
 
-bool rpc_leaving_notice_from_wire(const w_mark *wire,
-				  struct member_notice *notice)
+bool rpc_notice_from_wire(const w_mark *wire, struct member_notice *notice)
 {
 	if (!wire->upstream[0])
 		return false;
-	g_strlcpy(notice->upstream, wire->upstream, sizeof(notice->upstream));
-	notice->leaving = wire->leaving;
+	g_strlcpy(notice->subject, wire->upstream, sizeof(notice->subject));
+	notice->set = wire->leaving;
 	notice->stamp = wire->stamp;
 	return true;
 }
@@ -63,7 +61,7 @@
 	for (size_t i = 0; i < msg->update_count; i++)
 		rpc_update_to_wire(&msg->updates[i], &updates[i]);
 	for (size_t i = 0; i < msg->notice_count; i++)
-		rpc_leaving_notice_to_wire(&msg->notices[i], &marks[i]);
+		rpc_notice_to_wire(&msg->notices[i], &marks[i]);
 }
 
 bool rpc_gossip_from_wire(const w_gossip *wire, struct member_msg *msg)
@@ -81,9 +79,8 @@
 					  &msg->updates[msg->update_count++]))
 			return false;
 	for (u_int i = 0; i < wire->marks.marks_len; i++)
-		if (!rpc_leaving_notice_from_wire(
-			    &wire->marks.marks_val[i],
-			    &msg->notices[msg->notice_count++]))
+		if (!rpc_notice_from_wire(&wire->marks.marks_val[i],
+					  &msg->notices[msg->notice_count++]))
 			return false;
 	return true;
 }
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -72,10 +72,8 @@
 			   void *ctx);
 void rpc_update_to_wire(const struct member_update *update, w_update *wire);
 bool rpc_update_from_wire(const w_update *wire, struct member_update *update);
-void rpc_leaving_notice_to_wire(const struct member_notice *notice,
-				w_mark *wire);
-bool rpc_leaving_notice_from_wire(const w_mark *wire,
-				  struct member_notice *notice);
+void rpc_notice_to_wire(const struct member_notice *notice, w_mark *wire);
+bool rpc_notice_from_wire(const w_mark *wire, struct member_notice *notice);
 void rpc_gossip_to_wire(const struct member_msg *msg, w_gossip *wire,
 			w_update *updates, w_mark *marks);
 bool rpc_gossip_from_wire(const w_gossip *wire, struct member_msg *msg);
--- a/wire/sync.c
+++ b/wire/sync.c
@@ -117,6 +117,33 @@
 			member_on_update(members, &update, now);
 }
 
+void sync_notices_apply(struct member_list *members, const w_sync_res *res)
+{
+	struct member_notice notice;
+
+	for (u_int i = 0; i < res->marks.marks_len; i++)
+		if (rpc_notice_from_wire(&res->marks.marks_val[i], &notice))
+			member_on_notice(members, &notice);
+}
+
+static void notice_append(void *ctx, const struct member_notice *notice)
+{
+	w_sync_res *res = ctx;
+
+	res->marks.marks_val[res->marks.marks_len++] = (w_mark){
+		.upstream = g_strdup(notice->subject),
+		.leaving = notice->set,
+		.stamp = notice->stamp,
+	};
+}
+
+void sync_notices_fill(const struct member_list *members, w_sync_res *res)
+{
+	res->marks.marks_val =
+		g_new0(w_mark, g_hash_table_size(members->notices));
+	member_each_notice(members, notice_append, res);
+}
+
 static void update_copy(const struct member_update *update, w_update *wire)
 {
 	wire->incarnation = g_strdup(update->incarnation);
--- a/wire/sync.h
+++ b/wire/sync.h
@@ -22,6 +22,9 @@
 /* Applies the members listed by a peer; malformed entries are skipped. */
 void sync_updates_apply(struct member_list *members, const w_sync_res *res,
 			clk_ms now);
+/* Applies and lists the notices. */
+void sync_notices_apply(struct member_list *members, const w_sync_res *res);
+void sync_notices_fill(const struct member_list *members, w_sync_res *res);
 /* Lists the members, this host first. */
 void sync_updates_fill(const struct member_list *members, w_sync_res *res);
 
