Limits: equal shares while the relays change

Cause: relays sum up what hosts spend. When they change, a host's first report to a new relay is its base line, so that what was spent since the last report to the former one counts nowhere; others count twice. In the trace of a failing run what remains was taken for -136,037 by one host, +14,696 by another, at the same moment; hosts then spent 2.5 times their shares for 0.6 s: 37,000 units, 12,000 of them allowed. Ruled out: the time at which the test counts (the same window at the workers had 224,800), the start (full buckets; the excess comes at each replacement). Load is only the trigger: hosts then learn of each other later.

Change: for 1.2 s after a change of the relays a host keeps to its equal share of an account near its limit and gains nothing of the global bucket.

--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -50,6 +50,7 @@
 	const GPtrArray *order = proxyd->members->order;
 	struct feed_host *hosts = g_new(struct feed_host, order->len);
 	unsigned generation = proxyd->feed.generation;
+	unsigned relay_generation = proxyd->feed.relay_generation;
 	char parent[MEMBER_ADDRESS_MAX];
 	size_t count = 0;
 
@@ -69,6 +70,8 @@
 		    count, proxyd->feed_host_count);
 	if (strcmp(parent, proxyd->feed.parent) != 0)
 		report_withdraw(proxyd, parent);
+	if (proxyd->feed.relay_generation != relay_generation)
+		proxyd->relays_changed_at = proxyd_now(proxyd);
 	/* New relays do not know what the former ones were told. */
 	if (proxyd->feed.generation != generation)
 		proxyd->next_counts_refresh = 0;
--- a/daemon/proxyd-relay.c
+++ b/daemon/proxyd-relay.c
@@ -15,6 +15,9 @@
 /* A host that has just started does not know the others yet: two report
  * periods and a margin. */
 #define COVERAGE_AFTER_MS 1500
+/* After a change of the relays: until all hosts know of it and have reported to
+ * the new ones. */
+#define RELAYS_SETTLE_MS 1200
 
 /* Values for one host: the sums over all other hosts. */
 struct relay_fill_ctx {
@@ -144,6 +147,8 @@
 {
 	clk_ms now = proxyd_now(proxyd);
 	double coverage = 1;
+	bool settled = proxyd->feed.all_follow || !proxyd->relays_changed_at ||
+		       now - proxyd->relays_changed_at >= RELAYS_SETTLE_MS;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -157,8 +162,10 @@
 		coverage = (double)relay_hosts_reporting(proxyd) /
 			   hosts_maybe_running(proxyd);
 	g_hash_table_iter_init(&iter, proxyd->quotas);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		quota_set_settled(value, settled);
 		quota_set_coverage(value, coverage, now);
+	}
 }
 
 /* Applies what remains of the accounts' limits, as sent by a relay. */
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -154,6 +154,7 @@
 	clk_ms full_report_at; /* last report with counts and demand */
 	clk_ms reported_at;
 	clk_ms next_heartbeat;
+	clk_ms relays_changed_at;  /* 0: they have not */
 	struct relay_source relay; /* whose aggregated reports are accepted */
 	unsigned relay_host_count; /* hosts that these reports cover */
 	clk_ms collecting_since;   /* since when all hosts report to this one;
@@ -219,7 +220,7 @@
 void relay_send_all(struct proxyd *proxyd, bool full);
 /* Counts the hosts whose spending and load are known here. */
 unsigned relay_hosts_reporting(const struct proxyd *proxyd);
-/* Sets for all accounts the share of the hosts whose spending is known here. */
+/* Sets for all accounts how much of the hosts' spending is known here. */
 void relay_update_coverage(struct proxyd *proxyd);
 
 /* proxyd-group.c: sums over groups of hosts, exchanged by relays */
--- a/decide/feed.c
+++ b/decide/feed.c
@@ -170,6 +170,19 @@
 	feed->reporting_key = key;
 }
 
+/* Notes a change of the hosts that sum up what others report. */
+static void relays_update(struct feed *feed, const struct ranked *ranked,
+			  unsigned relays, const char *self)
+{
+	guint key = feed->grouped;
+
+	for (unsigned i = 0; i < relays && !feed->all_follow; i++)
+		key += g_str_hash(ranked[i].host ? ranked[i].host->incarnation
+						 : self);
+	feed->relay_generation += key != feed->relays_key;
+	feed->relays_key = key;
+}
+
 /* Whether all hosts know all messages. */
 static bool all_are_current(const struct feed_host *hosts, size_t count)
 {
@@ -210,6 +223,7 @@
 	feed->grouped =
 		!feed->all_follow && relays > FOLLOWERS && feed->all_current;
 	generation_update(feed);
+	relays_update(feed, ranked, relays, self);
 	g_free(ranked);
 }
 
--- a/decide/feed.h
+++ b/decide/feed.h
@@ -63,6 +63,8 @@
 	GArray *targets;		 /* of struct feed_target */
 	unsigned generation; /* changes with the parent and the followers */
 	guint reporting_key; /* of these */
+	unsigned relay_generation; /* changes with the relays, this one too */
+	guint relays_key;	   /* of these */
 	clk_ms heartbeat_at; /* last one that counts; at first the start */
 };
 
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -65,7 +65,10 @@
 static double local_share(const struct quota *quota, unsigned hosts, clk_ms now)
 {
 	double multiple =
-		1 + (LOCAL_MULTIPLE - 1) * report_confidence(quota, hosts, now);
+		quota->unsettled
+			? 1
+			: 1 + (LOCAL_MULTIPLE - 1) *
+					  report_confidence(quota, hosts, now);
 
 	return MIN(multiple / MAX(hosts, 1), 1);
 }
@@ -78,7 +81,7 @@
 	double max = MAX(quota->rate * share * LOCAL_BURST_S,
 			 LOCAL_SLACK_SHARE * quota->slack / MAX(hosts, 1));
 
-	if (report_confidence(quota, hosts, now) == 0)
+	if (quota->unsettled || report_confidence(quota, hosts, now) == 0)
 		max = global_max(quota) * share;
 	return MIN(max, global_max(quota));
 }
@@ -121,6 +124,36 @@
 	quota->refilled_at = now;
 }
 
+/* Whether equal shares apply when so many units remain. */
+static bool is_restricted(const struct quota *quota, double remaining)
+{
+	return remaining < UNRESTRICTED_SHARE * global_max(quota);
+}
+
+/* Returns what remains in the global bucket, without what was gained while the
+ * spending of all hosts was not known. */
+static double known_remaining(const struct quota *quota)
+{
+	return quota->unsettled && is_restricted(quota, quota->units_before)
+		       ? MIN(quota->global_units, quota->units_before)
+		       : quota->global_units;
+}
+
+void quota_set_settled(struct quota *quota, bool settled)
+{
+	if (quota->unsettled == !settled)
+		return;
+	if (settled)
+		quota->global_units = known_remaining(quota);
+	quota->unsettled = !settled;
+	if (settled)
+		return;
+	quota->units_before = quota->global_units;
+	/* Otherwise all hosts would spend their local buckets at once. */
+	if (is_restricted(quota, quota->global_units))
+		quota->local_units = MIN(quota->local_units, 0);
+}
+
 void quota_on_below_limit(struct quota *quota, clk_ms now)
 {
 	double remaining = BELOW_LIMIT_SHARE * global_max(quota) - quota->spent;
@@ -156,6 +189,8 @@
 bool quota_take(struct quota *quota, double units, unsigned hosts, clk_ms now,
 		clk_ms *retry_after)
 {
+	bool restricted;
+	bool equal_share;
 	double share;
 	double need;
 	double need_local;
@@ -164,19 +199,21 @@
 	if (quota->rate <= 0)
 		return true;
 	refill(quota, hosts, now);
+	restricted = is_restricted(quota, known_remaining(quota) - units);
 	if (report_confidence(quota, hosts, now) > 0 &&
-	    !quota_report_due(quota, hosts) &&
-	    quota->global_units - units >=
-		    UNRESTRICTED_SHARE * global_max(quota)) {
+	    !quota_report_due(quota, hosts) && !restricted) {
 		global_spend(quota, units);
 		quota->spent += units;
 		return true;
 	}
+	equal_share = quota->unsettled && restricted;
 	share = local_share(quota, hosts, now);
 	/* A request larger than a bucket is admitted by a full bucket. */
 	need = MIN(units, global_max(quota));
-	need_local = MIN(units, local_max(quota, hosts, now));
-	if (quota->global_units >= need && quota->local_units >= need_local) {
+	need_local =
+		equal_share ? units : MIN(units, local_max(quota, hosts, now));
+	if ((equal_share || quota->global_units >= need) &&
+	    quota->local_units >= need_local) {
 		global_spend(quota, units);
 		quota->local_units -= units;
 		quota->spent += units;
@@ -268,7 +305,7 @@
 double quota_remaining(struct quota *quota, unsigned hosts, clk_ms now)
 {
 	refill(quota, hosts, now);
-	return quota->global_units;
+	return known_remaining(quota);
 }
 
 void quota_on_remaining(struct quota *quota, double remaining, clk_ms now)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -29,6 +29,8 @@
 	double local_units;  /* remaining of this host's share */
 	double coverage;     /* share of the hosts that report, 0 to 1 */
 	double recent_spend; /* of the reporting hosts, exponentially decayed */
+	bool unsettled;	     /* what all hosts spend is not known now */
+	double units_before; /* global_units when that began */
 	clk_ms refilled_at;
 	clk_ms near_limit_at;  /* set by the user of this module: when the
 				  account was near its limit; 0: never */
@@ -66,6 +68,11 @@
  * the same rate, also since their last reports: they may be cut off by a
  * network partition and still be spending. */
 void quota_set_coverage(struct quota *quota, double coverage, clk_ms now);
+/* Sets whether the hosts that sum up spending are settled. While they change,
+ * what hosts spend is counted twice or not at all: a host then keeps to its
+ * equal share of an account near its limit, and gains nothing of the global
+ * bucket. */
+void quota_set_settled(struct quota *quota, bool settled);
 /* A host that has just started learns that the account was far below its limit
  * before all hosts were lost: most of the bucket remains. */
 void quota_on_below_limit(struct quota *quota, clk_ms now);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -984,9 +984,10 @@
         await asyncio.sleep(3)
         done = True
         await asyncio.gather(*senders)
-        for first in served[::20]:
-            units = 400 * sum(first <= at < first + 8 for at in served)
-            assert units <= (rate * 8 + rate) * 1.1 + 20000, units
+        units = max(400 * sum(first <= at < first + 8 for at in served)
+                    for first in served[::20])
+        print("at most %d units in 8 s" % units)
+        assert units <= (rate * 8 + rate) * 1.1 + 20000, units
         newest = rig.store.items["op/config"][1]
         for host in rig.hosts:
             text = (await host.get(host.metrics, "/metrics")).body.decode()
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -147,7 +147,8 @@
 #define NET_PARTITION 42 /* first host that is partitioned off */
 /* How long a host counts as reporting after its last report. */
 #define NET_REPORTED_MS 1200
-#define NET_RESTART_MS 1000 /* from a restart to the first reports */
+#define NET_VIEW_DELAY_MS 700 /* until all hosts know of new relays */
+#define NET_RESTART_MS 1000   /* from a restart to the first reports */
 #define NET_RATE 164460
 #define NET_SLACK 140000
 
@@ -162,6 +163,10 @@
 	clk_ms partitioned_from; /* a third of the hosts */
 	clk_ms partitioned_until;
 	clk_ms restart_at; /* of all hosts; 0: never */
+	/* From this time on other hosts are the relays every so many ms, of
+	 * which each host learns with a delay of its own. */
+	clk_ms relays_change_from;
+	clk_ms relays_change_every;
 	double served_min; /* part of the demand within the limit */
 } net_cases[] = {
 	{ .what = "usual", .demand = 0.55, .served_min = 0.995 },
@@ -215,6 +220,25 @@
 	  .hot_from = 6000,
 	  .restart_at = 10000,
 	  .served_min = 0.7 },
+	{ .what = "usual, relays change",
+	  .demand = 0.55,
+	  .relays_change_from = 6000,
+	  .relays_change_every = 2500,
+	  .served_min = 0.95 },
+	{ .what = "hot, relays change",
+	  .demand = 0.55,
+	  .hot_factor = 8,
+	  .hot_from = 4000,
+	  .relays_change_from = 6000,
+	  .relays_change_every = 2500,
+	  .served_min = 0.7 },
+	{ .what = "hot, relays change once",
+	  .demand = 0.55,
+	  .hot_factor = 8,
+	  .hot_from = 4000,
+	  .relays_change_from = 9000,
+	  .relays_change_every = 60000,
+	  .served_min = 0.85 },
 };
 
 struct net_host {
@@ -227,6 +251,8 @@
 	clk_ms group_at[NET_HOSTS];
 	unsigned reporting_hosts; /* by the last aggregated report */
 	clk_ms relay_since;	  /* 0: it is no relay */
+	unsigned relay_changes;	  /* that this host knows of */
+	clk_ms relays_changed_at; /* 0: never */
 };
 
 struct net {
@@ -249,6 +275,19 @@
 			  net_cases[net->case_idx].partitioned_until);
 }
 
+/* Returns how often the relays have changed, as far as a host knows. */
+static unsigned net_relay_changes(const struct net *net,
+				  const struct net_host *host)
+{
+	clk_ms from = net_cases[net->case_idx].relays_change_from;
+	clk_ms every = net_cases[net->case_idx].relays_change_every;
+	clk_ms delay = (host - net->hosts) * 37 % NET_VIEW_DELAY_MS;
+
+	if (every == 0 || net->now - delay < from)
+		return 0;
+	return (unsigned)(1 + (net->now - delay - from) / every);
+}
+
 /* Returns the host at a place among the relays of a host or, if overlapping is
  * set, the other host that acts as that relay during a replacement; NULL if
  * there is none. */
@@ -269,6 +308,10 @@
 	if (overlapping)
 		return changing ? &net->hosts[replaced ? 0 : NET_REPLACEMENT]
 				: NULL;
+	if (net_cases[net->case_idx].relays_change_every > 0)
+		place = (int)((unsigned)place +
+			      net_relay_changes(net, host) * NET_RELAYS) %
+			NET_HOSTS;
 	return &net->hosts[replaced ? NET_REPLACEMENT : place];
 }
 
@@ -393,6 +436,14 @@
 			host->relay_since = net->now;
 		host->reporting_hosts = net_reporting_hosts(net, host);
 	}
+	if (net_relay_changes(net, host) != host->relay_changes) {
+		host->relay_changes = net_relay_changes(net, host);
+		host->relays_changed_at = net->now;
+	}
+	quota_set_settled(host->quota,
+			  !host->relays_changed_at ||
+				  net->now - host->relays_changed_at >=
+					  NET_REPORTED_MS);
 	if (net->now - started > NET_GAP_MS)
 		quota_set_coverage(host->quota,
 				   (double)host->reporting_hosts / NET_HOSTS,
