Mirror: a host whose last read of the store is old does not vouch for its state

Cause: 'reads the store' meant that no call had failed yet. That was up to 1.7 s late, and up to 10 s since a response may take as long as it arrives. Change: it means that a response was complete in the last 1.9 s, the time of a watch with its gaps.

--- a/daemon/mirror.c
+++ b/daemon/mirror.c
@@ -10,6 +10,9 @@
  * that a response may take, it is shorter than the time after which hosts must
  * be up to date again. */
 #define WATCH_WAIT_MS 1100
+/* A host whose last response is older does not know what is new: a watch takes
+ * WATCH_WAIT_MS, and gaps and the response itself some more. */
+#define READ_FRESH_MS 1900
 #define WATCH_PROBE_MS 100 /* of a watch while the store is lost */
 #define WATCH_NOW_MS 1	   /* of one that only asks what is new */
 /* From a watch that returned changes to the next one: changes often come in
@@ -54,6 +57,7 @@
 	struct kv_call *watch; /* the pending one, or NULL */
 	clk_ms next_call_at;
 	unsigned failures; /* consecutive */
+	clk_ms read_at;	   /* when the last response was complete */
 	clk_ms lost_at;
 	clk_ms regained_at;
 };
@@ -124,6 +128,7 @@
 bool mirror_reads_store(const struct mirror *mirror)
 {
 	return mirror->current && !mirror->lost_at &&
+	       mirror_now(mirror) - mirror->read_at <= READ_FRESH_MS &&
 	       mirror->ops->follows(mirror->ctx);
 }
 
@@ -213,6 +218,13 @@
 	unconfirmed_use(mirror);
 }
 
+static void call_succeeded(struct mirror *mirror)
+{
+	set_reachable(mirror, true);
+	mirror->failures = 0;
+	mirror->read_at = mirror_now(mirror);
+}
+
 static struct mirror_part *part_of(struct mirror *mirror, const char *key)
 {
 	for (size_t i = 0; i < mirror->count; i++)
@@ -283,8 +295,7 @@
 		call_failed(mirror, outcome);
 		return;
 	}
-	set_reachable(mirror, true);
-	mirror->failures = 0;
+	call_succeeded(mirror);
 	if (mirror->snapshot_revision == 0)
 		mirror->snapshot_revision = page->revision;
 	mirror->applying = true;
@@ -316,8 +327,7 @@
 		call_failed(mirror, outcome);
 		return;
 	}
-	set_reachable(mirror, true);
-	mirror->failures = 0;
+	call_succeeded(mirror);
 	mirror->applying = true;
 	items_put(mirror, page);
 	mirror->applying = false;
--- a/daemon/mirror.h
+++ b/daemon/mirror.h
@@ -47,7 +47,8 @@
 /* Whether a response of the store is being applied: an item that changes now
  * was read by this host itself. */
 bool mirror_is_applying(const struct mirror *mirror);
-/* Whether this host follows the store, and it responds. */
+/* Whether this host follows the store and knows what is new: the store has
+ * responded within the time of a watch. */
 bool mirror_reads_store(const struct mirror *mirror);
 /* When the store became unreachable, in ms of the loop; 0: it is reachable. */
 clk_ms mirror_lost_at(const struct mirror *mirror);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -462,7 +462,7 @@
     respond is in force in time, and the store isn't taken for lost."""
     async with Rig(net) as rig:
         store, host = rig.store, rig.hosts[0]
-        store.bytes_per_s = 600000
+        store.bytes_per_s[None] = 600000
         routes = {"/x%d/" % i: ROUTES["/i/"] for i in range(4000)}
         large = config(2, dict(ROUTES, **routes))
         assert 600000 < len(json.dumps(large)) < 1 << 20
@@ -475,6 +475,33 @@
                     if line["outcome"] == "lost"]
 
 
+async def test_proxy_not_confirmed_by_host_that_waits_for_store(net):
+    """A host to which the store's response only drips has not read the store:
+    it doesn't confirm the old first read of another host."""
+    async with Rig(net, hosts=2) as rig:
+        await rig.wait_membership()
+        store, host = rig.store, rig.hosts[0]
+        store.stale_revision = store.revision
+        store.bytes_per_s["h1"] = 250
+        store.put("op/config", config(2, {"/i/": ROUTES["/i/"]}))
+        await asyncio.sleep(0.2)
+        host.kill()
+        await asyncio.sleep(2)
+        store.unanswered_watches = 100
+        host.start(first_start=False)
+        end = time.monotonic() + 2.5
+        while time.monotonic() < end:
+            try:
+                got = await host.get(host.ready, "/-/readiness")
+                assert got.status == 503, got.status
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+        store.unanswered_watches = 0
+        await rig.wait_ready(host)
+        assert (await host.request("GET", "/p/x", key=None)).status == 404
+
+
 async def test_proxy_key_revoked(net):
     """A revoked key is rejected within the bound, also by a host whose calls
     the store resets, so that it gets the configuration from peers."""
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -69,7 +69,7 @@
         self.stale_revision = None  # stale reads show the items up to it
         self.watch_delay_s = 0  # before each response to a watch
         self.unanswered_watches = 0  # so many more get no response
-        self.bytes_per_s = 0  # of each response; 0: no limit
+        self.bytes_per_s = {}  # of a response to a host; None: to all
         self.last_silent = {}  # host -> last time its fault was silent
         self.calls = []     # (host, method, path)
         self.changed = asyncio.Event()
@@ -149,7 +149,7 @@
                 kind = path.split("/")[2]
                 if kind in self.lost_responses and method != "GET":
                     await asyncio.sleep(3600)
-                await self.send(writer, response(
+                await self.send(host, writer, response(
                     status, json.dumps(value).encode()))
         except (ConnectionError, asyncio.IncompleteReadError,
                 asyncio.CancelledError):
@@ -157,9 +157,10 @@
         finally:
             writer.close()
 
-    async def send(self, writer, data):
+    async def send(self, host, writer, data):
         """Writes a response, at the rate of a slow link if one is set."""
-        step = int(self.bytes_per_s * SEND_PERIOD_S) or len(data)
+        rate = self.bytes_per_s.get(host) or self.bytes_per_s.get(None, 0)
+        step = int(rate * SEND_PERIOD_S) or len(data)
         for start in range(0, len(data), step):
             if start > 0:
                 await asyncio.sleep(SEND_PERIOD_S)
