Workers: one that says in a response to leave gets nothing new

Until now only the entry in the store counted.

Change: the worker is out of the choice at this host at once; other hosts learn it by a notice. Only a process with another start undoes it, not a change of the entry.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -145,6 +145,19 @@
 			 proxyd_now(proxyd) - xfer->received_at);
 }
 
+/* Notes what the head of a response says about its worker. */
+static void worker_note(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	const struct head_response *head = &xfer->response.head;
+	clk_ms now = proxyd_now(proxyd);
+
+	if (head->has_load)
+		fleet_on_load(xfer->worker, head->running, head->waiting, now);
+	if (head->leaving)
+		follow_worker_leaves(proxyd, xfer->worker, "said_so");
+}
+
 static void on_head(void *ctx, const struct h1_head *head)
 {
 	struct xfer *xfer = ctx;
@@ -155,9 +168,7 @@
 	response->has_head = true;
 	response->status = head->status;
 	head_response_parse(head, &response->head);
-	if (response->head.has_load)
-		fleet_on_load(xfer->worker, response->head.running,
-			      response->head.waiting, now);
+	worker_note(xfer);
 	if (!response->head.not_run && head->status / 100 == 2 &&
 	    !response->head.is_signed) {
 		hc_request_cancel(xfer->attempt);
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -12,6 +12,9 @@
 /* After the store is reachable again, entries that expired meanwhile are back
  * within this time. */
 #define ENTRY_RETURN_MS 2500
+/* Subject of the notice that a worker leaves. */
+#define LEAVING_PREFIX "leaving/"
+#define LEAVING_SUBJECT LEAVING_PREFIX "%s"
 
 static const char *const prefixes[MIRROR_COUNT] = {
 	[MIRROR_CONFIG] = DECODE_CONFIG_PREFIX,
@@ -119,6 +122,50 @@
 						      : proxyd->conf->drain_ms);
 }
 
+void follow_worker_leaves(struct proxyd *proxyd, struct fleet_worker *worker,
+			  const char *via)
+{
+	struct member_notice notice = {
+		.set = true,
+		/* Another process with the same id has another start. */
+		.stamp = (uint64_t)worker->entry.started_at,
+	};
+
+	if (worker->said_leaving || worker->removed)
+		return;
+	worker->said_leaving = true;
+	worker_set_leaving(proxyd, worker, -1);
+	proxyd_count(proxyd, CTR_workers_said_leaving);
+	slog(SLOG_NOTICE, "worker", "worker=%s outcome=leaving why=%s",
+	     worker->entry.id, via);
+	if (g_snprintf(notice.subject, sizeof(notice.subject), LEAVING_SUBJECT,
+		       worker->entry.id) < (int)sizeof(notice.subject))
+		member_on_notice(proxyd->members, &notice);
+}
+
+void follow_forget_notice(struct proxyd *proxyd,
+			  const struct fleet_worker *worker)
+{
+	char subject[MEMBER_SUBJECT_MAX];
+
+	g_snprintf(subject, sizeof(subject), LEAVING_SUBJECT, worker->entry.id);
+	member_forget_notice(proxyd->members, subject);
+}
+
+void follow_on_notice(struct proxyd *proxyd, const struct member_notice *notice)
+{
+	struct fleet_worker *worker;
+
+	if (!g_str_has_prefix(notice->subject, LEAVING_PREFIX))
+		return;
+	worker = fleet_find(proxyd->fleet,
+			    notice->subject + strlen(LEAVING_PREFIX));
+	if (worker && (uint64_t)worker->entry.started_at == notice->stamp)
+		follow_worker_leaves(proxyd, worker, "told");
+	else
+		member_forget_notice(proxyd->members, notice->subject);
+}
+
 /* Removes a worker whose entry is missing: at once, or later if the entry may
  * come back. */
 static void worker_on_missing(struct proxyd *proxyd, const char *id)
@@ -169,7 +216,7 @@
 	worker = fleet_put(proxyd->fleet, &entry, item->mod);
 	if (worker->entry.leaving)
 		worker_set_leaving(proxyd, worker, worker->entry.remaining_ms);
-	else
+	else if (!worker->said_leaving)
 		worker->leaves_at = 0;
 	if (!known || was_leaving != worker->entry.leaving)
 		slog(SLOG_NOTICE, "worker",
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -160,6 +160,7 @@
 static void op_notice_received(void *ctx, const struct member_notice *notice)
 {
 	guard_on_notice(ctx, notice);
+	follow_on_notice(ctx, notice);
 }
 
 /* Whether enough other hosts are known to tell which of them are relays. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -374,7 +374,8 @@
  * moved away from it. */
 static void on_worker_removed(void *ctx, struct fleet_worker *worker)
 {
-	(void)ctx;
+	if (worker->said_leaving)
+		follow_forget_notice(ctx, worker);
 	if (worker->inflight == 0)
 		proxyd_drop_peer(worker);
 }
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -210,6 +210,16 @@
 /* Revisions of the replicas of the configuration and the workers. */
 int64_t follow_config_revision(const struct proxyd *proxyd);
 int64_t follow_workers_revision(const struct proxyd *proxyd);
+/* A worker has said in a response that it is leaving; via: how this host knows.
+ */
+void follow_worker_leaves(struct proxyd *proxyd, struct fleet_worker *worker,
+			  const char *via);
+/* Drops the notice of a worker that is gone. */
+void follow_forget_notice(struct proxyd *proxyd,
+			  const struct fleet_worker *worker);
+/* Another host has received such a response. */
+void follow_on_notice(struct proxyd *proxyd,
+		      const struct member_notice *notice);
 /* Whether the host has a configuration and the list of workers, which it needs
  * to serve. */
 bool follow_ready(const struct proxyd *proxyd);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -152,8 +152,8 @@
 
 bool fleet_takes_work(const struct fleet_worker *worker)
 {
-	return !worker->entry.leaving && !worker->removed &&
-	       !worker->removal_due_at;
+	return !worker->entry.leaving && !worker->said_leaving &&
+	       !worker->removed && !worker->removal_due_at;
 }
 
 /* Groups of workers, in order of preference. */
@@ -168,7 +168,7 @@
 static enum group worker_group(const struct fleet_worker *worker, clk_ms now)
 {
 	if (worker->removal_due_at && !worker->entry.leaving &&
-	    !worker->removed)
+	    !worker->said_leaving && !worker->removed)
 		return GROUP_UNLISTED;
 	if (!fleet_takes_work(worker))
 		return GROUP_COUNT;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -69,6 +69,7 @@
 	clk_ms reported_at;	   /* time of that report; 0: never */
 	uint32_t key;		   /* aggregate_key of its id */
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
+	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms leaves_at;	  /* expected end; 0: not known to be leaving */
 	void *http_peer;	  /* the user's connections to it */
 	unsigned refs;		  /* held by the fleet and by requests */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -576,6 +576,44 @@
         assert (await rig.hosts[1].request("GET", "/n/x")).status == 404
 
 
+# Workers that leave or ask for less.
+
+async def test_proxy_server_leaving(net):
+    """A worker that says in an answer that it leaves gets no new work from this
+    host, whatever the store says, and soon none from others, until another
+    process has its id."""
+    async with Rig(net, hosts=2, api=3) as rig:
+        await rig.wait_membership()
+        host, other = rig.hosts
+        worker = rig.workers_of("api")[0]
+        caller = host.caller()
+        worker.says_leaving = True
+        rig.store.faults[None] = "silent"
+        while not worker.executed:
+            assert (await caller.request("GET", "/i/x")).status == 200
+        for _ in range(60):
+            assert (await caller.request("GET", "/i/x")).status == 200
+        assert len(worker.executed) == 1, worker.executed
+        await asyncio.sleep(DRAIN_BOUND_S)
+        for _ in range(60):
+            assert (await other.request("GET", "/i/x")).status == 200
+        assert len(worker.executed) == 1, worker.executed
+        # Its entry changes, but it is the same process.
+        rig.store.faults = {}
+        rig.store.put("servers/" + worker.ident,
+                      worker.entry(sequence_number=2, slots=9))
+        await asyncio.sleep(1.5)
+        for _ in range(60):
+            assert (await caller.request("GET", "/i/x")).status == 200
+        assert len(worker.executed) == 1, worker.executed
+        worker.says_leaving = False
+        rig.store.put("servers/" + worker.ident, worker.entry(born=2))
+        await asyncio.sleep(1.5)
+        for _ in range(120):
+            assert (await caller.request("GET", "/i/x")).status == 200
+        assert len(worker.executed) > 1
+
+
 # Prompts that crash workers.
 
 async def send_prompts(rig, path, parts, period_s, until, results):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -344,6 +344,7 @@
         self.zone = zone
         self.slots = slots
         self.mode = "ok"
+        self.says_leaving = False  # in all its answers
         self.deadly_part = None  # hex id of a prompt part that crashes it
         self.crashed_at = []
         self.deadly_at = []      # arrivals of requests with that part
@@ -405,16 +406,18 @@
         ident = headers["redwingpitch-attempt-id"]
         self.received.append(headers)
         self.received_at[ident] = time.monotonic()
+        said = ["Server-Leaving: 1"] if self.says_leaving else []
         expected = headers.get("redwingpitch-expected-instance")
         if expected not in (None, self.ident):
-            writer.write(response(421))
+            writer.write(response(421, b"", said))
             return True
         if "kv-from" in headers and Worker.kv_copies.pop(
                 headers["kv-from"], None) != self.address:
             writer.write(response(503, b"", ["Redwingpitch-Not-Executed: 1"]))
             return True
         if self.mode == "full":
-            writer.write(response(503, b"", ["Redwingpitch-Not-Executed: 1"]))
+            writer.write(response(503, b"", said + [
+                "Redwingpitch-Not-Executed: 1"]))
             return True
         if self.mode == "ambiguous":
             writer.write(response(503))
@@ -423,7 +426,7 @@
         own = ["Redwingpitch-Attempt-Id: " + ident,
                "Redwingpitch-Response-Signature: sig-" + self.ident,
                "Redwingpitch-Server-Load: %d,0,%d" % (len(self.writers),
-                                                      self.slots)]
+                                                      self.slots)] + said
         parts = [part.partition(":")[0] for part in
                  headers.get("redwingpitch-prompt-prefix", "").split(",")]
         if self.deadly_part in parts[:-1]:
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -59,6 +59,7 @@
 	X(ends_cut, "attempts cut off, or with a malformed response")          \
 	X(moves, "streams moved from workers that leave")                      \
 	X(stalls, "attempts given up because the upstream was silent")         \
+	X(workers_said_leaving, "workers that said in a response to leave")    \
 	X(connects, "connections opened to upstreams")                         \
 	X(reuses, "requests on a kept-alive connection")                       \
 	X(strays, "responses to other requests, dropped")                      \
