Workers: one that refuses with Retry-After gets nothing for that time

Until now the header was ignored, and requests and their repeats went on to it.

Change: the worker is withheld from all attempts and moves of this host until then, 300 s at most; what is no number of seconds is ignored and counted. If all workers of a pool are withheld, requests are refused at once, with a Retry-After from when the first one takes work again, jittered.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -156,6 +156,16 @@
 		fleet_on_load(xfer->worker, head->running, head->waiting, now);
 	if (head->leaving)
 		follow_worker_leaves(proxyd, xfer->worker, "said_so");
+	if (head->bad_retry_after)
+		proxyd_count(proxyd, CTR_retry_after_bad);
+	if (head->retry_after == 0)
+		return;
+	proxyd_count(proxyd, CTR_workers_withheld);
+	slog(SLOG_INFO, "worker",
+	     "worker=%s id=%s withheld_ms=%" G_GINT64_FORMAT
+	     " outcome=withheld",
+	     xfer->worker->entry.id, xfer->id, head->retry_after);
+	fleet_withhold(xfer->worker, head->retry_after, now);
 }
 
 static void on_head(void *ctx, const struct h1_head *head)
--- a/daemon/proxyd-move.c
+++ b/daemon/proxyd-move.c
@@ -99,7 +99,8 @@
 	return worker && worker->leaves_at && xfer->attempt &&
 	       xfer->has_output && xfer->response.is_event_stream &&
 	       xfer->move.state == MOVE_NONE && xfer->pool->engine &&
-	       worker->http_peer && now >= worker->leaves_at - MOVE_BEFORE_MS;
+	       worker->http_peer && now >= worker->withheld_until &&
+	       now >= worker->leaves_at - MOVE_BEFORE_MS;
 }
 
 static void move_start(struct xfer *xfer, clk_ms now)
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -296,6 +296,25 @@
 	return true;
 }
 
+/* Ends a request for which there is no worker. */
+static void xfer_give_up(struct xfer *xfer, clk_ms now)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	enum px_action action = px_on_give_up(&xfer->px);
+	clk_ms withheld =
+		fleet_withheld_ms(proxyd->fleet, xfer->pool->name, now);
+
+	if (action != PX_REFUSE || withheld == 0) {
+		xfer_perform(xfer, action, "no_worker");
+		return;
+	}
+	/* Callers return when a worker takes work again, one after the other.
+	 */
+	proxyd_count(proxyd, CTR_refused_not_run);
+	reply_error(xfer, RW_EBUSY, withheld + retry_after_for(xfer),
+		    "workers_withheld");
+}
+
 void xfer_send(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
@@ -310,7 +329,7 @@
 		return;
 	}
 	if (!choice.worker) {
-		xfer_perform(xfer, px_on_give_up(&xfer->px), "no_worker");
+		xfer_give_up(xfer, now);
 		return;
 	}
 	if (!again) {
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -167,6 +167,8 @@
 /* Returns the group of a worker; GROUP_COUNT: it is not chosen at all. */
 static enum group worker_group(const struct fleet_worker *worker, clk_ms now)
 {
+	if (now < worker->withheld_until)
+		return GROUP_COUNT;
 	if (worker->removal_due_at && !worker->entry.leaving &&
 	    !worker->said_leaving && !worker->removed)
 		return GROUP_UNLISTED;
@@ -479,6 +481,31 @@
 	return selection.best;
 }
 
+void fleet_withhold(struct fleet_worker *worker, clk_ms wait, clk_ms now)
+{
+	worker->withheld_until = MAX(worker->withheld_until, now + wait);
+}
+
+clk_ms fleet_withheld_ms(const struct fleet *fleet, const char *pool,
+			 clk_ms now)
+{
+	const GPtrArray *workers = pool_workers(fleet, pool);
+	clk_ms wait = 0;
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		if (!fleet_takes_work(worker))
+			continue;
+		if (now >= worker->withheld_until)
+			return 0;
+		if (wait == 0 || worker->withheld_until - now < wait)
+			wait = worker->withheld_until - now;
+	}
+	return wait;
+}
+
 struct fleet_choice fleet_choose(struct fleet *fleet,
 				 const struct fleet_request *request,
 				 clk_ms now)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -70,6 +70,8 @@
 	uint32_t key;		   /* aggregate_key of its id */
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
 	bool said_leaving;	  /* in a response; its entry may not yet */
+	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
+				   * has not said so */
 	clk_ms leaves_at;	  /* expected end; 0: not known to be leaving */
 	void *http_peer;	  /* the user's connections to it */
 	unsigned refs;		  /* held by the fleet and by requests */
@@ -149,6 +151,12 @@
 struct fleet_choice fleet_choose(struct fleet *fleet,
 				 const struct fleet_request *request,
 				 clk_ms now);
+/* A worker wants no requests of this host for so many ms. */
+void fleet_withhold(struct fleet_worker *worker, clk_ms wait, clk_ms now);
+/* Returns how many ms no worker of a pool wants requests; 0: some do, or none
+ * has said so. */
+clk_ms fleet_withheld_ms(const struct fleet *fleet, const char *pool,
+			 clk_ms now);
 /* Whether a pool has a worker that accepts requests, besides the excluded
  * one. */
 bool fleet_has_other(const struct fleet *fleet, const char *pool,
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -614,6 +614,72 @@
         assert len(worker.executed) > 1
 
 
+RETRY_AFTER = [
+    # value, seconds that the worker gets nothing; 0: it is not withheld
+    ("2", 2), ("1.5", 1.5), ("100000000", 3),
+    ("0", 0), ("-1", 0), ("soon", 0), ("", 0), ("1e2", 0), ("nan", 0),
+    ("Fri, 04 Dec 2026 10:00:00 GMT", 0),
+]
+
+
+async def test_proxy_worker_retry_after(net):
+    """A worker that refuses a request with Retry-After gets nothing from this
+    host for that time; values that are no number of seconds are ignored."""
+    async with Rig(net, api=2) as rig:
+        host = rig.hosts[0]
+        caller = host.caller()
+        worker = rig.workers_of("api")[0]
+        for value, seconds in RETRY_AFTER:
+            worker.mode, worker.retry_after = "full", value
+            worker.received_at.clear()
+            while not worker.received_at:
+                await caller.request("GET", "/i/x")
+            began = time.monotonic()
+            end = began + (seconds or 1)
+            while time.monotonic() < end - 0.1:
+                got = await caller.request("GET", "/i/x")
+                # A worker that is not withheld uses up the retry budget.
+                assert got.status == 200 or not seconds, (value, got.status)
+                await asyncio.sleep(0.005)
+            late = [at for at in worker.received_at.values()
+                    if began + 0.5 < at < end - 0.1]
+            if seconds:
+                assert len(late) <= 2, (value, len(late))
+            else:
+                assert late, value
+            if value == "100000000":
+                # Not to be waited for: another process has its id.
+                worker.mode = "ok"
+                rig.store.put("servers/" + worker.ident, worker.entry(born=2))
+                await asyncio.sleep(1.5)
+
+
+async def test_proxy_all_workers_retry_after(net):
+    """If all workers of a pool ask for time, requests are refused at once, with
+    a Retry-After from when one of them takes work again."""
+    async with Rig(net, api=2) as rig:
+        host = rig.hosts[0]
+        caller = host.caller()
+        for worker in rig.workers_of("api"):
+            worker.mode, worker.retry_after = "full", "3"
+        for _ in range(4):
+            await caller.request("GET", "/i/x")
+        began = time.monotonic()
+        waits = []
+        for _ in range(20):
+            sent = time.monotonic()
+            got = await caller.request("GET", "/i/x")
+            assert got.status == 503 and time.monotonic() - sent < 0.2
+            waits.append(float(got.headers["retry-after"]))
+        assert min(waits) > 2.5, waits
+        assert max(waits) - min(waits) > 0.2, waits  # not all at once
+        for worker in rig.workers_of("api"):
+            assert len(worker.received) <= 3, len(worker.received)
+            worker.mode = "ok"
+        await asyncio.sleep(began + 3.2 - time.monotonic())
+        assert (await caller.request("GET", "/i/x")).status == 200
+
+
 # Prompts that crash workers.
 
 async def send_prompts(rig, path, parts, period_s, until, results):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -345,6 +345,7 @@
         self.slots = slots
         self.mode = "ok"
         self.says_leaving = False  # in all its answers
+        self.retry_after = None  # of its 503 in the mode "full"
         self.deadly_part = None  # hex id of a prompt part that crashes it
         self.crashed_at = []
         self.deadly_at = []      # arrivals of requests with that part
@@ -416,6 +417,8 @@
             writer.write(response(503, b"", ["Redwingpitch-Not-Executed: 1"]))
             return True
         if self.mode == "full":
+            if self.retry_after is not None:
+                said.append("Retry-After: " + self.retry_after)
             writer.write(response(503, b"", said + [
                 "Redwingpitch-Not-Executed: 1"]))
             return True
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -59,6 +59,8 @@
 	X(ends_cut, "attempts cut off, or with a malformed response")          \
 	X(moves, "streams moved from workers that leave")                      \
 	X(stalls, "attempts given up because the upstream was silent")         \
+	X(workers_withheld, "times a worker wanted no requests for a while")   \
+	X(retry_after_bad, "malformed Retry-After headers of workers")         \
 	X(workers_said_leaving, "workers that said in a response to leave")    \
 	X(connects, "connections opened to upstreams")                         \
 	X(reuses, "requests on a kept-alive connection")                       \
