Feed: a host that is leaving is no relay

Cause: a host that stops ranks itself as before.

Change: a leaving host ranks last, feeds nobody and reports to a parent; and a host takes no sums from one that leaves, was replaced or is unknown.

--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -66,8 +66,8 @@
 	g_strlcpy(parent, proxyd->feed.parent, sizeof(parent));
 	proxyd->feed_host_count = proxyd_host_count(proxyd);
 	proxyd->feed_outdated = false;
-	feed_update(&proxyd->feed, proxyd->members->self.incarnation, hosts,
-		    count, proxyd->feed_host_count);
+	feed_update(&proxyd->feed, proxyd->members->self.incarnation,
+		    proxyd->stopping, hosts, count, proxyd->feed_host_count);
 	if (strcmp(parent, proxyd->feed.parent) != 0)
 		report_withdraw(proxyd, parent);
 	if (proxyd->feed.relay_generation != relay_generation)
--- a/daemon/proxyd-relay.c
+++ b/daemon/proxyd-relay.c
@@ -186,6 +186,7 @@
 {
 	struct proxyd *proxyd = ctx;
 	clk_ms now = proxyd_now(proxyd);
+	const struct member *sender;
 	char *process;
 
 	/* A relay receives the reports of all hosts itself: it needs no sums
@@ -193,6 +194,11 @@
 	if (proxyd->feed.role != FEED_LEAF && proxyd->collecting_since &&
 	    now - proxyd->collecting_since >= REPORTING_MS)
 		return;
+	/* A host that leaves or was replaced receives no reports. */
+	sender = member_find(proxyd->members, relay->process);
+	if (!sender || sender->info.state == MEMBER_LEAVING ||
+	    sender->info.state == MEMBER_DEAD)
+		return;
 	if (!relay_accepts(&proxyd->relay, relay->process, now))
 		return;
 	proxyd->relay_host_count = relay->heard;
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -233,6 +233,7 @@
 	slog(SLOG_NOTICE, "stopping", "open=%zu connections=%zu",
 	     hs_open_requests(proxyd->front), hs_connections(proxyd->front));
 	member_leave(proxyd->members, proxyd_now(proxyd));
+	proxyd->feed_outdated = true;
 	hs_drain(proxyd->front);
 	leader_resign(proxyd);
 }
--- a/decide/feed.c
+++ b/decide/feed.c
@@ -49,12 +49,15 @@
 	return x < y ? 1 : x > y ? -1 : 0;
 }
 
-static struct ranked *hosts_rank(const char *self,
+/* Ranks the hosts; this one is last if it is leaving. */
+static struct ranked *hosts_rank(const char *self, bool leaving,
 				 const struct feed_host *hosts, size_t count)
 {
 	struct ranked *ranked = g_new(struct ranked, count + 1);
 
-	ranked[0] = (struct ranked){ member_weight(self, FEED_RANKING), NULL };
+	ranked[0] = (struct ranked){
+		.weight = leaving ? 0 : member_weight(self, FEED_RANKING),
+	};
 	for (size_t i = 0; i < count; i++)
 		ranked[i + 1] = (struct ranked){
 			.weight = member_weight(hosts[i].incarnation,
@@ -192,10 +195,10 @@
 	return true;
 }
 
-void feed_update(struct feed *feed, const char *self,
+void feed_update(struct feed *feed, const char *self, bool leaving,
 		 const struct feed_host *hosts, size_t count, unsigned total)
 {
-	struct ranked *ranked = hosts_rank(self, hosts, count);
+	struct ranked *ranked = hosts_rank(self, leaving, hosts, count);
 	unsigned relays = relays_for(total);
 	unsigned own = 0;
 
--- a/decide/feed.h
+++ b/decide/feed.h
@@ -70,9 +70,10 @@
 
 void feed_init(struct feed *feed, clk_ms now);
 void feed_clear(struct feed *feed);
-/* Assigns the roles. hosts: the live hosts without this one; total: how many
+/* Assigns the roles. leaving: this host is; then it is no relay, as the others
+ * do not count on it. hosts: the live hosts without this one; total: how many
  * share the work, at least count + 1. */
-void feed_update(struct feed *feed, const char *self,
+void feed_update(struct feed *feed, const char *self, bool leaving,
 		 const struct feed_host *hosts, size_t count, unsigned total);
 /* A host has sent its revisions, and they are current as far as it knows. */
 void feed_on_heartbeat(struct feed *feed, const char *rpc, clk_ms now);
--- a/tests/sim-feed.c
+++ b/tests/sim-feed.c
@@ -176,8 +176,8 @@
 					.rpc = other->rpc,
 				};
 		}
-		feed_update(&node->feed, node->incarnation, hosts, listed,
-			    (unsigned)listed + 1);
+		feed_update(&node->feed, node->incarnation, false, hosts,
+			    listed, (unsigned)listed + 1);
 		cluster->targets_max =
 			MAX(cluster->targets_max, node->feed.targets->len);
 	}
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1,6 +1,7 @@
 /* Unit tests of the modules in decide/ that rw-proxyd uses. */
 #include <string.h>
 
+#include "../decide/feed.h"
 #include "../decide/lease.h"
 #include "../decide/fleet.h"
 #include "../decide/poison.h"
@@ -1241,6 +1242,42 @@
 }
 END_TEST
 
+#define FEED_HOSTS 30
+
+/* The others no longer report to a host that leaves: it feeds none of them. */
+START_TEST(feed_leaving_host_is_no_relay)
+{
+	struct feed_host hosts[FEED_HOSTS];
+	char names[FEED_HOSTS][8];
+	char address[FEED_HOSTS][8];
+
+	for (int i = 0; i < FEED_HOSTS; i++) {
+		g_snprintf(names[i], sizeof(names[i]), "h%d+2", i);
+		g_snprintf(address[i], sizeof(address[i]), "a%d", i);
+		hosts[i] = (struct feed_host){ names[i], address[i] };
+	}
+	for (int leaving = 0; leaving <= 1; leaving++) {
+		unsigned relays = 0;
+
+		for (int i = 0; i < FEED_HOSTS; i++) {
+			struct feed feed;
+			struct feed_host self = hosts[i];
+
+			feed_init(&feed, 0);
+			hosts[i] = hosts[FEED_HOSTS - 1];
+			feed_update(&feed, self.incarnation, leaving, hosts,
+				    FEED_HOSTS - 1, FEED_HOSTS);
+			hosts[i] = self;
+			relays += feed.role != FEED_LEAF;
+			ck_assert(feed.role != FEED_LEAF || feed.parent[0]);
+			ck_assert(!leaving || feed.targets->len == 0);
+			feed_clear(&feed);
+		}
+		ck_assert_uint_eq(relays, leaving ? 0 : 9);
+	}
+}
+END_TEST
+
 static Suite *proxy_suite(void)
 {
 	Suite *suite = suite_create("unit-proxy");
@@ -1275,6 +1312,7 @@
 	tcase_add_loop_test(tcase, poison_blocks_cause, 0,
 			    G_N_ELEMENTS(poison_cases));
 	tcase_add_test(tcase, poison_tries_blocked_part_seldom);
+	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
 	tcase_add_test(tcase, scale_follows_demand);
 	tcase_add_loop_test(tcase, scale_plans, 0, G_N_ELEMENTS(scale_cases));
