Streams: one without a length or any event is broken off

If its worker crashes before the first event, the connection ends the same way: callers got an empty stream as complete, and its prompt counted as harmless.

Change: such a stream without any event is incomplete; it is resumed where that is allowed, and is evidence in decide/poison. One that ends inside an event was taken for broken off already.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -188,6 +188,7 @@
 	}
 	response->headers = head_response_build(head);
 	response->body = g_string_sized_new(0);
+	response->ends_with_connection = head->framing == H1_UNTIL_CLOSE;
 	response->is_event_stream =
 		head->status / 100 == 2 &&
 		(xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE);
@@ -249,6 +250,14 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/* Whether a stream that has ended is whole. A crashed worker's connection ends
+ * like a stream without a length: one without any event is taken for that. */
+static bool stream_is_whole(const struct xfer *xfer)
+{
+	return sse_is_complete(&xfer->sse) &&
+	       (!xfer->response.ends_with_connection || xfer->sse.events > 0);
+}
+
 static void on_end(void *ctx, enum hc_result result)
 {
 	struct xfer *xfer = ctx;
@@ -277,10 +286,11 @@
 	case HC_COMPLETE:
 		break;
 	}
-	if (response->is_event_stream && !sse_is_complete(&xfer->sse))
+	if (response->is_event_stream && !stream_is_whole(xfer)) {
+		guard_on_cut(xfer);
 		attempt_end(xfer, PX_END_INCOMPLETE, "event_cut_off");
-	else if (!response->head.is_signed &&
-		 status_means_not_run(response->status))
+	} else if (!response->head.is_signed &&
+		   status_means_not_run(response->status))
 		attempt_end(xfer, PX_END_INCOMPLETE, "unproved_refusal");
 	else if (response->status >= 500 ||
 		 (xfer->px.response_started && !response->is_event_stream))
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -16,6 +16,7 @@
 	GString *headers;     /* for the caller */
 	GString *body;	      /* of a response that is relayed when complete */
 	bool is_event_stream; /* its events are relayed as they arrive */
+	bool ends_with_connection; /* it has no other end */
 };
 
 /* Move of a stream away from a worker that is leaving. */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -576,6 +576,36 @@
         assert (await rig.hosts[1].request("GET", "/n/x")).status == 404
 
 
+UNFRAMED = [
+    # how the first worker's stream ends, path, complete, executions
+    ("all", "/s/x", True, 1),
+    ("event", "/s/x", True, 2),
+    ("none", "/s/x", True, 2),
+    ("all", "/s1/x", True, 1),
+    ("event", "/s1/x", False, 1),
+    ("none", "/s1/x", False, 1),
+]
+
+
+async def test_proxy_stream_without_length(net):
+    """A stream without a length or chunks is complete if it ends with its
+    connection after an event, and broken off if it ends inside one or before
+    the first."""
+    async with Rig(net) as rig:
+        host = rig.hosts[0]
+        first, second = rig.workers_of("llm")
+        for how, path, complete, executions in UNFRAMED:
+            got = None
+            while not got or first.ident != rig.executed_by(got.ident)[0]:
+                first.unframed = how
+                got = await host.request("POST", path, b"b")
+            assert (got.status == 200 and got.complete) == complete, (
+                how, path, got.status, got.body)
+            if complete:
+                assert got.event_ids() == list(range(10)), (how, got.body)
+            assert len(rig.executed_by(got.ident)) == executions, (how, path)
+
+
 # Workers that leave or ask for less.
 
 async def test_proxy_server_leaving(net):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -344,6 +344,10 @@
         self.zone = zone
         self.slots = slots
         self.mode = "ok"
+        # Streams have no length, and end with their connection: after all
+        # events ("all"), inside an event ("event") or before the first one
+        # ("none").
+        self.unframed = None
         self.says_leaving = False  # in all its answers
         self.retry_after = None  # of its 503 in the mode "full"
         self.deadly_part = None  # hex id of a prompt part that crashes it
@@ -478,8 +482,20 @@
             {"copy_handle": handle, "created": 0}).encode()))
         return True
 
+    def send_unframed(self, first, own, writer):
+        events = [b"id: %d\ndata: event %d\n\n" % (number, number)
+                  for number in range(first, self.event_count)]
+        text = {"all": b"".join(events), "none": b"",
+                "event": b"".join(events[:3]) + events[3][:7]}[self.unframed]
+        writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(own) + "\r\n"
+                      "Content-Type: text/event-stream\r\n\r\n").encode()
+                     + text)
+        return False
+
     async def send_stream(self, ident, headers, own, reader, writer):
         first = int(headers.get("last-event-id", -1)) + 1
+        if self.unframed:
+            return self.send_unframed(first, own, writer)
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(own) + "\r\n"
                       "Content-Type: text/event-stream\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n").encode())
