Prompts: reports from the future don't count, a stream that has run is resumed

A host whose clock is ahead could release a part for good, or keep evidence from expiring: stamps more than 30 s ahead are ignored. A stream that has run is resumed elsewhere also while a part of its prompt is blocked: it is no evidence, and its caller waits. Fewer parts are recorded (1,024), as they are counted ten times a second.

unit-proxy: 'reports from the future don't count' fails before by its two checks of the return values (they were true), passes after.

--- a/daemon/proxyd-guard.c
+++ b/daemon/proxyd-guard.c
@@ -135,17 +135,17 @@
 void guard_on_notice(struct proxyd *proxyd, const struct member_notice *notice)
 {
 	clk_ms at = (clk_ms)notice->stamp;
+	clk_ms now = proxyd_wall(proxyd);
 	uint64_t part;
 	unsigned crash;
 
 	if (sscanf(notice->subject, "crash/%" G_GINT64_MODIFIER "x/%x", &part,
 		   &crash) == 2) {
-		if (!poison_add_crash(proxyd->poison, part, crash, at,
-				      proxyd_wall(proxyd)))
+		if (!poison_add_crash(proxyd->poison, part, crash, at, now))
 			member_forget_notice(proxyd->members, notice->subject);
 	} else if (sscanf(notice->subject, "run/%" G_GINT64_MODIFIER "x",
 			  &part) == 1) {
-		if (!poison_add_run(proxyd->poison, part, at))
+		if (!poison_add_run(proxyd->poison, part, at, now))
 			member_forget_notice(proxyd->members, notice->subject);
 	}
 }
@@ -167,7 +167,8 @@
 
 bool guard_blocks(const struct xfer *xfer)
 {
-	return poison_blocks(xfer->proxyd->poison, xfer->fleet_request.parts,
+	return !xfer->proved &&
+	       poison_blocks(xfer->proxyd->poison, xfer->fleet_request.parts,
 			     shared_parts(xfer));
 }
 
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -93,7 +93,8 @@
 void guard_on_cut(struct xfer *xfer);
 /* The attempt has output. */
 void guard_on_output(struct xfer *xfer, bool complete);
-/* Whether the prompt has a part that crashes workers. */
+/* Whether the prompt has a part that crashes workers, and the request has not
+ * run yet. */
 bool guard_blocks(const struct xfer *xfer);
 
 /* proxyd-attempt.c: one attempt at an upstream */
--- a/decide/poison.c
+++ b/decide/poison.c
@@ -16,13 +16,14 @@
 #define EVIDENCE_MS 60000 /* how long crashes count */
 #define BLOCKED_MS 600000 /* the same for a blocked part */
 #define TRY_MS 30000	  /* until a blocked part is tried; then doubled */
-#define PARTS_MAX 4096	  /* with evidence; of more none is recorded */
+#define SKEW_MAX_MS 30000 /* by which hosts' clocks may differ */
+#define PARTS_MAX 1024	  /* with evidence; of more none is recorded */
 #define CRASHES_MAX 32	  /* recorded for one part */
 #define RAN_MAX 16384	  /* parts that have run; then forgotten */
 
 /* One crash as evidence against a part. */
 struct poison_crash {
-	uint32_t crash; /* the same for all parts of the request */
+	uint32_t crash; /* the same for all parts of a prompt */
 	clk_ms at;
 };
 
@@ -151,7 +152,7 @@
 	struct poison_crash row = { .crash = crash, .at = at };
 	struct poison_part *part;
 
-	if (now - at > BLOCKED_MS)
+	if (now - at > BLOCKED_MS || at - now > SKEW_MAX_MS)
 		return false;
 	part = part_get(poison, id);
 	if (!part || at <= part->harmless_at)
@@ -181,11 +182,11 @@
 	g_ptr_array_add(poison->unproved, row);
 }
 
-bool poison_add_run(struct poison *poison, uint64_t id, clk_ms at)
+bool poison_add_run(struct poison *poison, uint64_t id, clk_ms at, clk_ms now)
 {
 	struct poison_part *part = part_find(poison, id);
 
-	if (!part)
+	if (!part || at - now > SKEW_MAX_MS)
 		return false;
 	part->harmless_at = MAX(part->harmless_at, at);
 	part->updated_at = MAX(part->updated_at, at);
@@ -220,7 +221,7 @@
 					id);
 		if (!part || part->crashes->len == 0)
 			continue;
-		poison_add_run(poison, id, now);
+		poison_add_run(poison, id, now, now);
 		poison->ops->harmless(poison->ctx, id, now);
 	}
 }
--- a/decide/poison.h
+++ b/decide/poison.h
@@ -75,8 +75,9 @@
 bool poison_add_crash(struct poison *poison, uint64_t part, uint32_t crash,
 		      clk_ms at, clk_ms now);
 /* Another host has seen a request with a part run at a time. Returns whether
- * something is recorded about the part. */
-bool poison_add_run(struct poison *poison, uint64_t part, clk_ms at);
+ * that matters: something is recorded about the part. */
+bool poison_add_run(struct poison *poison, uint64_t part, clk_ms at,
+		    clk_ms now);
 /* Whether a prompt has a blocked part. */
 bool poison_blocks(const struct poison *poison, const struct fleet_part *parts,
 		   size_t count);
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -943,6 +943,7 @@
 	STEP_RUN,	 /* an own request runs */
 	STEP_OTHERS_RUN, /* ten own requests without any of the parts run */
 	STEP_RUN_TOLD,	 /* another host reports a run */
+	STEP_FUTURE, /* one whose clock is wrong reports a crash and a run */
 };
 
 enum {
@@ -954,6 +955,7 @@
 
 #define POISON_STEPS_MAX 16
 #define POISON_EPOCH 1000000 /* wall clock at the start */
+#define FUTURE_MS 3600000    /* by which a clock is ahead */
 
 struct poison_step {
 	clk_ms at;
@@ -1070,6 +1072,15 @@
 	    { 2100, STEP_OTHERS_RUN, 0, 0 } },
 	  5000,
 	  0 },
+	{ "reports from the future don't count",
+	  { { 500, STEP_TOLD, DEADLY, 1 },
+	    { 600, STEP_FUTURE, DEADLY, 2 },
+	    { 1100, STEP_TOLD, DEADLY, 3 },
+	    { 1700, STEP_TOLD, DEADLY, 4 },
+	    { 1700, STEP_FUTURE, TOPIC, 5 },
+	    { 1800, STEP_OTHERS_RUN, 0, 0 } },
+	  5000,
+	  DEADLY },
 	{ "a blocked part stays blocked for minutes",
 	  { { 0, STEP_TOLD, DEADLY, 1 },
 	    { 1000, STEP_TOLD, DEADLY, 2 },
@@ -1176,7 +1187,14 @@
 			poison_add_crash(poison, parts[i].id, step->worker, at,
 					 at);
 		if (step->kind == STEP_RUN_TOLD)
-			poison_add_run(poison, parts[i].id, at);
+			poison_add_run(poison, parts[i].id, at, at);
+		if (step->kind == STEP_FUTURE) {
+			ck_assert(!poison_add_crash(poison, parts[i].id,
+						    step->worker,
+						    at + FUTURE_MS, at));
+			ck_assert(!poison_add_run(poison, parts[i].id,
+						  at + FUTURE_MS, at));
+		}
 	}
 }
 
