Streams: an event is bounded, so that bytes without end are given up

The users say that bytes that are no answer may come without end, in a head or a body, until the caller closes. A head and a body were bounded; an event of a stream was not: it grew until the deadline, callers got 504, and a few of them would have ended a process by its memory.

Change: an event of more than 1 MiB ends the attempt, which is repeated where it may be.

unit-proxy sse_rejects_endless_event and test_proxy_bytes_without_end ('event') fail before (4 MiB taken; 504), pass 3 of 3 after; its cases 'head' and 'body' passed before, too.

--- a/decide/sse.c
+++ b/decide/sse.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#define EVENT_MAX (1 << 20) /* bytes of one event */
+
 void sse_init(struct sse *sse, int64_t last_id)
 {
 	*sse = (struct sse){
@@ -79,7 +81,7 @@
 	}
 	g_string_erase(buf, 0, (gssize)start);
 	sse->scanned = buf->len > 0 ? buf->len - 1 : 0;
-	return true;
+	return buf->len <= EVENT_MAX;
 }
 
 bool sse_is_complete(const struct sse *sse)
--- a/decide/sse.h
+++ b/decide/sse.h
@@ -25,7 +25,7 @@
  * upstream. */
 void sse_discard_partial(struct sse *sse);
 /* Parses bytes and appends the complete new events to out. Returns false if
- * events are missing. */
+ * events are missing or one is too large. */
 bool sse_feed(struct sse *sse, const char *ptr, size_t len, GString *out);
 /* Returns whether there is no incomplete event. */
 bool sse_is_complete(const struct sse *sse);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -606,6 +606,37 @@
             assert len(rig.executed_by(got.ident)) == executions, (how, path)
 
 
+FLOODS = [
+    # where bytes come without end, path, pool
+    ("head", "/i/x", "api"), ("body", "/i/x", "api"),
+    ("head", "/s/x", "llm"), ("event", "/s/x", "llm"),
+    ("event", "/s1/x", "llm"),
+]
+
+
+async def test_proxy_bytes_without_end(net):
+    """A response that does not end is given up soon, with little memory, and
+    its request is repeated where it may be."""
+    async with Rig(net) as rig:
+        host = rig.hosts[0]
+        for where, path, pool in FLOODS:
+            worker = rig.workers_of(pool)[0]
+            worker.floods = where
+            count = len(worker.flood_ends)
+            while len(worker.flood_ends) == count:
+                got = await host.request("POST", path, b"b")
+                assert got.status in (200, 502), (where, path, got.status)
+                await asyncio.sleep(0.1)
+                assert worker.ident not in rig.executed_by(got.ident) or (
+                    len(worker.flood_ends) > count), (where, path)
+            assert worker.flood_ends[-1] < 2, (where, path, worker.flood_ends)
+            assert got.status == (502 if path == "/s1/x" else 200), where
+            worker.floods = None
+        with open("/proc/%d/status" % host.process.pid) as file:
+            peak = [line for line in file if line.startswith("VmHWM")][0]
+        assert int(peak.split()[1]) < 80000, peak  # KiB
+
+
 # Workers that leave or ask for less.
 
 async def test_proxy_server_leaving(net):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -348,6 +348,10 @@
         # events ("all"), inside an event ("event") or before the first one
         # ("none").
         self.unframed = None
+        # Bytes without end: in the "head", the "body" of a response, or an
+        # "event" of a stream.
+        self.floods = None
+        self.flood_ends = []  # how long each one lasted, in s
         self.says_leaving = False  # in all its answers
         self.retry_after = None  # of its 503 in the mode "full"
         self.deadly_part = None  # hex id of a prompt part that crashes it
@@ -373,6 +377,23 @@
         host, port = self.address.split(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
 
+    async def flood(self, own, writer):
+        began = time.monotonic()
+        start = "HTTP/1.1 200 OK\r\n" + "\r\n".join(own) + "\r\n"
+        if self.floods == "head":
+            start += "X-Padding: "
+        elif self.floods == "body":
+            start += "\r\n"
+        else:
+            start += "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: "
+        writer.write(start.encode())
+        try:
+            while True:
+                writer.write(b"x" * 65536)
+                await writer.drain()
+        except ConnectionError:
+            self.flood_ends.append(time.monotonic() - began)
+
     async def crash(self):
         """Resets every connection, and is back after a while."""
         self.crashed_at.append(time.monotonic())
@@ -442,6 +463,9 @@
             await asyncio.sleep(0.05)
             await self.crash()
             return False
+        if self.floods:
+            await self.flood(own, writer)
+            return False
         if self.mode == "error":
             writer.write(response(500, b"broken", own))
             return True
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -215,6 +215,26 @@
 }
 END_TEST
 
+/* An event without an end is given up before it takes much memory. */
+START_TEST(sse_rejects_endless_event)
+{
+	struct sse sse;
+	GString *out = g_string_new(NULL);
+	char piece[4096];
+	size_t fed = 0;
+
+	memset(piece, 'x', sizeof(piece));
+	sse_init(&sse, -1);
+	while (fed < 4 << 20 && sse_feed(&sse, piece, sizeof(piece), out))
+		fed += sizeof(piece);
+	ck_assert_uint_ge(fed, 512 << 10);
+	ck_assert_uint_lt(fed, 2 << 20);
+	ck_assert_uint_eq(out->len, 0);
+	sse_clear(&sse);
+	g_string_free(out, TRUE);
+}
+END_TEST
+
 START_TEST(sse_accepts_any_split)
 {
 	const char *text = "id: 7\ndata: a\n\nid: 8\ndata: b\n\n";
@@ -1309,6 +1329,7 @@
 	tcase_add_loop_test(tcase, sse_splits_events, 0,
 			    G_N_ELEMENTS(sse_cases));
 	tcase_add_test(tcase, sse_accepts_any_split);
+	tcase_add_test(tcase, sse_rejects_endless_event);
 	tcase_add_loop_test(tcase, tab_finds_the_longest_prefix, 0,
 			    G_N_ELEMENTS(tab_cases));
 	tcase_add_test(tcase, tab_splits_by_weight);
