Prompts: a part that never ran goes before one that did

Cause: all prompts with the deadly part share another one, a topic. It is in as many crashes or more, was blocked, and explained the crashes away for the deadly part; when a sound request with the topic ran, nothing was blocked any more. Only hosts on which the topic had run knew that it had. Also seen: rare parts blocked by three crashes while ten workers a second crashed; a release that took 6 s, as a thousand runs were gossiped.

Change: a run counts on all hosts; a part that never ran goes before one that did, whatever the counts; four crashes are needed, eight for a part that ran; runs are told only if two crashes or more speak against the part, and broadcast if it is blocked; a log line tells of them.

--- a/daemon/proxyd-guard.c
+++ b/daemon/proxyd-guard.c
@@ -4,7 +4,7 @@
  *
  * Evidence travels as notices, "crash/PART/REQUEST" and "run/PART", stamped
  * with the wall clock. A crash is broadcast, as the next one may follow at
- * once; a run is only gossiped, as most hosts will see one of their own.
+ * once, and the run that releases a part; other runs are only gossiped.
  */
 #include "proxyd-xfer.h"
 
@@ -25,16 +25,21 @@
 	slog(SLOG_NOTICE, "poison",
 	     "part=%" G_GINT64_MODIFIER "x crash=%08x outcome=suspected", part,
 	     crash);
-	g_array_append_val(proxyd->crash_notices, notice);
+	g_array_append_val(proxyd->urgent_notices, notice);
 	member_on_notice(proxyd->members, &notice);
 }
 
-static void op_harmless(void *ctx, uint64_t part, clk_ms at)
+static void op_harmless(void *ctx, uint64_t part, clk_ms at, bool blocked)
 {
 	struct proxyd *proxyd = ctx;
 	struct member_notice notice = { .set = true, .stamp = (uint64_t)at };
 
 	g_snprintf(notice.subject, sizeof(notice.subject), RUN_SUBJECT, part);
+	slog(SLOG_NOTICE, "poison",
+	     "part=%" G_GINT64_MODIFIER "x blocked=%d outcome=harmless", part,
+	     blocked);
+	if (blocked)
+		g_array_append_val(proxyd->urgent_notices, notice);
 	member_on_notice(proxyd->members, &notice);
 }
 
@@ -113,20 +118,20 @@
 	};
 
 	proxyd->poison = poison_create(&ops, proxyd);
-	proxyd->crash_notices =
+	proxyd->urgent_notices =
 		g_array_new(FALSE, FALSE, sizeof(struct member_notice));
 }
 
 void guard_tick(struct proxyd *proxyd)
 {
-	GArray *notices = proxyd->crash_notices;
+	GArray *notices = proxyd->urgent_notices;
 	clk_ms now = proxyd_now(proxyd);
 	guint count = MIN(notices->len, MEMBER_NOTICES_MAX);
 
 	poison_tick(proxyd->poison, proxyd_wall(proxyd));
-	if (count == 0 || now < proxyd->next_crash_notices)
+	if (count == 0 || now < proxyd->next_urgent_notices)
 		return;
-	proxyd->next_crash_notices = now + BROADCAST_GAP_MS;
+	proxyd->next_urgent_notices = now + BROADCAST_GAP_MS;
 	member_broadcast(proxyd->members,
 			 (const struct member_notice *)notices->data, count);
 	g_array_remove_range(notices, 0, count);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -136,8 +136,8 @@
 	struct usage usage;
 	struct wall wall;
 	struct poison *poison;
-	GArray *crash_notices; /* of struct member_notice, not sent yet */
-	clk_ms next_crash_notices;
+	GArray *urgent_notices; /* of struct member_notice, not sent yet */
+	clk_ms next_urgent_notices;
 	struct lease leader_lease;
 	int64_t host_lease;	   /* lease of this host's own key; 0: none */
 	int64_t host_key_revision; /* of that key; 0: none */
--- a/decide/poison.c
+++ b/decide/poison.c
@@ -8,8 +8,9 @@
 #define PROOF_WAIT_MS 250
 #define SAME_CRASH_MS 500   /* crashes within this time count once */
 #define MASS_WORKERS 3	    /* lost at once: no prompt is the cause */
-#define BLOCK_CRASHES 3	    /* that count, before a part is blocked */
-#define BLOCK_CRASHES_RAN 6 /* the same for one that has run before */
+#define BLOCK_CRASHES 4	    /* that count, before a part is blocked */
+#define BLOCK_CRASHES_RAN 8 /* the same for one that has run before */
+#define TELL_RUN_CRASHES 2  /* against a part, before a run of it matters */
 /* Requests without the part that must have run meanwhile: otherwise the workers
  * are in trouble whatever they are sent. */
 #define CONTRAST_RUNS 3
@@ -31,6 +32,7 @@
 	uint64_t id;
 	GArray *crashes;      /* of struct poison_crash, by time */
 	unsigned count;	      /* of them, those at about the same time once */
+	bool ran;	      /* a request with it has run, on some host */
 	uint64_t runs_before; /* requests that had run at the first crash */
 	clk_ms harmless_at;   /* last run; crashes before do not count */
 	clk_ms updated_at;
@@ -182,11 +184,23 @@
 	g_ptr_array_add(poison->unproved, row);
 }
 
+/* Records that a request with a part has run, on whatever host. */
+static void ran_add(struct poison *poison, uint64_t id)
+{
+	if (g_hash_table_size(poison->ran) >= RAN_MAX)
+		g_hash_table_remove_all(poison->ran);
+	if (!g_hash_table_contains(poison->ran, &id))
+		g_hash_table_add(poison->ran, g_memdup2(&id, sizeof(id)));
+}
+
 bool poison_add_run(struct poison *poison, uint64_t id, clk_ms at, clk_ms now)
 {
 	struct poison_part *part = part_find(poison, id);
 
-	if (!part || at - now > SKEW_MAX_MS)
+	if (at - now > SKEW_MAX_MS)
+		return false;
+	ran_add(poison, id);
+	if (!part)
 		return false;
 	part->harmless_at = MAX(part->harmless_at, at);
 	part->updated_at = MAX(part->updated_at, at);
@@ -207,22 +221,19 @@
 		   size_t count, clk_ms now)
 {
 	poison->runs++;
-	if (g_hash_table_size(poison->ran) + count > RAN_MAX)
-		g_hash_table_remove_all(poison->ran);
 	for (size_t i = 0; i < count; i++) {
 		uint64_t id = parts[i].id;
 		const struct poison_part *part = part_find(poison, id);
+		bool matters = part && part->count >= TELL_RUN_CRASHES;
+		bool blocked = part && part->blocked;
 
-		if (!g_hash_table_contains(poison->ran, &id))
-			g_hash_table_add(poison->ran,
-					 g_memdup2(&id, sizeof(id)));
+		ran_add(poison, id);
 		for (guint j = 0; j < poison->unproved->len; j++)
 			unproved_remove(g_ptr_array_index(poison->unproved, j),
 					id);
-		if (!part || part->crashes->len == 0)
-			continue;
 		poison_add_run(poison, id, now, now);
-		poison->ops->harmless(poison->ctx, id, now);
+		if (matters)
+			poison->ops->harmless(poison->ctx, id, now, blocked);
 	}
 }
 
@@ -264,28 +275,35 @@
 static bool is_cause(const struct poison *poison,
 		     const struct poison_part *part)
 {
-	bool ran = g_hash_table_contains(poison->ran, &part->id);
-
-	return part->count >= (ran ? BLOCK_CRASHES_RAN : BLOCK_CRASHES) &&
+	return part->count >= (part->ran ? BLOCK_CRASHES_RAN : BLOCK_CRASHES) &&
 	       (part->blocked ||
 		poison->runs - part->runs_before >= CONTRAST_RUNS);
 }
 
+/* Whether there is more evidence against a part than against another: one that
+ * never ran comes first. */
+static bool is_stronger(const struct poison_part *part,
+			const struct poison_part *other)
+{
+	return part->ran != other->ran ? other->ran
+				       : part->count > other->count;
+}
+
 static gint part_cmp(gconstpointer a, gconstpointer b)
 {
-	unsigned x = (*(const struct poison_part *const *)a)->count;
-	unsigned y = (*(const struct poison_part *const *)b)->count;
+	const struct poison_part *x = *(const struct poison_part *const *)a;
+	const struct poison_part *y = *(const struct poison_part *const *)b;
 
-	return x < y ? 1 : x > y ? -1 : 0;
+	return is_stronger(x, y) ? -1 : is_stronger(y, x);
 }
 
 /* A cause explains the crashes of its requests, also for their other parts,
- * unless one of these has as much evidence against it. */
+ * unless there is as much evidence against these. */
 static void crashes_explain(struct poison *poison,
 			    const struct poison_part *cause,
 			    struct poison_part *other)
 {
-	if (other->count >= cause->count)
+	if (!is_stronger(cause, other))
 		return;
 	for (guint i = other->crashes->len; i-- > 0;)
 		if (has_crash(cause, crash_at(other, i)->crash))
@@ -314,8 +332,11 @@
 
 	g_hash_table_iter_init(&iter, poison->parts);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		crashes_count(value);
-		g_ptr_array_add(parts, value);
+		struct poison_part *part = value;
+
+		crashes_count(part);
+		part->ran = g_hash_table_contains(poison->ran, &part->id);
+		g_ptr_array_add(parts, part);
 	}
 	g_ptr_array_sort(parts, part_cmp);
 	for (guint i = 0; i < parts->len; i++) {
--- a/decide/poison.h
+++ b/decide/poison.h
@@ -30,8 +30,9 @@
 	/* Other hosts are to learn that a request with a part had no output
 	 * when its worker crashed; crash: a number for the request. */
 	void (*crashed)(void *ctx, uint64_t part, uint32_t crash, clk_ms at);
-	/* Other hosts are to learn that a request with a part has run. */
-	void (*harmless)(void *ctx, uint64_t part, clk_ms at);
+	/* Other hosts are to learn that a request with a part has run; blocked:
+	 * requests with it are. */
+	void (*harmless)(void *ctx, uint64_t part, clk_ms at, bool blocked);
 	/* Requests with a part are blocked, or no longer. */
 	void (*changed)(void *ctx, uint64_t part, bool blocked);
 	/* A crash is no longer evidence against a part. */
@@ -43,8 +44,8 @@
 };
 
 struct poison {
-	GHashTable *parts;   /* id -> struct poison_part */
-	GHashTable *ran;     /* set of parts of requests that have run */
+	GHashTable *parts; /* id -> struct poison_part */
+	GHashTable *ran;   /* set of parts of requests that have run anywhere */
 	GPtrArray *unproved; /* of struct unproved_crash, own and recent */
 	uint64_t runs;	     /* requests of this host that have run */
 	const struct poison_ops *ops;
