Prompts: crashes in quick succession don't use up the room for later ones

Cause: 32 crashes are recorded for a part, and those within 0.5 s count once. At 40 crashes a second the room was used up before four counted.

Change: room for 128, and when it is used up, one that does not count makes room.

unit-proxy poison_blocks_at_high_rate (200 crashes a second) fails before, passes after.

--- a/decide/poison.c
+++ b/decide/poison.c
@@ -19,7 +19,7 @@
 #define TRY_MS 30000	  /* until a blocked part is tried; then doubled */
 #define SKEW_MAX_MS 30000 /* by which hosts' clocks may differ */
 #define PARTS_MAX 1024	  /* with evidence; of more none is recorded */
-#define CRASHES_MAX 32	  /* recorded for one part */
+#define CRASHES_MAX 128	  /* recorded for one part */
 #define RAN_MAX 16384	  /* parts that have run; then forgotten */
 
 /* One crash as evidence against a part. */
@@ -148,6 +148,26 @@
 	poison->ops->dropped(poison->ctx, part->id, crash);
 }
 
+/* Drops a crash that does not count, as others were at about the same time.
+ * Returns false if there is none. */
+static bool crashes_thin(struct poison *poison, struct poison_part *part)
+{
+	clk_ms last;
+
+	crashes_count(part);
+	last = crash_at(part, 0)->at;
+	for (guint i = 1; i < part->crashes->len; i++) {
+		clk_ms at = crash_at(part, i)->at;
+
+		if (at - last < SAME_CRASH_MS) {
+			crash_drop(poison, part, i);
+			return true;
+		}
+		last = at;
+	}
+	return false;
+}
+
 bool poison_add_crash(struct poison *poison, uint64_t id, uint32_t crash,
 		      clk_ms at, clk_ms now)
 {
@@ -161,7 +181,7 @@
 		return false;
 	if (has_crash(part, crash))
 		return true;
-	if (part->crashes->len >= CRASHES_MAX)
+	if (part->crashes->len >= CRASHES_MAX && !crashes_thin(poison, part))
 		return false;
 	if (part->crashes->len == 0)
 		part->runs_before = poison->runs;
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1288,6 +1288,25 @@
 }
 END_TEST
 
+/* Crashes in quick succession must not use up the room for later ones. */
+START_TEST(poison_blocks_at_high_rate)
+{
+	struct poison *poison = poison_create(&poison_test_ops, NULL);
+	struct fleet_part part = { .id = DEADLY };
+	clk_ms at = POISON_EPOCH;
+
+	for (uint32_t i = 0; i < 600 && !poison_blocks(poison, &part, 1); i++) {
+		poison_add_crash(poison, DEADLY, i, at, at);
+		poison_on_run(poison, NULL, 0, at);
+		at += 5;
+		if (i % 20 == 0)
+			poison_tick(poison, at);
+	}
+	ck_assert(poison_blocks(poison, &part, 1));
+	poison_free(poison);
+}
+END_TEST
+
 START_TEST(poison_tries_blocked_part_seldom)
 {
 	unsigned dropped = 0;
@@ -1392,6 +1411,7 @@
 			    (int)G_N_ELEMENTS(unreported));
 	tcase_add_loop_test(tcase, poison_blocks_cause, 0,
 			    G_N_ELEMENTS(poison_cases));
+	tcase_add_test(tcase, poison_blocks_at_high_rate);
 	tcase_add_test(tcase, poison_tries_blocked_part_seldom);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
