--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -134,6 +134,7 @@
 	} else {
 		worker = g_new0(struct fleet_worker, 1);
 		worker->refs = 1;
+		worker->limit = -1;
 		worker->entry = *entry;
 		worker->cached_parts = g_hash_table_new(NULL, NULL);
 		g_hash_table_insert(fleet->workers, worker->entry.id, worker);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -72,6 +72,8 @@
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
 				   * has not said so */
+	double limit;		  /* requests a second that it takes from all
+				   * hosts; < 0: it names none */
 	clk_ms leaves_at;	  /* expected end; 0: not known to be leaving */
 	void *http_peer;	  /* the user's connections to it */
 	unsigned refs;		  /* held by the fleet and by requests */
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -61,6 +61,8 @@
 	X(stalls, "attempts given up because the upstream was silent")         \
 	X(workers_withheld, "times a worker wanted no requests for a while")   \
 	X(retry_after_bad, "malformed Retry-After headers of workers")         \
+	X(limits_named, "times a worker named a limit, or another one")        \
+	X(limits_bad, "malformed limits named by workers")                     \
 	X(workers_said_leaving, "workers that said in a response to leave")    \
 	X(connects, "connections opened to upstreams")                         \
 	X(reuses, "requests on a kept-alive connection")                       \
