--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -741,6 +741,65 @@
         assert (await caller.request("GET", "/i/x")).status == 200
 
 
+# Limits that workers name.
+
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5   # of the limit, that may arrive in a window
+LIMIT_EXTRA = 5     # requests in a window besides
+
+
+def check_limit(worker, limit, since):
+    """Checks the requests that arrived at a worker in each window after the
+    time since which all hosts have to keep to its limit."""
+    at = sorted(t for t in worker.received_at.values() if t >= since)
+    allowed = LIMIT_RATIO * LIMIT_WINDOW_S * limit + LIMIT_EXTRA
+    for i, begin in enumerate(at):
+        count = sum(t < begin + LIMIT_WINDOW_S for t in at[i:])
+        assert count <= allowed, "%s, limit %s: %d requests in %s s" % (
+            worker.ident, limit, count, LIMIT_WINDOW_S)
+
+
+async def send_calls(hosts, path, period_s, until, results):
+    """Sends a call every period_s, to one host after the other. Adds when it
+    was sent, how long it took and the response to the results."""
+    tasks = []
+
+    async def send(host):
+        sent = time.monotonic()
+        try:
+            got = await host.request("GET", path)
+        except OSError:
+            return
+        results.append((sent, time.monotonic() - sent, got))
+    number = 0
+    while time.monotonic() < until:
+        tasks.append(asyncio.create_task(send(hosts[number % len(hosts)])))
+        number += 1
+        await asyncio.sleep(period_s)
+    await asyncio.gather(*tasks)
+
+
+async def test_proxy_worker_limit_over_hosts(net):
+    """A worker that names a limit in its answers gets no more requests from all
+    hosts together, though it is asked for more and others have room."""
+    async with Rig(net, hosts=3, api=4) as rig:
+        await rig.wait_membership()
+        limits = {"w-api-0": 1.0, "w-api-1": 1.4}
+        began = time.monotonic()
+        results = []
+        load = asyncio.create_task(send_calls(
+            rig.hosts, "/i/x", 0.02, began + 11, results))
+        await asyncio.sleep(1)
+        limited = [w for w in rig.workers if w.ident in limits]
+        for worker in limited:
+            worker.limits = ("%g" % limits[worker.ident],)
+        named = time.monotonic()
+        await load
+        for worker in limited:
+            check_limit(worker, limits[worker.ident], named + STABLE_WINDOW_S)
+        assert all(got.status == 200 for _, _, got in results)
+
+
 # Prompts that crash workers.
 
 async def send_prompts(rig, path, parts, period_s, until, results):
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -354,6 +354,7 @@
         self.flood_ends = []  # how long each one lasted, in s
         self.says_leaving = False  # in all its answers
         self.retry_after = None  # of its 503 in the mode "full"
+        self.limits = ()  # values of Server-Limit in all its answers
         self.deadly_part = None  # hex id of a prompt part that crashes it
         self.crashed_at = []
         self.deadly_at = []      # arrivals of requests with that part
@@ -433,6 +434,7 @@
         self.received.append(headers)
         self.received_at[ident] = time.monotonic()
         said = ["Server-Leaving: 1"] if self.says_leaving else []
+        said += ["Server-Limit: " + value for value in self.limits]
         expected = headers.get("redwingpitch-expected-instance")
         if expected not in (None, self.ident):
             writer.write(response(421, b"", said))
