Permits: hosts that are turned down come back seldom, and in time

Cause: each host asks for each worker again after 10 s at most, whatever the rate; and return times were given by the half rate of a new issuer, so that its whole rate later found too few askers.

Change: 30 s at most between two questions of a host, return times by the whole rate and a fifth closer, given anew when the rate or the hosts in contact change; a raised limit may be asked for at once. An issuer that is in contact with nobody sends askers away for 0.2 s, not 10.

--- a/daemon/proxyd-permit.c
+++ b/daemon/proxyd-permit.c
@@ -15,7 +15,7 @@
 /* Until a host that has asked the wrong one knows who the issuer is. */
 #define WRONG_ISSUER_MS 200
 /* So often a host that starts asks another one for all limits. */
-#define START_QUESTIONS 5
+#define START_QUESTIONS 3
 #define DURATION_MAX_MS 1e6 /* in an answer; longer is an error */
 /* News of workers that are not listed here yet. */
 #define NEWS_MAX 1024
--- a/decide/fleet-limit.c
+++ b/decide/fleet-limit.c
@@ -37,6 +37,9 @@
 	}
 	if (limit->holder->rate == rate)
 		return false;
+	/* When to ask again was told for the lower rate. */
+	if (rate > limit->holder->rate)
+		limit->holder->ask_after = 0;
 	limit->holder->rate = rate;
 	return true;
 }
--- a/decide/permit.c
+++ b/decide/permit.c
@@ -16,7 +16,12 @@
 #define SETTLE_MS 2500	 /* until a former issuer has noticed that it is none */
 #define SETTLE_SHARE 0.5 /* of the rate, meanwhile */
 #define RETRY_MIN_MS 50
-#define RETRY_MAX_MS 10000
+#define NO_CONTACT_MS 200 /* until an issuer knows which hosts it reaches */
+/* Where many hosts ask for few permits, each asks this seldom. */
+#define RETRY_MAX_MS 30000
+/* Between two hosts that come back, of the time between two permits: not all
+ * that were turned down still have a request when they are to come. */
+#define INVITATION_SHARE 0.8
 #define ANSWER_MS 300 /* without an answer, the question is asked again */
 #define WANTED_MAX PERMIT_QUEUE_MAX
 
@@ -37,9 +42,10 @@
 
 /* Returns when a host that is turned down is to ask again: the hosts come one
  * after the other, each when a permit can be issued. */
-static clk_ms next_invitation(struct permit_issuer *issuer, double gap,
+static clk_ms next_invitation(struct permit_issuer *issuer, double rate,
 			      clk_ms now)
 {
+	double gap = INVITATION_SHARE * CLK_SECOND / rate;
 	double latest = (double)(now + HORIZON_MS + RETRY_MAX_MS);
 	double wait;
 
@@ -54,7 +60,10 @@
 {
 	double gap = permit_gap(issuer, rate, reach, now);
 	double horizon = (double)(now + HORIZON_MS);
-	struct permit_grant grant = { .gap = gap, .retry = RETRY_MAX_MS };
+	struct permit_grant grant = {
+		.gap = gap,
+		.retry = reach > 0 ? RETRY_MAX_MS : NO_CONTACT_MS,
+	};
 	unsigned most;
 	double late;
 
@@ -63,9 +72,12 @@
 				 with a permit. */
 	if (issuer->next == 0)
 		issuer->next = (double)issuer->since + MIN(gap, SETTLE_MS);
-	/* Hosts that were turned down did not come back. */
-	if (issuer->next < (double)(now - CREDIT_MS))
-		issuer->invited = issuer->next;
+	/* Hosts that were turned down did not come back, or were told to for
+	 * another rate. */
+	if (issuer->next < (double)(now - CREDIT_MS) ||
+	    issuer->issued != rate * reach)
+		issuer->invited = 0;
+	issuer->issued = rate * reach;
 	/* The rate may have risen since the last permit. */
 	issuer->next =
 		CLAMP(issuer->next, (double)(now - CREDIT_MS), horizon + gap);
@@ -76,7 +88,8 @@
 		grant.count++;
 		issuer->next += gap;
 	}
-	grant.retry = grant.count ? 0 : next_invitation(issuer, gap, now);
+	grant.retry =
+		grant.count ? 0 : next_invitation(issuer, rate * reach, now);
 	return grant;
 }
 
--- a/decide/permit.h
+++ b/decide/permit.h
@@ -36,6 +36,7 @@
 /* The permits for one worker, at its issuer. */
 struct permit_issuer {
 	clk_ms since;	/* when this host became the issuer */
+	double issued;	/* permits a second, at the last question */
 	double next;	/* when the next permit begins, in clk_ms */
 	double invited; /* the permit that the last host that was turned down
 			 * is to come back for begins then */
