Workers: a limit of 0 ends when the worker raises it

A worker that names a limit of 0 gets no requests, so that no response to one can tell that it has raised it: it stayed out of use until its process was replaced. test_proxy_worker_limit_of_zero fails before (no health check, no request served after the limit was raised), passes after.

The rendezvous pick of the issuer moves to decide/member, hashes the key once, and is done once a second for workers for which this host issues nothing.

--- a/daemon/proxyd-permit.c
+++ b/daemon/proxyd-permit.c
@@ -16,7 +16,8 @@
 #define WRONG_ISSUER_MS 200
 /* So often a host that starts asks another one for all limits. */
 #define START_QUESTIONS 3
-#define DURATION_MAX_MS 1e6 /* in an answer; longer is an error */
+#define ISSUER_CHECK_MS 1000 /* between two checks of all limited workers */
+#define DURATION_MAX_MS 1e6  /* in an answer; longer is an error */
 /* News of workers that are not listed here yet. */
 #define NEWS_MAX 1024
 #define NEWS_MS 10000
@@ -37,29 +38,8 @@
 static const struct member *issuer_of(const struct proxyd *proxyd,
 				      const struct fleet_worker *worker)
 {
-	const struct member_list *members = proxyd->members;
-	const struct member *issuer = NULL;
-	uint64_t best = proxyd->stopping
-				? 0
-				: member_weight(members->self.incarnation,
-						worker->entry.id);
-
-	for (guint i = 0; i < members->order->len; i++) {
-		const struct member *member =
-			g_ptr_array_index(members->order, i);
-		uint64_t weight;
-
-		if (member->info.state != MEMBER_ALIVE ||
-		    !is_current(member->info.incarnation))
-			continue;
-		weight = member_weight(member->info.incarnation,
-				       worker->entry.id);
-		if (weight > best) {
-			best = weight;
-			issuer = member;
-		}
-	}
-	return issuer;
+	return member_first(proxyd->members, worker->entry.id, proxyd->stopping,
+			    is_current);
 }
 
 /* The share of the hosts that may be sending which this one is in contact
@@ -102,11 +82,9 @@
 	rpc_send_permit_ask(proxyd->rpc, issuer->info.rpc, &ask);
 }
 
-void permit_on_head(struct xfer *xfer)
+void permit_on_response(struct proxyd *proxyd, struct fleet_worker *worker,
+			const struct head_response *head, clk_ms sent_at)
 {
-	struct proxyd *proxyd = xfer->proxyd;
-	struct fleet_worker *worker = xfer->worker;
-	const struct head_response *head = &xfer->response.head;
 	const struct member *issuer;
 	bool changed;
 	bool tell;
@@ -115,12 +93,9 @@
 		proxyd_count(proxyd, CTR_limits_bad);
 		return;
 	}
-	/* What is not signed may not be the worker's. */
-	if (!head->has_limit && !head->is_signed)
-		return;
-	changed = fleet_limit_on_response(
-		worker, head->has_limit ? head->limit : -1, xfer->sent_at,
-		proxyd_now(proxyd), &tell);
+	changed = fleet_limit_on_response(worker,
+					  head->has_limit ? head->limit : -1,
+					  sent_at, proxyd_now(proxyd), &tell);
 	if (changed)
 		limit_changed(proxyd, worker, "named");
 	if (!tell)
@@ -130,10 +105,20 @@
 		ask_send(proxyd, issuer, worker, 0, true);
 	else
 		worker->limit.untold |= changed;
-	if (changed && !head->has_limit)
+	if (changed)
 		queue_update(proxyd, worker->entry.pool);
 }
 
+void permit_on_head(struct xfer *xfer)
+{
+	const struct head_response *head = &xfer->response.head;
+
+	/* What is not signed may not be the worker's. */
+	if (head->has_limit || head->is_signed || head->bad_limit)
+		permit_on_response(xfer->proxyd, xfer->worker, head,
+				   xfer->sent_at);
+}
+
 bool permit_ask_for(struct proxyd *proxyd, struct fleet_worker *worker)
 {
 	const struct member *issuer = issuer_of(proxyd, worker);
@@ -368,27 +353,45 @@
 	return *(const clk_ms *)now - news->at > NEWS_MS;
 }
 
-void permit_tick(struct proxyd *proxyd)
+/* Does the work of an issuer for the limited workers: announces their limits,
+ * and asks for the health of those that take no requests. all: also those for
+ * which this host has not issued permits yet. */
+static void issuer_tick(struct proxyd *proxyd, bool all)
 {
-	clk_ms now = proxyd_now(proxyd);
 	GHashTableIter iter;
 	gpointer value;
-	g_hash_table_foreach_remove(proxyd->limit_news, news_is_old, &now);
-	if (proxyd->limit_questions < START_QUESTIONS)
-		limits_ask(proxyd);
+
 	g_hash_table_iter_init(&iter, proxyd->fleet->workers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct fleet_worker *worker = value;
 
-		if (!worker->limit.issuer && !worker->limit.untold)
+		if (!worker->limit.issuer && !worker->limit.untold &&
+		    (!all || !worker->limit.holder))
 			continue;
-		if (issuer_of(proxyd, worker))
+		if (issuer_of(proxyd, worker)) {
 			fleet_limit_issuer_stop(worker);
-		else if (fleet_limit_announce(worker, now))
+			continue;
+		}
+		if (fleet_limit_announce(worker, proxyd_now(proxyd)))
 			limit_announce(proxyd, worker);
+		if (worker->limit.holder)
+			probe_send(proxyd, worker);
 	}
 }
 
+void permit_tick(struct proxyd *proxyd)
+{
+	clk_ms now = proxyd_now(proxyd);
+	bool all = now >= proxyd->next_issuer_check;
+
+	g_hash_table_foreach_remove(proxyd->limit_news, news_is_old, &now);
+	if (proxyd->limit_questions < START_QUESTIONS)
+		limits_ask(proxyd);
+	if (all)
+		proxyd->next_issuer_check = now + ISSUER_CHECK_MS;
+	issuer_tick(proxyd, all);
+}
+
 void permit_start(struct proxyd *proxyd)
 {
 	proxyd->limit_news =
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -98,6 +98,10 @@
 /* Notes the limit that the head of the response names, or that it names none.
  */
 void permit_on_head(struct xfer *xfer);
+/* The same for another response of a worker, to a request that was sent at
+ * sent_at. */
+void permit_on_response(struct proxyd *proxyd, struct fleet_worker *worker,
+			const struct head_response *head, clk_ms sent_at);
 /* Asks for permits; returns whether there is one already. */
 bool permit_ask_for(struct proxyd *proxyd, struct fleet_worker *worker);
 
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -258,6 +258,7 @@
 	move_tick(proxyd);
 	guard_tick(proxyd);
 	permit_tick(proxyd);
+	probe_tick(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
 	status_tick(proxyd);
@@ -496,6 +497,7 @@
 	group_start(proxyd);
 	guard_start(proxyd);
 	permit_start(proxyd);
+	probe_start(proxyd);
 	queue_start(proxyd);
 	leader_start(proxyd);
 	loop_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -8,9 +8,9 @@
  * proxyd-relay.c (reports between hosts), proxyd-limits.c (accounts near their
  * limits, kept in the store), proxyd-front.c (checks on a caller's request),
  * proxyd-xfer.c, proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
- * proxyd-permit.c (limits that workers name), proxyd-queue.c (requests that
- * wait for a permit), proxyd-guard.c (prompts that crash workers),
- * proxyd-local.c (the host's own HTTP endpoints), proxyd-leader.c and
+ * proxyd-permit.c and proxyd-probe.c (limits that workers name), proxyd-queue.c
+ * (requests that wait for a permit), proxyd-guard.c (prompts that crash
+ * workers), proxyd-local.c (the host's own HTTP endpoints), proxyd-leader.c and
  * proxyd-scale.c (the leader's duties).
  */
 #ifndef DAEMON_PROXYD_H
@@ -147,7 +147,9 @@
 	struct poison *poison;
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
 	unsigned limit_questions; /* for all limits, since the start */
-	GArray *urgent_notices;	  /* of struct member_notice, not sent yet */
+	clk_ms next_issuer_check;
+	GPtrArray *probes;	/* of struct probe */
+	GArray *urgent_notices; /* of struct member_notice, not sent yet */
 	clk_ms next_urgent_notices;
 	struct lease leader_lease;
 	int64_t host_lease;	   /* lease of this host's own key; 0: none */
@@ -300,6 +302,12 @@
 void permit_on_answer(void *ctx, const w_permit_grant *answer);
 /* A worker is listed. */
 void permit_on_worker(struct proxyd *proxyd, struct fleet_worker *worker);
+/* proxyd-probe.c: health checks of workers that take no requests */
+void probe_start(struct proxyd *proxyd);
+void probe_tick(struct proxyd *proxyd);
+/* Sends one to a worker that names a limit, if it is due. */
+void probe_send(struct proxyd *proxyd, struct fleet_worker *worker);
+
 /* proxyd-queue.c: requests that wait for a permit */
 void queue_start(struct proxyd *proxyd);
 /* Sends those for which there are permits now, and refuses those for which none
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -66,6 +66,7 @@
 	clk_ms told_at;	 /* the issuer was last told; 0: never */
 	bool untold; /* this host is the issuer, and is to tell the others */
 	clk_ms announced_at; /* it last has; 0: never */
+	clk_ms probed_at; /* it last asked for the worker's health; 0: never */
 };
 
 struct fleet_worker {
--- a/decide/member.c
+++ b/decide/member.c
@@ -209,6 +209,31 @@
 	return best;
 }
 
+const struct member *member_first(const struct member_list *list,
+				  const char *key, bool leaving,
+				  bool (*accepts)(const char *incarnation))
+{
+	uint64_t seed = XXH64(key, strlen(key), 0);
+	const char *self = list->self.incarnation;
+	uint64_t best = leaving ? 0 : XXH64(self, strlen(self), seed);
+	const struct member *first = NULL;
+
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+		const char *incarnation = member->info.incarnation;
+		uint64_t weight;
+
+		if (member->info.state != MEMBER_ALIVE || !accepts(incarnation))
+			continue;
+		weight = XXH64(incarnation, strlen(incarnation), seed);
+		if (weight > best) {
+			best = weight;
+			first = member;
+		}
+	}
+	return first;
+}
+
 unsigned member_self_rank(const struct member_list *list, const char *key)
 {
 	uint64_t own = member_weight(list->self.incarnation, key);
--- a/decide/member.h
+++ b/decide/member.h
@@ -175,6 +175,12 @@
  * hash, or NULL if there is none. Members outside avoid_dc are preferred. */
 const struct member *member_pick(const struct member_list *list,
 				 const char *key, const char *avoid_dc);
+/* Returns the MEMBER_ALIVE member that ranks highest for a key, among those
+ * that accepts takes, or NULL if this host does; leaving: this host counts only
+ * if there is no such member. */
+const struct member *member_first(const struct member_list *list,
+				  const char *key, bool leaving,
+				  bool (*accepts)(const char *incarnation));
 /* Returns whether this host ranks among the top n for a key. */
 bool member_self_in_top(const struct member_list *list, const char *key,
 			unsigned n);
--- a/decide/tab.c
+++ b/decide/tab.c
@@ -9,6 +9,7 @@
 
 	if (pool->scaling.dc_prices)
 		g_hash_table_destroy(pool->scaling.dc_prices);
+	g_free(pool->health_path);
 	g_free(pool->name);
 	g_free(pool);
 }
@@ -71,6 +72,7 @@
 		return pool;
 	pool = g_new0(struct tab_pool, 1);
 	pool->name = g_strdup(name);
+	pool->health_path = g_strdup("");
 	g_hash_table_insert(tab->pools, pool->name, pool);
 	return pool;
 }
--- a/decide/tab.h
+++ b/decide/tab.h
@@ -27,6 +27,7 @@
 struct tab_pool {
 	char *name;
 	unsigned connection_limit; /* of one worker, across all callers */
+	char *health_path;	   /* of its workers' health check; "": none */
 	bool engine;		   /* its workers run models in batches */
 	int slots;		   /* requests in one batch */
 	int64_t cache_tokens;	   /* cache capacity of one engine */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -868,6 +868,30 @@
                     assert got.status == 200, (end, host.name)
 
 
+async def test_proxy_worker_limit_of_zero(net):
+    """A worker that names a limit of 0 gets no requests, and some when it names
+    none or a higher one; one host now and then asks for its health."""
+    async with Rig(net, hosts=3, api=1) as rig:
+        await rig.wait_membership()
+        worker = rig.workers_of("api")[0]
+        for raised in ((), ("50",)):
+            worker.limits = ("0",)
+            await limits_learned(rig, "/i/x")
+            worker.received.clear()
+            worker.probed_at.clear()
+            results = []
+            began = time.monotonic()
+            await send_calls(rig.hosts, "/i/x", 0.05, began + 6, results)
+            assert not worker.received
+            assert all(got.status == 503 and took < 0.5
+                       for _, took, got in results)
+            assert 1 <= len(worker.probed_at) <= 3, worker.probed_at
+            worker.limits = raised
+            await asyncio.sleep(7)
+            for host in rig.hosts:
+                assert (await host.request("GET", "/i/x")).status == 200
+
+
 BAD_LIMITS = [("soon",), ("-1",), ("",), ("1e3",), ("nan",), ("inf",),
               ("0x10",), ("1,5",), ("2", "3"), (".",), ("9" * 400,)]
 
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -41,12 +41,14 @@
                          "max_attempts": 1, "public": False}, **route)
                    for prefix, route in routes.items()],
         "services": [
-            {"name": "llm", "connection_limit": 100, "inference_engine": {
+            {"name": "llm", "connection_limit": 100,
+             "health_check_path": "/health", "inference_engine": {
                 "slots": 8, "kv_cache_tokens": 100000, "stride": 5},
              "scaling": {"minimum": 1, "maximum": 4, "boot_time_s": 1.0,
                          "spot_price": 0.2,
                          "zone_prices": {"z1": 1.0, "z2": 0.8}}},
-            {"name": "api", "connection_limit": 100}],
+            {"name": "api", "connection_limit": 100,
+             "health_check_path": "/health"}],
         "limits": dict({"max_header_bytes": 8192, "max_body_bytes": 100000,
                         "header_timeout_ms": 1000,
                         "idle_timeout_ms": 5000}, **limits),
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -360,6 +360,7 @@
         self.deadly_at = []      # arrivals of requests with that part
         self.event_count = 10   # in a stream
         self.event_gap_s = 0.02  # time between two events
+        self.probed_at = []     # arrivals of health checks
         self.received = []      # headers of all requests
         self.executed = []      # ids of the requests that it executed
         self.received_at = {}   # id -> time of arrival
@@ -430,6 +431,12 @@
         headers = head[1]
         if head[0].startswith("POST /-/kv-move"):
             return self.handle_move(json.loads(body), writer)
+        if head[0].startswith("GET /health "):
+            self.probed_at.append(time.monotonic())
+            writer.write(response(200, b"", [
+                "Redwingpitch-Instance-Id: " + self.ident] + [
+                    "Server-Limit: " + value for value in self.limits]))
+            return True
         ident = headers["redwingpitch-attempt-id"]
         self.received.append(headers)
         self.received_at[ident] = time.monotonic()
