Mirror: a slow store confirms a first read too

Cause: a call that is to confirm the first read is given up after 0.6 s however often, so that a store that is merely slow never confirms it, and counts as an outage.

Change: the time to wait doubles with each failure, to 1.5 s; unconfirmed items are used after three such calls, in place of four, so that in an outage a host starts after about as long as before.

A rig that fails waits for the hosts' last log lines, and prints where they are: the lines that told the cause were lost at first.

--- a/daemon/mirror.c
+++ b/daemon/mirror.c
@@ -13,6 +13,10 @@
 /* A host whose last response is older does not know what is new: a watch takes
  * WATCH_WAIT_MS, and gaps and the response itself some more. */
 #define READ_FRESH_MS 1900
+#define WATCH_TIMEOUT_MS 600 /* until its response begins, after the wait */
+/* Until the response to a watch that is to confirm a stale snapshot begins:
+ * doubled after each failure, as the store may only be slow. */
+#define CONFIRM_TIMEOUT_MAX_MS 1500
 #define WATCH_PROBE_MS 100 /* of a watch while the store is lost */
 #define WATCH_NOW_MS 1	   /* of one that only asks what is new */
 /* From a watch that returned changes to the next one: changes often come in
@@ -25,7 +29,7 @@
 #define CONFIRM_WAIT_MS 200 /* for another host to confirm a stale snapshot */
 /* After so many failed calls and so long, items that nobody has confirmed are
  * used: an old configuration is better than none in an outage. */
-#define UNCONFIRMED_CALLS 4
+#define UNCONFIRMED_CALLS 3
 #define UNCONFIRMED_MS 4000
 #define RETRY_MS 300 /* after a failed call; then doubled, up to */
 #define RETRY_MAX_MS 1200
@@ -354,6 +358,14 @@
 	return revision;
 }
 
+static clk_ms watch_timeout(const struct mirror *mirror)
+{
+	if (mirror->current)
+		return WATCH_TIMEOUT_MS;
+	return MIN((clk_ms)WATCH_TIMEOUT_MS << MIN(mirror->failures, 4),
+		   CONFIRM_TIMEOUT_MAX_MS);
+}
+
 /* Makes the next call: a watch, or the first page of a snapshot. */
 static void mirror_next(struct mirror *mirror)
 {
@@ -365,7 +377,7 @@
 
 		mirror->watch =
 			kv_watch(mirror->kv, EVERYTHING, revision_min(mirror),
-				 wait, on_watch, mirror);
+				 wait, watch_timeout(mirror), on_watch, mirror);
 		return;
 	}
 	snapshot_begin(mirror);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -458,6 +458,23 @@
         assert (await host.request("GET", "/i/x")).status == 200
 
 
+async def test_proxy_stale_read_confirmed_by_slow_store(net):
+    """A store that takes a second to respond still confirms the first read: an
+    old configuration isn't used in the meantime."""
+    async with Rig(net) as rig:
+        rig.store.stale_revision = rig.store.revision
+        rig.store.put("op/config", config(2, {"/i/": ROUTES["/i/"]}))
+        await asyncio.sleep(1)
+        host = rig.hosts[0]
+        host.kill()
+        rig.store.watch_delay_s = 1
+        host.start(first_start=False)
+        await rig.wait_ready(host)
+        got = await host.request("GET", "/p/x", key=None)
+        assert got.status == 404, (got.status, got.body)
+        assert (await host.request("GET", "/i/x")).status == 200
+
+
 async def test_proxy_large_config_over_slow_link(net):
     """A configuration that takes longer to transfer than the store takes to
     respond is in force in time, and the store isn't taken for lost."""
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -16,6 +16,7 @@
 # An older build, for tests of a rolling upgrade.
 OLD_BUILD = os.environ.get("RW_OLD_BUILD", BUILD)
 ZONES = ["z1", "z2"]
+LOG_FLUSH_S = 0.4  # until a host has written its last log lines
 
 # Routes: /s is a stream that may be resumed at another worker, /s1 a stream
 # with a single attempt, /i an idempotent call, /o a non-idempotent call with
@@ -206,6 +207,9 @@
                 raise AssertionError(host.name + " does not know all hosts")
 
     async def __aexit__(self, kind, value, trace):
+        if kind:
+            print("logs in " + self.folder)
+            await asyncio.sleep(LOG_FLUSH_S)
         for host in self.hosts:
             if host.process and host.process.poll() is None:
                 host.process.send_signal(signal.SIGCONT)
