--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -84,9 +84,11 @@
 				     proxyd_now(proxyd));
 	if (end != PX_END_COMPLETE)
 		slog(SLOG_INFO, "attempt",
-		     "id=%s worker=%s attempt=%u sent_ms=%" G_GINT64_FORMAT
+		     "id=%s request=%016" G_GINT64_MODIFIER
+		     "x worker=%s attempt=%u sent_ms=%" G_GINT64_FORMAT
 		     " status=%d why=%s time=%d budget=%d other=%d",
-		     xfer->id, xfer->worker->entry.id, xfer->px.attempts,
+		     xfer->id, xfer->identity, xfer->worker->entry.id,
+		     xfer->px.attempts,
 		     xfer->sent_at ? proxyd_now(proxyd) - xfer->sent_at : -1,
 		     xfer->response.status, why, cond.has_time, cond.has_budget,
 		     cond.has_upstream);
@@ -389,12 +391,13 @@
 	};
 
 	slog(SLOG_INFO, "send",
-	     "id=%s route=%s account=%s worker=%s cost_ms=%.0f cached=%d "
+	     "id=%s request=%016" G_GINT64_MODIFIER
+	     "x route=%s account=%s worker=%s cost_ms=%.0f cached=%d "
 	     "tokens=%d inflight=%u told=%d others=%d limit=%.2f "
 	     "report_age_ms=%" G_GINT64_FORMAT
 	     " candidates=%u config=%" G_GINT64_FORMAT
 	     " left_ms=%" G_GINT64_FORMAT,
-	     xfer->id, xfer->route->name,
+	     xfer->id, xfer->identity, xfer->route->name,
 	     xfer->account ? xfer->account->name : "", worker->entry.id,
 	     choice->cost, choice->cached_tokens,
 	     xfer->fleet_request.prompt_tokens, worker->inflight,
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -128,6 +128,7 @@
 	xfer->pool = tab_pick(route, g_rand_int(proxyd->rand));
 	xfer->request = *request;
 	xfer->id = g_strndup(request->id.ptr, request->id.len);
+	xfer->identity = guard_identity(call, account);
 	xfer->px = (struct px){
 		.kind = route->kind,
 		.max_attempts = route->max_attempts,
--- a/daemon/proxyd-guard.c
+++ b/daemon/proxyd-guard.c
@@ -8,6 +8,7 @@
  */
 #include "proxyd-xfer.h"
 
+#include <openssl/evp.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -155,6 +156,34 @@
 	}
 }
 
+static void digest_add(EVP_MD_CTX *digest, struct http_view text)
+{
+	/* The length keeps apart what begins alike. */
+	EVP_DigestUpdate(digest, &text.len, sizeof(text.len));
+	EVP_DigestUpdate(digest, text.ptr, text.len);
+}
+
+uint64_t guard_identity(struct hs_request *call,
+			const struct tab_account *account)
+{
+	const struct h1_head *head = hs_request_head(call);
+	const char *caller = account ? account->name : "";
+	unsigned char hash[EVP_MAX_MD_SIZE];
+	EVP_MD_CTX *digest = EVP_MD_CTX_new();
+	uint64_t identity;
+
+	EVP_DigestInit_ex(digest, EVP_sha256(), NULL);
+	digest_add(digest, (struct http_view){ caller, strlen(caller) });
+	digest_add(digest, head->method);
+	digest_add(digest, h1_header_value(head, "host"));
+	digest_add(digest, head->target);
+	digest_add(digest, hs_request_body(call));
+	EVP_DigestFinal_ex(digest, hash, NULL);
+	EVP_MD_CTX_free(digest);
+	memcpy(&identity, hash, sizeof(identity));
+	return identity;
+}
+
 /* The parts of a request's prompt that other requests may share: the last one
  * is its own, or its session's. */
 static size_t shared_parts(const struct xfer *xfer)
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -46,6 +46,7 @@
 	struct quota *quota; /* that the units were taken from, or NULL */
 	double units;
 	char *id;
+	uint64_t identity; /* the same for its repeats, see guard_identity */
 	struct head_request request; /* views into the call */
 	struct px px;
 	struct sse sse;
@@ -114,6 +115,10 @@
 clk_ms queue_return_after(struct xfer *xfer, const struct fleet_room *room);
 
 /* proxyd-guard.c: prompt parts that crash workers */
+/* Identifies a request: the same for repeats by the same account with the same
+ * method, host, path, query and body; headers don't count. */
+uint64_t guard_identity(struct hs_request *call,
+			const struct tab_account *account);
 /* The attempt's worker has ended its connection. */
 void guard_on_cut(struct xfer *xfer);
 /* The attempt has output. */
