--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1002,7 +1002,7 @@
         prefix = ",".join("%s:50" % part for part in parts + [
             "%x" % (0xabc000 + number)])
         try:
-            got = await host.request("POST", path, b"b", headers=(
+            got = await host.request("POST", path, b"%d" % number, headers=(
                 "Redwingpitch-Token-Counts: 200,40",
                 "Redwingpitch-Prompt-Prefix: " + prefix), remaining_ms=2000)
         except OSError:
@@ -1049,6 +1049,69 @@
             got.status for got in calm]
 
 
+DEADLY_REQUESTS = [
+    # method, path, body, seconds between two of them
+    ("GET", "/i/deadly?a=1", b"", 0.2),
+    ("POST", "/o/deadly", b"post", 0.3),
+    ("POST", "/s/deadly", b"prompt", 0.25),
+]
+
+
+async def test_proxy_deadly_request(net):
+    """A request that crashes each worker that runs it is kept from workers soon
+    after the third one, on all hosts, by a truthful refusal, whoever repeats
+    it; requests like it are served."""
+    async with Rig(net, hosts=4, api=6, llm=6) as rig:
+        await rig.wait_membership()
+        for worker in rig.workers:
+            worker.deadly_paths = [row[1] for row in DEADLY_REQUESTS]
+            worker.restart_s = 1.5
+        began = time.monotonic()
+        results = {row: [] for row in DEADLY_REQUESTS}
+        sound = []
+
+        async def repeat(row):
+            method, path, body, period_s = row
+            number = 0
+            while time.monotonic() < began + 14:
+                sent = time.monotonic()
+                host = rig.hosts[number % len(rig.hosts)]
+                got = await host.request(method, path, body)
+                results[row].append((sent, got))
+                number += 1
+                await asyncio.sleep(period_s)
+
+        async def send_sound(prefix, body):
+            number = 0
+            while time.monotonic() < began + 14:
+                sent = time.monotonic()
+                host = rig.hosts[number % len(rig.hosts)]
+                got = await host.request("POST" if body else "GET",
+                                         "%s%d" % (prefix, number), body)
+                sound.append((sent, got))
+                number += 1
+                await asyncio.sleep(0.03)
+        await asyncio.gather(*[repeat(row) for row in DEADLY_REQUESTS],
+                             send_sound("/i/", b""), send_sound("/s/", b"b"))
+        for row in DEADLY_REQUESTS:
+            crashes = sorted(at for w in rig.workers
+                             for at, path in w.crashed_by if path == row[1])
+            assert len(crashes) >= 3, (row, crashes)
+            bound = crashes[2] + STABLE_WINDOW_S
+            late = [at for w in rig.workers
+                    for at, path in w.deadly_arrivals
+                    if path == row[1] and at > bound]
+            print("%s: %d crashes, %d arrivals after the third and %.0f s" %
+                  (row[1], len(crashes), len(late), STABLE_WINDOW_S))
+            assert len(late) <= 3, (row, len(crashes), len(late))
+            refused = [got for sent, got in results[row] if sent > bound]
+            assert refused and all(got.status == 503 and "retry-after" in
+                                   got.headers for got in refused)
+        calm = [got for sent, got in sound if sent > began + 10]
+        served = sum(got.status == 200 for got in calm)
+        assert len(calm) > 100 and served == len(calm), (served, len(calm))
+
+
 # Stops and settings.
 
 async def test_proxy_planned_stop(net):
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -161,6 +161,9 @@
     def workers_of(self, service):
         return [w for w in self.workers if w.service == service]
 
+    def list_worker(self, worker):
+        self.store.put("servers/" + worker.ident, worker.entry())
+
     def executed_by(self, ident):
         """Returns the workers that executed a request, one per execution."""
         return [w.ident for w in self.workers
@@ -170,6 +173,7 @@
         await self.store.start(self.ip(200), [h.name for h in self.hosts])
         await self.cloud.start(self.ip(200))
         for worker in self.workers:
+            worker.restarted = self.list_worker
             await worker.start()
             self.store.put("servers/" + worker.ident, worker.entry())
         self.store.put("op/config", config(1))
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -356,8 +356,14 @@
         self.retry_after = None  # of its 503 in the mode "full"
         self.limits = ()  # values of Server-Limit in all its answers
         self.deadly_part = None  # hex id of a prompt part that crashes it
+        self.deadly_paths = ()   # of requests that crash it
+        self.restart_s = 0.5     # from a crash until it is back
+        self.restarted = None    # called with it when it is back
+        self.born = 1            # of its process
         self.crashed_at = []
-        self.deadly_at = []      # arrivals of requests with that part
+        self.deadly_at = []      # arrivals of requests that crash it
+        self.deadly_arrivals = []  # the same, (time, path)
+        self.crashed_by = []     # (time, path) of each crash
         self.event_count = 10   # in a stream
         self.event_gap_s = 0.02  # time between two events
         self.probed_at = []     # arrivals of health checks
@@ -373,7 +379,7 @@
         return dict({"service": self.service, "address": self.address,
                      "zone": self.zone, "version": "v1", "slots": self.slots,
                      "state": "ready", "cold_remaining_ms": 0,
-                     "sequence_number": 1, "born": 1}, **changes)
+                     "sequence_number": 1, "born": self.born}, **changes)
 
     async def start(self):
         host, port = self.address.split(":")
@@ -400,8 +406,11 @@
         """Resets every connection, and is back after a while."""
         self.crashed_at.append(time.monotonic())
         self.kill()
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(self.restart_s)
+        self.born += 1
         await self.start()
+        if self.restarted:
+            self.restarted(self)
 
     def kill(self):
         """Simulates a crash: resets every connection."""
@@ -466,11 +475,16 @@
                                                       self.slots)] + said
         parts = [part.partition(":")[0] for part in
                  headers.get("redwingpitch-prompt-prefix", "").split(",")]
-        if self.deadly_part in parts[:-1]:
+        path = head[0].split(" ")[1]
+        if self.deadly_part in parts[:-1] or path in self.deadly_paths:
             self.deadly_at.append(time.monotonic())
+            self.deadly_arrivals.append((time.monotonic(), path))
             writer.write(b"HTTP/1.1 200 OK\r\n")
             await asyncio.sleep(0.05)
-            await self.crash()
+            # Another one may have crashed it meanwhile.
+            if self.server.is_serving():
+                self.crashed_by.append((time.monotonic(), path))
+                await self.crash()
             return False
         if self.floods:
             await self.flood(own, writer)
