Poison: whole requests are suspects too, and crashes count by processes

Cause: evidence was taken against parts of prompts only, and such a request has none. It would not have counted either: crashes within 0.5 s counted once, and a loss of three workers at once not at all, so that the faster a cause kills, the later it is blocked. Class: a heuristic against another cause is put before the evidence.

Change (decide/poison, decided anew): suspects are requests as a whole - a hash of account, method, host, path, query and body, kept apart by kind - and parts of prompts. Evidence is the end of a worker's process while a request with the suspect had no output there; processes count, not moments. A loss of many workers tells itself apart: what ran there runs elsewhere, or is cut off as often as everything else is. Each constant:

- 3 processes for a request, 4 for a part: the users' rules begin at the third and the fifth crash.
- up to 6 for a part, by the share of own attempts that are cut off without it (chance 0.001): with 4 alone a rare part is blocked while a fifth is cut off.
- two different requests for a part: one request, repeated, would block its topic.
- a cause explains the ends of its workers for all else that ran there; without that the topics of its requests are blocked with it.
- 8,192 suspects; when there are more, a quarter goes, those with one crash and the oldest first, a blocked one never (a full table took no new one before).
The gossip carries crashes of suspects with two or more; the first is broadcast only.
- the worker's process has not ended if it sends something within 0.25 s: a reset connection is no crash.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -178,6 +178,7 @@
 	clk_ms now = proxyd_now(xfer->proxyd);
 
 	xfer->last_received_at = now;
+	guard_on_data(xfer);
 	response->has_head = true;
 	response->status = head->status;
 	head_response_parse(head, &response->head);
@@ -223,6 +224,7 @@
 	bool ok;
 
 	xfer->last_received_at = proxyd_now(xfer->proxyd);
+	guard_on_data(xfer);
 	if (response->is_event_stream) {
 		GString *out = g_string_sized_new(len + 256);
 
@@ -295,12 +297,14 @@
 	} else if (!response->head.is_signed &&
 		   status_means_not_run(response->status))
 		attempt_end(xfer, PX_END_INCOMPLETE, "unproved_refusal");
-	else if (response->status >= 500 ||
-		 (xfer->px.response_started && !response->is_event_stream))
-		attempt_end(xfer, PX_END_FAILED, "upstream_failed");
 	else {
+		bool failed =
+			response->status >= 500 || (xfer->px.response_started &&
+						    !response->is_event_stream);
+
 		guard_on_output(xfer, true);
-		attempt_end(xfer, PX_END_COMPLETE, "answered");
+		attempt_end(xfer, failed ? PX_END_FAILED : PX_END_COMPLETE,
+			    failed ? "upstream_failed" : "answered");
 	}
 }
 
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -128,7 +128,6 @@
 	xfer->pool = tab_pick(route, g_rand_int(proxyd->rand));
 	xfer->request = *request;
 	xfer->id = g_strndup(request->id.ptr, request->id.len);
-	xfer->identity = guard_identity(call, account);
 	xfer->px = (struct px){
 		.kind = route->kind,
 		.max_attempts = route->max_attempts,
@@ -195,6 +194,7 @@
 	struct head_request request;
 	struct quota *quota;
 	struct xfer *xfer;
+	uint64_t identity;
 	double units;
 	clk_ms deadline;
 
@@ -228,9 +228,8 @@
 				  "stopping");
 		return;
 	}
-	/* The last part is the request's own, or its session's. */
-	if (!guard_admits(proxyd, request.parts,
-			  MAX(request.part_count, 1) - 1)) {
+	identity = guard_identity(call, account);
+	if (!guard_admits(proxyd, &request, identity)) {
 		proxyd_count(proxyd, CTR_refused_poison);
 		front_reply_error(proxyd, call, RW_EPOISON,
 				  err_answer(RW_EPOISON)->retry_after_ms,
@@ -241,6 +240,7 @@
 	if (!quota_spend(proxyd, call, account, units, &quota))
 		return;
 	xfer = xfer_create(proxyd, call, route, account, &request);
+	xfer->identity = identity;
 	xfer->quota = quota;
 	xfer->units = units;
 	xfer_start(xfer);
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -162,7 +162,7 @@
 	}
 }
 
-void xfer_give_up_prompt(struct xfer *xfer)
+void xfer_give_up_poison(struct xfer *xfer)
 {
 	enum px_action action = px_on_give_up(&xfer->px);
 
@@ -356,7 +356,7 @@
 	struct fleet_choice choice;
 
 	if ((again || xfer->waiting_since) && guard_blocks(xfer)) {
-		xfer_give_up_prompt(xfer);
+		xfer_give_up_poison(xfer);
 		return;
 	}
 	choice = worker_choose(xfer, now);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -83,8 +83,8 @@
 void xfer_perform(struct xfer *xfer, enum px_action step, const char *why);
 /* Ends a request for which there is no worker. */
 void xfer_give_up(struct xfer *xfer);
-/* Ends a request whose prompt has a part that crashes workers. */
-void xfer_give_up_prompt(struct xfer *xfer);
+/* Ends a request that crashes workers. */
+void xfer_give_up_poison(struct xfer *xfer);
 /* The caller has disconnected. */
 void xfer_on_disconnect(void *ctx);
 
@@ -114,17 +114,18 @@
  * room should come back. */
 clk_ms queue_return_after(struct xfer *xfer, const struct fleet_room *room);
 
-/* proxyd-guard.c: prompt parts that crash workers */
-/* Identifies a request: the same for repeats by the same account with the same
- * method, host, path, query and body; headers don't count. */
-uint64_t guard_identity(struct hs_request *call,
-			const struct tab_account *account);
+/* proxyd-guard.c: requests and prompt parts that crash workers */
+/* Fills in what may be a cause in a request; its parts are those of head. */
+void guard_request_fill(struct poison_request *request,
+			const struct head_request *head, uint64_t identity);
 /* The attempt's worker has ended its connection. */
 void guard_on_cut(struct xfer *xfer);
+/* The attempt's worker has sent something. */
+void guard_on_data(struct xfer *xfer);
 /* The attempt has output. */
 void guard_on_output(struct xfer *xfer, bool complete);
-/* Whether the prompt has a part that crashes workers, and the request has not
- * run yet. */
+/* Whether the request crashes workers, or a part of its prompt does, and it has
+ * not run yet. */
 bool guard_blocks(const struct xfer *xfer);
 
 /* proxyd-attempt.c: one attempt at an upstream */
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -149,7 +149,7 @@
 	unsigned limit_questions; /* for all limits, since the start */
 	clk_ms next_issuer_check;
 	GPtrArray *probes;	/* of struct probe */
-	GArray *urgent_notices; /* of struct member_notice, not sent yet */
+	GArray *urgent_notices; /* of struct urgent_notice, not sent yet */
 	clk_ms next_urgent_notices;
 	struct lease leader_lease;
 	int64_t host_lease;	   /* lease of this host's own key; 0: none */
@@ -321,12 +321,16 @@
 void front_reply_error(struct proxyd *proxyd, struct hs_request *call,
 		       enum err_kind kind, clk_ms retry_after, const char *why);
 
-/* proxyd-guard.c: prompt parts that crash workers */
+/* proxyd-guard.c: requests and prompt parts that crash workers */
 void guard_start(struct proxyd *proxyd);
 void guard_tick(struct proxyd *proxyd);
-/* Whether a request may be sent to a worker as far as its prompt goes. */
-bool guard_admits(struct proxyd *proxyd, const struct fleet_part *parts,
-		  size_t count);
+/* Identifies a request: the same for repeats by the same account with the same
+ * method, host, path, query and body; headers don't count. */
+uint64_t guard_identity(struct hs_request *call,
+			const struct tab_account *account);
+/* Whether a new request may be sent to a worker, or is known to crash it. */
+bool guard_admits(struct proxyd *proxyd, const struct head_request *head,
+		  uint64_t identity);
 void guard_on_notice(struct proxyd *proxyd, const struct member_notice *notice);
 
 /* proxyd-move.c: streams at workers that are leaving */
--- a/decide/poison.c
+++ b/decide/poison.c
@@ -1,73 +1,109 @@
-/* Prompt parts on which workers crash. */
+/* Requests and prompt parts on which workers crash. */
 #include "poison.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-/* How long after a crash the parts of its request may turn out to be harmless,
- * before other hosts are told of it. */
+/* How long after a cut the request may turn out to be harmless, or the worker
+ * to be alive, before other hosts are told. */
 #define PROOF_WAIT_MS 250
-#define SAME_CRASH_MS 500   /* crashes within this time count once */
-#define MASS_WORKERS 3	    /* lost at once: no prompt is the cause */
-#define BLOCK_CRASHES 4	    /* that count, before a part is blocked */
-#define BLOCK_CRASHES_RAN 8 /* the same for one that has run before */
-#define TELL_RUN_CRASHES 2  /* against a part, before a run of it matters */
-/* Requests without the part that must have run meanwhile: otherwise the workers
- * are in trouble whatever they are sent. */
+/* A process that has ended can't end again: after so long it is another one,
+ * whose start is not known here yet. */
+#define SAME_PROCESS_MS 1500
+/* Processes that have ended, before a suspect is blocked: a request, which may
+ * be repeated by nobody else, and a part of a prompt, which others need. */
+#define REQUEST_CRASHES 3
+#define PART_CRASHES 4
+#define PART_CRASHES_MAX 6 /* while many attempts are cut off */
+#define PART_REQUESTS 2	   /* different ones with the part, among these */
+/* How likely it may be that a harmless part is blocked, if its requests are cut
+ * off as often as others. */
+#define PART_CHANCE 0.001
+/* Requests without a suspect that has run before must have run since its first
+ * crash: what all requests have would be blocked when all workers are lost. */
 #define CONTRAST_RUNS 3
+#define RAN_FACTOR 2 /* times the evidence against one that has run before */
+/* The share of the attempts that is taken to be cut off on a host that has made
+ * none: a part is then not blocked, as others need it. */
+#define PART_CUT_PRIOR 0.5
+#define REQUEST_CUT_PRIOR 0.25
+/* With more attempts cut off, workers are in trouble whatever they are sent. */
+#define CUT_SHARE_MAX 0.5
+#define RATE_HALF_LIFE_MS 10000.0 /* of the rates of runs and cuts */
+#define CUTS_MAX 256		  /* own ones that count for a rate */
+#define TELL_RUN_CRASHES 2 /* against a suspect, before a run of it matters */
+#define DECIDE_MS 500  /* between decisions, if the evidence has not changed */
+#define EXPIRE_MS 1000 /* between two checks for old evidence */
 #define EVIDENCE_MS 60000 /* how long crashes count */
-#define BLOCKED_MS 600000 /* the same for a blocked part */
-#define TRY_MS 30000	  /* until a blocked part is tried; then doubled */
+#define BLOCKED_MS 600000 /* the same for a blocked suspect */
+#define TRY_MS 30000	  /* until a blocked suspect is tried; then doubled */
+#define TRIES_MAX 2	  /* then it stays blocked until its evidence is old */
 #define SKEW_MAX_MS 30000 /* by which hosts' clocks may differ */
-#define PARTS_MAX 1024	  /* with evidence; of more none is recorded */
-#define CRASHES_MAX 128	  /* recorded for one part */
-#define RAN_MAX 16384	  /* parts that have run; then forgotten */
-
-/* One crash as evidence against a part. */
-struct poison_crash {
-	uint32_t crash; /* the same for all parts of a prompt */
-	clk_ms at;
-};
-
-struct poison_part {
-	uint64_t id;
-	GArray *crashes;      /* of struct poison_crash, by time */
-	unsigned count;	      /* of them, those at about the same time once */
+#define SUSPECTS_MAX 8192
+#define EVICT_SHARE 4	  /* one of so many goes when there are too many */
+#define CRASHES_MAX 24	  /* recorded for one suspect */
+#define PROCESS_CRASHES 2 /* of these, for the end of one process */
+#define RAN_MAX 8192	  /* keys in one set of those that have run */
+#define RAN_MS 120000	  /* until the sets change places */
+
+struct poison_suspect {
+	struct poison_key key;
+	GArray *crashes;      /* of struct poison_crash */
+	unsigned processes;   /* that ended, without those that are explained */
+	unsigned requests;    /* different ones among their crashes */
 	bool ran;	      /* a request with it has run, on some host */
-	uint64_t runs_before; /* requests that had run at the first crash */
+	uint64_t runs_before; /* own ones of its kind, before the first crash */
 	clk_ms harmless_at;   /* last run; crashes before do not count */
 	clk_ms updated_at;
 	bool blocked;
-	clk_ms try_at; /* of a blocked part */
+	clk_ms try_at; /* of a blocked one */
 	clk_ms try_wait;
+	unsigned tries;
 };
 
-/* A crash of an own request that other hosts are not told of yet. */
+/* An own attempt that was cut off, of which other hosts are not told yet. */
 struct unproved_crash {
-	uint64_t parts[FLEET_PARTS_MAX];
+	struct poison_key keys[FLEET_PARTS_MAX + 1];
 	size_t count;
-	uint32_t worker;
-	const void *request;
-	uint32_t crash;
-	clk_ms at;
-	bool mass; /* several workers were lost at about that time */
+	struct poison_crash crash;
 };
 
-static void part_free(void *ptr)
+static guint key_hash(gconstpointer ptr)
+{
+	const struct poison_key *key = ptr;
+	uint64_t mixed = (key->id ^ (uint64_t)key->kind) * 0x9e3779b97f4a7c15u;
+
+	return (guint)(mixed >> 32);
+}
+
+static gboolean key_equal(gconstpointer a, gconstpointer b)
+{
+	const struct poison_key *x = a;
+	const struct poison_key *y = b;
+
+	return x->kind == y->kind && x->id == y->id;
+}
+
+static void suspect_free(void *ptr)
 {
-	struct poison_part *part = ptr;
+	struct poison_suspect *suspect = ptr;
 
-	g_array_free(part->crashes, TRUE);
-	g_free(part);
+	g_array_free(suspect->crashes, TRUE);
+	g_free(suspect);
 }
 
 struct poison *poison_create(const struct poison_ops *ops, void *ctx)
 {
 	struct poison *poison = g_new0(struct poison, 1);
 
-	poison->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
-					      part_free);
-	poison->ran = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-					    NULL);
+	poison->suspects =
+		g_hash_table_new_full(key_hash, key_equal, NULL, suspect_free);
+	for (size_t i = 0; i < G_N_ELEMENTS(poison->ran); i++)
+		poison->ran[i] = g_hash_table_new_full(key_hash, key_equal,
+						       g_free, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(poison->rates); i++)
+		poison->rates[i].cuts =
+			g_array_new(FALSE, FALSE, sizeof(struct poison_crash));
 	poison->unproved = g_ptr_array_new_with_free_func(g_free);
 	poison->ops = ops;
 	poison->ctx = ctx;
@@ -76,381 +112,642 @@
 
 void poison_free(struct poison *poison)
 {
-	g_hash_table_destroy(poison->parts);
-	g_hash_table_destroy(poison->ran);
+	g_hash_table_destroy(poison->suspects);
+	for (size_t i = 0; i < G_N_ELEMENTS(poison->ran); i++)
+		g_hash_table_destroy(poison->ran[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(poison->rates); i++)
+		g_array_free(poison->rates[i].cuts, TRUE);
 	g_ptr_array_free(poison->unproved, TRUE);
 	g_free(poison);
 }
 
-static struct poison_part *part_find(const struct poison *poison, uint64_t id)
+/* Lists what may be a cause in a request; returns how many there are. */
+static size_t request_keys(const struct poison_request *request,
+			   struct poison_key keys[FLEET_PARTS_MAX + 1])
 {
-	return g_hash_table_lookup(poison->parts, &id);
+	size_t count = 0;
+
+	keys[count++] = (struct poison_key){
+		.kind = request->has_prompt ? POISON_PROMPT : POISON_CALL,
+		.id = request->identity,
+	};
+	for (size_t i = 0; i < MIN(request->part_count, FLEET_PARTS_MAX); i++)
+		keys[count++] = (struct poison_key){
+			.kind = POISON_PART,
+			.id = request->parts[i].id,
+		};
+	return count;
 }
 
-/* Returns the entry of a part, a new one if there is none; NULL if there are
- * too many. */
-static struct poison_part *part_get(struct poison *poison, uint64_t id)
+/* Rates. */
+
+static void rate_add_run(struct poison_rate *rate, clk_ms now)
 {
-	struct poison_part *part = part_find(poison, id);
+	clk_ms age = MAX(now - rate->updated_at, 0);
 
-	if (part || g_hash_table_size(poison->parts) >= PARTS_MAX)
-		return part;
-	part = g_new0(struct poison_part, 1);
-	part->id = id;
-	part->crashes = g_array_new(FALSE, FALSE, sizeof(struct poison_crash));
-	g_hash_table_insert(poison->parts, &part->id, part);
-	return part;
+	rate->runs = rate->runs * exp2(-(double)age / RATE_HALF_LIFE_MS) + 1;
+	rate->updated_at = now;
+	rate->total_runs++;
+}
+
+static void rate_add_cut(struct poison_rate *rate,
+			 const struct poison_crash *crash)
+{
+	if (rate->cuts->len >= CUTS_MAX)
+		g_array_remove_index(rate->cuts, 0);
+	g_array_append_val(rate->cuts, *crash);
 }
 
-static struct poison_crash *crash_at(const struct poison_part *part, guint idx)
+/* Whether two crashes are the end of the same process. */
+static bool is_same_end(const struct poison_crash *a,
+			const struct poison_crash *b)
 {
-	return &g_array_index(part->crashes, struct poison_crash, idx);
+	return a->process == b->process &&
+	       llabs(a->at - b->at) < SAME_PROCESS_MS;
 }
 
-static bool has_crash(const struct poison_part *part, uint32_t crash)
+static bool has_end(const GArray *crashes, const struct poison_crash *crash)
 {
-	for (guint i = 0; i < part->crashes->len; i++)
-		if (crash_at(part, i)->crash == crash)
+	for (guint i = 0; i < crashes->len; i++)
+		if (is_same_end(&g_array_index(crashes, struct poison_crash, i),
+				crash))
 			return true;
 	return false;
 }
 
-static gint crash_cmp(gconstpointer a, gconstpointer b)
+/* Returns the share of the attempts that are cut off, but for those at workers
+ * whose end may be explained by the given crashes; prior: what it is without
+ * any attempts. */
+static double cut_share(const struct poison_rate *rate, double prior,
+			const GArray *explained, clk_ms now)
 {
-	clk_ms x = ((const struct poison_crash *)a)->at;
-	clk_ms y = ((const struct poison_crash *)b)->at;
+	double age = (double)MAX(now - rate->updated_at, 0);
+	double runs = rate->runs * exp2(-age / RATE_HALF_LIFE_MS);
+	double cuts = 0;
 
-	return x < y ? -1 : x > y;
+	for (guint i = 0; i < rate->cuts->len; i++) {
+		const struct poison_crash *cut =
+			&g_array_index(rate->cuts, struct poison_crash, i);
+
+		if (!has_end(explained, cut))
+			cuts += exp2(-(double)MAX(now - cut->at, 0) /
+				     RATE_HALF_LIFE_MS);
+	}
+	return (cuts + 1) / (cuts + runs + 1 / prior);
 }
 
-static void crashes_count(struct poison_part *part)
+/* Returns the rate for the requests that may have a suspect. */
+static const struct poison_rate *rate_of(const struct poison *poison,
+					 const struct poison_key *key)
 {
-	clk_ms last = 0;
+	return &poison->rates[key->kind != POISON_CALL];
+}
 
-	part->count = 0;
-	g_array_sort(part->crashes, crash_cmp);
-	for (guint i = 0; i < part->crashes->len; i++) {
-		clk_ms at = crash_at(part, i)->at;
+/* Keys that have run. */
 
-		if (part->count > 0 && at - last < SAME_CRASH_MS)
-			continue;
-		part->count++;
-		last = at;
+static bool has_run(const struct poison *poison, const struct poison_key *key)
+{
+	return g_hash_table_contains(poison->ran[0], key) ||
+	       g_hash_table_contains(poison->ran[1], key);
+}
+
+static void ran_add(struct poison *poison, const struct poison_key *key,
+		    clk_ms now)
+{
+	if (now - poison->ran_since > RAN_MS ||
+	    g_hash_table_size(poison->ran[0]) >= RAN_MAX) {
+		GHashTable *older = poison->ran[1];
+
+		poison->ran[1] = poison->ran[0];
+		poison->ran[0] = older;
+		poison->ran_since = now;
+		g_hash_table_remove_all(older);
 	}
+	if (!g_hash_table_contains(poison->ran[0], key))
+		g_hash_table_add(poison->ran[0], g_memdup2(key, sizeof(*key)));
+}
+
+/* Suspects. */
+
+static struct poison_suspect *suspect_find(const struct poison *poison,
+					   const struct poison_key *key)
+{
+	return g_hash_table_lookup(poison->suspects, key);
+}
+
+static struct poison_crash *crash_at(const struct poison_suspect *suspect,
+				     guint idx)
+{
+	return &g_array_index(suspect->crashes, struct poison_crash, idx);
+}
+
+/* Whether hosts that start are told of the crashes of a suspect. */
+static bool is_kept(const struct poison_suspect *suspect)
+{
+	return suspect->crashes->len >= TELL_RUN_CRASHES;
 }
 
-static void crash_drop(struct poison *poison, struct poison_part *part,
+static void crash_drop(struct poison *poison, struct poison_suspect *suspect,
 		       guint idx)
 {
-	uint32_t crash = crash_at(part, idx)->crash;
+	struct poison_crash crash = *crash_at(suspect, idx);
+
+	g_array_remove_index(suspect->crashes, idx);
+	poison->ops->dropped(poison->ctx, &suspect->key, &crash);
+	poison->outdated = true;
+}
+
+static void set_blocked(struct poison *poison, struct poison_suspect *suspect,
+			bool blocked, clk_ms now)
+{
+	if (suspect->blocked == blocked)
+		return;
+	suspect->blocked = blocked;
+	suspect->try_wait = TRY_MS;
+	suspect->try_at = now + TRY_MS;
+	suspect->tries = 0;
+	poison->blocked += blocked ? 1 : -1;
+	poison->ops->changed(poison->ctx, &suspect->key, blocked);
+}
+
+/* Forgets a suspect, which the caller removes from the table. */
+static void suspect_clear(struct poison *poison, struct poison_suspect *suspect,
+			  clk_ms now)
+{
+	set_blocked(poison, suspect, false, now);
+	while (suspect->crashes->len > 0)
+		crash_drop(poison, suspect, suspect->crashes->len - 1);
+	poison->ops->forgotten(poison->ctx, &suspect->key);
+}
+
+static gint age_cmp(gconstpointer a, gconstpointer b)
+{
+	const struct poison_suspect *x =
+		*(const struct poison_suspect *const *)a;
+	const struct poison_suspect *y =
+		*(const struct poison_suspect *const *)b;
+
+	if (is_kept(x) != is_kept(y))
+		return is_kept(x) ? 1 : -1;
+	return x->updated_at < y->updated_at ? -1
+					     : x->updated_at > y->updated_at;
+}
+
+/* Makes room: those with one crash go first, the oldest before the others, and
+ * a blocked one never. */
+static void suspects_evict(struct poison *poison, clk_ms now)
+{
+	GPtrArray *all = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+	guint count;
+
+	g_hash_table_iter_init(&iter, poison->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (!((struct poison_suspect *)value)->blocked)
+			g_ptr_array_add(all, value);
+	g_ptr_array_sort(all, age_cmp);
+	count = MIN(all->len, SUSPECTS_MAX / EVICT_SHARE);
+	for (guint i = 0; i < count; i++) {
+		struct poison_suspect *suspect = g_ptr_array_index(all, i);
+
+		suspect_clear(poison, suspect, now);
+		g_hash_table_remove(poison->suspects, &suspect->key);
+	}
+	g_ptr_array_unref(all);
+}
 
-	g_array_remove_index(part->crashes, idx);
-	poison->ops->dropped(poison->ctx, part->id, crash);
+static struct poison_suspect *
+suspect_get(struct poison *poison, const struct poison_key *key, clk_ms now)
+{
+	struct poison_suspect *suspect = suspect_find(poison, key);
+
+	if (suspect)
+		return suspect;
+	if (g_hash_table_size(poison->suspects) >= SUSPECTS_MAX)
+		suspects_evict(poison, now);
+	suspect = g_new0(struct poison_suspect, 1);
+	suspect->key = *key;
+	suspect->crashes =
+		g_array_new(FALSE, FALSE, sizeof(struct poison_crash));
+	g_hash_table_insert(poison->suspects, &suspect->key, suspect);
+	return suspect;
 }
 
-/* Drops a crash that does not count, as others were at about the same time.
- * Returns false if there is none. */
-static bool crashes_thin(struct poison *poison, struct poison_part *part)
+/* Whether a crash adds to the evidence: of one process's end a few requests are
+ * recorded. */
+static bool crash_is_new(const struct poison_suspect *suspect,
+			 const struct poison_crash *crash)
 {
-	clk_ms last;
+	unsigned same = 0;
 
-	crashes_count(part);
-	last = crash_at(part, 0)->at;
-	for (guint i = 1; i < part->crashes->len; i++) {
-		clk_ms at = crash_at(part, i)->at;
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		const struct poison_crash *known = crash_at(suspect, i);
 
-		if (at - last < SAME_CRASH_MS) {
-			crash_drop(poison, part, i);
-			return true;
-		}
-		last = at;
+		if (!is_same_end(known, crash))
+			continue;
+		if (known->request == crash->request ||
+		    ++same >= PROCESS_CRASHES)
+			return false;
 	}
-	return false;
+	return true;
 }
 
-bool poison_add_crash(struct poison *poison, uint64_t id, uint32_t crash,
-		      clk_ms at, clk_ms now)
+/* Records a crash; returns false if it adds nothing. */
+static bool crash_add(struct poison *poison, const struct poison_key *key,
+		      const struct poison_crash *crash, clk_ms now)
 {
-	struct poison_crash row = { .crash = crash, .at = at };
-	struct poison_part *part;
+	struct poison_suspect *suspect;
 
-	if (now - at > BLOCKED_MS || at - now > SKEW_MAX_MS)
-		return false;
-	part = part_get(poison, id);
-	if (!part || at <= part->harmless_at)
+	if (now - crash->at > BLOCKED_MS || crash->at - now > SKEW_MAX_MS)
 		return false;
-	if (has_crash(part, crash))
-		return true;
-	if (part->crashes->len >= CRASHES_MAX && !crashes_thin(poison, part))
+	suspect = suspect_get(poison, key, now);
+	if (crash->at <= suspect->harmless_at || !crash_is_new(suspect, crash))
 		return false;
-	if (part->crashes->len == 0)
-		part->runs_before = poison->runs;
-	part->updated_at = MAX(part->updated_at, at);
-	g_array_append_val(part->crashes, row);
+	if (suspect->crashes->len >= CRASHES_MAX)
+		crash_drop(poison, suspect, 0);
+	if (suspect->crashes->len == 0)
+		suspect->runs_before = rate_of(poison, key)->total_runs;
+	g_array_append_val(suspect->crashes, *crash);
+	suspect->updated_at = MAX(suspect->updated_at, crash->at);
+	poison->outdated = true;
+	/* The first one was not kept, as it might have been the only one. */
+	if (suspect->crashes->len == TELL_RUN_CRASHES)
+		poison->ops->kept(poison->ctx, key, crash_at(suspect, 0));
+	if (is_kept(suspect))
+		poison->ops->kept(poison->ctx, key, crash);
 	return true;
 }
 
-void poison_on_crash(struct poison *poison, const struct poison_loss *loss,
-		     clk_ms now)
+bool poison_add_crash(struct poison *poison, const struct poison_key *key,
+		      const struct poison_crash *crash, clk_ms now)
 {
-	struct unproved_crash *row = g_new0(struct unproved_crash, 1);
+	const struct poison_suspect *suspect;
 
-	row->worker = loss->worker;
-	row->request = loss->request;
-	row->crash = loss->crash;
-	row->at = now;
-	for (size_t i = 0; i < MIN(loss->count, FLEET_PARTS_MAX); i++)
-		row->parts[row->count++] = loss->parts[i].id;
-	g_ptr_array_add(poison->unproved, row);
-}
+	crash_add(poison, key, crash, now);
+	suspect = suspect_find(poison, key);
+	if (!suspect || !is_kept(suspect))
+		return false;
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		const struct poison_crash *known = crash_at(suspect, i);
 
-/* Records that a request with a part has run, on whatever host. */
-static void ran_add(struct poison *poison, uint64_t id)
-{
-	if (g_hash_table_size(poison->ran) >= RAN_MAX)
-		g_hash_table_remove_all(poison->ran);
-	if (!g_hash_table_contains(poison->ran, &id))
-		g_hash_table_add(poison->ran, g_memdup2(&id, sizeof(id)));
+		if (is_same_end(known, crash) &&
+		    known->request == crash->request)
+			return true;
+	}
+	return false;
 }
 
-bool poison_add_run(struct poison *poison, uint64_t id, clk_ms at, clk_ms now)
+bool poison_add_run(struct poison *poison, const struct poison_key *key,
+		    clk_ms at, clk_ms now)
 {
-	struct poison_part *part = part_find(poison, id);
+	struct poison_suspect *suspect = suspect_find(poison, key);
 
 	if (at - now > SKEW_MAX_MS)
 		return false;
-	ran_add(poison, id);
-	if (!part)
+	ran_add(poison, key, now);
+	if (!suspect)
 		return false;
-	part->harmless_at = MAX(part->harmless_at, at);
-	part->updated_at = MAX(part->updated_at, at);
-	for (guint i = part->crashes->len; i-- > 0;)
-		if (crash_at(part, i)->at <= at)
-			crash_drop(poison, part, i);
+	suspect->harmless_at = MAX(suspect->harmless_at, at);
+	suspect->updated_at = MAX(suspect->updated_at, at);
+	for (guint i = suspect->crashes->len; i-- > 0;)
+		if (crash_at(suspect, i)->at <= at)
+			crash_drop(poison, suspect, i);
 	return true;
 }
 
-static void unproved_remove(struct unproved_crash *row, uint64_t id)
+/* Own requests. */
+
+void poison_on_cut(struct poison *poison, const struct poison_request *request,
+		   uint32_t process, clk_ms now)
+{
+	struct unproved_crash *row = g_new0(struct unproved_crash, 1);
+
+	row->count = request_keys(request, row->keys);
+	row->crash = (struct poison_crash){
+		.process = process,
+		.request = (uint32_t)request->identity,
+		.at = now,
+	};
+	rate_add_cut(&poison->rates[request->has_prompt], &row->crash);
+	g_ptr_array_add(poison->unproved, row);
+}
+
+void poison_on_alive(struct poison *poison, uint32_t process)
+{
+	for (guint i = poison->unproved->len; i-- > 0;) {
+		const struct unproved_crash *row =
+			g_ptr_array_index(poison->unproved, i);
+
+		if (row->crash.process == process)
+			g_ptr_array_remove_index(poison->unproved, i);
+	}
+}
+
+static void unproved_remove(struct unproved_crash *row,
+			    const struct poison_key *key)
 {
 	for (size_t i = row->count; i-- > 0;)
-		if (row->parts[i] == id)
-			row->parts[i] = row->parts[--row->count];
+		if (key_equal(&row->keys[i], key))
+			row->keys[i] = row->keys[--row->count];
 }
 
-void poison_on_run(struct poison *poison, const struct fleet_part *parts,
-		   size_t count, clk_ms now)
+void poison_on_run(struct poison *poison, const struct poison_request *request,
+		   clk_ms now)
 {
-	poison->runs++;
+	struct poison_key keys[FLEET_PARTS_MAX + 1];
+	size_t count = request_keys(request, keys);
+
+	rate_add_run(&poison->rates[request->has_prompt], now);
 	for (size_t i = 0; i < count; i++) {
-		uint64_t id = parts[i].id;
-		const struct poison_part *part = part_find(poison, id);
-		bool matters = part && part->count >= TELL_RUN_CRASHES;
-		bool blocked = part && part->blocked;
+		const struct poison_suspect *suspect =
+			suspect_find(poison, &keys[i]);
+		bool matters = suspect && is_kept(suspect);
+		bool blocked = suspect && suspect->blocked;
 
-		ran_add(poison, id);
 		for (guint j = 0; j < poison->unproved->len; j++)
 			unproved_remove(g_ptr_array_index(poison->unproved, j),
-					id);
-		poison_add_run(poison, id, now, now);
+					&keys[i]);
+		poison_add_run(poison, &keys[i], now, now);
 		if (matters)
-			poison->ops->harmless(poison->ctx, id, now, blocked);
+			poison->ops->harmless(poison->ctx, &keys[i], now,
+					      blocked);
 	}
 }
 
-bool poison_blocks(const struct poison *poison, const struct fleet_part *parts,
-		   size_t count)
+/* Tells other hosts of an own crash, but for what has proved to be harmless. */
+static void crash_report(struct poison *poison,
+			 const struct unproved_crash *row, clk_ms now)
 {
+	for (size_t i = 0; i < row->count; i++) {
+		const struct poison_suspect *suspect =
+			suspect_find(poison, &row->keys[i]);
+		unsigned before = suspect ? suspect->crashes->len : 0;
+
+		if (crash_add(poison, &row->keys[i], &row->crash, now))
+			poison->ops->crashed(poison->ctx, &row->keys[i],
+					     &row->crash, before);
+	}
+}
+
+bool poison_blocks(const struct poison *poison,
+		   const struct poison_request *request)
+{
+	struct poison_key keys[FLEET_PARTS_MAX + 1];
+	size_t count = poison->blocked ? request_keys(request, keys) : 0;
+
 	for (size_t i = 0; i < count; i++) {
-		const struct poison_part *part = part_find(poison, parts[i].id);
+		const struct poison_suspect *suspect =
+			suspect_find(poison, &keys[i]);
 
-		if (part && part->blocked)
+		if (suspect && suspect->blocked)
 			return true;
 	}
 	return false;
 }
 
-bool poison_admits(struct poison *poison, const struct fleet_part *parts,
-		   size_t count, clk_ms now)
+bool poison_admits(struct poison *poison, const struct poison_request *request,
+		   clk_ms now)
 {
-	struct poison_part *tried = NULL;
+	struct poison_key keys[FLEET_PARTS_MAX + 1];
+	size_t count = poison->blocked ? request_keys(request, keys) : 0;
+	struct poison_suspect *tried = NULL;
 
 	for (size_t i = 0; i < count; i++) {
-		struct poison_part *part = part_find(poison, parts[i].id);
+		struct poison_suspect *suspect = suspect_find(poison, &keys[i]);
 
-		if (!part || !part->blocked)
+		if (!suspect || !suspect->blocked)
 			continue;
-		if (tried || now < part->try_at ||
-		    !poison->ops->tries(poison->ctx, part->id))
+		if (tried || now < suspect->try_at ||
+		    suspect->tries >= TRIES_MAX ||
+		    !poison->ops->tries(poison->ctx, &suspect->key))
 			return false;
-		tried = part;
+		tried = suspect;
 	}
 	if (tried) {
+		tried->tries++;
 		tried->try_wait *= 2;
 		tried->try_at = now + tried->try_wait;
 	}
 	return true;
 }
 
-/* Whether there is enough evidence to block a part. */
-static bool is_cause(const struct poison *poison,
-		     const struct poison_part *part)
+/* Decisions. */
+
+/* Whether the end of a crash's process is among those explained: a table of
+ * processes and when they ended. */
+static bool is_explained(GHashTable *explained,
+			 const struct poison_crash *crash)
 {
-	return part->count >= (part->ran ? BLOCK_CRASHES_RAN : BLOCK_CRASHES) &&
-	       (part->blocked ||
-		poison->runs - part->runs_before >= CONTRAST_RUNS);
+	const struct poison_crash *end = g_hash_table_lookup(
+		explained, GUINT_TO_POINTER(crash->process));
+
+	return end && is_same_end(end, crash);
 }
 
-/* Whether there is more evidence against a part than against another: one that
- * never ran comes first. */
-static bool is_stronger(const struct poison_part *part,
-			const struct poison_part *other)
+/* Counts the processes that ended, and the requests, in the crashes of a
+ * suspect that are not explained. */
+static void evidence_count(struct poison_suspect *suspect,
+			   GHashTable *explained)
 {
-	return part->ran != other->ran ? other->ran
-				       : part->count > other->count;
+	struct poison_crash ends[CRASHES_MAX];
+	uint32_t requests[CRASHES_MAX];
+
+	suspect->processes = 0;
+	suspect->requests = 0;
+	for (guint i = 0; i < suspect->crashes->len; i++) {
+		const struct poison_crash *crash = crash_at(suspect, i);
+		unsigned j = 0;
+
+		if (is_explained(explained, crash))
+			continue;
+		while (j < suspect->processes && !is_same_end(&ends[j], crash))
+			j++;
+		if (j == suspect->processes)
+			ends[suspect->processes++] = *crash;
+		j = 0;
+		while (j < suspect->requests && requests[j] != crash->request)
+			j++;
+		if (j == suspect->requests)
+			requests[suspect->requests++] = crash->request;
+	}
 }
 
-static gint part_cmp(gconstpointer a, gconstpointer b)
+/* Returns how many processes must have ended before a part is blocked, if
+ * attempts are cut off this often. */
+static unsigned part_crashes_needed(double share)
 {
-	const struct poison_part *x = *(const struct poison_part *const *)a;
-	const struct poison_part *y = *(const struct poison_part *const *)b;
+	double needed = ceil(log(PART_CHANCE) / log(share));
 
-	return is_stronger(x, y) ? -1 : is_stronger(y, x);
+	return (unsigned)CLAMP(needed, PART_CRASHES, PART_CRASHES_MAX);
 }
 
-/* A cause explains the crashes of its requests, also for their other parts,
- * unless there is as much evidence against these. */
-static void crashes_explain(struct poison *poison,
-			    const struct poison_part *cause,
-			    struct poison_part *other)
+/* Whether so many processes have ended, while so many attempts are cut off and
+ * others run, that a suspect which isn't blocked yet is to be. */
+static bool is_telling(const struct poison *poison,
+		       const struct poison_suspect *suspect, clk_ms now)
 {
-	if (!is_stronger(cause, other))
-		return;
-	for (guint i = other->crashes->len; i-- > 0;)
-		if (has_crash(cause, crash_at(other, i)->crash))
-			crash_drop(poison, other, i);
-	crashes_count(other);
+	bool part = suspect->key.kind == POISON_PART;
+	const struct poison_rate *rate = rate_of(poison, &suspect->key);
+	double share =
+		cut_share(rate, part ? PART_CUT_PRIOR : REQUEST_CUT_PRIOR,
+			  suspect->crashes, now);
+	unsigned factor = suspect->ran ? RAN_FACTOR : 1;
+
+	if (share >= CUT_SHARE_MAX)
+		return false;
+	if (suspect->ran &&
+	    rate->total_runs - suspect->runs_before < CONTRAST_RUNS)
+		return false;
+	return !part ||
+	       suspect->processes >= part_crashes_needed(share) * factor;
 }
 
-static void set_blocked(struct poison *poison, struct poison_part *part,
-			bool blocked, clk_ms now)
+/* Whether there is enough evidence to block a suspect. */
+static bool is_cause(const struct poison *poison,
+		     const struct poison_suspect *suspect, clk_ms now)
 {
-	if (part->blocked == blocked)
-		return;
-	part->blocked = blocked;
-	part->try_wait = TRY_MS;
-	part->try_at = now + TRY_MS;
-	poison->ops->changed(poison->ctx, part->id, blocked);
+	bool part = suspect->key.kind == POISON_PART;
+	unsigned needed = part ? PART_CRASHES : REQUEST_CRASHES;
+
+	if (suspect->ran)
+		needed *= RAN_FACTOR;
+	if (suspect->processes < needed ||
+	    (part && suspect->requests < PART_REQUESTS))
+		return false;
+	return suspect->blocked || is_telling(poison, suspect, now);
 }
 
-/* Decides which parts are blocked. Those with the most evidence go first: they
- * explain the crashes of others. */
-static void parts_decide(struct poison *poison, clk_ms now)
+/* Orders suspects by the evidence: one that never ran comes first, then one
+ * with more crashes, then a request before a part of its prompt. */
+static gint evidence_cmp(gconstpointer a, gconstpointer b)
 {
-	GPtrArray *parts = g_ptr_array_new();
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, poison->parts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct poison_part *part = value;
+	const struct poison_suspect *x =
+		*(const struct poison_suspect *const *)a;
+	const struct poison_suspect *y =
+		*(const struct poison_suspect *const *)b;
+
+	if (x->ran != y->ran)
+		return x->ran ? 1 : -1;
+	if (x->processes != y->processes)
+		return x->processes > y->processes ? -1 : 1;
+	return (gint)x->key.kind - (gint)y->key.kind;
+}
 
-		crashes_count(part);
-		part->ran = g_hash_table_contains(poison->ran, &part->id);
-		g_ptr_array_add(parts, part);
-	}
-	g_ptr_array_sort(parts, part_cmp);
-	for (guint i = 0; i < parts->len; i++) {
-		struct poison_part *part = g_ptr_array_index(parts, i);
+/* Whether a suspect has as much evidence as the one before it in the order, so
+ * that neither explains the other. */
+static bool is_tied(const struct poison_suspect *before,
+		    const struct poison_suspect *suspect)
+{
+	return before->ran == suspect->ran &&
+	       before->key.kind == suspect->key.kind &&
+	       before->processes == suspect->processes;
+}
 
-		if (!is_cause(poison, part))
-			continue;
-		for (guint j = i + 1; j < parts->len; j++)
-			crashes_explain(poison, part,
-					g_ptr_array_index(parts, j));
-	}
-	for (guint i = 0; i < parts->len; i++) {
-		struct poison_part *part = g_ptr_array_index(parts, i);
+/* Adds the ends of the processes in the crashes of a cause to those explained.
+ */
+static void ends_explain(GHashTable *explained,
+			 const struct poison_suspect *cause)
+{
+	for (guint i = 0; i < cause->crashes->len; i++) {
+		struct poison_crash *crash = crash_at(cause, i);
 
-		set_blocked(poison, part, is_cause(poison, part), now);
+		g_hash_table_insert(explained, GUINT_TO_POINTER(crash->process),
+				    crash);
 	}
-	g_ptr_array_unref(parts);
 }
 
-/* Marks the crashes at about the time of the oldest one if several workers were
- * lost then, with different requests: one that is repeated may crash them all.
- */
-static void mass_loss_mark(struct poison *poison)
+/* Lists the suspects that may be blocked, by their evidence. */
+static GPtrArray *suspects_order(struct poison *poison)
 {
-	const struct unproved_crash *first =
-		g_ptr_array_index(poison->unproved, 0);
-	const struct unproved_crash *lost[MASS_WORKERS];
-	unsigned count = 0;
-	guint end = 0;
+	GHashTable *none = g_hash_table_new(NULL, NULL);
+	GPtrArray *order = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
 
-	for (; end < poison->unproved->len; end++) {
-		const struct unproved_crash *row =
-			g_ptr_array_index(poison->unproved, end);
-		unsigned known = 0;
+	g_hash_table_iter_init(&iter, poison->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct poison_suspect *suspect = value;
 
-		if (row->at - first->at > PROOF_WAIT_MS)
-			break;
-		while (known < count && lost[known]->worker != row->worker &&
-		       lost[known]->request != row->request)
-			known++;
-		if (known == count && count < MASS_WORKERS)
-			lost[count++] = row;
+		if (!is_kept(suspect) && !suspect->blocked)
+			continue;
+		suspect->ran = has_run(poison, &suspect->key);
+		evidence_count(suspect, none);
+		g_ptr_array_add(order, suspect);
 	}
-	for (guint i = 0; count == MASS_WORKERS && i < end; i++)
-		((struct unproved_crash *)g_ptr_array_index(poison->unproved,
-							    i))
-			->mass = true;
+	g_ptr_array_sort(order, evidence_cmp);
+	g_hash_table_destroy(none);
+	return order;
 }
 
-/* Reports an own crash for the parts that were not proved to be harmless. */
-static void crash_report(struct poison *poison,
-			 const struct unproved_crash *row, clk_ms now)
+/* Decides which suspects are blocked. Those with the most evidence go first:
+ * they explain the crashes of their workers for the others, but for those that
+ * are tied with them. */
+static void suspects_decide(struct poison *poison, clk_ms now)
 {
-	for (size_t i = 0; i < row->count; i++)
-		if (poison_add_crash(poison, row->parts[i], row->crash, row->at,
-				     now))
-			poison->ops->crashed(poison->ctx, row->parts[i],
-					     row->crash, row->at);
+	GHashTable *explained = g_hash_table_new(NULL, NULL);
+	GPtrArray *order = suspects_order(poison);
+	guint first = 0; /* of those that are tied */
+
+	for (guint i = 0; i < order->len; i++) {
+		struct poison_suspect *suspect = g_ptr_array_index(order, i);
+		unsigned all = suspect->processes;
+
+		for (; first < i &&
+		       !is_tied(g_ptr_array_index(order, first), suspect);
+		     first++) {
+			struct poison_suspect *before =
+				g_ptr_array_index(order, first);
+
+			if (before->blocked)
+				ends_explain(explained, before);
+		}
+		evidence_count(suspect, explained);
+		set_blocked(poison, suspect, is_cause(poison, suspect, now),
+			    now);
+		/* What is tied is told by all evidence. */
+		suspect->processes = all;
+	}
+	g_hash_table_destroy(explained);
+	g_ptr_array_unref(order);
 }
 
-static void part_expire(struct poison *poison, struct poison_part *part,
-			clk_ms now)
+/* Drops suspects whose evidence is old. */
+static void suspects_expire(struct poison *poison, clk_ms now)
 {
-	set_blocked(poison, part, false, now);
-	while (part->crashes->len > 0)
-		crash_drop(poison, part, part->crashes->len - 1);
-	poison->ops->forgotten(poison->ctx, part->id);
+	GHashTableIter iter;
+	gpointer value;
+
+	poison->expired_at = now;
+	g_hash_table_iter_init(&iter, poison->suspects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct poison_suspect *suspect = value;
+		clk_ms age_max = suspect->blocked ? BLOCKED_MS : EVIDENCE_MS;
+
+		if (now - suspect->updated_at > age_max) {
+			suspect_clear(poison, suspect, now);
+			g_hash_table_iter_remove(&iter);
+		}
+	}
 }
 
 void poison_tick(struct poison *poison, clk_ms now)
 {
-	GHashTableIter iter;
-	gpointer value;
-
 	while (poison->unproved->len > 0) {
 		const struct unproved_crash *row =
 			g_ptr_array_index(poison->unproved, 0);
 
-		if (now - row->at < PROOF_WAIT_MS)
+		if (now - row->crash.at < PROOF_WAIT_MS)
 			break;
-		mass_loss_mark(poison);
-		if (!row->mass)
-			crash_report(poison, row, now);
+		crash_report(poison, row, now);
 		g_ptr_array_remove_index(poison->unproved, 0);
 	}
-	parts_decide(poison, now);
-	g_hash_table_iter_init(&iter, poison->parts);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct poison_part *part = value;
-		clk_ms age_max = part->blocked ? BLOCKED_MS : EVIDENCE_MS;
-
-		if (now - part->updated_at > age_max) {
-			part_expire(poison, part, now);
-			g_hash_table_iter_remove(&iter);
-		}
-	}
+	if (now - poison->expired_at >= EXPIRE_MS)
+		suspects_expire(poison, now);
+	/* The share of attempts that are cut off changes by itself. */
+	if (!poison->outdated && now - poison->decided_at < DECIDE_MS)
+		return;
+	poison->outdated = false;
+	poison->decided_at = now;
+	suspects_decide(poison, now);
 }
--- a/decide/poison.h
+++ b/decide/poison.h
@@ -1,16 +1,21 @@
 /*
- * Prompt parts on which workers crash.
+ * Requests and prompt parts on which workers crash.
  *
- * A worker that crashes takes all its requests with it, and any of their
- * prompts may be the cause. Evidence against a part is a crash while a request
- * with that part had no output yet; a request with that part that runs is proof
- * that it is harmless, and deletes the evidence. Hosts exchange both, as each
- * of them sees few requests. Requests with a part that has enough evidence are
- * blocked.
+ * A worker that crashes takes all its requests with it, and any of them, or of
+ * the parts of their prompts, may be the cause. Evidence against a suspect is
+ * the end of a worker's process while a request with it had no output there; a
+ * request with it that runs is proof that it is harmless, and deletes the
+ * evidence. Hosts exchange both, as each of them sees few requests. Requests
+ * with a suspect that has enough evidence are blocked.
  *
- * Crashes at about the same time count once, and those of several workers at
- * once not at all: then no prompt is the cause. A blocked part is tried again
- * now and then by one host, in case that it was taken for the cause wrongly.
+ * What counts is how many processes ended, not when: workers that crash
+ * together come back together, and crash again together. A loss of many workers
+ * for another reason tells itself apart as what was running there has nothing
+ * in common that never runs elsewhere. A cause that is found explains the ends
+ * of its workers for all else that was running there.
+ *
+ * A blocked suspect is tried again a few times by one host, in case that it was
+ * taken for the cause wrongly.
  */
 #ifndef DECIDE_POISON_H
 #define DECIDE_POISON_H
@@ -26,66 +31,108 @@
 /* Requests that have had output for so long did not crash their worker. */
 #define POISON_PROOF_MS 300
 
+enum poison_kind {
+	POISON_CALL,   /* a request without a prompt, as a whole */
+	POISON_PROMPT, /* one with a prompt, as a whole */
+	POISON_PART,   /* a part of a prompt */
+	POISON_KINDS,
+};
+
+/* What may be a cause. */
+struct poison_key {
+	enum poison_kind kind;
+	uint64_t id; /* of the part; or identifies a request and its repeats */
+};
+
+/* The end of a worker's process while a request had no output there. */
+struct poison_crash {
+	uint32_t process; /* identifies it */
+	uint32_t request; /* the same for repeats of the request */
+	clk_ms at;
+};
+
 struct poison_ops {
-	/* Other hosts are to learn that a request with a part had no output
-	 * when its worker crashed; crash: a number for the request. */
-	void (*crashed)(void *ctx, uint64_t part, uint32_t crash, clk_ms at);
-	/* Other hosts are to learn that a request with a part has run; blocked:
-	 * requests with it are. */
-	void (*harmless)(void *ctx, uint64_t part, clk_ms at, bool blocked);
-	/* Requests with a part are blocked, or no longer. */
-	void (*changed)(void *ctx, uint64_t part, bool blocked);
-	/* A crash is no longer evidence against a part. */
-	void (*dropped)(void *ctx, uint64_t part, uint32_t crash);
-	/* Nothing is recorded about a part any more. */
-	void (*forgotten)(void *ctx, uint64_t part);
-	/* Whether this host tries a blocked part again. */
-	bool (*tries)(void *ctx, uint64_t part);
+	/* Other hosts are to learn of a crash at once; before: how many are
+	 * known. */
+	void (*crashed)(void *ctx, const struct poison_key *key,
+			const struct poison_crash *crash, unsigned before);
+	/* Hosts that start are to learn of a crash, or no longer. */
+	void (*kept)(void *ctx, const struct poison_key *key,
+		     const struct poison_crash *crash);
+	void (*dropped)(void *ctx, const struct poison_key *key,
+			const struct poison_crash *crash);
+	/* Other hosts are to learn that a request with a suspect has run;
+	 * blocked: requests with it are. */
+	void (*harmless)(void *ctx, const struct poison_key *key, clk_ms at,
+			 bool blocked);
+	/* Requests with a suspect are blocked, or no longer. */
+	void (*changed)(void *ctx, const struct poison_key *key, bool blocked);
+	/* Nothing is recorded about a suspect any more. */
+	void (*forgotten)(void *ctx, const struct poison_key *key);
+	/* Whether this host tries a blocked suspect again. */
+	bool (*tries)(void *ctx, const struct poison_key *key);
+};
+
+/* How attempts at workers of one kind ended on this host lately. */
+struct poison_rate {
+	double runs; /* exponentially decayed */
+	uint64_t total_runs;
+	clk_ms updated_at;
+	GArray *cuts; /* of struct poison_crash, the last ones */
 };
 
 struct poison {
-	GHashTable *parts; /* id -> struct poison_part */
-	GHashTable *ran;   /* set of parts of requests that have run anywhere */
-	GPtrArray *unproved; /* of struct unproved_crash, own and recent */
-	uint64_t runs;	     /* requests of this host that have run */
+	GHashTable *suspects; /* struct poison_key -> struct poison_suspect */
+	GHashTable *ran[2];   /* sets of keys of requests that have run on any
+			       * host; the second one has older ones */
+	clk_ms ran_since;     /* when the first one was begun */
+	GPtrArray *unproved;  /* of struct unproved_crash, own and recent */
+	struct poison_rate rates[2]; /* of calls, of requests with prompts */
+	unsigned blocked;	     /* suspects */
+	bool outdated;		     /* the evidence has changed */
+	clk_ms decided_at;	     /* what is blocked */
+	clk_ms expired_at;	     /* old evidence was last dropped */
 	const struct poison_ops *ops;
 	void *ctx;
 };
 
-/* Times are of the wall clock, as hosts exchange them. Prompts are given by
- * those parts that other requests may share. */
+/* A request, as far as it may be a cause. */
+struct poison_request {
+	uint64_t identity; /* the same for its repeats */
+	bool has_prompt;
+	const struct fleet_part *parts; /* that other requests may share */
+	size_t part_count;
+};
+
+/* Times are of the wall clock, as hosts exchange them. */
 
 struct poison *poison_create(const struct poison_ops *ops, void *ctx);
 void poison_free(struct poison *poison);
 
-/* An own request that had no output when its worker crashed. */
-struct poison_loss {
-	const struct fleet_part *parts;
-	size_t count;
-	uint32_t worker;     /* its key */
-	const void *request; /* the same for all attempts */
-	uint32_t crash;	     /* a number that no other attempt has */
-};
-
-void poison_on_crash(struct poison *poison, const struct poison_loss *loss,
-		     clk_ms now);
+/* An attempt of this host was cut off without output; process identifies that
+ * of its worker. */
+void poison_on_cut(struct poison *poison, const struct poison_request *request,
+		   uint32_t process, clk_ms now);
+/* A worker's process has sent something: it has not ended. */
+void poison_on_alive(struct poison *poison, uint32_t process);
 /* A request of this host has run. */
-void poison_on_run(struct poison *poison, const struct fleet_part *parts,
-		   size_t count, clk_ms now);
-/* Another host's evidence; returns whether it counts. */
-bool poison_add_crash(struct poison *poison, uint64_t part, uint32_t crash,
-		      clk_ms at, clk_ms now);
-/* Another host has seen a request with a part run at a time. Returns whether
- * that matters: something is recorded about the part. */
-bool poison_add_run(struct poison *poison, uint64_t part, clk_ms at,
-		    clk_ms now);
-/* Whether a prompt has a blocked part. */
-bool poison_blocks(const struct poison *poison, const struct fleet_part *parts,
-		   size_t count);
-/* Whether a new request is accepted: it has no blocked part, or this host tries
- * that part again. */
-bool poison_admits(struct poison *poison, const struct fleet_part *parts,
-		   size_t count, clk_ms now);
+void poison_on_run(struct poison *poison, const struct poison_request *request,
+		   clk_ms now);
+/* Another host's evidence; returns whether it is to be kept for hosts that
+ * start. */
+bool poison_add_crash(struct poison *poison, const struct poison_key *key,
+		      const struct poison_crash *crash, clk_ms now);
+/* Another host has seen a request with a suspect run at a time. Returns whether
+ * that matters: something is recorded about it. */
+bool poison_add_run(struct poison *poison, const struct poison_key *key,
+		    clk_ms at, clk_ms now);
+/* Whether a request, or a part of its prompt, is blocked. */
+bool poison_blocks(const struct poison *poison,
+		   const struct poison_request *request);
+/* Whether a new request is accepted: nothing in it is blocked, or this host
+ * tries that again. */
+bool poison_admits(struct poison *poison, const struct poison_request *request,
+		   clk_ms now);
 /* Reports own crashes when they are due, decides what is blocked, and drops old
  * evidence. */
 void poison_tick(struct poison *poison, clk_ms now);
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -101,6 +101,7 @@
 for hosts in 8 30 63; do
 	run "sim_permit_$hosts" "$B/tests/sim-permit" --hosts $hosts
 done
+run sim_poison "$B/tests/sim-poison"
 for bench in route load retry; do
 	run "sim_route_$bench" "$B/tests/sim-route" $bench --seed 1
 done
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -47,7 +47,8 @@
 	X(refused_key, "requests with an unknown key")                         \
 	X(refused_route, "requests that match no route")                       \
 	X(refused_not_run, "requests refused that had not run")                \
-	X(refused_poison, "requests with a prompt part that crashes workers")  \
+	X(refused_poison, "requests that crash workers, or whose prompts do")  \
+	X(notices_dropped, "urgent notices dropped as too many waited")        \
 	X(answered_unknown, "requests for which it is unknown if they ran")    \
 	X(answered_late, "requests whose deadline had passed")                 \
 	X(broken_off, "responses aborted after they had begun")                \
