--- a/daemon/proxyd-guard.c
+++ b/daemon/proxyd-guard.c
@@ -306,9 +306,17 @@
 		  uint64_t identity)
 {
 	struct poison_request request;
+	struct poison_key cause = { .id = 0 };
 
 	guard_request_fill(&request, head, identity);
-	return poison_admits(proxyd->poison, &request, proxyd_wall(proxyd));
+	if (poison_admits(proxyd->poison, &request, proxyd_wall(proxyd)))
+		return true;
+	poison_blocks(proxyd->poison, &request, &cause);
+	slog(SLOG_INFO, "poison",
+	     "id=%.*s kind=%s suspect=%016" G_GINT64_MODIFIER
+	     "x outcome=refused",
+	     SLOG_VIEW(head->id), kind_names[cause.kind], cause.id);
+	return false;
 }
 
 bool guard_blocks(const struct xfer *xfer)
@@ -316,7 +324,8 @@
 	struct poison_request request;
 
 	guard_request_fill(&request, &xfer->request, xfer->identity);
-	return !xfer->proved && poison_blocks(xfer->proxyd->poison, &request);
+	return !xfer->proved &&
+	       poison_blocks(xfer->proxyd->poison, &request, NULL);
 }
 
 /* Identifies the process of a worker on all hosts. */
--- a/decide/poison.c
+++ b/decide/poison.c
@@ -491,7 +491,8 @@
 }
 
 bool poison_blocks(const struct poison *poison,
-		   const struct poison_request *request)
+		   const struct poison_request *request,
+		   struct poison_key *cause)
 {
 	struct poison_key keys[FLEET_PARTS_MAX + 1];
 	size_t count = poison->blocked ? request_keys(request, keys) : 0;
@@ -500,8 +501,11 @@
 		const struct poison_suspect *suspect =
 			suspect_find(poison, &keys[i]);
 
-		if (suspect && suspect->blocked)
-			return true;
+		if (!suspect || !suspect->blocked)
+			continue;
+		if (cause)
+			*cause = keys[i];
+		return true;
 	}
 	return false;
 }
--- a/decide/poison.h
+++ b/decide/poison.h
@@ -126,9 +126,11 @@
  * that matters: something is recorded about it. */
 bool poison_add_run(struct poison *poison, const struct poison_key *key,
 		    clk_ms at, clk_ms now);
-/* Whether a request, or a part of its prompt, is blocked. */
+/* Whether a request, or a part of its prompt, is blocked; cause, unless it is
+ * NULL, is set to which. */
 bool poison_blocks(const struct poison *poison,
-		   const struct poison_request *request);
+		   const struct poison_request *request,
+		   struct poison_key *cause);
 /* Whether a new request is accepted: nothing in it is blocked, or this host
  * tries that again. */
 bool poison_admits(struct poison *poison, const struct poison_request *request,
--- a/tests/sim-poison.c
+++ b/tests/sim-poison.c
@@ -305,7 +305,7 @@
 		poison_on_cut(request->host->poison, &view, request->process,
 			      world_now(request->world));
 	if (!request->has_output && request->attempts < 2 &&
-	    !poison_blocks(request->host->poison, &view))
+	    !poison_blocks(request->host->poison, &view, NULL))
 		request_send(request);
 	else
 		request_failed(request);
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1421,7 +1421,7 @@
 		.part_count = 1,
 	};
 
-	return poison_blocks(poison, &request);
+	return poison_blocks(poison, &request, NULL);
 }
 
 START_TEST(poison_blocks_cause)
@@ -1445,7 +1445,7 @@
 	for (unsigned i = 0; i < POISON_PARTS; i++)
 		if (poison_blocks_part(poison, 1U << i))
 			blocked |= 1U << i;
-	if (poison_blocks(poison, &whole))
+	if (poison_blocks(poison, &whole, NULL))
 		blocked |= WHOLE;
 	ck_assert_msg(blocked == poison_cases[_i].blocked, "%s: blocked 0x%x",
 		      poison_cases[_i].what, blocked);
