--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -400,6 +400,7 @@
 		.connect_timeout = conf->connect_ms,
 		.idle_timeout = IDLE_MAX_MS,
 		.peer_timeout = PEER_TIMEOUT_MS,
+		.source = conf->address,
 		.id_header = HEAD_ATTEMPT_ID,
 	};
 	struct hc_options platform = {
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1448,6 +1448,67 @@
         assert got.status == 200, got.status
 
 
+# Hosts without links to the workers.
+
+LINK_CUTS = ("reset", "hang", "one way", "new")  # of the first hosts; the
+# others keep their links
+LINKED_SHARE = 0.9  # of first tries at a host without links that are served,
+# by the share at the others
+LINK_PATHS = ("/i/x", "/o/x", "/s/x")
+
+
+async def send_first_tries(host, until, results):
+    """Sends requests of each kind, each on a connection of its own; adds
+    whether each was served, and its response."""
+    async def send_one(path):
+        try:
+            got = await host.request("POST", path, b"b", remaining_ms=1500)
+        except OSError:
+            results.append((False, path, None))
+            return
+        results.append((got.status == 200 and got.complete, path, got))
+
+    tasks = []
+    while time.monotonic() < until:
+        tasks += [asyncio.create_task(send_one(path)) for path in LINK_PATHS]
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*tasks)
+
+
+async def test_proxy_host_without_links(net):
+    """Hosts that lose their links to all workers, each in another way, serve
+    their callers nearly as often as the others do, from 3 s after."""
+    async with Rig(net, hosts=len(LINK_CUTS) + 2, llm=4, api=4) as rig:
+        await rig.wait_membership()
+        results = {host.name: [] for host in rig.hosts}
+        began = time.monotonic()
+        before = [asyncio.create_task(send_first_tries(
+            host, began + 0.5 + STABLE_WINDOW_S, [])) for host in rig.hosts]
+        await asyncio.sleep(0.5)
+        for host, how in zip(rig.hosts, LINK_CUTS):
+            for worker in rig.workers:
+                worker.cut_links(host.ip, how)
+        await asyncio.gather(*before)
+        until = time.monotonic() + 3
+        await asyncio.gather(*[send_first_tries(host, until, results[host.name])
+                               for host in rig.hosts])
+        shares = {name: sum(row[0] for row in rows) / len(rows)
+                  for name, rows in results.items()}
+        print("served: %s" % shares)
+        linked = shares[rig.hosts[-1].name]
+        assert linked > 0.95, shares
+        for host, how in zip(rig.hosts, LINK_CUTS):
+            assert shares[host.name] >= LINKED_SHARE * linked, (how, shares)
+        for rows in results.values():
+            for _, path, got in rows:
+                if got is None:
+                    continue
+                ran = rig.executed_by(got.ident)
+                assert path != "/o/x" or len(ran) <= 1, (got.ident, ran)
+                if got.status in NOT_EXECUTED:
+                    assert ran == [], (path, got.status, ran)
+
+
 async def test_proxy_reload(net):
     """Reloads during a stream do not break it, and an invalid setting is
     refused while the host serves on."""
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -337,6 +337,52 @@
             writer.close()
 
 
+class Link:
+    """The worker's end of a connection from a host, whose links may be cut:
+
+    reset      connections are reset, new ones too
+    hang       nothing arrives any more, either way
+    one way    requests arrive, responses don't
+    new        connections that exist live on, new ones are reset
+
+    What is held up arrives when the link is back."""
+
+    def __init__(self, worker, writer):
+        self.worker = worker
+        self.writer = writer
+        self.host = writer.get_extra_info("peername")[0]
+        self.held = b""
+        self.transport = writer.transport
+
+    def cut(self):
+        return self.worker.cuts.get(self.host)
+
+    def write(self, data):
+        if self.cut() in ("hang", "one way"):
+            self.held += data
+        else:
+            self.writer.write(self.held + data)
+            self.held = b""
+
+    async def drain(self):
+        await self.writer.drain()
+
+    async def arrival(self):
+        """Waits until what the host sends arrives."""
+        while self.cut() == "hang":
+            await asyncio.sleep(POLL_S)
+
+    def update(self):
+        """The cut of the host's links has changed."""
+        if self.cut() == "reset":
+            self.transport.abort()
+        else:
+            self.write(b"")
+
+    def close(self):
+        self.writer.close()
+
+
 class Worker:
     """One worker. `mode` selects how it responds:
 
@@ -394,6 +440,14 @@
         self.stopped = set()    # ids of streams stopped to migrate
         self.running = set()
         self.writers = set()
+        self.cuts = {}          # host's IP address -> how its links are cut
+
+    def cut_links(self, address, how):
+        """Cuts the links of a host, see Link; None: they are back."""
+        self.cuts[address] = how
+        for writer in list(self.writers):
+            if writer.host == address:
+                writer.update()
 
     def entry(self, **changes):
         return dict({"service": self.service, "address": self.address,
@@ -440,6 +494,10 @@
             writer.transport.abort()
 
     async def serve(self, reader, writer):
+        writer = Link(self, writer)
+        if writer.cut() in ("reset", "new"):
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while True:
@@ -447,6 +505,7 @@
                 if head is None:
                     return
                 body = await read_body(reader, head[1])
+                await writer.arrival()
                 if not await self.handle_request(head, body, reader, writer):
                     return
         except (ConnectionError, asyncio.IncompleteReadError,
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -340,7 +340,8 @@
 	conn->peer = peer;
 	conn->since = loop_now(peer->hc);
 	conn->tcp = tcp_create(peer->hc->loop, &conn_ops, conn);
-	if (!tcp_connect(conn->tcp, peer->address, conn_on_connect)) {
+	if (!tcp_connect(conn->tcp, peer->address, peer->hc->options.source,
+			 conn_on_connect)) {
 		tcp_close(conn->tcp);
 		g_free(conn);
 		return NULL;
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -27,6 +27,8 @@
 	clk_ms connect_timeout; /* for connection establishment */
 	clk_ms idle_timeout;	/* for an unused connection */
 	clk_ms peer_timeout;	/* for a peer that acknowledges nothing */
+	/* IP address that connections come from; NULL: any. */
+	const char *source;
 	/* Header that matches a response to its request, or NULL. */
 	const char *id_header;
 };
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -403,7 +403,7 @@
 	conn = conn_create(rpc);
 	conn->peer = key;
 	g_hash_table_insert(rpc->peers, conn->peer, conn);
-	if (!tcp_connect(conn->tcp, to, conn_on_connect)) {
+	if (!tcp_connect(conn->tcp, to, NULL, conn_on_connect)) {
 		conn_close(conn);
 		return NULL;
 	}
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define READ_BYTES 65536      /* per read */
 #define LISTEN_BACKLOG 512    /* connections */
@@ -65,12 +66,36 @@
 		tcp->on_connect(tcp->ctx, status == 0);
 }
 
-bool tcp_connect(struct tcp *tcp, const char *address,
+/* Binds a connection to a local IP address and any port. */
+static bool bind_source(struct tcp *tcp, const char *source)
+{
+	struct sockaddr_in addr;
+	int later = 1;
+	int fd;
+
+	if (uv_ip4_addr(source, 0, &addr) != 0)
+		return false;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return false;
+	/* connect() chooses the port, which then need not differ from those of
+	 * connections to other peers. */
+	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &later,
+		   sizeof(later));
+	if (bind(fd, (const struct sockaddr *)&addr, sizeof(addr)) == 0 &&
+	    uv_tcp_open(&tcp->handle, fd) == 0)
+		return true;
+	close(fd);
+	return false;
+}
+
+bool tcp_connect(struct tcp *tcp, const char *address, const char *source,
 		 void (*fn)(void *ctx, bool ok))
 {
 	struct sockaddr_in addr;
 
-	if (!tcp_parse_address(address, &addr))
+	if (!tcp_parse_address(address, &addr) ||
+	    (source && !bind_source(tcp, source)))
 		return false;
 	tcp->on_connect = fn;
 	tcp->connect.data = tcp;
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -43,9 +43,10 @@
 struct tcp *tcp_create(uv_loop_t *loop, const struct tcp_ops *ops, void *ctx);
 /* Accepts a connection from a listener; returns false if there is none. */
 bool tcp_accept(struct tcp *tcp, uv_stream_t *listener);
-/* Connects to "IP:port"; fn is called once, unless tcp_close is called first.
- * Returns false if the attempt fails at once. */
-bool tcp_connect(struct tcp *tcp, const char *address,
+/* Connects to "IP:port", from the IP address source unless it is NULL; fn is
+ * called once, unless tcp_close is called first. Returns false if the attempt
+ * fails at once. */
+bool tcp_connect(struct tcp *tcp, const char *address, const char *source,
 		 void (*fn)(void *ctx, bool ok));
 /* Sets after how long, in ms, an unresponsive peer counts as dead. */
 void tcp_set_peer_timeout(struct tcp *tcp, clk_ms timeout);
