Forward: a host without links to the workers relays over another host

Cause: a host knew no way to a worker but its own links, and took each worker for down or slow, one after the other. The class: a fault of the observer is taken for one of what it observes.

Change: decide/links concludes from several workers in a row that fail or stay silent, with nothing received from their pool meanwhile, that the links are lost; requests then go over another host (daemon/hop), which handles them as its own callers' and never forwards them again. A request of which nothing could be sent to four workers goes there too. Health checks find out that the links are back. Ruled out as the repair: to leave the host out of look-up answers, as callers keep those and come on open connections.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -21,11 +21,9 @@
 	*response = (struct xfer_response){ .has_head = false };
 }
 
-/* Releases the worker and the response of the attempt. */
-static void attempt_clear(struct xfer *xfer)
+/* Releases the worker of the attempt. */
+static void worker_release(struct xfer *xfer)
 {
-	if (!xfer->worker)
-		return;
 	if (xfer->proxyd->tracer)
 		trace_end(xfer->proxyd->tracer, &xfer->attempt_span, "upstream",
 			  xfer->id, xfer->worker->entry.id);
@@ -34,6 +32,13 @@
 		proxyd_drop_peer(xfer->worker);
 	fleet_worker_unref(xfer->worker);
 	xfer->worker = NULL;
+}
+
+/* Releases the worker and the response of the attempt. */
+static void attempt_clear(struct xfer *xfer)
+{
+	if (xfer->worker)
+		worker_release(xfer);
 	xfer->sent_at = 0;
 	response_clear(&xfer->response);
 	sse_discard_partial(&xfer->sse);
@@ -44,22 +49,30 @@
 	if (xfer->attempt)
 		hc_request_cancel(xfer->attempt);
 	xfer->attempt = NULL;
+	if (xfer->hop)
+		hop_cancel(xfer->hop);
+	xfer->hop = NULL;
 	attempt_clear(xfer);
 }
 
-/* Whether there are time, budget and another upstream for one more attempt. */
-static struct px_retry_conditions retry_conditions(struct xfer *xfer)
+struct px_retry_conditions attempt_retry_conditions(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
 	clk_ms now = proxyd_now(proxyd);
+	bool lost = links_lost(proxyd->links, xfer->pool->name);
+	bool has_host =
+		(lost || xfer->px.unsent > 0) && forward_is_possible(xfer);
 
 	resume_update_listed(xfer);
 	return (struct px_retry_conditions){
 		.has_time = xfer->deadline - now >= RETRY_MIN_MS,
 		.has_budget = retry_available(
 			&proxyd_pool(proxyd, xfer->pool->name)->budget, now),
-		.has_upstream = fleet_has_other(
-			proxyd->fleet, &xfer->fleet_request, xfer->worker),
+		.has_upstream =
+			(lost && has_host) ||
+			fleet_has_other(proxyd->fleet, &xfer->fleet_request,
+					xfer->worker),
+		.has_host = has_host,
 	};
 }
 
@@ -77,7 +90,8 @@
 		[PX_END_INCOMPLETE] = { CTR_ends_cut, true, FLEET_NO_RESPONSE },
 	};
 	struct proxyd *proxyd = xfer->proxyd;
-	struct px_retry_conditions cond = retry_conditions(xfer);
+	struct px_retry_conditions cond = attempt_retry_conditions(xfer);
+	enum px_action action;
 
 	proxyd_count(proxyd, ends[end].counter);
 	if (ends[end].recorded)
@@ -87,16 +101,18 @@
 		slog(SLOG_INFO, "attempt",
 		     "id=%s request=%016" G_GINT64_MODIFIER
 		     "x worker=%s attempt=%u sent_ms=%" G_GINT64_FORMAT
-		     " status=%d why=%s time=%d budget=%d other=%d",
+		     " status=%d why=%s time=%d budget=%d other=%d host=%d",
 		     xfer->id, xfer->identity, xfer->worker->entry.id,
 		     xfer->px.attempts,
 		     xfer->sent_at ? proxyd_now(proxyd) - xfer->sent_at : -1,
 		     xfer->response.status, why, cond.has_time, cond.has_budget,
-		     cond.has_upstream);
+		     cond.has_upstream, cond.has_host);
 	xfer->fleet_request.exclude = NULL;
 	if (end != PX_END_COMPLETE && cond.has_upstream)
 		xfer->fleet_request.exclude = xfer->worker;
-	xfer_perform(xfer, px_on_end(&xfer->px, end, &cond), why);
+	action = px_on_end(&xfer->px, end, &cond);
+	xfer->unreached = px_needs_host(&xfer->px);
+	xfer_perform(xfer, action, why);
 }
 
 /* Counts a request in its account's usage, once, when it starts to run; ago is
@@ -180,6 +196,7 @@
 
 	xfer->last_received_at = now;
 	guard_on_data(xfer);
+	forward_on_data(xfer->proxyd, xfer->worker);
 	response->has_head = true;
 	response->status = head->status;
 	head_response_parse(head, &response->head);
@@ -210,6 +227,9 @@
 	guard_on_output(xfer, false);
 	if (!xfer->px.response_started) {
 		resume_on_first_event(xfer);
+		if (xfer->forwarded)
+			head_add_stream_version(xfer->response.headers,
+						xfer->fleet_request.version);
 		hs_response_start(xfer->call, xfer->response.status,
 				  xfer->response.headers->str);
 		xfer->px.response_started = true;
@@ -218,36 +238,49 @@
 	proxyd_count(xfer->proxyd, CTR_events);
 }
 
-static void on_data(void *ctx, const char *ptr, size_t len)
+bool attempt_receive(struct xfer *xfer, const char *ptr, size_t len,
+		     void (*relay)(struct xfer *xfer, const GString *events),
+		     const char **why)
 {
-	struct xfer *xfer = ctx;
 	struct xfer_response *response = &xfer->response;
-	const char *why = "gap_in_events";
+	GString *events;
 	bool ok;
 
 	xfer->last_received_at = proxyd_now(xfer->proxyd);
-	guard_on_data(xfer);
-	if (response->is_event_stream) {
-		GString *out = g_string_sized_new(len + 256);
-
-		ok = sse_feed(&xfer->sse, ptr, len, out);
-		events_relay(xfer, out);
-		g_string_free(out, TRUE);
-		if (ok && hs_response_unsent_bytes(xfer->call) > UNSENT_MAX) {
-			xfer_perform(xfer, PX_ABORT, "caller_does_not_read");
-			return;
-		}
-	} else {
-		ok = response->body->len + len <= BODY_MAX;
-		why = "answer_too_large";
-		if (ok)
-			g_string_append_len(response->body, ptr, (gssize)len);
+	if (!response->is_event_stream) {
+		*why = "answer_too_large";
+		if (response->body->len + len > BODY_MAX)
+			return false;
+		g_string_append_len(response->body, ptr, (gssize)len);
+		return true;
 	}
-	if (ok)
-		return;
-	hc_request_cancel(xfer->attempt);
-	xfer->attempt = NULL;
-	attempt_end(xfer, PX_END_INCOMPLETE, why);
+	*why = "gap_in_events";
+	events = g_string_sized_new(len + 256);
+	ok = sse_feed(&xfer->sse, ptr, len, events);
+	relay(xfer, events);
+	g_string_free(events, TRUE);
+	return ok;
+}
+
+bool attempt_caller_is_slow(const struct xfer *xfer)
+{
+	return xfer->response.is_event_stream &&
+	       hs_response_unsent_bytes(xfer->call) > UNSENT_MAX;
+}
+
+static void on_data(void *ctx, const char *ptr, size_t len)
+{
+	struct xfer *xfer = ctx;
+	const char *why;
+
+	guard_on_data(xfer);
+	forward_on_data(xfer->proxyd, xfer->worker);
+	if (!attempt_receive(xfer, ptr, len, events_relay, &why)) {
+		hc_request_cancel(xfer->attempt);
+		xfer->attempt = NULL;
+		attempt_end(xfer, PX_END_INCOMPLETE, why);
+	} else if (attempt_caller_is_slow(xfer))
+		xfer_perform(xfer, PX_ABORT, "caller_does_not_read");
 }
 
 /* Whether a status tells the caller that its request has not run. Without the
@@ -279,12 +312,14 @@
 	}
 	switch (result) {
 	case HC_UNSENT:
+		forward_on_failure(xfer->proxyd, xfer->worker);
 		fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
 		attempt_end(xfer, PX_END_UNSENT, "no_connection");
 		return;
 	case HC_TRUNCATED:
 	case HC_MALFORMED:
 		if (result == HC_TRUNCATED) {
+			forward_on_failure(xfer->proxyd, xfer->worker);
 			fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
 			guard_on_cut(xfer);
 		}
@@ -315,7 +350,7 @@
 
 void attempt_on_stall(struct xfer *xfer)
 {
-	struct px_retry_conditions cond = retry_conditions(xfer);
+	struct px_retry_conditions cond = attempt_retry_conditions(xfer);
 
 	/* A silent attempt is ended only if another one can be made. */
 	if (xfer->px.attempts >= xfer->px.max_attempts || !cond.has_time ||
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -40,6 +40,8 @@
 	};
 
 	hs_set_limits(proxyd->front, &front);
+	front.head_max += FORWARD_HEAD_BYTES;
+	hs_set_limits(proxyd->forwarded, &front);
 }
 
 /* Applies the accounts' limits. An account that is no longer configured keeps
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -8,19 +8,30 @@
 #define ROUTE_PRIORITIES 3	  /* within one account priority */
 #define PRIORITY_DEFAULT 1	  /* of an account without one */
 
+/* Whether an error says that another host may accept the request. */
+static bool is_rejection(enum err_kind kind)
+{
+	return kind == RW_ENOLINK || kind == RW_ENOTREADY ||
+	       kind == RW_ESTOPPING;
+}
+
 void front_reply_error(struct proxyd *proxyd, struct hs_request *call,
 		       enum err_kind kind, clk_ms retry_after, const char *why)
 {
 	const struct err_answer *answer = err_answer(kind);
 	const struct http_view id =
 		h1_header_value(hs_request_head(call), HEAD_ATTEMPT_ID);
-	GString *headers = head_reply_build(retry_after);
+	bool rejects = is_rejection(kind) &&
+		       hs_request_server(call) == proxyd->forwarded;
+	GString *headers = head_reply_build(retry_after, rejects);
 	char body[256];
 	int len = g_snprintf(body, sizeof(body),
 			     "{\"code\":\"%s\",\"ran\":\"%s\",\"text\":\"%s\"}",
 			     answer->name, err_ran_name(answer->ran),
 			     answer->text);
 
+	if (rejects)
+		proxyd_count(proxyd, CTR_forwards_rejected);
 	slog(SLOG_INFO, "answer",
 	     "id=%.*s status=%d code=%s ran=%s retry_after_ms=%" G_GINT64_FORMAT
 	     " config=%" G_GINT64_FORMAT " after_ms=%" G_GINT64_FORMAT
@@ -186,9 +197,25 @@
 	return false;
 }
 
+/* Applies what the host says that has forwarded a request. */
+static void forwarded_apply(struct xfer *xfer,
+			    const struct head_forwarded *forwarded)
+{
+	xfer->forwarded = true;
+	xfer->px.max_attempts = MIN(xfer->px.max_attempts, forwarded->attempts);
+	xfer->fleet_request.version = forwarded->version;
+	xfer->resumes = forwarded->version != 0;
+	xfer->usage_counted = forwarded->counted;
+}
+
 void front_on_request(void *ctx, struct hs_request *call)
 {
-	struct proxyd *proxyd = ctx;
+	front_accept(ctx, call, NULL);
+}
+
+void front_accept(struct proxyd *proxyd, struct hs_request *call,
+		  const struct head_forwarded *forwarded)
+{
 	const struct tab_account *account;
 	const struct tab_route *route;
 	struct head_request request;
@@ -243,5 +270,7 @@
 	xfer->identity = identity;
 	xfer->quota = quota;
 	xfer->units = units;
+	if (forwarded)
+		forwarded_apply(xfer, forwarded);
 	xfer_start(xfer);
 }
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -61,7 +61,8 @@
 	rid_incarnation(buf, size, proxyd->conf->name,
 			g_rand_int(proxyd->rand));
 	g_strlcat(buf,
-		  ORIGIN_VERSION_MARK PERMIT_VERSION_MARK FEED_VERSION_MARK,
+		  FORWARD_VERSION_MARK ORIGIN_VERSION_MARK PERMIT_VERSION_MARK
+			  FEED_VERSION_MARK,
 		  size);
 }
 
--- a/daemon/proxyd-probe.c
+++ b/daemon/proxyd-probe.c
@@ -1,7 +1,8 @@
 /*
- * Health checks of workers whose limit allows no requests, or next to none: no
- * response to a request would tell that it has been raised. The issuer of the
- * worker's permits sends them.
+ * Health checks of workers that take no requests of this host: those whose
+ * limit allows none, or next to none, as no response to a request would tell
+ * that it has been raised; the issuer of the worker's permits sends them. And
+ * those to which the links may be lost (decide/links.h).
  */
 #include "proxyd-xfer.h"
 
@@ -10,12 +11,14 @@
 #define PROBE_RATE 0.1 /* requests a second, up to which there are checks */
 #define PROBE_PERIOD_MS 5000
 #define PROBE_TIMEOUT_MS 2000
+#define LINK_TIMEOUT_MS 400 /* of a check whether a worker can be reached */
 
 struct probe {
 	struct proxyd *proxyd;
 	struct fleet_worker *worker;
 	struct health_check *check; /* NULL: it has ended */
 	clk_ms sent_at;
+	clk_ms timeout; /* ms */
 };
 
 static void probe_free(void *ptr)
@@ -28,39 +31,60 @@
 	g_free(probe);
 }
 
-static void on_checked(void *ctx, const struct head_response *head)
+static void on_checked(void *ctx, const struct head_response *head,
+		       bool reached)
 {
 	struct probe *probe = ctx;
 
 	probe->check = NULL;
+	if (reached)
+		forward_on_data(probe->proxyd, probe->worker);
+	else
+		forward_on_failure(probe->proxyd, probe->worker);
 	if (head && !probe->worker->removed)
 		permit_on_response(probe->proxyd, probe->worker, head,
 				   probe->sent_at);
 }
 
-void probe_send(struct proxyd *proxyd, struct fleet_worker *worker)
+/* Sends a check; returns false if the worker's pool has none. */
+static bool probe_start_check(struct proxyd *proxyd,
+			      struct fleet_worker *worker, clk_ms timeout)
 {
 	const struct tab_pool *pool =
 		proxyd->tab ? g_hash_table_lookup(proxyd->tab->pools,
 						  worker->entry.pool)
 			    : NULL;
-	clk_ms now = proxyd_now(proxyd);
 	struct probe *probe;
 
-	if (fleet_limit_rate(worker) > PROBE_RATE || !worker->http_peer ||
-	    now - worker->limit.probed_at < PROBE_PERIOD_MS || !pool ||
-	    !pool->health_path[0])
-		return;
-	worker->limit.probed_at = now;
+	if (!worker->http_peer || !pool || !pool->health_path[0])
+		return false;
 	proxyd_count(proxyd, CTR_worker_probes);
 	probe = g_new0(struct probe, 1);
 	probe->proxyd = proxyd;
 	probe->worker = fleet_worker_ref(worker);
-	probe->sent_at = now;
+	probe->sent_at = proxyd_now(proxyd);
+	probe->timeout = timeout;
 	probe->check = health_check_start(
 		worker->http_peer, worker->entry.address, pool->health_path,
 		worker->entry.id, on_checked, probe);
 	g_ptr_array_add(proxyd->probes, probe);
+	return true;
+}
+
+void probe_send(struct proxyd *proxyd, struct fleet_worker *worker)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	if (fleet_limit_rate(worker) > PROBE_RATE ||
+	    now - worker->limit.probed_at < PROBE_PERIOD_MS)
+		return;
+	if (probe_start_check(proxyd, worker, PROBE_TIMEOUT_MS))
+		worker->limit.probed_at = now;
+}
+
+bool probe_link(struct proxyd *proxyd, struct fleet_worker *worker)
+{
+	return probe_start_check(proxyd, worker, LINK_TIMEOUT_MS);
 }
 
 void probe_tick(struct proxyd *proxyd)
@@ -68,11 +92,13 @@
 	clk_ms now = proxyd_now(proxyd);
 
 	for (guint i = proxyd->probes->len; i-- > 0;) {
-		const struct probe *probe =
-			g_ptr_array_index(proxyd->probes, i);
+		struct probe *probe = g_ptr_array_index(proxyd->probes, i);
 
-		if (!probe->check || now - probe->sent_at > PROBE_TIMEOUT_MS)
-			g_ptr_array_remove_index_fast(proxyd->probes, i);
+		if (probe->check && now - probe->sent_at <= probe->timeout)
+			continue;
+		if (probe->check)
+			forward_on_failure(proxyd, probe->worker);
+		g_ptr_array_remove_index_fast(proxyd->probes, i);
 	}
 }
 
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -147,7 +147,8 @@
 		return;
 	case PX_REFUSE:
 		proxyd_count(proxyd, CTR_refused_not_run);
-		reply_error(xfer, RW_EBUSY, retry_after_for(xfer), why);
+		reply_error(xfer, xfer->unreached ? RW_ENOLINK : RW_EBUSY,
+			    retry_after_for(xfer), why);
 		return;
 	case PX_UNKNOWN:
 		proxyd_count(proxyd, CTR_answered_unknown);
@@ -197,7 +198,7 @@
 
 	if (now >= xfer->deadline) {
 		/* An attempt that was not sent cannot have run. */
-		bool running = xfer->attempt && xfer->sent_at;
+		bool running = (xfer->attempt && xfer->sent_at) || xfer->hop;
 
 		if (running && xfer->worker)
 			fleet_record_outcome(
@@ -362,6 +363,15 @@
 		xfer_give_up_poison(xfer);
 		return;
 	}
+	if (forward_request(xfer)) {
+		timer_arm(xfer);
+		return;
+	}
+	if (xfer->forwarded && links_lost(proxyd->links, xfer->pool->name)) {
+		xfer->unreached = true;
+		xfer_perform(xfer, px_on_give_up(&xfer->px), "links_lost");
+		return;
+	}
 	resume_update_listed(xfer);
 	if (xfer->fleet_request.version &&
 	    !fleet_has_other(proxyd->fleet, &xfer->fleet_request, NULL)) {
@@ -403,7 +413,8 @@
 	xfer->timer.data = xfer;
 	hs_request_on_disconnect(xfer->call, xfer_on_disconnect, xfer);
 	timer_arm(xfer);
-	if (xfer->px.kind == PX_RESUMABLE && xfer->request.last_event_id >= 0)
+	if (xfer->px.kind == PX_RESUMABLE && xfer->request.last_event_id >= 0 &&
+	    xfer->fleet_request.version == 0)
 		resume_start_stream(xfer);
 	else
 		xfer_send(xfer);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -53,6 +53,7 @@
 	struct fleet_request fleet_request;
 	struct fleet_worker *worker; /* of the current attempt, or NULL */
 	struct hc_request *attempt;
+	struct hop_call *hop; /* the request at another host, or NULL */
 	struct xfer_response response;
 	bool has_output;    /* the attempt has returned an event, or the head of
 			     * a response that is not a stream */
@@ -73,6 +74,8 @@
 	bool waiting;	    /* in its pool's queue */
 	clk_ms waiting_since; /* for the next attempt; 0: not yet */
 	unsigned queue_round; /* in which it was last tried */
+	bool forwarded;	      /* by another host */
+	bool unreached;	      /* no worker could be reached */
 	bool resumes;	      /* its caller takes up a stream that has begun */
 	bool asking;	      /* the version that began it */
 	struct origin_question question;
@@ -142,9 +145,32 @@
  * not run yet. */
 bool guard_blocks(const struct xfer *xfer);
 
+/* proxyd-front.c */
+/* Checks a request and starts it, or replies to it; forwarded: what the host
+ * says that has forwarded it; NULL: its caller has sent it. */
+void front_accept(struct proxyd *proxyd, struct hs_request *call,
+		  const struct head_forwarded *forwarded);
+
+/* proxyd-forward.c: requests over another host */
+/* Whether another host may be able to take a request. */
+bool forward_is_possible(const struct xfer *xfer);
+/* Forwards a request that has no attempt, if the links to its workers are lost,
+ * or none of several workers could be reached; returns whether it has. */
+bool forward_request(struct xfer *xfer);
+
 /* proxyd-attempt.c: one attempt at an upstream */
+/* Returns the conditions for one more attempt. */
+struct px_retry_conditions attempt_retry_conditions(struct xfer *xfer);
 /* Sends the request to the chosen worker. */
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
+/* Adds bytes to the response: complete events of a stream are passed to relay,
+ * other responses are buffered. Returns false if the response can't go on; why
+ * is set then. */
+bool attempt_receive(struct xfer *xfer, const char *ptr, size_t len,
+		     void (*relay)(struct xfer *xfer, const GString *events),
+		     const char **why);
+/* Whether too much of a stream is buffered for its caller. */
+bool attempt_caller_is_slow(const struct xfer *xfer);
 /* Records how the attempt ended and carries out what follows. */
 void attempt_end(struct xfer *xfer, enum px_end end, const char *why);
 /* Cancels the current attempt, if there is one. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -214,10 +214,12 @@
 {
 	clk_ms age = proxyd_now(proxyd) - proxyd->stop_at;
 
-	if (age >= STOP_LISTEN_MS)
+	if (age >= STOP_LISTEN_MS) {
 		hs_stop_listening(proxyd->front);
-	if ((age >= STOP_LISTEN_MS &&
-	     hs_busy_connections(proxyd->front) == 0) ||
+		hs_stop_listening(proxyd->forwarded);
+	}
+	if ((age >= STOP_LISTEN_MS && hs_busy_connections(proxyd->front) == 0 &&
+	     hs_busy_connections(proxyd->forwarded) == 0) ||
 	    proxyd_now(proxyd) >= stop_deadline(proxyd)) {
 		slog(SLOG_NOTICE, "stopped",
 		     "after_ms=%" G_GINT64_FORMAT " open=%zu", age,
@@ -236,7 +238,9 @@
 	     hs_open_requests(proxyd->front), hs_connections(proxyd->front));
 	member_leave(proxyd->members, proxyd_now(proxyd));
 	proxyd->feed_outdated = true;
-	hs_drain(proxyd->front);
+	hs_drain(proxyd->front, true);
+	/* Hosts that don't know of the stop yet go on sending. */
+	hs_drain(proxyd->forwarded, false);
 	report_pass_on(proxyd);
 	leader_resign(proxyd);
 }
@@ -263,6 +267,7 @@
 	permit_tick(proxyd);
 	resume_tick(proxyd);
 	probe_tick(proxyd);
+	forward_tick(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
 	status_tick(proxyd);
@@ -303,6 +308,7 @@
 static bool front_open(struct proxyd *proxyd, GError **error)
 {
 	const struct conf_proxy *conf = proxyd->conf;
+	char address[MEMBER_ADDRESS_MAX];
 	struct hs_options options = {
 		.address = conf->front,
 		.limits = {
@@ -319,7 +325,14 @@
 	};
 
 	proxyd->front = hs_create(&proxyd->loop, &options, error);
-	return proxyd->front != NULL;
+	if (!proxyd->front)
+		return false;
+	g_snprintf(address, sizeof(address), "%s:%d", conf->address,
+		   internal_port(conf, FORWARD_PORT));
+	options.address = address;
+	options.on_request = forward_on_request;
+	proxyd->forwarded = hs_create(&proxyd->loop, &options, error);
+	return proxyd->forwarded != NULL;
 }
 
 static bool listen_all(struct proxyd *proxyd, GError **error)
@@ -507,6 +520,7 @@
 	permit_start(proxyd);
 	resume_start(proxyd);
 	probe_start(proxyd);
+	forward_start(proxyd);
 	queue_start(proxyd);
 	leader_start(proxyd);
 	loop_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -10,9 +10,10 @@
  * proxyd-xfer.c, proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
  * proxyd-permit.c and proxyd-probe.c (limits that workers name), proxyd-queue.c
  * (requests that wait for a permit), proxyd-resume.c (streams that callers take
- * up), proxyd-guard.c (prompts that crash
- * workers), proxyd-local.c (the host's own HTTP endpoints), proxyd-leader.c and
- * proxyd-scale.c (the leader's duties).
+ * up), proxyd-forward.c (requests that other hosts relay, as this one reaches
+ * no worker), proxyd-guard.c (prompts that crash workers), proxyd-local.c (the
+ * host's own HTTP endpoints), proxyd-leader.c and proxyd-scale.c (the leader's
+ * duties).
  */
 #ifndef DAEMON_PROXYD_H
 #define DAEMON_PROXYD_H
@@ -21,6 +22,7 @@
 #include <uv.h>
 
 #include "../decide/lease.h"
+#include "../decide/links.h"
 #include "../decide/err.h"
 #include "../decide/feed.h"
 #include "../decide/fetch.h"
@@ -51,6 +53,7 @@
 #include "../wire/hs.h"
 #include "../wire/rpc.h"
 #include "../wire/slog.h"
+#include "hop.h"
 #include "mirror.h"
 
 #define OWN_PREFIX "rw/"	 /* of the keys that this system writes */
@@ -58,6 +61,9 @@
 #define HOST_PREFIX "rw/host/"	 /* before a host's name */
 #define USAGE_PREFIX "rw/usage/" /* before a usage window's number */
 
+/* Ends the incarnation of a process that accepts forwarded requests, before
+ * ORIGIN_VERSION_MARK. */
+#define FORWARD_VERSION_MARK "+5"
 /* Ends the incarnation of a process that knows RW_PERMIT_ASK, before
  * FEED_VERSION_MARK. */
 #define PERMIT_VERSION_MARK "+3"
@@ -65,6 +71,11 @@
  */
 #define ORIGIN_VERSION_MARK "+4"
 
+/* Offset of the port for forwarded requests from that of the host's RPCs. */
+#define FORWARD_PORT 2
+/* What a host may add to the head of a request that it forwards. */
+#define FORWARD_HEAD_BYTES 512
+
 struct proxyd;
 struct xfer;
 
@@ -153,7 +164,12 @@
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
 	unsigned limit_questions; /* for all limits, since the start */
 	clk_ms next_issuer_check;
-	GPtrArray *probes;	/* of struct probe */
+	GPtrArray *probes; /* of struct probe */
+	struct links *links;
+	struct hop *hop;
+	struct hs *forwarded; /* listener for requests of other hosts */
+	clk_ms links_checked_at;
+	clk_ms paused_at;	/* this process last was; 0: never */
 	GArray *urgent_notices; /* of struct urgent_notice, not sent yet */
 	clk_ms next_urgent_notices;
 	struct lease leader_lease;
@@ -334,6 +350,20 @@
 void probe_tick(struct proxyd *proxyd);
 /* Sends one to a worker that names a limit, if it is due. */
 void probe_send(struct proxyd *proxyd, struct fleet_worker *worker);
+/* Checks whether a worker can be reached; returns false if its pool has no
+ * check. */
+bool probe_link(struct proxyd *proxyd, struct fleet_worker *worker);
+
+/* proxyd-forward.c: links to the workers, and requests over another host */
+void forward_start(struct proxyd *proxyd);
+void forward_tick(struct proxyd *proxyd);
+/* Something was received from a worker. */
+void forward_on_data(struct proxyd *proxyd, struct fleet_worker *worker);
+/* A connection to a worker has failed or ended, or it is silent. */
+void forward_on_failure(struct proxyd *proxyd,
+			const struct fleet_worker *worker);
+/* Another host has forwarded a request. */
+void forward_on_request(void *ctx, struct hs_request *call);
 
 /* proxyd-queue.c: requests that wait for a permit */
 void queue_start(struct proxyd *proxyd);
--- a/decide/err.c
+++ b/decide/err.c
@@ -47,6 +47,8 @@
 		       ERR_RAN_NO, 2000 },
 	[RW_ENOUPSTREAM] = { "RW_ENOUPSTREAM", "no upstream can serve this now",
 			     503, ERR_RAN_NO, 2000 },
+	[RW_ENOLINK] = { "RW_ENOLINK", "this host reaches no upstream", 503,
+			 ERR_RAN_NO, 500 },
 	[RW_ENOHOME] = { "RW_ENOHOME", "this host has no open record yet", 503,
 			 ERR_RAN_NO, 500 },
 	[RW_ESTOPPING] = { "RW_ESTOPPING", "this host is shutting down", 503,
--- a/decide/err.h
+++ b/decide/err.h
@@ -35,6 +35,7 @@
 	RW_EPOISON,	/* upstreams crash on a part of the prompt */
 	RW_EBUSY,	/* the deadline cannot be met under this load */
 	RW_ENOUPSTREAM, /* no upstream can serve this now */
+	RW_ENOLINK,	/* this host reaches no upstream that could serve it */
 	RW_ENOHOME,	/* this host has no open record yet */
 	RW_ESTOPPING,	/* this host is shutting down */
 	RW_EDEADLINE,	/* the deadline passed before it ran */
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -92,7 +92,8 @@
 	clk_ms reported_at;	   /* time of that report; 0: never */
 	uint32_t key;		   /* aggregate_key of its id */
 	uint32_t version;	   /* fleet_version_key of its version */
-	clk_ms cut_at; /* a connection to it last ended or failed; 0: never */
+	clk_ms heard_at; /* it last sent something to this host; 0: never */
+	clk_ms cut_at;	 /* a connection to it last ended or failed; 0: never */
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
--- /dev/null
+++ b/decide/links.c
@@ -0,0 +1,121 @@
+/* Links of this host to the workers. */
+#include "links.h"
+
+/* Workers of a pool that have failed in a row when its links count as lost;
+ * fewer if it has fewer. */
+#define LOST_WORKERS 3
+
+struct links_pool {
+	GHashTable *failed; /* set of keys of workers, since any was heard from
+			     */
+	bool lost;
+	clk_ms next_probe;
+};
+
+static void pool_free(void *ptr)
+{
+	struct links_pool *pool = ptr;
+
+	g_hash_table_destroy(pool->failed);
+	g_free(pool);
+}
+
+struct links *links_create(void)
+{
+	struct links *links = g_new0(struct links, 1);
+
+	links->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     pool_free);
+	return links;
+}
+
+void links_free(struct links *links)
+{
+	g_hash_table_destroy(links->pools);
+	g_free(links);
+}
+
+static struct links_pool *pool_find(const struct links *links, const char *name)
+{
+	return g_hash_table_lookup(links->pools, name);
+}
+
+bool links_on_data(struct links *links, const char *name)
+{
+	struct links_pool *pool = pool_find(links, name);
+	bool was_lost;
+
+	if (!pool || g_hash_table_size(pool->failed) == 0)
+		return false;
+	was_lost = pool->lost;
+	pool->lost = false;
+	g_hash_table_remove_all(pool->failed);
+	return was_lost;
+}
+
+bool links_on_failure(struct links *links, const char *name, uint32_t worker,
+		      unsigned workers)
+{
+	struct links_pool *pool = pool_find(links, name);
+
+	if (!pool) {
+		pool = g_new0(struct links_pool, 1);
+		pool->failed = g_hash_table_new(NULL, NULL);
+		g_hash_table_insert(links->pools, g_strdup(name), pool);
+	}
+	g_hash_table_add(pool->failed, GUINT_TO_POINTER(worker));
+	if (pool->lost ||
+	    g_hash_table_size(pool->failed) < CLAMP(workers, 1, LOST_WORKERS))
+		return false;
+	pool->lost = true;
+	return true;
+}
+
+bool links_lost(const struct links *links, const char *name)
+{
+	const struct links_pool *pool = pool_find(links, name);
+
+	return pool && pool->lost;
+}
+
+bool links_failed(const struct links *links, const char *name, uint32_t worker)
+{
+	const struct links_pool *pool = pool_find(links, name);
+
+	return pool &&
+	       g_hash_table_contains(pool->failed, GUINT_TO_POINTER(worker));
+}
+
+bool links_probe_due(struct links *links, const char *name, clk_ms now)
+{
+	struct links_pool *pool = pool_find(links, name);
+
+	if (!pool || g_hash_table_size(pool->failed) == 0 ||
+	    now < pool->next_probe)
+		return false;
+	pool->next_probe = now + LINKS_PROBE_MS;
+	return true;
+}
+
+int links_choose(const struct links_host *hosts, size_t count, uint32_t random,
+		 clk_ms now)
+{
+	for (int near = 1; near >= 0; near--) {
+		uint32_t able = 0;
+
+		for (size_t i = 0; i < count; i++)
+			able += (!near || hosts[i].near) &&
+				now >= hosts[i].avoid_until;
+		if (able == 0)
+			continue;
+		able = random % able;
+		for (size_t i = 0; i < count; i++) {
+			if ((near && !hosts[i].near) ||
+			    now < hosts[i].avoid_until)
+				continue;
+			if (able-- == 0)
+				return (int)i;
+		}
+	}
+	return -1;
+}
--- /dev/null
+++ b/decide/links.h
@@ -0,0 +1,56 @@
+/*
+ * Whether this host has lost its links to the workers of a pool, and which
+ * other host its requests are then forwarded to.
+ *
+ * A worker that can't be reached, or that says nothing, is no sign by itself:
+ * it may have crashed or stalled. Several in a row, with nothing received from
+ * any worker of their pool meanwhile, are. All of them may also be down; the
+ * other host then says that it does not reach them either.
+ */
+#ifndef DECIDE_LINKS_H
+#define DECIDE_LINKS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "clk.h"
+
+/* Between two probes of a pool, while some worker has failed and none was heard
+ * from since. */
+#define LINKS_PROBE_MS 250
+
+struct links {
+	GHashTable *pools; /* name -> struct links_pool */
+};
+
+struct links *links_create(void);
+void links_free(struct links *links);
+/* Something was received from a worker of a pool. Returns whether the links to
+ * the pool were lost until now. */
+bool links_on_data(struct links *links, const char *pool);
+/* A connection to a worker, given by its key, has failed or ended, or the
+ * worker is silent. workers: in the pool that accept requests. Returns whether
+ * the links to the pool count as lost from now on. */
+bool links_on_failure(struct links *links, const char *pool, uint32_t worker,
+		      unsigned workers);
+bool links_lost(const struct links *links, const char *pool);
+/* Whether a worker of the pool is to be probed now; if so, it counts as done.
+ */
+bool links_probe_due(struct links *links, const char *pool, clk_ms now);
+/* Whether a worker is among those that have failed. */
+bool links_failed(const struct links *links, const char *pool, uint32_t worker);
+
+/* Another host, as a target of forwarded requests. */
+struct links_host {
+	bool near;	    /* in the data centre of this host */
+	clk_ms avoid_until; /* it has just not accepted one; 0: it has not */
+};
+
+/* Chooses the host to forward a request to: a near one, if there is any that is
+ * not to be avoided. random: any number. Returns its index, or -1. */
+int links_choose(const struct links_host *hosts, size_t count, uint32_t random,
+		 clk_ms now);
+
+#endif
--- a/decide/px.c
+++ b/decide/px.c
@@ -8,6 +8,11 @@
 	return kind == PX_IDEMPOTENT || kind == PX_RESUMABLE;
 }
 
+bool px_needs_host(const struct px *px)
+{
+	return px->unsent > UNSENT_MAX;
+}
+
 void px_on_sent(struct px *px)
 {
 	px->attempts++;
@@ -25,8 +30,10 @@
 static enum px_action retry_action(const struct px *px,
 				   const struct px_retry_conditions *cond)
 {
-	if (px->attempts >= px->max_attempts || !cond->has_time ||
-	    !cond->has_upstream || (px->attempts > 0 && !cond->has_budget))
+	bool can_send = px_needs_host(px) ? cond->has_host : cond->has_upstream;
+
+	if (px->attempts >= px->max_attempts || !cond->has_time || !can_send ||
+	    (px->attempts > 0 && !cond->has_budget))
 		return px_on_give_up(px);
 	return px->response_started ? PX_RESUME : PX_RETRY;
 }
@@ -38,8 +45,7 @@
 	case PX_END_COMPLETE:
 		return PX_DELIVER;
 	case PX_END_UNSENT:
-		if (++px->unsent > UNSENT_MAX)
-			return px_on_give_up(px);
+		px->unsent++;
 		return retry_action(px, cond);
 	case PX_END_NOT_RUN:
 		return retry_action(px, cond);
--- a/decide/px.h
+++ b/decide/px.h
@@ -54,6 +54,7 @@
 	bool has_time;	   /* enough of it remains */
 	bool has_budget;   /* the retry budget allows one */
 	bool has_upstream; /* another upstream accepts work */
+	bool has_host;	   /* another host does, if no upstream is reached */
 };
 
 /* Records that an attempt was sent. */
@@ -66,6 +67,9 @@
 enum px_action px_on_timeout(const struct px *px, bool running);
 /* Returns the action when no further attempt is made. */
 enum px_action px_on_give_up(const struct px *px);
+/* Returns whether so many attempts sent nothing that only another host is to be
+ * tried. */
+bool px_needs_host(const struct px *px);
 /* Returns whether requests of a kind may run more than once. */
 bool px_is_repeatable(enum px_kind kind);
 
--- a/tests/platform.c
+++ b/tests/platform.c
@@ -299,6 +299,87 @@
 }
 END_TEST
 
+/* What hosts say of requests that they forward. */
+
+static const struct {
+	const char *headers;
+	bool ok;
+	unsigned attempts;
+	uint32_t version;
+	bool counted;
+} forwarded_cases[] = {
+	{ "rw-forwarded: h1~0a+5 2 0000001f 1\r\n", true, 2, 31, true },
+	{ "rw-forwarded: h1~0a+5 1 00000000 0\r\n", true, 1, 0, false },
+	{ "", false, 0, 0, false },
+	{ "rw-forwarded: \r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 0 00000000 0\r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 -1 00000000 0\r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 1 100000000 0\r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 1 0 2\r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 1 0\r\n", false, 0, 0, false },
+	{ "rw-forwarded:  1 0 0\r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 1 0 0 0\r\n", false, 0, 0, false },
+	{ "rw-forwarded: h1 1 0 0\r\nrw-forwarded: h2 1 0 0\r\n", false, 0, 0,
+	  false },
+};
+
+START_TEST(forwarded_is_parsed)
+{
+	char *text = g_strdup_printf("GET / HTTP/1.1\r\nHost: h\r\n%s\r\n",
+				     forwarded_cases[_i].headers);
+	struct head_forwarded forwarded;
+	struct h1_head head;
+	bool ok;
+
+	ck_assert_int_gt(h1_parse_request(text, strlen(text), 0, &head), 0);
+	ok = head_forward_parse(&head, &forwarded);
+	ck_assert_msg(ok == forwarded_cases[_i].ok, "%s", text);
+	if (ok) {
+		ck_assert_uint_eq(forwarded.attempts,
+				  forwarded_cases[_i].attempts);
+		ck_assert_uint_eq(forwarded.version,
+				  forwarded_cases[_i].version);
+		ck_assert_int_eq(forwarded.counted,
+				 forwarded_cases[_i].counted);
+	}
+	g_free(text);
+}
+END_TEST
+
+START_TEST(forwarded_head_is_rebuilt)
+{
+	static const char text[] =
+		"POST /a?b=1 HTTP/1.1\r\nHost: h\r\n"
+		"Authorization: Bearer k\r\nRw-Forwarded: evil 9 0 0\r\n"
+		"Redwingpitch-Deadline-Remaining: 900\r\n"
+		"Transfer-Encoding: chunked\r\nLast-Event-Id: 3\r\n\r\n";
+	struct head_forwarded forwarded = { "h1~0a+5", 2, 31, true };
+	struct head_forwarded parsed;
+	struct head_added added = {
+		.time_left = 700,
+		.last_event_id = 8,
+		.body_len = 5,
+		.has_body = true,
+	};
+	struct head_request request;
+	struct h1_head head;
+	GString *built;
+
+	ck_assert_int_gt(h1_parse_request(text, strlen(text), 0, &head), 0);
+	built = head_forward_build(&head, &added, &forwarded);
+	ck_assert_int_gt(h1_parse_request(built->str, built->len, 0, &head), 0);
+	head_request_parse(&head, &request);
+	ck_assert_int_eq(request.time_left, 700);
+	ck_assert_int_eq(request.last_event_id, 8);
+	ck_assert(h1_view_equals(request.api_key, "k"));
+	ck_assert_int_eq(head.framing, H1_LENGTH);
+	ck_assert_uint_eq(head.content_length, 5);
+	ck_assert(head_forward_parse(&head, &parsed));
+	ck_assert_str_eq(parsed.host, forwarded.host);
+	g_string_free(built, TRUE);
+}
+END_TEST
+
 static Suite *platform_suite(void)
 {
 	Suite *suite = suite_create("platform");
@@ -317,6 +398,9 @@
 	tcase_add_test(tcase, request_head_is_parsed);
 	tcase_add_loop_test(tcase, response_head_is_parsed, 0,
 			    G_N_ELEMENTS(response_cases));
+	tcase_add_loop_test(tcase, forwarded_is_parsed, 0,
+			    G_N_ELEMENTS(forwarded_cases));
+	tcase_add_test(tcase, forwarded_head_is_rebuilt);
 	return suite;
 }
 
--- /dev/null
+++ b/tests/unit-links.c
@@ -0,0 +1,117 @@
+/* Tests of what a host concludes about its links, and of its choice of another
+ * host. */
+#include <glib.h>
+
+#include "../decide/links.h"
+#include "run.h"
+
+#define STEPS_MAX 8
+#define HOSTS_MAX 4
+#define NOW 1000
+
+/* What happens to one pool: a worker fails (its key), or data arrives (0). */
+static const struct {
+	const char *what;
+	unsigned workers; /* in the pool */
+	uint32_t steps[STEPS_MAX + 1];
+	unsigned step_count;
+	bool lost;    /* after them */
+	bool changed; /* by the last one */
+} lost_cases[] = {
+	{ "one worker of many", 12, { 1, 1, 1, 1 }, 4, false, false },
+	{ "two workers of many", 12, { 1, 2, 1 }, 3, false, false },
+	{ "three in a row", 12, { 1, 2, 3 }, 3, true, true },
+	{ "data in between", 12, { 1, 2, 0, 3 }, 4, false, false },
+	{ "a fourth one", 12, { 1, 2, 3, 4 }, 4, true, false },
+	{ "data afterwards", 12, { 1, 2, 3, 0 }, 4, false, true },
+	{ "data twice", 12, { 1, 2, 3, 0, 0 }, 5, false, false },
+	{ "again", 12, { 1, 2, 3, 0, 1, 2, 3 }, 7, true, true },
+	{ "all of two", 2, { 1, 2 }, 2, true, true },
+	{ "the only one", 1, { 1 }, 1, true, true },
+	{ "one that is not listed any more", 0, { 1 }, 1, true, true },
+};
+
+START_TEST(links_are_lost_and_regained)
+{
+	struct links *links = links_create();
+	bool changed = false;
+
+	for (unsigned i = 0; i < lost_cases[_i].step_count; i++) {
+		uint32_t worker = lost_cases[_i].steps[i];
+
+		changed = worker ? links_on_failure(links, "p", worker,
+						    lost_cases[_i].workers)
+				 : links_on_data(links, "p");
+		if (worker)
+			ck_assert(links_failed(links, "p", worker));
+	}
+	ck_assert_msg(links_lost(links, "p") == lost_cases[_i].lost &&
+			      changed == lost_cases[_i].changed,
+		      "%s", lost_cases[_i].what);
+	/* Another pool may be reached over other links. */
+	ck_assert(!links_lost(links, "q"));
+	links_free(links);
+}
+END_TEST
+
+START_TEST(links_are_probed_while_in_doubt)
+{
+	struct links *links = links_create();
+
+	ck_assert(!links_probe_due(links, "p", NOW));
+	links_on_failure(links, "p", 1, 12);
+	ck_assert(links_probe_due(links, "p", NOW));
+	ck_assert(!links_probe_due(links, "p", NOW + LINKS_PROBE_MS - 1));
+	ck_assert(links_probe_due(links, "p", NOW + LINKS_PROBE_MS));
+	links_on_data(links, "p");
+	ck_assert(!links_probe_due(links, "p", NOW + 2 * LINKS_PROBE_MS));
+	links_free(links);
+}
+END_TEST
+
+static const struct {
+	const char *what;
+	struct links_host hosts[HOSTS_MAX];
+	size_t count;
+	int chosen[2]; /* with an even random number, with an odd one */
+} choose_cases[] = {
+	{ "no host", { { 0 } }, 0, { -1, -1 } },
+	{ "near ones first",
+	  { { false, 0 }, { true, 0 }, { true, 0 }, { false, 0 } },
+	  4,
+	  { 1, 2 } },
+	{ "far ones where the near one does not accept any",
+	  { { false, 0 }, { true, NOW + 1 }, { false, 0 } },
+	  3,
+	  { 0, 2 } },
+	{ "the time is over", { { false, 0 }, { true, NOW } }, 2, { 1, 1 } },
+	{ "no host accepts any",
+	  { { false, NOW + 1 }, { true, NOW + 9 } },
+	  2,
+	  { -1, -1 } },
+};
+
+START_TEST(links_chooses_host)
+{
+	for (uint32_t random = 0; random < 2; random++)
+		ck_assert_msg(links_choose(choose_cases[_i].hosts,
+					   choose_cases[_i].count, random,
+					   NOW) ==
+				      choose_cases[_i].chosen[random],
+			      "%s", choose_cases[_i].what);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("unit_links");
+	TCase *tcase = tcase_create("links");
+
+	tcase_add_loop_test(tcase, links_are_lost_and_regained, 0,
+			    G_N_ELEMENTS(lost_cases));
+	tcase_add_test(tcase, links_are_probed_while_in_doubt);
+	tcase_add_loop_test(tcase, links_chooses_host, 0,
+			    G_N_ELEMENTS(choose_cases));
+	suite_add_tcase(suite, tcase);
+	return run_suite(suite, "unit_links");
+}
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -14,7 +14,10 @@
 	X(ended_not_run, "requests answered as not run")                       \
 	X(ended_unknown, "requests answered with outcome unknown")             \
 	X(reconnects, "callers that fetched a known request again")            \
-	X(forwarded, "requests forwarded to another entry host")               \
+	X(forwarded, "requests forwarded to another host")                     \
+	X(forwards_received, "requests forwarded by another host")             \
+	X(forwards_rejected, "such requests that were not accepted")           \
+	X(links_lost, "times the links to all workers of a pool were lost")    \
 	X(moved, "requests whose primary became another host")                 \
 	X(inherited, "requests taken over from a failed host")                 \
 	X(refused_busy, "requests refused because of load")                    \
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -412,10 +412,10 @@
 	hs->options.limits = *limits;
 }
 
-void hs_drain(struct hs *hs)
+void hs_drain(struct hs *hs, bool close_idle)
 {
 	hs->draining = true;
-	for (guint i = hs->conns->len; i > 0; i--) {
+	for (guint i = hs->conns->len; close_idle && i > 0; i--) {
 		struct hs_conn *conn = g_ptr_array_index(hs->conns, i - 1);
 
 		/* A new connection may have its first request in flight. */
@@ -453,6 +453,22 @@
 	return count;
 }
 
+const struct hs *hs_request_server(const struct hs_request *request)
+{
+	return request->conn->hs;
+}
+
+void hs_request_peer(const struct hs_request *request, char *buf, size_t size)
+{
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	if (uv_tcp_getpeername(&request->conn->tcp->handle,
+			       (struct sockaddr *)&addr, &len) != 0 ||
+	    uv_ip4_name(&addr, buf, size) != 0)
+		buf[0] = '\0';
+}
+
 const struct h1_head *hs_request_head(const struct hs_request *request)
 {
 	return &request->head;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -37,9 +37,9 @@
 struct hs *hs_create(uv_loop_t *loop, const struct hs_options *options,
 		     GError **error);
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
-/* Closes the connections that are idle after a response; from now on every
- * response closes its connection. */
-void hs_drain(struct hs *hs);
+/* From now on every response closes its connection; idle ones that had a
+ * response are closed, too, if close_idle is set. */
+void hs_drain(struct hs *hs, bool close_idle);
 /* Stops accepting connections. */
 void hs_stop_listening(struct hs *hs);
 /* Requests whose response is not complete, also those still being read. */
@@ -48,6 +48,10 @@
 /* Connections that are not idle or have unsent bytes. */
 size_t hs_busy_connections(const struct hs *hs);
 
+/* The server that received the request. */
+const struct hs *hs_request_server(const struct hs_request *request);
+/* Writes the caller's IP address; "" if it is not known. */
+void hs_request_peer(const struct hs_request *request, char *buf, size_t size);
 const struct h1_head *hs_request_head(const struct hs_request *request);
 /* Returns the path without the query. */
 struct http_view hs_request_path(const struct hs_request *request);
