Tests: a host that loses its links blocks a request on all hosts (fails)

8 requests that have not run before are at four workers of a host whose links are reset: it reports four crashes, and all hosts reject 42 of 53 requests of that kind.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1520,6 +1520,31 @@
                     assert ran == [], (path, got.status, ran)
 
 
+async def test_proxy_cut_links_block_no_request(net):
+    """A host that loses its links while a request that has never run before is
+    at several workers is no evidence that it crashes them: it is served at all
+    hosts."""
+    async with Rig(net, hosts=3, api=4) as rig:
+        await rig.wait_membership()
+        for worker in rig.workers_of("api"):
+            worker.mode = "slow"
+        results = []
+
+        async def send(host):
+            results.append(await host.request("POST", "/i/new", b"new",
+                                              remaining_ms=2500))
+        tasks = [asyncio.create_task(send(rig.hosts[0])) for _ in range(8)]
+        await asyncio.sleep(0.35)
+        for worker in rig.workers:
+            worker.cut_links(rig.hosts[0].ip, "reset")
+        for _ in range(15):
+            await asyncio.sleep(0.2)
+            tasks += [asyncio.create_task(send(host)) for host in rig.hosts]
+        await asyncio.gather(*tasks)
+        refused = [got.status for got in results if got.status == 503]
+        assert not refused, "%d of %d rejected" % (len(refused), len(results))
+
+
 async def test_proxy_forwarding_only_by_hosts(net):
     """A caller that names itself a host is not taken for one: at the listener
     for forwarded requests nothing is run, and at the other one the header
