Evidence: a host that loses its links takes no worker for crashed

Callers whose request was at several workers of a host when that lost its links were rejected at all hosts, for 30 s and more: the host had told them that the request crashes workers.

Cause: an attempt that is cut off counted as the end of its worker's process, whatever had cut it off. While the links to a pool are lost such an attempt is now held back until it is known whether others reach the workers (links_view): if another host does it is dropped, if none does it counts, so that a request that crashes all workers is still noticed.

--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -98,7 +98,8 @@
 
 	if (worker->removed ||
 	    !links_on_failure(proxyd->links, pool, worker->key,
-			      fleet_count(proxyd->fleet, pool)))
+			      fleet_count(proxyd->fleet, pool),
+			      proxyd_now(proxyd)))
 		return;
 	proxyd_count(proxyd, CTR_links_lost);
 	slog(SLOG_WARN, "links", "pool=%s worker=%s outcome=lost", pool,
@@ -248,6 +249,8 @@
 	response->status = head->status;
 	response->headers = head_response_build(head);
 	response->body = g_string_sized_new(0);
+	if (head_is_signed(head))
+		links_on_host(xfer->proxyd->links, xfer->pool->name, true);
 	response->is_event_stream =
 		head->status / 100 == 2 &&
 		(xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE);
@@ -306,6 +309,7 @@
 	switch (result) {
 	case HOP_NOT_ACCEPTED:
 		xfer->unreached = true;
+		links_on_host(xfer->proxyd->links, xfer->pool->name, false);
 		xfer_perform(xfer, px_on_give_up(&xfer->px), "no_host");
 		return;
 	case HOP_CUT:
--- a/daemon/proxyd-guard.c
+++ b/daemon/proxyd-guard.c
@@ -175,9 +175,23 @@
 	return member_self_in_top(proxyd->members, subject, 1);
 }
 
+static enum poison_doubt op_doubt(void *ctx, uint32_t pool)
+{
+	static const enum poison_doubt doubts[] = {
+		[LINKS_GOOD] = POISON_SURE,
+		[LINKS_UNSURE] = POISON_WAIT,
+		[LINKS_LOST_HERE] = POISON_NONE,
+		[LINKS_LOST_EVERYWHERE] = POISON_SURE,
+	};
+	struct proxyd *proxyd = ctx;
+
+	return doubts[links_view(proxyd->links, pool, proxyd_now(proxyd))];
+}
+
 void guard_start(struct proxyd *proxyd)
 {
 	static const struct poison_ops ops = {
+		.doubt = op_doubt,
 		.crashed = op_crashed,
 		.kept = op_kept,
 		.dropped = op_dropped,
@@ -348,6 +362,7 @@
 		return;
 	guard_request_fill(&request, &xfer->request, xfer->identity);
 	poison_on_cut(proxyd->poison, &request, process_key(xfer->worker),
+		      aggregate_key(xfer->worker->entry.pool),
 		      proxyd_wall(proxyd));
 }
 
--- a/decide/links.c
+++ b/decide/links.c
@@ -1,14 +1,26 @@
 /* Links of this host to the workers. */
 #include "links.h"
 
+#include "aggregate.h"
+
 /* Workers of a pool that have failed in a row when its links count as lost;
  * fewer if it has fewer. */
 #define LOST_WORKERS 3
 
+/* Until a probe has told that links that count as lost are not. */
+#define PROBE_WAIT_MS 400
+/* Until the links count as lost everywhere if no other host has said that it
+ * reaches the workers. */
+#define HOST_WAIT_MS 1000
+
 struct links_pool {
+	uint32_t key;	    /* aggregate_key of its name */
 	GHashTable *failed; /* set of keys of workers, since any was heard from
 			     */
 	bool lost;
+	clk_ms lost_at;
+	bool host_reached; /* another host has reached a worker since */
+	bool host_failed;  /* one has failed to */
 	clk_ms next_probe;
 };
 
@@ -54,12 +66,13 @@
 }
 
 bool links_on_failure(struct links *links, const char *name, uint32_t worker,
-		      unsigned workers)
+		      unsigned workers, clk_ms now)
 {
 	struct links_pool *pool = pool_find(links, name);
 
 	if (!pool) {
 		pool = g_new0(struct links_pool, 1);
+		pool->key = aggregate_key(name);
 		pool->failed = g_hash_table_new(NULL, NULL);
 		g_hash_table_insert(links->pools, g_strdup(name), pool);
 	}
@@ -68,9 +81,45 @@
 	    g_hash_table_size(pool->failed) < CLAMP(workers, 1, LOST_WORKERS))
 		return false;
 	pool->lost = true;
+	pool->lost_at = now;
+	pool->host_reached = false;
+	pool->host_failed = false;
 	return true;
 }
 
+void links_on_host(struct links *links, const char *name, bool reached)
+{
+	struct links_pool *pool = pool_find(links, name);
+
+	if (!pool || !pool->lost)
+		return;
+	pool->host_reached |= reached;
+	pool->host_failed |= !reached;
+}
+
+enum links_view links_view(const struct links *links, uint32_t key, clk_ms now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, links->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct links_pool *pool = value;
+		clk_ms age = now - pool->lost_at;
+
+		if (pool->key != key || !pool->lost)
+			continue;
+		if (age < PROBE_WAIT_MS)
+			return LINKS_UNSURE;
+		if (pool->host_reached)
+			return LINKS_LOST_HERE;
+		return pool->host_failed || age >= HOST_WAIT_MS
+			       ? LINKS_LOST_EVERYWHERE
+			       : LINKS_UNSURE;
+	}
+	return LINKS_GOOD;
+}
+
 bool links_lost(const struct links *links, const char *name)
 {
 	const struct links_pool *pool = pool_find(links, name);
--- a/decide/links.h
+++ b/decide/links.h
@@ -34,7 +34,21 @@
  * worker is silent. workers: in the pool that accept requests. Returns whether
  * the links to the pool count as lost from now on. */
 bool links_on_failure(struct links *links, const char *pool, uint32_t worker,
-		      unsigned workers);
+		      unsigned workers, clk_ms now);
+/* Another host has had a response from a worker of a pool for this one, or has
+ * said that it does not reach them either. */
+void links_on_host(struct links *links, const char *pool, bool reached);
+
+/* Where the links to a pool are lost. */
+enum links_view {
+	LINKS_GOOD,	       /* they are not */
+	LINKS_UNSURE,	       /* not known yet */
+	LINKS_LOST_HERE,       /* another host reaches the workers */
+	LINKS_LOST_EVERYWHERE, /* no host does: they may be down */
+};
+
+/* key: aggregate_key of the pool's name. */
+enum links_view links_view(const struct links *links, uint32_t key, clk_ms now);
 bool links_lost(const struct links *links, const char *pool);
 /* Whether a worker of the pool is to be probed now; if so, it counts as done.
  */
--- a/decide/poison.c
+++ b/decide/poison.c
@@ -66,6 +66,7 @@
 	struct poison_key keys[FLEET_PARTS_MAX + 1];
 	size_t count;
 	struct poison_crash crash;
+	uint32_t pool; /* of the process */
 };
 
 static guint key_hash(gconstpointer ptr)
@@ -419,7 +420,7 @@
 /* Own requests. */
 
 void poison_on_cut(struct poison *poison, const struct poison_request *request,
-		   uint32_t process, clk_ms now)
+		   uint32_t process, uint32_t pool, clk_ms now)
 {
 	struct unproved_crash *row = g_new0(struct unproved_crash, 1);
 
@@ -429,6 +430,7 @@
 		.request = (uint32_t)request->identity,
 		.at = now,
 	};
+	row->pool = pool;
 	rate_add_cut(&poison->rates[request->has_prompt], &row->crash);
 	g_ptr_array_add(poison->unproved, row);
 }
@@ -735,17 +737,33 @@
 	}
 }
 
-void poison_tick(struct poison *poison, clk_ms now)
+/* Reports the own crashes that are due, and drops those that were none. */
+static void unproved_judge(struct poison *poison, clk_ms now)
 {
-	while (poison->unproved->len > 0) {
+	guint i = 0;
+
+	while (i < poison->unproved->len) {
 		const struct unproved_crash *row =
-			g_ptr_array_index(poison->unproved, 0);
+			g_ptr_array_index(poison->unproved, i);
+		enum poison_doubt doubt = POISON_SURE;
 
 		if (now - row->crash.at < PROOF_WAIT_MS)
 			break;
-		crash_report(poison, row, now);
-		g_ptr_array_remove_index(poison->unproved, 0);
+		if (poison->ops->doubt)
+			doubt = poison->ops->doubt(poison->ctx, row->pool);
+		if (doubt == POISON_WAIT) {
+			i++;
+			continue;
+		}
+		if (doubt == POISON_SURE)
+			crash_report(poison, row, now);
+		g_ptr_array_remove_index(poison->unproved, i);
 	}
+}
+
+void poison_tick(struct poison *poison, clk_ms now)
+{
+	unproved_judge(poison, now);
 	if (now - poison->expired_at >= EXPIRE_MS)
 		suspects_expire(poison, now);
 	/* The share of attempts that are cut off changes by itself. */
--- a/decide/poison.h
+++ b/decide/poison.h
@@ -51,7 +51,18 @@
 	clk_ms at;
 };
 
+/* What is known of a crash of which this host may have seen no more than the
+ * end of its own links. */
+enum poison_doubt {
+	POISON_SURE, /* it counts */
+	POISON_WAIT, /* not known yet */
+	POISON_NONE, /* there was none */
+};
+
 struct poison_ops {
+	/* Judges an own crash of a pool, by its aggregate_key; NULL: all are
+	 * sure. */
+	enum poison_doubt (*doubt)(void *ctx, uint32_t pool);
 	/* Other hosts are to learn of a crash at once; before: how many are
 	 * known. */
 	void (*crashed)(void *ctx, const struct poison_key *key,
@@ -110,9 +121,9 @@
 void poison_free(struct poison *poison);
 
 /* An attempt of this host was cut off without output; process identifies that
- * of its worker. */
+ * of its worker, and pool the worker's pool. */
 void poison_on_cut(struct poison *poison, const struct poison_request *request,
-		   uint32_t process, clk_ms now);
+		   uint32_t process, uint32_t pool, clk_ms now);
 /* A worker's process has sent something: it has not ended. */
 void poison_on_alive(struct poison *poison, uint32_t process);
 /* A request of this host has run. */
--- a/tests/sim-poison.c
+++ b/tests/sim-poison.c
@@ -302,7 +302,7 @@
 
 	(void)ctx;
 	if (!request->has_output)
-		poison_on_cut(request->host->poison, &view, request->process,
+		poison_on_cut(request->host->poison, &view, request->process, 0,
 			      world_now(request->world));
 	if (!request->has_output && request->attempts < 2 &&
 	    !poison_blocks(request->host->poison, &view, NULL))
--- a/tests/unit-links.c
+++ b/tests/unit-links.c
@@ -2,6 +2,7 @@
  * host. */
 #include <glib.h>
 
+#include "../decide/aggregate.h"
 #include "../decide/links.h"
 #include "run.h"
 
@@ -40,7 +41,7 @@
 		uint32_t worker = lost_cases[_i].steps[i];
 
 		changed = worker ? links_on_failure(links, "p", worker,
-						    lost_cases[_i].workers)
+						    lost_cases[_i].workers, NOW)
 				 : links_on_data(links, "p");
 		if (worker)
 			ck_assert(links_failed(links, "p", worker));
@@ -54,12 +55,54 @@
 }
 END_TEST
 
+/* Where the links are lost, by what other hosts say. */
+static const struct {
+	const char *what;
+	uint32_t failed; /* workers 1 to this one */
+	bool reached;	 /* another host says so */
+	bool not_reached;
+	clk_ms after; /* ms */
+	enum links_view view;
+} view_cases[] = {
+	{ "good", 2, true, true, 5000, LINKS_GOOD },
+	{ "a probe may tell", 3, true, false, 399, LINKS_UNSURE },
+	{ "another host reaches them", 3, true, false, 400, LINKS_LOST_HERE },
+	{ "one does, another does not", 3, true, true, 400, LINKS_LOST_HERE },
+	{ "no host has said anything", 3, false, false, 999, LINKS_UNSURE },
+	{ "no host does", 3, false, true, 400, LINKS_LOST_EVERYWHERE },
+	{ "nobody to ask", 3, false, false, 1000, LINKS_LOST_EVERYWHERE },
+};
+
+START_TEST(links_view_depends_on_hosts)
+{
+	struct links *links = links_create();
+
+	for (uint32_t worker = 1; worker <= view_cases[_i].failed; worker++)
+		links_on_failure(links, "p", worker, 12, NOW);
+	if (view_cases[_i].reached)
+		links_on_host(links, "p", true);
+	if (view_cases[_i].not_reached)
+		links_on_host(links, "p", false);
+	ck_assert_msg(links_view(links, aggregate_key("p"),
+				 NOW + view_cases[_i].after) ==
+			      view_cases[_i].view,
+		      "%s", view_cases[_i].what);
+	/* What was said does not count for the next loss. */
+	links_on_data(links, "p");
+	for (uint32_t worker = 1; worker <= 3; worker++)
+		links_on_failure(links, "p", worker, 12, NOW);
+	ck_assert(links_view(links, aggregate_key("p"), NOW + 400) ==
+		  LINKS_UNSURE);
+	links_free(links);
+}
+END_TEST
+
 START_TEST(links_are_probed_while_in_doubt)
 {
 	struct links *links = links_create();
 
 	ck_assert(!links_probe_due(links, "p", NOW));
-	links_on_failure(links, "p", 1, 12);
+	links_on_failure(links, "p", 1, 12, NOW);
 	ck_assert(links_probe_due(links, "p", NOW));
 	ck_assert(!links_probe_due(links, "p", NOW + LINKS_PROBE_MS - 1));
 	ck_assert(links_probe_due(links, "p", NOW + LINKS_PROBE_MS));
@@ -109,6 +152,8 @@
 
 	tcase_add_loop_test(tcase, links_are_lost_and_regained, 0,
 			    G_N_ELEMENTS(lost_cases));
+	tcase_add_loop_test(tcase, links_view_depends_on_hosts, 0,
+			    G_N_ELEMENTS(view_cases));
 	tcase_add_test(tcase, links_are_probed_while_in_doubt);
 	tcase_add_loop_test(tcase, links_chooses_host, 0,
 			    G_N_ELEMENTS(choose_cases));
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1528,7 +1528,7 @@
 		if (run)
 			poison_on_run(poison, &other, at);
 		else
-			poison_on_cut(poison, &other, number, at);
+			poison_on_cut(poison, &other, number, 0, at);
 	}
 }
 
@@ -1566,7 +1566,7 @@
 	};
 
 	if (step->kind == STEP_CUT)
-		poison_on_cut(poison, &request, step->process, at);
+		poison_on_cut(poison, &request, step->process, 0, at);
 	if (step->kind == STEP_RUN)
 		poison_on_run(poison, &request, at);
 	if (step->kind == STEP_ALIVE)
