Tests: streams after all hosts were killed, two tests (fail)

12 of 12 streams go on at version v2 that v1 began, with all workers of v1 gone meanwhile; 0 of 24 go on while both versions serve.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -29,6 +29,10 @@
 RESUMED_SHARE = 0.95   # of the streams that callers take up, while two workers
                        # of their version serve, go on
 RESUMED_AFTER_KILL_SHARE = 0.9  # the same, with their first host killed
+STREAMS_WRITTEN_S = 1.2  # from the first event of a stream until its version
+                         # outlives all hosts
+VERSION_GONE_S = 21.0  # from the end of a version's workers until no stream of it
+                       # is taken up
 REJECT_BOUND_S = 0.5   # for a stream that can't go on
 STABLE_WINDOW_S = 3.0  # from the fifth crash on one prompt part
 NOT_EXECUTED = (408, 421, 429, 503)  # statuses that guarantee no execution
@@ -272,6 +276,85 @@
         check_resumed(results, RESUMED_AFTER_KILL_SHARE)
 
 
+async def begin_streams(rig, count):
+    """Begins streams, whose callers leave after some events; returns the
+    attempt, the last event's id and the version of each."""
+    streams = []
+
+    async def begin(index):
+        caller = rig.hosts[index % len(rig.hosts)].caller()
+        ident = await caller.send("POST", "/s/x", b"b", remaining_ms=8000)
+        got = await caller.receive(events=3)
+        streams.append((ident, got.event_ids()[-1], got.versions()))
+    await asyncio.gather(*(begin(i) for i in range(count)))
+    return streams
+
+
+async def restart_all(rig):
+    for host in rig.hosts:
+        host.kill()
+    await asyncio.sleep(0.5)
+    for host in rig.hosts:
+        host.start(first_start=False)
+    for host in rig.hosts:
+        await rig.wait_ready(host)
+
+
+async def take_up_streams(rig, streams, results):
+    """Takes streams up, each at one host and once; see resume_stream."""
+    async def take_up(index, ident, last, versions):
+        sent = time.monotonic()
+        got = await rig.hosts[index % len(rig.hosts)].request(
+            "POST", "/s/x", b"b", remaining_ms=8000, headers=[
+                "Last-Event-Id: %d" % last, "Resumes: " + ident])
+        assert got.status == 200 or \
+            time.monotonic() - sent < REJECT_BOUND_S, got.status
+        results.append((ident, versions | got.versions(),
+                        got.status == 200 and got.complete))
+    await asyncio.gather(*(take_up(i + 1, *stream)
+                           for i, stream in enumerate(streams)))
+
+
+async def test_proxy_stream_of_former_version_after_all_killed(net):
+    """All hosts are killed, and the workers of the version that began the
+    streams leave before they are back: no stream goes on at another one."""
+    async with Rig(net, hosts=3, llm=4) as rig:
+        await rig.wait_membership()
+        streams = await begin_streams(rig, 12)
+        await asyncio.sleep(STREAMS_WRITTEN_S)
+        for host in rig.hosts:
+            host.kill()
+        await list_versions(rig, ("v2",) * 4)
+        await restart_all(rig)
+        results = []
+        await take_up_streams(rig, streams, results)
+        check_resumed(results, 0)
+
+
+# (versions of the workers, share of the streams that go on)
+ALL_KILLED = [
+    (("v1", "v1", "v2", "v2"), 0.9),
+    (("v3", "v3", "v3", "v3"), 0.95),
+]
+
+
+async def test_proxy_stream_goes_on_after_all_killed(net):
+    """Streams that began a second and more before all hosts are killed go on
+    afterwards, at their version."""
+    for more, (versions, share) in enumerate(ALL_KILLED):
+        async with Rig(net + 50 * more, hosts=3, llm=4) as rig:
+            await rig.wait_membership()
+            await list_versions(rig, versions)
+            # Former versions are no longer in use.
+            await asyncio.sleep(VERSION_GONE_S if share > 0.9 else 0)
+            streams = await begin_streams(rig, 24)
+            await asyncio.sleep(STREAMS_WRITTEN_S)
+            await restart_all(rig)
+            results = []
+            await take_up_streams(rig, streams, results)
+            check_resumed(results, share)
+
+
 async def test_proxy_broken_stream_keeps_version(net):
     """A stream that its host resumes goes on at the version that began it, and
     is broken off if no other worker has that version."""
