Streams: the store has a record of the versions that served lately

Cause: hosts that have all just started took the one version in the list of workers for the one that began the stream (is_sole). The list is of now; the workers of the former version may have left while no host ran. The class: a state of now is taken for one of then.

Change: the host that ranks first writes for each pool which versions serve, and since when others don't (rw/versions/POOL, two writes for a version that comes and goes). Hosts that have all just started take a version for the sole one only if the record, with the list, has no other one that may have begun a stream. Ruled out: to ask the workers, which drop their runs with the connection.

The cases of origin_judged that asserted the fault (all have started, the list decides) now expect that the stream is unknown; the same with a record of one version expects that it goes on.

--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -11,7 +11,9 @@
 /* The list of workers is current if it was so long ago at most: heartbeats come
  * every FEED_HEARTBEAT_MS, and the responses of watches every 1.1 s. */
 #define LISTED_MS 2500
-#define ASK_AGAIN_MS 100 /* a datagram may have been lost */
+#define ASK_AGAIN_MS 100  /* a datagram may have been lost */
+#define RECORD_GAP_MS 100 /* between two writes of records of versions */
+#define VERSIONS_PREFIX OWN_PREFIX "versions/" /* before a pool's name */
 
 static bool is_settled(const struct proxyd *proxyd)
 {
@@ -39,6 +41,118 @@
 	return versions > 1 ? proxyd->listed_at : CLK_NEVER;
 }
 
+/* Versions that outlive all hosts. */
+
+static const struct store_item *record_item(const struct proxyd *proxyd,
+					    const char *pool)
+{
+	char *key = g_strconcat(VERSIONS_PREFIX, pool, NULL);
+	const struct store_item *item =
+		store_get(mirror_replica(proxyd->mirror, MIRROR_OWN), key);
+
+	g_free(key);
+	return item && item->value ? item : NULL;
+}
+
+/* Returns the record of a pool's versions; NULL: there is none. */
+static GArray *record_read(struct proxyd *proxyd, const char *pool)
+{
+	const struct store_item *item = record_item(proxyd, pool);
+	GArray *versions;
+	const char *text;
+	gsize len;
+
+	if (!item)
+		return NULL;
+	text = g_bytes_get_data(item->value, &len);
+	versions = version_parse(text, len);
+	if (!versions)
+		proxyd_count(proxyd, CTR_bad_input);
+	return versions;
+}
+
+/* Counts the versions that a pool has had lately by the record and the list of
+ * workers; 0: not known. */
+static unsigned recorded_versions(struct proxyd *proxyd, const char *pool)
+{
+	clk_ms restored_at = mirror_restored_at(proxyd->mirror);
+	clk_ms now = proxyd_now(proxyd);
+	uint32_t serving[VERSION_MAX];
+	GArray *versions;
+	unsigned count;
+
+	/* An older copy of the store has an older record. */
+	if (!mirror_is_current(proxyd->mirror) ||
+	    (restored_at && now - restored_at < ORIGIN_KEEP_MS))
+		return 0;
+	versions = record_read(proxyd, pool);
+	if (!versions)
+		return 0;
+	count = version_count(versions, serving,
+			      fleet_serving_versions(proxyd->fleet, pool,
+						     serving, VERSION_MAX),
+			      proxyd_wall(proxyd));
+	g_array_unref(versions);
+	return count;
+}
+
+static void on_record_written(void *ctx, enum kv_outcome outcome,
+			      int64_t revision)
+{
+	struct proxyd *proxyd = ctx;
+
+	proxyd->record_pending = false;
+	slog(SLOG_NOTICE, "versions",
+	     "revision=%" G_GINT64_FORMAT " outcome=%s", revision,
+	     outcome == KV_OK ? "written" : "not_written");
+}
+
+/* Writes the record of a pool's versions if they have changed. */
+static void record_update(struct proxyd *proxyd, const char *pool)
+{
+	const struct store_item *item = record_item(proxyd, pool);
+	GArray *versions = record_read(proxyd, pool);
+	uint32_t serving[VERSION_MAX];
+	size_t count = fleet_serving_versions(proxyd->fleet, pool, serving,
+					      VERSION_MAX);
+	GString *text;
+	char *key;
+
+	if (!versions)
+		versions = g_array_new(FALSE, FALSE, sizeof(struct version));
+	if (version_update(versions, serving, count, proxyd_wall(proxyd))) {
+		key = g_strconcat(VERSIONS_PREFIX, pool, NULL);
+		text = version_print(versions);
+		proxyd->record_pending = true;
+		proxyd->next_record = proxyd_now(proxyd) + RECORD_GAP_MS;
+		kv_change(proxyd->kv,
+			  &(struct kv_change){
+				  .key = key,
+				  .value = text->str,
+				  .expected_revision = item ? item->mod : 0,
+			  },
+			  on_record_written, proxyd);
+		g_string_free(text, TRUE);
+		g_free(key);
+	}
+	g_array_unref(versions);
+}
+
+/* The host that ranks first keeps the records. */
+static void records_tick(struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	if (proxyd->feed.rank != 0 || !mirror_reads_store(proxyd->mirror))
+		return;
+	g_hash_table_iter_init(&iter, proxyd->fleet->pools);
+	while (g_hash_table_iter_next(&iter, &pool, NULL))
+		if (!proxyd->record_pending &&
+		    proxyd_now(proxyd) >= proxyd->next_record)
+			record_update(proxyd, pool);
+}
+
 /* Rows for the hosts that are to keep streams. */
 struct keepers_ctx {
 	struct proxyd *proxyd;
@@ -221,16 +335,18 @@
 
 	view.versions = fleet_versions(proxyd->fleet, xfer->pool->name, now,
 				       &view.sole);
+	view.recorded = recorded_versions(proxyd, xfer->pool->name);
 	verdict = origin_judge(&xfer->question, &view, now, &version);
 	if (verdict == ORIGIN_WAIT)
 		return false;
 	slog(SLOG_INFO, "resume",
 	     "id=%s stream=%016" G_GINT64_MODIFIER
 	     "x version=%08x asked=%u answers=%u settled=%u versions=%u "
-	     "others=%u listed=%d took_ms=%" G_GINT64_FORMAT " outcome=%s",
+	     "others=%u recorded=%u listed=%d took_ms=%" G_GINT64_FORMAT
+	     " outcome=%s",
 	     xfer->id, xfer->question.key, version, xfer->question.asked,
 	     xfer->question.answers, xfer->question.settled, view.versions,
-	     xfer->question.versions, view.listed,
+	     xfer->question.versions, view.recorded, view.listed,
 	     now - xfer->question.asked_at, names[verdict]);
 	proxyd_count(proxyd, verdict == ORIGIN_UNKNOWN ? CTR_resumes_unknown
 						       : CTR_resumes);
@@ -302,6 +418,7 @@
 	g_hash_table_iter_init(&iter, proxyd->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		pool_update(proxyd, pool);
+	records_tick(proxyd);
 	for (guint i = proxyd->questions->len; i-- > 0;) {
 		struct xfer *xfer = g_ptr_array_index(proxyd->questions, i);
 
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -40,6 +40,7 @@
 #include "../decide/aggregate.h"
 #include "../decide/tab.h"
 #include "../decide/usage.h"
+#include "../decide/version.h"
 #include "../decide/wall.h"
 #include "../platform/cloud.h"
 #include "../platform/decode.h"
@@ -160,6 +161,8 @@
 	struct wall wall;
 	struct poison *poison;
 	struct origin *origin;
+	bool record_pending; /* a record of versions is being written */
+	clk_ms next_record;
 	GPtrArray *questions; /* struct xfer whose stream's version is asked */
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
 	unsigned limit_questions; /* for all limits, since the start */
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -142,6 +142,22 @@
 	return versions->len;
 }
 
+size_t fleet_serving_versions(const struct fleet *fleet, const char *pool,
+			      uint32_t *keys, size_t max)
+{
+	const GArray *versions = g_hash_table_lookup(fleet->versions, pool);
+	size_t count = 0;
+
+	for (guint i = 0; versions && i < versions->len && count < max; i++) {
+		const struct fleet_version *version =
+			&g_array_index(versions, struct fleet_version, i);
+
+		if (version->workers > 0)
+			keys[count++] = version->key;
+	}
+	return count;
+}
+
 static void pool_add(struct fleet *fleet, struct fleet_worker *worker)
 {
 	GPtrArray *pool = pool_workers(fleet, worker->entry.pool);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -253,6 +253,10 @@
  * FLEET_VERSION_MS; sole is set to the key if there is one, else to 0. */
 unsigned fleet_versions(const struct fleet *fleet, const char *pool, clk_ms now,
 			uint32_t *sole);
+/* Lists the keys of the versions of which a pool has workers, at most max;
+ * returns how many. */
+size_t fleet_serving_versions(const struct fleet *fleet, const char *pool,
+			      uint32_t *keys, size_t max);
 /* Counts the workers of a pool that accept requests. */
 unsigned fleet_count(const struct fleet *fleet, const char *pool);
 /* Counts those of them that can't be reclaimed. */
--- a/decide/origin.c
+++ b/decide/origin.c
@@ -128,7 +128,7 @@
 
 /* Whether a pool has had one version as long as a stream may last. A host that
  * has run for that long knows, unless it is out of touch; where all have
- * started since, their lists are all that there is. */
+ * started since, the record of the versions tells. */
 static bool is_sole(const struct origin_question *question,
 		    const struct origin_view *view, bool over)
 {
@@ -136,12 +136,9 @@
 
 	if (view->versions != 1 || question->versions > 1)
 		return false;
-	if (know >= KNOW_MIN)
+	if (know >= KNOW_MIN || (view->listed && view->recorded == 1))
 		return true;
-	if (!over)
-		return false;
-	return know > 0 || (view->listed && !view->settled &&
-			    (question->asked == 0 || question->answers > 0));
+	return over && know > 0;
 }
 
 enum origin_verdict origin_judge(const struct origin_question *question,
--- a/decide/origin.h
+++ b/decide/origin.h
@@ -83,6 +83,8 @@
 	uint32_t sole;	   /* the only one, or 0 */
 	bool listed;	   /* the list of workers was current a moment ago */
 	bool settled;	   /* it has run for ORIGIN_KEEP_MS */
+	unsigned recorded; /* versions lately, as version_count counts them; 0:
+			    * not known */
 };
 
 enum origin_verdict {
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -12,6 +12,7 @@
 #include "../decide/sse.h"
 #include "../decide/tab.h"
 #include "../decide/usage.h"
+#include "../decide/version.h"
 #include "../decide/wall.h"
 #include "../wire/sync.h"
 #include "run.h"
@@ -1743,9 +1744,10 @@
 	bool settled;
 	enum origin_verdict verdict;
 	uint32_t version;
+	unsigned recorded;
 } origin_cases[] = {
 	/* One host that knows is enough, whatever the others say. */
-	{ 5, 1, { { 7, 2, 0 } }, 1, 1, false, false, ORIGIN_KNOWN, 7 },
+	{ 5, 1, { { 7, 2, 0 } }, 1, 1, false, false, ORIGIN_KNOWN, 7, 0 },
 	{ 5,
 	  3,
 	  { { 0, 1, 1 }, { 0, 1, 0 }, { 7, 2, 0 } },
@@ -1754,8 +1756,9 @@
 	  true,
 	  true,
 	  ORIGIN_KNOWN,
-	  7 },
-	{ 2, 1, { { 0, 2, 1 } }, 1, 2, true, true, ORIGIN_WAIT, 0 },
+	  7,
+	  0 },
+	{ 2, 1, { { 0, 2, 1 } }, 1, 2, true, true, ORIGIN_WAIT, 0, 0 },
 	{ 2,
 	  2,
 	  { { 0, 2, 1 }, { 0, 2, 1 } },
@@ -1764,12 +1767,13 @@
 	  true,
 	  true,
 	  ORIGIN_UNKNOWN,
+	  0,
 	  0 },
-	{ 5, 0, { { 0 } }, 249, 2, true, true, ORIGIN_WAIT, 0 },
-	{ 5, 0, { { 0 } }, 250, 2, true, true, ORIGIN_UNKNOWN, 0 },
+	{ 5, 0, { { 0 } }, 249, 2, true, true, ORIGIN_WAIT, 0, 0 },
+	{ 5, 0, { { 0 } }, 250, 2, true, true, ORIGIN_UNKNOWN, 0, 0 },
 	/* One version, as far as hosts know that have run for long enough. */
-	{ 5, 1, { { 0, 1, 1 } }, 1, 1, true, true, ORIGIN_SOLE, 9 },
-	{ 5, 1, { { 0, 1, 1 } }, 1, 1, true, false, ORIGIN_WAIT, 0 },
+	{ 5, 1, { { 0, 1, 1 } }, 1, 1, true, true, ORIGIN_SOLE, 9, 0 },
+	{ 5, 1, { { 0, 1, 1 } }, 1, 1, true, false, ORIGIN_WAIT, 0, 0 },
 	{ 5,
 	  2,
 	  { { 0, 1, 1 }, { 0, 1, 1 } },
@@ -1778,7 +1782,8 @@
 	  false,
 	  false,
 	  ORIGIN_SOLE,
-	  9 },
+	  9,
+	  0 },
 	{ 5,
 	  2,
 	  { { 0, 1, 1 }, { 0, 2, 0 } },
@@ -1787,12 +1792,13 @@
 	  true,
 	  true,
 	  ORIGIN_UNKNOWN,
+	  0,
 	  0 },
-	{ 5, 0, { { 0 } }, 250, 1, true, true, ORIGIN_SOLE, 9 },
-	{ 5, 0, { { 0 } }, 250, 1, false, true, ORIGIN_UNKNOWN, 0 },
-	{ 5, 1, { { 0, 1, 1 } }, 250, 1, false, true, ORIGIN_SOLE, 9 },
+	{ 5, 0, { { 0 } }, 250, 1, true, true, ORIGIN_SOLE, 9, 0 },
+	{ 5, 0, { { 0 } }, 250, 1, false, true, ORIGIN_UNKNOWN, 0, 0 },
+	{ 5, 1, { { 0, 1, 1 } }, 250, 1, false, true, ORIGIN_SOLE, 9, 0 },
 	/* This host has just started: it may have missed a version. */
-	{ 5, 0, { { 0 } }, 250, 1, true, false, ORIGIN_UNKNOWN, 0 },
+	{ 5, 0, { { 0 } }, 250, 1, true, false, ORIGIN_UNKNOWN, 0, 0 },
 	{ 5,
 	  3,
 	  { { 0, 1, 0 }, { 0, 1, 0 }, { 0, 1, 0 } },
@@ -1801,8 +1807,9 @@
 	  true,
 	  false,
 	  ORIGIN_WAIT,
+	  0,
 	  0 },
-	/* All have. */
+	/* All have: the list is of now, the stream is older. */
 	{ 5,
 	  3,
 	  { { 0, 1, 0 }, { 0, 1, 0 }, { 0, 1, 0 } },
@@ -1810,8 +1817,9 @@
 	  1,
 	  true,
 	  false,
-	  ORIGIN_SOLE,
-	  9 },
+	  ORIGIN_UNKNOWN,
+	  0,
+	  0 },
 	{ 5,
 	  3,
 	  { { 0, 1, 0 }, { 0, 1, 0 }, { 0, 2, 0 } },
@@ -1820,14 +1828,121 @@
 	  true,
 	  false,
 	  ORIGIN_UNKNOWN,
+	  0,
 	  0 },
 	/* There is no other host. */
-	{ 0, 0, { { 0 } }, 0, 1, true, true, ORIGIN_SOLE, 9 },
-	{ 0, 0, { { 0 } }, 0, 1, true, false, ORIGIN_SOLE, 9 },
-	{ 0, 0, { { 0 } }, 0, 1, false, true, ORIGIN_UNKNOWN, 0 },
-	{ 0, 0, { { 0 } }, 0, 0, true, true, ORIGIN_UNKNOWN, 0 },
+	{ 0, 0, { { 0 } }, 0, 1, true, true, ORIGIN_SOLE, 9, 0 },
+	{ 0, 0, { { 0 } }, 0, 1, true, false, ORIGIN_UNKNOWN, 0, 0 },
+	/* All have, and the record of versions tells. */
+	{ 5, 0, { { 0 } }, 0, 1, true, false, ORIGIN_SOLE, 9, 1 },
+	{ 5, 0, { { 0 } }, 0, 1, true, false, ORIGIN_WAIT, 0, 2 },
+	{ 5, 0, { { 0 } }, 250, 1, true, false, ORIGIN_UNKNOWN, 0, 2 },
+	{ 5, 0, { { 0 } }, 250, 1, false, false, ORIGIN_UNKNOWN, 0, 1 },
+	{ 5, 1, { { 0, 2, 0 } }, 250, 1, true, false, ORIGIN_UNKNOWN, 0, 1 },
+	{ 5, 1, { { 3, 1, 0 } }, 1, 1, true, false, ORIGIN_KNOWN, 3, 2 },
+	{ 0, 0, { { 0 } }, 0, 1, true, false, ORIGIN_SOLE, 9, 1 },
+	{ 0, 0, { { 0 } }, 0, 1, false, true, ORIGIN_UNKNOWN, 0, 0 },
+	{ 0, 0, { { 0 } }, 0, 0, true, true, ORIGIN_UNKNOWN, 0, 0 },
 };
 
+/* Records of versions. */
+
+#define WALL 1000000
+#define GONE_MS (FLEET_VERSION_MS + VERSION_SKEW_MS)
+
+static const struct {
+	const char *what;
+	const char *record;
+	uint32_t serving[3]; /* up to the first 0 */
+	unsigned count;	     /* lately */
+	bool changed;	     /* by an update */
+	const char *updated;
+} record_cases[] = {
+	{ "none yet", "", { 3, 0 }, 1, true, "00000003 0\n" },
+	{ "the same", "00000003 0\n", { 3, 0 }, 1, false, "00000003 0\n" },
+	{ "a second one",
+	  "00000003 0\n",
+	  { 3, 5, 0 },
+	  2,
+	  true,
+	  "00000003 0\n00000005 0\n" },
+	{ "the first one has gone, nobody saw when",
+	  "00000003 0\n",
+	  { 5, 0 },
+	  2,
+	  true,
+	  "00000003 1000000\n00000005 0\n" },
+	{ "gone a moment ago",
+	  "00000003 999999\n00000005 0\n",
+	  { 5, 0 },
+	  2,
+	  false,
+	  "00000003 999999\n00000005 0\n" },
+	{ "gone long ago, kept until something changes",
+	  "00000003 975000\n00000005 0\n",
+	  { 5, 0 },
+	  1,
+	  false,
+	  "00000003 975000\n00000005 0\n" },
+	{ "gone long ago, and a new one",
+	  "00000003 975000\n00000005 0\n",
+	  { 5, 7, 0 },
+	  2,
+	  true,
+	  "00000005 0\n00000007 0\n" },
+	{ "it is back",
+	  "00000003 975000\n",
+	  { 3, 0 },
+	  1,
+	  true,
+	  "00000003 0\n" },
+	{ "no workers at all",
+	  "00000003 0\n",
+	  { 0 },
+	  1,
+	  true,
+	  "00000003 1000000\n" },
+};
+
+START_TEST(versions_recorded)
+{
+	const char *text = record_cases[_i].record;
+	GArray *versions = version_parse(text, strlen(text));
+	size_t count = 0;
+	GString *printed;
+
+	ck_assert_ptr_nonnull(versions);
+	while (record_cases[_i].serving[count])
+		count++;
+	ck_assert_msg(version_count(versions, record_cases[_i].serving, count,
+				    WALL) == record_cases[_i].count,
+		      "%s", record_cases[_i].what);
+	ck_assert_msg(version_update(versions, record_cases[_i].serving, count,
+				     WALL) == record_cases[_i].changed,
+		      "%s", record_cases[_i].what);
+	printed = version_print(versions);
+	ck_assert_str_eq(printed->str, record_cases[_i].updated);
+	g_string_free(printed, TRUE);
+	g_array_unref(versions);
+}
+END_TEST
+
+static const char *const bad_records[] = {
+	"x",
+	"00000003",
+	"00000003 -1\n",
+	"00000000 0\n",
+	"00000003 0 0\n",
+	"100000003 0\n",
+};
+
+START_TEST(bad_record_is_rejected)
+{
+	ck_assert_ptr_null(
+		version_parse(bad_records[_i], strlen(bad_records[_i])));
+}
+END_TEST
+
 START_TEST(origin_judged)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(origin_cases); i++) {
@@ -1840,6 +1955,7 @@
 			.sole = 9,
 			.listed = origin_cases[i].listed,
 			.settled = origin_cases[i].settled,
+			.recorded = origin_cases[i].recorded,
 		};
 		uint32_t version;
 
@@ -2038,6 +2154,10 @@
 	tcase_add_test(tcase, fleet_chooses_by_version);
 	tcase_add_test(tcase, fleet_doubts_version_after_cut);
 	tcase_add_test(tcase, fleet_counts_versions);
+	tcase_add_loop_test(tcase, versions_recorded, 0,
+			    G_N_ELEMENTS(record_cases));
+	tcase_add_loop_test(tcase, bad_record_is_rejected, 0,
+			    G_N_ELEMENTS(bad_records));
 	tcase_add_test(tcase, origin_judged);
 	tcase_add_test(tcase, origin_bounded);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
