Streams: what hosts have begun outlives them in the store

Cause: the version of a stream was kept in the memories of one to four hosts. Change: while a pool has several versions each host writes the streams that it has begun, four times a second at the same moments on all hosts, 24 bytes each, under keys that expire; whoever reads the store learns of them (daemon/streamlog).

--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -275,6 +275,7 @@
 	char *address;
 
 	leader_on_item(proxyd, item);
+	resume_on_item(proxyd, item);
 	if (!g_str_has_prefix(item->key, HOST_PREFIX) || !item->value)
 		return;
 	ptr = g_bytes_get_data(item->value, &len);
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -14,6 +14,7 @@
 #define ASK_AGAIN_MS 100  /* a datagram may have been lost */
 #define RECORD_GAP_MS 100 /* between two writes of records of versions */
 #define VERSIONS_PREFIX OWN_PREFIX "versions/" /* before a pool's name */
+#define STREAMS_PREFIX OWN_PREFIX "streams/"   /* before an incarnation */
 
 static bool is_settled(const struct proxyd *proxyd)
 {
@@ -153,6 +154,27 @@
 			record_update(proxyd, pool);
 }
 
+static void stream_learn(void *ctx, uint64_t stream, uint32_t version)
+{
+	struct proxyd *proxyd = ctx;
+
+	origin_put(proxyd->origin, stream, version, 0, proxyd_now(proxyd));
+}
+
+void resume_on_item(struct proxyd *proxyd, const struct store_item *item)
+{
+	const char *text;
+	gsize len;
+
+	if (!item->value || !g_str_has_prefix(item->key, STREAMS_PREFIX))
+		return;
+	text = g_bytes_get_data(item->value, &len);
+	if (origin_rows_parse(text, len, stream_learn, proxyd))
+		return;
+	proxyd_count(proxyd, CTR_bad_input);
+	slog(SLOG_WARN, "streams", "key=%s outcome=malformed", item->key);
+}
+
 /* Rows for the hosts that are to keep streams. */
 struct keepers_ctx {
 	struct proxyd *proxyd;
@@ -193,6 +215,13 @@
 	}
 }
 
+static void stream_log(void *ctx, uint64_t stream, uint32_t version)
+{
+	struct proxyd *proxyd = ctx;
+
+	streamlog_add(proxyd->streamlog, stream, version);
+}
+
 /* Passes on all streams of this host that began in a pool. */
 static void pool_pass_on(struct proxyd *proxyd, const char *pool,
 			 unsigned keepers)
@@ -208,6 +237,8 @@
 	gpointer rows;
 
 	origin_each_own(proxyd->origin, aggregate_key(pool), keepers_add, &ctx);
+	origin_each_own(proxyd->origin, aggregate_key(pool), stream_log,
+			proxyd);
 	g_hash_table_iter_init(&iter, ctx.hosts);
 	while (g_hash_table_iter_next(&iter, &rpc, &rows))
 		rows_send(proxyd, rpc, rows);
@@ -253,6 +284,8 @@
 		return;
 	origin_put(proxyd->origin, row.stream, version,
 		   aggregate_key(xfer->pool->name), proxyd_now(proxyd));
+	if (proxyd_pool(proxyd, xfer->pool->name)->several_versions)
+		streamlog_add(proxyd->streamlog, row.stream, version);
 	count = member_top(proxyd->members, row.stream, peer_knows_eras, top,
 			   origin_keepers(versions, proxyd_host_count(proxyd)));
 	for (size_t i = 0; i < count; i++)
@@ -419,6 +452,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
 		pool_update(proxyd, pool);
 	records_tick(proxyd);
+	streamlog_tick(proxyd->streamlog, now, proxyd_wall(proxyd),
+		       proxyd_host_count(proxyd));
 	for (guint i = proxyd->questions->len; i-- > 0;) {
 		struct xfer *xfer = g_ptr_array_index(proxyd->questions, i);
 
@@ -431,6 +466,11 @@
 
 void resume_start(struct proxyd *proxyd)
 {
+	char *prefix = g_strconcat(STREAMS_PREFIX,
+				   proxyd->members->self.incarnation, NULL);
+
+	proxyd->streamlog = streamlog_create(proxyd->kv, prefix);
+	g_free(prefix);
 	proxyd->origin = origin_create();
 	proxyd->questions = g_ptr_array_new();
 }
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -56,6 +56,7 @@
 #include "../wire/slog.h"
 #include "hop.h"
 #include "mirror.h"
+#include "streamlog.h"
 
 #define OWN_PREFIX "rw/"	 /* of the keys that this system writes */
 #define LEADER_KEY "rw/holder"	 /* names the leader and its lease */
@@ -161,6 +162,7 @@
 	struct wall wall;
 	struct poison *poison;
 	struct origin *origin;
+	struct streamlog *streamlog;
 	bool record_pending; /* a record of versions is being written */
 	clk_ms next_record;
 	GPtrArray *questions; /* struct xfer whose stream's version is asked */
@@ -344,6 +346,8 @@
 /* proxyd-resume.c: streams that callers take up */
 void resume_start(struct proxyd *proxyd);
 void resume_tick(struct proxyd *proxyd);
+/* An item under OWN_PREFIX has changed. */
+void resume_on_item(struct proxyd *proxyd, const struct store_item *item);
 void resume_on_keep(void *ctx, const w_origin_keep *keep);
 void resume_on_ask(void *ctx, const w_origin_ask *ask);
 void resume_on_answer(void *ctx, const w_origin_answer *answer);
--- a/decide/origin.c
+++ b/decide/origin.c
@@ -99,6 +99,54 @@
 	return stream ? stream->version : 0;
 }
 
+/* A row is ROW_LEN hexadecimal digits, the version's last. */
+#define ROW_LEN 24
+#define VERSION_LEN 8
+
+GString *origin_rows_print(const struct origin_row *rows, size_t count)
+{
+	GString *text = g_string_sized_new(count * ROW_LEN + 1);
+
+	for (size_t i = 0; i < count; i++)
+		g_string_append_printf(text, "%016" G_GINT64_MODIFIER "x%08x",
+				       rows[i].stream, rows[i].version);
+	return text;
+}
+
+/* Parses one row; returns false if it is malformed. */
+static bool row_parse(const char *text, struct origin_row *row)
+{
+	char digits[ROW_LEN + 1];
+	uint64_t version;
+
+	g_strlcpy(digits, text, sizeof(digits));
+	if (!g_ascii_string_to_unsigned(digits + ROW_LEN - VERSION_LEN, 16, 1,
+					UINT32_MAX, &version, NULL))
+		return false;
+	digits[ROW_LEN - VERSION_LEN] = '\0';
+	row->version = (uint32_t)version;
+	return g_ascii_string_to_unsigned(digits, 16, 0, UINT64_MAX,
+					  &row->stream, NULL);
+}
+
+bool origin_rows_parse(const char *text, size_t len,
+		       void (*fn)(void *ctx, uint64_t stream, uint32_t version),
+		       void *ctx)
+{
+	char *copy = g_strndup(text, len);
+	struct origin_row row;
+	bool ok = len % ROW_LEN == 0 && strlen(copy) == len;
+
+	for (size_t i = 0; ok && i < len; i += ROW_LEN)
+		ok = row_parse(copy + i, &row);
+	for (size_t i = 0; ok && i < len; i += ROW_LEN) {
+		row_parse(copy + i, &row);
+		fn(ctx, row.stream, row.version);
+	}
+	g_free(copy);
+	return ok;
+}
+
 unsigned origin_keepers(unsigned versions, unsigned hosts)
 {
 	if (versions < 2)
--- a/decide/origin.h
+++ b/decide/origin.h
@@ -7,7 +7,8 @@
  * several versions, some other hosts, by rendezvous hash, keep it too; whoever
  * a caller comes to asks these. Where a pool has one version, nothing is sent:
  * a stream that nobody knows began at that one. When it gets a second one, each
- * host passes on what it has begun.
+ * host passes on what it has begun. All hosts may be lost at once: they also
+ * write to the store what they have begun while there are several versions.
  */
 #ifndef DECIDE_ORIGIN_H
 #define DECIDE_ORIGIN_H
@@ -50,6 +51,18 @@
 		     void *ctx);
 /* Returns the version that began a stream; 0: not known. */
 uint32_t origin_find(struct origin *origin, uint64_t key, clk_ms now);
+/* A stream, in the form in which many of them are kept in the store. */
+struct origin_row {
+	uint64_t stream;
+	uint32_t version;
+};
+
+GString *origin_rows_print(const struct origin_row *rows, size_t count);
+/* Calls fn for each row of a text; returns false if the text is malformed, with
+ * no call then. */
+bool origin_rows_parse(const char *text, size_t len,
+		       void (*fn)(void *ctx, uint64_t stream, uint32_t version),
+		       void *ctx);
 /* How many other hosts are to keep a stream that has begun. versions: of its
  * pool, as fleet_versions counts them; hosts: that share the work. */
 unsigned origin_keepers(unsigned versions, unsigned hosts);
--- a/tests/sim-origin.c
+++ b/tests/sim-origin.c
@@ -16,6 +16,7 @@
 #include "../decide/fleet.h"
 #include "../decide/member.h"
 #include "../decide/origin.h"
+#include "../decide/version.h"
 #include "../sim/sim.h"
 #include "sim-args.h"
 
@@ -43,6 +44,11 @@
 #define END_MS 64000
 #define CALM_SHARE 0.95 /* of the streams that are taken up go on */
 #define FAULT_SHARE 0.5
+#define ALL_SHARE 0.6
+#define WAVE_GAP_MS 300
+#define LOG_PERIOD_MS 250 /* between two writes of streams to the store */
+#define LOG_HOSTS_MAX 64  /* with more hosts none writes streams */
+#define STORE_MS 20	  /* until the store has what is written */
 
 enum fault {
 	FAULT_NONE,
@@ -51,6 +57,8 @@
 	FAULT_THIRD,  /* a third of the hosts at once */
 	FAULT_SERIES, /* one host after the other restarts */
 	FAULT_SPLIT,  /* a third reach only each other, and no store */
+	FAULT_ALL,    /* all hosts at once, in a release */
+	FAULT_WAVES,  /* thirds of them, one after the other */
 	FAULT_COUNT,
 };
 
@@ -64,6 +72,8 @@
 	[FAULT_THIRD] = { "third", FAULT_SHARE },
 	[FAULT_SERIES] = { "series", FAULT_SHARE },
 	[FAULT_SPLIT] = { "split", FAULT_SHARE },
+	[FAULT_ALL] = { "all", ALL_SHARE },
+	[FAULT_WAVES] = { "waves", ALL_SHARE },
 };
 
 struct host {
@@ -92,6 +102,8 @@
 	enum fault fault;
 	struct host *hosts;
 	struct server servers[WORKERS];
+	GArray *record;	    /* of versions, in the store */
+	struct origin *log; /* streams in the store */
 	unsigned releases;
 	unsigned next_stream;
 	unsigned began;
@@ -231,10 +243,25 @@
 
 /* Hosts. */
 
+struct learner {
+	struct cluster *cluster;
+	struct host *host;
+};
+
+/* A host that starts reads a stream from the store. */
+static void stream_learn(void *ctx, uint64_t key, uint32_t version)
+{
+	const struct learner *self = ctx;
+
+	origin_put(self->host->origin, key, version, 0,
+		   self->cluster->sim->now);
+}
+
 static void host_start(void *ctx, void *arg)
 {
 	struct cluster *cluster = ctx;
 	struct host *host = arg;
+	struct learner self = { .cluster = cluster, .host = host };
 	struct fleet options = { .random = sim_rand, .ctx = cluster->sim };
 
 	if (host->origin)
@@ -249,6 +276,7 @@
 	host->listed = true;
 	host->listed_at = cluster->sim->now;
 	host->started_at = cluster->sim->now;
+	origin_each_own(cluster->log, aggregate_key(POOL), stream_learn, &self);
 	for (int i = 0; i < WORKERS; i++) {
 		struct fleet_entry entry;
 
@@ -488,6 +516,19 @@
 	stream_judge(arg);
 }
 
+/* A host that reaches no store has the record of before; as it is not listed
+ * as current then, that does not matter. */
+static unsigned recorded_versions(const struct cluster *cluster,
+				  const struct host *host)
+{
+	uint32_t serving[VERSION_MAX];
+
+	return version_count(
+		cluster->record, serving,
+		fleet_serving_versions(host->fleet, POOL, serving, VERSION_MAX),
+		cluster->sim->now);
+}
+
 static void stream_judge(struct stream *stream)
 {
 	struct cluster *cluster = stream->cluster;
@@ -503,6 +544,7 @@
 	if (!stream->asking)
 		return;
 	view.versions = fleet_versions(host->fleet, POOL, now, &view.sole);
+	view.recorded = recorded_versions(cluster, host);
 	switch (origin_judge(&stream->question, &view, now, &request.version)) {
 	case ORIGIN_WAIT:
 		/* A stream lives on until its last timer; see END_MS. */
@@ -574,6 +616,70 @@
 	stream_run(stream);
 }
 
+/* What a host writes to the store. */
+struct write {
+	GArray *rows; /* of struct origin_row */
+	uint32_t serving[VERSION_MAX];
+	size_t count;
+	bool has_record;
+};
+
+static void row_add(void *ctx, uint64_t key, uint32_t version)
+{
+	struct write *write = ctx;
+	struct origin_row row = { .stream = key, .version = version };
+
+	g_array_append_val(write->rows, row);
+}
+
+static void on_write(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+	struct write *write = arg;
+
+	for (guint i = 0; i < write->rows->len; i++) {
+		const struct origin_row *row =
+			&g_array_index(write->rows, struct origin_row, i);
+
+		origin_put(cluster->log, row->stream, row->version,
+			   aggregate_key(POOL), cluster->sim->now);
+	}
+	if (write->has_record)
+		version_update(cluster->record, write->serving, write->count,
+			       cluster->sim->now);
+	g_array_unref(write->rows);
+	g_free(write);
+}
+
+/* All hosts write the streams that they have begun while there are several
+ * versions; the first one of them writes the record of versions. */
+static void store_tick(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+	bool first = true;
+
+	(void)arg;
+	for (int i = 0; i < cluster->count; i++) {
+		const struct host *host = &cluster->hosts[i];
+		struct write *write;
+
+		if (!host->up || host->split)
+			continue;
+		write = g_new0(struct write, 1);
+		write->rows =
+			g_array_new(FALSE, FALSE, sizeof(struct origin_row));
+		write->has_record = first;
+		first = false;
+		write->count = fleet_serving_versions(
+			host->fleet, POOL, write->serving, VERSION_MAX);
+		if (host->several && cluster->count <= LOG_HOSTS_MAX)
+			origin_each_own(host->origin, aggregate_key(POOL),
+					row_add, write);
+		sim_after(cluster->sim, STORE_MS, on_write, cluster, write);
+	}
+	sim_after(cluster->sim, LOG_PERIOD_MS, store_tick, cluster, NULL);
+}
+
 static void cluster_tick(void *ctx, void *arg)
 {
 	struct cluster *cluster = ctx;
@@ -599,6 +705,11 @@
 	sim_after(cluster->sim, TICK_MS, cluster_tick, cluster, NULL);
 }
 
+static void on_kill(void *ctx, void *arg)
+{
+	host_kill(ctx, arg);
+}
+
 static void fault_begin(void *ctx, void *arg)
 {
 	struct cluster *cluster = ctx;
@@ -609,6 +720,11 @@
 
 		if (cluster->fault == FAULT_THIRD && i % 3 == 0)
 			host_kill(cluster, host);
+		else if (cluster->fault == FAULT_ALL)
+			host_kill(cluster, host);
+		else if (cluster->fault == FAULT_WAVES)
+			sim_after(cluster->sim, i % 3 * WAVE_GAP_MS, on_kill,
+				  cluster, host);
 		else if (cluster->fault == FAULT_SPLIT)
 			host->split = i % 3 == 0;
 		else if (cluster->fault == FAULT_SERIES)
@@ -636,9 +752,12 @@
 
 	cluster.sim = sim_create((guint32)seed);
 	cluster.hosts = g_new0(struct host, count);
+	cluster.log = origin_create();
+	cluster.record = g_array_new(FALSE, FALSE, sizeof(struct version));
 	for (int i = 0; i < count; i++)
 		host_start(&cluster, &cluster.hosts[i]);
 	sim_after(cluster.sim, 1, cluster_tick, &cluster, NULL);
+	sim_after(cluster.sim, 1, store_tick, &cluster, NULL);
 	sim_after(cluster.sim, 1, stream_begin, &cluster, NULL);
 	sim_after(cluster.sim, RELEASE_MS, release_begin, &cluster, NULL);
 	sim_after(cluster.sim, FAULT_MS, fault_begin, &cluster, NULL);
@@ -656,6 +775,8 @@
 	       ok ? "ok" : "FAILED", count, faults[fault].name, cluster.began,
 	       cluster.taken_up, share, cluster.mixed,
 	       (double)datagrams / cluster.began);
+	origin_free(cluster.log);
+	g_array_unref(cluster.record);
 	g_free(cluster.hosts);
 	sim_free(cluster.sim);
 	return ok;
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1845,6 +1845,40 @@
 	{ 0, 0, { { 0 } }, 0, 0, true, true, ORIGIN_UNKNOWN, 0, 0 },
 };
 
+/* Rows of streams in the store. */
+static const struct {
+	const char *text;
+	unsigned rows; /* 0: malformed, or none */
+	bool ok;
+} row_cases[] = {
+	{ "", 0, true },
+	{ "00000000000000ff00000003", 1, true },
+	{ "00000000000000ff00000003ffffffffffffffff00000005", 2, true },
+	{ "00000000000000ff0000000", 0, false },
+	{ "00000000000000ff00000000", 0, false },
+	{ "00000000000000fg00000003", 0, false },
+	{ "00000000000000ff00000003ffffffffffffffff0000000-", 0, false },
+	{ "+0000000000000ff00000003", 0, false },
+};
+
+static void row_count(void *ctx, uint64_t stream, uint32_t version)
+{
+	(void)stream;
+	(void)version;
+	++*(unsigned *)ctx;
+}
+
+START_TEST(origin_rows_parsed)
+{
+	const char *text = row_cases[_i].text;
+	unsigned rows = 0;
+
+	ck_assert(origin_rows_parse(text, strlen(text), row_count, &rows) ==
+		  row_cases[_i].ok);
+	ck_assert_uint_eq(rows, row_cases[_i].rows);
+}
+END_TEST
+
 /* Records of versions. */
 
 #define WALL 1000000
@@ -2154,6 +2188,8 @@
 	tcase_add_test(tcase, fleet_chooses_by_version);
 	tcase_add_test(tcase, fleet_doubts_version_after_cut);
 	tcase_add_test(tcase, fleet_counts_versions);
+	tcase_add_loop_test(tcase, origin_rows_parsed, 0,
+			    G_N_ELEMENTS(row_cases));
 	tcase_add_loop_test(tcase, versions_recorded, 0,
 			    G_N_ELEMENTS(record_cases));
 	tcase_add_loop_test(tcase, bad_record_is_rejected, 0,
