--- a/decide/links.h
+++ b/decide/links.h
@@ -29,15 +29,15 @@
 void links_free(struct links *links);
 /* Something was received from a worker of a pool. Returns whether the links to
  * the pool were lost until now. */
-bool links_on_data(struct links *links, const char *pool);
+bool links_on_data(struct links *links, const char *name);
 /* A connection to a worker, given by its key, has failed or ended, or the
  * worker is silent. workers: in the pool that accept requests. Returns whether
  * the links to the pool count as lost from now on. */
-bool links_on_failure(struct links *links, const char *pool, uint32_t worker,
+bool links_on_failure(struct links *links, const char *name, uint32_t worker,
 		      unsigned workers, clk_ms now);
 /* Another host has had a response from a worker of a pool for this one, or has
  * said that it does not reach them either. */
-void links_on_host(struct links *links, const char *pool, bool reached);
+void links_on_host(struct links *links, const char *name, bool reached);
 
 /* Where the links to a pool are lost. */
 enum links_view {
@@ -49,12 +49,12 @@
 
 /* key: aggregate_key of the pool's name. */
 enum links_view links_view(const struct links *links, uint32_t key, clk_ms now);
-bool links_lost(const struct links *links, const char *pool);
+bool links_lost(const struct links *links, const char *name);
 /* Whether a worker of the pool is to be probed now; if so, it counts as done.
  */
-bool links_probe_due(struct links *links, const char *pool, clk_ms now);
+bool links_probe_due(struct links *links, const char *name, clk_ms now);
 /* Whether a worker is among those that have failed. */
-bool links_failed(const struct links *links, const char *pool, uint32_t worker);
+bool links_failed(const struct links *links, const char *name, uint32_t worker);
 
 /* Another host, as a target of forwarded requests. */
 struct links_host {
--- a/tests/sim-origin.c
+++ b/tests/sim-origin.c
@@ -723,8 +723,8 @@
 		else if (cluster->fault == FAULT_ALL)
 			host_kill(cluster, host);
 		else if (cluster->fault == FAULT_WAVES)
-			sim_after(cluster->sim, i % 3 * WAVE_GAP_MS, on_kill,
-				  cluster, host);
+			sim_after(cluster->sim, (clk_ms)(i % 3) * WAVE_GAP_MS,
+				  on_kill, cluster, host);
 		else if (cluster->fault == FAULT_SPLIT)
 			host->split = i % 3 == 0;
 		else if (cluster->fault == FAULT_SERIES)
