--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxyrig import (BUILD, OLD_BUILD, ROUTES, ZONES, Rig,  # noqa: E402
                       config)
-from standin import Caller, Worker  # noqa: E402
+from standin import SLOW_S, Caller, Worker  # noqa: E402
 
 TEST_LIMIT_S = 60
 CONFIG_BOUND_S = 2.0   # from the store's acknowledgement until it applies
@@ -1531,6 +1531,46 @@
         assert got.status == 200, got.status
 
 
+# Brittle workers.
+
+BRITTLE_FALLS = 2      # of a service's workers in all, and
+BRITTLE_SHARE = 0.1    # times their number more
+BRITTLE_USED = 0.9     # of the calls that fit are served
+# (rejections in a second that a worker bears, calls at a time before and after)
+BRITTLE_CASES = [(10, 8, 4), (4, 6, 2)]
+
+
+async def test_proxy_brittle_workers(net):
+    """Workers that say that they are brittle, and lose room while callers ask
+    for three times what they can do, don't fall over one after the other, and
+    what fits is served."""
+    for more, (brittle, before, after) in enumerate(BRITTLE_CASES):
+        async with Rig(net + 50 * more, hosts=3, api=4) as rig:
+            await rig.wait_membership()
+            workers = rig.workers_of("api")
+            for worker in workers:
+                worker.mode, worker.brittle, worker.room = \
+                    "slow", brittle, before
+            calls = len(workers) * before / SLOW_S
+            results = []
+            load = asyncio.create_task(send_calls(
+                rig.hosts, "/i/x", 1 / (1.5 * calls),
+                time.monotonic() + 12, results))
+            await asyncio.sleep(STABLE_WINDOW_S)
+            for worker in workers:
+                worker.room = after
+            cut = time.monotonic()
+            await load
+            falls = sum(len(worker.crashed_at) for worker in workers)
+            served = sum(got.status == 200 and sent > cut + 2
+                         for sent, _, got in results)
+            fit = len(workers) * after / SLOW_S * (12 - STABLE_WINDOW_S - 2)
+            print("brittle %d: %d falls, %d of %d served" % (
+                brittle, falls, served, fit))
+            assert falls <= BRITTLE_FALLS + BRITTLE_SHARE * len(workers)
+            assert served >= BRITTLE_USED * fit, (served, fit)
+
+
 # Hosts without links to the workers.
 
 LINKED_SHARE = 0.9  # of first tries at a host without links that are served,
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -9,6 +9,7 @@
 import time
 import urllib.parse
 
+SLOW_S = 0.7  # that a call takes in the mode "slow"
 POLL_S = 0.01  # polling interval of wait_until()
 SEND_PERIOD_S = 0.02  # between two writes on a slow link
 
@@ -420,6 +421,10 @@
         self.says_leaving = False  # in all its answers
         self.retry_after = None  # of its 503 in the mode "full"
         self.limits = ()  # values of Server-Limit in all its answers
+        self.brittle = None  # value of Server-Brittle in all its answers: it
+        # crashes when it rejects more requests in a second for want of room
+        self.room = None     # calls that it takes at a time
+        self.rejected_at = []  # for want of room
         self.deadly_part = None  # hex id of a prompt part that crashes it
         self.deadly_paths = ()   # of requests that crash it
         self.restart_s = 0.5     # from a crash until it is back
@@ -439,6 +444,7 @@
         self.disconnected = []  # ids whose connection ended early
         self.stopped = set()    # ids of streams stopped to migrate
         self.running = set()
+        self.calls = set()      # that run, in the mode "slow"
         self.writers = set()
         self.cuts = {}          # host's IP address -> how its links are cut
 
@@ -531,6 +537,8 @@
         self.received_at[ident] = time.monotonic()
         said = ["Server-Leaving: 1"] if self.says_leaving else []
         said += ["Server-Limit: " + value for value in self.limits]
+        if self.brittle is not None:
+            said.append("Server-Brittle: %s" % self.brittle)
         expected = headers.get("redwingpitch-expected-instance")
         if expected not in (None, self.ident):
             self.misdirected.add(ident)
@@ -549,6 +557,8 @@
         if self.mode == "ambiguous":
             writer.write(response(503))
             return True
+        if self.room is not None and len(self.calls) >= self.room:
+            return await self.reject(said, writer)
         self.executed.append(ident)
         own = ["Redwingpitch-Attempt-Id: " + ident,
                "Redwingpitch-Response-Signature: sig-" + self.ident,
@@ -581,7 +591,9 @@
                 self.disconnected.append(ident)
             return False
         if self.mode == "slow":
-            await asyncio.sleep(0.7)
+            self.calls.add(ident)
+            await asyncio.sleep(SLOW_S)
+            self.calls.discard(ident)
         if self.mode == "unsigned":
             writer.write(response(200, b"x", own[:1]))
             return True
@@ -594,6 +606,22 @@
                               own))
         return True
 
+    async def reject(self, said, writer):
+        """Rejects a request for want of room; a brittle worker may crash."""
+        now = time.monotonic()
+        self.rejected_at = [at for at in self.rejected_at if at > now - 1]
+        self.rejected_at.append(now)
+        if self.brittle is not None and len(self.rejected_at) > self.brittle:
+            if self.server.is_serving():
+                self.rejected_at, self.calls = [], set()
+                await self.crash()
+            return False
+        writer.write(response(503, b"", said + [
+            "Redwingpitch-Not-Executed: 1",
+            "Redwingpitch-Server-Load: %d,0,%d" % (len(self.calls),
+                                                   self.slots)]))
+        return True
+
     def handle_move(self, body, writer):
         """Stops a stream and hands its KV cache to the target worker."""
         ident = body["identifier"]
