Brittle workers: a host keeps to what they have accepted lately

Workers that say how many rejections a second they bear fell over one after the other under three times their load: each host sent on until it was rejected, and on to the next worker.

Change (decide/fleet-brittle): after a rejection a host sends such a worker no more at a time than it has accepted, tries one more after a pause, and pauses altogether if it is rejected again in that time; the pause keeps the rejections of all hosts together to 0.6 of what the worker bears.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -164,6 +164,35 @@
 			 proxyd_now(proxyd) - xfer->received_at);
 }
 
+/* Notes whether the worker is brittle, and has rejected the request. */
+static void brittle_note(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct fleet_worker *worker = xfer->worker;
+	const struct head_response *head = &xfer->response.head;
+	bool was = worker->brittle.is;
+
+	/* Another process answers 421 in the worker's place. */
+	if (xfer->response.status == 421)
+		return;
+	/* The last word that could be read counts. */
+	if (head->bad_rejections)
+		proxyd_count(proxyd, CTR_brittle_bad);
+	else
+		fleet_brittle_on_response(worker, head->rejections,
+					  proxyd_host_count(proxyd));
+	if (was != worker->brittle.is)
+		slog(SLOG_NOTICE, "worker",
+		     "worker=%s rejections=%.1f outcome=%s", worker->entry.id,
+		     head->rejections,
+		     worker->brittle.is ? "brittle" : "not_brittle");
+	if (!worker->brittle.is || !head->not_run ||
+	    xfer->response.status != 503)
+		return;
+	proxyd_count(proxyd, CTR_brittle_rejections);
+	fleet_brittle_on_rejection(worker, proxyd_now(proxyd));
+}
+
 /* Notes what the head of a response says about its worker. */
 static void worker_note(struct xfer *xfer)
 {
@@ -176,6 +205,7 @@
 	if (head->leaving)
 		follow_worker_leaves(proxyd, xfer->worker, "said_so");
 	permit_on_head(xfer);
+	brittle_note(xfer);
 	if (head->bad_retry_after)
 		proxyd_count(proxyd, CTR_retry_after_bad);
 	if (head->retry_after == 0)
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -253,7 +253,7 @@
 /* Returns the group of a worker; GROUP_COUNT: it is not chosen at all. */
 static enum group worker_group(const struct fleet_worker *worker, clk_ms now)
 {
-	if (now < worker->withheld_until)
+	if (now < worker->withheld_until || fleet_brittle_is_full(worker, now))
 		return GROUP_COUNT;
 	if (worker->removal_due_at && !worker->entry.leaving &&
 	    !worker->said_leaving && !worker->removed)
@@ -694,6 +694,7 @@
 		 const struct fleet_request *request, clk_ms now)
 {
 	worker->inflight++;
+	fleet_brittle_on_send(worker, now);
 	if (worker->limit.holder)
 		permit_use(worker->limit.holder, now);
 	if (!request->engine)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -76,6 +76,16 @@
 	clk_ms probed_at; /* it last asked for the worker's health; 0: never */
 };
 
+/* A worker that falls over if it has to reject too many requests a second. */
+struct fleet_brittle {
+	bool is;
+	clk_ms pause;	   /* of this host after a rejection, in ms */
+	bool limited;	   /* it has rejected one; the next two apply then */
+	unsigned most;	   /* requests of this host at a time */
+	clk_ms changed_at; /* when that was found */
+	clk_ms rejected_at;
+};
+
 struct fleet_worker {
 	struct fleet_entry entry;
 	int64_t revision;      /* the list's revision of the entry */
@@ -99,6 +109,7 @@
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
 				   * has not said so */
 	struct fleet_limit limit;
+	struct fleet_brittle brittle;
 	clk_ms leaves_at; /* expected end; 0: not known to be leaving */
 	void *http_peer;  /* the user's connections to it */
 	unsigned refs;	  /* held by the fleet and by requests */
@@ -220,6 +231,19 @@
 bool fleet_limit_announce(struct fleet_worker *worker, clk_ms now);
 void fleet_limit_clear(struct fleet_limit *limit);
 
+/* Brittle workers (fleet-brittle.c). */
+
+/* A response says how many rejections a second the worker bears; < 0: it says
+ * nothing. hosts: that send to it. */
+void fleet_brittle_on_response(struct fleet_worker *worker, double rejections,
+			       unsigned hosts);
+/* It has rejected a request of this host, which is at it still. */
+void fleet_brittle_on_rejection(struct fleet_worker *worker, clk_ms now);
+/* A request was sent there. */
+void fleet_brittle_on_send(struct fleet_worker *worker, clk_ms now);
+/* Whether it takes no further request of this host now. */
+bool fleet_brittle_is_full(const struct fleet_worker *worker, clk_ms now);
+
 /* What a pool of which no worker takes a request now can take later. */
 struct fleet_room {
 	unsigned expected; /* requests for which there may soon be permits */
--- a/tests/platform.c
+++ b/tests/platform.c
@@ -299,6 +299,38 @@
 }
 END_TEST
 
+static const struct {
+	const char *headers;
+	double rejections;
+	bool bad;
+} brittle_cases[] = {
+	{ "", -1, false },
+	{ "Server-Brittle: 5\r\n", 5, false },
+	{ "Server-Brittle: 0.5\r\n", 0.5, false },
+	{ "Server-Brittle: 0\r\n", 0, false },
+	{ "Server-Brittle: 99999999999\r\n", 99999999999.0, false },
+	{ "Server-Brittle: \r\n", -1, true },
+	{ "Server-Brittle: -3\r\n", -1, true },
+	{ "Server-Brittle: many\r\n", -1, true },
+	{ "Server-Brittle: 5\r\nServer-Brittle: 6\r\n", -1, true },
+};
+
+START_TEST(brittle_is_parsed)
+{
+	char *text = g_strdup_printf("HTTP/1.1 503 X\r\n%s\r\n",
+				     brittle_cases[_i].headers);
+	struct head_response response;
+	struct h1_head head;
+
+	ck_assert_int_gt(h1_parse_response(text, strlen(text), 0, false, &head),
+			 0);
+	head_response_parse(&head, &response);
+	ck_assert(response.rejections == brittle_cases[_i].rejections);
+	ck_assert(response.bad_rejections == brittle_cases[_i].bad);
+	g_free(text);
+}
+END_TEST
+
 /* What hosts say of requests that they forward. */
 
 static const struct {
@@ -398,6 +430,8 @@
 	tcase_add_test(tcase, request_head_is_parsed);
 	tcase_add_loop_test(tcase, response_head_is_parsed, 0,
 			    G_N_ELEMENTS(response_cases));
+	tcase_add_loop_test(tcase, brittle_is_parsed, 0,
+			    G_N_ELEMENTS(brittle_cases));
 	tcase_add_loop_test(tcase, forwarded_is_parsed, 0,
 			    G_N_ELEMENTS(forwarded_cases));
 	tcase_add_test(tcase, forwarded_head_is_rebuilt);
