--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -13,9 +13,10 @@
 #define SILENT_MS 400
 /* A tick that comes so late, in ms: the process was paused. */
 #define PAUSED_MS 300
-#define CONNECT_TIMEOUT_MS 300	 /* to another host */
-#define PEER_TIMEOUT_MS 2500	 /* of another host that acknowledges nothing */
-#define REGAIN_UNCHECKED_MS 2000 /* where workers have no health check */
+#define CONNECT_TIMEOUT_MS 300 /* to another host */
+#define PEER_TIMEOUT_MS 2500   /* of another host that acknowledges nothing */
+/* Until requests are sent again where workers have no health check. */
+#define REGAIN_UNCHECKED_MS 2000
 
 /* Whether a process accepts forwarded requests. */
 static bool takes_forwarded(const char *incarnation)
@@ -182,6 +183,7 @@
 		       const GPtrArray *workers)
 {
 	struct fleet_worker *chosen = NULL;
+	clk_ms lost_at;
 	uint32_t start = proxyd_random(proxyd, workers->len);
 
 	for (guint i = 0; i < workers->len; i++) {
@@ -197,10 +199,12 @@
 		chosen = worker;
 		break;
 	}
+	if (chosen && probe_link(proxyd, chosen))
+		return;
 	/* Without a health check, requests find out. */
-	if (!chosen ||
-	    (!probe_link(proxyd, chosen) &&
-	     proxyd_now(proxyd) % REGAIN_UNCHECKED_MS < LINKS_PROBE_MS))
+	lost_at = links_lost_at(proxyd->links, name);
+	if (!chosen || (lost_at >= 0 &&
+			proxyd_now(proxyd) - lost_at >= REGAIN_UNCHECKED_MS))
 		links_on_data(proxyd->links, name);
 }
 
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -10,10 +10,10 @@
  * proxyd-xfer.c, proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
  * proxyd-permit.c and proxyd-probe.c (limits that workers name), proxyd-queue.c
  * (requests that wait for a permit), proxyd-resume.c (streams that callers take
- * up), proxyd-forward.c (requests that other hosts relay, as this one reaches
- * no worker), proxyd-guard.c (prompts that crash workers), proxyd-local.c (the
- * host's own HTTP endpoints), proxyd-leader.c and proxyd-scale.c (the leader's
- * duties).
+ * up), streamlog.c (streams kept in the store), proxyd-forward.c and hop.c
+ * (requests relayed over another host), proxyd-guard.c (prompts that crash
+ * workers), proxyd-local.c (the host's own HTTP endpoints), proxyd-leader.c and
+ * proxyd-scale.c (the leader's duties).
  */
 #ifndef DAEMON_PROXYD_H
 #define DAEMON_PROXYD_H
--- a/decide/links.c
+++ b/decide/links.c
@@ -127,6 +127,13 @@
 	return pool && pool->lost;
 }
 
+clk_ms links_lost_at(const struct links *links, const char *name)
+{
+	const struct links_pool *pool = pool_find(links, name);
+
+	return pool && pool->lost ? pool->lost_at : -1;
+}
+
 bool links_failed(const struct links *links, const char *name, uint32_t worker)
 {
 	const struct links_pool *pool = pool_find(links, name);
--- a/decide/links.h
+++ b/decide/links.h
@@ -50,6 +50,8 @@
 /* key: aggregate_key of the pool's name. */
 enum links_view links_view(const struct links *links, uint32_t key, clk_ms now);
 bool links_lost(const struct links *links, const char *name);
+/* When the links to a pool were lost; -1: they are not. */
+clk_ms links_lost_at(const struct links *links, const char *name);
 /* Whether a worker of the pool is to be probed now; if so, it counts as done.
  */
 bool links_probe_due(struct links *links, const char *name, clk_ms now);
