--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -342,7 +342,7 @@
     """Streams that began a second and more before all hosts are killed go on
     afterwards, at their version."""
     for more, (versions, share) in enumerate(ALL_KILLED):
-        async with Rig(net + 50 * more, hosts=3, llm=4) as rig:
+        async with Rig(net + 200 * more, hosts=3, llm=4) as rig:
             await rig.wait_membership()
             await list_versions(rig, versions)
             # Former versions are no longer in use.
@@ -409,7 +409,7 @@
     """When a worker leaves, its streams migrate to another worker with their
     KV cache; this is no retry, so it also holds for max_attempts = 1."""
     for more, how in enumerate(("notice", "removed")):
-        async with Rig(net + 50 * more) as rig:
+        async with Rig(net + 200 * more) as rig:
             for worker in rig.workers_of("llm"):
                 worker.event_count, worker.event_gap_s = 80, 0.03
             caller = rig.hosts[0].caller()
@@ -488,7 +488,7 @@
     """A worker gets no new work once its entry says draining, is removed or
     cannot be parsed."""
     for more, change in enumerate(("draining", "removed", "unreadable")):
-        async with Rig(net + 50 * more) as rig:
+        async with Rig(net + 200 * more) as rig:
             worker, other = rig.workers_of("api")
             if change == "draining":
                 rig.store.put("servers/" + worker.ident,
@@ -1545,7 +1545,7 @@
     for three times what they can do, don't fall over one after the other, and
     what fits is served."""
     for more, (brittle, before, after) in enumerate(BRITTLE_CASES):
-        async with Rig(net + 50 * more, hosts=3, api=4) as rig:
+        async with Rig(net + 200 * more, hosts=3, api=4) as rig:
             await rig.wait_membership()
             workers = rig.workers_of("api")
             for worker in workers:
