Tests: the spans are read when all six are written

The trace: the rows of the last request (its response had arrived) are missing, all others are whole; a host writes the span of a request after it has sent the response (response_deliver, then xfer_end), and the test reads the file at once. It now waits for six; what it asserts of them is the same.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1745,8 +1745,15 @@
             got = await host.request("POST", "/o2/x", b"b",
                                      headers=("traceparent: " + parent,))
             assert got.status == 200, got.status
-        with open(spans) as file:
-            rows = [json.loads(line) for line in file]
+
+        def written():
+            with open(spans) as file:
+                lines = file.read().split("\n")
+            return [json.loads(line) for line in lines[:-1]]
+        # A request's span is written after its response.
+        await rig.wait_until("six spans", lambda: sum(
+            r["name"] == "request" for r in written()) >= 6)
+        rows = written()
         requests = {r["span"]: r for r in rows if r["name"] == "request"}
         attempts = [r for r in rows if r["name"] == "upstream"]
         assert len(requests) == 6 and len(attempts) > 6, rows
