--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -176,7 +176,7 @@
  * remain and the request was replied to. */
 static bool quota_spend(struct proxyd *proxyd, struct hs_request *call,
 			const struct tab_account *account, double units,
-			struct quota **quota)
+			bool resumes, struct quota **quota)
 {
 	clk_ms retry_after = 0;
 
@@ -188,15 +188,22 @@
 	proxyd_count(proxyd, CTR_refused_limit);
 	slog(SLOG_INFO, "limit",
 	     "id=%.*s account=%s units=%.0f rate=%.0f left_all=%.0f "
-	     "left_own=%.0f hosts=%u heard_ms=%" G_GINT64_FORMAT,
+	     "left_own=%.0f hosts=%u heard_ms=%" G_GINT64_FORMAT " resumes=%d",
 	     SLOG_VIEW(h1_header_value(hs_request_head(call), HEAD_ATTEMPT_ID)),
 	     account->name, units, (*quota)->rate, (*quota)->global_units,
 	     (*quota)->local_units, proxyd_host_count(proxyd),
-	     proxyd_now(proxyd) - (*quota)->last_report_at);
+	     proxyd_now(proxyd) - (*quota)->last_report_at, resumes);
 	front_reply_error(proxyd, call, RW_ELIMIT, retry_after, "over_limit");
 	return false;
 }
 
+/* Whether a request takes up a stream that has begun. */
+static bool takes_up_stream(const struct tab_route *route,
+			    const struct head_request *request)
+{
+	return route->kind == PX_RESUMABLE && request->last_event_id >= 0;
+}
+
 /* Applies what the host says that has forwarded a request. */
 static void forwarded_apply(struct xfer *xfer,
 			    const struct head_forwarded *forwarded)
@@ -264,7 +271,8 @@
 		return;
 	}
 	units = account ? request_units(account, &request) : 0;
-	if (!quota_spend(proxyd, call, account, units, &quota))
+	if (!quota_spend(proxyd, call, account, units,
+			 takes_up_stream(route, &request), &quota))
 		return;
 	xfer = xfer_create(proxyd, call, route, account, &request);
 	xfer->identity = identity;
