Streams: two hosts write to the store for all, ten times a second

Streams that began shortly before a loss of all hosts were refused: each host wrote its own four times a second, so that up to 0.28 s of them were in no store (test_proxy_streams_recorded_soon, 95 in 100), with 22.7 calls a second of six hosts.

Change: the two hosts that rank first write the streams of all hosts, in turn, each five times a second; they get them with the messages that already go to the hosts that keep a stream. When other hosts rank first, all pass on what they have begun. The store's calls no longer grow with the hosts.

The test fails before (0.28 s where 0.2 s are asked for, 22.7 writes a second where 12 are) and passes: 0.10 s, 10.0 and 10.2, also after the loss of a host that writes.

--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -18,14 +18,6 @@
 /* Until requests are sent again where workers have no health check. */
 #define REGAIN_UNCHECKED_MS 2000
 
-/* Whether a process accepts forwarded requests. */
-static bool takes_forwarded(const char *incarnation)
-{
-	return g_str_has_suffix(incarnation,
-				FORWARD_VERSION_MARK ORIGIN_VERSION_MARK
-					PERMIT_VERSION_MARK FEED_VERSION_MARK);
-}
-
 /* Writes the address of a host's listener for forwarded requests, given that
  * for its RPCs. */
 static void forward_address(const char *rpc, char address[MEMBER_ADDRESS_MAX])
@@ -47,7 +39,7 @@
 		const struct member *member = g_ptr_array_index(order, i);
 
 		if (member->info.state != MEMBER_ALIVE ||
-		    !takes_forwarded(member->info.incarnation))
+		    !peer_takes_forwarded(member->info.incarnation))
 			continue;
 		forward_address(member->info.rpc, hosts[count].address);
 		hosts[count++].near = !strcmp(member->info.data_centre,
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -56,6 +56,13 @@
 		ORIGIN_VERSION_MARK PERMIT_VERSION_MARK FEED_VERSION_MARK);
 }
 
+bool peer_takes_forwarded(const char *incarnation)
+{
+	return g_str_has_suffix(incarnation,
+				FORWARD_VERSION_MARK ORIGIN_VERSION_MARK
+					PERMIT_VERSION_MARK FEED_VERSION_MARK);
+}
+
 void peer_incarnation(struct proxyd *proxyd, char *buf, size_t size)
 {
 	rid_incarnation(buf, size, proxyd->conf->name,
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -13,6 +13,12 @@
 #define LISTED_MS 2500
 #define ASK_AGAIN_MS 100  /* a datagram may have been lost */
 #define RECORD_GAP_MS 100 /* between two writes of records of versions */
+/* Hosts that write the streams of all hosts to the store, in turn: one of them
+ * may be lost, or cut off from the store. */
+#define WRITERS 2
+#define WRITERS_KEY 0x72772f73747265 /* of their ranking */
+/* Hosts that get a stream at most: those that keep it, and the writers. */
+#define RECEIVERS_MAX (ORIGIN_KEEPERS + WRITERS)
 #define VERSIONS_PREFIX OWN_PREFIX "versions/" /* before a pool's name */
 #define STREAMS_PREFIX OWN_PREFIX "streams/"   /* before an incarnation */
 
@@ -175,7 +181,47 @@
 	slog(SLOG_WARN, "streams", "key=%s outcome=malformed", item->key);
 }
 
-/* Rows for the hosts that are to keep streams. */
+/* Whether this host writes streams to the store; sets its turn. */
+static bool writes_streams(const struct proxyd *proxyd, unsigned *turn)
+{
+	*turn = member_top_self_rank(proxyd->members, WRITERS_KEY,
+				     peer_takes_forwarded);
+	return *turn < WRITERS;
+}
+
+/* Adds a host to a list unless it is there; returns the new count. */
+static size_t receiver_add(const struct member **receivers, size_t count,
+			   const struct member *host)
+{
+	for (size_t i = 0; i < count; i++)
+		if (receivers[i] == host)
+			return count;
+	receivers[count] = host;
+	return count + 1;
+}
+
+/* Lists the other hosts that are to get a stream: those that keep it, and those
+ * that write it to the store. */
+static size_t receivers_list(const struct proxyd *proxyd, uint64_t key,
+			     unsigned keepers, const struct member **receivers)
+{
+	const struct member *writers[MEMBER_TOP_MAX];
+	unsigned turn;
+	size_t count;
+	size_t others;
+
+	if (keepers == 0)
+		return 0;
+	count = member_top(proxyd->members, key, peer_knows_eras, receivers,
+			   keepers);
+	others = member_top(proxyd->members, WRITERS_KEY, peer_takes_forwarded,
+			    writers, WRITERS - writes_streams(proxyd, &turn));
+	for (size_t i = 0; i < others; i++)
+		count = receiver_add(receivers, count, writers[i]);
+	return count;
+}
+
+/* Rows for the hosts that are to get streams. */
 struct keepers_ctx {
 	struct proxyd *proxyd;
 	unsigned keepers;  /* of each stream */
@@ -198,10 +244,10 @@
 static void keepers_add(void *ctx, uint64_t key, uint32_t version)
 {
 	struct keepers_ctx *keepers = ctx;
-	const struct member *top[MEMBER_TOP_MAX];
+	const struct member *top[RECEIVERS_MAX];
 	w_origin row = { .stream = key, .software = version };
-	size_t count = member_top(keepers->proxyd->members, key,
-				  peer_knows_eras, top, keepers->keepers);
+	size_t count =
+		receivers_list(keepers->proxyd, key, keepers->keepers, top);
 
 	for (size_t i = 0; i < count; i++) {
 		char *rpc = (char *)top[i]->info.rpc;
@@ -215,11 +261,14 @@
 	}
 }
 
+/* Adds a stream to those that are to be written, if this host writes them. */
 static void stream_log(void *ctx, uint64_t stream, uint32_t version)
 {
 	struct proxyd *proxyd = ctx;
+	unsigned turn;
 
-	streamlog_add(proxyd->streamlog, stream, version);
+	if (writes_streams(proxyd, &turn))
+		streamlog_add(proxyd->streamlog, stream, version);
 }
 
 /* Passes on all streams of this host that began in a pool. */
@@ -247,13 +296,29 @@
 	g_hash_table_destroy(ctx.hosts);
 }
 
+/* Returns a key of the hosts that write streams. */
+static uint32_t writers_key(const struct proxyd *proxyd)
+{
+	const struct member *writers[MEMBER_TOP_MAX];
+	unsigned turn;
+	uint32_t key = writes_streams(proxyd, &turn);
+	size_t others =
+		member_top(proxyd->members, WRITERS_KEY, peer_takes_forwarded,
+			   writers, WRITERS - key);
+
+	for (size_t i = 0; i < others; i++)
+		key ^= aggregate_key(writers[i]->info.incarnation);
+	return key;
+}
+
 /* Notes whether a pool has several versions. */
-static void pool_update(struct proxyd *proxyd, struct pool_state *pool)
+static void pool_update(struct proxyd *proxyd, struct pool_state *pool,
+			bool new_writers)
 {
 	unsigned keepers = origin_keepers(versions_of(proxyd, pool->name),
 					  proxyd_host_count(proxyd));
 
-	if (keepers > 0 && !pool->several_versions)
+	if (keepers > 0 && (!pool->several_versions || new_writers))
 		pool_pass_on(proxyd, pool->name, keepers);
 	pool->several_versions = keepers > 0;
 }
@@ -263,7 +328,7 @@
 	struct proxyd *proxyd = xfer->proxyd;
 	uint32_t version;
 	struct http_view id = { xfer->id, strlen(xfer->id) };
-	const struct member *top[MEMBER_TOP_MAX];
+	const struct member *top[RECEIVERS_MAX];
 	w_origin row = { .stream = key_of(xfer, id) };
 	w_origin_keep keep = {
 		.streams.streams_len = 1,
@@ -285,9 +350,10 @@
 	origin_put(proxyd->origin, row.stream, version,
 		   aggregate_key(xfer->pool->name), proxyd_now(proxyd));
 	if (proxyd_pool(proxyd, xfer->pool->name)->several_versions)
-		streamlog_add(proxyd->streamlog, row.stream, version);
-	count = member_top(proxyd->members, row.stream, peer_knows_eras, top,
-			   origin_keepers(versions, proxyd_host_count(proxyd)));
+		stream_log(proxyd, row.stream, version);
+	count = receivers_list(
+		proxyd, row.stream,
+		origin_keepers(versions, proxyd_host_count(proxyd)), top);
 	for (size_t i = 0; i < count; i++)
 		rpc_send_origin_keep(proxyd->rpc, top[i]->info.rpc, &keep);
 }
@@ -309,6 +375,7 @@
 
 		origin_put(proxyd->origin, row->stream, row->software, 0,
 			   proxyd_now(proxyd));
+		stream_log(proxyd, row->stream, row->software);
 	}
 }
 
@@ -445,14 +512,20 @@
 void resume_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
+	uint32_t writers = writers_key(proxyd);
 	GHashTableIter iter;
 	gpointer pool;
+	unsigned turn;
 
 	g_hash_table_iter_init(&iter, proxyd->pools);
 	while (g_hash_table_iter_next(&iter, NULL, &pool))
-		pool_update(proxyd, pool);
+		pool_update(proxyd, pool, writers != proxyd->writers_key);
+	proxyd->writers_key = writers;
 	records_tick(proxyd);
-	streamlog_tick(proxyd->streamlog, now, proxyd_wall(proxyd),
+	writes_streams(proxyd, &turn);
+	streamlog_tick(proxyd->streamlog, now,
+		       proxyd_wall(proxyd) +
+			       turn * STREAMLOG_PERIOD_MS / WRITERS,
 		       proxyd_host_count(proxyd));
 	for (guint i = proxyd->questions->len; i-- > 0;) {
 		struct xfer *xfer = g_ptr_array_index(proxyd->questions, i);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -63,8 +63,8 @@
 #define HOST_PREFIX "rw/host/"	 /* before a host's name */
 #define USAGE_PREFIX "rw/usage/" /* before a usage window's number */
 
-/* Ends the incarnation of a process that accepts forwarded requests, before
- * ORIGIN_VERSION_MARK. */
+/* Ends the incarnation of a process that accepts forwarded requests and writes
+ * streams of other hosts to the store, before ORIGIN_VERSION_MARK. */
 #define FORWARD_VERSION_MARK "+5"
 /* Ends the incarnation of a process that knows RW_PERMIT_ASK, before
  * FEED_VERSION_MARK. */
@@ -163,7 +163,8 @@
 	struct poison *poison;
 	struct origin *origin;
 	struct streamlog *streamlog;
-	bool record_pending; /* a record of versions is being written */
+	uint32_t writers_key; /* of the hosts that write streams */
+	bool record_pending;  /* a record of versions is being written */
 	clk_ms next_record;
 	GPtrArray *questions; /* struct xfer whose stream's version is asked */
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
@@ -315,6 +316,9 @@
 void peer_start(struct proxyd *proxyd);
 /* Whether a process knows RW_ORIGIN_KEEP and eras of the store. */
 bool peer_knows_eras(const char *incarnation);
+/* Whether a process accepts forwarded requests, and writes streams of other
+ * hosts to the store. */
+bool peer_takes_forwarded(const char *incarnation);
 /* Makes up a new incarnation of this host. */
 void peer_incarnation(struct proxyd *proxyd, char *buf, size_t size);
 void peer_tick(struct proxyd *proxyd);
--- a/daemon/streamlog.c
+++ b/daemon/streamlog.c
@@ -9,11 +9,9 @@
 #define LEASE_MS 60000
 #define LEASE_RENEW_MS 20000
 /* Keys of one process, written in turn: together they cover what may be taken
- * up, at the longest period. */
+ * up. */
 #define KEYS 128
-#define ROWS_MAX 4096	  /* that wait to be written */
-#define PERIOD_MS 250	  /* between two writes, with few hosts */
-#define HOSTS_A_PERIOD 16 /* hosts that write in one period */
+#define ROWS_MAX 4096 /* that wait to be written */
 /* With more hosts nothing is written: all are not lost at once, and those who
  * follow the store would have to read too much. */
 #define HOSTS_MAX 64
@@ -120,18 +118,10 @@
 	g_string_free(text, TRUE);
 }
 
-/* Returns the number of the period at a time. */
-static int64_t period_at(clk_ms wall, unsigned hosts)
-{
-	unsigned turns = 1 + (hosts - 1) / HOSTS_A_PERIOD;
-
-	return wall / (PERIOD_MS * (clk_ms)turns);
-}
-
 void streamlog_tick(struct streamlog *log, clk_ms now, clk_ms wall,
 		    unsigned hosts)
 {
-	int64_t period = period_at(wall, MAX(hosts, 1));
+	int64_t period = wall / STREAMLOG_PERIOD_MS;
 
 	if (log->calling)
 		return;
--- a/decide/member.c
+++ b/decide/member.c
@@ -275,6 +275,24 @@
 	return count;
 }
 
+unsigned member_top_self_rank(const struct member_list *list, uint64_t key,
+			      bool (*accepts)(const char *incarnation))
+{
+	const char *self = list->self.incarnation;
+	uint64_t own = XXH64(self, strlen(self), key);
+	unsigned higher = 0;
+
+	for (guint i = 0; i < list->order->len; i++) {
+		const struct member *member = g_ptr_array_index(list->order, i);
+		const char *incarnation = member->info.incarnation;
+
+		higher += member->info.state == MEMBER_ALIVE &&
+			  accepts(incarnation) &&
+			  XXH64(incarnation, strlen(incarnation), key) > own;
+	}
+	return higher;
+}
+
 unsigned member_self_rank(const struct member_list *list, const char *key)
 {
 	uint64_t own = member_weight(list->self.incarnation, key);
--- a/decide/member.h
+++ b/decide/member.h
@@ -197,6 +197,10 @@
 size_t member_top(const struct member_list *list, uint64_t key,
 		  bool (*accepts)(const char *incarnation),
 		  const struct member **top, size_t n);
+/* Counts the MEMBER_ALIVE members that rank above this host for a key, among
+ * those that accepts takes; the ranking is that of member_top. */
+unsigned member_top_self_rank(const struct member_list *list, uint64_t key,
+			      bool (*accepts)(const char *incarnation));
 /* Returns whether this host ranks among the top n for a key. */
 bool member_self_in_top(const struct member_list *list, const char *key,
 			unsigned n);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -355,6 +355,70 @@
             check_resumed(results, share)
 
 
+STREAM_ROW = 24     # digits of a stream in the store, its version's 8 last
+RECORDED_S = 0.2    # from a stream's first event until it is in the store, for
+RECORDED_SHARE = 0.95
+RECORD_WRITES = 12  # a second at most, whatever the number of hosts
+
+
+async def test_proxy_streams_recorded_soon(net):
+    """While there are several versions, streams are in the store soon after
+    they begin, and the store's calls don't grow with the hosts. That also holds
+    after a loss of the host that ranks first."""
+    async with Rig(net, hosts=6, llm=4) as rig:
+        await rig.wait_membership()
+        await list_versions(rig, ("v1", "v1", "v2", "v2"))
+        writes, recorded, begun = [], {}, []
+        store_put = rig.store.put
+
+        def put(key, value, lease=0):
+            if key.startswith("rw/streams/"):
+                writes.append((time.monotonic(), key.split("/")[2]))
+                for at in range(0, len(value), STREAM_ROW):
+                    recorded.setdefault(bytes(value[at:at + 16]),
+                                        time.monotonic())
+            store_put(key, value, lease)
+        rig.store.put = put
+
+        async def begin(host):
+            caller = host.caller()
+            await caller.send("POST", "/s/x", b"b", remaining_ms=8000)
+            if (await caller.receive(events=1)).status == 200:
+                begun.append(time.monotonic())
+            caller.close()
+
+        async def begin_some(count):
+            began = time.monotonic()
+            tasks = []
+            for i in range(count):
+                host = [h for h in rig.hosts
+                        if h.process.poll() is None][i % 5]
+                tasks.append(asyncio.create_task(begin(host)))
+                await asyncio.sleep(0.025)
+            await asyncio.gather(*tasks)
+            ended = time.monotonic()
+            await asyncio.sleep(1)
+            lags = sorted(at - first for at, first in zip(
+                sorted(recorded.values()), sorted(begun)))
+            rate = len([at for at, _ in writes if began < at < ended]) / (
+                ended - began)
+            print("%d streams, %d recorded, %.2f s, %.1f writes a second" % (
+                len(begun), len(recorded),
+                lags[int(RECORDED_SHARE * len(lags))], rate))
+            assert len(recorded) >= RECORDED_SHARE * len(begun)
+            assert lags[int(RECORDED_SHARE * len(lags))] <= RECORDED_S
+            assert rate <= RECORD_WRITES
+        await begin_some(120)
+        writer = writes[-1][1].partition("~")[0]
+        for host in rig.hosts:
+            if host.name == writer:
+                host.kill()
+        await asyncio.sleep(RECOVERY_BOUND_S)
+        begun.clear()
+        recorded.clear()
+        await begin_some(80)
+
+
 async def test_proxy_broken_stream_keeps_version(net):
     """A stream that its host resumes goes on at the version that began it, and
     is broken off if no other worker has that version."""
