--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -189,11 +189,13 @@
 	proxyd_count(proxyd, CTR_refused_limit);
 	slog(SLOG_INFO, "limit",
 	     "id=%.*s account=%s units=%.0f rate=%.0f left_all=%.0f "
-	     "left_own=%.0f hosts=%u heard_ms=%" G_GINT64_FORMAT " resumes=%d",
+	     "left_own=%.0f hosts=%u heard_ms=%" G_GINT64_FORMAT
+	     " coverage=%.2f resumes=%d",
 	     SLOG_VIEW(h1_header_value(hs_request_head(call), HEAD_ATTEMPT_ID)),
 	     account->name, units, (*quota)->rate, (*quota)->global_units,
 	     (*quota)->local_units, proxyd_host_count(proxyd),
-	     proxyd_now(proxyd) - (*quota)->last_report_at, resumes);
+	     proxyd_now(proxyd) - (*quota)->last_report_at, (*quota)->coverage,
+	     resumes);
 	front_reply_error(proxyd, call, RW_ELIMIT, retry_after, "over_limit");
 	return false;
 }
