Members: a host's own former process does not count as running

A host that starts again learns of its former process as dead, and counted it among those that may be running, unseen, for some seconds: only the addresses of other members were looked up.

Unit test, the case "this host, before it started" failed before.

--- a/decide/member.c
+++ b/decide/member.c
@@ -326,9 +326,11 @@
 	return count;
 }
 
-/* Returns whether a live member has an RPC address. */
+/* Returns whether this host or a live member has an RPC address. */
 static bool address_is_live(const struct member_list *list, const char *rpc)
 {
+	if (!strcmp(list->self.rpc, rpc))
+		return true;
 	for (guint i = 0; i < list->order->len; i++) {
 		const struct member *member = g_ptr_array_index(list->order, i);
 
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -447,6 +447,104 @@
 }
 END_TEST
 
+/* Members. */
+
+static uint32_t op_random(void *ctx, uint32_t n)
+{
+	(void)ctx;
+	return n - 1;
+}
+
+static void op_changed(void *ctx, const struct member *member)
+{
+	(void)ctx;
+	(void)member;
+}
+
+static const struct member_ops quiet_ops = {
+	.random = op_random,
+	.changed = op_changed,
+};
+
+static struct member_list *quiet_list(const char *incarnation, const char *rpc)
+{
+	struct member_update self = { .state = MEMBER_ALIVE };
+	struct member_options options = { .ops = &quiet_ops };
+
+	g_strlcpy(self.incarnation, incarnation, sizeof(self.incarnation));
+	g_strlcpy(self.rpc, rpc, sizeof(self.rpc));
+	return member_list_create(&self, &options);
+}
+
+static void quiet_add(struct member_list *list, const char *incarnation,
+		      const char *rpc, enum member_state state)
+{
+	struct member_update update = { .state = state, .seq = 1 };
+
+	g_strlcpy(update.incarnation, incarnation, sizeof(update.incarnation));
+	g_strlcpy(update.rpc, rpc, sizeof(update.rpc));
+	member_on_update(list, &update, 1000);
+}
+
+static const struct {
+	const char *what;
+	const char *rpc; /* of a dead member; this host's is h0:1 */
+	const char *live_rpc;
+	clk_ms since;
+	size_t count; /* that may be running */
+} running_cases[] = {
+	{ "lost a moment ago", "h1:1", NULL, 500, 1 },
+	{ "lost long ago", "h1:1", NULL, 1500, 0 },
+	{ "started again", "h1:1", "h1:1", 500, 1 },
+	{ "this host, before it started", "h0:1", NULL, 500, 0 },
+};
+
+START_TEST(dead_members_may_be_running)
+{
+	struct member_list *list = quiet_list("h0~1", "h0:1");
+
+	quiet_add(list, "dead~1", running_cases[_i].rpc, MEMBER_DEAD);
+	if (running_cases[_i].live_rpc)
+		quiet_add(list, "live~1", running_cases[_i].live_rpc,
+			  MEMBER_ALIVE);
+	ck_assert_msg(
+		member_maybe_running_count(list, running_cases[_i].since) ==
+			running_cases[_i].count,
+		"%s", running_cases[_i].what);
+	member_list_free(list);
+}
+END_TEST
+
+static bool accepts_some(const char *incarnation)
+{
+	return incarnation[0] != 'x';
+}
+
+/* All hosts agree on which of them rank highest. */
+START_TEST(members_rank_alike)
+{
+	static const char *const hosts[] = { "a~1", "b~1", "c~1", "x~1",
+					     "d~1" };
+	unsigned first = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hosts); i++) {
+		struct member_list *list = quiet_list(hosts[i], hosts[i]);
+
+		if (!accepts_some(hosts[i])) {
+			member_list_free(list);
+			continue;
+		}
+		for (size_t j = 0; j < G_N_ELEMENTS(hosts); j++)
+			if (j != i)
+				quiet_add(list, hosts[j], hosts[j],
+					  MEMBER_ALIVE);
+		first += member_top_self_rank(list, _i, accepts_some) < 2;
+		member_list_free(list);
+	}
+	ck_assert_uint_eq(first, 2);
+}
+END_TEST
+
 static Suite *unit_suite(void)
 {
 	Suite *suite = suite_create("unit");
@@ -471,6 +569,9 @@
 	tcase_add_test(tcase, retry_budget_limits_load);
 	tcase_add_loop_test(tcase, trace_parent_is_checked, 0,
 			    G_N_ELEMENTS(trace_cases));
+	tcase_add_loop_test(tcase, dead_members_may_be_running, 0,
+			    G_N_ELEMENTS(running_cases));
+	tcase_add_loop_test(tcase, members_rank_alike, 0, 8);
 	return suite;
 }
 
