Limits: hosts that fall silent are charged with their share, not with multiples

When most hosts are lost at once, the ones that are left took what all had spent lately times the ratio of all hosts to those that report: with one of six left four times, though the silent ones can at most have spent their own share once more. The account was 676,000 units in debt (2.3 s of its limit; ev=limit coverage=0.20), and callers of the host that was left, and after their start of the others, which learn from it, got 429 for seconds.

Change: the share of the hosts that fell silent, of what was spent lately, times 1.5, as that decays while they are silent. With a third silent that is what it was before, with one of six a quarter more.

Test quota_holds_while_hosts_are_silent, three cases, failed before: the host that is left served 50,000 to 53,100 units in 4.6 s, 0.61 to 0.65 of its equal share, where 0.7 are asked for. A factor of 1.25 breaks the limit where a third is partitioned off (1,791,026 of 1,768,154).

--- a/decide/quota.c
+++ b/decide/quota.c
@@ -19,6 +19,8 @@
 /* Time until a silent host is noticed and the lower coverage is known here: so
  * long the host may have spent units that it has not reported. */
 #define RECENT_DECAY_MS 1700.0
+/* recent_spend decays while hosts are silent; this makes up for it. */
+#define SILENT_FACTOR 1.5
 /* Parts of the global bucket. */
 #define RESTART_DEBT_SHARE 0.15 /* owed after a restart */
 #define BELOW_LIMIT_SHARE 0.7	/* remaining for an account below its limit */
@@ -186,8 +188,9 @@
 		return;
 	quota->recent_spend *=
 		exp(-(double)(now - quota->refilled_at) / RECENT_DECAY_MS);
-	quota->global_units -=
-		quota->recent_spend * (1 / quota->coverage - 1 / before);
+	/* Their share of what was spent lately may have been spent once more. */
+	quota->global_units -= quota->recent_spend * SILENT_FACTOR *
+			       (1 - quota->coverage / before);
 }
 
 /* Returns what a request may owe to the global bucket. */
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -169,6 +169,117 @@
 }
 END_TEST
 
+/* Hosts that hear nothing of each other any more, as they were lost or cut off:
+ * the limit holds though all of them go on, and each serves its share. */
+
+#define SILENT_FROM_MS 9000
+#define SILENT_UNTIL_MS 16000
+#define SILENT_NOTICED_MS 1200 /* after the last report */
+#define SILENT_DEMAND 8.0      /* times the limit */
+#define SILENT_SHARE_MIN 0.7   /* of the equal share, at each host */
+
+static const struct {
+	const char *what;
+	int alone; /* hosts that hear nothing; the others hear each other */
+	bool lost; /* all others were lost */
+} silent_cases[] = {
+	{ "one is cut off", 1, false },
+	{ "all are cut off", QUOTA_HOSTS, false },
+	{ "one survives", 1, true },
+};
+
+/* Whether two hosts hear each other. */
+static bool are_in_touch(int case_idx, int i, int j, clk_ms now)
+{
+	int alone = silent_cases[case_idx].alone;
+
+	return now < SILENT_FROM_MS || now >= SILENT_UNTIL_MS ||
+	       (i >= alone && j >= alone);
+}
+
+START_TEST(quota_holds_while_hosts_are_silent)
+{
+	const double rate = 107683;
+	const double slack = 140000;
+	const double allowed =
+		(rate * QUOTA_WINDOW_MS / 1000 + rate) * 1.1 + slack;
+	struct quota *quotas[QUOTA_HOSTS];
+	double admitted[24000 / 50] = { 0 };
+	double served = 0;
+	GRand *rand = g_rand_new_with_seed(3);
+	clk_ms measured_from = SILENT_FROM_MS + 2 * SILENT_NOTICED_MS;
+
+	for (int i = 0; i < QUOTA_HOSTS; i++) {
+		quotas[i] = quota_create();
+		quota_set(quotas[i], rate, rate, slack, true, 0);
+	}
+	for (clk_ms now = 0; now < 24000; now += 5) {
+		bool lost = silent_cases[_i].lost && now >= SILENT_FROM_MS &&
+			    now < SILENT_UNTIL_MS;
+		bool noticed = now >= SILENT_FROM_MS + SILENT_NOTICED_MS &&
+			       now < SILENT_UNTIL_MS + SILENT_NOTICED_MS;
+
+		for (int i = 0; i < QUOTA_HOSTS; i++) {
+			char name[8];
+			int heard = 0;
+
+			for (int j = 0; j < QUOTA_HOSTS; j++)
+				heard += i == j || are_in_touch(_i, i, j, now);
+			quota_set_coverage(
+				quotas[i],
+				noticed ? heard / (double)QUOTA_HOSTS : 1, now);
+			if (now % QUOTA_NEAR_LIMIT_MS)
+				continue;
+			g_snprintf(name, sizeof(name), "h%d", i);
+			for (int j = 0; j < QUOTA_HOSTS; j++)
+				if (i != j && are_in_touch(_i, i, j, now) &&
+				    !(lost && i > 0))
+					quota_on_report(quotas[j], name,
+							quotas[i]->spent, 1500,
+							QUOTA_HOSTS, now);
+			quota_on_report_sent(quotas[i]);
+		}
+		for (double remaining = SILENT_DEMAND * rate * 5 / 1000;
+		     remaining > 0;) {
+			double units = g_rand_double_range(rand, 500, 14000);
+			int host =
+				lost ? 0
+				     : g_rand_int_range(rand, 0, QUOTA_HOSTS);
+			clk_ms retry_after;
+
+			if (units > remaining &&
+			    g_rand_double(rand) > remaining / units)
+				break;
+			remaining -= units;
+			if (!quota_take(quotas[host], units, false, QUOTA_HOSTS,
+					now, &retry_after))
+				continue;
+			admitted[now / 50] += units;
+			if (host == 0 && now >= measured_from &&
+			    now < SILENT_UNTIL_MS)
+				served += units;
+		}
+	}
+	for (size_t i = 0; i + QUOTA_WINDOW_MS / 50 <= G_N_ELEMENTS(admitted);
+	     i++) {
+		double sum = 0;
+
+		for (size_t j = i; j < i + QUOTA_WINDOW_MS / 50; j++)
+			sum += admitted[j];
+		ck_assert_msg(sum <= allowed,
+			      "%s: %.0f in a window from %zu ms, %.0f allowed",
+			      silent_cases[_i].what, sum, i * 50, allowed);
+	}
+	ck_assert_msg(
+		served >= SILENT_SHARE_MIN * rate / QUOTA_HOSTS *
+				  (double)(SILENT_UNTIL_MS - measured_from) /
+				  CLK_SECOND,
+		"%s: %.0f served by the first host", silent_cases[_i].what,
+		served);
+	g_rand_free(rand);
+}
+END_TEST
+
 /* Many hosts: each reports to one of a few relays. The relays exchange the
  * spending of their groups, and send what remains of the limit to the hosts
  * that report to them. */
@@ -633,6 +744,8 @@
 
 	tcase_add_loop_test(tcase, quota_holds_over_hosts, 0,
 			    G_N_ELEMENTS(quota_cases));
+	tcase_add_loop_test(tcase, quota_holds_while_hosts_are_silent, 0,
+			    G_N_ELEMENTS(silent_cases));
 	tcase_add_loop_test(tcase, quota_holds_over_many_hosts, 0,
 			    G_N_ELEMENTS(net_cases));
 	tcase_add_test(tcase, quota_group_total_may_be_negative);
