--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -28,6 +28,7 @@
 		trace_end(xfer->proxyd->tracer, &xfer->attempt_span, "upstream",
 			  xfer->id, xfer->worker->entry.id);
 	fleet_end(xfer->worker, &xfer->fleet_request, xfer->has_output);
+	queue_on_freed(xfer->proxyd, xfer->worker);
 	if (xfer->worker->removed && xfer->worker->inflight == 0)
 		proxyd_drop_peer(xfer->worker);
 	fleet_worker_unref(xfer->worker);
--- a/daemon/proxyd-queue.c
+++ b/daemon/proxyd-queue.c
@@ -1,12 +1,14 @@
 /*
  * Requests that wait a moment for a permit (proxyd-permit.c), as no worker of
- * their pool takes one without. Only as many wait as permits are expected soon;
- * a request beyond that number is rejected at once. The Retry-After values of
- * rejected requests are spread, so that their callers return one by one.
+ * their pool takes one without, or for room at a brittle worker. Only as many
+ * wait as permits or room are expected soon; a request beyond that number is
+ * rejected at once. The Retry-After values of rejected requests are spread, so
+ * that their callers return one by one.
  */
 #include "proxyd-xfer.h"
 
 #define SERVE_MAX_MS 100    /* between two checks for permits that begin */
+#define FREED_MS 250	    /* that a request waits for room at most */
 #define RETURN_MAX_MS 10000 /* that a refused caller is asked to wait */
 
 static gint xfer_cmp(gconstpointer a, gconstpointer b, gpointer data)
@@ -89,13 +91,15 @@
 {
 	struct proxyd *proxyd = xfer->proxyd;
 	struct pool_state *pool = queue_of(xfer);
-	struct fleet_room room =
-		fleet_room(proxyd->fleet, pool->name, proxyd_now(proxyd));
+	clk_ms now = proxyd_now(proxyd);
+	struct fleet_room room = fleet_room(proxyd->fleet, pool->name, now);
 
+	if (!xfer->waiting_since || now - xfer->waiting_since < FREED_MS)
+		room.expected += room.freed;
 	if (count_ahead(pool, xfer) >= room.expected)
 		return false;
 	if (!xfer->waiting_since) {
-		xfer->waiting_since = proxyd_now(proxyd);
+		xfer->waiting_since = now;
 		proxyd_count(proxyd, CTR_waited);
 	}
 	xfer->waiting = true;
@@ -109,6 +113,13 @@
 	return true;
 }
 
+void queue_on_freed(struct proxyd *proxyd, const struct fleet_worker *worker)
+{
+	if (worker->brittle.limited &&
+	    proxyd_pool(proxyd, worker->entry.pool)->waiting.length > 0)
+		uv_timer_start(&proxyd->queue_timer, on_timer, 0, 0);
+}
+
 void queue_remove(struct xfer *xfer)
 {
 	if (!xfer->waiting)
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -116,6 +116,8 @@
 /* Queues a request; returns false if no permit is expected for it soon. */
 bool queue_add(struct xfer *xfer);
 void queue_remove(struct xfer *xfer);
+/* A request at a worker has ended. */
+void queue_on_freed(struct proxyd *proxyd, const struct fleet_worker *worker);
 /* Returns after how many ms the caller of a request that is refused for want of
  * room should come back. */
 clk_ms queue_return_after(struct xfer *xfer, const struct fleet_room *room);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -648,6 +648,8 @@
 
 		if (!fleet_takes_work(worker))
 			continue;
+		room.freed += wait == 0 && worker->inflight > 0 &&
+			      fleet_brittle_is_full(worker, now);
 		if (worker->limit.holder) {
 			room.rate += worker->limit.holder->rate;
 			if (wait == 0)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -79,10 +79,11 @@
 /* A worker that falls over if it has to reject too many requests a second. */
 struct fleet_brittle {
 	bool is;
-	clk_ms pause;	   /* of this host after a rejection, in ms */
-	bool limited;	   /* it has rejected one; the next two apply then */
-	unsigned most;	   /* requests of this host at a time */
-	clk_ms changed_at; /* when that was found */
+	clk_ms pause;	 /* of this host after a rejection, in ms */
+	bool scarce;	 /* it bears fewer than two from each host */
+	bool limited;	 /* it has rejected one; the next two apply then */
+	unsigned most;	 /* requests of this host at a time */
+	clk_ms tried_at; /* one more was last sent; 0: it was rejected */
 	clk_ms rejected_at;
 };
 
@@ -247,6 +248,7 @@
 /* What a pool of which no worker takes a request now can take later. */
 struct fleet_room {
 	unsigned expected; /* requests for which there may soon be permits */
+	unsigned freed;	   /* brittle workers that may soon have room again */
 	clk_ms wait; /* ms until some worker may take one; -1: not known */
 	clk_ms next; /* ms until the next permit held begins, or a question is
 		      * given up; -1: there is none */
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -188,7 +188,8 @@
 		return;
 	quota->recent_spend *=
 		exp(-(double)(now - quota->refilled_at) / RECENT_DECAY_MS);
-	/* Their share of what was spent lately may have been spent once more. */
+	/* Their share of what was spent lately may have been spent once more.
+	 */
 	quota->global_units -= quota->recent_spend * SILENT_FACTOR *
 			       (1 - quota->coverage / before);
 }
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -41,7 +41,7 @@
 
 /* Callers come back within this time after all hosts restarted; streams are
  * taken up in the second half of it. */
-#define RETURN_MS 3000
+#define RETURN_MS 3000.0
 #define TAKEN_UP_MIN 0.9 /* of the share of new requests that are admitted */
 
 START_TEST(quota_holds_over_hosts)
@@ -108,11 +108,11 @@
 			quota_on_report_sent(quotas[i]);
 		}
 		bool returning = quota_cases[_i].storm > 0 && age >= 0 &&
-				 age < RETURN_MS;
+				 (double)age < RETURN_MS;
 
-		if (returning && age >= RETURN_MS / 2 &&
+		if (returning && (double)age >= RETURN_MS / 2 &&
 		    taken_up < quota_cases[_i].taken_up *
-				       (double)(age - RETURN_MS / 2) /
+				       ((double)age - RETURN_MS / 2) /
 				       (RETURN_MS / 2)) {
 			clk_ms retry_after;
 
