Brittle workers: all hosts are told when one is full

Each host learned of a full worker by a rejection of its own; whoever stopped sent its requests to the next worker, which fell in turn; and all hosts tried again at the same moment.

Change: a rejection of what had been accepted is told to all hosts, which keep to what they have at the worker then, and stop for a second when there were several. Tries beyond that come at random moments. While some workers are full, their share of the requests does not go to others of which the room is not known.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -191,7 +191,10 @@
 	    xfer->response.status != 503)
 		return;
 	proxyd_count(proxyd, CTR_brittle_rejections);
-	fleet_brittle_on_rejection(worker, proxyd_now(proxyd));
+	permit_tell_full(proxyd, worker,
+			 fleet_brittle_on_rejection(worker,
+						    proxyd_chance(proxyd),
+						    proxyd_now(proxyd)));
 }
 
 /* Notes what the head of a response says about its worker. */
--- a/daemon/proxyd-permit.c
+++ b/daemon/proxyd-permit.c
@@ -18,6 +18,7 @@
 #define START_QUESTIONS 3
 #define ISSUER_CHECK_MS 1000 /* between two checks of all limited workers */
 #define DURATION_MAX_MS 1e6  /* in an answer; longer is an error */
+#define FULL_MAX 100000	     /* rejections told at once; more is an error */
 /* News of workers that are not listed here yet. */
 #define NEWS_MAX 1024
 #define NEWS_MS 10000
@@ -315,6 +316,47 @@
 	queue_update(proxyd, worker->entry.pool);
 }
 
+void permit_tell_full(struct proxyd *proxyd, const struct fleet_worker *worker,
+		      unsigned count)
+{
+	const GPtrArray *order = proxyd->members->order;
+	w_full full = {
+		.process = proxyd->members->self.incarnation,
+		.worker = worker->entry.id,
+		.count = count,
+	};
+
+	if (count == 0)
+		return;
+	proxyd_count(proxyd, CTR_brittle_told);
+	for (guint i = 0; i < order->len; i++) {
+		const struct member *to = g_ptr_array_index(order, i);
+
+		if (to->info.state != MEMBER_DEAD &&
+		    peer_takes_forwarded(to->info.incarnation))
+			rpc_send_full(proxyd->rpc, to->info.rpc, &full);
+	}
+}
+
+void permit_on_full(void *ctx, const w_full *full)
+{
+	struct proxyd *proxyd = ctx;
+	struct fleet_worker *worker = fleet_find(proxyd->fleet, full->worker);
+
+	if (!member_is_live(proxyd->members, full->process)) {
+		drop(proxyd, full->process, "unknown_host");
+		return;
+	}
+	if (full->count == 0 || full->count > FULL_MAX) {
+		drop(proxyd, full->process, "bad_value");
+		return;
+	}
+	if (worker)
+		fleet_brittle_on_told(worker, full->count,
+				      proxyd_chance(proxyd),
+				      proxyd_now(proxyd));
+}
+
 /* Asks some host for all limits that it knows. */
 static void limits_ask(struct proxyd *proxyd)
 {
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -60,6 +60,11 @@
 		     : 0;
 }
 
+double proxyd_chance(struct proxyd *proxyd)
+{
+	return g_rand_double(proxyd->rand);
+}
+
 void proxyd_count(struct proxyd *proxyd, enum ctr ctr)
 {
 	proxyd->ctrs.values[ctr]++;
@@ -347,6 +352,7 @@
 		.on_group = peer_on_group,
 		.on_permit_ask = permit_on_ask,
 		.on_permit_grant = permit_on_answer,
+		.on_full = permit_on_full,
 		.on_origin_keep = resume_on_keep,
 		.on_origin_ask = resume_on_ask,
 		.on_origin_answer = resume_on_answer,
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -63,8 +63,9 @@
 #define HOST_PREFIX "rw/host/"	 /* before a host's name */
 #define USAGE_PREFIX "rw/usage/" /* before a usage window's number */
 
-/* Ends the incarnation of a process that accepts forwarded requests and writes
- * streams of other hosts to the store, before ORIGIN_VERSION_MARK. */
+/* Ends the incarnation of a process that accepts forwarded requests, writes
+ * streams of other hosts to the store and knows RW_FULL, before
+ * ORIGIN_VERSION_MARK. */
 #define FORWARD_VERSION_MARK "+5"
 /* Ends the incarnation of a process that knows RW_PERMIT_ASK, before
  * FEED_VERSION_MARK. */
@@ -223,6 +224,8 @@
 clk_ms proxyd_wall(struct proxyd *proxyd);
 /* Random integer below n, at least 0. */
 uint32_t proxyd_random(void *ctx, uint32_t n);
+/* Random number from 0 to 1. */
+double proxyd_chance(struct proxyd *proxyd);
 void proxyd_count(struct proxyd *proxyd, enum ctr ctr);
 /* Whether a new request whose deadline is the loop time end is accepted: a
  * stopping host may have exited by then. */
@@ -316,8 +319,8 @@
 void peer_start(struct proxyd *proxyd);
 /* Whether a process knows RW_ORIGIN_KEEP and eras of the store. */
 bool peer_knows_eras(const char *incarnation);
-/* Whether a process accepts forwarded requests, and writes streams of other
- * hosts to the store. */
+/* Whether a process accepts forwarded requests, writes streams of other hosts
+ * to the store and knows RW_FULL. */
 bool peer_takes_forwarded(const char *incarnation);
 /* Makes up a new incarnation of this host. */
 void peer_incarnation(struct proxyd *proxyd, char *buf, size_t size);
@@ -345,6 +348,10 @@
 void permit_tick(struct proxyd *proxyd);
 void permit_on_ask(void *ctx, const w_permit_ask *ask);
 void permit_on_answer(void *ctx, const w_permit_grant *answer);
+/* Tells all hosts of requests that a brittle worker has rejected. */
+void permit_tell_full(struct proxyd *proxyd, const struct fleet_worker *worker,
+		      unsigned count);
+void permit_on_full(void *ctx, const w_full *full);
 /* A worker is listed. */
 void permit_on_worker(struct proxyd *proxyd, struct fleet_worker *worker);
 /* proxyd-resume.c: streams that callers take up */
--- a/decide/fleet-brittle.c
+++ b/decide/fleet-brittle.c
@@ -1,20 +1,40 @@
 /*
  * Workers that say how many requests they can reject in a second for want of
  * room. The room is not known, and shrinks without a word: each host keeps to
- * what a worker has accepted from it lately, tries one more now and then, and
- * sends nothing for a while after a rejection. All hosts together then cause
- * fewer rejections than the worker bears, however little they know of each
- * other.
+ * what a worker has accepted from it lately, and tries one more now and then.
+ * When a worker rejects what it had accepted before, all hosts are told, and
+ * keep to what they have there at that moment: together that is the room. If
+ * several are rejected in a second, nobody sends anything for as long.
  */
 #include "fleet.h"
 
-#define KEPT_SHARE 0.5 /* of its requests there, once there is less room */
-/* All hosts together cause this share of the rejections that are borne. */
-#define USED_SHARE 0.6
-/* Pauses between two tries with one more, where few rejections are borne: when
- * there is less room, each host may be rejected twice. */
-#define SCARCE_PAUSES 2
+#include <math.h>
+
+/* Requests beyond what was accepted come at random: so many standard deviations
+ * fewer than what is borne, within these shares of it. */
+#define TRIED_DEVIATIONS 1.6
+#define TRIED_MIN_SHARE 0.2
+#define TRIED_MAX_SHARE 0.5
 #define PAUSE_MAX_MS 600000
+#define WINDOW_MS CLK_SECOND /* in which a worker counts its rejections */
+/* Of the rejections that are borne, until all hosts stop: others are on their
+ * way then. */
+#define STOP_SHARE 0.4
+#define TOLD_SHARE 0.04 /* of them, in a message */
+#define KEPT_SHARE 0.75 /* of its requests there, for a host that stops */
+#define RETURN_MS 500	/* in which hosts send again */
+
+/* Returns how many requests beyond what was accepted all hosts together may
+ * send to a worker in a second. */
+static double tries_for(double rejections, unsigned hosts)
+{
+	/* Many hosts know less of each other. */
+	if (rejections < hosts)
+		return TRIED_MIN_SHARE * rejections;
+	return CLAMP(rejections - TRIED_DEVIATIONS * sqrt(rejections),
+		     TRIED_MIN_SHARE * rejections,
+		     TRIED_MAX_SHARE * rejections);
+}
 
 void fleet_brittle_on_response(struct fleet_worker *worker, double rejections,
 			       unsigned hosts)
@@ -26,28 +46,83 @@
 		return;
 	}
 	brittle->is = true;
-	brittle->scarce = rejections < 2.0 * hosts;
-	brittle->pause = (clk_ms)MIN(CLK_SECOND * hosts /
-					     MAX(rejections * USED_SHARE, 0.01),
-				     PAUSE_MAX_MS);
+	brittle->bears = rejections;
+	brittle->pause = (clk_ms)MIN(
+		CLK_SECOND * hosts / MAX(tries_for(rejections, hosts), 0.01),
+		PAUSE_MAX_MS);
+}
+
+/* Counts rejections, of this host or another one. */
+static void rejections_count(struct fleet_worker *worker, unsigned count,
+			     double chance, clk_ms now)
+{
+	struct fleet_brittle *brittle = &worker->brittle;
+
+	if (now - brittle->counted_from >= WINDOW_MS) {
+		brittle->counted_from = now;
+		brittle->counted = 0;
+	}
+	brittle->counted += count;
+	if (brittle->counted < brittle->bears * STOP_SHARE)
+		return;
+	/* There is less room than what is there now; hosts come back one after
+	 * the other. */
+	if (now >= worker->withheld_until)
+		brittle->most = (unsigned)(brittle->most * KEPT_SHARE + chance);
+	fleet_withhold(worker, WINDOW_MS + (clk_ms)(chance * RETURN_MS), now);
+}
+
+/* Sets when to try one more, chance of the way through a pause: the hosts
+ * don't try all at once. */
+static void try_later(struct fleet_brittle *brittle, double chance, clk_ms now)
+{
+	brittle->try_at =
+		now + (clk_ms)((double)brittle->pause * (0.5 + chance));
 }
 
-void fleet_brittle_on_rejection(struct fleet_worker *worker, clk_ms now)
+/* The worker has no room for more than it has now. */
+static void limit_to(struct fleet_brittle *brittle, unsigned accepted,
+		     double chance, clk_ms now)
+{
+	if (!brittle->limited)
+		try_later(brittle, chance, now);
+	brittle->most =
+		brittle->limited ? MIN(brittle->most, accepted) : accepted;
+	brittle->limited = true;
+}
+
+unsigned fleet_brittle_on_rejection(struct fleet_worker *worker, double chance,
+				    clk_ms now)
 {
 	struct fleet_brittle *brittle = &worker->brittle;
 	unsigned accepted = worker->inflight > 0 ? worker->inflight - 1 : 0;
 	/* Rejections arrive at once: this is most likely the one more. */
 	bool tried = brittle->limited && brittle->tried_at > 0 &&
-		     now - brittle->tried_at < brittle->pause;
+		     now - brittle->tried_at < WINDOW_MS;
+	/* Where many are borne, the hosts are told of one in so many. */
+	unsigned told = MAX((unsigned)(brittle->bears * TOLD_SHARE), 1);
 
 	if (!brittle->is)
-		return;
-	if (!tried)
-		fleet_withhold(worker, brittle->pause, now);
-	brittle->limited = true;
-	brittle->most = tried ? accepted : (unsigned)(accepted * KEPT_SHARE);
+		return 0;
+	limit_to(brittle, accepted, chance, now);
 	brittle->tried_at = 0;
-	brittle->rejected_at = now;
+	if (tried) {
+		try_later(brittle, chance, now);
+		return 0;
+	}
+	rejections_count(worker, 1, chance, now);
+	return chance * told < 1 ? told : 0;
+}
+
+void fleet_brittle_on_told(struct fleet_worker *worker, unsigned count,
+			   double chance, clk_ms now)
+{
+	struct fleet_brittle *brittle = &worker->brittle;
+
+	if (!brittle->is)
+		return;
+	limit_to(brittle, worker->inflight, chance, now);
+	rejections_count(worker, count, chance, now);
 }
 
 void fleet_brittle_on_send(struct fleet_worker *worker, clk_ms now)
@@ -58,15 +133,13 @@
 		return;
 	brittle->most = worker->inflight;
 	brittle->tried_at = now;
+	brittle->try_at = now + brittle->pause;
 }
 
 bool fleet_brittle_is_full(const struct fleet_worker *worker, clk_ms now)
 {
 	const struct fleet_brittle *brittle = &worker->brittle;
-	clk_ms last = MAX(brittle->tried_at, brittle->rejected_at);
-	bool scarce = brittle->scarce && brittle->most > 0;
-	clk_ms pause = brittle->pause * (scarce ? SCARCE_PAUSES : 1);
-	bool tries = now - last >= pause;
+	bool tries = now >= brittle->try_at;
 
 	return brittle->limited && worker->inflight >= brittle->most + tries;
 }
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -575,14 +575,38 @@
 	best->cached_tokens = cached;
 }
 
+/* Whether a request goes only to brittle workers of which the room is known: it
+ * stands for those that are full, and the other ones are not to get their
+ * requests in addition. */
+static bool keeps_to_room(const struct fleet *fleet, const GPtrArray *workers,
+			  clk_ms now)
+{
+	unsigned count = 0;
+	unsigned full = 0;
+
+	for (guint i = 0; i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		if (!fleet_takes_work(worker))
+			continue;
+		count++;
+		full += worker->brittle.is &&
+			(now < worker->withheld_until ||
+			 fleet_brittle_is_full(worker, now));
+	}
+	return full > 0 && fleet->random(fleet->ctx, count) < full;
+}
+
 /* Chooses among the workers of one group: all, or the preferred one and a
  * random sample, so that hosts with the same information don't all choose the
- * same worker. subset_only: samples only this host's subset. */
+ * same worker. subset_only: samples only this host's subset. known_room: leaves
+ * out brittle workers of which the room is not known. */
 static struct fleet_choice choose_in_group(struct fleet *fleet,
 					   const GPtrArray *workers,
 					   const struct fleet_request *request,
 					   enum group group, bool subset_only,
-					   clk_ms now)
+					   bool known_room, clk_ms now)
 {
 	struct selection selection = {
 		.fleet = fleet,
@@ -607,6 +631,9 @@
 		    !has_version(worker, request) ||
 		    worker_group(worker, now) != group)
 			continue;
+		if (known_room && worker->brittle.is &&
+		    !worker->brittle.limited)
+			continue;
 		if (subset_only && worker != selection.preferred &&
 		    !fleet_in_subset(fleet, worker, fleet->params.host_key))
 			continue;
@@ -674,16 +701,18 @@
 	const GPtrArray *workers = pool_workers(fleet, request->pool);
 	struct fleet_worker *wanted = NULL;
 	struct fleet_choice choice = { .worker = NULL };
+	bool known_room = workers && keeps_to_room(fleet, workers, now);
 
 	if (!workers)
 		return choice;
 	for (int group = 0; group < GROUP_COUNT && !choice.worker; group++) {
-		choice = choose_in_group(fleet, workers, request,
-					 (enum group)group,
-					 fleet->params.samples > 0, now);
+		choice = choose_in_group(
+			fleet, workers, request, (enum group)group,
+			fleet->params.samples > 0, known_room, now);
 		if (!choice.worker && fleet->params.samples > 0)
 			choice = choose_in_group(fleet, workers, request,
-						 (enum group)group, false, now);
+						 (enum group)group, false,
+						 known_room, now);
 		/* The first group is the healthiest. */
 		if (!wanted)
 			wanted = choice.wanted;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -79,12 +79,14 @@
 /* A worker that falls over if it has to reject too many requests a second. */
 struct fleet_brittle {
 	bool is;
-	clk_ms pause;	 /* of this host after a rejection, in ms */
-	bool scarce;	 /* it bears fewer than two from each host */
-	bool limited;	 /* it has rejected one; the next two apply then */
-	unsigned most;	 /* requests of this host at a time */
-	clk_ms tried_at; /* one more was last sent; 0: it was rejected */
-	clk_ms rejected_at;
+	double bears;	  /* rejections a second */
+	clk_ms pause;	  /* of this host between two tries, in ms */
+	bool limited;	  /* it has rejected one; the next two apply then */
+	unsigned most;	  /* requests of this host at a time */
+	clk_ms tried_at;  /* one more was last sent; 0: it was rejected */
+	clk_ms try_at;	  /* one more may be sent */
+	unsigned counted; /* rejections, known here, of what it had accepted */
+	clk_ms counted_from;
 };
 
 struct fleet_worker {
@@ -238,8 +240,14 @@
  * nothing. hosts: that send to it. */
 void fleet_brittle_on_response(struct fleet_worker *worker, double rejections,
 			       unsigned hosts);
-/* It has rejected a request of this host, which is at it still. */
-void fleet_brittle_on_rejection(struct fleet_worker *worker, clk_ms now);
+/* It has rejected a request of this host, which is at it still. chance: a
+ * random number from 0 to 1. Returns of how many rejections all hosts are to be
+ * told now. */
+unsigned fleet_brittle_on_rejection(struct fleet_worker *worker, double chance,
+				    clk_ms now);
+/* Another host has told of some. */
+void fleet_brittle_on_told(struct fleet_worker *worker, unsigned count,
+			   double chance, clk_ms now);
 /* A request was sent there. */
 void fleet_brittle_on_send(struct fleet_worker *worker, clk_ms now);
 /* Whether it takes no further request of this host now. */
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -68,6 +68,7 @@
 	X(limits_named, "times a worker named a limit, or another one")        \
 	X(limits_bad, "malformed limits named by workers")                     \
 	X(brittle_rejections, "requests that a brittle worker rejected")       \
+	X(brittle_told, "times all hosts were told of such requests")          \
 	X(brittle_bad, "malformed words of workers that they are brittle")     \
 	X(worker_probes, "health checks of workers with a limit of about 0")   \
 	X(permits_asked, "times permits of a limited worker were asked for")   \
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -307,6 +307,13 @@
 };
 typedef struct w_origin_answer w_origin_answer;
 
+struct w_full {
+	char *process;
+	char *worker;
+	u_int count;
+};
+typedef struct w_full w_full;
+
 #define RW_PROGRAM 0x20525750
 #define RW_VERSION 1
 
@@ -347,6 +354,9 @@
 #define RW_ORIGIN_ANSWER 12
 extern  void * rw_origin_answer_1(w_origin_answer *, CLIENT *);
 extern  void * rw_origin_answer_1_svc(w_origin_answer *, struct svc_req *);
+#define RW_FULL 13
+extern  void * rw_full_1(w_full *, CLIENT *);
+extern  void * rw_full_1_svc(w_full *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -386,6 +396,9 @@
 #define RW_ORIGIN_ANSWER 12
 extern  void * rw_origin_answer_1();
 extern  void * rw_origin_answer_1_svc();
+#define RW_FULL 13
+extern  void * rw_full_1();
+extern  void * rw_full_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -415,6 +428,7 @@
 extern  bool_t xdr_w_origin_keep (XDR *, w_origin_keep*);
 extern  bool_t xdr_w_origin_ask (XDR *, w_origin_ask*);
 extern  bool_t xdr_w_origin_answer (XDR *, w_origin_answer*);
+extern  bool_t xdr_w_full (XDR *, w_full*);
 
 #else /* K&R C */
 extern bool_t xdr_w_update ();
@@ -440,6 +454,7 @@
 extern bool_t xdr_w_origin_keep ();
 extern bool_t xdr_w_origin_ask ();
 extern bool_t xdr_w_origin_answer ();
+extern bool_t xdr_w_full ();
 
 #endif /* K&R C */
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -229,6 +229,14 @@
 	bool settled; /* the sender has run for ORIGIN_KEEP_MS */
 };
 
+/* RW_FULL: a datagram to all hosts: a brittle worker has rejected requests of
+ * which it had accepted as many before; see decide/fleet-brittle.c. */
+struct w_full {
+	string process<W_INCARNATION>;
+	string worker<W_NAME>;
+	unsigned int count; /* of these requests */
+};
+
 program RW_PROGRAM {
 	version RW_VERSION {
 		void RW_GOSSIP(w_gossip) = 1;
@@ -243,5 +251,6 @@
 		void RW_ORIGIN_KEEP(w_origin_keep) = 10;
 		void RW_ORIGIN_ASK(w_origin_ask) = 11;
 		void RW_ORIGIN_ANSWER(w_origin_answer) = 12;
+		void RW_FULL(w_full) = 13;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -642,3 +642,17 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_w_full (XDR *xdrs, w_full *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->worker, W_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -534,6 +534,11 @@
 		      grant);
 }
 
+void rpc_send_full(struct rpc *rpc, const char *to, const w_full *full)
+{
+	datagram_send(rpc, to, RW_FULL, (xdrproc_t)xdr_w_full, full);
+}
+
 void rpc_send_origin_keep(struct rpc *rpc, const char *to,
 			  const w_origin_keep *keep)
 {
@@ -588,6 +593,17 @@
 	return ok;
 }
 
+static bool full_receive(struct rpc *rpc, XDR *xdr)
+{
+	w_full full = { .process = NULL };
+	bool ok = xdr_w_full(xdr, &full);
+
+	if (ok && rpc->handlers.on_full)
+		rpc->handlers.on_full(rpc->handlers.ctx, &full);
+	xdr_free((xdrproc_t)xdr_w_full, &full);
+	return ok;
+}
+
 static bool origin_keep_receive(struct rpc *rpc, XDR *xdr)
 {
 	w_origin_keep keep = { .streams.streams_len = 0 };
@@ -634,6 +650,7 @@
 		{ RW_ORIGIN_KEEP, origin_keep_receive },
 		{ RW_ORIGIN_ASK, origin_ask_receive },
 		{ RW_ORIGIN_ANSWER, origin_answer_receive },
+		{ RW_FULL, full_receive },
 	};
 	struct rpc_msg call = { .rm_xid = 0 };
 	XDR xdr;
