Brittle workers: pools without one are not searched for full ones

keeps_to_room went over all workers of a pool for each request, also where none is brittle: choosing among thousands otherwise looks at a few. The fleet notes when a brittle worker last answered.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -187,8 +187,10 @@
 		     "worker=%s rejections=%.1f outcome=%s", worker->entry.id,
 		     head->rejections,
 		     worker->brittle.is ? "brittle" : "not_brittle");
-	if (!worker->brittle.is || !head->not_run ||
-	    xfer->response.status != 503)
+	if (!worker->brittle.is)
+		return;
+	proxyd->fleet->brittle_at = proxyd_now(proxyd);
+	if (!head->not_run || xfer->response.status != 503)
 		return;
 	proxyd_count(proxyd, CTR_brittle_rejections);
 	permit_tell_full(proxyd, worker,
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -22,6 +22,7 @@
 #define REPORT_FRESH_MS 250
 #define SLOT_WAIT_MS 60.0 /* cost of waiting for a busy slot */
 #define SUBSET_SIZE 192	  /* workers of a pool that a host gets reports of */
+#define BRITTLE_MS 10000  /* after the last answer of a brittle worker */
 #define CACHED_PARTS_MAX 4096 /* per worker */
 /* Until a process that has started is listed, and hosts that vouch for the list
  * have read that. */
@@ -584,6 +585,8 @@
 	unsigned count = 0;
 	unsigned full = 0;
 
+	if (!fleet->brittle_at || now - fleet->brittle_at > BRITTLE_MS)
+		return false;
 	for (guint i = 0; i < workers->len; i++) {
 		const struct fleet_worker *worker =
 			g_ptr_array_index(workers, i);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -174,6 +174,7 @@
 	GHashTable *pools;    /* pool -> GPtrArray of struct fleet_worker */
 	GHashTable *versions; /* pool -> GArray of struct fleet_version */
 	struct fleet_params params;
+	clk_ms brittle_at; /* a brittle worker last answered; 0: never */
 	uint32_t (*random)(void *ctx, uint32_t n);
 	GHashTable *by_key; /* aggregate_key of an id -> struct fleet_worker */
 	/* Called to open and to close connections to a worker. */
