--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -343,7 +343,7 @@
  * recently, which may still run. */
 unsigned peer_hosts_maybe_running(const struct proxyd *proxyd);
 
-/* proxyd-permit.c: limits that workers name */
+/* proxyd-permit.c: limits that workers name, and full brittle workers */
 void permit_start(struct proxyd *proxyd);
 void permit_tick(struct proxyd *proxyd);
 void permit_on_ask(void *ctx, const w_permit_ask *ask);
