Brittle workers: a try is known by its request, and hosts that refill a worker keep what fits

Causes, from traces of sim-brittle second by second: - A rejection within a second of any try was taken for that of the try, and neither counted nor told. Where many are borne, every host has tried in the last second: 8 of 22 workers fell within 25 ms of the loss of room (30 hosts, 50 rejections). - The first try came half a pause after the limit was found: with 63 hosts and 4 rejections 40 s later, so that room was never found again. - A second stop, right after all hosts had filled the worker up again, cut what they kept once more, although it was right then. - Where several hosts share each rejection, tries coincided: a fall each few minutes of a full worker.

Ruled out: stopping later (0.6, 0.8 of the rejections borne: 15 of 22 workers fall), a slow refill from a quarter of them on (falls at 6 and 8 hosts), hosts that quarter what they send when a connection fails (0 falls, but 61 of 80 served in test_proxy_brittle_workers: connections fail for other reasons), tries four times as often after an accepted one (31 falls at 63 hosts).

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -194,7 +194,7 @@
 		return;
 	proxyd_count(proxyd, CTR_brittle_rejections);
 	permit_tell_full(proxyd, worker,
-			 fleet_brittle_on_rejection(worker,
+			 fleet_brittle_on_rejection(worker, xfer->tries_room,
 						    proxyd_chance(proxyd),
 						    proxyd_now(proxyd)));
 }
@@ -493,7 +493,7 @@
 	xfer->has_output = false;
 	xfer->output_at = 0;
 	xfer->sent_at = 0;
-	fleet_begin(worker, &xfer->fleet_request, now);
+	xfer->tries_room = fleet_begin(worker, &xfer->fleet_request, now);
 	xfer->attempt = hc_request_start(worker->http_peer, &spec);
 	g_string_free(head, TRUE);
 	if (bytes)
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -63,7 +63,8 @@
 	int priority;	    /* in an engine's queue, 0 is first */
 	clk_ms received_at; /* when the caller's request was complete */
 	clk_ms deadline;
-	clk_ms sent_at;		 /* of the attempt; 0: not sent yet */
+	clk_ms sent_at;	 /* of the attempt; 0: not sent yet */
+	bool tries_room; /* it is beyond the known room of a brittle worker */
 	clk_ms last_received_at; /* of data from the attempt */
 	uv_timer_t timer;
 	struct trace_span span; /* of the request */
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -724,15 +724,17 @@
 	return choice;
 }
 
-void fleet_begin(struct fleet_worker *worker,
+bool fleet_begin(struct fleet_worker *worker,
 		 const struct fleet_request *request, clk_ms now)
 {
+	bool tries;
+
 	worker->inflight++;
-	fleet_brittle_on_send(worker, now);
+	tries = fleet_brittle_on_send(worker, now);
 	if (worker->limit.holder)
 		permit_use(worker->limit.holder, now);
 	if (!request->engine)
-		return;
+		return tries;
 	worker->prompt_tokens += request->prefill_tokens;
 	if (g_hash_table_size(worker->cached_parts) > CACHED_PARTS_MAX)
 		g_hash_table_remove_all(worker->cached_parts);
@@ -740,6 +742,7 @@
 		g_hash_table_insert(worker->cached_parts,
 				    part_key(request->parts[i].id),
 				    GSIZE_TO_POINTER((gsize)now));
+	return tries;
 }
 
 void fleet_first_token(struct fleet_worker *worker,
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -79,13 +79,13 @@
 /* A worker that falls over if it has to reject too many requests a second. */
 struct fleet_brittle {
 	bool is;
-	double bears;	  /* rejections a second */
-	clk_ms pause;	  /* of this host between two tries, in ms */
-	bool limited;	  /* it has rejected one; the next two apply then */
-	unsigned most;	  /* requests of this host at a time */
-	clk_ms tried_at;  /* one more was last sent; 0: it was rejected */
-	clk_ms try_at;	  /* one more may be sent */
-	unsigned counted; /* rejections, known here, of what it had accepted */
+	double bears;	   /* rejections a second */
+	clk_ms pause;	   /* of this host between two tries, in ms */
+	bool limited;	   /* it has rejected one; the next two apply then */
+	unsigned most;	   /* requests of this host at a time */
+	clk_ms try_at;	   /* one more may be sent */
+	clk_ms stopped_at; /* nothing was sent from then on; 0: never */
+	unsigned counted;  /* rejections, known here, of what it had accepted */
 	clk_ms counted_from;
 };
 
@@ -241,16 +241,17 @@
  * nothing. hosts: that send to it. */
 void fleet_brittle_on_response(struct fleet_worker *worker, double rejections,
 			       unsigned hosts);
-/* It has rejected a request of this host, which is at it still. chance: a
- * random number from 0 to 1. Returns of how many rejections all hosts are to be
- * told now. */
-unsigned fleet_brittle_on_rejection(struct fleet_worker *worker, double chance,
-				    clk_ms now);
+/* It has rejected a request of this host, which is at it still. tried: the
+ * request was to find out whether there is more room. chance: a random number
+ * from 0 to 1. Returns of how many rejections all hosts are to be told now. */
+unsigned fleet_brittle_on_rejection(struct fleet_worker *worker, bool tried,
+				    double chance, clk_ms now);
 /* Another host has told of some. */
 void fleet_brittle_on_told(struct fleet_worker *worker, unsigned count,
 			   double chance, clk_ms now);
-/* A request was sent there. */
-void fleet_brittle_on_send(struct fleet_worker *worker, clk_ms now);
+/* A request was sent there. Returns whether it is beyond the room that is
+ * known. */
+bool fleet_brittle_on_send(struct fleet_worker *worker, clk_ms now);
 /* Whether it takes no further request of this host now. */
 bool fleet_brittle_is_full(const struct fleet_worker *worker, clk_ms now);
 
@@ -301,8 +302,9 @@
 			   const char *data_centre, bool spot);
 
 /* A request of this host was sent to a worker, or has had its first token, or
- * has ended there. */
-void fleet_begin(struct fleet_worker *worker,
+ * has ended there. The first returns whether it is beyond the room of a brittle
+ * worker that is known. */
+bool fleet_begin(struct fleet_worker *worker,
 		 const struct fleet_request *request, clk_ms now);
 void fleet_first_token(struct fleet_worker *worker,
 		       const struct fleet_request *request);
--- a/tests/sim-brittle.c
+++ b/tests/sim-brittle.c
@@ -65,6 +65,7 @@
 	int server;
 	int attempts;
 	clk_ms waiting_since;
+	bool tried;	/* beyond the room that its host knows of */
 	unsigned falls; /* of the server, when the request was sent */
 };
 
@@ -174,8 +175,8 @@
 	struct fleet_worker *worker = worker_of(request);
 	unsigned count;
 
-	count = fleet_brittle_on_rejection(worker, chance(world),
-					   world->sim->now);
+	count = fleet_brittle_on_rejection(worker, request->tried,
+					   chance(world), world->sim->now);
 	if (count > 0)
 		rejections_tell(world, request, count);
 	worker->inflight--;
@@ -239,7 +240,8 @@
 	}
 	server = &world->servers[request->server];
 	worker_of(request)->inflight++;
-	fleet_brittle_on_send(worker_of(request), world->sim->now);
+	request->tried =
+		fleet_brittle_on_send(worker_of(request), world->sim->now);
 	if (server->running < server->room) {
 		server->running++;
 		request->falls = server->falls;
