Leaving workers: a request that waits for a connection is not sent to one

Why it works: wire/hc asks may_send once the connection stands. If the worker has begun to leave and another one takes the request, it ends as unsent, and is chosen anew.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -130,6 +130,19 @@
 		report_send_counts(proxyd);
 }
 
+/* Whether a request may be sent to the worker that was chosen for it: while the
+ * connection was being established, the worker may have begun to leave. */
+static bool may_send(void *ctx)
+{
+	const struct xfer *xfer = ctx;
+	const struct fleet_worker *worker = xfer->worker;
+
+	return !(worker->entry.leaving || worker->said_leaving ||
+		 worker->removed) ||
+	       !fleet_has_other(xfer->proxyd->fleet, &xfer->fleet_request,
+				worker);
+}
+
 static void on_sent(void *ctx, bool reused)
 {
 	struct xfer *xfer = ctx;
@@ -347,6 +360,9 @@
 		return;
 	}
 	switch (result) {
+	case HC_WITHDRAWN:
+		attempt_end(xfer, PX_END_UNSENT, "worker_leaves");
+		return;
 	case HC_UNSENT:
 		forward_on_failure(xfer->proxyd, xfer->worker);
 		fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
@@ -463,6 +479,7 @@
 		.id = xfer->id,
 		.is_head = h1_view_equals(hs_request_head(xfer->call)->method,
 					  "HEAD"),
+		.may_send = may_send,
 		.on_sent = on_sent,
 		.on_head = on_head,
 		.on_data = on_data,
--- a/tests/http.c
+++ b/tests/http.c
@@ -468,6 +468,42 @@
 }
 END_TEST
 
+static bool may_not_send(void *ctx)
+{
+	(void)ctx;
+	return false;
+}
+
+START_TEST(client_withdrawn_request_is_not_sent)
+{
+	static const struct script script = {
+		{ OK200 ID "Content-Length: 2\r\n\r\nhi" },
+		KEEP_OPEN,
+	};
+	struct outcome outcome = { .done = false };
+	struct hc_request_spec spec = {
+		.head = "GET / HTTP/1.1\r\n\r\n",
+		.head_len = 18,
+		.may_send = may_not_send,
+		.on_end = on_end,
+		.ctx = &outcome,
+	};
+	struct stub *stub;
+	struct hc_peer *peer;
+
+	uv_loop_init(&loop);
+	stub = stub_start(&script);
+	peer = hc_peer_add(client_create(), stub->address);
+	hc_request_start(peer, &spec);
+	loop_until(&outcome.done);
+	loop_for(20);
+	ck_assert_int_eq(outcome.result, HC_WITHDRAWN);
+	ck_assert_uint_eq(stub->received->len, 0);
+	ck_assert_int_eq(stub->responses_sent, 0);
+	ck_assert_uint_eq(hc_peer_connections(peer), 0);
+}
+END_TEST
+
 START_TEST(client_refused_connection_is_unsent)
 {
 	struct outcome outcome;
@@ -760,6 +796,7 @@
 	tcase_add_loop_test(tcase, client_reads, 0, G_N_ELEMENTS(client_cases));
 	tcase_add_test(tcase, client_reuses_unless_unexpected_data);
 	tcase_add_test(tcase, client_cancel_closes);
+	tcase_add_test(tcase, client_withdrawn_request_is_not_sent);
 	tcase_add_test(tcase, client_refused_connection_is_unsent);
 	tcase_add_loop_test(tcase, server_reads, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_test(tcase, server_notices_disconnect);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -10,6 +10,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import time
 import traceback
@@ -809,6 +810,60 @@
         await check_leaving_behind_config(net + 50 * compacted, compacted)
 
 
+class FullListener:
+    """Listens on an address, but completes new connections only after open(),
+    as its queue of them is full; then keeps what arrives."""
+
+    def __init__(self, ip, port):
+        self.received = b""
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind((ip, port))
+        self.sock.listen(0)
+        self.fillers = [socket.socket() for _ in range(2)]
+        for filler in self.fillers:
+            filler.setblocking(False)
+            filler.connect_ex((ip, port))
+
+    async def open(self):
+        loop = asyncio.get_running_loop()
+        self.sock.setblocking(False)
+        while True:
+            peer, _ = await loop.sock_accept(self.sock)
+            asyncio.ensure_future(self.read(peer))
+
+    async def read(self, peer):
+        peer.setblocking(False)
+        while data := await asyncio.get_running_loop().sock_recv(peer, 4096):
+            self.received += data
+
+
+async def test_proxy_leaving_worker_while_connecting(net):
+    """A request that waits for a connection to a worker is not sent there once
+    the worker leaves: another one serves it."""
+    async with Rig(net, api=1) as rig:
+        host, worker = rig.hosts[0], rig.workers_of("api")[0]
+        host.kill()
+        host.start(connect_ms=5000, first_start=False)
+        await rig.wait_ready(host)
+        full = FullListener(rig.ip(190), 8000)
+        entry = dict(worker.entry(), address=rig.ip(190) + ":8000")
+        rig.store.put("servers/w-full", entry)
+        await asyncio.sleep(1)
+        requests = [asyncio.create_task(host.request("GET", "/i/x"))
+                    for _ in range(8)]
+        await asyncio.sleep(0.5)
+        waiting = sum(not request.done() for request in requests)
+        assert waiting, "all requests went to the other worker"
+        rig.store.put("servers/w-full", dict(entry, state="draining"))
+        await asyncio.sleep(0.4)
+        accepting = asyncio.create_task(full.open())
+        answers = await asyncio.gather(*requests)
+        accepting.cancel()
+        assert not full.received, (waiting, full.received[:80])
+        assert [got.status for got in answers] == [200] * 8
+
+
 async def test_proxy_configs_beyond_response_limit(net):
     """Configurations whose versions together are larger than a response may
     be are in force, the last one at the latest, and workers are still
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -302,6 +302,7 @@
 static void conn_on_connect(void *ctx, bool ok)
 {
 	struct hc_conn *conn = ctx;
+	const struct hc_request_spec *spec = &conn->request->spec;
 
 	if (!ok) {
 		conn_fail(conn, HC_UNSENT);
@@ -310,6 +311,10 @@
 	conn->connected = true;
 	tcp_set_peer_timeout(conn->tcp, conn->peer->hc->options.peer_timeout);
 	tcp_read_start(conn->tcp);
+	if (spec->may_send && !spec->may_send(spec->ctx)) {
+		request_end(conn->request, HC_WITHDRAWN, false);
+		return;
+	}
 	conn_send(conn, false);
 }
 
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -19,6 +19,7 @@
 enum hc_result {
 	HC_COMPLETE,  /* the whole response was received */
 	HC_UNSENT,    /* no byte of the request was sent */
+	HC_WITHDRAWN, /* the same, as may_send has denied it */
 	HC_TRUNCATED, /* connection ended early; the request may have run */
 	HC_MALFORMED, /* response is malformed; the request may have run */
 };
@@ -40,6 +41,9 @@
 	GBytes *body;	/* or NULL */
 	const char *id; /* expected value of id_header; NULL: not checked */
 	bool is_head;	/* the method is HEAD */
+	/* Asked when a new connection is established, whether the request is
+	 * still to be sent; may be NULL. */
+	bool (*may_send)(void *ctx);
 	void (*on_sent)(void *ctx, bool reused); /* may be NULL */
 	void (*on_head)(void *ctx, const struct h1_head *head);
 	void (*on_data)(void *ctx, const char *ptr, size_t len);
