Links: a worker is silent by what is usual for its service

Cause: a worker counted as silent after 0.4 s, or its route's target if that is longer. Where a service needs 0.7 s, three workers in a row are silent whenever a host has few requests: its links counted as lost, and it took requests that could run twice back from workers that were at work on them.

Change: decide/links keeps the usual time of a response in a pool; a worker is silent after twice that, at most 1.5 s for that reason, at least 0.4 s or the target as before. Fast services are judged as before.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -171,6 +171,8 @@
 		return;
 	xfer->has_output = true;
 	xfer->output_at = proxyd_now(proxyd);
+	links_on_response(proxyd->links, xfer->pool->name,
+			  xfer->output_at - xfer->sent_at);
 	fleet_first_token(xfer->worker, &xfer->fleet_request);
 	usage_count(xfer, ago);
 	if (!xfer->px.response_started)
--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -9,8 +9,6 @@
 
 #include <string.h>
 
-/* Without data from a worker at which this host has requests. */
-#define SILENT_MS 400
 /* A tick that comes so late, in ms: the process was paused. */
 #define PAUSED_MS 300
 #define CONNECT_TIMEOUT_MS 300 /* to another host */
@@ -102,9 +100,9 @@
 /* How long the worker of an attempt may send nothing. */
 static clk_ms silence_max(const struct xfer *xfer)
 {
-	if (xfer->has_output)
-		return SILENT_MS;
-	return MAX(xfer->route->latency_target, SILENT_MS);
+	return links_silence_max(
+		xfer->proxyd->links, xfer->pool->name,
+		xfer->has_output ? 0 : MAX(xfer->route->latency_target, 1));
 }
 
 /* Whether a request waits for a worker that is silent; since: from when that
--- a/decide/links.c
+++ b/decide/links.c
@@ -7,6 +7,13 @@
  * fewer if it has fewer. */
 #define LOST_WORKERS 3
 
+/* Without data from a worker, until it counts as silent: at least, by the usual
+ * time of a response, and for that reason at most. */
+#define SILENT_MS 400
+#define SILENT_RESPONSES 2
+#define SILENT_USUAL_MAX_MS 1500
+#define RESPONSES_MAX 10 /* that the usual time is the mean of, about */
+
 /* Until a probe has told that links that count as lost are not. */
 #define PROBE_WAIT_MS 400
 /* Until the links count as lost everywhere if no other host has said that it
@@ -22,6 +29,8 @@
 	bool host_reached; /* another host has reached a worker since */
 	bool host_failed;  /* one has failed to */
 	clk_ms next_probe;
+	double response_ms; /* usual time until a worker responds */
+	unsigned responses; /* of which it is known; RESPONSES_MAX at most */
 };
 
 static void pool_free(void *ptr)
@@ -52,6 +61,40 @@
 	return g_hash_table_lookup(links->pools, name);
 }
 
+static struct links_pool *pool_get(struct links *links, const char *name)
+{
+	struct links_pool *pool = pool_find(links, name);
+
+	if (pool)
+		return pool;
+	pool = g_new0(struct links_pool, 1);
+	pool->key = aggregate_key(name);
+	pool->failed = g_hash_table_new(NULL, NULL);
+	g_hash_table_insert(links->pools, g_strdup(name), pool);
+	return pool;
+}
+
+void links_on_response(struct links *links, const char *name, clk_ms ms)
+{
+	struct links_pool *pool = pool_get(links, name);
+
+	pool->responses = MIN(pool->responses + 1, RESPONSES_MAX);
+	pool->response_ms += ((double)ms - pool->response_ms) / pool->responses;
+}
+
+clk_ms links_silence_max(const struct links *links, const char *name,
+			 clk_ms target)
+{
+	const struct links_pool *pool = pool_find(links, name);
+	double usual = SILENT_USUAL_MAX_MS;
+
+	if (target == 0)
+		return SILENT_MS;
+	if (pool && pool->responses > 0)
+		usual = MIN(usual, pool->response_ms * SILENT_RESPONSES);
+	return MAX(MAX(target, SILENT_MS), (clk_ms)usual);
+}
+
 bool links_on_data(struct links *links, const char *name)
 {
 	struct links_pool *pool = pool_find(links, name);
@@ -68,14 +111,8 @@
 bool links_on_failure(struct links *links, const char *name, uint32_t worker,
 		      unsigned workers, clk_ms now)
 {
-	struct links_pool *pool = pool_find(links, name);
+	struct links_pool *pool = pool_get(links, name);
 
-	if (!pool) {
-		pool = g_new0(struct links_pool, 1);
-		pool->key = aggregate_key(name);
-		pool->failed = g_hash_table_new(NULL, NULL);
-		g_hash_table_insert(links->pools, g_strdup(name), pool);
-	}
 	g_hash_table_add(pool->failed, GUINT_TO_POINTER(worker));
 	if (pool->lost ||
 	    g_hash_table_size(pool->failed) < CLAMP(workers, 1, LOST_WORKERS))
--- a/decide/links.h
+++ b/decide/links.h
@@ -27,6 +27,14 @@
 
 struct links *links_create(void);
 void links_free(struct links *links);
+/* A worker of a pool has begun to respond, so many ms after the request was
+ * sent. */
+void links_on_response(struct links *links, const char *name, clk_ms ms);
+/* Returns how long a worker of a pool, at which this host has a request, may
+ * send nothing. target: ms in which its first output is expected; 0: there was
+ * some. */
+clk_ms links_silence_max(const struct links *links, const char *name,
+			 clk_ms target);
 /* Something was received from a worker of a pool. Returns whether the links to
  * the pool were lost until now. */
 bool links_on_data(struct links *links, const char *name);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1762,6 +1762,23 @@
                     assert ran == [], (path, got.status, ran)
 
 
+async def test_proxy_slow_service_is_no_lost_link(net):
+    """A host does not take its links for lost, and no request runs twice,
+    because the workers of a service need longer than its target."""
+    async with Rig(net, hosts=3, api=4) as rig:
+        await rig.wait_membership()
+        for worker in rig.workers_of("api"):
+            worker.mode = "slow"
+        for _ in range(3):
+            answers = await asyncio.gather(*[
+                rig.hosts[0].request("GET", "/i/x") for _ in range(8)])
+            for got in answers:
+                assert got.status == 200, got.status
+                assert len(rig.executed_by(got.ident)) == 1, got.ident
+        assert not [line for line in rig.hosts[0].log_events("links")
+                    if line["outcome"] == "lost"]
+
+
 async def test_proxy_cut_links_block_no_request(net):
     """A host that loses its links while a request that has never run before is
     at several workers is no evidence that it crashes them: it is served at all
--- a/tests/unit-links.c
+++ b/tests/unit-links.c
@@ -112,6 +112,36 @@
 }
 END_TEST
 
+/* How long a worker may be silent, by the responses of its pool. */
+static const struct {
+	const char *what;
+	clk_ms responses[STEPS_MAX];
+	unsigned response_count;
+	clk_ms target;
+	clk_ms silence;
+} silence_cases[] = {
+	{ "nothing known", { 0 }, 0, 300, 1500 },
+	{ "some output before", { 900 }, 1, 0, 400 },
+	{ "fast ones", { 30, 40, 20 }, 3, 300, 400 },
+	{ "fast ones, a late target", { 30, 40, 20 }, 3, 1000, 1000 },
+	{ "slow ones", { 600, 700, 800 }, 3, 300, 1400 },
+	{ "very slow ones", { 5000, 5000 }, 2, 300, 1500 },
+	{ "a slow one among fast ones", { 50, 50, 50, 450 }, 4, 150, 400 },
+};
+
+START_TEST(links_silence_depends_on_responses)
+{
+	struct links *links = links_create();
+
+	for (unsigned i = 0; i < silence_cases[_i].response_count; i++)
+		links_on_response(links, "p", silence_cases[_i].responses[i]);
+	ck_assert_msg(links_silence_max(links, "p", silence_cases[_i].target) ==
+			      silence_cases[_i].silence,
+		      "%s", silence_cases[_i].what);
+	links_free(links);
+}
+END_TEST
+
 static const struct {
 	const char *what;
 	struct links_host hosts[HOSTS_MAX];
@@ -155,6 +185,8 @@
 	tcase_add_loop_test(tcase, links_view_depends_on_hosts, 0,
 			    G_N_ELEMENTS(view_cases));
 	tcase_add_test(tcase, links_are_probed_while_in_doubt);
+	tcase_add_loop_test(tcase, links_silence_depends_on_responses, 0,
+			    G_N_ELEMENTS(silence_cases));
 	tcase_add_loop_test(tcase, links_chooses_host, 0,
 			    G_N_ELEMENTS(choose_cases));
 	suite_add_tcase(suite, tcase);
