Streams: a host of an older build does not guess beside this one

What callers would see in an upgrade from: after a loss of all hosts, streams go on at another version than began them (ORDER). The older build takes the only version that is listed for that of a stream if all hosts have started since, and does not read the record of versions in the store.

Change: a host that has just started tells one of an older build of two versions at least, unless the record says that there was one.

--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -379,6 +379,17 @@
 	}
 }
 
+/* Returns how many versions a host of an older build is told of. It does not
+ * read the record of versions, and would take the only version that is listed
+ * for that of a stream, although all hosts have started since. */
+static unsigned versions_for_older(struct proxyd *proxyd, const char *pool,
+				   unsigned versions)
+{
+	if (is_settled(proxyd) || recorded_versions(proxyd, pool) == 1)
+		return versions;
+	return MAX(versions, 2);
+}
+
 void resume_on_ask(void *ctx, const w_origin_ask *ask)
 {
 	struct proxyd *proxyd = ctx;
@@ -392,8 +403,12 @@
 		.settled = is_settled(proxyd),
 	};
 
-	if (from)
-		rpc_send_origin_answer(proxyd->rpc, from->info.rpc, &answer);
+	if (!from)
+		return;
+	if (!peer_takes_forwarded(from->info.incarnation))
+		answer.versions =
+			versions_for_older(proxyd, ask->pool, answer.versions);
+	rpc_send_origin_answer(proxyd->rpc, from->info.rpc, &answer);
 }
 
 /* Sends the question to the hosts that may keep the stream. */
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -13,8 +13,10 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 BUILD = os.environ.get("RW_BUILD", os.path.join(ROOT, "build"))
-# An older build, for tests of a rolling upgrade.
+# An older build, for tests of a rolling upgrade. RW_OLD_HOSTS makes all tests run
+# beside it: the hosts with even numbers are of that build, or the odd ones.
 OLD_BUILD = os.environ.get("RW_OLD_BUILD", BUILD)
+OLD_HOSTS = {"even": 0, "odd": 1}.get(os.environ.get("RW_OLD_HOSTS"))
 ZONES = ["z1", "z2"]
 LOG_FLUSH_S = 0.4  # until a host has written its last log lines
 
@@ -145,7 +147,7 @@
         self.cloud = Cloud()
         self.hosts = [Host(self, i) for i in range(hosts)]
         for host in self.hosts:
-            host.build = build
+            host.build = OLD_BUILD if host.number % 2 == OLD_HOSTS else build
         self.workers = [
             Worker("w-llm-%d" % i, "llm", self.ip(100 + i) + ":8000",
                    ZONES[i % 2]) for i in range(llm)]
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -113,6 +113,39 @@
 process_tests procs
 grep -E '^(chaos|settings in|a killed)' "$LOG/procs"
 process_tests proxy
+# Half of the hosts are of a former build. "not run" if the clone lacks its commit.
+beside() {
+	commit=$1
+	hosts=$2
+	shift 2
+	old=$(tools/build-commit.sh "$commit" 2>"$LOG/beside_$commit")
+	case $? in
+	0) ;;
+	3)
+		echo "beside_$commit: not run, the clone has not the history"
+		return
+		;;
+	*)
+		note "beside_$commit" 1
+		return
+		;;
+	esac
+	RW_OLD_BUILD=$old RW_OLD_HOSTS=$hosts \
+		run "beside_$commit" python3 tests/proxy.py --jobs 8 "$@"
+}
+PROMISES="test_proxy_resumed_stream_keeps_version
+test_proxy_resumed_stream_keeps_version_after_kill
+test_proxy_stream_of_former_version_after_all_killed
+test_proxy_stream_goes_on_after_all_killed
+test_proxy_config_applied test_proxy_server_leaving
+test_proxy_worker_limit_over_hosts test_proxy_worker_limit_while_hosts_change
+test_proxy_deadly_request test_proxy_deadly_prompt_part
+test_proxy_quota_when_all_restart test_proxy_usage_of_killed_leader
+test_proxy_membership_after_restart"
+# shellcheck disable=SC2086
+beside 90eb445 odd $PROMISES test_proxy_rolling_upgrade
+# shellcheck disable=SC2086
+beside 0022ce1 even $PROMISES
 run proxy_soak python3 tests/proxysoak.py --seed 1 --runs 2 --seconds 6
 run proxy_soak_regressions python3 tests/proxysoak.py --regressions --seconds 4
 run demo tools/demo.py
