Lists: the age of a list counts from the report whose revision is reached

Cause: a host took its list of workers for complete when a relay's report named no newer revision. Streams that are taken up were judged by that age, too: after 2.5 s a list counts as unknown, and they are rejected. The other way round a relay that was behind made a list count as complete.

Change: decide/age keeps the oldest and the newest report that are ahead. A list is complete as of the report that it has reached.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -458,6 +458,7 @@
 	struct http_view body = hs_request_body(xfer->call);
 	clk_ms now = proxyd_now(proxyd);
 	struct fleet_worker *worker = choice->worker;
+	clk_ms listed_at = proxyd->list_age.complete_at;
 	char trace[TRACE_PARENT_LEN + 1];
 	struct head_added added = {
 		.trace = attempt_trace(xfer, trace),
@@ -505,7 +506,9 @@
 	     fleet_limit_rate(worker),
 	     worker->reported_at ? now - worker->reported_at : -1,
 	     choice->candidates, proxyd->tab_revision,
-	     proxyd->listed_at ? now - proxyd->listed_at : -1, added.time_left);
+	     listed_at ? now - listed_at : -1, added.time_left);
+	if (listed_at)
+		hist_add(&proxyd->list_ages, now - listed_at);
 	xfer->worker = fleet_worker_ref(worker);
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -12,6 +12,7 @@
 /* After the store is reachable again, entries that expired meanwhile are back
  * within this time. */
 #define ENTRY_RETURN_MS 2500
+#define LIST_OLD_MS 1500 /* a list of workers this old is logged */
 /* When the store was restored from a backup with an older configuration, the
  * newer configuration stays in force for this time, unless the operators write
  * another configuration. */
@@ -307,7 +308,7 @@
 {
 	struct proxyd *proxyd = ctx;
 
-	proxyd->listed_at = proxyd_now(proxyd);
+	age_on_read(&proxyd->list_age, proxyd_now(proxyd));
 	peer_send_heartbeats(proxyd);
 }
 
@@ -381,9 +382,23 @@
 	proxyd->held_until = 0;
 }
 
+/* Logs when the list of workers gets old, and when it is complete again. */
+static void list_check(struct proxyd *proxyd)
+{
+	clk_ms age = proxyd_now(proxyd) - proxyd->list_age.complete_at;
+	bool old = proxyd->list_age.complete_at && age > LIST_OLD_MS;
+
+	if (old == proxyd->list_is_old)
+		return;
+	proxyd->list_is_old = old;
+	slog(SLOG_NOTICE, "list", "age_ms=%" G_GINT64_FORMAT " outcome=%s", age,
+	     old ? "old" : "complete");
+}
+
 void follow_tick(struct proxyd *proxyd)
 {
 	mirror_tick(proxyd->mirror);
+	list_check(proxyd);
 	held_apply(proxyd);
 	missing_remove(proxyd);
 }
--- a/daemon/proxyd-local.c
+++ b/daemon/proxyd-local.c
@@ -58,6 +58,7 @@
 
 	hist_print(&proxyd->placed_ms, "placed_ms", text);
 	hist_print(&proxyd->first_ms, "first_ms", text);
+	hist_print(&proxyd->list_ages, "list_age_ms", text);
 	hist_print(&proxyd->whole_ms, "whole_ms", text);
 	g_string_append_printf(
 		text,
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -259,9 +259,10 @@
 
 	if (heartbeat)
 		feed_on_heartbeat(&proxyd->feed, rpc, now);
-	if (heartbeat && feed_is_relay(&proxyd->feed, rpc) && !lacks_workers) {
-		proxyd->listed_at = now;
-		if (!lacks_config)
+	if (heartbeat && feed_is_relay(&proxyd->feed, rpc)) {
+		age_on_report(&proxyd->list_age, (int64_t)hosts,
+			      own_revision(proxyd, FETCH_WORKERS), now);
+		if (!lacks_workers && !lacks_config)
 			mirror_confirm(proxyd->mirror);
 	}
 	if (lacks_config || lacks_workers)
@@ -300,10 +301,13 @@
 	if (res) {
 		sync_updates_apply(proxyd->members, res, proxyd_now(proxyd));
 		sync_notices_apply(proxyd->members, res);
-		if (call->asked[FETCH_WORKERS])
+		if (call->asked[FETCH_WORKERS]) {
 			sync_items_apply(
 				mirror_replica(proxyd->mirror, MIRROR_WORKERS),
 				&res->hosts);
+			age_on_revision(&proxyd->list_age,
+					own_revision(proxyd, FETCH_WORKERS));
+		}
 		if (call->asked[FETCH_CONFIG])
 			sync_items_apply(
 				mirror_replica(proxyd->mirror, MIRROR_CONFIG),
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -45,7 +45,7 @@
 static clk_ms listed_at_of(const struct proxyd *proxyd, unsigned versions)
 {
 	/* Where there is one version, no process can have another one. */
-	return versions > 1 ? proxyd->listed_at : CLK_NEVER;
+	return versions > 1 ? proxyd->list_age.complete_at : CLK_NEVER;
 }
 
 /* Versions that outlive all hosts. */
@@ -440,9 +440,9 @@
 	};
 	struct proxyd *proxyd = xfer->proxyd;
 	clk_ms now = proxyd_now(proxyd);
+	clk_ms listed_at = proxyd->list_age.complete_at;
 	struct origin_view view = {
-		.listed = proxyd->listed_at &&
-			  now - proxyd->listed_at <= LISTED_MS,
+		.listed = listed_at && now - listed_at <= LISTED_MS,
 		.settled = is_settled(proxyd),
 	};
 	enum origin_verdict verdict;
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -21,6 +21,7 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "../decide/age.h"
 #include "../decide/lease.h"
 #include "../decide/links.h"
 #include "../decide/err.h"
@@ -129,6 +130,7 @@
 	struct hist first_ms;  /* time to the first byte of a response */
 	struct hist whole_ms;  /* time to the end of a response */
 	struct hist placed_ms; /* time to the first send to an upstream */
+	struct hist list_ages; /* of the list of workers, when it is used */
 	struct hs *front;
 	struct hs *ready;
 	struct hs *lookup;
@@ -207,7 +209,8 @@
 	int64_t heartbeat_workers;
 	struct fetch fetch; /* of newer items, from other hosts */
 	struct packed_reply packed[FETCH_PARTS + 1]; /* and of the members */
-	clk_ms listed_at;	   /* the list of workers last was current */
+	struct age list_age;	   /* of the list of workers */
+	bool list_is_old;	   /* that was logged */
 	GHashTable *open_requests; /* set of struct xfer */
 	uv_timer_t queue_timer;
 	uv_timer_t tick;
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "../decide/feed.h"
+#include "../decide/age.h"
 #include "../decide/fetch.h"
 #include "../decide/lease.h"
 #include "../decide/origin.h"
@@ -2113,6 +2114,51 @@
 }
 END_TEST
 
+/* What other hosts report of a replica, and since when the copy of this host is
+ * complete. */
+static const struct {
+	const char *what;
+	clk_ms at;
+	int64_t reported; /* 0: nothing; this host's revision has changed */
+	int64_t own;
+	clk_ms complete_at; /* afterwards */
+} age_steps[] = {
+	{ "never", 100, 3, 2, 0 },
+	{ "it has what was reported", 200, 0, 3, 100 },
+	{ "nothing newer", 300, 3, 3, 300 },
+	{ "behind", 400, 5, 3, 300 },
+	{ "further behind", 500, 7, 3, 300 },
+	{ "the newest report counts", 600, 8, 3, 300 },
+	{ "the first of them is reached", 700, 0, 5, 400 },
+	{ "one that is behind says nothing", 800, 5, 5, 400 },
+	{ "a later one", 900, 9, 7, 400 },
+	{ "the next is reached", 1000, 0, 8, 600 },
+	{ "all are", 1100, 0, 9, 900 },
+	{ "one that does not exist", 2000, 100, 9, 900 },
+	{ "it may still", 6900, 9, 9, 900 },
+	{ "it is not reached", 7000, 9, 9, 7000 },
+};
+
+START_TEST(age_by_reports)
+{
+	struct age age = { .complete_at = 0 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(age_steps); i++) {
+		if (age_steps[i].reported)
+			age_on_report(&age, age_steps[i].reported,
+				      age_steps[i].own, age_steps[i].at);
+		else
+			age_on_revision(&age, age_steps[i].own);
+		ck_assert_msg(age.complete_at == age_steps[i].complete_at,
+			      "%s: complete at %d", age_steps[i].what,
+			      (int)age.complete_at);
+	}
+	age_on_read(&age, 8000);
+	ck_assert_int_eq(age.complete_at, 8000);
+	ck_assert_int_eq(age.ahead[0].revision, 0);
+}
+END_TEST
+
 /* The others no longer report to a host that leaves: it feeds none of them. */
 START_TEST(feed_leaving_host_is_no_relay)
 {
@@ -2185,6 +2231,7 @@
 	tcase_add_test(tcase, poison_survives_flood);
 	tcase_add_test(tcase, poison_tries_blocked_part_seldom);
 	tcase_add_test(tcase, fetch_by_replica);
+	tcase_add_test(tcase, age_by_reports);
 	tcase_add_test(tcase, fleet_chooses_by_version);
 	tcase_add_test(tcase, fleet_doubts_version_after_cut);
 	tcase_add_test(tcase, fleet_counts_versions);
