Leader: a call that waits for its connection is not made under an ended lease

The lease is checked when a call begins; the call is sent when its connection stands, which may be after a suspension, by a clock that does not count that time.

Evidence: order_of_former_leader_is_not_sent fails without the check (the call is made, outcome 0 in place of refused) and passes with it.

--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -174,13 +174,28 @@
 	usage_report_end(proxyd, outcome == CLOUD_DONE);
 }
 
-/* Sends the window's counts, which are in the store by now. */
-static void window_send(struct proxyd *proxyd)
+static bool may_act(void *ctx, int64_t fencing_token)
+{
+	const struct proxyd *proxyd = ctx;
+
+	return proxyd->leader_lease.fencing_token == fencing_token &&
+	       lease_may_act(&proxyd->leader_lease, proxyd_boot_now());
+}
+
+struct cloud_leader leader_self(struct proxyd *proxyd)
 {
-	struct cloud_leader self = {
+	return (struct cloud_leader){
 		.host = proxyd->conf->name,
 		.fencing_token = proxyd->leader_lease.fencing_token,
+		.may_act = may_act,
+		.ctx = proxyd,
 	};
+}
+
+/* Sends the window's counts, which are in the store by now. */
+static void window_send(struct proxyd *proxyd)
+{
+	struct cloud_leader self = leader_self(proxyd);
 
 	if (!lease_may_act(&proxyd->leader_lease, proxyd_boot_now())) {
 		usage_report_end(proxyd, false);
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -20,6 +20,8 @@
 	bool was_acting;
 };
 
+/* This host as the leader, for calls to the platform. */
+struct cloud_leader leader_self(struct proxyd *proxyd);
 /* Discards the accepted orders: another host was the leader since, and what it
  * ordered is not known. */
 void scale_reset_orders(struct proxyd *proxyd);
--- a/daemon/proxyd-scale.c
+++ b/daemon/proxyd-scale.c
@@ -153,10 +153,7 @@
 	struct proxyd *proxyd = order->proxyd;
 	clk_ms now = proxyd_now(proxyd);
 	int count = order_count(&order->order, want, ready, now);
-	struct cloud_leader self = {
-		.host = proxyd->conf->name,
-		.fencing_token = proxyd->leader_lease.fencing_token,
-	};
+	struct cloud_leader self = leader_self(proxyd);
 	struct cloud_order request = {
 		.pool = order->pool,
 		.data_centre = order->dc,
--- a/tests/platform.c
+++ b/tests/platform.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "../platform/cloud.h"
 #include "../platform/decode.h"
 #include "../platform/head.h"
 #include "run.h"
@@ -412,6 +413,103 @@
 }
 END_TEST
 
+/* Calls of the leader. */
+
+struct cloud_stub {
+	uv_tcp_t listener;
+	uv_tcp_t conn;
+	char buffer[4096];
+	size_t received;
+	bool leads; /* what the caller says when it is asked */
+	bool done;
+	enum cloud_outcome outcome;
+};
+
+static void stub_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
+{
+	struct cloud_stub *stub = handle->data;
+
+	(void)size;
+	*buf = uv_buf_init(stub->buffer, sizeof(stub->buffer));
+}
+
+static void stub_on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	static const char response[] =
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+	struct cloud_stub *stub = stream->data;
+	uv_buf_t out = uv_buf_init((char *)response, sizeof(response) - 1);
+
+	(void)buf;
+	if (len <= 0)
+		return;
+	stub->received += (size_t)len;
+	uv_try_write(stream, &out, 1);
+}
+
+static void stub_on_connection(uv_stream_t *listener, int status)
+{
+	struct cloud_stub *stub = listener->data;
+
+	ck_assert_int_eq(status, 0);
+	uv_tcp_init(listener->loop, &stub->conn);
+	stub->conn.data = stub;
+	uv_accept(listener, (uv_stream_t *)&stub->conn);
+	uv_read_start((uv_stream_t *)&stub->conn, stub_alloc, stub_on_read);
+}
+
+static bool stub_may_act(void *ctx, int64_t fencing_token)
+{
+	ck_assert_int_eq(fencing_token, 7);
+	return ((struct cloud_stub *)ctx)->leads;
+}
+
+static void stub_on_ordered(void *ctx, enum cloud_outcome outcome)
+{
+	struct cloud_stub *stub = ctx;
+
+	stub->done = true;
+	stub->outcome = outcome;
+}
+
+/* A call that waits for its connection is not made once another host may lead.
+ */
+START_TEST(order_of_former_leader_is_not_sent)
+{
+	bool leads = _i;
+	struct cloud_stub stub = { .leads = leads };
+	struct hc_options options = { .connect_timeout = 1000 };
+	struct cloud_order order = { .pool = "p", .data_centre = "d" };
+	struct cloud_leader self = {
+		.host = "h",
+		.fencing_token = 7,
+		.may_act = stub_may_act,
+		.ctx = &stub,
+	};
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+	char address[32];
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	uv_tcp_init(&loop, &stub.listener);
+	stub.listener.data = &stub;
+	uv_ip4_addr("127.0.0.1", 0, &addr);
+	uv_tcp_bind(&stub.listener, (struct sockaddr *)&addr, 0);
+	uv_listen((uv_stream_t *)&stub.listener, 8, stub_on_connection);
+	uv_tcp_getsockname(&stub.listener, (struct sockaddr *)&addr, &len);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
+		   ntohs(addr.sin_port));
+	cloud_order(cloud_create(&loop, hc_create(&loop, &options), address),
+		    &self, &order, 2000, stub_on_ordered, &stub);
+	while (!stub.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	ck_assert_int_eq(stub.outcome, leads ? CLOUD_DONE : CLOUD_REFUSED);
+	ck_assert((stub.received > 0) == leads);
+}
+END_TEST
+
 static Suite *platform_suite(void)
 {
 	Suite *suite = suite_create("platform");
@@ -435,6 +533,7 @@
 	tcase_add_loop_test(tcase, forwarded_is_parsed, 0,
 			    G_N_ELEMENTS(forwarded_cases));
 	tcase_add_test(tcase, forwarded_head_is_rebuilt);
+	tcase_add_loop_test(tcase, order_of_former_leader_is_not_sent, 0, 2);
 	return suite;
 }
 
