--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -379,9 +379,10 @@
 	}
 }
 
-/* Returns how many versions a host of an older build is told of. It does not
- * read the record of versions, and would take the only version that is listed
- * for that of a stream, although all hosts have started since. */
+/* Returns how many versions a host of an older build is told of, one that takes
+ * no forwarded requests. It does not read the record of versions, and would
+ * take the only version that is listed for that of a stream, although all hosts
+ * have started since. */
 static unsigned versions_for_older(struct proxyd *proxyd, const char *pool,
 				   unsigned versions)
 {
--- a/decide/fleet-brittle.c
+++ b/decide/fleet-brittle.c
@@ -15,7 +15,7 @@
 #define TRIED_DEVIATIONS 1.6
 #define TRIED_MIN_SHARE 0.05
 #define TRIED_MAX_SHARE 0.5
-#define HOSTS_SHARING 1.5
+#define HOSTS_SHARING 1.5   /* each rejection: from then on the least share */
 #define REJECTED_PAUSES 1.5 /* and up to one more, after a rejected try */
 #define PAUSE_MAX_MS 600000
 #define WINDOW_MS CLK_SECOND /* in which a worker counts its rejections */
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -47,6 +47,20 @@
 mutant "streams are not passed on when a second version comes" \
 	tests/sim-origin.c 's/if (several \&\& !host->several)/if (0)/' \
 	build/tests/sim-origin
+mutant "a worker is silent by the target alone" decide/links.c \
+	's/if (target == 0)$/if (target >= 0)/
+	s/^\t\treturn SILENT_MS;/\t\treturn MAX(target, SILENT_MS);/' \
+	build/tests/sim-links
+mutant "a relay that is behind makes a list complete" decide/age.c \
+	's/if (now - first->at < AHEAD_MS)/if (0)/' build/tests/unit-proxy
+mutant "a request that waits for its connection goes to a leaving worker" \
+	daemon/proxyd-attempt.c \
+	's/^\treturn !(worker->entry.leaving ||/\treturn worker->key || !(worker->entry.leaving ||/' \
+	python3 tests/proxy.py test_proxy_leaving_worker_while_connecting
+mutant "a call that waits for its connection is made by a former leader" \
+	platform/cloud.c \
+	's/return leader->may_act(leader->ctx, leader->fencing_token);/return leader->may_act;/' \
+	build/tests/platform
 mutant "no drain on SIGTERM" daemon/entryd.c \
 	's/^\tentryd_stop(handle->data);/\tuv_stop(handle->loop);/' \
 	python3 tests/procs.py test_graceful_stop
