Tests: a request that crashes workers may be at one that another one crashes

Traced by the hosts' logs: four workers ended while it ran there; two of them were crashed by /i/deadly, which ran there, too. It was blocked after the third end, as it should be.

The test asks for three workers that the request has reached. Where it crashed fewer than three itself, what follows is judged from the third arrival on, which is before any third crash: the bounds and the counts stay as they were.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1556,11 +1556,14 @@
         for row in DEADLY_REQUESTS:
             crashes = sorted(at for w in rig.workers
                              for at, path in w.crashed_by if path == row[1])
-            assert len(crashes) >= 3, (row, crashes)
-            bound = crashes[2] + STABLE_WINDOW_S
-            late = [at for w in rig.workers
-                    for at, path, _ in w.deadly_arrivals
-                    if path == row[1] and at > bound]
+            reached = sorted(at for w in rig.workers
+                             for at, path, _ in w.deadly_arrivals
+                             if path == row[1])
+            assert len(reached) >= 3, (row, reached)
+            # Another one may have crashed a worker first that had both.
+            third = crashes[2] if len(crashes) >= 3 else reached[2]
+            bound = third + STABLE_WINDOW_S
+            late = [at for at in reached if at > bound]
             print("%s: %d crashes, %d arrivals after the third and %.0f s" %
                   (row[1], len(crashes), len(late), STABLE_WINDOW_S))
             assert len(late) <= 3, (row, len(crashes), len(late))
