--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,10 +10,11 @@
 from proxyrig import ROUTES, config  # noqa: E402
 from standin import Worker  # noqa: E402
 
-STREAMS = 120
+STREAMS = 280
+WORKERS = 7  # one that leaves is a share of 0.143
 SPOILT = 20  # one in so many answers of the worker has no length
-EVENTS = 100
-GAP_S = 0.05
+EVENTS = 50
+GAP_S = 0.1
 ROUTE = {"/s/": dict(ROUTES["/s/"], max_attempts=2, timeout_ms=15000,
                      target_latency_ms=1000),
          "/s1/": dict(ROUTES["/s1/"], timeout_ms=15000,
@@ -85,7 +86,7 @@
         workers = [Recording(record, "w-llm-%d" % i, "llm",
                              rig.ip(100 + i) + ":8000", ["z1", "z2"][i % 2],
                              64)
-                   for i in range(3)]
+                   for i in range(WORKERS)]
         rig.workers += workers
         rig.store.put("op/config", config(2, ROUTE))
         for worker in workers:
@@ -100,7 +101,7 @@
             streams.append(asyncio.create_task(stream(
                 rig.hosts[number % 3], ("/s/x", "/s1/x")[number % 2],
                 record)))
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(0.005)
         await asyncio.sleep(0.3)
         record("%s reports draining" % leaving.ident)
         rig.store.put("servers/" + leaving.ident,
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,7 +10,8 @@
 from proxyrig import ROUTES, config  # noqa: E402
 from standin import Worker  # noqa: E402
 
-STREAMS = 4
+STREAMS = 18
+WORKERS = 7  # one that leaves, or is cut off, is a share of 0.143
 ROUTE = {"/s1/": dict(ROUTES["/s1/"], max_attempts=2, timeout_ms=15000,
                      target_latency_ms=1000)}
 
@@ -60,11 +61,11 @@
     async with small.Deployment(hosts=3, llm=0, api=1) as rig:
         workers = [Recording(record, "w-llm-%d" % i, "llm",
                              rig.ip(100 + i) + ":8000",
-                             ["z1", "z2", "z1"][i]) for i in range(3)]
-        leaving, other, added = workers
+                             ["z1", "z2"][i % 2]) for i in range(WORKERS)]
+        leaving, added = workers[0], workers[-1]
         rig.workers += workers
         rig.store.put("op/config", config(2, ROUTE))
-        for worker in (leaving, other):
+        for worker in workers[:-1]:
             await worker.start()
             rig.list_worker(worker)
         await rig.wait_membership()
@@ -73,7 +74,7 @@
         streams = []
         for _ in range(STREAMS):
             streams.append(asyncio.create_task(stream(host, record)))
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(0.03)
         await asyncio.sleep(0.4)
         # A worker is added. With the disruption it can't be reached from the
         # hosts for 5 s: connections to it are refused.
