Moves: the close of a stream that is being stopped is not its end

Cause: POST /-/kv-move stops the run and closes its stream without its end. For an answer that ends with its connection wire/hc reports HC_COMPLETE then, and on_end() asked the move only about other results. Ruled out: events that the worker had made and not sent (the copy goes on after the last one relayed), and the order of the call's answer and the close (both orders showed it).

Change: while a move is in progress, only a last chunk or a length ends a stream. Any other end waits for the call's answer, which says whether the run was stopped; only 404 says that it had ended before. A call that could not be sent is an outcome of its own, as it says nothing of the stream.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -359,11 +359,16 @@
 static void on_end(void *ctx, enum hc_result result)
 {
 	struct xfer *xfer = ctx;
-	const struct xfer_response *response = &xfer->response;
 
 	xfer->attempt = NULL;
-	if (result != HC_COMPLETE && move_on_source_end(xfer))
-		return;
+	if (!move_on_source_end(xfer, result))
+		attempt_judge(xfer, result);
+}
+
+void attempt_judge(struct xfer *xfer, enum hc_result result)
+{
+	const struct xfer_response *response = &xfer->response;
+
 	if (response->has_head && response->head.not_run) {
 		attempt_end(xfer, PX_END_NOT_RUN, "upstream_refused");
 		return;
--- a/daemon/proxyd-move.c
+++ b/daemon/proxyd-move.c
@@ -10,8 +10,17 @@
 #define MOVE_BEFORE_MS 900   /* before a worker leaves, for all its streams */
 #define MOVE_TIMEOUT_MS 1500 /* for the call and the source stream's end */
 
+/* Whether the source's stream has ended by itself, before the call that was to
+ * stop it. */
+static bool source_ended_first(const struct xfer_move *move)
+{
+	return move->outcome == ENGINE_NOT_RUNNING &&
+	       move->source_result == HC_COMPLETE;
+}
+
 /* Finishes a move once its call and the source stream have ended: resumes at
- * the target or, if nothing was moved, treats the attempt as incomplete. */
+ * the target or, if nothing was moved, treats the attempt as incomplete, unless
+ * its stream had ended before. */
 static void move_finish(struct xfer *xfer)
 {
 	struct xfer_move *move = &xfer->move;
@@ -20,6 +29,10 @@
 	if (move->call || !move->source_ended)
 		return;
 	move->state = MOVE_DONE;
+	if (!move->handle && source_ended_first(move)) {
+		attempt_judge(xfer, move->source_result);
+		return;
+	}
 	if (!move->handle) {
 		/* Nothing was moved: same as any other truncated stream. */
 		attempt_end(xfer, PX_END_INCOMPLETE, "moved_in_vain");
@@ -35,18 +48,26 @@
 	xfer_perform(xfer, step, "moved");
 }
 
+/* Whether the run goes on, or had ended before. */
+static bool stops_nothing(enum engine_outcome outcome)
+{
+	return outcome == ENGINE_NOT_RUNNING || outcome == ENGINE_UNREACHED;
+}
+
 static void on_moved(void *ctx, enum engine_outcome outcome, const char *handle)
 {
 	static const char *const names[] = {
 		[ENGINE_MOVED] = "moved",
 		[ENGINE_STOPPED] = "stopped",
 		[ENGINE_NOT_RUNNING] = "no_run",
+		[ENGINE_UNREACHED] = "not_reached",
 		[ENGINE_FAILED] = "failed",
 	};
 	struct xfer *xfer = ctx;
 	struct xfer_move *move = &xfer->move;
 
 	move->call = NULL;
+	move->outcome = outcome;
 	if (outcome != ENGINE_MOVED)
 		slog(SLOG_INFO, "move",
 		     "id=%s from=%s to=%s took_ms=%" G_GINT64_FORMAT
@@ -61,20 +82,25 @@
 		move->handle = g_strdup(handle);
 		fleet_worker_unref(move->target);
 		move->target = fleet_worker_ref(xfer->worker);
-	} else if (outcome == ENGINE_NOT_RUNNING && !move->source_ended) {
+	} else if (stops_nothing(outcome) && !move->source_ended) {
 		move->state = MOVE_DONE;
 		return;
 	}
 	move_finish(xfer);
 }
 
-bool move_on_source_end(struct xfer *xfer)
+bool move_on_source_end(struct xfer *xfer, enum hc_result result)
 {
 	struct xfer_move *move = &xfer->move;
+	/* A stream that the source stops is closed without its end, which is
+	 * how every stream without a length ends. */
+	bool has_end =
+		result == HC_COMPLETE && !xfer->response.ends_with_connection;
 
-	if (move->state != MOVE_RUNNING)
+	if (move->state != MOVE_RUNNING || has_end)
 		return false;
 	move->source_ended = true;
+	move->source_result = result;
 	move_finish(xfer);
 	return true;
 }
@@ -133,6 +159,7 @@
 		hc_request_cancel(xfer->attempt);
 	xfer->attempt = NULL;
 	xfer->move.source_ended = true;
+	xfer->move.source_result = HC_TRUNCATED;
 	move_finish(xfer);
 }
 
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -28,9 +28,11 @@
 
 struct xfer_move {
 	enum move_state state;
-	struct engine_move *call; /* NULL: it has ended */
-	bool source_ended;	  /* the stream from the source has ended */
-	char *handle;		  /* names the KV cache, or NULL */
+	struct engine_move *call;     /* NULL: it has ended */
+	enum engine_outcome outcome;  /* once the call has ended */
+	bool source_ended;	      /* the stream from the source has ended */
+	enum hc_result source_result; /* how, as its connection shows */
+	char *handle;		      /* names the KV cache, or NULL */
 	struct fleet_worker *target;
 	clk_ms started_at;
 };
@@ -104,9 +106,9 @@
 void xfer_on_disconnect(void *ctx);
 
 /* proxyd-move.c: streams at workers that are leaving */
-/* The attempt has ended incompletely: returns whether a move is in progress,
- * which then determines what follows. */
-bool move_on_source_end(struct xfer *xfer);
+/* The attempt's stream has ended. Returns whether a move is in progress that
+ * may have stopped it, and which then determines what follows. */
+bool move_on_source_end(struct xfer *xfer, enum hc_result result);
 /* Clears the move, and cancels it if it is in progress. */
 void move_clear(struct xfer *xfer);
 
@@ -186,6 +188,8 @@
 		     const char **why);
 /* Whether too much of a stream is buffered for its caller. */
 bool attempt_caller_is_slow(const struct xfer *xfer);
+/* Judges the end of the attempt by its connection and its response. */
+void attempt_judge(struct xfer *xfer, enum hc_result result);
 /* Records how the attempt ended and carries out what follows. */
 void attempt_end(struct xfer *xfer, enum px_end end, const char *why);
 /* Cancels the current attempt, if there is one. */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -627,6 +627,46 @@
         assert ident not in target.executed
 
 
+# How the worker that leaves answers the call that moves a stream: its stand-in's
+# settings, the events of the stream, and whether the caller gets all of them.
+UNFRAMED_MOVES = {
+    "copied": ({}, 80, True),
+    "copied, answered after the stream was closed":
+        ({"move_answer_s": 0.3}, 80, True),
+    "no copy": ({"mode": "no move"}, 80, False),
+    "the stream has ended": ({"move_delay_s": 0.9}, 30, True),
+}
+
+
+async def test_proxy_unframed_stream_migrates(net):
+    """Guards against a stream without a length that is taken for whole when its
+    worker has stopped it, as it was asked to, and has closed its connection."""
+    for more, (how, (settings, count, whole)) in enumerate(
+            UNFRAMED_MOVES.items()):
+        async with Rig(net + 200 * more, hosts=1) as rig:
+            for worker in rig.workers_of("llm"):
+                worker.event_count, worker.event_gap_s = count, 0.03
+                worker.unframed = "paced"
+                vars(worker).update(settings)
+            caller = rig.hosts[0].caller()
+            ident = await caller.send("POST", "/s1/x", b"b", remaining_ms=8000)
+            await rig.wait_until("the run", lambda: rig.executed_by(ident))
+            source = [w for w in rig.workers_of("llm")
+                      if ident in w.executed][0]
+            await asyncio.sleep(0.3)
+            rig.store.put("servers/" + source.ident, source.entry(
+                state="draining", spot_instance=True, leaves_ms=1200))
+            got = await caller.receive()
+            assert source.moving, how
+            assert got.status == 200 and got.complete == whole, (how, got.body)
+            if whole:
+                assert got.event_ids() == list(range(count)), (how, got.body)
+            fresh = [w for w in rig.workers_of("llm") for headers in w.received
+                     if headers["redwingpitch-attempt-id"] == ident
+                     and "kv-from" not in headers]
+            assert fresh == [source], how
+
+
 async def test_proxy_stream_taken_back_while_it_migrates(net):
     """A stream that is taken back from a worker over a lost link, while it is
     to migrate, is not given up again at the worker that it goes on at."""
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -412,7 +412,7 @@
         self.version = "v1"  # of its software; its events name it
         # Streams have no length, and end with their connection: after all
         # events ("all"), inside an event ("event") or before the first one
-        # ("none").
+        # ("none"), or when they end or are stopped ("paced").
         self.unframed = None
         # Bytes without end: in the "head", the "body" of a response, or an
         # "event" of a stream.
@@ -444,6 +444,7 @@
         self.misdirected = set()  # ids of requests for another worker
         self.disconnected = []  # ids whose connection ended early
         self.move_delay_s = 0   # before it moves a stream
+        self.move_answer_s = 0  # from the stop of a stream to the answer
         self.moving = None      # address that it moved one to, or is to
         self.stopped = set()    # ids of streams stopped to migrate
         self.running = set()
@@ -530,7 +531,7 @@
         if head[0].startswith("POST /-/kv-move"):
             self.moving = json.loads(body)["target"]
             await asyncio.sleep(self.move_delay_s)
-            return self.handle_move(json.loads(body), writer)
+            return await self.handle_move(json.loads(body), writer)
         if head[0].startswith("GET /health "):
             self.probed_at.append(time.monotonic())
             writer.write(response(200, b"", [
@@ -628,13 +629,14 @@
                                                    self.slots)]))
         return True
 
-    def handle_move(self, body, writer):
+    async def handle_move(self, body, writer):
         """Stops a stream and hands its KV cache to the target worker."""
         ident = body["identifier"]
         if ident not in self.running:
             writer.write(response(404, b"{}"))
             return True
         self.stopped.add(ident)
+        await asyncio.sleep(self.move_answer_s)
         if self.mode == "no move":
             writer.write(response(503, b"{}"))
             return True
@@ -656,11 +658,13 @@
 
     async def send_stream(self, ident, headers, own, reader, writer):
         first = int(headers.get("last-event-id", -1)) + 1
-        if self.unframed:
+        framed = self.unframed != "paced"
+        if self.unframed and framed:
             return self.send_unframed(first, own, writer)
         writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(own) + "\r\n"
                       "Content-Type: text/event-stream\r\n"
-                      "Transfer-Encoding: chunked\r\n\r\n").encode())
+                      + "Transfer-Encoding: chunked\r\n" * framed
+                      + "\r\n").encode())
         self.running.add(ident)
         for number in range(first, self.event_count):
             if ident in self.stopped:
@@ -675,7 +679,8 @@
             text = b"id: %d\n%sdata: event %d of %s\n\n" % (
                 number, b"data: " + b"." * self.padding + b"\n"
                 if self.padding else b"", number, self.version.encode())
-            writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+            writer.write(b"%x\r\n%s\r\n" % (len(text), text) if framed
+                         else text)
             try:
                 await asyncio.wait_for(reader.read(1), self.event_gap_s)
                 self.disconnected.append(ident)
@@ -683,8 +688,9 @@
             except asyncio.TimeoutError:
                 pass
         self.running.discard(ident)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if framed:
+            writer.write(b"0\r\n\r\n")
+        return framed
 
 
 class Response:
