Streams: events of a former attempt don't make a stream without a length whole

Cause: stream_is_whole() asked whether any attempt had sent an event. A worker that ends its connection before the first event of a response without a length is taken for one that crashed; what a former attempt has sent says nothing of it.

Before: the row ("event", "none") of test_proxy_stream_without_length fails: 200, complete, 3 of 10 events. After: the test passes.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -349,11 +349,12 @@
 }
 
 /* Whether a stream that has ended is whole. A crashed worker's connection ends
- * like a stream without a length: one without any event is taken for that. */
+ * like a stream without a length: an attempt without any event is taken for
+ * that. */
 static bool stream_is_whole(const struct xfer *xfer)
 {
 	return sse_is_complete(&xfer->sse) &&
-	       (!xfer->response.ends_with_connection || xfer->sse.events > 0);
+	       (!xfer->response.ends_with_connection || xfer->has_output);
 }
 
 static void on_end(void *ctx, enum hc_result result)
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1258,13 +1258,17 @@
 
 
 UNFRAMED = [
-    # how the first worker's stream ends, path, complete, executions
-    ("all", "/s/x", True, 1),
-    ("event", "/s/x", True, 2),
-    ("none", "/s/x", True, 2),
-    ("all", "/s1/x", True, 1),
-    ("event", "/s1/x", False, 1),
-    ("none", "/s1/x", False, 1),
+    # how the first worker's stream ends, the second one's (None: it has
+    # chunks), path, complete, executions
+    ("all", None, "/s/x", True, 1),
+    ("event", None, "/s/x", True, 2),
+    ("none", None, "/s/x", True, 2),
+    ("all", None, "/s1/x", True, 1),
+    ("event", None, "/s1/x", False, 1),
+    ("none", None, "/s1/x", False, 1),
+    # Events that the first worker sent don't make the second one's whole.
+    ("event", "none", "/s/x", False, 3),
+    ("event", "all", "/s/x", True, 2),
 ]
 
 
@@ -1275,10 +1279,10 @@
     async with Rig(net) as rig:
         host = rig.hosts[0]
         first, second = rig.workers_of("llm")
-        for how, path, complete, executions in UNFRAMED:
+        for how, then, path, complete, executions in UNFRAMED:
             got = None
             while not got or first.ident != rig.executed_by(got.ident)[0]:
-                first.unframed = how
+                first.unframed, second.unframed = how, then
                 got = await host.request("POST", path, b"b")
             assert (got.status == 200 and got.complete) == complete, (
                 how, path, got.status, got.body)
