Moves: a run that was stopped is not run again, and goes on at its source

Cause: after an attempt that was not sent, or was rejected, decide/px allows another one, as nothing has run. It was not told that a moved request has run. Ruled out: that the request counts as one that may be resumed. The handle was forgotten before the attempt was sent, so that no way was left to go on with the run.

Change: px_on_moved() records that the request has run; what has run and may run once is not sent again from its start. PX_CONTINUE goes on with the same run: at the target and, if that one has not taken it, at the source, which keeps the KV cache, while requests may reach it. Related: may_send() withdrew a request that was to go on at the source; an attempt after a rejected move was not counted in max_attempts; going on at the source had no bound in time (DRAIN).

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -33,8 +33,7 @@
 			  xfer->id, xfer->worker->entry.id);
 	fleet_end(xfer->worker, &xfer->fleet_request, xfer->has_output);
 	queue_on_freed(xfer->proxyd, xfer->worker);
-	if (xfer->worker->removed && xfer->worker->inflight == 0)
-		proxyd_drop_peer(xfer->worker);
+	proxyd_drop_peer(xfer->worker);
 	fleet_worker_unref(xfer->worker);
 	xfer->worker = NULL;
 }
@@ -78,6 +77,7 @@
 			fleet_has_other(proxyd->fleet, &xfer->fleet_request,
 					xfer->worker),
 		.has_host = has_host,
+		.has_cache = move_can_go_back(xfer),
 	};
 }
 
@@ -143,6 +143,8 @@
 	const struct xfer *xfer = ctx;
 	const struct fleet_worker *worker = xfer->worker;
 
+	if (worker == xfer->move.source)
+		return move_source_takes(xfer);
 	return !(worker->entry.leaving || worker->said_leaving ||
 		 worker->removed) ||
 	       !fleet_has_other(xfer->proxyd->fleet, &xfer->fleet_request,
@@ -163,9 +165,8 @@
 	xfer->retry_paid = false;
 	/* A request that resumes from its KV cache continues the same run, not
 	 * another attempt. */
-	if (!xfer->continues_run)
+	if (xfer->move.state != MOVE_CONTINUED)
 		px_on_sent(&xfer->px);
-	xfer->continues_run = false;
 }
 
 /* The attempt has returned its first output; ago: ms since the request started
@@ -176,6 +177,8 @@
 
 	if (xfer->has_output)
 		return;
+	/* It may be moved once more. */
+	move_clear(xfer);
 	xfer->has_output = true;
 	xfer->output_at = proxyd_now(proxyd);
 	links_on_response(proxyd->links, xfer->pool->name,
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -153,11 +153,13 @@
 static void worker_set_leaving(struct proxyd *proxyd,
 			       struct fleet_worker *worker, clk_ms remaining_ms)
 {
-	if (!worker->leaves_at)
-		worker->leaves_at =
-			proxyd_now(proxyd) + (remaining_ms >= 0
-						      ? remaining_ms
-						      : proxyd->conf->drain_ms);
+	clk_ms now = proxyd_now(proxyd);
+
+	if (worker->leaves_at)
+		return;
+	worker->drained_at = now + proxyd->conf->drain_ms;
+	worker->leaves_at =
+		remaining_ms >= 0 ? now + remaining_ms : worker->drained_at;
 }
 
 void follow_worker_leaves(struct proxyd *proxyd, struct fleet_worker *worker,
--- a/daemon/proxyd-move.c
+++ b/daemon/proxyd-move.c
@@ -9,6 +9,56 @@
 
 #define MOVE_BEFORE_MS 900   /* before a worker leaves, for all its streams */
 #define MOVE_TIMEOUT_MS 1500 /* for the call and the source stream's end */
+/* Before the end of the time in which requests may reach a worker that leaves:
+ * a list that is late, and the way to the worker. */
+#define SOURCE_MARGIN_MS 300
+
+bool move_source_takes(const struct xfer *xfer)
+{
+	const struct fleet_worker *source = xfer->move.source;
+
+	return source->http_peer &&
+	       (!source->leaves_at ||
+		proxyd_now(xfer->proxyd) <
+			source->drained_at - SOURCE_MARGIN_MS);
+}
+
+bool move_can_go_back(const struct xfer *xfer)
+{
+	const struct xfer_move *move = &xfer->move;
+
+	return move->state == MOVE_CONTINUED && move->target != move->source &&
+	       move_source_takes(xfer);
+}
+
+static void move_go_back(struct xfer_move *move)
+{
+	fleet_worker_unref(move->target);
+	move->target = fleet_worker_ref(move->source);
+}
+
+void move_continue(struct xfer *xfer)
+{
+	struct xfer_move *move = &xfer->move;
+	struct px_retry_conditions cond;
+	struct fleet_choice choice;
+
+	if (move->state == MOVE_CONTINUED)
+		move_go_back(move);
+	move->state = MOVE_CONTINUED;
+	if (!move->target->http_peer) {
+		cond = attempt_retry_conditions(xfer);
+		xfer_perform(xfer, px_on_end(&xfer->px, PX_END_UNSENT, &cond),
+			     "moved_to_lost_worker");
+		return;
+	}
+	choice = (struct fleet_choice){
+		.worker = move->target,
+		.cached_tokens = xfer->fleet_request.prompt_tokens,
+	};
+	attempt_start(xfer, &choice);
+	xfer_timer_arm(xfer);
+}
 
 /* Whether the source's stream has ended by itself, before the call that was to
  * stop it. */
@@ -24,7 +74,6 @@
 static void move_finish(struct xfer *xfer)
 {
 	struct xfer_move *move = &xfer->move;
-	enum px_action step;
 
 	if (move->call || !move->source_ended)
 		return;
@@ -33,19 +82,19 @@
 		attempt_judge(xfer, move->source_result);
 		return;
 	}
-	if (!move->handle) {
+	if (!move->handle ||
+	    (move->target == move->source && !move_source_takes(xfer))) {
 		/* Nothing was moved: same as any other truncated stream. */
 		attempt_end(xfer, PX_END_INCOMPLETE, "moved_in_vain");
 		return;
 	}
 	proxyd_count(xfer->proxyd, CTR_moves);
-	step = xfer->px.response_started ? PX_RESUME : PX_RETRY;
 	slog(SLOG_INFO, "move",
 	     "id=%s from=%s to=%s last_event=%" G_GINT64_FORMAT
 	     " took_ms=%" G_GINT64_FORMAT " outcome=goes_on",
 	     xfer->id, xfer->worker->entry.id, move->target->entry.id,
 	     xfer->sse.last_id, proxyd_now(xfer->proxyd) - move->started_at);
-	xfer_perform(xfer, step, "moved");
+	xfer_perform(xfer, px_on_moved(&xfer->px), "moved");
 }
 
 /* Whether the run goes on, or had ended before. */
@@ -80,8 +129,7 @@
 	} else if (outcome == ENGINE_STOPPED) {
 		/* It resumes at the source, where its KV cache still is. */
 		move->handle = g_strdup(handle);
-		fleet_worker_unref(move->target);
-		move->target = fleet_worker_ref(xfer->worker);
+		move_go_back(move);
 	} else if (stops_nothing(outcome) && !move->source_ended) {
 		move->state = MOVE_DONE;
 		return;
@@ -113,6 +161,11 @@
 		engine_move_cancel(move->call);
 	if (move->target)
 		fleet_worker_unref(move->target);
+	if (move->source) {
+		move->source->moves--;
+		proxyd_drop_peer(move->source);
+		fleet_worker_unref(move->source);
+	}
 	g_free(move->handle);
 	*move = (struct xfer_move){ .state = MOVE_NONE };
 }
@@ -142,6 +195,8 @@
 	move->state = MOVE_RUNNING;
 	move->started_at = now;
 	move->target = fleet_worker_ref(choice.worker);
+	move->source = fleet_worker_ref(xfer->worker);
+	move->source->moves++;
 	move->call = engine_move_start(
 		xfer->worker->http_peer, xfer->worker->entry.address, xfer->id,
 		choice.worker->entry.address, on_moved, xfer);
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -15,9 +15,6 @@
 /* Of end_detail, with a worker's id. */
 #define END_DETAIL_MAX 256
 
-static void timer_arm(struct xfer *xfer);
-static void xfer_resume_moved(struct xfer *xfer);
-
 static void on_timer_closed(void *ctx)
 {
 	struct xfer *xfer = ctx;
@@ -155,11 +152,17 @@
 
 void xfer_perform(struct xfer *xfer, enum px_action step, const char *why)
 {
+	static const char *const outcomes[] = {
+		[PX_RETRY] = "sent_again",
+		[PX_RESUME] = "resumed",
+		[PX_CONTINUE] = "continued",
+	};
 	struct proxyd *proxyd = xfer->proxyd;
 
 	switch (step) {
 	case PX_RETRY:
 	case PX_RESUME:
+	case PX_CONTINUE:
 		if (xfer->px.attempts > 0 && !xfer->retry_paid) {
 			xfer->retry_paid = true;
 			retry_spend(
@@ -170,11 +173,11 @@
 		     "id=%s attempts=%u last_event=%" G_GINT64_FORMAT
 		     " why=%s outcome=%s",
 		     xfer->id, xfer->px.attempts, xfer->sse.last_id, why,
-		     step == PX_RESUME ? "resumed" : "sent_again");
+		     outcomes[step]);
 		heard_note(xfer);
 		attempt_cancel(xfer);
-		if (xfer->move.handle) {
-			xfer_resume_moved(xfer);
+		if (step == PX_CONTINUE) {
+			move_continue(xfer);
 			return;
 		}
 		/* A move that is in progress was one of the last attempt. */
@@ -266,11 +269,12 @@
 		if (!xfer->attempt)
 			return;
 	}
-	timer_arm(xfer);
+	xfer_timer_arm(xfer);
 }
 
-/* Sets the timer to the deadline or, if earlier, to when the attempt stalls. */
-static void timer_arm(struct xfer *xfer)
+/* The timer is set to the deadline or, if earlier, to when the attempt stalls.
+ */
+void xfer_timer_arm(struct xfer *xfer)
 {
 	clk_ms now = proxyd_now(xfer->proxyd);
 	clk_ms next = xfer->deadline;
@@ -303,31 +307,6 @@
 			     output);
 }
 
-/* Sends the request to the engine that holds its KV cache. */
-static void xfer_resume_moved(struct xfer *xfer)
-{
-	struct fleet_choice choice = {
-		.worker = xfer->move.target,
-		.cached_tokens = xfer->fleet_request.prompt_tokens,
-	};
-
-	if (!choice.worker->http_peer) {
-		struct px_retry_conditions cond;
-
-		move_clear(xfer);
-		cond = attempt_retry_conditions(xfer);
-		xfer_perform(xfer,
-			     px_on_end(&xfer->px, PX_END_INCOMPLETE, &cond),
-			     "moved_to_lost_worker");
-		return;
-	}
-	xfer->continues_run = true;
-	attempt_start(xfer, &choice);
-	/* A handle can be used only once. */
-	move_clear(xfer);
-	timer_arm(xfer);
-}
-
 /* Refuses a request that can't be in time, or that would delay more urgent
  * ones. Returns whether it did. */
 static bool shed(struct xfer *xfer, const struct fleet_choice *choice)
@@ -423,7 +402,7 @@
 		return;
 	}
 	if (forward_request(xfer)) {
-		timer_arm(xfer);
+		xfer_timer_arm(xfer);
 		return;
 	}
 	if (xfer->forwarded && (again ? links_lost : links_avoided)(
@@ -444,7 +423,7 @@
 		demand_add(xfer, &choice);
 	if (!choice.worker) {
 		if (queue_add(xfer))
-			timer_arm(xfer);
+			xfer_timer_arm(xfer);
 		else
 			xfer_give_up(xfer);
 		return;
@@ -457,7 +436,7 @@
 	}
 	xfer->waiting_since = 0;
 	attempt_start(xfer, &choice);
-	timer_arm(xfer);
+	xfer_timer_arm(xfer);
 }
 
 void xfer_end_all(struct proxyd *proxyd)
@@ -491,7 +470,7 @@
 	g_hash_table_add(xfer->proxyd->open_requests, xfer);
 	due_init(&xfer->proxyd->loop, &xfer->timer, on_timer, xfer);
 	hs_request_on_disconnect(xfer->call, xfer_on_disconnect, xfer);
-	timer_arm(xfer);
+	xfer_timer_arm(xfer);
 	if (xfer->px.kind == PX_RESUMABLE && xfer->request.last_event_id >= 0 &&
 	    xfer->fleet_request.version == 0)
 		resume_start_stream(xfer);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -24,6 +24,8 @@
 	MOVE_NONE,
 	MOVE_RUNNING, /* the source stops the request and copies its KV cache */
 	MOVE_DONE,    /* was attempted; not repeated at this worker */
+	MOVE_CONTINUED, /* the request was sent on with its KV cache, and has no
+			 * output yet */
 };
 
 struct xfer_move {
@@ -33,7 +35,8 @@
 	bool source_ended;	      /* the stream from the source has ended */
 	enum hc_result source_result; /* how, as its connection shows */
 	char *handle;		      /* names the KV cache, or NULL */
-	struct fleet_worker *target;
+	struct fleet_worker *source;  /* keeps the KV cache, too */
+	struct fleet_worker *target;  /* where the run is to go on */
 	clk_ms started_at;
 };
 
@@ -75,9 +78,8 @@
 	struct trace_span span; /* of the request */
 	struct trace_span attempt_span;
 	struct xfer_move move;
-	bool continues_run; /* the next attempt resumes from a moved KV cache */
-	bool demanded;	    /* counted in its pool's demand */
-	bool waiting;	    /* in its pool's queue */
+	bool demanded;	      /* counted in its pool's demand */
+	bool waiting;	      /* in its pool's queue */
 	clk_ms waiting_since; /* for the next attempt; 0: not yet */
 	unsigned queue_round; /* in which it was last tried */
 	bool forwarded;	      /* by another host */
@@ -96,6 +98,8 @@
 void xfer_start(struct xfer *xfer);
 /* Sends the request to an upstream, after the last attempt has ended. */
 void xfer_send(struct xfer *xfer);
+/* Sets the timer of a request after it was sent. */
+void xfer_timer_arm(struct xfer *xfer);
 /* Carries out an action of decide/px. */
 void xfer_perform(struct xfer *xfer, enum px_action step, const char *why);
 /* Ends a request for which there is no worker. */
@@ -111,6 +115,14 @@
 bool move_on_source_end(struct xfer *xfer, enum hc_result result);
 /* Clears the move, and cancels it if it is in progress. */
 void move_clear(struct xfer *xfer);
+/* Whether requests may still be sent to the move's source. */
+bool move_source_takes(const struct xfer *xfer);
+/* Whether the run can go on at the source, after the target has not taken it.
+ */
+bool move_can_go_back(const struct xfer *xfer);
+/* Sends the request to the worker at which its run goes on: the target or, if
+ * that one has not taken it, the source. */
+void move_continue(struct xfer *xfer);
 
 /* proxyd-permit.c: limits that workers name */
 /* Notes the limit that the head of the response names, or that it names none.
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -418,19 +418,18 @@
 
 void proxyd_drop_peer(struct fleet_worker *worker)
 {
-	if (worker->http_peer)
-		hc_peer_remove(worker->http_peer);
+	if (!worker->http_peer || !worker->removed || worker->inflight > 0 ||
+	    worker->moves > 0)
+		return;
+	hc_peer_remove(worker->http_peer);
 	worker->http_peer = NULL;
 }
 
-/* A worker with requests keeps its connections: the requests may have to be
- * moved away from it. */
 static void on_worker_removed(void *ctx, struct fleet_worker *worker)
 {
 	if (worker->said_leaving)
 		follow_forget_notice(ctx, worker);
-	if (worker->inflight == 0)
-		proxyd_drop_peer(worker);
+	proxyd_drop_peer(worker);
 }
 
 static void clients_create(struct proxyd *proxyd)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -228,7 +228,9 @@
 /* Whether a new request whose deadline is the loop time end is accepted: a
  * stopping host may have exited by then. */
 bool proxyd_accepts(const struct proxyd *proxyd, clk_ms end);
-/* Closes the connections to a worker that is no longer listed. */
+/* Closes the connections to a worker that is no longer listed, once it has no
+ * requests: they may have to be moved away from it, and go on there if that
+ * fails. */
 void proxyd_drop_peer(struct fleet_worker *worker);
 /* Hosts that share limits, this one included. */
 unsigned proxyd_host_count(const struct proxyd *proxyd);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -117,8 +117,12 @@
 	struct fleet_limit limit;
 	struct fleet_brittle brittle;
 	clk_ms leaves_at; /* expected end; 0: not known to be leaving */
-	void *http_peer;  /* the user's connections to it */
-	unsigned refs;	  /* held by the fleet and by requests */
+	/* If it is leaving, the end of the time in which requests may still
+	 * reach it. */
+	clk_ms drained_at;
+	unsigned moves;	 /* of its requests, which may go on there after all */
+	void *http_peer; /* the user's connections to it */
+	unsigned refs;	 /* held by the fleet and by requests */
 	bool removed;
 };
 
--- a/decide/px.c
+++ b/decide/px.c
@@ -25,6 +25,13 @@
 	return px->may_have_run ? PX_UNKNOWN : PX_REFUSE;
 }
 
+/* Whether the request may be run, or run again, from its start. */
+static bool may_start(const struct px *px)
+{
+	return px_is_repeatable(px->kind) ||
+	       !(px->may_have_run || px->response_started);
+}
+
 /* Returns the action for another attempt if the conditions allow one, or the
  * final action. */
 static enum px_action retry_action(const struct px *px,
@@ -32,12 +39,28 @@
 {
 	bool can_send = px_needs_host(px) ? cond->has_host : cond->has_upstream;
 
-	if (px->attempts >= px->max_attempts || !cond->has_time || !can_send ||
+	if (!may_start(px) || px->attempts >= px->max_attempts ||
+	    !cond->has_time || !can_send ||
 	    (px->attempts > 0 && !cond->has_budget))
 		return px_on_give_up(px);
 	return px->response_started ? PX_RESUME : PX_RETRY;
 }
 
+/* Returns the action after an attempt that has not run the request. */
+static enum px_action not_run_action(const struct px *px,
+				     const struct px_retry_conditions *cond)
+{
+	if (cond->has_cache && cond->has_time && cond->has_budget)
+		return PX_CONTINUE;
+	return retry_action(px, cond);
+}
+
+enum px_action px_on_moved(struct px *px)
+{
+	px->may_have_run = true;
+	return PX_CONTINUE;
+}
+
 enum px_action px_on_end(struct px *px, enum px_end end,
 			 const struct px_retry_conditions *cond)
 {
@@ -51,9 +74,9 @@
 		return PX_DELIVER;
 	case PX_END_UNSENT:
 		px->unsent++;
-		return retry_action(px, &paid);
+		return not_run_action(px, &paid);
 	case PX_END_NOT_RUN:
-		return retry_action(px, cond);
+		return not_run_action(px, cond);
 	case PX_END_FAILED:
 		px->may_have_run = true;
 		/* A response that has started cannot end in a failure. */
--- a/decide/px.h
+++ b/decide/px.h
@@ -3,8 +3,9 @@
  * from the outcome of each attempt, and what may be reported to the caller.
  *
  * A request is sent to a second upstream only if it cannot have run on the
- * first, or if it may run more than once. It is reported as not run only if no
- * attempt may have run.
+ * first, if it may run more than once, or if the second one goes on with the
+ * same run, from its KV cache. It is reported as not run only if no attempt may
+ * have run.
  */
 #ifndef DECIDE_PX_H
 #define DECIDE_PX_H
@@ -32,6 +33,7 @@
 enum px_action {
 	PX_RETRY,     /* send it to another upstream, from the start */
 	PX_RESUME,    /* send it to another upstream, after the last event */
+	PX_CONTINUE,  /* the same, to one that holds its KV cache: no new run */
 	PX_DELIVER,   /* relay the response, or finish it */
 	PX_REFUSE,    /* it has not run and will not: the caller may retry */
 	PX_UNKNOWN,   /* whether it ran is not known */
@@ -55,6 +57,7 @@
 	bool has_budget;   /* the retry budget allows one */
 	bool has_upstream; /* another upstream accepts work */
 	bool has_host;	   /* another host does, if no upstream is reached */
+	bool has_cache;	   /* another upstream holds the KV cache of its run */
 };
 
 /* Records that an attempt was sent. */
@@ -62,6 +65,8 @@
 /* Records the outcome of an attempt and returns the next action. */
 enum px_action px_on_end(struct px *px, enum px_end end,
 			 const struct px_retry_conditions *cond);
+/* Its run was stopped at its upstream, and can go on from its KV cache. */
+enum px_action px_on_moved(struct px *px);
 /* It was forwarded, and no other host has accepted it: it goes on at an
  * upstream of this host, if there is one. */
 enum px_action px_on_declined(struct px *px,
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -667,6 +667,88 @@
             assert fresh == [source], how
 
 
+# Two workers are allowed, and the stream may not be resumed, or may be.
+TWO_WORKERS = {"/s2/": dict(ROUTES["/s1/"], max_attempts=2, timeout_ms=8000),
+               "/s/": dict(ROUTES["/s/"], timeout_ms=8000)}
+# What becomes of a move: what the worker that leaves does, what the worker that
+# the stream is moved to does once it has the copy, when the first one leaves, in
+# ms, the path, whether the caller gets all events, and how often the stream may
+# run from its start, or from an event without its KV cache.
+REJECTED_MOVES = [
+    ("ok", "refuses connections", 1200, "/s2/x", True, 1),
+    ("ok", "rejects it", 1200, "/s2/x", True, 1),
+    ("ok", "is gone", 1200, "/s2/x", True, 1),
+    ("no room", None, 1200, "/s2/x", True, 1),
+    ("no move", None, 1200, "/s2/x", False, 1),
+    ("ok", "refuses connections", 1200, "/s/x", True, 1),
+    # The first worker may get no more requests then.
+    ("ok", "refuses connections", 3500, "/s2/x", False, 1),
+    ("ok", "rejects it", 3500, "/s2/x", False, 1),
+    ("no room", None, 3500, "/s2/x", False, 1),
+    ("ok", "refuses connections", 3500, "/s/x", True, 2),
+]
+
+
+async def fail_target(rig, how, target):
+    """The worker that has the copy of a stream can't run it."""
+    if how == "refuses connections":
+        target.kill()
+    elif how == "rejects it":
+        target.mode = "full"
+    elif how == "is gone":
+        target.kill()
+        rig.store.remove("servers/" + target.ident)
+        await asyncio.sleep(0.1)
+
+
+async def move_rejected(net, row):
+    mode, how, leaves_ms, path, whole, runs = row
+    async with Rig(net, llm=3) as rig:
+        workers = rig.workers_of("llm")
+        rig.store.put("op/config", config(2, dict(ROUTES, **TWO_WORKERS)))
+        for worker in workers:
+            worker.event_count, worker.event_gap_s = 120, 0.03
+            worker.move_answer_s = 0.25
+            worker.mode = mode
+        await rig.wait_until("the routes", lambda: [
+            line for line in rig.hosts[0].log_events("config")
+            if line["version"] == "2"])
+        caller = rig.hosts[0].caller()
+        ident = await caller.send("POST", path, b"b", remaining_ms=8000)
+        await rig.wait_until("the run", lambda: rig.executed_by(ident))
+        source = [w for w in workers if ident in w.executed][0]
+        left = time.monotonic()
+        rig.store.put("servers/" + source.ident, source.entry(
+            state="draining", spot_instance=True, leaves_ms=leaves_ms))
+        reader = asyncio.create_task(caller.receive())
+        await rig.wait_until("the copy", lambda: source.moving)
+        for worker in workers:
+            worker.mode = "ok" if worker is not source else mode
+        target = [w for w in workers if w.address == source.moving][0]
+        await fail_target(rig, how, target)
+        if mode == "no room":
+            # There is room for the next move.
+            await asyncio.sleep(0.5)
+            source.mode = "ok"
+        got = await reader
+        ids = got.event_ids()
+        assert got.status == 200 and got.complete == whole, (row, len(ids))
+        assert ids == list(range(120 if whole else len(ids))), (row, ids)
+        fresh = [w.ident for w in workers for headers in w.received
+                 if headers["redwingpitch-attempt-id"] == ident
+                 and "kv-from" not in headers and ident in w.executed]
+        assert len(fresh) <= runs, (row, fresh)
+        assert source.received_at[ident] < left + DRAIN_BOUND_S, row
+
+
+async def test_proxy_move_rejected(net):
+    """Guards against a second run of a stream that may run once, after the
+    worker that it was moved to could not take it: it goes on where its KV cache
+    still is, or is broken off."""
+    await asyncio.gather(*[move_rejected(net + 200 * more, row)
+                           for more, row in enumerate(REJECTED_MOVES)])
+
+
 async def test_proxy_stream_taken_back_while_it_migrates(net):
     """A stream that is taken back from a worker over a lost link, while it is
     to migrate, is not given up again at the worker that it goes on at."""
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -237,15 +237,17 @@
                 raise AssertionError(host.name + " does not know all hosts")
 
     async def __aexit__(self, kind, value, trace):
-        if kind:
-            print("logs in " + self.folder)
-            await asyncio.sleep(LOG_FLUSH_S)
-        for host in self.hosts:
-            if host.process and host.process.poll() is None:
-                host.process.send_signal(signal.SIGCONT)
-                host.kill()
-        for caller in self.callers:
-            caller.close()
+        try:
+            if kind:
+                print("logs in " + self.folder)
+                await asyncio.sleep(LOG_FLUSH_S)
+        finally:  # also if the test is cancelled meanwhile
+            for host in self.hosts:
+                if host.process and host.process.poll() is None:
+                    host.process.send_signal(signal.SIGCONT)
+                    host.kill()
+            for caller in self.callers:
+                caller.close()
 
     async def wait_until(self, what, check, seconds=8):
         await wait_until(what, check, seconds)
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -398,9 +398,11 @@
     extra      two responses to one request
     break      resets a stream in the middle of its fourth event
     no move    stops a stream that is to migrate, but copies no KV cache
+    no room    the same, but names the KV cache that it keeps itself
     """
 
-    kv_copies = {}  # "address/handle" -> address that has the KV copy
+    handles = 0     # given out
+    kv_copies = {}  # "address/handle" -> addresses that can use it, once
 
     def __init__(self, ident, service, address, zone="z1", slots=8):
         self.ident = ident
@@ -550,8 +552,8 @@
             self.misdirected.add(ident)
             writer.write(response(421, b"", said))
             return True
-        if "kv-from" in headers and Worker.kv_copies.pop(
-                headers["kv-from"], None) != self.address:
+        if "kv-from" in headers and self.address not in Worker.kv_copies.get(
+                headers["kv-from"], ()):
             writer.write(response(503, b"", ["Redwingpitch-Not-Executed: 1"]))
             return True
         if self.mode == "full":
@@ -566,6 +568,9 @@
         if self.room is not None and len(self.calls) >= self.room:
             return await self.reject(said, writer)
         self.executed.append(ident)
+        if "kv-from" in headers:
+            del Worker.kv_copies[headers["kv-from"]]
+            self.stopped.discard(ident)
         own = ["Redwingpitch-Attempt-Id: " + ident,
                "Redwingpitch-Response-Signature: sig-" + self.ident,
                "Redwingpitch-Server-Load: %d,0,%d" % (
@@ -640,9 +645,12 @@
         if self.mode == "no move":
             writer.write(response(503, b"{}"))
             return True
-        handle = "m-" + ident
-        Worker.kv_copies[self.address + "/" + handle] = body["target"]
-        writer.write(response(200, json.dumps(
+        Worker.handles += 1
+        handle = "m-%d" % Worker.handles
+        copied = self.mode != "no room"
+        Worker.kv_copies[self.address + "/" + handle] = {
+            self.address, body["target"] if copied else self.address}
+        writer.write(response(200 if copied else 503, json.dumps(
             {"copy_handle": handle, "created": 0}).encode()))
         return True
 
