HTTP client: a response without a length ends whole only if its server lives

Cause: the kernel closes the connections of a dead process with a FIN, which is also how a response without a length ends.

Change: when such a response ends, the client connects again; the response is complete if the server accepts the connection and does not end it within 20 ms.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1373,6 +1373,48 @@
             assert len(rig.executed_by(got.ident)) == executions, (how, path)
 
 
+# Responses without a length at a worker whose process dies, or lives: path, pool,
+# dies, status, whether the response is whole, executions
+ENDED_PROCESSES = [
+    ("/s/x", "llm", True, 200, True, 2),
+    ("/s1/x", "llm", True, 200, False, 1),
+    ("/i/x", "api", True, 200, True, 2),
+    ("/o/x", "api", True, 502, True, 1),
+    ("/s1/x", "llm", False, 200, True, 1),
+    ("/i/x", "api", False, 200, True, 1),
+]
+
+
+async def end_process(net, row):
+    path, pool, dies, status, whole, executions = row
+    async with Rig(net) as rig:
+        workers = rig.workers_of(pool)
+        for worker in workers:
+            worker.unframed, worker.event_gap_s = "paced", 0.1
+        caller = rig.hosts[0].caller()
+        ident = await caller.send("POST", path, b"b")
+        await rig.wait_until("the run", lambda: rig.executed_by(ident))
+        first = [w for w in workers if ident in w.executed][0]
+        await asyncio.sleep(0.05)
+        if dies:
+            first.end_process()
+        got = await caller.receive()
+        assert (got.status, got.complete) == (status, whole), (
+            row, got.status, got.body)
+        if status == 200 and whole and pool == "llm":
+            assert got.event_ids() == list(range(10)), (row, got.body)
+        if status == 200 and pool == "api":
+            assert got.body.endswith(b" ran b"), (row, got.body)
+        assert len(rig.executed_by(ident)) == executions, row
+
+
+async def test_proxy_worker_dies_in_response_without_length(net):
+    """Guards against a response without a length that is taken for whole when
+    its worker's process dies, whose connections the kernel closes in order."""
+    await asyncio.gather(*[end_process(net + 200 * more, row)
+                           for more, row in enumerate(ENDED_PROCESSES)])
+
+
 FLOODS = [
     # where bytes come without end, path, pool
     ("head", "/i/x", "api"), ("body", "/i/x", "api"),
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -499,6 +499,13 @@
         if self.restarted:
             self.restarted(self)
 
+    def end_process(self):
+        """Closes every connection in order, as the kernel does when a process
+        dies that has read all that it was sent."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
     def kill(self):
         """Simulates a crash: resets every connection."""
         self.server.close()
@@ -614,9 +621,16 @@
             return True
         if head[0].split(" ")[1].startswith("/s"):
             return await self.send_stream(ident, headers, own, reader, writer)
-        writer.write(response(200, b"%s ran %s" % (self.ident.encode(), body)
-                              + b"." * self.padding, own))
-        return True
+        text = (b"%s ran %s" % (self.ident.encode(), body)
+                + b"." * self.padding)
+        if self.unframed != "paced":
+            writer.write(response(200, text, own))
+            return True
+        writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(own)
+                      + "\r\n\r\n").encode() + text[:4])
+        await asyncio.sleep(self.event_gap_s)
+        writer.write(text[4:])
+        return False
 
     async def reject(self, said, writer):
         """Rejects a request for want of room; a brittle worker may crash."""
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -5,6 +5,10 @@
  * A response that has the id header must have the id of its request: one with
  * the id of another attempt is read and dropped. A connection on which
  * unexpected bytes arrive is closed and not reused.
+ *
+ * A response without a length ends with its connection, which the kernel also
+ * closes in order when the server's process dies. Such a response is complete
+ * only if the server then accepts a new connection and does not end it at once.
  */
 #ifndef WIRE_HC_H
 #define WIRE_HC_H
@@ -57,6 +61,7 @@
 	uint64_t reuses;	       /* requests on a pooled connection */
 	uint64_t mismatched_responses; /* dropped: wrong id */
 	uint64_t unexpected_data;      /* connections closed for it */
+	uint64_t unconfirmed_ends;     /* of responses without a length */
 };
 
 struct hc *hc_create(uv_loop_t *loop, const struct hc_options *options);
