--- a/daemon/proxyd-move.c
+++ b/daemon/proxyd-move.c
@@ -97,7 +97,7 @@
 	xfer_perform(xfer, px_on_moved(&xfer->px), "moved");
 }
 
-/* Whether the run goes on, or had ended before. */
+/* Whether the call has stopped no run: it goes on, or had ended before. */
 static bool stops_nothing(enum engine_outcome outcome)
 {
 	return outcome == ENGINE_NOT_RUNNING || outcome == ENGINE_UNREACHED;
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -9,8 +9,9 @@
 #define TIMEOUT_CHECK_MS 250	/* period of the check of timeouts */
 #define HEAD_MAX 65536		/* bytes of a response's head */
 #define KEEP_ALIVE_FRACTION 0.6 /* of the peer's Keep-Alive timeout */
-/* A process that ends closes its connections and listening sockets in any
- * order, in this time at most. */
+/* How long a server must keep the connection that confirms the end of a
+ * response: a process that ends closes its connections and listening sockets in
+ * any order. */
 #define CONFIRM_MS 20
 
 /* One connection. */
@@ -324,8 +325,8 @@
 	g_string_free(out, TRUE);
 }
 
-/* The connection that confirms the end of a response is established: it is if
- * the server does not end this one at once. */
+/* The server has accepted a connection after the end of a response, which is
+ * confirmed unless the server ends the connection at once. */
 static void conn_await_end(struct hc_conn *conn)
 {
 	struct hc *hc = conn->peer->hc;
