Tests: the streams of a test begin before the limit that they are to exceed

Trace: the limit was written before the tasks of the streams had run. The host put it in force at .201 and got the first stream at .202: nine were rightly refused with 429 (left_own=-100), the tenth alone could not make the links count as lost. The test waits now until all ten run, as it means to; all its checks are as they were.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -2675,6 +2675,8 @@
             "POST", "/s/x", b"b", remaining_ms=8000,
             headers=["Redwingpitch-Token-Counts: 4000,100"]))
             for _ in range(count)]
+        await rig.wait_until("the streams", lambda: sum(
+            len(worker.executed) for worker in rig.workers) == count)
         rig.store.put("op/config", config(3, routes, rate=2000))
         await asyncio.sleep(CONFIG_BOUND_S / 2)
         for worker in rig.workers:
