Tests: a worker that is replaced in a stream without a length; known red

The stand-in of a worker has GET /-/report, with the time of its process's start. RW_NET sets the addresses of tests/proxy.py apart from those of another checkout's run.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1385,19 +1385,24 @@
 ]
 
 
-async def end_process(net, row):
+async def end_process(net, row, end=Worker.end_process, **worker_fields):
     path, pool, dies, status, whole, executions = row
     async with Rig(net) as rig:
         workers = rig.workers_of(pool)
         for worker in workers:
             worker.unframed, worker.event_gap_s = "paced", 0.1
+            vars(worker).update(worker_fields)
+            rig.list_worker(worker)
+        await asyncio.sleep(0.3)
         caller = rig.hosts[0].caller()
         ident = await caller.send("POST", path, b"b")
         await rig.wait_until("the run", lambda: rig.executed_by(ident))
         first = [w for w in workers if ident in w.executed][0]
         await asyncio.sleep(0.05)
         if dies:
-            first.end_process()
+            replaced = end(first)
+            if replaced:
+                await replaced
         got = await caller.receive()
         assert (got.status, got.complete) == (status, whole), (
             row, got.status, got.body)
@@ -1415,6 +1420,44 @@
                            for more, row in enumerate(ENDED_PROCESSES)])
 
 
+# The next process at the worker's address: its id, whether it takes over the
+# listening socket, whether its entry is listed at once.
+REPLACEMENTS = [
+    ("w-next", False, False), ("w-next", True, False), (None, False, False),
+    (None, True, False), (None, True, True),
+]
+
+
+async def test_proxy_worker_replaced_in_stream_without_length(net):
+    """Guards against a stream without a length that is taken for whole because
+    another process answers at its worker's address when it has ended."""
+    def replacement(rig_worker, ident, keeps_socket, listed):
+        async def replace():
+            await rig_worker.replace_process(ident or rig_worker.ident,
+                                             keeps_socket)
+            if listed:
+                rig_worker.restarted(rig_worker)
+        return replace()
+    cases = [(row, change) for row in ENDED_PROCESSES[:2]
+             for change in REPLACEMENTS]
+    # Of a service only its id is known.
+    cases += [(row, change) for row in ENDED_PROCESSES[2:4]
+              for change in REPLACEMENTS[:2]]
+    await asyncio.gather(*[
+        end_process(net + 200 * more, row,
+                    lambda worker, change=change: replacement(worker, *change))
+        for more, (row, change) in enumerate(cases)])
+
+
+async def test_proxy_whole_stream_of_worker_without_start(net):
+    """A worker that does not say when its process has started still proves the
+    end of its streams by its id."""
+    await asyncio.gather(*[
+        end_process(net + 200 * more, row, born=0)
+        for more, row in enumerate(ENDED_PROCESSES[:2] +
+                                   ENDED_PROCESSES[4:])])
+
+
 FLOODS = [
     # where bytes come without end, path, pool
     ("head", "/i/x", "api"), ("body", "/i/x", "api"),
@@ -3587,6 +3630,11 @@
         assert not missing(), (missing(), written)
 
 
+# Beside the tests of another checkout, a multiple of 200: a test takes its /24
+# and those 200 apart from it.
+NET = int(os.environ.get("RW_NET", 0))
+
+
 def run_one(name, net):
     try:
         asyncio.run(asyncio.wait_for(globals()[name](net), TEST_LIMIT_S))
@@ -3607,7 +3655,7 @@
     failed = 0
     names = options.names or tests
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        jobs = [pool.submit(run_one, name, 1 + tests.index(name))
+        jobs = [pool.submit(run_one, name, NET + 1 + tests.index(name))
                 for name in names]
         for job in concurrent.futures.as_completed(jobs):
             name, error = job.result()
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -432,7 +432,7 @@
         self.deadly_paths = ()   # of requests that crash it
         self.restart_s = 0.5     # from a crash until it is back
         self.restarted = None    # called with it when it is back
-        self.born = 1            # of its process
+        self.born = 1            # of its process; 0: it does not say
         self.crashed_at = []
         self.deadly_at = []      # arrivals of requests that crash it
         self.deadly_arrivals = []  # the same, (time, path, id)
@@ -440,6 +440,7 @@
         self.event_count = 10   # in a stream
         self.event_gap_s = 0.02  # time between two events
         self.probed_at = []     # arrivals of health checks
+        self.reported_at = []   # arrivals of calls for its report
         self.received = []      # headers of all requests
         self.executed = []      # ids of the requests that it executed
         self.received_at = {}   # id -> time of arrival
@@ -506,6 +507,18 @@
         for writer in list(self.writers):
             writer.close()
 
+    async def replace_process(self, ident, keeps_socket):
+        """Ends the process as end_process() does; the next one, with an id, is
+        there already, on the same listening socket if that is kept."""
+        ended = list(self.writers)
+        self.ident = ident
+        self.born += 1
+        if not keeps_socket:
+            self.server.close()
+            await self.start()
+        for writer in ended:
+            writer.close()
+
     def kill(self):
         """Simulates a crash: resets every connection."""
         self.server.close()
@@ -547,6 +560,8 @@
                 "Redwingpitch-Instance-Id: " + self.ident] + [
                     "Server-Limit: " + value for value in self.limits]))
             return True
+        if head[0].startswith("GET /-/report "):
+            return self.report(writer)
         ident = headers["redwingpitch-attempt-id"]
         self.received.append(headers)
         self.received_at[ident] = time.monotonic()
@@ -632,6 +647,19 @@
         writer.write(text[4:])
         return False
 
+    def report(self, writer):
+        """Says what the process is doing; only engines do."""
+        self.reported_at.append(time.monotonic())
+        if self.service != "llm":
+            writer.write(response(400, b"", ["Redwingpitch-Not-Executed: 1"]))
+            return True
+        value = {"stage": "colocated", "state": "ready",
+                 "runs": [[ident, 0, 0, 5] for ident in self.running]}
+        if self.born:
+            value["born"] = self.born
+        writer.write(response(200, json.dumps(value).encode()))
+        return True
+
     async def reject(self, said, writer):
         """Rejects a request for want of room; a brittle worker may crash."""
         now = time.monotonic()
