Responses without a length: the end is proved by the process that sent them

Cause: the end was confirmed by asking the worker's address whether it accepts a connection, some time after the end. Nothing bound the answer to the process that ran the stream: the next process there, with the same id or another one, or a listening socket that it has taken over, confirms it. The class: an end that proves nothing is taken for proof of a whole response. A move has it, too: 404 from the address ("no such run") made the end that came with it a whole one.

Ruled out: resets (reported as such), workers that are back later (refused), and framed responses (their end is in the response).

Change: wire/hc says only that the connection was closed in order (HC_CLOSED); daemon/confirm asks the process at the address who it is, and decide/proof judges: an engine's report says when the process started, which must be the start that was listed when the request was sent; of a service the id must be the same, and no other start listed for it. Otherwise the response counts as cut off.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -41,6 +41,9 @@
 /* Releases the worker and the response of the attempt. */
 static void attempt_clear(struct xfer *xfer)
 {
+	if (xfer->confirm)
+		confirm_cancel(xfer->confirm);
+	xfer->confirm = NULL;
 	if (xfer->worker)
 		worker_release(xfer);
 	xfer->sent_at = 0;
@@ -351,15 +354,68 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* Whether a stream that has ended is whole. A crashed worker's connection ends
- * like a stream without a length: an attempt without any event is taken for
- * that. */
+/* Whether a stream that has ended is whole. One without a length and without
+ * any event may have been cut off. */
 static bool stream_is_whole(const struct xfer *xfer)
 {
 	return sse_is_complete(&xfer->sse) &&
 	       (!xfer->response.ends_with_connection || xfer->has_output);
 }
 
+/* Returns the start of the process that is listed with the worker's id. */
+static int64_t listed_start(void *ctx)
+{
+	const struct xfer *xfer = ctx;
+	const struct fleet_worker *worker =
+		fleet_find(xfer->proxyd->fleet, xfer->worker->entry.id);
+
+	return worker ? worker->entry.started_at : 0;
+}
+
+static void on_confirmed(void *ctx, enum proof_verdict verdict, clk_ms took)
+{
+	static const char *const names[] = {
+		[PROOF_SILENT] = "no_answer",
+		[PROOF_OTHER] = "other_process",
+		[PROOF_UNKNOWN] = "unknown_process",
+		[PROOF_SAME] = "same_process",
+	};
+	struct xfer *xfer = ctx;
+	bool same = verdict == PROOF_SAME;
+
+	xfer->confirm = NULL;
+	proxyd_count(xfer->proxyd,
+		     same ? CTR_confirmed_ends : CTR_unconfirmed_ends);
+	slog(SLOG_INFO, "end",
+	     "id=%s worker=%s started_at=%" G_GINT64_FORMAT
+	     " events=%" G_GUINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
+	     " outcome=%s",
+	     xfer->id, xfer->worker->entry.id, xfer->worker_started_at,
+	     xfer->sse.events, took, names[verdict]);
+	attempt_judge(xfer, same ? HC_COMPLETE : HC_TRUNCATED);
+}
+
+/* Asks the worker whether the end of its connection is that of its response. */
+static void attempt_confirm(struct xfer *xfer)
+{
+	const struct fleet_worker *worker = xfer->worker;
+	struct confirm_spec spec = {
+		.peer = worker->http_peer,
+		.address = worker->entry.address,
+		.worker = worker->entry.id,
+		.health_path = xfer->pool->health_path,
+		.reports = xfer->pool->engine,
+		.sent_to = xfer->worker_started_at,
+		.listed = listed_start,
+		.fn = on_confirmed,
+		.ctx = xfer,
+	};
+
+	proxyd_count(xfer->proxyd, CTR_worker_probes);
+	xfer->confirm = confirm_start(&xfer->proxyd->loop, &spec);
+	xfer_timer_arm(xfer);
+}
+
 static void on_end(void *ctx, enum hc_result result)
 {
 	struct xfer *xfer = ctx;
@@ -378,6 +434,11 @@
 		return;
 	}
 	switch (result) {
+	case HC_CLOSED:
+		if (response->is_event_stream && !stream_is_whole(xfer))
+			break;
+		attempt_confirm(xfer);
+		return;
 	case HC_WITHDRAWN:
 		attempt_end(xfer, PX_END_UNSENT, "worker_leaves");
 		return;
@@ -579,6 +640,7 @@
 	if (listed_at)
 		hist_add(&proxyd->list_ages, now - listed_at);
 	xfer->worker = fleet_worker_ref(worker);
+	xfer->worker_started_at = worker->entry.started_at;
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
 	xfer->has_output = false;
--- a/daemon/proxyd-move.c
+++ b/daemon/proxyd-move.c
@@ -65,7 +65,7 @@
 static bool source_ended_first(const struct xfer_move *move)
 {
 	return move->outcome == ENGINE_NOT_RUNNING &&
-	       move->source_result == HC_COMPLETE;
+	       move->source_result == HC_CLOSED;
 }
 
 /* Finishes a move once its call and the source stream have ended: resumes at
@@ -140,12 +140,10 @@
 bool move_on_source_end(struct xfer *xfer, enum hc_result result)
 {
 	struct xfer_move *move = &xfer->move;
+
 	/* A stream that the source stops is closed without its end, which is
 	 * how every stream without a length ends. */
-	bool has_end =
-		result == HC_COMPLETE && !xfer->response.ends_with_connection;
-
-	if (move->state != MOVE_RUNNING || has_end)
+	if (move->state != MOVE_RUNNING || result == HC_COMPLETE)
 		return false;
 	move->source_ended = true;
 	move->source_result = result;
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -237,7 +237,7 @@
  * that was not sent cannot have run. */
 static bool is_running(const struct xfer *xfer)
 {
-	return (xfer->attempt && xfer->sent_at) || xfer->hop;
+	return (xfer->attempt && xfer->sent_at) || xfer->confirm || xfer->hop;
 }
 
 /* When the attempt counts as stalled, or is looked at again. */
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -6,6 +6,7 @@
 #define DAEMON_PROXYD_XFER_H
 
 #include "../wire/trace.h"
+#include "confirm.h"
 #include "proxyd.h"
 
 /* The response of the current attempt. */
@@ -57,8 +58,14 @@
 	struct sse sse;
 	struct fleet_request fleet_request;
 	struct fleet_worker *worker; /* of the current attempt, or NULL */
+	/* Start of its process as listed when the attempt was sent; 0: not
+	 * known. */
+	int64_t worker_started_at;
 	struct hc_request *attempt;
 	struct hop_call *hop; /* the request at another host, or NULL */
+	/* The attempt's response has ended with its connection; NULL unless
+	 * its worker is asked whether that is the end. */
+	struct confirm *confirm;
 	struct xfer_response response;
 	bool has_output;    /* the attempt has returned an event, or the head of
 			     * a response that is not a stream */
@@ -200,7 +207,8 @@
 		     const char **why);
 /* Whether too much of a stream is buffered for its caller. */
 bool attempt_caller_is_slow(const struct xfer *xfer);
-/* Judges the end of the attempt by its connection and its response. */
+/* Judges the end of the attempt by its connection and its response. A response
+ * without a length is judged once its worker was asked. */
 void attempt_judge(struct xfer *xfer, enum hc_result result);
 /* Records how the attempt ended and carries out what follows. */
 void attempt_end(struct xfer *xfer, enum px_end end, const char *why);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -175,7 +175,6 @@
 	values[CTR_reuses] = http->reuses;
 	values[CTR_strays] = http->mismatched_responses;
 	values[CTR_dirty] = http->unexpected_data;
-	values[CTR_unconfirmed_ends] = http->unconfirmed_ends;
 	values[CTR_platform_calls] = kv->calls;
 	values[CTR_platform_failures] = kv->failures;
 	values[CTR_store_restores] = kv_restores(proxyd->kv);
--- a/tests/http.c
+++ b/tests/http.c
@@ -224,11 +224,6 @@
 	KEEP_OPEN,
 	CLOSE, /* with a FIN */
 	RESET, /* with an RST */
-	/* With a FIN, as by a process that dies: the next connection is
-	 * refused, or reset at once. */
-	DIE,
-	DIE_SLOWLY,
-	SPEAK_FIRST, /* with a FIN; it sends bytes on the next connection */
 };
 
 /* The responses of the stub server on each connection. */
@@ -264,19 +259,6 @@
 	if (stub->script->close_mode == RESET)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
 	uv_close((uv_handle_t *)stub->conn, stub_on_closed);
-	if (stub->script->close_mode == DIE)
-		uv_close((uv_handle_t *)&stub->listener, NULL);
-}
-
-/* Treats a connection after the one that was closed as the mode asks for. */
-static void stub_on_further(struct stub *stub)
-{
-	uv_buf_t out = uv_buf_init((char *)"HTTP/1.1 408 X\r\n\r\n", 18);
-
-	if (stub->script->close_mode == DIE_SLOWLY)
-		uv_tcp_close_reset(stub->conn, stub_on_closed);
-	else if (stub->script->close_mode == SPEAK_FIRST)
-		uv_try_write((uv_stream_t *)stub->conn, &out, 1);
 }
 
 static void stub_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
@@ -321,8 +303,6 @@
 	stub->conn->data = stub;
 	uv_accept(listener, (uv_stream_t *)stub->conn);
 	uv_read_start((uv_stream_t *)stub->conn, stub_alloc, stub_on_read);
-	if (stub->accepted > 1)
-		stub_on_further(stub);
 }
 
 static struct stub *stub_start(const struct script *script)
@@ -422,22 +402,7 @@
 	  true },
 	{ "by the end of the connection",
 	  { { OK200 ID "\r\nhi" }, CLOSE },
-	  HC_COMPLETE,
-	  "hi",
-	  false },
-	{ "the same, the server is dead then",
-	  { { OK200 ID "\r\nhi" }, DIE },
-	  HC_TRUNCATED,
-	  "hi",
-	  false },
-	{ "the same, the server is dying",
-	  { { OK200 ID "\r\nhi" }, DIE_SLOWLY },
-	  HC_TRUNCATED,
-	  "hi",
-	  false },
-	{ "the same, the server speaks first",
-	  { { OK200 ID "\r\nhi" }, SPEAK_FIRST },
-	  HC_COMPLETE,
+	  HC_CLOSED,
 	  "hi",
 	  false },
 	/* Without a length, a reset means that it is incomplete. */
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -8,6 +8,7 @@
 #include "../decide/origin.h"
 #include "../decide/fleet.h"
 #include "../decide/poison.h"
+#include "../decide/proof.h"
 #include "../decide/px.h"
 #include "../decide/scale.h"
 #include "../decide/sse.h"
@@ -211,6 +212,62 @@
 }
 END_TEST
 
+/* The end of a response without a length. */
+
+static const struct {
+	const char *what;
+	struct proof_evidence evidence;
+	enum proof_verdict verdict;
+} proof_cases[] = {
+	{ "nothing answers", { .sent_to = 5, .listed = 5 }, PROOF_SILENT },
+	{ "same start",
+	  { .answered = YES, .started_at = 5, .sent_to = 5, .listed = 5 },
+	  PROOF_SAME },
+	{ "same start, the entry is gone",
+	  { .answered = YES, .started_at = 5, .sent_to = 5 },
+	  PROOF_SAME },
+	{ "same id, started since",
+	  { .answered = YES,
+	    .is_named = YES,
+	    .started_at = 6,
+	    .sent_to = 5,
+	    .listed = 5 },
+	  PROOF_OTHER },
+	{ "same id and start, by a list that is late",
+	  { .answered = YES,
+	    .is_named = YES,
+	    .started_at = 6,
+	    .sent_to = 5,
+	    .listed = 6 },
+	  PROOF_OTHER },
+	{ "another id", { .answered = YES, .is_other = YES }, PROOF_OTHER },
+	{ "another id with the same start",
+	  { .answered = YES, .is_other = YES, .started_at = 5, .sent_to = 5 },
+	  PROOF_OTHER },
+	{ "same id, the start is not said",
+	  { .answered = YES, .is_named = YES, .sent_to = 5, .listed = 5 },
+	  PROOF_SAME },
+	{ "same id, but another process is listed with it",
+	  { .answered = YES, .is_named = YES, .sent_to = 5, .listed = 6 },
+	  PROOF_OTHER },
+	{ "same id, no start was ever known",
+	  { .answered = YES, .is_named = YES, .started_at = 6 },
+	  PROOF_SAME },
+	{ "neither id nor start",
+	  { .answered = YES, .sent_to = 5, .listed = 5 },
+	  PROOF_UNKNOWN },
+};
+
+START_TEST(proof_of_end_is_judged)
+{
+	enum proof_verdict verdict = proof_judge(&proof_cases[_i].evidence);
+
+	ck_assert_msg(verdict == proof_cases[_i].verdict,
+		      "%s: verdict %d, expected %d", proof_cases[_i].what,
+		      verdict, proof_cases[_i].verdict);
+}
+END_TEST
+
 /* A stream whose run was stopped has run. */
 START_TEST(px_continues_moved_run)
 {
@@ -2434,6 +2491,8 @@
 	tcase_add_test(tcase, px_continues_moved_run);
 	tcase_add_loop_test(tcase, px_chooses_action_after_attempt, 0,
 			    G_N_ELEMENTS(px_cases));
+	tcase_add_loop_test(tcase, proof_of_end_is_judged, 0,
+			    G_N_ELEMENTS(proof_cases));
 	tcase_add_loop_test(tcase, px_chooses_action_at_timeout, 0,
 			    G_N_ELEMENTS(px_timeout_cases));
 	tcase_add_loop_test(tcase, px_goes_on_when_declined, 0,
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -105,6 +105,7 @@
 	X(reuses, "requests on a kept-alive connection")                       \
 	X(strays, "responses to other requests, dropped")                      \
 	X(dirty, "connections closed because of unexpected bytes")             \
+	X(confirmed_ends, "responses without a length, the worker lives on")   \
 	X(unconfirmed_ends, "responses without a length, the worker gone")     \
 	X(workers_bad, "worker entries that could not be decoded")             \
 	X(duty_terms, "times this host became leader of the duties")           \
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -9,10 +9,6 @@
 #define TIMEOUT_CHECK_MS 250	/* period of the check of timeouts */
 #define HEAD_MAX 65536		/* bytes of a response's head */
 #define KEEP_ALIVE_FRACTION 0.6 /* of the peer's Keep-Alive timeout */
-/* How long a server must keep the connection that confirms the end of a
- * response: a process that ends closes its connections and listening sockets in
- * any order. */
-#define CONFIRM_MS 20
 
 /* One connection. */
 struct hc_conn {
@@ -20,15 +16,12 @@
 	struct tcp *tcp;
 	struct hc_request *request; /* NULL: idle */
 	bool connected;
-	clk_ms since; /* when the attempt began, when it became idle, or when it
-		       * was established to confirm the end of a response */
+	clk_ms since; /* when the attempt began, or when it became idle */
 	clk_ms idle_timeout; /* after the last response */
 	size_t seen;	     /* bytes of an incomplete head already parsed */
 	bool in_body;
 	bool mismatched; /* current response has a wrong id */
 	bool close_after;
-	/* Its request's response has ended with the connection before. */
-	bool confirms_end;
 	bool closed; /* freed at the next check of timeouts */
 	struct h1_body body;
 };
@@ -54,8 +47,6 @@
 struct hc {
 	uv_loop_t *loop;
 	struct due_timer timeout_timer;
-	struct due_timer confirm_timer;
-	GQueue confirming;     /* struct hc_conn, the first to be due first */
 	uv_idle_t failed_idle; /* active while failed_requests is not empty */
 	struct hc_options options;
 	struct hc_counters counters;
@@ -89,7 +80,6 @@
 	conn->closed = true;
 	g_ptr_array_remove(peer->idle, conn);
 	g_ptr_array_remove_fast(peer->conns, conn);
-	g_queue_remove(&peer->hc->confirming, conn);
 	tcp_close(conn->tcp);
 	g_ptr_array_add(peer->hc->closed_conns, conn);
 	peer_free_if_unused(peer);
@@ -127,10 +117,6 @@
 		conn_close(conn);
 		return;
 	}
-	if (conn->confirms_end) {
-		conn->peer->hc->counters.unconfirmed_ends++;
-		result = HC_TRUNCATED;
-	}
 	request_end(conn->request, conn->request->sent ? result : HC_UNSENT,
 		    false);
 }
@@ -268,14 +254,6 @@
 		}
 		return false;
 	}
-	if (conn->confirms_end) {
-		/* No request was sent on it; the server lives. */
-		if (conn->tcp->in->len > 0) {
-			conn->peer->hc->counters.unexpected_data++;
-			request_end(conn->request, HC_COMPLETE, false);
-		}
-		return false;
-	}
 	if (conn->in_body)
 		return conn_read_body(conn);
 	return conn->tcp->in->len > 0 && conn_read_head(conn);
@@ -293,15 +271,13 @@
 	conn_read(ctx);
 }
 
-static void request_confirm_end(struct hc_request *request);
-
 static void conn_on_end(void *ctx, bool clean)
 {
 	struct hc_conn *conn = ctx;
 
 	if (conn->request && clean && conn->in_body && !conn->mismatched &&
 	    conn->body.framing == H1_UNTIL_CLOSE)
-		request_confirm_end(conn->request);
+		request_end(conn->request, HC_CLOSED, false);
 	else
 		conn_fail(conn, HC_TRUNCATED);
 }
@@ -325,18 +301,6 @@
 	g_string_free(out, TRUE);
 }
 
-/* The server has accepted a connection after the end of a response, which is
- * confirmed unless the server ends the connection at once. */
-static void conn_await_end(struct hc_conn *conn)
-{
-	struct hc *hc = conn->peer->hc;
-
-	conn->since = loop_now(hc);
-	g_queue_push_tail(&hc->confirming, conn);
-	if (!due_is_active(&hc->confirm_timer))
-		due_start(&hc->confirm_timer, CONFIRM_MS, 0);
-}
-
 static void conn_on_connect(void *ctx, bool ok)
 {
 	struct hc_conn *conn = ctx;
@@ -349,10 +313,6 @@
 	conn->connected = true;
 	tcp_set_peer_timeout(conn->tcp, conn->peer->hc->options.peer_timeout);
 	tcp_read_start(conn->tcp);
-	if (conn->confirms_end) {
-		conn_await_end(conn);
-		return;
-	}
 	if (spec->may_send && !spec->may_send(spec->ctx)) {
 		request_end(conn->request, HC_WITHDRAWN, false);
 		return;
@@ -418,24 +378,6 @@
 	request_free(request);
 }
 
-/* The response of a request has ended with its connection: connects again to
- * find out whether the server lives. */
-static void request_confirm_end(struct hc_request *request)
-{
-	struct hc_conn *ended = request->conn;
-	struct hc_conn *conn = peer_connect(ended->peer);
-
-	if (!conn) {
-		conn_fail(ended, HC_TRUNCATED);
-		return;
-	}
-	conn->confirms_end = true;
-	request->conn = conn;
-	conn->request = request;
-	ended->request = NULL;
-	conn_close(ended);
-}
-
 struct hc_request *hc_request_start(struct hc_peer *peer,
 				    const struct hc_request_spec *spec)
 {
@@ -509,22 +451,6 @@
 	}
 }
 
-static void on_confirm(void *ctx)
-{
-	struct hc *hc = ctx;
-	struct hc_conn *conn;
-
-	while ((conn = g_queue_peek_head(&hc->confirming))) {
-		clk_ms due = conn->since + CONFIRM_MS;
-
-		if (due > loop_now(hc)) {
-			due_start(&hc->confirm_timer, due - loop_now(hc), 0);
-			return;
-		}
-		request_end(conn->request, HC_COMPLETE, false);
-	}
-}
-
 static void on_timeout_check(void *ctx)
 {
 	struct hc *hc = ctx;
@@ -545,10 +471,8 @@
 	hc->peers = g_ptr_array_new();
 	hc->closed_conns = g_ptr_array_new_with_free_func(g_free);
 	g_queue_init(&hc->failed_requests);
-	g_queue_init(&hc->confirming);
 	due_init(loop, &hc->timeout_timer, on_timeout_check, hc);
 	due_start(&hc->timeout_timer, TIMEOUT_CHECK_MS, TIMEOUT_CHECK_MS);
-	due_init(loop, &hc->confirm_timer, on_confirm, hc);
 	uv_idle_init(loop, &hc->failed_idle);
 	hc->failed_idle.data = hc;
 	return hc;
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -7,8 +7,8 @@
  * unexpected bytes arrive is closed and not reused.
  *
  * A response without a length ends with its connection, which the kernel also
- * closes in order when the server's process dies. Such a response is complete
- * only if the server then accepts a new connection and does not end it at once.
+ * closes in order when the server's process dies: that such a response is whole
+ * is for others to find out.
  */
 #ifndef WIRE_HC_H
 #define WIRE_HC_H
@@ -22,6 +22,8 @@
 /* How a request ended. */
 enum hc_result {
 	HC_COMPLETE,  /* the whole response was received */
+	HC_CLOSED,    /* the connection was closed in order, which is the only
+		       * end that the response has; it may be truncated */
 	HC_UNSENT,    /* no byte of the request was sent */
 	HC_WITHDRAWN, /* the same, as may_send has denied it */
 	HC_TRUNCATED, /* connection ended early; the request may have run */
@@ -61,7 +63,6 @@
 	uint64_t reuses;	       /* requests on a pooled connection */
 	uint64_t mismatched_responses; /* dropped: wrong id */
 	uint64_t unexpected_data;      /* connections closed for it */
-	uint64_t unconfirmed_ends;     /* of responses without a length */
 };
 
 struct hc *hc_create(uv_loop_t *loop, const struct hc_options *options);
