Health checks: one client for a worker's health and for who it is

platform/identity.c and platform/health.c were the same call with other fields. A health check names the worker that it is for, so that a rejection, which has no id, can only be its own.

--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -1,13 +1,13 @@
 /* Asks the worker of a response that has ended with its connection. */
 #include "confirm.h"
 
-#include "../platform/identity.h"
+#include "../platform/health.h"
 #include "../wire/due.h"
 
 #define TIMEOUT_MS 1000
 /* A kept connection may have been closed as idle, and a report may not say when
  * the process started. */
-#define CALLS_MAX 3
+#define CHECKS_MAX 3
 
 struct confirm {
 	uv_loop_t *loop;
@@ -15,8 +15,8 @@
 	char *address;
 	char *worker;
 	char *health_path;
-	struct identity_call *call;
-	unsigned calls;
+	struct health_check *check;
+	unsigned checks;
 	bool asks_report;
 	clk_ms started_at;
 	struct due_timer timer;
@@ -39,9 +39,9 @@
 
 void confirm_cancel(struct confirm *confirm)
 {
-	if (confirm->call)
-		identity_cancel(confirm->call);
-	confirm->call = NULL;
+	if (confirm->check)
+		health_check_cancel(confirm->check);
+	confirm->check = NULL;
 	due_close(&confirm->timer, on_timer_closed);
 }
 
@@ -61,24 +61,24 @@
 
 static void confirm_ask(struct confirm *confirm);
 
-static void on_identity(void *ctx, const struct identity *identity)
+static void on_checked(void *ctx, const struct health_answer *answer)
 {
 	struct confirm *confirm = ctx;
 	struct proof_evidence evidence = {
-		.answered = identity->answered,
-		.is_named = identity->is_named && !confirm->asks_report,
-		.is_other = identity->is_other,
-		.started_at = identity->started_at,
+		.answered = answer->reached,
+		.is_named = answer->is_named,
+		.is_other = answer->is_other,
+		.started_at = answer->started_at,
 		.sent_to = confirm->spec.sent_to,
 		.listed = confirm->spec.listed(confirm->spec.ctx),
 	};
 	enum proof_verdict verdict = proof_judge(&evidence);
 
-	confirm->call = NULL;
+	confirm->check = NULL;
 	if (verdict == PROOF_UNKNOWN)
 		confirm->asks_report = false;
 	if ((verdict == PROOF_UNKNOWN || verdict == PROOF_SILENT) &&
-	    confirm->calls < CALLS_MAX)
+	    confirm->checks < CHECKS_MAX)
 		confirm_ask(confirm);
 	else
 		confirm_end(confirm, verdict);
@@ -86,13 +86,13 @@
 
 static void confirm_ask(struct confirm *confirm)
 {
-	confirm->calls++;
-	confirm->call = identity_ask(
-		confirm->spec.peer, confirm->address, confirm->worker,
+	confirm->checks++;
+	confirm->check = health_check_start(
+		confirm->spec.peer, confirm->address,
 		confirm->asks_report || !confirm->health_path[0]
 			? NULL
 			: confirm->health_path,
-		on_identity, confirm);
+		confirm->worker, on_checked, confirm);
 }
 
 struct confirm *confirm_start(uv_loop_t *loop, const struct confirm_spec *spec)
--- a/daemon/proxyd-probe.c
+++ b/daemon/proxyd-probe.c
@@ -31,18 +31,18 @@
 	g_free(probe);
 }
 
-static void on_checked(void *ctx, const struct head_response *head,
-		       bool reached)
+static void on_checked(void *ctx, const struct health_answer *answer)
 {
 	struct probe *probe = ctx;
 
 	probe->check = NULL;
-	if (reached)
+	if (answer->reached)
 		reach_on_data(probe->proxyd, probe->worker);
 	else
 		reach_on_failure(probe->proxyd, probe->worker);
-	if (head && !probe->worker->removed)
-		permit_on_response(probe->proxyd, probe->worker, head,
+	/* Another process may have the worker's address. */
+	if (answer->is_named && !probe->worker->removed)
+		permit_on_response(probe->proxyd, probe->worker, &answer->head,
 				   probe->sent_at);
 }
 
