Streams: one that is resumed after its last event ends whole

Cause: an empty answer without a length counted as cut off whatever it was asked for. Before the process was asked, nothing told a sound one from a worker that died.

Change: it is whole if the process that sent it lives on and the last attempt had not ended inside an event, after which there must be more.

test_proxy_resumed_stream_has_no_more_events failed before; the row of test_proxy_stream_without_length whose first worker ends inside an event and whose second one sends nothing is still broken off.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -355,11 +355,15 @@
 }
 
 /* Whether a stream that has ended is whole. One without a length and without
- * any event may have been cut off. */
+ * any event may have been cut off, unless it was to go on where the last
+ * attempt may have ended. */
 static bool stream_is_whole(const struct xfer *xfer)
 {
+	bool may_be_empty = xfer->px.response_started && !xfer->sse.was_partial;
+
 	return sse_is_complete(&xfer->sse) &&
-	       (!xfer->response.ends_with_connection || xfer->has_output);
+	       (!xfer->response.ends_with_connection || xfer->has_output ||
+		may_be_empty);
 }
 
 /* Returns the start of the process that is listed with the worker's id. */
--- a/decide/sse.c
+++ b/decide/sse.c
@@ -22,6 +22,7 @@
 
 void sse_discard_partial(struct sse *sse)
 {
+	sse->was_partial |= sse->buf->len > 0;
 	g_string_truncate(sse->buf, 0);
 	sse->scanned = 0;
 }
@@ -57,6 +58,7 @@
 		sse->last_id = id;
 	}
 	sse->events++;
+	sse->was_partial = false;
 	g_string_append_len(out, ptr, (gssize)len);
 	return true;
 }
--- a/decide/sse.h
+++ b/decide/sse.h
@@ -13,10 +13,11 @@
 #include <stdint.h>
 
 struct sse {
-	GString *buf;	 /* bytes of an incomplete event */
-	size_t scanned;	 /* bytes of buf known to contain no end of an event */
-	int64_t last_id; /* of the last relayed event; -1: none */
-	uint64_t events; /* relayed events */
+	GString *buf;	  /* bytes of an incomplete event */
+	size_t scanned;	  /* bytes of buf known to contain no end of an event */
+	int64_t last_id;  /* of the last relayed event; -1: none */
+	uint64_t events;  /* relayed events */
+	bool was_partial; /* part of the next one has come, and was discarded */
 };
 
 void sse_init(struct sse *sse, int64_t last_id);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1458,6 +1458,26 @@
                                    ENDED_PROCESSES[4:])])
 
 
+async def test_proxy_resumed_stream_has_no_more_events(net):
+    """Guards against a stream that is broken off after its last event: its worker
+    dies before the end, and the next one has nothing to add."""
+    async with Rig(net) as rig:
+        workers = rig.workers_of("llm")
+        for worker in workers:
+            worker.unframed, worker.event_gap_s = "paced", 0.5
+            worker.event_count = 2
+        caller = rig.hosts[0].caller()
+        ident = await caller.send("POST", "/s/x", b"b")
+        await rig.wait_until("the run", lambda: rig.executed_by(ident))
+        first = [w for w in workers if ident in w.executed][0]
+        await asyncio.sleep(0.75)
+        first.end_process()
+        got = await caller.receive()
+        assert got.status == 200 and got.complete, (got.status, got.body)
+        assert got.event_ids() == [0, 1], got.body
+        assert len(rig.executed_by(ident)) == 2
+
+
 FLOODS = [
     # where bytes come without end, path, pool
     ("head", "/i/x", "api"), ("body", "/i/x", "api"),
