--- a/tests/platform.c
+++ b/tests/platform.c
@@ -36,6 +36,9 @@
 	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
 	  "\"state\":\"ready\",\"slots\":\"4\"}",
 	  false, false, false },
+	{ "{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+	  "\"state\":\"ready\",\"slots\":4,\"born\":\"5\"}",
+	  false, false, false },
 	{ "{\"service\":", false, false, false },
 	{ "\xff\xfe", false, false, false },
 	{ "[]", false, false, false },
