Responses without a length: what a review of their proof found

An open connection that had carried a response before this one proves the process, too, and costs nothing. A check that is rejected or not answered is repeated.

--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -4,10 +4,14 @@
 #include "../platform/health.h"
 #include "../wire/due.h"
 
-#define TIMEOUT_MS 1000
-/* A kept connection may have been closed as idle, and a report may not say when
- * the process started. */
-#define CHECKS_MAX 3
+/* A process that ends may close its connections one after the other, and answer
+ * meanwhile. */
+#define SETTLE_MS 20
+/* Until a worker is asked again that has not answered, or rejected the check
+ * for want of room. */
+#define PERIOD_MS 200
+/* How long a process that says too little is asked again. */
+#define UNKNOWN_MS 1000
 
 struct confirm {
 	uv_loop_t *loop;
@@ -15,9 +19,10 @@
 	char *address;
 	char *worker;
 	char *health_path;
-	struct health_check *check;
-	unsigned checks;
-	bool asks_report;
+	struct health_check *check; /* NULL: none is in progress */
+	bool is_mute;	      /* the process does not say when it started */
+	bool has_connections; /* see struct proof_evidence */
+	struct confirm_result result;
 	clk_ms started_at;
 	struct due_timer timer;
 };
@@ -45,54 +50,93 @@
 	due_close(&confirm->timer, on_timer_closed);
 }
 
-static void confirm_end(struct confirm *confirm, enum proof_verdict verdict)
+static void confirm_end(struct confirm *confirm)
 {
-	struct confirm_spec spec = confirm->spec;
-	clk_ms took = loop_now(confirm) - confirm->started_at;
+	const struct confirm_spec spec = confirm->spec;
+	struct confirm_result result = confirm->result;
 
+	result.took = loop_now(confirm) - confirm->started_at;
 	confirm_cancel(confirm);
-	spec.fn(spec.ctx, verdict, took);
+	spec.fn(spec.ctx, &result);
 }
 
-static void on_timeout(void *ctx)
+/* Whether the process is asked when it started, which it alone can say. */
+static bool asks_start(const struct confirm *confirm)
 {
-	confirm_end(ctx, PROOF_SILENT);
+	return confirm->spec.says_start && !confirm->is_mute;
 }
 
-static void confirm_ask(struct confirm *confirm);
-
-static void on_checked(void *ctx, const struct health_answer *answer)
+/* Judges what is known, with an answer or none; returns whether that decides.
+ */
+static bool confirm_judge(struct confirm *confirm,
+			  const struct health_answer *answer)
 {
-	struct confirm *confirm = ctx;
+	const struct confirm_spec *spec = &confirm->spec;
 	struct proof_evidence evidence = {
+		.sent_start = spec->sent_start,
+		.listed_start = spec->listed_start(spec->ctx),
+		.said_start = answer->started_at,
 		.answered = answer->reached,
 		.is_named = answer->is_named,
 		.is_other = answer->is_other,
-		.started_at = answer->started_at,
-		.sent_to = confirm->spec.sent_to,
-		.listed = confirm->spec.listed(confirm->spec.ctx),
+		.says_start = spec->says_start,
+		.had_connections = spec->had_connections,
+		.has_connections = confirm->has_connections,
 	};
-	enum proof_verdict verdict = proof_judge(&evidence);
+
+	confirm->result.verdict = proof_judge(&evidence);
+	return confirm->result.verdict == PROOF_SAME ||
+	       confirm->result.verdict == PROOF_OTHER;
+}
+
+static void confirm_ask(struct confirm *confirm);
+
+static void on_checked(void *ctx, const struct health_answer *answer)
+{
+	struct confirm *confirm = ctx;
 
 	confirm->check = NULL;
-	if (verdict == PROOF_UNKNOWN)
-		confirm->asks_report = false;
-	if ((verdict == PROOF_UNKNOWN || verdict == PROOF_SILENT) &&
-	    confirm->checks < CHECKS_MAX)
-		confirm_ask(confirm);
-	else
-		confirm_end(confirm, verdict);
+	confirm->result.is_refused = answer->is_refused;
+	if (confirm_judge(confirm, answer) || answer->is_refused) {
+		confirm_end(confirm);
+		return;
+	}
+	if (!asks_start(confirm) || confirm->spec.sent_start ||
+	    answer->started_at || !answer->reached)
+		return;
+	confirm->is_mute = true;
+	confirm_ask(confirm);
 }
 
 static void confirm_ask(struct confirm *confirm)
 {
-	confirm->checks++;
-	confirm->check = health_check_start(
-		confirm->spec.peer, confirm->address,
-		confirm->asks_report || !confirm->health_path[0]
-			? NULL
-			: confirm->health_path,
-		confirm->worker, on_checked, confirm);
+	const char *path = asks_start(confirm) || !confirm->health_path[0]
+				   ? NULL
+				   : confirm->health_path;
+
+	confirm->result.checks++;
+	confirm->check =
+		health_check_start(confirm->spec.peer, confirm->address, path,
+				   confirm->worker, on_checked, confirm);
+}
+
+static void on_timer(void *ctx)
+{
+	static const struct health_answer none;
+	struct confirm *confirm = ctx;
+	const struct confirm_spec *spec = &confirm->spec;
+	clk_ms age = loop_now(confirm) - confirm->started_at;
+	bool is_over = age >= spec->timeout ||
+		       (age >= UNKNOWN_MS && !confirm->check &&
+			confirm->result.verdict == PROOF_UNKNOWN);
+
+	/* A check may use the last of them. */
+	confirm->has_connections =
+		hc_peer_has_older(spec->peer, spec->began_at);
+	if (is_over || (!asks_start(confirm) && confirm_judge(confirm, &none)))
+		confirm_end(confirm);
+	else if (!confirm->check)
+		confirm_ask(confirm);
 }
 
 struct confirm *confirm_start(uv_loop_t *loop, const struct confirm_spec *spec)
@@ -104,10 +148,8 @@
 	confirm->address = g_strdup(spec->address);
 	confirm->worker = g_strdup(spec->worker);
 	confirm->health_path = g_strdup(spec->health_path);
-	confirm->asks_report = spec->reports && spec->sent_to;
 	confirm->started_at = loop_now(confirm);
-	due_init(loop, &confirm->timer, on_timeout, confirm);
-	due_start(&confirm->timer, TIMEOUT_MS, 0);
-	confirm_ask(confirm);
+	due_init(loop, &confirm->timer, on_timer, confirm);
+	due_start(&confirm->timer, SETTLE_MS, PERIOD_MS);
 	return confirm;
 }
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -14,6 +14,9 @@
 /* How long an upstream counts as sound after it has sent something. */
 #define SOUND_MS 500
 #define SILENCE_SHARE 0.5 /* of the time that an idempotent request has */
+/* How long the worker of a stream that could go on elsewhere is asked whether
+ * it has ended. */
+#define CONFIRM_MS 1000
 
 /* Frees the response of the attempt. */
 static void response_clear(struct xfer_response *response)
@@ -275,6 +278,11 @@
 	response->headers = head_response_build(head);
 	response->body = g_string_sized_new(0);
 	response->ends_with_connection = head->framing == H1_UNTIL_CLOSE;
+	if (response->ends_with_connection) {
+		response->began_at = now;
+		response->had_connections =
+			hc_peer_has_older(xfer->worker->http_peer, now);
+	}
 	response->is_event_stream =
 		head->status / 100 == 2 &&
 		(xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE);
@@ -376,27 +384,47 @@
 	return worker ? worker->entry.started_at : 0;
 }
 
-static void on_confirmed(void *ctx, enum proof_verdict verdict, clk_ms took)
+/* The worker's process has ended its connections. */
+static void process_ended(struct xfer *xfer)
+{
+	reach_on_failure(xfer->proxyd, xfer->worker);
+	fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
+	guard_on_cut(xfer);
+}
+
+static void on_confirmed(void *ctx, const struct confirm_result *result)
 {
 	static const char *const names[] = {
 		[PROOF_SILENT] = "no_answer",
-		[PROOF_OTHER] = "other_process",
 		[PROOF_UNKNOWN] = "unknown_process",
+		[PROOF_OTHER] = "other_process",
 		[PROOF_SAME] = "same_process",
 	};
 	struct xfer *xfer = ctx;
-	bool same = verdict == PROOF_SAME;
+	bool same = result->verdict == PROOF_SAME;
 
 	xfer->confirm = NULL;
+	for (unsigned i = 0; i < result->checks; i++)
+		proxyd_count(xfer->proxyd, CTR_worker_probes);
 	proxyd_count(xfer->proxyd,
 		     same ? CTR_confirmed_ends : CTR_unconfirmed_ends);
 	slog(SLOG_INFO, "end",
-	     "id=%s worker=%s started_at=%" G_GINT64_FORMAT
-	     " events=%" G_GUINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
-	     " outcome=%s",
-	     xfer->id, xfer->worker->entry.id, xfer->worker_started_at,
-	     xfer->sse.events, took, names[verdict]);
-	attempt_judge(xfer, same ? HC_COMPLETE : HC_TRUNCATED);
+	     "id=%s worker=%s start=%" G_GINT64_FORMAT
+	     " events=%" G_GUINT64_FORMAT
+	     " checks=%u refused=%d took_ms=%" G_GINT64_FORMAT " outcome=%s",
+	     xfer->id, xfer->worker->entry.id, xfer->worker_start,
+	     xfer->sse.events, result->checks, result->is_refused, result->took,
+	     names[result->verdict]);
+	if (same) {
+		attempt_judge(xfer, HC_COMPLETE);
+		return;
+	}
+	/* A worker that only does not answer may be busy. */
+	if (result->verdict == PROOF_OTHER || result->is_refused)
+		process_ended(xfer);
+	if (xfer->px.kind == PX_AT_MOST_ONCE)
+		usage_count(xfer, 0);
+	attempt_end(xfer, PX_END_INCOMPLETE, "end_not_proved");
 }
 
 /* Asks the worker whether the end of its connection is that of its response. */
@@ -408,14 +436,18 @@
 		.address = worker->entry.address,
 		.worker = worker->entry.id,
 		.health_path = xfer->pool->health_path,
-		.reports = xfer->pool->engine,
-		.sent_to = xfer->worker_started_at,
-		.listed = listed_start,
+		.says_start = xfer->pool->engine,
+		.sent_start = xfer->worker_start,
+		.had_connections = xfer->response.had_connections,
+		.began_at = xfer->response.began_at,
+		/* Others have no alternative, or none that is better. */
+		.timeout =
+			xfer->px.kind == PX_RESUMABLE ? CONFIRM_MS : CLK_NEVER,
+		.listed_start = listed_start,
 		.fn = on_confirmed,
 		.ctx = xfer,
 	};
 
-	proxyd_count(xfer->proxyd, CTR_worker_probes);
 	xfer->confirm = confirm_start(&xfer->proxyd->loop, &spec);
 	xfer_timer_arm(xfer);
 }
@@ -453,11 +485,8 @@
 		return;
 	case HC_TRUNCATED:
 	case HC_MALFORMED:
-		if (result == HC_TRUNCATED) {
-			reach_on_failure(xfer->proxyd, xfer->worker);
-			fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
-			guard_on_cut(xfer);
-		}
+		if (result == HC_TRUNCATED)
+			process_ended(xfer);
 		if (xfer->px.kind == PX_AT_MOST_ONCE)
 			usage_count(xfer, 0);
 		attempt_end(xfer, PX_END_INCOMPLETE,
@@ -644,7 +673,7 @@
 	if (listed_at)
 		hist_add(&proxyd->list_ages, now - listed_at);
 	xfer->worker = fleet_worker_ref(worker);
-	xfer->worker_started_at = worker->entry.started_at;
+	xfer->worker_start = worker->entry.started_at;
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
 	xfer->has_output = false;
--- a/daemon/proxyd-ends.c
+++ b/daemon/proxyd-ends.c
@@ -11,6 +11,7 @@
 } causes[] = {
 	{ "cut_off", CTR_unanswered_cut },
 	{ "event_cut_off", CTR_unanswered_cut },
+	{ "end_not_proved", CTR_unanswered_cut },
 	{ "answer_too_large", CTR_unanswered_bad },
 	{ "gap_in_events", CTR_unanswered_bad },
 	{ "no_response", CTR_unanswered_bad },
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -18,6 +18,10 @@
 	GString *body;	      /* of a response that is relayed when complete */
 	bool is_event_stream; /* its events are relayed as they arrive */
 	bool ends_with_connection; /* it has no other end */
+	/* Of one that does: when its head came, and whether there were
+	 * connections then that had carried another response. */
+	clk_ms began_at;
+	bool had_connections;
 };
 
 /* Move of a stream away from a worker that is leaving. */
@@ -58,9 +62,9 @@
 	struct sse sse;
 	struct fleet_request fleet_request;
 	struct fleet_worker *worker; /* of the current attempt, or NULL */
-	/* Start of its process as listed when the attempt was sent; 0: not
-	 * known. */
-	int64_t worker_started_at;
+	/* Start of its process as listed when the attempt was sent, in ms of
+	 * its wall clock; 0: not known. */
+	int64_t worker_start;
 	struct hc_request *attempt;
 	struct hop_call *hop; /* the request at another host, or NULL */
 	/* The attempt's response has ended with its connection; NULL unless
--- a/decide/proof.c
+++ b/decide/proof.c
@@ -1,21 +1,25 @@
 /* Whether a response that ended with its connection is whole. */
 #include "proof.h"
 
-/* Whether two starts are known, and of different processes. */
-static bool differ(int64_t one, int64_t other)
-{
-	return one && other && one != other;
-}
-
 enum proof_verdict proof_judge(const struct proof_evidence *evidence)
 {
-	if (!evidence->answered)
-		return PROOF_SILENT;
-	if (evidence->is_other ||
-	    differ(evidence->started_at, evidence->sent_to) ||
-	    differ(evidence->listed, evidence->sent_to))
+	bool needs_start = evidence->says_start &&
+			   (evidence->sent_start || evidence->said_start);
+
+	if (evidence->is_other)
+		return PROOF_OTHER;
+	if (evidence->said_start && evidence->sent_start)
+		return evidence->said_start == evidence->sent_start
+			       ? PROOF_SAME
+			       : PROOF_OTHER;
+	if (evidence->listed_start &&
+	    evidence->listed_start != evidence->sent_start)
 		return PROOF_OTHER;
-	if ((evidence->started_at && evidence->sent_to) || evidence->is_named)
+	if (evidence->has_connections)
 		return PROOF_SAME;
-	return PROOF_UNKNOWN;
+	if (evidence->had_connections)
+		return PROOF_OTHER;
+	if (!evidence->answered)
+		return PROOF_SILENT;
+	return evidence->is_named && !needs_start ? PROOF_SAME : PROOF_UNKNOWN;
 }
--- a/decide/proof.h
+++ b/decide/proof.h
@@ -11,27 +11,30 @@
 #include <stdint.h>
 
 /* What is known of the process at the worker's address once the response has
- * ended. Starts are in ms of the wall clock of the worker's machine; 0: not
- * known. */
+ * ended. Starts of processes are in ms of the wall clock of the worker's
+ * machine; 0: not known. */
 struct proof_evidence {
-	bool answered;	    /* a process there has answered */
-	bool is_named;	    /* it has the worker's id, by its answer */
-	bool is_other;	    /* it has another id */
-	int64_t started_at; /* it says when it started */
-	int64_t sent_to; /* when that one started that the request was sent to
-			  */
-	int64_t listed;	 /* when the one started that is listed with the id */
+	int64_t sent_start;   /* of the one that the request was sent to */
+	int64_t listed_start; /* of the one that is listed with the id now */
+	int64_t said_start;   /* of the one that answers, as it says */
+	bool answered;	      /* a process has answered */
+	bool is_named;	      /* it has the worker's id, as it says */
+	bool is_other;	      /* it has another id */
+	bool says_start;      /* its kind of worker says when it started */
+	/* Connections that had carried a response before this one began. */
+	bool had_connections; /* there were some then */
+	bool has_connections; /* one of them is still open */
 };
 
 enum proof_verdict {
-	PROOF_SILENT,  /* nothing has answered */
-	PROOF_OTHER,   /* another process has */
+	PROOF_SILENT,  /* no process has answered */
 	PROOF_UNKNOWN, /* some process has, which may be another one */
+	PROOF_OTHER,   /* the process has ended */
 	PROOF_SAME,    /* the process still runs: the response is whole */
 };
 
-/* A process is identified by its start or, where that is not said, by its id.
- */
+/* A process is identified by its start, by its connections or, of a worker that
+ * can't say when it started, by its id. */
 enum proof_verdict proof_judge(const struct proof_evidence *evidence);
 
 #endif
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1393,7 +1393,7 @@
             worker.unframed, worker.event_gap_s = "paced", 0.1
             vars(worker).update(worker_fields)
             rig.list_worker(worker)
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(CONFIG_BOUND_S)
         caller = rig.hosts[0].caller()
         ident = await caller.send("POST", path, b"b")
         await rig.wait_until("the run", lambda: rig.executed_by(ident))
@@ -3655,37 +3655,39 @@
 NET = int(os.environ.get("RW_NET", 0))
 
 
-def run_one(name, net):
+def run_one(test, net):
     try:
-        asyncio.run(asyncio.wait_for(globals()[name](net), TEST_LIMIT_S))
-        return name, None
+        asyncio.run(asyncio.wait_for(test(net), TEST_LIMIT_S))
+        return test.__name__, None
     except BaseException:  # any failure is reported
-        return name, traceback.format_exc()
+        return test.__name__, traceback.format_exc()
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+def main(label, names, first_net):
+    """Runs the tests among a module's names, each in a network of its own."""
+    parser = argparse.ArgumentParser(description=names["__doc__"])
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("names", nargs="*")
     options = parser.parse_args()
-    tests = [n for n in globals() if n.startswith("test_")]
+    tests = [n for n in names if n.startswith("test_")]
     unknown = [n for n in options.names if n not in tests]
     if unknown:
         parser.error("no such test: " + ", ".join(unknown))
     failed = 0
-    names = options.names or tests
+    chosen = options.names or tests
     with concurrent.futures.ProcessPoolExecutor(options.jobs) as pool:
-        jobs = [pool.submit(run_one, name, NET + 1 + tests.index(name))
-                for name in names]
+        jobs = [pool.submit(run_one, names[name],
+                            NET + first_net + tests.index(name))
+                for name in chosen]
         for job in concurrent.futures.as_completed(jobs):
             name, error = job.result()
             print("%s %s" % ("FAILED" if error else "ok", name), flush=True)
             if error:
                 failed += 1
                 print(error, flush=True)
-    print("proxy: %d passed, %d failed" % (len(names) - failed, failed))
+    print("%s: %d passed, %d failed" % (label, len(chosen) - failed, failed))
     return 1 if failed else 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main("proxy", globals(), 1))
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -124,6 +124,7 @@
 process_tests procs
 grep -E '^(chaos|settings in|a killed)' "$LOG/procs"
 process_tests proxy
+process_tests proxyends
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 beside() {
 	commit=$1
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -106,7 +106,7 @@
 	X(strays, "responses to other requests, dropped")                      \
 	X(dirty, "connections closed because of unexpected bytes")             \
 	X(confirmed_ends, "responses without a length, the worker lives on")   \
-	X(unconfirmed_ends, "responses without a length, the worker gone")     \
+	X(unconfirmed_ends, "responses without a length, not known whole")     \
 	X(workers_bad, "worker entries that could not be decoded")             \
 	X(duty_terms, "times this host became leader of the duties")           \
 	X(usage_reports, "usage reports that were accepted")                   \
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -17,6 +17,7 @@
 	struct hc_request *request; /* NULL: idle */
 	bool connected;
 	clk_ms since; /* when the attempt began, or when it became idle */
+	clk_ms responded_at; /* when the first response ended; 0: none has */
 	clk_ms idle_timeout; /* after the last response */
 	size_t seen;	     /* bytes of an incomplete head already parsed */
 	bool in_body;
@@ -101,8 +102,10 @@
 
 	conn->request = NULL;
 	request_free(request);
-	if (keep && !conn->peer->removed) {
+	if (keep && !spec.is_last && !conn->peer->removed) {
 		conn->since = loop_now(conn->peer->hc);
+		if (!conn->responded_at)
+			conn->responded_at = conn->since;
 		g_ptr_array_add(conn->peer->idle, conn);
 	} else {
 		conn_close(conn);
@@ -511,6 +514,18 @@
 	return peer->idle->len > 0;
 }
 
+bool hc_peer_has_older(const struct hc_peer *peer, clk_ms time)
+{
+	for (guint i = 0; i < peer->conns->len; i++) {
+		const struct hc_conn *conn = g_ptr_array_index(peer->conns, i);
+
+		if (conn->responded_at && conn->responded_at <= time &&
+		    !tcp_peer_closed(conn->tcp))
+			return true;
+	}
+	return false;
+}
+
 unsigned hc_peer_connections(const struct hc_peer *peer)
 {
 	return peer->conns->len;
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -47,6 +47,7 @@
 	GBytes *body;	/* or NULL */
 	const char *id; /* expected value of id_header; NULL: not checked */
 	bool is_head;	/* the method is HEAD */
+	bool is_last;	/* the connection is closed after the response */
 	/* Asked when a new connection is established, whether the request is
 	 * still to be sent; may be NULL. */
 	bool (*may_send)(void *ctx);
@@ -73,6 +74,8 @@
 void hc_peer_remove(struct hc_peer *peer);
 /* Whether the pool has an idle connection. */
 bool hc_peer_has_idle(const struct hc_peer *peer);
+/* Whether a connection is open that had carried a response before a time. */
+bool hc_peer_has_older(const struct hc_peer *peer, clk_ms time);
 /* Connections that are open or being opened. */
 unsigned hc_peer_connections(const struct hc_peer *peer);
 
