Entryd: an end that nothing proves is not a whole response

What callers saw: rw-entryd answered with 200 and half of a service's body when the service's response had no length and its connection was closed in order, and when it came in chunks and the process ended between two of them; calls that may not be repeated counted as run and answered. A stream that a host relayed got a last chunk, but no end event, when the other host was killed.

Cause: wire/http-client took every end that h2o reports for the end of a whole body. h2o reports one when a connection without a length is closed or reset, and also when one with chunks is closed before the last chunk.

Why it works: a response is whole by its length or its last chunk, which is read, while a close reads nothing. One that has neither is HTTP_UNFRAMED: whole only by an end of its own, as one JSON object or array of a service has. The rest is decided like a lost connection. The status of a refusal stays proof without its body. A response with both a length and chunks is cut off: h2o's decoder passed on the chunks' own lines as body.

The stand-ins can answer without a length, end early in order, or end their process in the middle of an answer.

--- a/daemon/entryd-attempt.c
+++ b/daemon/entryd-attempt.c
@@ -326,16 +326,29 @@
 	return job->not_run_status && status == job->not_run_status;
 }
 
+/* Returns whether the body is whole: by its framing, or as a JSON value that
+ * has an end of its own. */
+static bool service_body_is_whole(const struct attempt *attempt,
+				  enum http_result result)
+{
+	if (result != HTTP_UNFRAMED)
+		return result == HTTP_COMPLETE;
+	return http_fetch_is_json(attempt->fetch) &&
+	       json_is_whole(attempt->input->str, attempt->input->len);
+}
+
 static void service_on_done(void *ctx, enum http_result result, int status)
 {
 	struct attempt *attempt = ctx;
 	struct job *job = attempt->job;
 	struct entryd *entryd = job->entryd;
 	struct req *req = job->req;
-	bool not_run =
-		result == HTTP_CONNECT_FAILED ||
-		(result == HTTP_COMPLETE && status_is_not_run(job, status));
-	bool complete = result == HTTP_COMPLETE && !not_run && status < 500;
+	/* The status alone is the refusal. */
+	bool not_run = result == HTTP_CONNECT_FAILED ||
+		       (http_result_may_be_whole(result) &&
+			status_is_not_run(job, status));
+	bool complete = service_body_is_whole(attempt, result) && !not_run &&
+			status < 500;
 
 	attempt->fetch = NULL;
 	attempt_close(attempt, !complete);
--- a/daemon/entryd-load.c
+++ b/daemon/entryd-load.c
@@ -43,7 +43,7 @@
 	struct upstream *upstream = router_get(entryd->router, call->upstream);
 	struct json_object *obj = NULL;
 
-	if (result == HTTP_COMPLETE && status == 200)
+	if (http_result_may_be_whole(result) && status == 200)
 		obj = json_parse_object(call->body->str, call->body->len);
 	if (obj)
 		load_apply(entryd, upstream, obj);
--- a/daemon/entryd-probe.c
+++ b/daemon/entryd-probe.c
@@ -93,7 +93,7 @@
 	bool known = false;
 	bool ran = false;
 
-	if (result == HTTP_COMPLETE && status == 200)
+	if (http_result_may_be_whole(result) && status == 200)
 		obj = json_parse_object(probe->body->str, probe->body->len);
 	known = obj && json_object_object_get_ex(obj, "ran", NULL);
 	ran = known && json_flag(obj, "ran", 0);
@@ -110,7 +110,7 @@
 {
 	struct probe *probe = ctx;
 
-	probe->fenced = result == HTTP_COMPLETE && status == 200;
+	probe->fenced = http_result_may_be_whole(result) && status == 200;
 	if (probe->fenced)
 		probe_send(probe);
 	else
--- a/daemon/load-caller.c
+++ b/daemon/load-caller.c
@@ -296,7 +296,7 @@
 
 	(void)status;
 	request->fetch = NULL;
-	if (result == HTTP_COMPLETE && !is_stream)
+	if (http_result_may_be_whole(result) && !is_stream)
 		handle_body(request);
 	if (!request->has_outcome) {
 		request_retry(request, 0);
@@ -391,7 +391,7 @@
 	struct json_object *list = NULL;
 	GPtrArray *addresses;
 
-	if (result == HTTP_COMPLETE && status == 200)
+	if (http_result_may_be_whole(result) && status == 200)
 		obj = json_parse_object(request->buf->str, request->buf->len);
 	if (!obj || !json_object_object_get_ex(obj, "addresses", &list) ||
 	    json_object_array_length(list) == 0) {
--- a/fakes/engine.c
+++ b/fakes/engine.c
@@ -49,8 +49,10 @@
 	int64_t repeat; /* number of next chunks sent twice */
 	int64_t swap;	/* number of next chunks preceded by their successor */
 	int64_t cut;	/* number of next chunks replaced by a disconnect */
+	int64_t early;	/* number of next chunks replaced by an orderly end */
 	int64_t refuse; /* number of next completions refused with 503 */
 	bool hang;	/* no token is generated */
+	bool unframed;	/* streams have no length and no chunks */
 };
 
 struct engine {
@@ -191,6 +193,14 @@
 		reader_free(reader);
 		return false;
 	}
+	if (faults->early > 0) {
+		faults->early--;
+		g_string_free(out, TRUE);
+		http_request_on_disconnect(reader->request, NULL, NULL);
+		http_response_end(reader->request);
+		reader_free(reader);
+		return false;
+	}
 	if (faults->cross > 0) {
 		faults->cross--;
 		event_append(out, "another prompt", "another-attempt", n);
@@ -377,6 +387,8 @@
 	reader->no_stream = no_stream;
 	g_ptr_array_add(stream->readers, reader);
 	http_request_on_disconnect(request, reader_on_disconnect, reader);
+	if (!no_stream && stream->engine->faults.unframed)
+		http_response_omit_framing(request);
 	if (!no_stream)
 		http_response_start(request, 200, "text/event-stream");
 	reader_flush(reader);
@@ -582,6 +594,8 @@
 	faults->swap = json_int(body, "swap", faults->swap);
 	faults->cut = json_int(body, "cut", faults->cut);
 	faults->refuse = json_int(body, "refuse", faults->refuse);
+	faults->early = json_int(body, "early", faults->early);
+	faults->unframed = json_flag(body, "unframed", faults->unframed);
 	faults->hang = json_flag(body, "hang", faults->hang);
 	json_object_put(body);
 	json_reply(request, 200, json_object_new_object());
--- a/fakes/service.c
+++ b/fakes/service.c
@@ -8,9 +8,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "fake.h"
 
+#define EXIT_DELAY_MS 20 /* for the response's bytes to be written */
+
 /* An executed call. */
 struct entry {
 	char *operation;
@@ -33,10 +36,14 @@
 	int64_t delay_ms; /* before a call is executed */
 	int64_t lose;	  /* next calls executed without a response */
 	int64_t refuse;	  /* next calls refused with 503, not executed */
+	int64_t half;	  /* next responses end in order after half the body */
+	bool unframed;	  /* responses have no length and no chunks */
+	bool exit;	  /* the process ends instead of the half response */
 };
 
 struct service {
 	uv_loop_t loop;
+	uv_timer_t exit_timer;
 	GPtrArray *ledger;	    /* struct entry */
 	GHashTable *by_id;	    /* id -> struct entry */
 	GHashTable *fencing_tokens; /* primary -> int64_t *, the newest */
@@ -91,6 +98,39 @@
 	return entry;
 }
 
+static void exit_on_timer(uv_timer_t *timer)
+{
+	(void)timer;
+	_exit(EXIT_SUCCESS); /* the kernel closes the connections in order */
+}
+
+/* Responds to a routed call, with the active faults. */
+static void service_reply(struct service *service, struct http_request *request,
+			  int status, struct json_object *obj)
+{
+	struct faults *faults = &service->faults;
+	bool half = faults->half > 0;
+	size_t len;
+	const char *text = json_print(obj, &len);
+
+	if (!half && !faults->unframed) {
+		json_reply(request, status, obj);
+		return;
+	}
+	if (faults->unframed)
+		http_response_omit_framing(request);
+	http_response_start(request, status, "application/json");
+	http_response_write(request, text, half ? len / 2 : len);
+	if (half)
+		faults->half--;
+	if (half && faults->exit)
+		uv_timer_start(&service->exit_timer, exit_on_timer,
+			       EXIT_DELAY_MS, 0);
+	else
+		http_response_end(request);
+	json_object_put(obj);
+}
+
 /* Executes a call and responds, unless the caller has disconnected. */
 static void delayed_execute(struct delayed *delayed)
 {
@@ -115,7 +155,7 @@
 	json_add_text(obj, "done", delayed->operation);
 	json_add_text(obj, "id", delayed->id);
 	json_add_int(obj, "entry", service->ledger->len);
-	json_reply(delayed->request, 200, obj);
+	service_reply(service, delayed->request, 200, obj);
 }
 
 static void delayed_on_closed(uv_handle_t *handle)
@@ -153,8 +193,11 @@
 	struct delayed *delayed;
 
 	if (service->faults.refuse > 0) {
+		struct json_object *obj = json_object_new_object();
+
 		service->faults.refuse--;
-		fake_reply_error(request, 503, "not taken");
+		json_add_text(obj, "error", "not taken");
+		service_reply(service, request, 503, obj);
 		return;
 	}
 	delayed = g_new0(struct delayed, 1);
@@ -225,7 +268,7 @@
 	json_object_object_add(obj, "ran",
 			       json_object_new_boolean(entry != NULL));
 	json_object_put(body);
-	json_reply(request, 200, obj);
+	service_reply(service, request, 200, obj);
 }
 
 /* POST /fence {"home": TEXT, "fence": N}: responds with 409 to an older token,
@@ -256,6 +299,9 @@
 	faults->delay_ms = json_int(body, "delay_ms", faults->delay_ms);
 	faults->lose = json_int(body, "lose", faults->lose);
 	faults->refuse = json_int(body, "refuse", faults->refuse);
+	faults->half = json_int(body, "half", faults->half);
+	faults->unframed = json_flag(body, "unframed", faults->unframed);
+	faults->exit = json_flag(body, "exit", faults->exit);
 	json_object_put(body);
 	json_reply(request, 200, json_object_new_object());
 }
@@ -308,6 +354,7 @@
 		return EXIT_FAILURE;
 	service.check_fencing_token = check_fencing_token;
 	uv_loop_init(&service.loop);
+	uv_timer_init(&service.loop, &service.exit_timer);
 	service.ledger = g_ptr_array_new();
 	service.by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	service.fencing_tokens =
--- a/tests/http.c
+++ b/tests/http.c
@@ -13,6 +13,7 @@
 #include "../wire/hc.h"
 #include "../wire/hs.h"
 #include "../wire/http.h"
+#include "../wire/json.h"
 #include "run.h"
 
 #define OK200 "HTTP/1.1 200 OK\r\n"
@@ -703,6 +704,176 @@
 
 /* The client of rw-entryd, against a raw socket. */
 
+#define CLOSING "Connection: close\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n" CLOSING "\r\n"
+
+static const struct {
+	const char *first;
+	const char *later; /* sent 20 ms after first, or NULL */
+	bool reset;	   /* the connection is reset, not closed in order */
+	enum http_result result;
+	const char *body;
+} fetch_cases[] = {
+	{ OK200 "Content-Length: 2\r\n\r\nhi", NULL, false, HTTP_COMPLETE,
+	  "hi" },
+	{ OK200 "Content-Length: 2\r\n\r\nh", "i", false, HTTP_COMPLETE, "hi" },
+	{ OK200 "Content-Length: 0\r\n\r\n", NULL, false, HTTP_COMPLETE, "" },
+	{ OK200 "CONTENT-LENGTH: 3\r\n\r\nhi", NULL, false, HTTP_TRUNCATED,
+	  "hi" },
+	{ OK200 "Content-Length: 3\r\n\r\nhi", NULL, true, HTTP_TRUNCATED,
+	  "hi" },
+	{ OK200 CHUNKED "2\r\nhi\r\n0\r\n\r\n", NULL, false, HTTP_COMPLETE,
+	  "hi" },
+	{ OK200 CHUNKED "2\r\nhi\r\n", "0\r\n\r\n", false, HTTP_COMPLETE,
+	  "hi" },
+	{ OK200 CHUNKED, "2\r\nhi\r\n0\r\n\r\n", false, HTTP_COMPLETE, "hi" },
+	{ OK200 CHUNKED "0\r\n\r\n", NULL, false, HTTP_COMPLETE, "" },
+	{ OK200 CHUNKED "2\r\nhi\r\n0\r\nT: t\r\n\r\n", NULL, false,
+	  HTTP_COMPLETE, "hi" },
+	{ OK200 "Content-Length: 2\r\n" CHUNKED "2\r\nhi\r\n0\r\n\r\n", NULL,
+	  false, HTTP_TRUNCATED, "" },
+	{ OK200 "Content-Length: 2\r\n" CHUNKED, NULL, false, HTTP_TRUNCATED,
+	  "" },
+	{ OK200 CHUNKED "2\r\nhi\r\n", NULL, false, HTTP_TRUNCATED, "hi" },
+	{ OK200 CHUNKED "2\r\nhi\r\n", NULL, true, HTTP_TRUNCATED, "hi" },
+	{ OK200 CHUNKED "2\r\nhi\r\n", "2\r\nho\r\n", false, HTTP_TRUNCATED,
+	  "hiho" },
+	{ OK200 CHUNKED "3\r\nhi", NULL, false, HTTP_TRUNCATED, "hi" },
+	{ OK200 CHUNKED "2\r\nhi\r\n0\r\n", NULL, false, HTTP_TRUNCATED, "hi" },
+	{ OK200 CHUNKED, NULL, false, HTTP_TRUNCATED, "" },
+	{ OK200 CLOSING "\r\nhi", NULL, false, HTTP_UNFRAMED, "hi" },
+	{ OK200 CLOSING "\r\nhi", "ho", false, HTTP_UNFRAMED, "hiho" },
+	{ OK200 CLOSING "\r\n", NULL, false, HTTP_UNFRAMED, "" },
+	{ OK200 CLOSING "\r\nhi", NULL, true, HTTP_UNFRAMED, "hi" },
+	{ "HTTP/1.0 200 OK\r\n\r\nhi", NULL, false, HTTP_UNFRAMED, "hi" },
+	{ "HTTP/1.1 204 X\r\n\r\n", NULL, false, HTTP_COMPLETE, "" },
+	{ OK200 CLOSING, NULL, false, HTTP_TRUNCATED, "" },
+	{ "", NULL, false, HTTP_TRUNCATED, "" },
+};
+
+static const struct {
+	const char *text;
+	bool whole;
+} json_cases[] = {
+	{ "{}", true },
+	{ "{\"a\":[1,{\"b\":\"}\"}]}\n", true },
+	{ "[1,2]", true },
+	{ " [] \r\n", true },
+	{ "", false },
+	{ "  ", false },
+	{ "{\"a\":1", false },
+	{ "{\"a\":\"}", false },
+	{ "[{}", false },
+	{ "[1,2", false },
+	{ "12", false },
+	{ "tru", false },
+	{ "true", false },
+	{ "\"text\"", false },
+	{ "null", false },
+	{ "{}{}", false },
+	{ "{\"a\":1}\n{\"a\"", false },
+	{ "not JSON", false },
+};
+
+START_TEST(json_without_its_end_is_not_whole)
+{
+	const char *text = json_cases[_i].text;
+	char *copy = g_strconcat(text, "}", NULL); /* } is not part of it */
+
+	ck_assert_msg(json_is_whole(copy, strlen(text)) == json_cases[_i].whole,
+		      "%s", text);
+	g_free(copy);
+}
+END_TEST
+
+/* Listens on any port of the loopback address, which is put into text. */
+static int raw_listen(char *text, size_t size)
+{
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+
+	uv_ip4_addr("127.0.0.1", 0, &addr);
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&addr, sizeof(addr)),
+			 0);
+	listen(listener, 8);
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	g_snprintf(text, size, "127.0.0.1:%d", ntohs(addr.sin_port));
+	return listener;
+}
+
+/* Ends a connection, after its request was read: the kernel resets one that
+ * has unread bytes. */
+static void raw_close(int fd, bool reset)
+{
+	const struct linger linger = { .l_onoff = 1 };
+	char request[1024];
+
+	ck_assert_int_gt(recv(fd, request, sizeof(request), 0), 0);
+	if (reset) {
+		loop_for(20); /* a reset discards what was not read */
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	}
+	close(fd);
+}
+
+struct fetch_outcome {
+	bool done;
+	enum http_result result;
+	GString *body;
+};
+
+static void fetch_case_on_data(void *ctx, const char *ptr, size_t len)
+{
+	g_string_append_len(((struct fetch_outcome *)ctx)->body, ptr,
+			    (gssize)len);
+}
+
+static void fetch_case_on_done(void *ctx, enum http_result result, int status)
+{
+	struct fetch_outcome *outcome = ctx;
+
+	(void)status;
+	outcome->done = true;
+	outcome->result = result;
+}
+
+START_TEST(fetch_judges_the_end)
+{
+	struct fetch_outcome outcome = { .body = g_string_new(NULL) };
+	char address[32];
+	int listener = raw_listen(address, sizeof(address));
+	int fd;
+	const char *first = fetch_cases[_i].first;
+	const char *later = fetch_cases[_i].later;
+	struct http_fetch_spec spec = {
+		.address = address,
+		.method = "GET",
+		.path = "/",
+		.timeout = 3000,
+		.on_data = fetch_case_on_data,
+		.on_done = fetch_case_on_done,
+		.ctx = &outcome,
+	};
+
+	uv_loop_init(&loop);
+	http_fetch_start(http_client_create(&loop), &spec);
+	loop_for(20);
+	fd = accept(listener, NULL, NULL);
+	send(fd, first, strlen(first), 0);
+	if (later) {
+		loop_for(20);
+		send(fd, later, strlen(later), MSG_NOSIGNAL);
+	}
+	raw_close(fd, fetch_cases[_i].reset);
+	loop_until(&outcome.done);
+	ck_assert_msg(outcome.result == fetch_cases[_i].result,
+		      "case %d: result %d", _i, outcome.result);
+	ck_assert_str_eq(outcome.body->str, fetch_cases[_i].body);
+	close(listener);
+}
+END_TEST
+
 static void fetch_on_done(void *ctx, enum http_result result, int status)
 {
 	struct outcome *outcome = ctx;
@@ -716,10 +887,8 @@
 	static const char response[] =
 		OK200 "Content-Length: 2\r\nConnection: close\r\n\r\nhi";
 	struct outcome outcome = { .body = g_string_new(NULL) };
-	struct sockaddr_in addr;
-	socklen_t len = sizeof(addr);
 	char address[32];
-	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	int listener = raw_listen(address, sizeof(address));
 	int fd;
 	struct http_fetch_spec spec = {
 		.address = address,
@@ -732,13 +901,6 @@
 	};
 
 	uv_loop_init(&loop);
-	uv_ip4_addr("127.0.0.1", 0, &addr);
-	ck_assert_int_eq(bind(listener, (struct sockaddr *)&addr, sizeof(addr)),
-			 0);
-	listen(listener, 8);
-	getsockname(listener, (struct sockaddr *)&addr, &len);
-	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
-		   ntohs(addr.sin_port));
 	http_fetch_start(http_client_create(&loop), &spec);
 	loop_for(50);
 	fd = accept(listener, NULL, NULL);
@@ -1316,6 +1478,10 @@
 	tcase_add_test(tcase, client_cancel_closes);
 	tcase_add_test(tcase, client_withdrawn_request_is_not_sent);
 	tcase_add_test(tcase, client_refused_connection_is_unsent);
+	tcase_add_loop_test(tcase, fetch_judges_the_end, 0,
+			    G_N_ELEMENTS(fetch_cases));
+	tcase_add_loop_test(tcase, json_without_its_end_is_not_whole, 0,
+			    G_N_ELEMENTS(json_cases));
 	tcase_add_test(tcase, fetch_is_complete_although_the_loop_is_late);
 	tcase_add_loop_test(tcase, server_reads, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_test(tcase, server_notices_disconnect);
--- a/tests/procs.py
+++ b/tests/procs.py
@@ -56,9 +56,9 @@
         self.end = None
         self.restarts = 0
         headers = dict(COOP, **{"x-request-id": ident})
-        self.conn, response = open_stream(entry.address, "POST",
-                                          "/v1/completions", body, headers)
-        self.events = events(response)
+        self.conn, self.response = open_stream(
+            entry.address, "POST", "/v1/completions", body, headers)
+        self.events = events(self.response)
 
     def read(self, count=None):
         """Reads events until count chunks have been received, or the end."""
@@ -367,6 +367,112 @@
         assert rig.counters(entry)["resumed"] > 0
 
 
+# Faults of the service, route, status, whether the body is the service's own
+# or the proof of its status query ("ran"), error
+SERVICE_ENDS = [
+    ({"unframed": True}, "stock", 200, "done", None),
+    ({"unframed": True}, "status", 200, "ran", None),
+    # The status of a refusal is proof, whatever its body.
+    ({"unframed": True, "refuse": 1}, "stock", 200, "done", None),
+    ({"unframed": True, "half": 1}, "stock", 200, "ran", None),
+    ({"unframed": True, "half": 1}, "wallet", 504, None, "RW_EUNKNOWN"),
+    ({"unframed": True, "half": 1}, "status", 200, "ran", None),
+    ({"unframed": True, "half": 1, "exit": True}, "wallet", 504, None,
+     "RW_EUNKNOWN"),
+    ({"half": 1, "exit": True}, "wallet", 504, None, "RW_EUNKNOWN"),
+]
+
+
+def test_service_response_ends_early():
+    """Services answer without a length, or end in the middle of an answer.
+
+    The connection is closed in order. Half an answer is never passed on; a
+    whole one without a length is.
+    """
+    wrong = []
+    for row in SERVICE_ENDS:
+        faults, route, status, key, error = row
+        with Rig(entries=2, data_centres=2, engines=0) as rig:
+            rig.wait_ready()
+            entry = rig.entries["e0"]
+            rig.fault(rig.services[0], **faults)
+            got, text, _ = call(entry.address, "POST", "/v1/call/" + route,
+                                {"id": "x"}, COOP, timeout=30)
+            try:
+                body = json.loads(text)
+            except ValueError:
+                body = {}
+            if got != status or body.get("error") != error or \
+                    (key and key not in body):
+                wrong.append((row, got, text))
+            # The ledger is lost with the process that has it.
+            if route != "status" and "exit" not in faults:
+                assert len(rig.ledger()) == 1, (row, rig.ledger())
+    assert not wrong, "\n".join(map(str, wrong))
+
+
+def test_service_ends_idempotent_call_repeated():
+    """A service's process ends in the middle of an answer in chunks.
+
+    An idempotent call is repeated at another one.
+    """
+    with Rig(entries=2, data_centres=2, engines=0, services=3) as rig:
+        rig.wait_ready()
+        entry = rig.entries["e0"]
+        rig.fault(rig.services[0], half=1, exit=True)
+        answers = []
+        while rig.services[0].popen.poll() is None and len(answers) < 100:
+            answers.append(call(entry.address, "POST", "/v1/call/status",
+                                {"id": "x"}, COOP)[:2])
+        assert rig.services[0].popen.poll() == 0, "not called"
+        assert all(status == 200 and json.loads(text) == {"ran": False}
+                   for status, text in answers), answers
+
+
+def test_engine_stream_ends_early():
+    """Engines end streams in order before their end marker.
+
+    With and without chunks; the caller still receives all of it.
+    """
+    for unframed in (False, True):
+        with Rig(entries=2, data_centres=2, engine_args=("--decode", "10")) \
+                as rig:
+            rig.wait_ready()
+            entry = rig.entries["e0"]
+            text = direct_text(rig.engines[0], 40)
+            for engine in rig.engines:
+                rig.fault(engine, unframed=unframed)
+            stream = Stream(entry, new_id(entry, "a"), completion(40))
+            stream.read(5)
+            for engine in rig.engines:
+                rig.fault(engine, early=1)
+            stream.read()
+            assert_complete(stream, text)
+            assert rig.counters(entry)["resumed"] > 0
+
+
+def test_relayed_stream_cut_off():
+    """The primary is killed while another host relays its stream.
+
+    The caller's response is cut off too, and has no end of its own.
+    """
+    with Rig(engine_args=("--decode", "20")) as rig:
+        rig.wait_ready()
+        text = direct_text(rig.engines[0], 60)
+        primary, relay = rig.entries["e0"], rig.entries["e1"]
+        stream = Stream(relay, new_id(primary, "a"), completion(60))
+        stream.read(10)
+        assert rig.counters(relay)["forwarded"] > 0
+        primary.kill()
+        try:
+            rest = stream.response.read()
+            raise AssertionError("a whole response, ending %r" % rest[-80:])
+        except http.client.IncompleteRead:
+            pass
+        stream.resume(rig.live())
+        assert_complete(stream, text)
+
+
 def post_to_all_entries(rig, ident, results, path="/v1/call/stock"):
     """Posts one id to all hosts at once, with retries.
 
--- a/wire/http-client.c
+++ b/wire/http-client.c
@@ -16,6 +16,14 @@
 	h2o_timeout_t zero_timeout;
 };
 
+/* What ends the body of a response. */
+enum framing {
+	FRAMING_CLOSE, /* the end of the connection */
+	FRAMING_LENGTH,
+	FRAMING_CHUNKS,
+	FRAMING_CONTRADICTORY, /* both: h2o's decoder can't read the body */
+};
+
 struct http_fetch {
 	struct http_client *client;
 	struct http_fetch_spec spec;
@@ -24,8 +32,10 @@
 	struct due_timer timer;
 	clk_ms deadline; /* loop time; 0: none */
 	int status;
+	enum framing framing;
 	bool connected;
 	bool is_event_stream;  /* by the response's content type */
+	bool is_json;	       /* by the response's content type */
 	bool in_callback;      /* h2o is the caller and closes by itself */
 	bool deferred_failure; /* on_done will be called from the timer */
 };
@@ -103,6 +113,22 @@
 	return true;
 }
 
+/*
+ * Returns the result of a fetch for which h2o reports the end of the body.
+ *
+ * h2o reports it also for a connection that was closed between two chunks. No
+ * bytes were read then, while the last chunk is always read.
+ */
+static enum http_result fetch_result_at_end(const struct http_fetch *fetch)
+{
+	if (fetch->framing == FRAMING_CLOSE)
+		return HTTP_UNFRAMED;
+	if (fetch->framing == FRAMING_CHUNKS &&
+	    fetch->h2o->sock->bytes_read == 0)
+		return HTTP_TRUNCATED;
+	return HTTP_COMPLETE;
+}
+
 /* Called by h2o for each chunk of the body and for its end. */
 static int fetch_on_body(h2o_http1client_t *h2o, const char *errstr)
 {
@@ -111,22 +137,61 @@
 	if (!fetch_consume_input(fetch))
 		return -1;
 	if (errstr == h2o_http1client_error_is_eos)
-		fetch_finish(fetch, HTTP_COMPLETE);
+		fetch_finish(fetch, fetch_result_at_end(fetch));
 	else if (errstr)
 		fetch_finish(fetch, HTTP_TRUNCATED);
 	return 0;
 }
 
-/* Whether the content type is that of server-sent events. */
-static bool headers_are_event_stream(const h2o_header_t *headers, size_t count)
+/* Returns the value of a header, or NULL. */
+static const h2o_iovec_t *header_find(const h2o_header_t *headers, size_t count,
+				      const char *name)
 {
 	for (size_t i = 0; i < count; i++)
-		if (h2o_memis(headers[i].name->base, headers[i].name->len,
-			      H2O_STRLIT("content-type")))
-			return g_strstr_len(headers[i].value.base,
-					    (gssize)headers[i].value.len,
-					    "text/event-stream") != NULL;
-	return false;
+		if (h2o_lcstris(headers[i].name->base, headers[i].name->len,
+				name, strlen(name)))
+			return &headers[i].value;
+	return NULL;
+}
+
+/* Whether a header's value contains a text; value may be NULL. */
+static bool header_contains(const h2o_iovec_t *value, const char *text)
+{
+	return value && g_strstr_len(value->base, (gssize)value->len, text);
+}
+
+/* Returns what ends the body. */
+static enum framing headers_framing(const h2o_header_t *headers, size_t count)
+{
+	const h2o_iovec_t *coding =
+		header_find(headers, count, "transfer-encoding");
+	bool length = header_find(headers, count, "content-length") != NULL;
+
+	if (coding &&
+	    h2o_lcstris(coding->base, coding->len, H2O_STRLIT("chunked")))
+		return length ? FRAMING_CONTRADICTORY : FRAMING_CHUNKS;
+	return length ? FRAMING_LENGTH : FRAMING_CLOSE;
+}
+
+/* Stores the properties of the response that its headers tell. */
+static void fetch_set_headers(struct http_fetch *fetch,
+			      const h2o_header_t *headers, size_t count)
+{
+	const h2o_iovec_t *type = header_find(headers, count, "content-type");
+
+	fetch->framing = headers_framing(headers, count);
+	fetch->is_event_stream = header_contains(type, "text/event-stream");
+	fetch->is_json = header_contains(type, "application/json");
+}
+
+bool http_result_may_be_whole(enum http_result result)
+{
+	return result == HTTP_COMPLETE || result == HTTP_UNFRAMED;
+}
+
+bool http_fetch_is_json(const struct http_fetch *fetch)
+{
+	return fetch->is_json;
 }
 
 bool http_fetch_is_event_stream(const struct http_fetch *fetch)
@@ -149,8 +214,12 @@
 		fetch_finish(fetch, HTTP_TRUNCATED);
 		return NULL;
 	}
+	fetch_set_headers(fetch, headers, num_headers);
+	if (fetch->framing == FRAMING_CONTRADICTORY) {
+		fetch_finish(fetch, HTTP_TRUNCATED);
+		return NULL;
+	}
 	fetch->status = status;
-	fetch->is_event_stream = headers_are_event_stream(headers, num_headers);
 	fetch_start_timer(fetch);
 	fetch->in_callback = true;
 	if (fetch->spec.on_head)
--- a/wire/http-server.c
+++ b/wire/http-server.c
@@ -404,6 +404,12 @@
 	request_notify_disconnect(request);
 }
 
+void http_response_omit_framing(struct http_request *request)
+{
+	request->req->version = 0x100; /* HTTP/1.0 has no chunks */
+	request->req->http1_is_persistent = 0;
+}
+
 void http_response_start(struct http_request *request, int status,
 			 const char *type)
 {
--- a/wire/http.h
+++ b/wire/http.h
@@ -70,6 +70,9 @@
 /* Sends a complete response. */
 void http_response_send(struct http_request *request, int status,
 			const char *type, const char *body, size_t len);
+/* Makes a streamed response end with its connection, instead of its last chunk;
+ * to be called before http_response_start. */
+void http_response_omit_framing(struct http_request *request);
 /* Starts a streamed response. */
 void http_response_start(struct http_request *request, int status,
 			 const char *type);
@@ -81,9 +84,16 @@
 /* Aborts a streamed response, so that the caller sees it as truncated. */
 void http_response_abort(struct http_request *request);
 
-/* How a fetch ended. */
+/*
+ * How a fetch ended.
+ *
+ * HTTP_UNFRAMED does not tell a whole body from one whose sender has died, as
+ * the kernel closes the connections of a dead process in order. Such a body is
+ * whole only if it has an end of its own.
+ */
 enum http_result {
-	HTTP_COMPLETE,	     /* the whole response was received */
+	HTTP_COMPLETE,	     /* the whole response, by its length or chunks */
+	HTTP_UNFRAMED,	     /* it has neither and ended with its connection */
 	HTTP_CONNECT_FAILED, /* no connection; no byte was sent */
 	HTTP_TRUNCATED,	     /* connection lost after it was established */
 	HTTP_TIMEOUT,	     /* no complete response within the timeout */
@@ -112,6 +122,11 @@
 /* Whether the response is a stream of server-sent events; valid from on_head
  * on. */
 bool http_fetch_is_event_stream(const struct http_fetch *fetch);
+/* Whether the response may be whole: it is, if it has a length or chunks or its
+ * body is one JSON object, which has an end of its own. */
+bool http_result_may_be_whole(enum http_result result);
+/* Whether the response is JSON; valid from on_head until on_done returns. */
+bool http_fetch_is_json(const struct http_fetch *fetch);
 /* Cancels and frees a fetch; none of its callbacks runs after this. */
 void http_fetch_cancel(struct http_fetch *fetch);
 
--- a/wire/json.c
+++ b/wire/json.c
@@ -29,20 +29,46 @@
 	return true;
 }
 
-struct json_object *json_parse_checked(const char *ptr, size_t len,
-				       GError **error)
+/* Parses the first JSON value of a text; sets code and end, the offset of what
+ * follows it. */
+static struct json_object *value_parse(const char *ptr, size_t len,
+				       enum json_tokener_error *code,
+				       size_t *end)
 {
 	struct json_tokener *tok = json_tokener_new_ex(MAX_DEPTH);
 	struct json_object *obj = NULL;
-	enum json_tokener_error code = json_tokener_error_size;
-	size_t end = 0;
 
+	*code = json_tokener_error_size;
+	*end = 0;
 	if (len < INT_MAX) {
 		obj = json_tokener_parse_ex(tok, ptr, (int)len);
-		code = json_tokener_get_error(tok);
-		end = json_tokener_get_parse_end(tok);
+		*code = json_tokener_get_error(tok);
+		*end = json_tokener_get_parse_end(tok);
 	}
 	json_tokener_free(tok);
+	return obj;
+}
+
+bool json_is_whole(const char *ptr, size_t len)
+{
+	enum json_tokener_error code;
+	size_t end;
+	struct json_object *obj = value_parse(ptr, len, &code, &end);
+	bool whole = (json_object_is_type(obj, json_type_object) ||
+		      json_object_is_type(obj, json_type_array)) &&
+		     is_blank(ptr + end, len - end);
+
+	json_object_put(obj);
+	return whole;
+}
+
+struct json_object *json_parse_checked(const char *ptr, size_t len,
+				       GError **error)
+{
+	enum json_tokener_error code;
+	size_t end;
+	struct json_object *obj = value_parse(ptr, len, &code, &end);
+
 	if (obj && json_object_is_type(obj, json_type_object) &&
 	    is_blank(ptr + end, len - end))
 		return obj;
--- a/wire/json.h
+++ b/wire/json.h
@@ -14,6 +14,8 @@
 /* The same, with error set to the line and the reason; error may be NULL. */
 struct json_object *json_parse_checked(const char *ptr, size_t len,
 				       GError **error);
+/* Whether text is one whole JSON object or array, and nothing else. */
+bool json_is_whole(const char *ptr, size_t len);
 /* Returns a string field, which the object owns, or fallback if it is missing
  * or of another type. json_int, json_flag and json_real do so for their types.
  */
--- a/wire/plat.c
+++ b/wire/plat.c
@@ -56,7 +56,7 @@
 	struct plat_call *call = ctx;
 	struct json_object *response = NULL;
 
-	if (result == HTTP_COMPLETE)
+	if (http_result_may_be_whole(result))
 		response = json_parse_object(call->body->str, call->body->len);
 	if (!response || (status != 200 && status != 409))
 		call->plat->failures++;
