Tests: resets are resets, with an RST

reset() of standin.py sets SO_LINGER (on, 0) first. It is used by the store's fault "reset", a worker's cut links ("reset", "new") and its modes "cut" and "break", and by the links of proxysoak.py, which now also pass a worker's or host's reset on rather than turn it into a close. A run whose host resets its connection counts as disconnected, as after a close.

A worker that crashes is a process that dies, whose connections the kernel closes in order: kill() goes on doing this for the workers of the first zone, and resets those of the second, so that each test that crashes workers has both. end_process() stays an orderly close.

test_standin_resets reads each of them at the peer: ECONNRESET, or end of file. It fails if reset() does not set SO_LINGER. test_proxy_caller_disconnects also resets; test_proxy_reset_in_response_without_length resets responses that only an end of their connection ends.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -22,7 +22,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxyrig import (BUILD, LOG_FLUSH_S, OLD_BUILD, ROOT, ROUTES,  # noqa: E402
                       ZONES, Rig, config)
-from standin import SLOW_S, Caller, Response, Worker  # noqa: E402
+from standin import SLOW_S, Caller, Response, Worker, reset  # noqa: E402
 
 TEST_LIMIT_S = 60
 CONFIG_BOUND_S = 2.0   # from the store's acknowledgement until it applies
@@ -810,18 +810,22 @@
 
 
 async def test_proxy_caller_disconnects(net):
-    """When a caller closes its connection, its call or stream at the worker is
-    cancelled within the bound."""
+    """When a caller closes or resets its connection, its call or stream at the
+    worker is cancelled within the bound."""
     async with Rig(net, llm=1, api=1) as rig:
         rig.workers_of("api")[0].mode = "hang"
         rig.workers_of("llm")[0].event_count = 1000
-        for path, worker in (("/o/x", rig.workers_of("api")[0]),
-                             ("/s/x", rig.workers_of("llm")[0])):
+        api, llm = rig.workers_of("api")[0], rig.workers_of("llm")[0]
+        for path, worker, resets in (("/o/x", api, False), ("/s/x", llm, False),
+                                     ("/o/x", api, True), ("/s/x", llm, True)):
             caller = rig.hosts[0].caller()
             ident = await caller.send("POST", path, b"b")
             await rig.wait_until("the run", lambda: ident in worker.executed)
             await asyncio.sleep(0.1)
-            caller.close()
+            if resets:
+                reset(caller.writer.transport)
+            else:
+                caller.close()
             left = time.monotonic()
             await rig.wait_until("the end of the run",
                                  lambda: ident in worker.disconnected,
@@ -3587,6 +3591,139 @@
         assert not missing(), (missing(), written)
 
 
+# Responses without a length whose connection is reset, their worker being there
+# all the while: path, pool, status, whether the response is whole, executions.
+RESET_RESPONSES = [
+    ("/s/x", "llm", 200, True, 2),
+    ("/s1/x", "llm", 200, False, 1),
+    ("/i/x", "api", 200, True, 2),
+    ("/o/x", "api", 502, True, 1),
+]
+
+
+async def test_proxy_reset_in_response_without_length(net):
+    """A response without a length is not complete if its connection is reset,
+    also after a whole event."""
+    async with Rig(net) as rig:
+        for row in RESET_RESPONSES:
+            path, pool, status, whole, executions = row
+            workers = rig.workers_of(pool)
+            for worker in workers:
+                worker.unframed, worker.event_gap_s = "paced", 0.1
+            caller = rig.hosts[0].caller()
+            ident = await caller.send("POST", path, b"b")
+            await rig.wait_until("the run", lambda: rig.executed_by(ident))
+            first = [w for w in workers if ident in w.executed][0]
+            await asyncio.sleep(0.05)
+            for writer in list(first.writers):
+                reset(writer.transport)
+            got = await caller.receive()
+            assert (got.status, got.complete) == (status, whole), (
+                row, got.status, got.body)
+            if status == 200 and whole and pool == "llm":
+                assert got.event_ids() == list(range(10)), (row, got.body)
+            if status == 200 and pool == "api":
+                assert got.body.endswith(b" ran b"), (row, got.body)
+            assert len(rig.executed_by(ident)) == executions, row
+
+
+class Peer:
+    """The other end of a connection, which tells an RST from a FIN."""
+
+    async def connect(self, address):
+        host, port = address.split(":")
+        self.sock = socket.socket()
+        self.sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            self.sock, (host, int(port)))
+
+    async def send(self, path):
+        await asyncio.get_running_loop().sock_sendall(self.sock, (
+            "GET %s HTTP/1.1\r\nRedwingpitch-Attempt-Id: p1\r\n\r\n" %
+            path).encode())
+
+    async def end(self):
+        """Returns "reset" or "closed", and the bytes before."""
+        got = b""
+        try:
+            while data := await asyncio.wait_for(
+                    asyncio.get_running_loop().sock_recv(self.sock, 4096), 5):
+                got += data
+            return "closed", got
+        except ConnectionResetError:
+            return "reset", got
+        finally:
+            self.sock.close()
+
+
+async def test_standin_resets(net):
+    """Where the fake platform resets a connection, its peer gets an RST, and
+    where it closes one in order, an end of file."""
+    from proxysoak import Link  # it imports this file
+    rig = Rig(net, hosts=1, llm=1)
+    worker = rig.workers_of("llm")[0]
+    link = Link(worker, rig.ip(110) + ":8100")
+    store = rig.store
+    await store.start(rig.ip(200), ["h0"])
+    await worker.start()
+    await link.start()
+    store_address = rig.ip(200) + ":9000"
+
+    async def end_of(address, change, path=None):
+        """Returns how a connection ends after a change, which is made before
+        the request if there is one."""
+        peer = Peer()
+        await peer.connect(address)
+        # The other end has accepted it, and has read all.
+        await asyncio.sleep(0.05)
+        change()
+        if path:
+            await peer.send(path)
+        return await peer.end()
+
+    def cut(how):
+        return lambda: worker.cut_links("127.0.0.1", how)
+
+    def mode(how):
+        return lambda: setattr(worker, "mode", how)
+
+    def nothing():
+        pass
+
+    ends = {}
+    for name, address in (("worker", worker.address), ("link", link.address)):
+        ends[name, "cut"] = await end_of(address, mode("cut"), "/i/x")
+        how, got = await end_of(address, mode("break"), "/s/x")
+        if name == "worker":
+            assert got.endswith(b"\r\n8\r\nid: 3\nda\r\n"), got
+        ends[name, "break"] = how, b""
+    mode("ok")()
+    ends["worker", "cut links"] = await end_of(worker.address, cut("reset"))
+    ends["worker", "new, cut"] = await end_of(worker.address, nothing)
+    cut("new")()
+    ends["worker", "new"] = await end_of(worker.address, nothing)
+    cut(None)()
+    ends["link", "reset"] = await end_of(link.address, link.reset)
+    link.fault = "reset"
+    ends["link", "new, reset"] = await end_of(link.address, nothing)
+    link.fault = None
+    store.faults["h0"] = "reset"
+    ends["store", "reset"] = await end_of(store_address, nothing, "/-/x")
+    for resets in (True, False):
+        worker.resets_when_killed = resets
+        ends["worker", "killed", resets] = await end_of(
+            worker.address, worker.kill)
+        ends["link", "dead worker", resets] = await end_of(
+            link.address, nothing)
+        await worker.start()
+    ends["worker", "end"] = await end_of(worker.address, worker.end_process)
+    await worker.start()
+    ends["link", "end"] = await end_of(link.address, worker.end_process)
+    closed = {("worker", "killed", False), ("worker", "end"), ("link", "end")}
+    for key, end in ends.items():
+        assert end == ("closed" if key in closed else "reset", b""), (key, end)
+
+
 def run_one(name, net):
     try:
         asyncio.run(asyncio.wait_for(globals()[name](net), TEST_LIMIT_S))
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -172,6 +172,9 @@
         self.workers += [
             Worker("w-api-%d" % i, "api", self.ip(150 + i) + ":8000",
                    ZONES[i % 2]) for i in range(api)]
+        # In each test, some workers that crash reset their connections.
+        for worker in self.workers:
+            worker.resets_when_killed = worker.zone == ZONES[1]
         self.callers = []
 
     def ip(self, last):
--- a/tests/proxysoak.py
+++ b/tests/proxysoak.py
@@ -30,6 +30,7 @@
 from proxyrig import ROUTES, Rig, config  # noqa: E402
 from proxy import (LIMIT_EXTRA, LIMIT_RATIO, LIMIT_WINDOW_S,  # noqa: E402
                    NOT_EXECUTED, STABLE_WINDOW_S, check_duties)
+from standin import reset  # noqa: E402
 
 FAULT_GAP_S = 0.5      # mean time between two bursts of faults
 SILENCE_GAP_S = 1.0    # mean time between two series of silent workers
@@ -85,13 +86,13 @@
 
     async def serve(self, reader, writer):
         if self.fault == "reset":
-            writer.transport.abort()
+            reset(writer.transport)
             return
         try:
             host, port = self.worker.address.split(":")
             back = await asyncio.open_connection(host, int(port))
         except OSError:
-            writer.transport.abort()
+            reset(writer.transport)
             return
         self.pairs.add((writer, back[1]))
         await asyncio.gather(self.pump(reader, back[1], False),
@@ -112,7 +113,9 @@
                     await asyncio.sleep(0.1)
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
+        except ConnectionError:
+            reset(writer.transport)  # the other end's reset is passed on
+        except asyncio.CancelledError:
             pass
         finally:
             writer.close()
@@ -126,7 +129,7 @@
     def reset(self):
         for pair in list(self.pairs):
             for writer in pair:
-                writer.transport.abort()
+                reset(writer.transport)
 
 
 class Soak:
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -6,6 +6,8 @@
 import asyncio
 import base64
 import json
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -14,6 +16,16 @@
 SEND_PERIOD_S = 0.02  # between two writes on a slow link
 
 
+def reset(transport):
+    """Closes a connection with an RST. abort() alone closes it as the kernel does
+    for a process that dies: with a FIN, unless bytes that arrived are unread."""
+    sock = transport.get_extra_info("socket")
+    if sock.fileno() >= 0:  # else it is closed already
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+    transport.abort()
+
+
 async def read_head(reader):
     """Reads a request or status line and the headers.
 
@@ -32,6 +44,14 @@
     return lines[0], headers
 
 
+async def read_byte(reader):
+    """Returns b"" at the end of the connection, also if it is reset."""
+    try:
+        return await reader.read(1)
+    except ConnectionError:
+        return b""
+
+
 async def read_body(reader, headers):
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
@@ -201,7 +221,7 @@
         elif fault == "silent":
             await asyncio.sleep(3600)
         elif fault == "reset":
-            writer.transport.abort()
+            reset(writer.transport)
         return fault is None
 
     def encode_entry(self, key):
@@ -376,7 +396,7 @@
     def update(self):
         """The cut of the host's links has changed."""
         if self.cut() == "reset":
-            self.transport.abort()
+            reset(self.transport)
         else:
             self.write(b"")
 
@@ -430,6 +450,7 @@
         self.rejected_at = []  # for want of room
         self.deadly_part = None  # hex id of a prompt part that crashes it
         self.deadly_paths = ()   # of requests that crash it
+        self.resets_when_killed = False  # its connections
         self.restart_s = 0.5     # from a crash until it is back
         self.restarted = None    # called with it when it is back
         self.born = 1            # of its process
@@ -490,7 +511,8 @@
             self.flood_ends.append(time.monotonic() - began)
 
     async def crash(self):
-        """Resets every connection, and is back after a while."""
+        """Is gone with all its connections, see kill(), and back after a
+        while."""
         self.crashed_at.append(time.monotonic())
         self.kill()
         await asyncio.sleep(self.restart_s)
@@ -507,15 +529,19 @@
             writer.close()
 
     def kill(self):
-        """Simulates a crash: resets every connection."""
+        """Simulates a crash: every connection is reset, or closed by the kernel,
+        see reset()."""
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort()
+            if self.resets_when_killed:
+                reset(writer.transport)
+            else:
+                writer.transport.abort()
 
     async def serve(self, reader, writer):
         writer = Link(self, writer)
         if writer.cut() in ("reset", "new"):
-            writer.transport.abort()
+            reset(writer.transport)
             return
         self.writers.add(writer)
         try:
@@ -603,10 +629,10 @@
             writer.write(response(500, b"broken", own))
             return True
         if self.mode == "cut":
-            writer.transport.abort()
+            reset(writer.transport)
             return False
         if self.mode == "hang":
-            if not await reader.read(1):
+            if not await read_byte(reader):
                 self.disconnected.append(ident)
             return False
         if self.mode == "slow":
@@ -696,7 +722,7 @@
                 # In the middle of an event.
                 writer.write(b"8\r\nid: %d\nda\r\n" % number)
                 await writer.drain()
-                writer.transport.abort()
+                reset(writer.transport)
                 return False
             text = b"id: %d\n%sdata: event %d of %s\n\n" % (
                 number, b"data: " + b"." * self.padding + b"\n"
@@ -704,7 +730,7 @@
             writer.write(b"%x\r\n%s\r\n" % (len(text), text) if framed
                          else text)
             try:
-                await asyncio.wait_for(reader.read(1), self.event_gap_s)
+                await asyncio.wait_for(read_byte(reader), self.event_gap_s)
                 self.disconnected.append(ident)
                 return False
             except asyncio.TimeoutError:
