--- a/tools/check.sh
+++ b/tools/check.sh
@@ -160,6 +160,11 @@
 beside 90eb445 odd $PROMISES test_proxy_rolling_upgrade
 # shellcheck disable=SC2086
 beside 0022ce1 even $PROMISES
+# Workers that are processes of their own.
+for row in kept-same-id control; do
+	run "stream_ends_$row" python3 tests/streamends.py --seed 1 \
+		--seconds 4 --row $row
+done
 run proxy_soak python3 tests/proxysoak.py --seed 1 --runs 2 --seconds 6
 run proxy_soak_regressions python3 tests/proxysoak.py --regressions --seconds 4
 run demo tools/demo.py
