--- a/tests/procs.py
+++ b/tests/procs.py
@@ -12,6 +12,7 @@
 import random
 import signal
 import socket
+import socketserver
 import struct
 import subprocess
 import sys
@@ -429,6 +430,54 @@
                    for status, text in answers), answers
 
 
+# Header rows of a service's responses that tell no valid end of the body
+MALFORMED_FRAMING = [
+    b"Transfer-Encoding: gzip, chunked",
+    b"Content-Length: x",
+]
+
+
+class StubService(socketserver.TCPServer):
+    """Answers every request with one header row and closes the connection."""
+
+    def __init__(self, row):
+        self.row = row
+        self.asked = 0
+        # The kernel chooses a port above those of rig.py, and listens at once.
+        super().__init__(("127.0.0.1", 0), None)
+        self.address = "127.0.0.1:%d" % self.server_address[1]
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def finish_request(self, request, client_address):
+        self.asked += 1
+        request.recv(65536)
+        request.sendall(b"HTTP/1.1 200 OK\r\n" + self.row + b"\r\n\r\n{}")
+
+
+def test_malformed_framing_ends_no_host():
+    """A service's malformed framing ends no entry host."""
+    # Guards against an abort in h2o's client as it reads a load report.
+    wrong = []
+    for row in MALFORMED_FRAMING:
+        with Rig(entries=2, data_centres=2, engines=0) as rig, \
+                StubService(row) as stub:
+            rig.wait_ready()
+            rig.register_host("stub", "service", stub.address, "dc0", "odd")
+            wait_for("the stub is asked", lambda: stub.asked)
+            time.sleep(3)
+            for name, entry in rig.entries.items():
+                code = entry.popen.poll()
+                if code is not None:
+                    wrong.append((row, name, "exit", code))
+                    continue
+                status, text, _ = call(entry.address, "POST", "/v1/call/stock",
+                                       {"q": 1}, COOP)
+                if status != 200:
+                    wrong.append((row, name, status, text))
+            stub.shutdown()
+    assert not wrong, "\n".join(map(str, wrong))
+
+
 def test_engine_stream_ends_early():
     """Engines end streams in order before their end marker.
 
