--- a/tests/proxyends.py
+++ b/tests/proxyends.py
@@ -415,5 +415,105 @@
         assert got.complete, got.body
 
 
+# Ways in which connections that had carried a response are gone when a
+# response without a length ends, though its process runs on.
+LOST_CONNECTIONS = [
+    ("own", 1),          # the only one carried this response itself
+    ("worker_closes", 2),  # the worker closes an unused one meanwhile
+    ("host_closes", 2),  # the host does, by the worker's Keep-Alive timeout
+    ("unframed", 2),     # another response without a length has used it up
+]
+
+
+async def test_end_whole_response_though_kept_connections_end(net):
+    """A whole response without a length is delivered, by one run and with no
+    evidence against it, though all connections that had carried a response
+    before have ended: their end is not that of the process."""
+    async def row(net, path, pool, how, kept, fields):
+        async with Rig(net, llm=1, api=1) as rig:
+            host, worker = rig.hosts[0], rig.workers_of(pool)[0]
+            vars(worker).update(fields)
+            rig.list_worker(worker)
+            await asyncio.sleep(CONFIG_BOUND_S)
+            plain, busy, short = worker.handle_request, set(), [
+                how == "host_closes"]
+
+            async def handle_request(head, body, reader, writer):
+                busy.add(writer)
+                write = writer.write
+
+                def write_short(text):
+                    write(text.replace(b"200 OK\r\n", b"200 OK\r\n"
+                                       b"Keep-Alive: timeout=1\r\n", 1))
+                try:
+                    if short[0]:
+                        writer.write = write_short
+                    return await plain(head, body, reader, writer)
+                finally:
+                    writer.write = write
+                    busy.discard(writer)
+            worker.handle_request = handle_request
+            got = await asyncio.gather(*[
+                host.request("POST", path, b"b%d" % n) for n in range(kept)])
+            assert all(g.status == 200 and g.complete for g in got), got
+            short[0] = False
+            worker.unframed = "paced"
+            worker.event_gap_s = 1.6 if pool == "api" else 0.16
+            caller = host.caller()
+            ident = await caller.send("POST", path, b"whole")
+            await rig.wait_until("the run", lambda: rig.executed_by(ident))
+            if how == "unframed":
+                other = host.caller()
+                await other.send("POST", path, b"other")
+            await asyncio.sleep(0.3)
+            if how == "worker_closes":
+                for writer in set(worker.writers) - busy:
+                    writer.close()
+            got = await caller.receive()
+            await asyncio.sleep(LOG_FLUSH_S)
+            ends = [(e.get("outcome"), e.get("checks"))
+                    for e in host.log_events("end")]
+            assert (got.status, got.complete) == (200, True), (
+                path, how, got.status, got.complete, ends)
+            assert len(rig.executed_by(ident)) == 1, (path, how, ends)
+            assert not [e for e in ends if e[0] == "other_process"], (
+                path, how, ends)
+    cases = [(path, pool, how, kept, fields)
+             for path, pool, fields in (
+                 ("/o/x", "api", {}), ("/i/x", "api", {}),
+                 ("/s1/x", "llm", {"born": 0}), ("/s1/x", "llm", {}))
+             for how, kept in LOST_CONNECTIONS]
+    await gather_rows([row(net + 200 * more, *case)
+                       for more, case in enumerate(cases)])
+
+
+async def test_end_whole_stream_on_kept_connection(net):
+    """A whole stream that came on a kept connection, the only one, is delivered
+    though the worker, an engine, at first rejects the question who it is, or
+    resets new connections: it is asked again."""
+    async def row(net, how):
+        async with Rig(net, llm=1) as rig:
+            host, worker = rig.hosts[0], rig.workers_of("llm")[0]
+            got = await host.request("POST", "/s1/x", b"first")
+            assert got.complete
+            worker.unframed = "paced"
+            if how == "rejects":
+                answers(worker, "/-/report", answers_with(503, b"", REFUSED), 1)
+            caller = host.caller()
+            ident = await caller.send("POST", "/s1/x", b"whole")
+            await rig.wait_until("the run", lambda: rig.executed_by(ident))
+            if how == "resets":
+                worker.cut_links(host.ip, "new")
+                asyncio.get_running_loop().call_later(
+                    0.35, worker.cut_links, host.ip, None)
+            got = await caller.receive()
+            await asyncio.sleep(LOG_FLUSH_S)
+            assert got.complete, [
+                (e.get("outcome"), e.get("checks"))
+                for e in host.log_events("end")]
+    await gather_rows([row(net + 200 * more, how) for more, how
+                       in enumerate(("rejects", "resets"))])
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyends", globals(), FIRST_NET))
