--- a/tests/proxyends.py
+++ b/tests/proxyends.py
@@ -515,5 +515,31 @@
                        in enumerate(("rejects", "resets"))])
 
 
+async def test_end_service_replaced_beside_kept_connection(net):
+    """A call without a length at a service whose process is replaced under the
+    same id is not whole if a kept connection ended with it, though that
+    connection was used before."""
+    async def row(net, path, keeps_socket):
+        async with Rig(net, api=1) as rig:
+            host, worker = rig.hosts[0], rig.workers_of("api")[0]
+            got = await asyncio.gather(*[
+                host.request("POST", path, b"b%d" % n) for n in range(2)])
+            assert all(g.status == 200 for g in got) and len(
+                worker.writers) == 2, (got, len(worker.writers))
+            worker.unframed, worker.event_gap_s = "paced", 1
+            caller = host.caller()
+            ident = await caller.send("POST", path, b"cut")
+            await rig.wait_until("the run", lambda: rig.executed_by(ident))
+            await asyncio.sleep(0.3)
+            await worker.replace_process(worker.ident, keeps_socket)
+            worker.event_gap_s = 0.1
+            got = await caller.receive()
+            assert got.status != 200 or got.body.endswith(b" ran cut"), (
+                path, got.status, got.body)
+    await gather_rows([row(net + 200 * more, *case) for more, case in enumerate(
+        (path, keeps) for path in ("/o/x", "/i/x")
+        for keeps in (False, True))])
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyends", globals(), FIRST_NET))
