Responses without a length: only an end at the same time is the process's

A kept connection that ends while a response without a length lasts does not show that the process has ended: workers close unused connections after a timeout, this host does, and the response may itself come on the kept one. Count just those that the worker has ended when the response ended.

--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -20,8 +20,10 @@
 	char *worker;
 	char *health_path;
 	struct health_check *check; /* NULL: none is in progress */
-	bool is_mute;	      /* the process does not say when it started */
-	bool has_connections; /* see struct proof_evidence */
+	bool is_mute; /* the process does not say when it started */
+	/* See struct proof_evidence. */
+	bool has_connections;
+	bool ended_connections;
 	struct confirm_result result;
 	clk_ms started_at;
 	struct due_timer timer;
@@ -80,8 +82,8 @@
 		.is_named = answer->is_named,
 		.is_other = answer->is_other,
 		.says_start = spec->says_start,
-		.had_connections = spec->had_connections,
 		.has_connections = confirm->has_connections,
+		.ended_connections = confirm->ended_connections,
 	};
 
 	confirm->result.verdict = proof_judge(&evidence);
@@ -133,6 +135,9 @@
 	/* A check may use the last of them. */
 	confirm->has_connections =
 		hc_peer_has_older(spec->peer, spec->began_at);
+	if (age < PERIOD_MS)
+		confirm->ended_connections = hc_peer_ended_older(
+			spec->peer, confirm->started_at - SETTLE_MS);
 	if (is_over || (!asks_start(confirm) && confirm_judge(confirm, &none)))
 		confirm_end(confirm);
 	else if (!confirm->check)
--- a/daemon/confirm.h
+++ b/daemon/confirm.h
@@ -24,9 +24,8 @@
 	const char *address;
 	const char *worker; /* its id */
 	const char *health_path;
-	bool says_start; /* as in struct proof_evidence, also the next two */
+	bool says_start; /* as in struct proof_evidence, also the next */
 	int64_t sent_start;
-	bool had_connections;
 	clk_ms began_at; /* when the response did */
 	clk_ms timeout;	 /* in ms; CLK_NEVER: none */
 	/* Returns the start of the process that is listed with the id. */
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -278,11 +278,7 @@
 	response->headers = head_response_build(head);
 	response->body = g_string_sized_new(0);
 	response->ends_with_connection = head->framing == H1_UNTIL_CLOSE;
-	if (response->ends_with_connection) {
-		response->began_at = now;
-		response->had_connections =
-			hc_peer_has_older(xfer->worker->http_peer, now);
-	}
+	response->began_at = now;
 	response->is_event_stream =
 		head->status / 100 == 2 &&
 		(xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE);
@@ -438,7 +434,6 @@
 		.health_path = xfer->pool->health_path,
 		.says_start = xfer->pool->engine,
 		.sent_start = xfer->worker_start,
-		.had_connections = xfer->response.had_connections,
 		.began_at = xfer->response.began_at,
 		/* Others have no alternative, or none that is better. */
 		.timeout =
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -18,10 +18,7 @@
 	GString *body;	      /* of a response that is relayed when complete */
 	bool is_event_stream; /* its events are relayed as they arrive */
 	bool ends_with_connection; /* it has no other end */
-	/* Of one that does: when its head came, and whether there were
-	 * connections then that had carried another response. */
-	clk_ms began_at;
-	bool had_connections;
+	clk_ms began_at;	   /* when its head came */
 };
 
 /* Move of a stream away from a worker that is leaving. */
--- a/decide/proof.c
+++ b/decide/proof.c
@@ -17,7 +17,7 @@
 		return PROOF_OTHER;
 	if (evidence->has_connections)
 		return PROOF_SAME;
-	if (evidence->had_connections)
+	if (evidence->ended_connections)
 		return PROOF_OTHER;
 	if (!evidence->answered)
 		return PROOF_SILENT;
--- a/decide/proof.h
+++ b/decide/proof.h
@@ -22,8 +22,10 @@
 	bool is_other;	      /* it has another id */
 	bool says_start;      /* its kind of worker says when it started */
 	/* Connections that had carried a response before this one began. */
-	bool had_connections; /* there were some then */
-	bool has_connections; /* one of them is still open */
+	bool has_connections; /* one is still open */
+	/* The worker has ended one at about the time of the response's end,
+	 * other than that of the response. */
+	bool ended_connections;
 };
 
 enum proof_verdict {
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -30,8 +30,9 @@
 struct hc_peer {
 	struct hc *hc;
 	char *address;
-	GPtrArray *idle;  /* struct hc_conn, most recently used last */
-	GPtrArray *conns; /* struct hc_conn, idle and busy */
+	GPtrArray *idle;       /* struct hc_conn, most recently used last */
+	GPtrArray *conns;      /* struct hc_conn, idle and busy */
+	clk_ms older_ended_at; /* see hc_peer_ended_older; 0: none */
 	bool removed;
 };
 
@@ -279,10 +280,13 @@
 	struct hc_conn *conn = ctx;
 
 	if (conn->request && clean && conn->in_body && !conn->mismatched &&
-	    conn->body.framing == H1_UNTIL_CLOSE)
+	    conn->body.framing == H1_UNTIL_CLOSE) {
 		request_end(conn->request, HC_CLOSED, false);
-	else
-		conn_fail(conn, HC_TRUNCATED);
+		return;
+	}
+	if (conn->responded_at)
+		conn->peer->older_ended_at = loop_now(conn->peer->hc);
+	conn_fail(conn, HC_TRUNCATED);
 }
 
 static const struct tcp_ops conn_ops = {
@@ -526,6 +530,11 @@
 	return false;
 }
 
+bool hc_peer_ended_older(const struct hc_peer *peer, clk_ms since)
+{
+	return peer->older_ended_at && peer->older_ended_at >= since;
+}
+
 unsigned hc_peer_connections(const struct hc_peer *peer)
 {
 	return peer->conns->len;
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -76,6 +76,9 @@
 bool hc_peer_has_idle(const struct hc_peer *peer);
 /* Whether a connection is open that had carried a response before a time. */
 bool hc_peer_has_older(const struct hc_peer *peer, clk_ms time);
+/* Whether the server has ended a connection since a time that had carried a
+ * response, other than as the end of a response without a length. */
+bool hc_peer_ended_older(const struct hc_peer *peer, clk_ms since);
 /* Connections that are open or being opened. */
 unsigned hc_peer_connections(const struct hc_peer *peer);
 
