--- a/tests/proxyends.py
+++ b/tests/proxyends.py
@@ -541,5 +541,27 @@
         for keeps in (False, True))])
 
 
+async def test_end_whole_response_of_service_without_room(net):
+    """A whole response without a length is delivered though its worker, without
+    a kept connection, rejects health checks for a while, or leaves."""
+    async def row(net, path, how):
+        async with Rig(net, api=1) as rig:
+            host, worker = rig.hosts[0], rig.workers_of("api")[0]
+            worker.unframed = "paced"
+            named = ["Redwingpitch-Instance-Id: " + worker.ident]
+            if how == "leaves":
+                answers(worker, "/health", answers_with(503, b"", named))
+            else:
+                answers(worker, "/health", answers_with(503, b"", REFUSED), how)
+            got = await host.request("POST", path, b"b")
+            await asyncio.sleep(LOG_FLUSH_S)
+            assert got.status == 200, (path, how, got.status, [
+                (e.get("outcome"), e.get("checks"), e.get("took_ms"))
+                for e in host.log_events("end")])
+    await gather_rows([row(net + 200 * more, *case) for more, case in enumerate(
+        (path, how) for path in ("/o/x", "/i/x")
+        for how in ("leaves", 2, 4, 8))])
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyends", globals(), FIRST_NET))
