--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -135,7 +135,7 @@
 	/* A check may use the last of them. */
 	confirm->has_connections =
 		hc_peer_has_older(spec->peer, spec->began_at);
-	if (age < PERIOD_MS)
+	if (confirm->result.checks == 0)
 		confirm->ended_connections = hc_peer_ended_older(
 			spec->peer, confirm->started_at - SETTLE_MS);
 	if (is_over || (!asks_start(confirm) && confirm_judge(confirm, &none)))
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -346,6 +346,8 @@
 		}
 		peer->hc->counters.unexpected_data +=
 			tcp_unread_bytes(conn->tcp) > 0;
+		if (tcp_peer_closed(conn->tcp))
+			peer->older_ended_at = now;
 		conn_close(conn);
 	}
 	return NULL;
