--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -4,8 +4,8 @@
 #include "../platform/health.h"
 #include "../wire/due.h"
 
-/* A process that ends may close its connections one after the other, and answer
- * meanwhile. */
+/* Until the worker is asked: a process that ends may close its connections one
+ * after the other, and still answer. */
 #define SETTLE_MS 20
 /* Until a worker is asked again that has not answered, or rejected the check
  * for want of room. */
@@ -103,6 +103,7 @@
 		confirm_end(confirm);
 		return;
 	}
+	/* One that never says its start can only be told by its id. */
 	if (!asks_start(confirm) || confirm->spec.sent_start ||
 	    answer->started_at || !answer->reached)
 		return;
@@ -132,7 +133,7 @@
 		       (age >= UNKNOWN_MS && !confirm->check &&
 			confirm->result.verdict == PROOF_UNKNOWN);
 
-	/* A check may use the last of them. */
+	/* Before it is asked: the check may use the last such connection. */
 	confirm->has_connections =
 		hc_peer_has_older(spec->peer, spec->began_at);
 	if (confirm->result.checks == 0)
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -435,7 +435,7 @@
 		.says_start = xfer->pool->engine,
 		.sent_start = xfer->worker_start,
 		.began_at = xfer->response.began_at,
-		/* Others have no alternative, or none that is better. */
+		/* The others can't go on elsewhere: until their deadline. */
 		.timeout =
 			xfer->px.kind == PX_RESUMABLE ? CONFIRM_MS : CLK_NEVER,
 		.listed_start = listed_start,
--- a/decide/proof.c
+++ b/decide/proof.c
@@ -6,6 +6,8 @@
 	bool needs_start = evidence->says_start &&
 			   (evidence->sent_start || evidence->said_start);
 
+	/* The strongest first: what the process says, the list, connections,
+	 * its id. */
 	if (evidence->is_other)
 		return PROOF_OTHER;
 	if (evidence->said_start && evidence->sent_start)
