--- a/tests/proxysoak.py
+++ b/tests/proxysoak.py
@@ -29,7 +29,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxyrig import ROUTES, Rig, config  # noqa: E402
 from proxy import (LIMIT_EXTRA, LIMIT_RATIO, LIMIT_WINDOW_S,  # noqa: E402
-                   NOT_EXECUTED, STABLE_WINDOW_S, check_duties)
+                   NET, NOT_EXECUTED, STABLE_WINDOW_S, check_duties)
 from standin import reset  # noqa: E402
 
 FAULT_GAP_S = 0.5      # mean time between two bursts of faults
@@ -636,7 +636,7 @@
     for seed in seeds:
         try:
             requests, faults = asyncio.run(run_once(
-                seed, options.seconds, options.hosts, 100 + seed % 90,
+                seed, options.seconds, options.hosts, NET + 100 + seed % 90,
                 options.same_ids))
             print("ok seed %d: %d requests, %d faults" %
                   (seed, requests, faults), flush=True)
