Tests: streams at processes that are not the listed ones (known red)

A worker's process is replaced under the id that it had, at another software version, and its entry in the store is still that of the former one. A stream goes on there, at its host or where its caller takes it up; and a stream that begins there is recorded under the former version.

--- /dev/null
+++ b/tests/proxyversions.py
@@ -0,0 +1,193 @@
+#!/usr/bin/env python3
+"""Tests of rw-proxyd: streams keep their software version while workers' processes
+are replaced under the ids that they had.
+
+Usage: proxyversions.py [--jobs N] [TEST...]
+"""
+import asyncio
+import os
+import sys
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from proxyrig import Rig  # noqa: E402
+from proxy import CONFIG_BOUND_S, main  # noqa: E402
+
+FIRST_NET = 185  # after those of proxyends.py
+EVENT_GAP_S = 0.05
+TRIES = 60  # until a stream begins at a certain worker
+SETTLE_S = 0.1  # until a host has read that connections have ended
+
+
+async def replace(rig, worker, version, listed=False):
+    """Another process serves the worker's address and id from now on."""
+    worker.version = version
+    await worker.replace_process(worker.ident, False)
+    if listed:
+        rig.list_worker(worker)
+    await asyncio.sleep(SETTLE_S)
+
+
+async def begin(rig, host, worker):
+    """Begins a stream at a worker; returns the caller and the stream's id."""
+    for _ in range(TRIES):
+        caller = host.caller()
+        ident = await caller.send("POST", "/s/x", b"b", remaining_ms=8000)
+        await rig.wait_until("the run", lambda: rig.executed_by(ident))
+        if ident in worker.executed:
+            return caller, ident
+        caller.close()
+    raise AssertionError("no stream began at " + worker.ident)
+
+
+async def take_up(host, ident, got):
+    return await host.request(
+        "POST", "/s/x", b"b", remaining_ms=8000, headers=[
+            "Last-Event-Id: %d" % got.event_ids()[-1], "Resumes: " + ident])
+
+
+def check(row, parts, whole):
+    versions = set().union(*[got.versions() for got in parts])
+    ids = [i for got in parts for i in got.event_ids()]
+    assert len(versions) == 1, (row, versions, [got.body for got in parts])
+    assert ids == list(range(len(ids))), (row, ids)
+    if whole:
+        assert parts[-1].complete and len(ids) == 10, (
+            row, [(got.status, got.body) for got in parts])
+
+
+async def start(net, versions, hosts=2):
+    rig = Rig(net, hosts=hosts, llm=len(versions))
+    await rig.__aenter__()
+    await rig.wait_membership()
+    for worker, version in zip(rig.workers_of("llm"), versions):
+        worker.version, worker.event_gap_s = version, EVENT_GAP_S
+        rig.list_worker(worker)
+    await asyncio.sleep(CONFIG_BOUND_S)
+    return rig
+
+
+# Versions that are listed, workers whose process is replaced, its version,
+# whether hosts have used connections to it, whether it is listed at once,
+# whether the stream must go on.
+RESUMED = [
+    (("v1", "v1"), (1,), "v2", False, False, False),
+    (("v1", "v1"), (1,), "v2", True, False, False),
+    (("v1", "v1", "v1"), (1,), "v2", False, False, True),
+    (("v1", "v1", "v1"), (1,), "v2", True, False, True),
+    (("v1", "v1", "v1", "v3"), (1,), "v2", False, False, True),
+    (("v1", "v1", "v1", "v3"), (1,), "v3", True, False, True),
+    (("v1", "v1", "v3"), (1,), "v3", False, False, False),
+    (("v1", "v1", "v1", "v3"), (1,), "v3", False, True, True),
+    (("v1", "v1", "v3", "v3"), (1,), "v1", False, False, False),
+    (("v1", "v3", "v3", "v3"), (1,), "v1", False, True, True),
+]
+
+
+async def play_rows(net, play, rows, by_caller):
+    """Plays all rows at once; fails with those that failed."""
+    ends = await asyncio.gather(*[play(net + 200 * more, row, by_caller)
+                                  for more, row in enumerate(rows)],
+                                return_exceptions=True)
+    failures = [end for end in ends if end is not None]
+    assert not failures, "%d of %d rows: %s" % (
+        len(failures), len(rows), "; ".join(map(repr, failures)))
+
+
+async def resumed(net, row, by_caller):
+    versions, replaced, version, used, listed, whole = row
+    rig = await start(net, versions)
+    try:
+        workers = rig.workers_of("llm")
+        if used:
+            for host in rig.hosts:
+                for i in replaced:
+                    caller, _ = await begin(rig, host, workers[i])
+                    await caller.receive()
+        caller, ident = await begin(rig, rig.hosts[0], workers[0])
+        parts = []
+        if by_caller:
+            parts.append(await caller.receive(events=3))
+            caller.close()
+        for i in replaced:
+            await replace(rig, workers[i], version, listed)
+        if listed:
+            await asyncio.sleep(SETTLE_S)
+        if by_caller:
+            workers[0].mode = "full"
+            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
+        else:
+            workers[0].end_process()
+            parts.append(await caller.receive())
+        check(row, parts, whole)
+    finally:
+        await rig.__aexit__(None, None, None)
+
+
+async def test_version_worker_replaced_before_host_resumes(net):
+    """Guards against a stream that its host resumes at a process of another
+    version, which is not listed yet."""
+    await play_rows(net, resumed, RESUMED, False)
+
+
+async def test_version_worker_replaced_before_caller_resumes(net):
+    """Guards against a stream that is taken up at a process of another version,
+    which is not listed yet."""
+    await play_rows(net, resumed, RESUMED, True)
+
+
+# Versions that are listed, that of the process at which the stream begins in
+# place of the first one, whether the host has used connections to it, after how
+# many s the process is listed (None: never), whether the stream must go on.
+BEGUN = [
+    (("v1", "v1"), "v2", False, None, False),
+    (("v1", "v1"), "v2", True, None, False),
+    (("v1", "v1", "v2"), "v2", False, None, False),
+    (("v1", "v1", "v2"), "v2", False, 0.1, True),
+    (("v1", "v1", "v2"), "v2", True, 0.1, True),
+    (("v1", "v1", "v1"), "v1", False, 0.1, True),
+    (("v1", "v3", "v3"), "v3", False, 0.1, True),
+]
+
+
+async def begun(net, row, by_caller):
+    versions, version, used, listed_s, whole = row
+    rig = await start(net, versions)
+    try:
+        first = rig.workers_of("llm")[0]
+        if used:
+            caller, _ = await begin(rig, rig.hosts[0], first)
+            await caller.receive()
+        await replace(rig, first, version)
+        caller, ident = await begin(rig, rig.hosts[0], first)
+        parts = []
+        if by_caller:
+            parts.append(await caller.receive(events=2))
+        if listed_s:
+            await asyncio.sleep(listed_s)
+            rig.list_worker(first)
+            await asyncio.sleep(SETTLE_S)
+        if by_caller:
+            caller.close()
+            first.mode = "full"
+            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
+        else:
+            first.end_process()
+            parts.append(await caller.receive())
+        check(row, parts, whole)
+    finally:
+        await rig.__aexit__(None, None, None)
+
+
+async def test_version_stream_begun_at_unlisted_process_host_resumes(net):
+    """Guards against a stream that goes on at the version that was listed for the
+    worker's id when its process had another one."""
+    await play_rows(net, begun, BEGUN, False)
+
+
+async def test_version_stream_begun_at_unlisted_process_caller_resumes(net):
+    """The same if the caller takes the stream up at another host."""
+    await play_rows(net, begun, BEGUN, True)
+
+
+if __name__ == "__main__":
+    sys.exit(main("proxyversions", globals(), FIRST_NET))
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -125,6 +125,7 @@
 grep -E '^(chaos|settings in|a killed)' "$LOG/procs"
 process_tests proxy
 process_tests proxyends
+process_tests proxyversions
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 beside() {
 	commit=$1
