Observability: which process of a worker a stream begins at

The log could not tell whether a stream of two versions went on at a process that was not listed (hypothesis 1) or was recorded under the entry of the former process (hypothesis 2): ev=send names the worker's id and the listed version only.

ev=send has the listed start now. When a stream begins at a worker of whose process no open connection is known, the worker is asked for its report on a connection that is kept (daemon/ident); ev=process and unlisted_processes tell answers of processes that are not the listed ones, process_probes counts the questions. wire/hc keeps the process with the connection, as a connection leads to one process as long as it lasts.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -651,17 +651,17 @@
 
 	slog(SLOG_INFO, "send",
 	     "id=%s request=%016" G_GINT64_MODIFIER
-	     "x route=%s account=%s worker=%s version=%s cost_ms=%.0f "
-	     "cached=%d "
+	     "x route=%s account=%s worker=%s start=%" G_GINT64_FORMAT
+	     " version=%s cost_ms=%.0f cached=%d "
 	     "tokens=%d inflight=%u told=%d others=%d limit=%.2f "
 	     "report_age_ms=%" G_GINT64_FORMAT
 	     " candidates=%u config=%" G_GINT64_FORMAT
 	     " list_age_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
 	     xfer->id, xfer->identity, xfer->route->name,
 	     xfer->account ? xfer->account->name : "", worker->entry.id,
-	     worker->entry.version, choice->cost, choice->cached_tokens,
-	     xfer->fleet_request.prompt_tokens, worker->inflight,
-	     worker->peer_requests, worker->reported_others,
+	     worker->entry.started_at, worker->entry.version, choice->cost,
+	     choice->cached_tokens, xfer->fleet_request.prompt_tokens,
+	     worker->inflight, worker->peer_requests, worker->reported_others,
 	     fleet_limit_rate(worker),
 	     worker->reported_at ? now - worker->reported_at : -1,
 	     choice->candidates, proxyd->tab_revision,
@@ -677,6 +677,8 @@
 	xfer->sent_at = 0;
 	xfer->tries_room = fleet_begin(worker, &xfer->fleet_request, now);
 	xfer->attempt = hc_request_start(worker->http_peer, &spec);
+	if (xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE)
+		process_watch(proxyd, worker);
 	g_string_free(head, TRUE);
 	if (bytes)
 		g_bytes_unref(bytes);
--- /dev/null
+++ b/daemon/proxyd-process.c
@@ -0,0 +1,110 @@
+/*
+ * Which process of a worker is at the other end of a connection. The list of
+ * workers says which one has a worker's id, and its software version; for some
+ * time after a start it names the former one.
+ */
+#include "proxyd-xfer.h"
+
+#include "ident.h"
+
+#define PERIOD_MS 400 /* without an answer, until it is decided what follows   \
+		       */
+#define WATCH_MS 2000 /* that an answer to a watch may take */
+
+/* A question that no request waits for. */
+struct watch {
+	struct proxyd *proxyd;
+	struct fleet_worker *worker;
+	struct ident *ident; /* NULL: it has ended */
+};
+
+static void watch_free(void *ptr)
+{
+	struct watch *watch = ptr;
+
+	if (watch->ident)
+		ident_cancel(watch->ident);
+	fleet_worker_unref(watch->worker);
+	g_free(watch);
+}
+
+/* Notes what a process has said. */
+static void answer_note(struct proxyd *proxyd, struct fleet_worker *worker,
+			const struct ident_answer *answer)
+{
+	bool is_listed = answer->start == worker->entry.started_at;
+
+	if (!is_listed)
+		slog(SLOG_INFO, "process",
+		     "worker=%s listed=%" G_GINT64_FORMAT
+		     " said=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
+		     " outcome=%s",
+		     worker->entry.id, worker->entry.started_at, answer->start,
+		     answer->took, ident_name(answer->outcome));
+	if (answer->start && !is_listed)
+		proxyd_count(proxyd, CTR_unlisted_processes);
+}
+
+static bool watch_waits(void *ctx, clk_ms waited)
+{
+	(void)ctx;
+	return waited < WATCH_MS;
+}
+
+static void on_watched(void *ctx, const struct ident_answer *answer)
+{
+	struct watch *watch = ctx;
+	struct proxyd *proxyd = watch->proxyd;
+
+	watch->ident = NULL;
+	answer_note(proxyd, watch->worker, answer);
+	g_ptr_array_remove_fast(proxyd->watches, watch);
+}
+
+static bool is_watched(const struct proxyd *proxyd,
+		       const struct fleet_worker *worker)
+{
+	for (guint i = 0; i < proxyd->watches->len; i++) {
+		const struct watch *watch =
+			g_ptr_array_index(proxyd->watches, i);
+
+		if (watch->worker == worker)
+			return true;
+	}
+	return false;
+}
+
+/* Starts to ask a worker. */
+static struct ident *process_ask(struct proxyd *proxyd,
+				 struct fleet_worker *worker,
+				 struct ident_spec *spec)
+{
+	spec->peer = worker->http_peer;
+	spec->address = worker->entry.address;
+	spec->worker = worker->entry.id;
+	spec->period = PERIOD_MS;
+	proxyd_count(proxyd, CTR_process_probes);
+	return ident_start(&proxyd->loop, spec);
+}
+
+void process_watch(struct proxyd *proxyd, struct fleet_worker *worker)
+{
+	struct watch *watch;
+	struct ident_spec spec = { .waits = watch_waits, .fn = on_watched };
+
+	if (!worker->entry.started_at || !worker->http_peer ||
+	    hc_peer_knows_process(worker->http_peer) ||
+	    is_watched(proxyd, worker))
+		return;
+	watch = g_new0(struct watch, 1);
+	watch->proxyd = proxyd;
+	watch->worker = fleet_worker_ref(worker);
+	spec.ctx = watch;
+	g_ptr_array_add(proxyd->watches, watch);
+	watch->ident = process_ask(proxyd, worker, &spec);
+}
+
+void process_start(struct proxyd *proxyd)
+{
+	proxyd->watches = g_ptr_array_new_with_free_func(watch_free);
+}
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -547,6 +547,7 @@
 	permit_start(proxyd);
 	resume_start(proxyd);
 	probe_start(proxyd);
+	process_start(proxyd);
 	reach_start(proxyd);
 	forward_start(proxyd);
 	queue_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -168,7 +168,8 @@
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
 	unsigned limit_questions; /* for all limits, since the start */
 	clk_ms next_issuer_check;
-	GPtrArray *probes; /* of struct probe */
+	GPtrArray *probes;  /* of struct probe */
+	GPtrArray *watches; /* of proxyd-process.c */
 	struct links *links;
 	struct hop *hop;
 	struct hs *forwarded; /* listener for requests of other hosts */
@@ -389,6 +390,11 @@
  * check. */
 bool probe_link(struct proxyd *proxyd, struct fleet_worker *worker);
 
+/* proxyd-process.c: which process of a worker connections lead to */
+void process_start(struct proxyd *proxyd);
+/* Asks a worker which process it is, unless that is known of a connection. */
+void process_watch(struct proxyd *proxyd, struct fleet_worker *worker);
+
 /* proxyd-reach.c: which workers this host reaches */
 void reach_start(struct proxyd *proxyd);
 void reach_tick(struct proxyd *proxyd);
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -91,6 +91,9 @@
 	X(brittle_told, "times all hosts were told of such requests")          \
 	X(brittle_bad, "malformed words of workers that they are brittle")     \
 	X(worker_probes, "health checks of workers with a limit of about 0")   \
+	X(process_probes, "reports asked for to know a worker's process")      \
+	X(unlisted_processes,                                                  \
+	  "answers of processes that were not listed with their worker's id")  \
 	X(permits_asked, "times permits of a limited worker were asked for")   \
 	X(permits_issued, "permits of limited workers given to other hosts")   \
 	X(waited, "requests that waited for a permit")                         \
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -19,6 +19,9 @@
 	clk_ms since; /* when the attempt began, or when it became idle */
 	clk_ms responded_at; /* when the first response ended; 0: none has */
 	clk_ms idle_timeout; /* after the last response */
+	int64_t process;     /* at the other end; 0: not known */
+	bool is_named;	     /* a response on it has named the process */
+	bool has_input;	     /* it has brought part of a response */
 	size_t seen;	     /* bytes of an incomplete head already parsed */
 	bool in_body;
 	bool mismatched; /* current response has a wrong id */
@@ -33,6 +36,7 @@
 	GPtrArray *idle;       /* struct hc_conn, most recently used last */
 	GPtrArray *conns;      /* struct hc_conn, idle and busy */
 	clk_ms older_ended_at; /* see hc_peer_ended_older; 0: none */
+	int64_t process;       /* that a response has named last; 0: none */
 	bool removed;
 };
 
@@ -94,6 +98,49 @@
 	g_free(request);
 }
 
+/* Whether a connection is open to the process that was named last. */
+static bool peer_reaches_process(const struct hc_peer *peer)
+{
+	for (guint i = 0; peer->process && i < peer->conns->len; i++) {
+		const struct hc_conn *conn = g_ptr_array_index(peer->conns, i);
+
+		if (conn->process == peer->process &&
+		    !tcp_peer_closed(conn->tcp))
+			return true;
+	}
+	return false;
+}
+
+/* While a connection to the process that was named last is open, all others
+ * that have brought a response lead there. */
+static void peer_share_process(const struct hc_peer *peer)
+{
+	if (!peer_reaches_process(peer))
+		return;
+	for (guint i = 0; i < peer->conns->len; i++) {
+		struct hc_conn *conn = g_ptr_array_index(peer->conns, i);
+
+		if (!conn->process && conn->has_input &&
+		    !tcp_peer_closed(conn->tcp))
+			conn->process = peer->process;
+	}
+}
+
+/* Notes which process a response has named; returns whether it has. */
+static bool conn_name_process(struct hc_conn *conn,
+			      const struct hc_request_spec *spec)
+{
+	int64_t process = spec->names_process(spec->ctx);
+
+	if (process <= 0)
+		return false;
+	conn->process = process;
+	conn->is_named = true;
+	conn->peer->process = process;
+	peer_share_process(conn->peer);
+	return true;
+}
+
 /* Ends a request and keeps or closes its connection. */
 static void request_end(struct hc_request *request, enum hc_result result,
 			bool keep)
@@ -101,6 +148,8 @@
 	struct hc_conn *conn = request->conn;
 	struct hc_request_spec spec = request->spec;
 
+	if (result == HC_COMPLETE && spec.names_process)
+		keep = conn_name_process(conn, &spec) && keep;
 	conn->request = NULL;
 	request_free(request);
 	if (keep && !spec.is_last && !conn->peer->removed) {
@@ -155,8 +204,10 @@
 	if (!name || !conn->request->spec.id)
 		return true;
 	id = h1_header_value(head, name);
+	/* Error responses may lack the header. A second response to the request
+	 * that named the process does, too. */
 	if (id.len == 0)
-		return true; /* error responses may lack the header */
+		return !conn->is_named || head->status / 100 != 2;
 	return id.len == strlen(conn->request->spec.id) &&
 	       memcmp(id.ptr, conn->request->spec.id, id.len) == 0;
 }
@@ -197,6 +248,7 @@
 		return true;
 	}
 	conn->in_body = true;
+	conn->has_input = true;
 	conn->close_after = head.close;
 	conn->idle_timeout = idle_timeout_of(conn, &head);
 	conn->mismatched = !response_matches(conn, &head);
@@ -327,28 +379,46 @@
 	conn_send(conn, false);
 }
 
-/* Returns the most recently used idle connection, or NULL. One whose end has
- * arrived is not used, although it was not read yet: the request would be lost,
- * and may be one that is not sent again. */
-static struct hc_conn *peer_pop_idle(struct hc_peer *peer)
+/* Closes an idle connection that can't be used any more; returns whether it
+ * was. One whose end has arrived can't, although it was not read yet: the
+ * request would be lost, and may be one that is not sent again. */
+static bool idle_close_if_over(struct hc_conn *conn, clk_ms now)
+{
+	struct hc_peer *peer = conn->peer;
+
+	if (now - conn->since < conn->idle_timeout &&
+	    !tcp_input_waits(conn->tcp))
+		return false;
+	peer->hc->counters.unexpected_data += tcp_unread_bytes(conn->tcp) > 0;
+	if (tcp_peer_closed(conn->tcp))
+		peer->older_ended_at = now;
+	conn_close(conn);
+	return true;
+}
+
+/* Whether a request may be sent on an idle connection. Without an id its
+ * response can't be told from a second one to the request that named the
+ * process. */
+static bool idle_suits(const struct hc_conn *conn,
+		       const struct hc_request_spec *spec)
+{
+	if (spec->process)
+		return conn->is_named && conn->process == spec->process;
+	return spec->id || !conn->is_named;
+}
+
+/* Returns the most recently used idle connection that suits a request, or NULL.
+ */
+static struct hc_conn *peer_find_idle(struct hc_peer *peer,
+				      const struct hc_request_spec *spec)
 {
 	clk_ms now = loop_now(peer->hc);
 
-	while (peer->idle->len > 0) {
-		struct hc_conn *conn =
-			g_ptr_array_index(peer->idle, peer->idle->len - 1);
+	for (guint i = peer->idle->len; i-- > 0;) {
+		struct hc_conn *conn = g_ptr_array_index(peer->idle, i);
 
-		if (now - conn->since < conn->idle_timeout &&
-		    !tcp_input_waits(conn->tcp)) {
-			g_ptr_array_set_size(peer->idle,
-					     (gint)peer->idle->len - 1);
+		if (idle_suits(conn, spec) && !idle_close_if_over(conn, now))
 			return conn;
-		}
-		peer->hc->counters.unexpected_data +=
-			tcp_unread_bytes(conn->tcp) > 0;
-		if (tcp_peer_closed(conn->tcp))
-			peer->older_ended_at = now;
-		conn_close(conn);
 	}
 	return NULL;
 }
@@ -391,7 +461,7 @@
 				    const struct hc_request_spec *spec)
 {
 	struct hc_request *request = g_new0(struct hc_request, 1);
-	struct hc_conn *conn = peer_pop_idle(peer);
+	struct hc_conn *conn = peer_find_idle(peer, spec);
 
 	request->spec = *spec;
 	request->out = g_string_new_len(spec->head, (gssize)spec->head_len);
@@ -400,13 +470,14 @@
 				    g_bytes_get_data(spec->body, NULL),
 				    (gssize)g_bytes_get_size(spec->body));
 	if (conn) {
+		g_ptr_array_remove(peer->idle, conn);
 		peer->hc->counters.reuses++;
 		conn->request = request;
 		request->conn = conn;
 		conn_send(conn, true);
 		return request;
 	}
-	conn = peer_connect(peer);
+	conn = spec->process ? NULL : peer_connect(peer);
 	if (!conn) {
 		request->connect_failed = true;
 		g_queue_push_tail(&peer->hc->failed_requests, request);
@@ -418,6 +489,14 @@
 	return request;
 }
 
+int64_t hc_request_process(const struct hc_request *request)
+{
+	if (request->connect_failed || !request->conn->has_input)
+		return 0;
+	peer_share_process(request->conn->peer);
+	return request->conn->process;
+}
+
 void hc_request_cancel(struct hc_request *request)
 {
 	struct hc_conn *conn = request->conn;
@@ -520,6 +599,18 @@
 	return peer->idle->len > 0;
 }
 
+bool hc_peer_has_idle_to(struct hc_peer *peer, int64_t process)
+{
+	const struct hc_request_spec spec = { .process = process };
+
+	return peer_find_idle(peer, &spec) != NULL;
+}
+
+bool hc_peer_knows_process(const struct hc_peer *peer)
+{
+	return peer_reaches_process(peer);
+}
+
 bool hc_peer_has_older(const struct hc_peer *peer, clk_ms time)
 {
 	for (guint i = 0; i < peer->conns->len; i++) {
