--- a/tests/proxyversions.py
+++ b/tests/proxyversions.py
@@ -5,6 +5,7 @@
 Usage: proxyversions.py [--jobs N] [TEST...]
 """
 import asyncio
+import contextlib
 import os
 import sys
 
@@ -55,15 +56,16 @@
             row, [(got.status, got.body) for got in parts])
 
 
-async def start(net, versions, hosts=2):
-    rig = Rig(net, hosts=hosts, llm=len(versions))
-    await rig.__aenter__()
-    await rig.wait_membership()
-    for worker, version in zip(rig.workers_of("llm"), versions):
-        worker.version, worker.event_gap_s = version, EVENT_GAP_S
-        rig.list_worker(worker)
-    await asyncio.sleep(CONFIG_BOUND_S)
-    return rig
+@contextlib.asynccontextmanager
+async def started(net, versions, hosts=2):
+    """Two hosts and workers of these versions."""
+    async with Rig(net, hosts=hosts, llm=len(versions)) as rig:
+        await rig.wait_membership()
+        for worker, version in zip(rig.workers_of("llm"), versions):
+            worker.version, worker.event_gap_s = version, EVENT_GAP_S
+            rig.list_worker(worker)
+        await asyncio.sleep(CONFIG_BOUND_S)
+        yield rig
 
 
 # Versions that are listed, workers whose process is replaced, its version,
@@ -95,8 +97,7 @@
 
 async def resumed(net, row, by_caller):
     versions, replaced, version, used, listed, whole = row
-    rig = await start(net, versions)
-    try:
+    async with started(net, versions) as rig:
         workers = rig.workers_of("llm")
         if used:
             for host in rig.hosts:
@@ -119,8 +120,6 @@
             workers[0].end_process()
             parts.append(await caller.receive())
         check(row, parts, whole)
-    finally:
-        await rig.__aexit__(None, None, None)
 
 
 async def test_version_worker_replaced_before_host_resumes(net):
@@ -151,8 +150,7 @@
 
 async def begun(net, row, by_caller):
     versions, version, used, listed_s, whole = row
-    rig = await start(net, versions)
-    try:
+    async with started(net, versions) as rig:
         first = rig.workers_of("llm")[0]
         if used:
             caller, _ = await begin(rig, rig.hosts[0], first)
@@ -174,8 +172,6 @@
             first.end_process()
             parts.append(await caller.receive())
         check(row, parts, whole)
-    finally:
-        await rig.__aexit__(None, None, None)
 
 
 async def test_version_stream_begun_at_unlisted_process_host_resumes(net):
