Streams go on only at a process that has said that it is the listed one

Callers saw a stream whose events come from two software versions, within one response or over their attempts: a worker's process had ended and another one, at another version, served its address under the same id. Its entry in the store was still that of the former one.

Cause: a request that must run at a version was sent to a worker by its entry. What is known of an id was taken for what holds of a process. The doubt after the end of a connection is one of the host that had a connection, and covers only cuts that this host has seen.

Ruled out: nothing in the request lets the worker reject it (it checks its id, which is the same; Redwingpitch-Expected-Version is that of weights). Connections that are older than the entry prove nothing about new ones.

Change: such a request (one that resumes, is taken up, moved or forwarded) is sent on a connection whose process has said its start, if that is the start in the entry; else the worker is asked first, on the connection that then carries the request. Another answer, or none, sends nothing: the request goes to another worker. A worker in whose place another process has answered has no known version until it is listed. Workers that are silent are waited for while no other one is sound. The source of a move is exempt, as it rejects a handle that it does not hold. Workers whose entry has no start keep the doubt by time.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -47,6 +47,9 @@
 	if (xfer->confirm)
 		confirm_cancel(xfer->confirm);
 	xfer->confirm = NULL;
+	if (xfer->ident)
+		ident_cancel(xfer->ident);
+	xfer->ident = NULL;
 	if (xfer->worker)
 		worker_release(xfer);
 	xfer->sent_at = 0;
@@ -457,6 +460,13 @@
 		attempt_judge(xfer, result);
 }
 
+void attempt_end_unreached(struct xfer *xfer)
+{
+	reach_on_failure(xfer->proxyd, xfer->worker);
+	fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
+	attempt_end(xfer, PX_END_UNSENT, "no_connection");
+}
+
 void attempt_judge(struct xfer *xfer, enum hc_result result)
 {
 	const struct xfer_response *response = &xfer->response;
@@ -475,9 +485,7 @@
 		attempt_end(xfer, PX_END_UNSENT, "worker_leaves");
 		return;
 	case HC_UNSENT:
-		reach_on_failure(xfer->proxyd, xfer->worker);
-		fleet_on_cut(xfer->worker, proxyd_now(xfer->proxyd));
-		attempt_end(xfer, PX_END_UNSENT, "no_connection");
+		attempt_end_unreached(xfer);
 		return;
 	case HC_TRUNCATED:
 	case HC_MALFORMED:
@@ -543,6 +551,12 @@
 		       .worker != NULL;
 }
 
+bool attempt_has_sound_other(struct xfer *xfer)
+{
+	return may_repeat(xfer) &&
+	       has_replacement(xfer, proxyd_now(xfer->proxyd) - SOUND_MS);
+}
+
 void attempt_on_stall(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
@@ -596,34 +610,48 @@
 	return CLK_NEVER / 2;
 }
 
-/* Begins the span of an attempt; returns the traceparent for the upstream, or
- * NULL if no spans are written. */
-static const char *attempt_trace(struct xfer *xfer,
+/* Formats the traceparent for the upstream; returns NULL if no spans are
+ * written. */
+static const char *attempt_trace(const struct xfer *xfer,
 				 char buf[TRACE_PARENT_LEN + 1])
 {
-	struct tracer *tracer = xfer->proxyd->tracer;
-
-	if (!tracer)
+	if (!xfer->proxyd->tracer)
 		return NULL;
-	trace_parent_format(&xfer->span, buf);
-	trace_begin(tracer, &xfer->attempt_span, buf, TRACE_PARENT_LEN);
 	trace_parent_format(&xfer->attempt_span, buf);
 	return buf;
 }
 
-void attempt_start(struct xfer *xfer, const struct fleet_choice *choice)
+/* Begins the span of an attempt. */
+static void attempt_trace_begin(struct xfer *xfer)
+{
+	char parent[TRACE_PARENT_LEN + 1];
+
+	if (!xfer->proxyd->tracer)
+		return;
+	trace_parent_format(&xfer->span, parent);
+	trace_begin(xfer->proxyd->tracer, &xfer->attempt_span, parent,
+		    TRACE_PARENT_LEN);
+}
+
+/* Whether the attempt may only be sent on a connection that is known to lead to
+ * the listed process: a stream goes on at the version that began it. The source
+ * of a move rejects the handle of a KV cache that it does not hold. */
+static bool needs_proof(const struct xfer *xfer)
+{
+	return fleet_needs_proof(xfer->worker, &xfer->fleet_request) &&
+	       xfer->worker != xfer->move.source;
+}
+
+void attempt_send(struct xfer *xfer)
 {
-	struct proxyd *proxyd = xfer->proxyd;
 	struct http_view body = hs_request_body(xfer->call);
-	clk_ms now = proxyd_now(proxyd);
-	struct fleet_worker *worker = choice->worker;
-	clk_ms listed_at = proxyd->list_age.complete_at;
+	struct fleet_worker *worker = xfer->worker;
 	char trace[TRACE_PARENT_LEN + 1];
 	struct head_added added = {
 		.trace = attempt_trace(xfer, trace),
 		.account = xfer->account ? xfer->account->name : NULL,
 		.worker = worker->entry.id,
-		.time_left = MAX(xfer->deadline - now, 1),
+		.time_left = MAX(xfer->deadline - proxyd_now(xfer->proxyd), 1),
 		.priority = xfer->pool->engine ? xfer->priority : -1,
 		.last_event_id =
 			xfer->px.response_started ? xfer->sse.last_id : -1,
@@ -641,6 +669,7 @@
 		.id = xfer->id,
 		.is_head = h1_view_equals(hs_request_head(xfer->call)->method,
 					  "HEAD"),
+		.process = needs_proof(xfer) ? xfer->worker_start : 0,
 		.may_send = may_send,
 		.on_sent = on_sent,
 		.on_head = on_head,
@@ -649,6 +678,21 @@
 		.ctx = xfer,
 	};
 
+	xfer->attempt = hc_request_start(worker->http_peer, &spec);
+	if (xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE)
+		process_watch(xfer->proxyd, worker);
+	g_string_free(head, TRUE);
+	if (bytes)
+		g_bytes_unref(bytes);
+}
+
+void attempt_start(struct xfer *xfer, const struct fleet_choice *choice)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	clk_ms now = proxyd_now(proxyd);
+	struct fleet_worker *worker = choice->worker;
+	clk_ms listed_at = proxyd->list_age.complete_at;
+
 	slog(SLOG_INFO, "send",
 	     "id=%s request=%016" G_GINT64_MODIFIER
 	     "x route=%s account=%s worker=%s start=%" G_GINT64_FORMAT
@@ -665,9 +709,10 @@
 	     fleet_limit_rate(worker),
 	     worker->reported_at ? now - worker->reported_at : -1,
 	     choice->candidates, proxyd->tab_revision,
-	     listed_at ? now - listed_at : -1, added.time_left);
+	     listed_at ? now - listed_at : -1, MAX(xfer->deadline - now, 1));
 	if (listed_at)
 		hist_add(&proxyd->list_ages, now - listed_at);
+	attempt_trace_begin(xfer);
 	xfer->worker = fleet_worker_ref(worker);
 	xfer->worker_start = worker->entry.started_at;
 	xfer->fleet_request.prefill_tokens =
@@ -675,11 +720,11 @@
 	xfer->has_output = false;
 	xfer->output_at = 0;
 	xfer->sent_at = 0;
+	xfer->ident_tries = 0;
 	xfer->tries_room = fleet_begin(worker, &xfer->fleet_request, now);
-	xfer->attempt = hc_request_start(worker->http_peer, &spec);
-	if (xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE)
-		process_watch(proxyd, worker);
-	g_string_free(head, TRUE);
-	if (bytes)
-		g_bytes_unref(bytes);
+	if (needs_proof(xfer) &&
+	    !hc_peer_has_idle_to(worker->http_peer, xfer->worker_start))
+		process_prove(xfer);
+	else
+		attempt_send(xfer);
 }
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -7,9 +7,12 @@
 
 #include "ident.h"
 
-#define PERIOD_MS 400 /* without an answer, until it is decided what follows   \
+#define PERIOD_MS                                                              \
+	400	      /* without an answer, until it is decided what follows   \
 		       */
 #define WATCH_MS 2000 /* that an answer to a watch may take */
+/* Questions for an attempt: a worker may close the connection of an answer. */
+#define TRIES_MAX 2
 
 /* A question that no request waits for. */
 struct watch {
@@ -34,6 +37,9 @@
 {
 	bool is_listed = answer->start == worker->entry.started_at;
 
+	if (answer->outcome == IDENT_SAID || answer->outcome == IDENT_OTHER)
+		fleet_on_process(proxyd->fleet, worker, answer->start,
+				 proxyd_now(proxyd));
 	if (!is_listed)
 		slog(SLOG_INFO, "process",
 		     "worker=%s listed=%" G_GINT64_FORMAT
@@ -104,6 +110,73 @@
 	watch->ident = process_ask(proxyd, worker, &spec);
 }
 
+/* Sends an attempt whose worker is the listed process. */
+static void proved_send(struct xfer *xfer)
+{
+	const struct fleet_worker *worker = xfer->worker;
+
+	if (hc_peer_has_idle_to(worker->http_peer, xfer->worker_start))
+		attempt_send(xfer);
+	else if (xfer->ident_tries < TRIES_MAX)
+		process_prove(xfer);
+	else
+		attempt_end(xfer, PX_END_UNSENT, "connection_not_kept");
+}
+
+static void on_proved(void *ctx, const struct ident_answer *answer)
+{
+	struct xfer *xfer = ctx;
+
+	xfer->ident = NULL;
+	answer_note(xfer->proxyd, xfer->worker, answer);
+	switch (answer->outcome) {
+	case IDENT_SAID:
+		if (answer->start == xfer->worker_start)
+			proved_send(xfer);
+		else
+			attempt_end(xfer, PX_END_UNSENT, "other_process");
+		break;
+	case IDENT_OTHER:
+		attempt_end(xfer, PX_END_UNSENT, "other_process");
+		break;
+	case IDENT_MUTE:
+		attempt_end(xfer, PX_END_UNSENT, "unknown_process");
+		break;
+	case IDENT_REFUSED:
+		attempt_end_unreached(xfer);
+		break;
+	case IDENT_SILENT:
+		reach_on_silence(xfer->proxyd, xfer->worker);
+		attempt_end(xfer, PX_END_UNSENT, "silent_process");
+		break;
+	}
+}
+
+/* A worker that is silent for a while may be sound: the request waits for it
+ * unless another one can have it. */
+static bool proof_waits(void *ctx, clk_ms waited)
+{
+	(void)waited;
+	return !attempt_has_sound_other(ctx);
+}
+
+void process_prove(struct xfer *xfer)
+{
+	struct ident_spec spec = {
+		.waits = proof_waits,
+		.fn = on_proved,
+		.ctx = xfer,
+	};
+
+	xfer->ident_tries++;
+	xfer->ident = process_ask(xfer->proxyd, xfer->worker, &spec);
+}
+
+void process_tick(struct proxyd *proxyd)
+{
+	fleet_expire(proxyd->fleet, proxyd_now(proxyd));
+}
+
 void process_start(struct proxyd *proxyd)
 {
 	proxyd->watches = g_ptr_array_new_with_free_func(watch_free);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -7,6 +7,7 @@
 
 #include "../wire/trace.h"
 #include "confirm.h"
+#include "ident.h"
 #include "proxyd.h"
 
 /* The response of the current attempt. */
@@ -64,6 +65,10 @@
 	int64_t worker_start;
 	struct hc_request *attempt;
 	struct hop_call *hop; /* the request at another host, or NULL */
+	/* The worker of the attempt, which is not sent yet, is asked which
+	 * process it is; or NULL. */
+	struct ident *ident;
+	unsigned ident_tries;
 	/* The attempt's response has ended with its connection; NULL unless
 	 * its worker is asked whether that is the end. */
 	struct confirm *confirm;
@@ -191,6 +196,11 @@
  * or none of several workers could be reached; returns whether it has. */
 bool forward_request(struct xfer *xfer);
 
+/* proxyd-process.c: which process of a worker an attempt runs at */
+/* Asks the worker of the attempt which process it is; then sends the attempt,
+ * or ends it. */
+void process_prove(struct xfer *xfer);
+
 /* proxyd-ends.c */
 /* Counts a request that ends without a whole answer. */
 void ends_count(struct proxyd *proxyd, const char *why);
@@ -198,8 +208,16 @@
 /* proxyd-attempt.c: one attempt at an upstream */
 /* Returns the conditions for one more attempt. */
 struct px_retry_conditions attempt_retry_conditions(struct xfer *xfer);
-/* Sends the request to the chosen worker. */
+/* Sends the request to the chosen worker, or asks it first which process it is.
+ */
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
+/* Sends the attempt that has been started. */
+void attempt_send(struct xfer *xfer);
+/* Ends the attempt, which was not sent as the worker can't be reached. */
+void attempt_end_unreached(struct xfer *xfer);
+/* Whether another worker that has sent something lately could have the request
+ * now. */
+bool attempt_has_sound_other(struct xfer *xfer);
 /* Adds bytes to the response: complete events of a stream are passed to relay,
  * other responses are buffered. Returns false if the response can't go on; why
  * is set then. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -280,6 +280,7 @@
 	permit_tick(proxyd);
 	resume_tick(proxyd);
 	probe_tick(proxyd);
+	process_tick(proxyd);
 	reach_tick(proxyd);
 	forward_tick(proxyd);
 	settings_tick(proxyd);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -40,6 +40,7 @@
 	*fleet = *options;
 	fleet->workers = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->by_key = g_hash_table_new(NULL, NULL);
+	fleet->replaced = g_ptr_array_new();
 	fleet->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->versions =
@@ -172,6 +173,14 @@
 	version_count(fleet, worker, 1);
 }
 
+static void other_forget(struct fleet *fleet, struct fleet_worker *worker)
+{
+	if (worker->other_at)
+		g_ptr_array_remove_fast(fleet->replaced, worker);
+	worker->other_start = 0;
+	worker->other_at = 0;
+}
+
 void fleet_remove(struct fleet *fleet, const char *id)
 {
 	struct fleet_worker *worker = fleet_find(fleet, id);
@@ -183,6 +192,7 @@
 	g_ptr_array_remove_fast(pool_workers(fleet, worker->entry.pool),
 				worker);
 	version_count(fleet, worker, -1);
+	other_forget(fleet, worker);
 	worker->removed = true;
 	if (fleet->on_removed)
 		fleet->on_removed(fleet->ctx, worker);
@@ -271,8 +281,40 @@
 	worker->cut_at = now;
 }
 
+void fleet_on_process(struct fleet *fleet, struct fleet_worker *worker,
+		      int64_t start, clk_ms now)
+{
+	other_forget(fleet, worker);
+	if (worker->removed || (start && start == worker->entry.started_at))
+		return;
+	worker->other_start = start;
+	worker->other_at = now;
+	g_ptr_array_add(fleet->replaced, worker);
+}
+
+void fleet_expire(struct fleet *fleet, clk_ms now)
+{
+	for (guint i = fleet->replaced->len; i-- > 0;) {
+		struct fleet_worker *worker =
+			g_ptr_array_index(fleet->replaced, i);
+
+		if (now - worker->other_at > ENTRY_MS)
+			other_forget(fleet, worker);
+	}
+}
+
+bool fleet_needs_proof(const struct fleet_worker *worker,
+		       const struct fleet_request *request)
+{
+	return request->version != 0 && worker->entry.started_at != 0;
+}
+
 uint32_t fleet_version_of(const struct fleet_worker *worker, clk_ms listed_at)
 {
+	/* Its process is asked before it is sent a request. */
+	if (worker->entry.started_at)
+		return worker->other_at ? FLEET_VERSION_UNKNOWN
+					: worker->version;
 	if (worker->cut_at && listed_at <= worker->cut_at + ENTRY_MS)
 		return FLEET_VERSION_UNKNOWN;
 	return worker->version;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -110,6 +110,11 @@
 	clk_ms link_probed_at; /* the link to it; 0: never */
 	bool unreached;	       /* others hear it, and this host does not */
 	clk_ms cut_at; /* a connection to it last ended or failed; 0: never */
+	/* Start of a process that is not the listed one but has answered in
+	 * its place, in ms of its wall clock; 0: none has, or an unknown one.
+	 */
+	int64_t other_start;
+	clk_ms other_at;	  /* when it last did; 0: never */
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
@@ -189,7 +194,8 @@
 	struct fleet_params params;
 	clk_ms brittle_at; /* a brittle worker last answered; 0: never */
 	uint32_t (*random)(void *ctx, uint32_t n);
-	GHashTable *by_key; /* aggregate_key of an id -> struct fleet_worker */
+	GHashTable *by_key;  /* aggregate_key of an id -> struct fleet_worker */
+	GPtrArray *replaced; /* struct fleet_worker whose other_at is set */
 	/* Called to open and to close connections to a worker. */
 	void (*on_added)(void *ctx, struct fleet_worker *worker);
 	void (*on_removed)(void *ctx, struct fleet_worker *worker);
@@ -299,6 +305,17 @@
  * another one, of another version, may be there under its id until the list of
  * workers says so. */
 void fleet_on_cut(struct fleet_worker *worker, clk_ms now);
+/* A process has answered at a worker's address that started then; 0: another
+ * one than the worker. If it is not listed, its version is not known until it
+ * is. */
+void fleet_on_process(struct fleet *fleet, struct fleet_worker *worker,
+		      int64_t start, clk_ms now);
+/* Forgets answers of processes that should be listed by now. */
+void fleet_expire(struct fleet *fleet, clk_ms now);
+/* Whether requests that need a version are sent to a worker only once its
+ * process has said that it is the listed one. */
+bool fleet_needs_proof(const struct fleet_worker *worker,
+		       const struct fleet_request *request);
 /* Returns the version of a worker, or FLEET_VERSION_UNKNOWN; listed_at: when
  * the list of workers was last current. */
 uint32_t fleet_version_of(const struct fleet_worker *worker, clk_ms listed_at);
