The version of a stream is that of the process that began it

Callers saw a stream go on at another version than it had begun at: it had begun at a process that was not listed yet, under the id of the former one, and was recorded under that one's version. Whoever took it up, the host itself or another one, went on at the version of the entry.

Cause: the record of origins read the version from the list, by the worker's id.

Ruled out: asking before the request is sent, as first events would wait, and a probe for each connection. The list alone: an entry says nothing of the process that answers, however current the list is.

Change: while no open connection of a worker is known to lead to a process, a stream that begins there has it asked beside it. A stream's version is that of the process on its connection. While a process has answered that is not listed, its pool counts one version more, and one of the hosts that would keep a stream must have answered before the only listed version is taken for its own.

--- a/daemon/proxyd-ends.c
+++ b/daemon/proxyd-ends.c
@@ -32,6 +32,10 @@
 	{ "no_worker", CTR_unanswered_again },
 	{ "no_worker_of_version", CTR_unanswered_again },
 	{ "upstream_refused", CTR_unanswered_again },
+	{ "other_process", CTR_unanswered_again },
+	{ "unknown_process", CTR_unanswered_again },
+	{ "silent_process", CTR_unanswered_again },
+	{ "connection_not_kept", CTR_unanswered_again },
 	{ "worker_leaves", CTR_unanswered_again },
 	{ "grace_over", CTR_unanswered_stop },
 };
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -64,6 +64,7 @@
 
 	watch->ident = NULL;
 	answer_note(proxyd, watch->worker, answer);
+	resume_on_process(proxyd, watch->worker);
 	g_ptr_array_remove_fast(proxyd->watches, watch);
 }
 
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -267,7 +267,7 @@
 	struct proxyd *proxyd = ctx;
 	unsigned turn;
 
-	if (writes_streams(proxyd, &turn))
+	if (origin_is_known(version) && writes_streams(proxyd, &turn))
 		streamlog_add(proxyd->streamlog, stream, version);
 }
 
@@ -322,47 +322,155 @@
 	pool->several_versions = keepers > 0;
 }
 
-void resume_on_first_event(struct xfer *xfer)
+/* A worker that is listed, and the host. */
+struct listed_ctx {
+	struct proxyd *proxyd;
+	const struct fleet_worker *worker;
+};
+
+/* Tells the hosts that are to keep a stream of this one; version: that began
+ * it, or ORIGIN_VERSION_UNKNOWN. */
+static void stream_pass_on(struct proxyd *proxyd, const char *pool,
+			   uint64_t stream, uint32_t version)
 {
-	struct proxyd *proxyd = xfer->proxyd;
-	uint32_t version;
-	struct http_view id = { xfer->id, strlen(xfer->id) };
 	const struct member *top[RECEIVERS_MAX];
-	w_origin row = { .stream = key_of(xfer, id) };
+	w_origin row = { .stream = stream, .software = version };
 	w_origin_keep keep = {
 		.streams.streams_len = 1,
 		.streams.streams_val = &row,
 	};
-	unsigned versions;
-	size_t count;
+	unsigned keepers = origin_keepers(versions_of(proxyd, pool),
+					  proxyd_host_count(proxyd));
+	size_t count = receivers_list(proxyd, stream, keepers, top);
+
+	if (proxyd_pool(proxyd, pool)->several_versions)
+		stream_log(proxyd, stream, version);
+	for (size_t i = 0; i < count; i++)
+		rpc_send_origin_keep(proxyd->rpc, top[i]->info.rpc, &keep);
+}
+
+/* Returns the version of a process of a worker; ORIGIN_VERSION_UNKNOWN: it is
+ * not listed. */
+static uint32_t process_version(const struct proxyd *proxyd,
+				const struct fleet_worker *worker,
+				int64_t process)
+{
+	const struct fleet_worker *listed =
+		fleet_find(proxyd->fleet, worker->entry.id);
+
+	if (process && process == worker->entry.started_at)
+		return worker->version;
+	return process && listed && process == listed->entry.started_at
+		       ? listed->version
+		       : ORIGIN_VERSION_UNKNOWN;
+}
+
+/* Returns the version at which the attempt's stream began. */
+static uint32_t attempt_version(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	int64_t process;
+
+	if (!xfer->worker->entry.started_at)
+		return fleet_version_of(xfer->worker,
+					xfer->fleet_request.listed_at);
+	process = hc_request_process(xfer->attempt);
+	if (process)
+		xfer->worker_start = process;
+	return process_version(proxyd, xfer->worker, process);
+}
+
+/* Records the version at which the attempt's stream began. */
+static void stream_record(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct http_view id = { xfer->id, strlen(xfer->id) };
+	const char *pool = xfer->pool->name;
+	uint64_t key = key_of(xfer, id);
+	clk_ms now = proxyd_now(proxyd);
+	int64_t process = hc_request_process(xfer->attempt);
+	uint32_t version = attempt_version(xfer);
 
-	/* A stream that is taken up has a version already. */
-	if (xfer->fleet_request.version)
-		return;
-	versions = versions_of(proxyd, xfer->pool->name);
-	xfer->fleet_request.listed_at = listed_at_of(proxyd, versions);
-	version = fleet_version_of(xfer->worker, xfer->fleet_request.listed_at);
-	row.software = version;
 	xfer->fleet_request.version = version;
 	if (xfer->px.kind != PX_RESUMABLE)
 		return;
-	origin_put(proxyd->origin, row.stream, version,
-		   aggregate_key(xfer->pool->name), proxyd_now(proxyd));
-	if (proxyd_pool(proxyd, xfer->pool->name)->several_versions)
-		stream_log(proxyd, row.stream, version);
-	count = receivers_list(
-		proxyd, row.stream,
-		origin_keepers(versions, proxyd_host_count(proxyd)), top);
-	for (size_t i = 0; i < count; i++)
-		rpc_send_origin_keep(proxyd->rpc, top[i]->info.rpc, &keep);
+	if (!origin_is_known(version))
+		slog(SLOG_INFO, "origin",
+		     "id=%s stream=%016" G_GINT64_MODIFIER
+		     "x worker=%s listed=%" G_GINT64_FORMAT
+		     " process=%" G_GINT64_FORMAT " outcome=unlisted_process",
+		     xfer->id, key, xfer->worker->entry.id,
+		     xfer->worker->entry.started_at, process);
+	if (!origin_is_known(version) && process) {
+		fleet_on_process(proxyd->fleet, xfer->worker, process, now);
+		origin_defer(proxyd->origin, key, xfer->worker->key, process,
+			     now);
+	}
+	origin_put(proxyd->origin, key, version, aggregate_key(pool), now);
+	stream_pass_on(proxyd, pool, key, version);
+}
+
+void resume_on_first_event(struct xfer *xfer)
+{
+	/* A stream that is taken up has a version already. */
+	if (xfer->fleet_request.version)
+		return;
+	resume_update_listed(xfer);
+	stream_record(xfer);
+}
+
+void resume_on_process(struct proxyd *proxyd, const struct fleet_worker *worker)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, proxyd->open_requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct xfer *xfer = key;
+
+		if (xfer->worker == worker && xfer->attempt &&
+		    xfer->px.response_started &&
+		    xfer->fleet_request.version == ORIGIN_VERSION_UNKNOWN)
+			stream_record(xfer);
+	}
+}
+
+static void on_origin_listed(void *ctx, uint64_t stream, uint32_t version)
+{
+	const struct listed_ctx *listed = ctx;
+	const struct fleet_worker *worker = listed->worker;
+
+	slog(SLOG_INFO, "origin",
+	     "stream=%016" G_GINT64_MODIFIER
+	     "x worker=%s version=%08x outcome=listed",
+	     stream, worker->entry.id, version);
+	stream_pass_on(listed->proxyd, worker->entry.pool, stream, version);
+}
+
+void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker)
+{
+	struct listed_ctx ctx = { .proxyd = proxyd, .worker = worker };
+
+	origin_on_listed(proxyd->origin, worker->key, worker->entry.started_at,
+			 worker->version, proxyd_now(proxyd), on_origin_listed,
+			 &ctx);
 }
 
 void resume_update_listed(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
+	struct http_view id = { xfer->id, strlen(xfer->id) };
+	uint32_t version;
 
 	xfer->fleet_request.listed_at =
 		listed_at_of(proxyd, versions_of(proxyd, xfer->pool->name));
+	if (xfer->fleet_request.version != ORIGIN_VERSION_UNKNOWN)
+		return;
+	/* The process that began the stream may be listed by now. */
+	version = origin_find(proxyd->origin, key_of(xfer, id),
+			      proxyd_now(proxyd));
+	if (version)
+		xfer->fleet_request.version = version;
 }
 
 void resume_on_keep(void *ctx, const w_origin_keep *keep)
@@ -448,6 +556,9 @@
 	enum origin_verdict verdict;
 	uint32_t version;
 
+	if (xfer->question.version == ORIGIN_VERSION_UNKNOWN)
+		xfer->question.version =
+			origin_find(proxyd->origin, xfer->question.key, now);
 	view.versions = fleet_versions(proxyd->fleet, xfer->pool->name, now,
 				       &view.sole);
 	view.recorded = recorded_versions(proxyd, xfer->pool->name);
@@ -485,13 +596,14 @@
 	xfer->question = (struct origin_question){
 		.key = key_of(xfer, attempt),
 		.asked_at = now,
+		.keepers = origin_keepers(2, proxyd_host_count(proxyd)),
 	};
 	if (attempt.len > 0)
 		xfer->question.version =
 			origin_find(proxyd->origin, xfer->question.key, now);
 	xfer->asking = true;
 	g_ptr_array_add(proxyd->questions, xfer);
-	if (xfer->question.version == 0)
+	if (!origin_is_known(xfer->question.version))
 		question_send(xfer);
 	question_judge(xfer);
 }
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -161,7 +161,8 @@
 /* proxyd-resume.c: streams that callers take up */
 /* The first event of the response is about to be relayed. */
 void resume_on_first_event(struct xfer *xfer);
-/* Sets what is known of the versions of workers, before one is chosen. */
+/* Sets what is known of the versions of workers and of the stream, before a
+ * worker is chosen. */
 void resume_update_listed(struct xfer *xfer);
 /* Finds out which version began the stream, and then sends the request, or
  * rejects it. */
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -377,6 +377,11 @@
 void resume_tick(struct proxyd *proxyd);
 /* An item under OWN_PREFIX has changed. */
 void resume_on_item(struct proxyd *proxyd, const struct store_item *item);
+/* It is known which process of a worker open connections lead to. */
+void resume_on_process(struct proxyd *proxyd,
+		       const struct fleet_worker *worker);
+/* A worker's process is listed. */
+void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker);
 void resume_on_keep(void *ctx, const w_origin_keep *keep);
 void resume_on_ask(void *ctx, const w_origin_ask *ask);
 void resume_on_answer(void *ctx, const w_origin_answer *answer);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -120,6 +120,19 @@
 	g_array_append_val(versions, version);
 }
 
+/* Whether processes of a pool have answered that are not listed yet. */
+static bool has_replaced(const struct fleet *fleet, const char *pool)
+{
+	for (guint i = 0; i < fleet->replaced->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(fleet->replaced, i);
+
+		if (!strcmp(worker->entry.pool, pool))
+			return true;
+	}
+	return false;
+}
+
 unsigned fleet_versions(const struct fleet *fleet, const char *pool, clk_ms now,
 			uint32_t *sole)
 {
@@ -139,6 +152,8 @@
 		if (now - version->gone_at > FLEET_VERSION_MS)
 			g_array_remove_index_fast(versions, i);
 	}
+	if (has_replaced(fleet, pool))
+		return versions->len + 1;
 	if (versions->len == 1)
 		*sole = g_array_index(versions, struct fleet_version, 0).key;
 	return versions->len;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 
 #include "clk.h"
+#include "origin.h"
 #include "permit.h"
 
 #define FLEET_PARTS_MAX 16 /* parts of one prompt that are looked up */
@@ -30,7 +31,7 @@
 #define FLEET_VERSION_MS 20000
 
 /* In place of a version that is not known: no worker has it. */
-#define FLEET_VERSION_UNKNOWN 2
+#define FLEET_VERSION_UNKNOWN ORIGIN_VERSION_UNKNOWN
 
 /* How an attempt ended, as input to its worker's health. */
 enum fleet_outcome {
@@ -323,7 +324,8 @@
  */
 uint32_t fleet_version_key(const char *version);
 /* Counts the versions that a pool's workers have, or have had in the last
- * FLEET_VERSION_MS; sole is set to the key if there is one, else to 0. */
+ * FLEET_VERSION_MS, and processes that are not listed yet as one more; sole is
+ * set to the key if there is one, else to 0. */
 unsigned fleet_versions(const struct fleet *fleet, const char *pool, clk_ms now,
 			uint32_t *sole);
 /* Lists the keys of the versions of which a pool has workers, at most max;
--- a/decide/origin.c
+++ b/decide/origin.c
@@ -21,6 +21,8 @@
 
 	origin->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
+	origin->deferred =
+		g_array_new(FALSE, FALSE, sizeof(struct origin_deferred));
 	g_queue_init(&origin->oldest);
 	return origin;
 }
@@ -28,6 +30,7 @@
 void origin_free(struct origin *origin)
 {
 	g_queue_clear(&origin->oldest);
+	g_array_unref(origin->deferred);
 	g_hash_table_destroy(origin->streams);
 	g_free(origin);
 }
@@ -61,7 +64,10 @@
 	struct origin_stream *stream;
 
 	expire(origin, now);
-	if (version == 0 || g_hash_table_contains(origin->streams, &key))
+	stream = g_hash_table_lookup(origin->streams, &key);
+	if (stream && stream->version == ORIGIN_VERSION_UNKNOWN)
+		stream->version = version ? version : ORIGIN_VERSION_UNKNOWN;
+	if (version == 0 || stream)
 		return;
 	if (g_hash_table_size(origin->streams) >= ORIGIN_MAX) {
 		oldest_drop(origin);
@@ -78,6 +84,41 @@
 	g_queue_push_tail(&origin->oldest, stream);
 }
 
+void origin_defer(struct origin *origin, uint64_t key, uint32_t worker,
+		  int64_t process_start, clk_ms now)
+{
+	struct origin_deferred row = {
+		.key = key,
+		.worker = worker,
+		.process_start = process_start,
+		.expires_at = now + ORIGIN_KEEP_MS,
+	};
+
+	if (origin->deferred->len < ORIGIN_MAX)
+		g_array_append_val(origin->deferred, row);
+}
+
+void origin_on_listed(struct origin *origin, uint32_t worker,
+		      int64_t process_start, uint32_t version, clk_ms now,
+		      void (*fn)(void *ctx, uint64_t key, uint32_t version),
+		      void *ctx)
+{
+	for (guint i = origin->deferred->len; i-- > 0;) {
+		struct origin_deferred row = g_array_index(
+			origin->deferred, struct origin_deferred, i);
+		bool is_listed = row.worker == worker &&
+				 row.process_start == process_start;
+
+		if (!is_listed && now < row.expires_at)
+			continue;
+		g_array_remove_index_fast(origin->deferred, i);
+		if (!is_listed)
+			continue;
+		origin_put(origin, row.key, version, 0, now);
+		fn(ctx, row.key, version);
+	}
+}
+
 void origin_each_own(const struct origin *origin, uint32_t pool,
 		     void (*fn)(void *ctx, uint64_t key, uint32_t version),
 		     void *ctx)
@@ -159,9 +200,17 @@
 	return MAX(question->asked_at + ANSWER_MS - now, 0);
 }
 
+bool origin_is_known(uint32_t version)
+{
+	return version != 0 && version != ORIGIN_VERSION_UNKNOWN;
+}
+
 void origin_on_answer(struct origin_question *question,
 		      const struct origin_answer *answer)
 {
+	/* A host that did not know a version may know it by now. */
+	if (!origin_is_known(question->version) && answer->version)
+		question->version = answer->version;
 	for (unsigned i = 0; i < question->answers; i++)
 		if (question->answered[i] == answer->host)
 			return;
@@ -170,8 +219,6 @@
 	question->answered[question->answers++] = answer->host;
 	question->settled += answer->settled;
 	question->versions = MAX(question->versions, answer->versions);
-	if (question->version == 0)
-		question->version = answer->version;
 }
 
 /* Whether a pool has had one version as long as a stream may last. A host that
@@ -181,10 +228,15 @@
 		    const struct origin_view *view, bool over)
 {
 	unsigned know = question->settled + (view->settled && view->listed);
+	/* One of the hosts that would keep the stream has answered. */
+	bool has_keeper =
+		question->keepers == 0 ||
+		question->answers + question->keepers > question->asked;
 
-	if (view->versions != 1 || question->versions > 1)
+	if (view->versions != 1 || question->versions > 1 || question->version)
 		return false;
-	if (know >= KNOW_MIN || (view->listed && view->recorded == 1))
+	if (has_keeper &&
+	    (know >= KNOW_MIN || (view->listed && view->recorded == 1)))
 		return true;
 	return over && know > 0;
 }
@@ -193,11 +245,14 @@
 				 const struct origin_view *view, clk_ms now,
 				 uint32_t *version)
 {
-	bool over = question->answers >= question->asked ||
+	/* A host that knows that a stream began, but not at which version, may
+	 * be told soon. */
+	bool over = (question->answers >= question->asked &&
+		     question->version != ORIGIN_VERSION_UNKNOWN) ||
 		    origin_wait(question, now) == 0;
 
 	*version = question->version;
-	if (question->version)
+	if (origin_is_known(question->version))
 		return ORIGIN_KNOWN;
 	if (is_sole(question, view, over)) {
 		*version = view->sole;
--- a/decide/origin.h
+++ b/decide/origin.h
@@ -31,20 +31,43 @@
 /* Hosts that are asked: as others have come and gone, more than keep it. */
 #define ORIGIN_ASKED 5
 
+/* In place of a version that is not known: no worker has it. */
+#define ORIGIN_VERSION_UNKNOWN 2
+
 struct origin {
 	GHashTable *streams; /* key -> struct origin_stream */
 	GQueue oldest;	     /* of the same */
+	GArray *deferred;    /* struct origin_deferred */
 	uint64_t dropped;    /* as there were too many */
 };
 
+/* A stream of this host that began at a process which is not listed yet. */
+struct origin_deferred {
+	uint64_t key;
+	uint32_t worker;       /* key of the process's worker */
+	int64_t process_start; /* wall clock of its start, in ms */
+	clk_ms expires_at;
+};
+
 struct origin *origin_create(void);
 void origin_free(struct origin *origin);
 /* Identifies a stream: an account's attempt; NULL: of no account. */
 uint64_t origin_key(const char *account, const char *attempt, size_t len);
-/* Records the version that began a stream. What is known already stays. own: of
+/* Records the version that began a stream, or that it is not known. A version
+ * that is known already stays. own: of
  * this host and of the pool with that aggregate_key; 0: of another host. */
 void origin_put(struct origin *origin, uint64_t key, uint32_t version,
 		uint32_t own, clk_ms now);
+/* Records that the version of a stream is that of a process, which is not
+ * listed yet. */
+void origin_defer(struct origin *origin, uint64_t key, uint32_t worker,
+		  int64_t process_start, clk_ms now);
+/* A process of a worker is listed, at a version: records it for the streams
+ * that it began, and calls fn for each. */
+void origin_on_listed(struct origin *origin, uint32_t worker,
+		      int64_t process_start, uint32_t version, clk_ms now,
+		      void (*fn)(void *ctx, uint64_t key, uint32_t version),
+		      void *ctx);
 /* Calls fn for each stream of this host that began in a pool. */
 void origin_each_own(const struct origin *origin, uint32_t pool,
 		     void (*fn)(void *ctx, uint64_t key, uint32_t version),
@@ -70,7 +93,9 @@
 /* What is known of a stream that this host has not begun. */
 struct origin_question {
 	uint64_t key;
-	unsigned asked;			 /* hosts */
+	unsigned asked;	  /* hosts */
+	unsigned keepers; /* of them, if it began beside another version; 0: it
+			   * did not */
 	uint32_t answered[ORIGIN_ASKED]; /* the keys of those that have */
 	unsigned answers;
 	uint32_t version;  /* that one of them knows; 0: none */
@@ -87,6 +112,8 @@
 	bool settled;	   /* it has run for ORIGIN_KEEP_MS */
 };
 
+/* Whether a version is one of workers. */
+bool origin_is_known(uint32_t version);
 void origin_on_answer(struct origin_question *question,
 		      const struct origin_answer *answer);
 
--- a/tests/proxyversions.py
+++ b/tests/proxyversions.py
@@ -14,9 +14,10 @@
 from proxy import CONFIG_BOUND_S, main  # noqa: E402
 
 FIRST_NET = 185  # after those of proxyends.py
-EVENT_GAP_S = 0.05
+EVENTS, EVENT_GAP_S = 40, 0.05
 TRIES = 60  # until a stream begins at a certain worker
 SETTLE_S = 0.1  # until a host has read that connections have ended
+LISTED_S = 1.0  # until all hosts have a worker's entry
 
 
 async def replace(rig, worker, version, listed=False):
@@ -52,7 +53,7 @@
     assert len(versions) == 1, (row, versions, [got.body for got in parts])
     assert ids == list(range(len(ids))), (row, ids)
     if whole:
-        assert parts[-1].complete and len(ids) == 10, (
+        assert parts[-1].complete and len(ids) == EVENTS, (
             row, [(got.status, got.body) for got in parts])
 
 
@@ -62,7 +63,8 @@
     async with Rig(net, hosts=hosts, llm=len(versions)) as rig:
         await rig.wait_membership()
         for worker, version in zip(rig.workers_of("llm"), versions):
-            worker.version, worker.event_gap_s = version, EVENT_GAP_S
+            worker.version = version
+            worker.event_count, worker.event_gap_s = EVENTS, EVENT_GAP_S
             rig.list_worker(worker)
         await asyncio.sleep(CONFIG_BOUND_S)
         yield rig
@@ -112,7 +114,7 @@
         for i in replaced:
             await replace(rig, workers[i], version, listed)
         if listed:
-            await asyncio.sleep(SETTLE_S)
+            await asyncio.sleep(LISTED_S)
         if by_caller:
             workers[0].mode = "full"
             parts.append(await take_up(rig.hosts[1], ident, parts[0]))
@@ -154,7 +156,7 @@
         first = rig.workers_of("llm")[0]
         if used:
             caller, _ = await begin(rig, rig.hosts[0], first)
-            await caller.receive()
+            await caller.receive()  # its connection is kept
         await replace(rig, first, version)
         caller, ident = await begin(rig, rig.hosts[0], first)
         parts = []
@@ -163,7 +165,7 @@
         if listed_s:
             await asyncio.sleep(listed_s)
             rig.list_worker(first)
-            await asyncio.sleep(SETTLE_S)
+            await asyncio.sleep(LISTED_S)
         if by_caller:
             caller.close()
             first.mode = "full"
--- a/tests/sim-origin.c
+++ b/tests/sim-origin.c
@@ -501,6 +501,7 @@
 		.key = key,
 		.version = origin_find(host->origin, key, cluster->sim->now),
 		.asked_at = cluster->sim->now,
+		.keepers = origin_keepers(2, (unsigned)cluster->count),
 	};
 	if (stream->question.version == 0) {
 		question_send(cluster, stream);
