Tests: usage of two hosts that are killed early in a window (known red)

What a host may keep to itself is 2% of a window's requests, of the window before if that is larger. In that window two of three hosts are killed, so that it is smaller than the one before it, and each may lose that share. Ruled out: windows told apart otherwise by caller and host (1 request each way), requests in flight at the kill (1, without a log line), the new leader's sum.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -3097,6 +3097,46 @@
         check_duties(rig.cloud)
 
 
+async def usage_of_killed_hosts(net):
+    """Two of three hosts are killed early in a window that is smaller than the
+    one before it; returns its number and its counts, reported and sent."""
+    async with Rig(net, hosts=3) as rig:
+        await rig.wait_membership()
+        await rig.wait_until("a report", lambda: rig.cloud.usage, 15)
+        name = rig.cloud.usage[-1][1]
+        killed = [h for h in rig.hosts if h.name != name]
+        callers = {host: host.caller() for host in rig.hosts}
+
+        async def send(host, count):
+            for _ in range(count):
+                got = await callers[host].request("GET", "/i/x")
+                assert got.status == 200, got.status
+        await asyncio.sleep(2 - time.time() % 2)
+        await asyncio.gather(*(send(host, 150) for host in rig.hosts))
+        window = int(time.time() // 2) + 1
+        await asyncio.sleep(2 * window + 0.3 - time.time())
+        await asyncio.gather(*(send(host, 5) for host in killed))
+        for host in killed:
+            host.kill()
+        assert int(time.time() // 2) == window
+
+        def reports():
+            return {row[3]: row[4].get("t1", 0) for row in rig.cloud.usage}
+        await rig.wait_until("the window's report",
+                             lambda: window in reports(), 20)
+        check_duties(rig.cloud)
+        return window, reports()[window], 5 * len(killed)
+
+
+async def test_proxy_usage_of_hosts_killed_after_busy_window(net):
+    """What killed hosts have served in a small window is in its report, although
+    the window before it was large."""
+    rows = await asyncio.gather(*(
+        usage_of_killed_hosts(net + 200 * i) for i in range(3)))
+    assert all(abs(got - sent) <= max(0.05 * sent, 3)
+               for _, got, sent in rows), rows
+
+
 async def usage_passes_on(net, how, offset_s):
     """The leader stops, or is killed, when the only other host has just
     started, so many seconds into a window; returns the windows that are off."""
