Usage: what a host keeps to itself is a share of the present window only

Cause: a host reports at once when 2 requests of an account, or 2% of the window's over all hosts, are unreported; the window before counted if it was larger. A window that is smaller than that, since load falls or since the hosts that are killed take theirs with them, may lack more than 5% or 3 requests. Callers saw nothing; the operator's usage of that window was too low.

Change: only what is counted in the window itself is a measure, as it can get no smaller. Two hosts that are killed at once lose less than 4%, or 2 requests. The same share is used nowhere else.

Considered: the window before times the share of the hosts that remain, which costs nothing from 8 hosts on but breaks the bound where load falls.

--- a/decide/usage.c
+++ b/decide/usage.c
@@ -135,14 +135,13 @@
 	return total ? total->count : 0;
 }
 
-/* Returns how many requests of an account may be unreported in a window. */
+/* Returns how many requests of an account may be unreported in a window, which
+ * may get no more than those counted so far. */
 static double unreported_max(const struct usage *usage, const char *account,
 			     int64_t window)
 {
-	int64_t total = MAX(total_of(usage, account, window),
-			    total_of(usage, account, window - 1));
-
-	return MAX(UNREPORTED_MAX, UNREPORTED_SHARE * (double)total);
+	return MAX(UNREPORTED_MAX,
+		   UNREPORTED_SHARE * (double)total_of(usage, account, window));
 }
 
 bool usage_add(struct usage *usage, const char *process, const char *account,
