Tests: usage is compared with when workers began, as the rule has it

Two tests of usage told a request's window by when its caller began to connect. The rule (Duty) is the requests that workers began in the window.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -3040,7 +3040,7 @@
     also when the leader is killed."""
     async with Rig(net, hosts=3) as rig:
         await rig.wait_membership()
-        sent = {}
+        began = collections.Counter()
         done = time.monotonic() + 22
         killed = False
         while time.monotonic() < done:
@@ -3048,10 +3048,9 @@
                 if host.process.poll() is not None:
                     continue
                 try:
-                    at = time.time()
                     got = await host.request("GET", "/i/x")
                     if got.status == 200:
-                        sent[int(at // 2)] = sent.get(int(at // 2), 0) + 1
+                        began[int(rig.began_at(got.ident) // 2)] += 1
                 except OSError:
                     pass
             await asyncio.sleep(0.02)
@@ -3065,7 +3064,7 @@
         assert len(set(row[1] for row in rig.cloud.usage)) == 2
         last = max(reported)
         for window in range(min(reported), last + 1):
-            want = sent.get(window, 0)
+            want = began[window]
             assert window in reported, window
             assert abs(reported[window] - want) <= max(0.05 * want, 3), (
                 window, reported[window], want)
@@ -3146,15 +3145,15 @@
         name = rig.cloud.usage[-1][1]
         leader = [h for h in rig.hosts if h.name == name][0]
         others = [h for h in rig.hosts if h is not leader]
-        sent = {}
+        began = collections.Counter()
         stop = asyncio.Event()
 
         async def send(host):
             while not stop.is_set():
-                at = time.time()
                 try:
-                    if (await host.request("GET", "/i/x")).status == 200:
-                        sent[int(at // 2)] = sent.get(int(at // 2), 0) + 1
+                    got = await host.request("GET", "/i/x")
+                    if got.status == 200:
+                        began[int(rig.began_at(got.ident) // 2)] += 1
                 except OSError:
                     pass
                 await asyncio.sleep(0.01)
@@ -3175,7 +3174,7 @@
         await asyncio.sleep(3)
         stop.set()
         await asyncio.gather(*senders)
-        last = max(sent)
+        last = max(began)
 
         def reports():
             return {row[3]: row[4].get("t1", 0) for row in rig.cloud.usage}
@@ -3183,10 +3182,10 @@
                              lambda: last in reports(), 20)
         check_duties(rig.cloud)
         got = reports()
-        return [(how, offset_s, window, got.get(window), sent.get(window, 0))
+        return [(how, offset_s, window, got.get(window), began[window])
                 for window in range(first, last + 1)
-                if window not in got or abs(got[window] - sent.get(
-                    window, 0)) > max(0.05 * sent.get(window, 0), 3)]
+                if window not in got or abs(got[window] - began[window]) >
+                max(0.05 * began[window], 3)]
 
 
 async def test_proxy_usage_passed_on_to_new_host(net):
--- a/tests/proxyrig.py
+++ b/tests/proxyrig.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import tempfile
+import time
 
 from standin import Caller, Cloud, Store, Worker, wait_until
 
@@ -192,6 +193,12 @@
         return [w.ident for w in self.workers
                 for i in w.executed if i == ident]
 
+    def began_at(self, ident):
+        """Returns the wall clock time, in s, at which a worker began to execute
+        a request; the last one if several did."""
+        return time.time() - time.monotonic() + max(
+            w.received_at[ident] for w in self.workers if ident in w.executed)
+
     async def __aenter__(self):
         await self.store.start(self.ip(200), [h.name for h in self.hosts])
         await self.cloud.start(self.ip(200))
