--- a/tests/platform.c
+++ b/tests/platform.c
@@ -2,11 +2,15 @@
  * Unit tests of the platform adapter: decoding of worker entries and of the
  * configuration, and parsing and building of HTTP heads.
  */
+#include <netinet/in.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "../platform/cloud.h"
 #include "../platform/decode.h"
 #include "../platform/head.h"
+#include "../platform/health.h"
 #include "run.h"
 
 /* Worker entries. */
@@ -644,6 +648,80 @@
 }
 END_TEST
 
+/* How a worker meets the connection of a check. */
+enum meeting {
+	MEETS_NOT,     /* nothing listens */
+	MEETS_RESETS,  /* before the host sees the connection as established */
+	MEETS_NO_PORT, /* no connection can be started */
+	MEETINGS,
+};
+
+static const struct {
+	const char *what;
+	bool is_refused;
+} meetings[MEETINGS] = {
+	[MEETS_NOT] = { "refused", true },
+	[MEETS_RESETS] = { "reset", false },
+	[MEETS_NO_PORT] = { "not started", false },
+};
+
+struct checked {
+	bool done;
+	struct health_answer answer;
+};
+
+static void on_checked(void *ctx, const struct health_answer *answer)
+{
+	struct checked *checked = ctx;
+
+	checked->done = true;
+	checked->answer = *answer;
+}
+
+/* Resets a connection that waits to be accepted. */
+static void accept_reset(int listener)
+{
+	struct linger linger = { .l_onoff = 1 };
+	int fd = accept(listener, NULL, NULL);
+
+	ck_assert_int_ge(fd, 0);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+}
+
+START_TEST(only_a_refused_check_counts_as_refused)
+{
+	struct hc_options options = { .connect_timeout = 1000 };
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t len = sizeof(addr);
+	int listener = socket(AF_INET, SOCK_STREAM, 0);
+	struct checked checked = { .done = false };
+	char address[32];
+	uv_loop_t loop;
+
+	ck_assert_int_eq(bind(listener, (struct sockaddr *)&addr, len), 0);
+	getsockname(listener, (struct sockaddr *)&addr, &len);
+	if (_i != MEETS_NOT)
+		ck_assert_int_eq(listen(listener, 1), 0);
+	g_snprintf(address, sizeof(address), "127.0.0.1:%d",
+		   _i == MEETS_NO_PORT ? 0 : ntohs(addr.sin_port));
+	uv_loop_init(&loop);
+	health_check_start(hc_peer_add(hc_create(&loop, &options), address),
+			   address, NULL, "w", on_checked, &checked);
+	if (_i == MEETS_RESETS)
+		accept_reset(listener);
+	while (!checked.done)
+		uv_run(&loop, UV_RUN_ONCE);
+	ck_assert(!checked.answer.reached);
+	ck_assert_msg(checked.answer.is_refused == meetings[_i].is_refused,
+		      "%s", meetings[_i].what);
+	close(listener);
+}
+END_TEST
+
 static Suite *platform_suite(void)
 {
 	Suite *suite = suite_create("platform");
@@ -671,6 +749,8 @@
 	tcase_add_test(tcase, forwarded_head_is_rebuilt);
 	tcase_add_loop_test(tcase, order_of_former_leader_is_not_sent, 0, 2);
 	tcase_add_test(tcase, call_of_former_leader_is_reset);
+	tcase_add_loop_test(tcase, only_a_refused_check_counts_as_refused, 0,
+			    MEETINGS);
 	return suite;
 }
 
