Checks: only a refused connection says that nothing listens

Cause: a check whose connection fails before it is established counted as refused whatever the error was: a worker at its connection limit that resets it, a connect timeout, an address that no connection can be started to. A check that is refused ends the inquiry, so a whole response without a length was broken off (ev=end checks=1 refused=1 outcome=no_answer). Ruled out: the worker's process (it lives on and answers after 0.35 s), the 20 ms until the check (took_ms=20 and 21 in the failed runs).

Others that use HC_UNSENT go by whether a byte was sent, which holds.

--- a/wire/hc.c
+++ b/wire/hc.c
@@ -360,12 +360,14 @@
 	g_string_free(out, TRUE);
 }
 
-static void conn_on_connect(void *ctx, bool ok)
+static void conn_on_connect(void *ctx, int error)
 {
 	struct hc_conn *conn = ctx;
 	const struct hc_request_spec *spec = &conn->request->spec;
 
-	if (!ok) {
+	if (error == UV_ECONNREFUSED && spec->on_refused)
+		spec->on_refused(spec->ctx);
+	if (error) {
 		conn_fail(conn, HC_UNSENT);
 		return;
 	}
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -63,6 +63,8 @@
 	 * still to be sent; may be NULL. */
 	bool (*may_send)(void *ctx);
 	void (*on_sent)(void *ctx, bool reused); /* may be NULL */
+	/* Nothing listens at the address; on_end follows. May be NULL. */
+	void (*on_refused)(void *ctx);
 	void (*on_head)(void *ctx, const struct h1_head *head);
 	void (*on_data)(void *ctx, const char *ptr, size_t len);
 	/* Called exactly once, unless the request is cancelled. */
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -463,12 +463,12 @@
 	.on_end = conn_on_end,
 };
 
-static void conn_on_connect(void *ctx, bool ok)
+static void conn_on_connect(void *ctx, int error)
 {
-	if (ok)
-		conn_start(ctx);
-	else
+	if (error)
 		conn_close(ctx);
+	else
+		conn_start(ctx);
 }
 
 /* Returns the connection to a peer, which is started if there is none. */
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -67,7 +67,7 @@
 	struct tcp *tcp = request->data;
 
 	if (!tcp->closing)
-		tcp->on_connect(tcp->ctx, status == 0);
+		tcp->on_connect(tcp->ctx, status);
 }
 
 /* Binds a connection to a local IP address and any port. */
@@ -94,7 +94,7 @@
 }
 
 bool tcp_connect(struct tcp *tcp, const char *address, const char *source,
-		 void (*fn)(void *ctx, bool ok))
+		 void (*fn)(void *ctx, int error))
 {
 	struct sockaddr_in addr;
 
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -36,7 +36,7 @@
 	size_t pending; /* bytes queued for writing */
 	bool closing;
 	bool shutdown_started;
-	void (*on_connect)(void *ctx, bool ok);
+	void (*on_connect)(void *ctx, int error);
 };
 
 /* Creates an unconnected connection object. */
@@ -44,10 +44,10 @@
 /* Accepts a connection from a listener; returns false if there is none. */
 bool tcp_accept(struct tcp *tcp, uv_stream_t *listener);
 /* Connects to "IP:port", from the IP address source unless it is NULL; fn is
- * called once, unless tcp_close is called first. Returns false if the attempt
- * fails at once. */
+ * called once, unless tcp_close is called first, with an error of libuv or 0.
+ * Returns false if the attempt fails at once. */
 bool tcp_connect(struct tcp *tcp, const char *address, const char *source,
-		 void (*fn)(void *ctx, bool ok));
+		 void (*fn)(void *ctx, int error));
 /* Sets after how long, in ms, an unresponsive peer counts as dead. */
 void tcp_set_peer_timeout(struct tcp *tcp, clk_ms timeout);
 void tcp_read_start(struct tcp *tcp);
