Tests: the slow caller's last bytes are sent as it reads them

Cause of "http" in KNOWN-RED.txt: server_sends_all_to_a_slow_caller, case 0, takes the connection as idle for 0.4 s from the caller's last read. The kernel lets the caller's receive buffer grow (up to 32 MB, net.ipv4.tcp_rmem), so the end of the response may have been sent and acknowledged long before it is read, and the server, idle for more than its 0.6 s, rightly closes the connection. Allowed: the server can't know what the caller has not read from its buffer.

Change: the caller's receive buffer is of a fixed size, a 32nd of the response, so the last bytes are sent as it reads; all bounds are as they were.

--- a/tests/http.c
+++ b/tests/http.c
@@ -1123,6 +1123,7 @@
 		[LATE_CLOSE] = "GET /hold HTTP/1.1\r\nHost: h\r\n"
 			       "Connection: close\r\n\r\n",
 	};
+	static const int room = LARGE_BYTES / 32;
 	char *large = g_malloc0(LARGE_BYTES);
 	struct server *server;
 	size_t received = 0;
@@ -1132,6 +1133,8 @@
 	uv_loop_init(&loop);
 	server = server_start();
 	fd = server_connect();
+	/* The end of the response is sent only as the caller reads. */
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &room, sizeof(room));
 	send(fd, requests[_i], strlen(requests[_i]), 0);
 	loop_for(20);
 	hs_response_send(server->open_request, 200, NULL, large, LARGE_BYTES);
