Tests: usage windows hold requests whose start may be told either way apart

Two further causes, beside load, of test_proxy_usage_passed_on_to_new_host: 1. A host counts a request when it sends it, a worker when it reads it. Host.kill() and start() hold up all stand-ins until the process is gone: in the eighth run of a series at load 41 the stand-ins of nine rigs stood still for 5.0 s, the leader's lease of 3 s ran out, and window was due before a host could lead again. Allowed: the host can't know when the worker reads; it lies between the caller's sending and the worker's beginning. A window whose store is silent until it is due can't be reported.

Change: a window may hold at least the requests with both times in it and at most those with either, within 5% or 3 as before; all windows together must hold all requests within 5% or 3, which wasn't checked. Processes are killed and started in a thread meanwhile.

--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -3035,12 +3035,29 @@
         assert counts.setdefault(row[3], row[4]) == row[4], row
 
 
+def wrong_usage(reported, starts, first, last):
+    """Returns the windows whose counts are off, each with its report and how
+    many requests started to run in it at least and at most. A host takes a
+    request as started when it sends it to the worker, which is between the
+    times (when its caller sent it, when the worker began) in starts."""
+    rows = []
+    for window in range(first, last + 1):
+        times = [(at // 2, began // 2) for at, began in starts]
+        least = times.count((window, window))
+        most = sum(at <= window <= began for at, began in times)
+        got = reported.get(window)
+        if got is None or not (least - max(0.05 * least, 3) <= got <=
+                               most + max(0.05 * most, 3)):
+            rows.append((window, got, least, most))
+    return rows
+
+
 async def test_proxy_usage(net):
     """Every usage window is reported with complete and consistent counts,
     also when the leader is killed."""
     async with Rig(net, hosts=3) as rig:
         await rig.wait_membership()
-        began = collections.Counter()
+        starts = []
         done = time.monotonic() + 22
         killed = False
         while time.monotonic() < done:
@@ -3048,9 +3065,10 @@
                 if host.process.poll() is not None:
                     continue
                 try:
+                    at = time.time()
                     got = await host.request("GET", "/i/x")
                     if got.status == 200:
-                        began[int(rig.began_at(got.ident) // 2)] += 1
+                        starts.append((at, rig.began_at(got.ident)))
                 except OSError:
                     pass
             await asyncio.sleep(0.02)
@@ -3062,12 +3080,8 @@
         check_duties(rig.cloud)
         reported = {row[3]: row[4].get("t1", 0) for row in rig.cloud.usage}
         assert len(set(row[1] for row in rig.cloud.usage)) == 2
-        last = max(reported)
-        for window in range(min(reported), last + 1):
-            want = began[window]
-            assert window in reported, window
-            assert abs(reported[window] - want) <= max(0.05 * want, 3), (
-                window, reported[window], want)
+        wrong = wrong_usage(reported, starts, min(reported), max(reported))
+        assert not wrong, wrong
 
 
 async def test_proxy_usage_of_killed_leader(net):
@@ -3098,33 +3112,35 @@
 
 async def usage_of_killed_hosts(net):
     """Two of three hosts are killed early in a window that is smaller than the
-    one before it; returns its number and its counts, reported and sent."""
+    one before it; returns it if it is off."""
     async with Rig(net, hosts=3) as rig:
         await rig.wait_membership()
         await rig.wait_until("a report", lambda: rig.cloud.usage, 15)
         name = rig.cloud.usage[-1][1]
         killed = [h for h in rig.hosts if h.name != name]
         callers = {host: host.caller() for host in rig.hosts}
+        starts = []
 
         async def send(host, count):
             for _ in range(count):
+                at = time.time()
                 got = await callers[host].request("GET", "/i/x")
                 assert got.status == 200, got.status
+                starts.append((at, rig.began_at(got.ident)))
         await asyncio.sleep(2 - time.time() % 2)
         await asyncio.gather(*(send(host, 150) for host in rig.hosts))
         window = int(time.time() // 2) + 1
         await asyncio.sleep(2 * window + 0.3 - time.time())
         await asyncio.gather(*(send(host, 5) for host in killed))
-        for host in killed:
-            host.kill()
-        assert int(time.time() // 2) == window
+        await asyncio.gather(*(asyncio.to_thread(host.kill)
+                               for host in killed))
 
         def reports():
             return {row[3]: row[4].get("t1", 0) for row in rig.cloud.usage}
         await rig.wait_until("the window's report",
                              lambda: window in reports(), 20)
         check_duties(rig.cloud)
-        return window, reports()[window], 5 * len(killed)
+        return wrong_usage(reports(), starts, window, window)
 
 
 async def test_proxy_usage_of_hosts_killed_after_busy_window(net):
@@ -3132,8 +3148,7 @@
     the window before it was large."""
     rows = await asyncio.gather(*(
         usage_of_killed_hosts(net + 200 * i) for i in range(3)))
-    assert all(abs(got - sent) <= max(0.05 * sent, 3)
-               for _, got, sent in rows), rows
+    assert not any(rows), rows
 
 
 async def usage_passes_on(net, how, offset_s):
@@ -3145,36 +3160,39 @@
         name = rig.cloud.usage[-1][1]
         leader = [h for h in rig.hosts if h.name == name][0]
         others = [h for h in rig.hosts if h is not leader]
-        began = collections.Counter()
+        starts = []
         stop = asyncio.Event()
 
         async def send(host):
             while not stop.is_set():
+                at = time.time()
                 try:
                     got = await host.request("GET", "/i/x")
                     if got.status == 200:
-                        began[int(rig.began_at(got.ident) // 2)] += 1
+                        starts.append((at, rig.began_at(got.ident)))
                 except OSError:
                     pass
                 await asyncio.sleep(0.01)
         senders = [asyncio.create_task(send(host)) for host in rig.hosts]
         first = int(time.time() // 2) + 1
         await asyncio.sleep(6 + (offset_s - time.time()) % 2)
+        # The stand-ins go on meanwhile: a process may end late.
         for host in others[1:]:
-            host.kill()  # its counts have to be passed on, too
+            # Its counts have to be passed on, too.
+            await asyncio.to_thread(host.kill)
             await asyncio.sleep(0.5)
-        others[0].kill()
-        others[0].start(first_start=False)
+        await asyncio.to_thread(others[0].kill)
+        await asyncio.to_thread(others[0].start, first_start=False)
         await rig.wait_ready(others[0])
         if how == "killed":
             await asyncio.sleep(1)
-            leader.kill()
+            await asyncio.to_thread(leader.kill)
         else:
             leader.signal(signal.SIGTERM)
         await asyncio.sleep(3)
         stop.set()
         await asyncio.gather(*senders)
-        last = max(began)
+        last = int(max(began for _, began in starts) // 2)
 
         def reports():
             return {row[3]: row[4].get("t1", 0) for row in rig.cloud.usage}
@@ -3182,10 +3200,12 @@
                              lambda: last in reports(), 20)
         check_duties(rig.cloud)
         got = reports()
-        return [(how, offset_s, window, got.get(window), began[window])
-                for window in range(first, last + 1)
-                if window not in got or abs(got[window] - began[window]) >
-                max(0.05 * began[window], 3)]
+        wrong = wrong_usage(got, starts, first, last)
+        # Each request counts in one window.
+        total = sum(got.values())
+        if abs(total - len(starts)) > max(0.05 * len(starts), 3):
+            wrong.append(("all", total, len(starts)))
+        return [(how, offset_s, *row) for row in wrong]
 
 
 async def test_proxy_usage_passed_on_to_new_host(net):
