Only engines are asked which process they are, and not again at once

Services keep the doubt by time; who has not said which process it is is asked again after 1 s.

Unit tests: fleet_knows_processes, origin_defers, origin_waits_for_keeper, client_knows_process (a second report on a kept connection is not taken for the response to the next request).

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -680,7 +680,7 @@
 
 	xfer->attempt = hc_request_start(worker->http_peer, &spec);
 	if (xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE)
-		process_watch(xfer->proxyd, worker);
+		process_watch(xfer);
 	g_string_free(head, TRUE);
 	if (bytes)
 		g_bytes_unref(bytes);
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -40,6 +40,8 @@
 	if (answer->outcome == IDENT_SAID || answer->outcome == IDENT_OTHER)
 		fleet_on_process(proxyd->fleet, worker, answer->start,
 				 proxyd_now(proxyd));
+	else
+		fleet_on_unknown_process(worker, proxyd_now(proxyd));
 	if (!is_listed)
 		slog(SLOG_INFO, "process",
 		     "worker=%s listed=%" G_GINT64_FORMAT
@@ -94,12 +96,15 @@
 	return ident_start(&proxyd->loop, spec);
 }
 
-void process_watch(struct proxyd *proxyd, struct fleet_worker *worker)
+void process_watch(const struct xfer *xfer)
 {
-	struct watch *watch;
+	struct proxyd *proxyd = xfer->proxyd;
+	struct fleet_worker *worker = xfer->worker;
 	struct ident_spec spec = { .waits = watch_waits, .fn = on_watched };
+	struct watch *watch;
 
-	if (!worker->entry.started_at || !worker->http_peer ||
+	if (!fleet_may_ask_process(worker, &xfer->fleet_request,
+				   proxyd_now(proxyd)) ||
 	    hc_peer_knows_process(worker->http_peer) ||
 	    is_watched(proxyd, worker))
 		return;
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -371,9 +371,8 @@
 	struct proxyd *proxyd = xfer->proxyd;
 	int64_t process;
 
-	if (!xfer->worker->entry.started_at)
-		return fleet_version_of(xfer->worker,
-					xfer->fleet_request.listed_at);
+	if (!fleet_says_process(xfer->worker, &xfer->fleet_request))
+		return fleet_version_of(xfer->worker, &xfer->fleet_request);
 	process = hc_request_process(xfer->attempt);
 	if (process)
 		xfer->worker_start = process;
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -60,8 +60,9 @@
 	struct sse sse;
 	struct fleet_request fleet_request;
 	struct fleet_worker *worker; /* of the current attempt, or NULL */
-	/* Start of its process as listed when the attempt was sent, in ms of
-	 * its wall clock; 0: not known. */
+	/* Start of its process in ms of its wall clock: as listed when the
+	 * attempt was sent or, once that is known, of the one that it runs at;
+	 * 0: not known. */
 	int64_t worker_start;
 	struct hc_request *attempt;
 	struct hop_call *hop; /* the request at another host, or NULL */
@@ -201,6 +202,9 @@
 /* Asks the worker of the attempt which process it is; then sends the attempt,
  * or ends it. */
 void process_prove(struct xfer *xfer);
+/* Asks the worker of the attempt, which was sent, beside it, unless that is
+ * known of a connection. */
+void process_watch(const struct xfer *xfer);
 
 /* proxyd-ends.c */
 /* Counts a request that ends without a whole answer. */
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -398,8 +398,6 @@
 /* proxyd-process.c: which process of a worker connections lead to */
 void process_start(struct proxyd *proxyd);
 void process_tick(struct proxyd *proxyd);
-/* Asks a worker which process it is, unless that is known of a connection. */
-void process_watch(struct proxyd *proxyd, struct fleet_worker *worker);
 
 /* proxyd-reach.c: which workers this host reaches */
 void reach_start(struct proxyd *proxyd);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -27,6 +27,8 @@
 /* Until a process that has started is listed, and hosts that vouch for the list
  * have read that. */
 #define ENTRY_MS 2500
+/* Until a worker that has not said which process it is is asked again. */
+#define ASK_MS 1000
 
 static gpointer part_key(uint64_t id)
 {
@@ -318,21 +320,41 @@
 	}
 }
 
+void fleet_on_unknown_process(struct fleet_worker *worker, clk_ms now)
+{
+	worker->unknown_at = now;
+}
+
+bool fleet_says_process(const struct fleet_worker *worker,
+			const struct fleet_request *request)
+{
+	return request->engine && worker->entry.started_at != 0;
+}
+
+bool fleet_may_ask_process(const struct fleet_worker *worker,
+			   const struct fleet_request *request, clk_ms now)
+{
+	return fleet_says_process(worker, request) &&
+	       (!worker->unknown_at || now - worker->unknown_at >= ASK_MS);
+}
+
 bool fleet_needs_proof(const struct fleet_worker *worker,
 		       const struct fleet_request *request)
 {
-	return request->version != 0 && worker->entry.started_at != 0;
+	return request->version != 0 && fleet_says_process(worker, request);
 }
 
-uint32_t fleet_version_of(const struct fleet_worker *worker, clk_ms listed_at)
+uint32_t fleet_version_of(const struct fleet_worker *worker,
+			  const struct fleet_request *request)
 {
-	/* Its process is asked before it is sent a request. */
-	if (worker->entry.started_at)
-		return worker->other_at ? FLEET_VERSION_UNKNOWN
-					: worker->version;
-	if (worker->cut_at && listed_at <= worker->cut_at + ENTRY_MS)
-		return FLEET_VERSION_UNKNOWN;
-	return worker->version;
+	/* One that says its process is asked before it is sent a request. */
+	bool is_known =
+		fleet_says_process(worker, request)
+			? !worker->other_at
+			: !worker->cut_at || request->listed_at >
+						     worker->cut_at + ENTRY_MS;
+
+	return is_known ? worker->version : FLEET_VERSION_UNKNOWN;
 }
 
 /* Whether a worker has the version that a request needs. */
@@ -341,8 +363,7 @@
 {
 	return request->version == 0 ||
 	       (request->version != FLEET_VERSION_UNKNOWN &&
-		request->version ==
-			fleet_version_of(worker, request->listed_at));
+		request->version == fleet_version_of(worker, request));
 }
 
 void fleet_request_failed(struct fleet_request *request, uint32_t worker)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -115,7 +115,9 @@
 	 * its place, in ms of its wall clock; 0: none has, or an unknown one.
 	 */
 	int64_t other_start;
-	clk_ms other_at;	  /* when it last did; 0: never */
+	clk_ms other_at; /* when it last did; 0: never */
+	/* A process last did not say which one it is; 0: never. */
+	clk_ms unknown_at;
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
@@ -313,13 +315,22 @@
 		      int64_t start, clk_ms now);
 /* Forgets answers of processes that should be listed by now. */
 void fleet_expire(struct fleet *fleet, clk_ms now);
-/* Whether requests that need a version are sent to a worker only once its
- * process has said that it is the listed one. */
+/* It was asked, and has not said when it started. */
+void fleet_on_unknown_process(struct fleet_worker *worker, clk_ms now);
+/* Whether a worker can be asked which process it is. */
+bool fleet_says_process(const struct fleet_worker *worker,
+			const struct fleet_request *request);
+/* Whether it may be asked now, beside a request. */
+bool fleet_may_ask_process(const struct fleet_worker *worker,
+			   const struct fleet_request *request, clk_ms now);
+/* Whether a request is sent to a worker only once its process has said that it
+ * is the listed one. */
 bool fleet_needs_proof(const struct fleet_worker *worker,
 		       const struct fleet_request *request);
-/* Returns the version of a worker, or FLEET_VERSION_UNKNOWN; listed_at: when
- * the list of workers was last current. */
-uint32_t fleet_version_of(const struct fleet_worker *worker, clk_ms listed_at);
+/* Returns the version of a worker, or FLEET_VERSION_UNKNOWN. Of the request,
+ * engine and listed_at apply. */
+uint32_t fleet_version_of(const struct fleet_worker *worker,
+			  const struct fleet_request *request);
 /* Identifies a software version, "" too, which NULL stands for; an odd number.
  */
 uint32_t fleet_version_key(const char *version);
--- a/tests/http.c
+++ b/tests/http.c
@@ -525,6 +525,114 @@
 }
 END_TEST
 
+static int64_t named_42(void *ctx)
+{
+	ck_assert(!((struct outcome *)ctx)->done);
+	return 42;
+}
+
+/* A connection whose first response has named process 42, and a request after
+ * it: the process and the id that it asks for, what the server sends then. */
+static const struct {
+	const char *what;
+	struct script script;
+	int64_t process;
+	const char *id;
+	enum hc_result result;
+	const char *body;
+	int accepted; /* connections */
+} named_cases[] = {
+	{ "to that process",
+	  { { OK200 "Content-Length: 1\r\n\r\nr",
+	      OK200 ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  42,
+	  "a",
+	  HC_COMPLETE,
+	  "hi",
+	  1 },
+	{ "to another one",
+	  { { OK200 "Content-Length: 1\r\n\r\nr" }, KEEP_OPEN },
+	  41,
+	  "a",
+	  HC_UNSENT,
+	  "",
+	  1 },
+	{ "to any",
+	  { { OK200 "Content-Length: 1\r\n\r\nr",
+	      OK200 ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  0,
+	  "a",
+	  HC_COMPLETE,
+	  "hi",
+	  1 },
+	{ "a second first response comes before its own",
+	  { { OK200 "Content-Length: 1\r\n\r\nr",
+	      OK200 "Content-Length: 1\r\n\r\nr" OK200 ID
+		    "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  42,
+	  "a",
+	  HC_COMPLETE,
+	  "hi",
+	  1 },
+	{ "without an id",
+	  { { OK200 "Content-Length: 1\r\n\r\nr" }, KEEP_OPEN },
+	  0,
+	  NULL,
+	  HC_COMPLETE,
+	  "r",
+	  2 },
+	{ "the connection has ended",
+	  { { OK200 "Content-Length: 1\r\n\r\nr" }, CLOSE },
+	  42,
+	  "a",
+	  HC_UNSENT,
+	  "",
+	  1 },
+};
+
+START_TEST(client_knows_process)
+{
+	static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct outcome outcome = { .body = g_string_new(NULL) };
+	struct hc_request_spec spec = {
+		.head = head,
+		.head_len = strlen(head),
+		.names_process = named_42,
+		.on_head = on_head,
+		.on_data = on_data,
+		.on_end = on_end,
+		.ctx = &outcome,
+	};
+	bool closes = named_cases[_i].script.close_mode == CLOSE;
+	struct stub *stub;
+	struct hc_peer *peer;
+
+	uv_loop_init(&loop);
+	stub = stub_start(&named_cases[_i].script);
+	peer = hc_peer_add(client_create(), stub->address);
+	ck_assert(!hc_peer_knows_process(peer));
+	hc_request_start(peer, &spec);
+	loop_until(&outcome.done);
+	g_usleep(closes ? 20000 : 0);
+	ck_assert(hc_peer_knows_process(peer) == !closes);
+	ck_assert(hc_peer_has_idle_to(peer, 42) == !closes);
+	ck_assert(!hc_peer_has_idle_to(peer, 41));
+	outcome = (struct outcome){ .body = g_string_new(NULL) };
+	spec.process = named_cases[_i].process;
+	spec.id = named_cases[_i].id;
+	spec.names_process = NULL;
+	hc_request_start(peer, &spec);
+	loop_until(&outcome.done);
+	ck_assert_msg(outcome.result == named_cases[_i].result, "%s: result %d",
+		      named_cases[_i].what, outcome.result);
+	ck_assert_str_eq(outcome.body->str, named_cases[_i].body);
+	ck_assert_int_eq(stub->accepted, named_cases[_i].accepted);
+}
+END_TEST
+
 static const struct {
 	const char *what;
 	enum close_mode close_mode;
@@ -1437,6 +1545,8 @@
 	tcase_add_test(tcase, timer_runs_after_the_loop_was_held_up);
 	tcase_add_loop_test(tcase, client_reads, 0, G_N_ELEMENTS(client_cases));
 	tcase_add_test(tcase, client_reuses_unless_unexpected_data);
+	tcase_add_loop_test(tcase, client_knows_process, 0,
+			    G_N_ELEMENTS(named_cases));
 	tcase_add_loop_test(tcase, client_sends_nothing_on_an_ended_connection,
 			    0, G_N_ELEMENTS(idle_end_cases));
 	tcase_add_test(tcase, client_connects_although_the_loop_is_late);
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -851,7 +851,7 @@
 		/* What begins there can't go on anywhere. */
 		if (cases[i].bound && !cases[i].served) {
 			request.version = fleet_version_of(
-				fleet_find(fleet, "w0"), cases[i].listed_at);
+				fleet_find(fleet, "w0"), &request);
 			ck_assert_uint_eq(request.version,
 					  FLEET_VERSION_UNKNOWN);
 			ck_assert(!fleet_has_other(fleet, &request, NULL));
@@ -860,6 +860,64 @@
 }
 END_TEST
 
+/* A worker in whose place another process has answered has no known version
+ * until that one is listed, or should be. */
+START_TEST(fleet_knows_processes)
+{
+	static const struct {
+		int64_t listed; /* start in the entry; 0: none */
+		int64_t said;	/* -1: no process was asked; 0: another id */
+		clk_ms age;	/* of the answer */
+		bool engine;
+		bool served;
+		bool proof;
+		unsigned versions; /* of the pool */
+	} cases[] = {
+		{ 5, -1, 0, true, true, true, 1 },
+		{ 5, 5, 0, true, true, true, 1 },
+		{ 5, 6, 0, true, false, true, 2 },
+		{ 5, 4, 0, true, false, true, 2 },
+		{ 5, 0, 0, true, false, true, 2 },
+		{ 5, 6, 2500, true, false, true, 2 },
+		{ 5, 6, 2501, true, true, true, 1 },
+		{ 5, -1, 0, false, true, false, 1 },
+		{ 0, -1, 0, true, true, false, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fleet *fleet = fleet_make(1);
+		struct fleet_worker *worker = fleet_find(fleet, "w0");
+		struct fleet_request request = {
+			.pool = "pool",
+			.data_centre = "dc",
+			.version = fleet_version_key(""),
+			.engine = cases[i].engine,
+			.listed_at = 100,
+		};
+		uint32_t sole;
+
+		worker->entry.started_at = cases[i].listed;
+		if (cases[i].said >= 0)
+			fleet_on_process(fleet, worker, cases[i].said, 100);
+		fleet_expire(fleet, 100 + cases[i].age);
+		ck_assert_msg((fleet_choose(fleet, &request, 0).worker !=
+			       NULL) == cases[i].served,
+			      "case %zu", i);
+		ck_assert_msg(fleet_needs_proof(worker, &request) ==
+				      cases[i].proof,
+			      "case %zu", i);
+		ck_assert_msg(fleet_versions(fleet, "pool", 0, &sole) ==
+				      cases[i].versions,
+			      "case %zu", i);
+		ck_assert_msg((sole != 0) == (cases[i].versions == 1),
+			      "case %zu", i);
+		/* Once the other process is listed, the answer is about it. */
+		fleet_put_version(fleet, 0, "v2");
+		ck_assert_uint_eq(fleet->replaced->len, 0);
+	}
+}
+END_TEST
+
 /* A version counts until the streams that it began are over. */
 START_TEST(fleet_counts_versions)
 {
@@ -2330,6 +2388,109 @@
 }
 END_TEST
 
+static void count_listed(void *ctx, uint64_t key, uint32_t version)
+{
+	ck_assert_uint_eq(key, 1);
+	ck_assert_uint_eq(version, 11);
+	(*(unsigned *)ctx)++;
+}
+
+/* A stream of a process that is not listed yet: what is listed, when, and the
+ * version that is known then. */
+START_TEST(origin_defers)
+{
+	static const struct {
+		uint32_t worker;
+		int64_t start;
+		clk_ms after;
+		uint32_t version;
+	} cases[] = {
+		{ 7, 5, 1, 11 },
+		{ 7, 4, 1, ORIGIN_VERSION_UNKNOWN },
+		{ 8, 5, 1, ORIGIN_VERSION_UNKNOWN },
+		{ 7, 5, ORIGIN_KEEP_MS - 1, 11 },
+		{ 7, 4, ORIGIN_KEEP_MS, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct origin *origin = origin_create();
+		unsigned listed = 0;
+
+		origin_put(origin, 1, ORIGIN_VERSION_UNKNOWN, 3, 0);
+		origin_defer(origin, 1, 7, 5, 0);
+		for (unsigned twice = 0; twice < 2; twice++)
+			origin_on_listed(origin, cases[i].worker,
+					 cases[i].start, 11, cases[i].after,
+					 count_listed, &listed);
+		ck_assert_uint_eq(listed, cases[i].version == 11);
+		ck_assert_msg(origin_find(origin, 1, cases[i].after) ==
+				      cases[i].version,
+			      "case %zu", i);
+		/* What is known stays. */
+		origin_put(origin, 1, 13, 0, cases[i].after);
+		ck_assert_uint_eq(origin_find(origin, 1, cases[i].after),
+				  cases[i].version == 11 ? 11 : 13);
+		ck_assert(cases[i].after < ORIGIN_KEEP_MS ||
+			  origin->deferred->len == 0);
+		origin_free(origin);
+	}
+}
+END_TEST
+
+/* Answers of hosts that may keep a stream: how many were asked and would keep
+ * it, the versions that they know of it, and what follows after a time. */
+START_TEST(origin_waits_for_keeper)
+{
+	static const struct {
+		unsigned asked, keepers, answers;
+		uint32_t version[ORIGIN_ASKED]; /* by turns of host 1, 2... */
+		unsigned hosts;			/* that have answered in turn */
+		clk_ms after;
+		enum origin_verdict verdict;
+		uint32_t known;
+	} cases[] = {
+		{ 5, 3, 2, { 0, 0 }, 5, 1, ORIGIN_WAIT, 0 },
+		{ 5, 3, 3, { 0, 0, 0 }, 5, 1, ORIGIN_SOLE, 9 },
+		{ 5, 2, 3, { 0, 0, 0 }, 5, 1, ORIGIN_WAIT, 0 },
+		{ 1, 3, 1, { 0 }, 5, 1, ORIGIN_SOLE, 9 },
+		{ 5, 3, 2, { 0, 0 }, 5, 250, ORIGIN_SOLE, 9 },
+		/* One knows that it began, but not at which version. */
+		{ 5, 3, 1, { 2 }, 5, 1, ORIGIN_WAIT, 2 },
+		{ 2, 3, 2, { 2, 0 }, 5, 249, ORIGIN_WAIT, 2 },
+		{ 2, 3, 2, { 2, 0 }, 5, 250, ORIGIN_UNKNOWN, 2 },
+		{ 5, 3, 2, { 2, 7 }, 5, 1, ORIGIN_KNOWN, 7 },
+		{ 5, 3, 2, { 7, 2 }, 5, 1, ORIGIN_KNOWN, 7 },
+		/* The same host knows it by now. */
+		{ 5, 3, 2, { 2, 7 }, 1, 1, ORIGIN_KNOWN, 7 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct origin_question question = {
+			.asked = cases[i].asked,
+			.keepers = cases[i].keepers,
+		};
+		struct origin_view view = { .versions = 1,
+					    .sole = 9,
+					    .listed = true,
+					    .settled = true };
+		uint32_t version;
+
+		for (unsigned a = 0; a < cases[i].answers; a++)
+			origin_on_answer(&question,
+					 &(struct origin_answer){
+						 .host = 1 + a % cases[i].hosts,
+						 .version = cases[i].version[a],
+						 .versions = 1,
+						 .settled = true,
+					 });
+		ck_assert_msg(origin_judge(&question, &view, cases[i].after,
+					   &version) == cases[i].verdict,
+			      "case %zu", i);
+		ck_assert_msg(version == cases[i].known, "case %zu", i);
+	}
+}
+END_TEST
+
 START_TEST(origin_judged)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(origin_cases); i++) {
@@ -2597,6 +2758,7 @@
 	tcase_add_test(tcase, age_by_reports);
 	tcase_add_test(tcase, fleet_chooses_by_version);
 	tcase_add_test(tcase, fleet_doubts_version_after_cut);
+	tcase_add_test(tcase, fleet_knows_processes);
 	tcase_add_test(tcase, fleet_counts_versions);
 	tcase_add_loop_test(tcase, origin_rows_parsed, 0,
 			    G_N_ELEMENTS(row_cases));
@@ -2605,6 +2767,8 @@
 	tcase_add_loop_test(tcase, bad_record_is_rejected, 0,
 			    G_N_ELEMENTS(bad_records));
 	tcase_add_test(tcase, origin_judged);
+	tcase_add_test(tcase, origin_defers);
+	tcase_add_test(tcase, origin_waits_for_keeper);
 	tcase_add_test(tcase, origin_bounded);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
