Proof of ends: the process that the attempt runs at, not the listed one

The end of a response without a length was proved against the start that was listed when the request was sent. One that an unlisted process sent counted as cut off if the worker rejected the question who it is, as the list named another process. Now the process that is known of the connection counts, and an entry that was there before says nothing of it.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -373,14 +373,18 @@
 		may_be_empty);
 }
 
-/* Returns the start of the process that is listed with the worker's id. */
+/* Returns the start of the process that is listed with the worker's id. The
+ * entry that was there before the attempt says nothing of a process that was
+ * not listed yet. */
 static int64_t listed_start(void *ctx)
 {
 	const struct xfer *xfer = ctx;
 	const struct fleet_worker *worker =
 		fleet_find(xfer->proxyd->fleet, xfer->worker->entry.id);
+	int64_t start = worker ? worker->entry.started_at : 0;
 
-	return worker ? worker->entry.started_at : 0;
+	return start == xfer->worker->entry.started_at ? xfer->worker_start
+						       : start;
 }
 
 /* Notes that the worker has ended a connection early: its process may have
