Processes of connections: evidence, late answers, late entries

- ORDER: a connection was taken to lead to the process that an open one leads to.
One whose process is gone may stay open without an end.
Evidence is now that the process has served before and after the connection was established.
- ORDER: a host that asks took the only listed version for that of a stream before a host that keeps it had answered (2 to 4 hosts); hosts that keep a stream of unknown version were not told while the pool has one version.
- LOST: streams were refused after a worker had started again under a new id at its old address: its report names a start under any id, which counted as a version more.
Now only a process that runs requests under the listed id does.
- LOST: a stream that ended before its worker had said its start was broken off, also if the worker lives: it is asked then.
The answer counts on a connection that is closed after it, and for streams whose callers have left.
Hosts that forward learn a version that was not known when the response began.
A stream waits for the entry of a process that has answered; that a process could not be the right one no longer counts as an upstream that was not reached (503 RW_ENOLINK).
- DRAIN: a request that had waited for a late report was sent to a worker that leaves.
- MIXED, HEAD only: a second report on a kept connection was read as one without a body.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -17,6 +17,9 @@
 /* How long the worker of a stream that could go on elsewhere is asked whether
  * it has ended. */
 #define CONFIRM_MS 1000
+/* Workers of one request at most that had another process than the listed one.
+ */
+#define UNFIT_MAX 8
 
 /* Frees the response of the attempt. */
 static void response_clear(struct xfer_response *response)
@@ -73,18 +76,20 @@
 	struct proxyd *proxyd = xfer->proxyd;
 	clk_ms now = proxyd_now(proxyd);
 	bool avoided = links_avoided(proxyd->links, xfer->pool->name);
+	bool has_worker;
 	bool has_host =
 		(avoided || xfer->px.unsent > 0) && forward_is_possible(xfer);
 
 	resume_update_listed(xfer);
+	has_worker = fleet_has_other(proxyd->fleet, &xfer->fleet_request,
+				     xfer->worker) ||
+		     fleet_awaits_entry(proxyd->fleet, &xfer->fleet_request);
 	return (struct px_retry_conditions){
 		.has_time = xfer->deadline - now >= RETRY_MIN_MS,
 		.has_budget = retry_available(
 			&proxyd_pool(proxyd, xfer->pool->name)->budget, now),
-		.has_upstream =
-			(avoided && has_host) ||
-			fleet_has_other(proxyd->fleet, &xfer->fleet_request,
-					xfer->worker),
+		.has_upstream = (avoided && has_host) ||
+				(has_worker && xfer->unfit <= UNFIT_MAX),
 		.has_host = has_host,
 		.has_cache = move_can_go_back(xfer),
 	};
@@ -98,15 +103,20 @@
 		enum fleet_outcome outcome;
 	} ends[] = {
 		[PX_END_UNSENT] = { CTR_ends_unsent, true, FLEET_NO_RESPONSE },
+		[PX_END_UNFIT] = { CTR_ends_unsent, false, FLEET_OK },
 		[PX_END_NOT_RUN] = { CTR_ends_not_run, false, FLEET_OK },
 		[PX_END_COMPLETE] = { CTR_attempts, true, FLEET_OK },
 		[PX_END_FAILED] = { CTR_ends_failed, true, FLEET_ERROR },
 		[PX_END_INCOMPLETE] = { CTR_ends_cut, true, FLEET_NO_RESPONSE },
 	};
 	struct proxyd *proxyd = xfer->proxyd;
-	struct px_retry_conditions cond = attempt_retry_conditions(xfer);
+	struct px_retry_conditions cond;
 	enum px_action action;
 
+	if (end == PX_END_INCOMPLETE && process_settle(xfer, why))
+		return;
+	xfer->unfit += end == PX_END_UNFIT;
+	cond = attempt_retry_conditions(xfer);
 	proxyd_count(proxyd, ends[end].counter);
 	if (end != PX_END_COMPLETE)
 		fleet_request_failed(&xfer->fleet_request, xfer->worker->key);
@@ -145,11 +155,13 @@
 		report_send_counts(proxyd);
 }
 
-/* Whether a request may be sent to the worker that was chosen for it: while the
- * connection was being established, the worker may have begun to leave. */
 static bool may_send(void *ctx)
 {
-	const struct xfer *xfer = ctx;
+	return attempt_may_send(ctx);
+}
+
+bool attempt_may_send(const struct xfer *xfer)
+{
 	const struct fleet_worker *worker = xfer->worker;
 
 	if (worker == xfer->move.source)
@@ -304,6 +316,8 @@
 		hs_response_start(xfer->call, xfer->response.status,
 				  xfer->response.headers->str);
 		xfer->px.response_started = true;
+	} else {
+		resume_on_event(xfer);
 	}
 	hs_response_write(xfer->call, events->str, events->len);
 	proxyd_count(xfer->proxyd, CTR_events);
@@ -683,8 +697,6 @@
 	};
 
 	xfer->attempt = hc_request_start(worker->http_peer, &spec);
-	if (xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE)
-		process_watch(xfer);
 	g_string_free(head, TRUE);
 	if (bytes)
 		g_bytes_unref(bytes);
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -236,6 +236,7 @@
 			    const struct head_forwarded *forwarded)
 {
 	xfer->forwarded = true;
+	xfer->forwarder = g_strdup(forwarded->host);
 	xfer->px.max_attempts = MIN(xfer->px.max_attempts, forwarded->attempts);
 	xfer->fleet_request.version = forwarded->version;
 	xfer->resumes = forwarded->version != 0;
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -19,6 +19,7 @@
 	struct proxyd *proxyd;
 	struct fleet_worker *worker;
 	struct ident *ident; /* NULL: it has ended */
+	GArray *streams;     /* keys of those that have begun there */
 };
 
 static void watch_free(void *ptr)
@@ -27,6 +28,7 @@
 
 	if (watch->ident)
 		ident_cancel(watch->ident);
+	g_array_unref(watch->streams);
 	fleet_worker_unref(watch->worker);
 	g_free(watch);
 }
@@ -66,21 +68,24 @@
 
 	watch->ident = NULL;
 	answer_note(proxyd, watch->worker, answer);
-	resume_on_process(proxyd, watch->worker);
+	/* The listed process was there before their connections were
+	 * established, and still is. */
+	if (answer->start && answer->start == watch->worker->entry.started_at)
+		resume_on_listed_process(proxyd, watch->worker, watch->streams);
 	g_ptr_array_remove_fast(proxyd->watches, watch);
 }
 
-static bool is_watched(const struct proxyd *proxyd,
-		       const struct fleet_worker *worker)
+/* Returns the question to a worker, or NULL. */
+static struct watch *watch_find(const struct proxyd *proxyd,
+				const struct fleet_worker *worker)
 {
 	for (guint i = 0; i < proxyd->watches->len; i++) {
-		const struct watch *watch =
-			g_ptr_array_index(proxyd->watches, i);
+		struct watch *watch = g_ptr_array_index(proxyd->watches, i);
 
 		if (watch->worker == worker)
-			return true;
+			return watch;
 	}
-	return false;
+	return NULL;
 }
 
 /* Starts to ask a worker. */
@@ -96,24 +101,41 @@
 	return ident_start(&proxyd->loop, spec);
 }
 
-void process_watch(const struct xfer *xfer)
+/* Starts to ask a worker which process it is. */
+static struct watch *watch_start(struct proxyd *proxyd,
+				 struct fleet_worker *worker)
 {
-	struct proxyd *proxyd = xfer->proxyd;
-	struct fleet_worker *worker = xfer->worker;
-	struct ident_spec spec = { .waits = watch_waits, .fn = on_watched };
-	struct watch *watch;
+	struct watch *watch = g_new0(struct watch, 1);
+	struct ident_spec spec = {
+		.waits = watch_waits,
+		.fn = on_watched,
+		.ctx = watch,
+	};
 
-	if (!fleet_may_ask_process(worker, &xfer->fleet_request,
-				   proxyd_now(proxyd)) ||
-	    hc_peer_knows_process(worker->http_peer) ||
-	    is_watched(proxyd, worker))
-		return;
-	watch = g_new0(struct watch, 1);
 	watch->proxyd = proxyd;
 	watch->worker = fleet_worker_ref(worker);
-	spec.ctx = watch;
+	watch->streams = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_ptr_array_add(proxyd->watches, watch);
 	watch->ident = process_ask(proxyd, worker, &spec);
+	return watch;
+}
+
+void process_watch(struct xfer *xfer, uint64_t stream)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct fleet_worker *worker = xfer->worker;
+	struct watch *watch = watch_find(proxyd, worker);
+
+	if (!watch && worker->http_peer &&
+	    fleet_may_ask_process(worker, &xfer->fleet_request,
+				  proxyd_now(proxyd)))
+		watch = watch_start(proxyd, worker);
+	if (!watch)
+		return;
+	for (guint i = 0; i < watch->streams->len; i++)
+		if (g_array_index(watch->streams, uint64_t, i) == stream)
+			return;
+	g_array_append_val(watch->streams, stream);
 }
 
 /* Sends an attempt whose worker is the listed process. */
@@ -121,12 +143,14 @@
 {
 	const struct fleet_worker *worker = xfer->worker;
 
-	if (hc_peer_has_idle_to(worker->http_peer, xfer->worker_start))
+	if (worker->leaves_at && !attempt_may_send(xfer))
+		attempt_end(xfer, PX_END_UNSENT, "worker_leaves");
+	else if (hc_peer_has_idle_to(worker->http_peer, xfer->worker_start))
 		attempt_send(xfer);
 	else if (xfer->ident_tries < TRIES_MAX)
 		process_prove(xfer);
 	else
-		attempt_end(xfer, PX_END_UNSENT, "connection_not_kept");
+		attempt_end(xfer, PX_END_UNFIT, "connection_not_kept");
 }
 
 static void on_proved(void *ctx, const struct ident_answer *answer)
@@ -140,13 +164,13 @@
 		if (answer->start == xfer->worker_start)
 			proved_send(xfer);
 		else
-			attempt_end(xfer, PX_END_UNSENT, "other_process");
+			attempt_end(xfer, PX_END_UNFIT, "other_process");
 		break;
 	case IDENT_OTHER:
-		attempt_end(xfer, PX_END_UNSENT, "other_process");
+		attempt_end(xfer, PX_END_UNFIT, "other_process");
 		break;
 	case IDENT_MUTE:
-		attempt_end(xfer, PX_END_UNSENT, "unknown_process");
+		attempt_end(xfer, PX_END_UNFIT, "unknown_process");
 		break;
 	case IDENT_REFUSED:
 		attempt_end_unreached(xfer);
@@ -178,6 +202,43 @@
 	xfer->ident = process_ask(xfer->proxyd, xfer->worker, &spec);
 }
 
+/* The worker of an attempt that has ended says which process it is now. If it
+ * is the listed one, the attempt was there, too. */
+static void on_settled(void *ctx, const struct ident_answer *answer)
+{
+	struct xfer *xfer = ctx;
+
+	xfer->ident = NULL;
+	answer_note(xfer->proxyd, xfer->worker, answer);
+	if (answer->start == xfer->worker->entry.started_at)
+		resume_record(xfer, answer->start);
+	attempt_end(xfer, PX_END_INCOMPLETE, xfer->settles);
+}
+
+static bool settle_waits(void *ctx, clk_ms waited)
+{
+	(void)ctx;
+	return waited < PERIOD_MS;
+}
+
+bool process_settle(struct xfer *xfer, const char *why)
+{
+	struct ident_spec spec = {
+		.waits = settle_waits,
+		.fn = on_settled,
+		.ctx = xfer,
+	};
+
+	if (xfer->settles || !xfer->px.response_started ||
+	    xfer->px.kind != PX_RESUMABLE || !xfer->worker->http_peer ||
+	    xfer->fleet_request.version != ORIGIN_VERSION_UNKNOWN ||
+	    !fleet_says_process(xfer->worker, &xfer->fleet_request))
+		return false;
+	xfer->settles = why;
+	xfer->ident = process_ask(xfer->proxyd, xfer->worker, &spec);
+	return true;
+}
+
 void process_tick(struct proxyd *proxyd)
 {
 	fleet_expire(proxyd->fleet, proxyd_now(proxyd));
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -322,6 +322,13 @@
 	pool->several_versions = keepers > 0;
 }
 
+static void await_cancel(struct xfer *xfer)
+{
+	if (xfer->awaits_entry)
+		g_ptr_array_remove_fast(xfer->proxyd->awaiting, xfer);
+	xfer->awaits_entry = false;
+}
+
 /* A worker that is listed, and the host. */
 struct listed_ctx {
 	struct proxyd *proxyd;
@@ -329,9 +336,9 @@
 };
 
 /* Tells the hosts that are to keep a stream of this one; version: that began
- * it, or ORIGIN_VERSION_UNKNOWN. */
+ * it, or ORIGIN_VERSION_UNKNOWN; versions: of the pool, at least. */
 static void stream_pass_on(struct proxyd *proxyd, const char *pool,
-			   uint64_t stream, uint32_t version)
+			   uint64_t stream, uint32_t version, unsigned versions)
 {
 	const struct member *top[RECEIVERS_MAX];
 	w_origin row = { .stream = stream, .software = version };
@@ -339,8 +346,9 @@
 		.streams.streams_len = 1,
 		.streams.streams_val = &row,
 	};
-	unsigned keepers = origin_keepers(versions_of(proxyd, pool),
-					  proxyd_host_count(proxyd));
+	unsigned keepers =
+		origin_keepers(MAX(versions, versions_of(proxyd, pool)),
+			       proxyd_host_count(proxyd));
 	size_t count = receivers_list(proxyd, stream, keepers, top);
 
 	if (proxyd_pool(proxyd, pool)->several_versions)
@@ -365,72 +373,150 @@
 		       : ORIGIN_VERSION_UNKNOWN;
 }
 
-/* Returns the version at which the attempt's stream began. */
-static uint32_t attempt_version(struct xfer *xfer)
+/* Tells the host that has forwarded the request, which did not know the version
+ * when the response began. */
+static void forwarder_tell(const struct xfer *xfer, uint64_t stream,
+			   uint32_t version)
 {
-	struct proxyd *proxyd = xfer->proxyd;
-	int64_t process;
+	const struct member *host =
+		member_find(xfer->proxyd->members, xfer->forwarder);
+	w_origin row = { .stream = stream, .software = version };
+	w_origin_keep keep = {
+		.streams.streams_len = 1,
+		.streams.streams_val = &row,
+	};
 
-	if (!fleet_says_process(xfer->worker, &xfer->fleet_request))
-		return fleet_version_of(xfer->worker, &xfer->fleet_request);
-	process = hc_request_process(xfer->attempt);
-	if (process)
-		xfer->worker_start = process;
-	return process_version(proxyd, xfer->worker, process);
+	if (host && origin_is_known(version))
+		rpc_send_origin_keep(xfer->proxyd->rpc, host->info.rpc, &keep);
 }
 
-/* Records the version at which the attempt's stream began. */
-static void stream_record(struct xfer *xfer)
+/* Records a version at which the attempt's stream began. */
+static void stream_record(struct xfer *xfer, uint32_t version)
 {
 	struct proxyd *proxyd = xfer->proxyd;
 	struct http_view id = { xfer->id, strlen(xfer->id) };
 	const char *pool = xfer->pool->name;
 	uint64_t key = key_of(xfer, id);
-	clk_ms now = proxyd_now(proxyd);
-	int64_t process = hc_request_process(xfer->attempt);
-	uint32_t version = attempt_version(xfer);
 
 	xfer->fleet_request.version = version;
 	if (xfer->px.kind != PX_RESUMABLE)
 		return;
-	if (!origin_is_known(version))
+	origin_put(proxyd->origin, key, version, aggregate_key(pool),
+		   proxyd_now(proxyd));
+	/* This host may be lost before it knows the version. */
+	xfer->unknown_told |= !origin_is_known(version);
+	stream_pass_on(proxyd, pool, key, version, xfer->unknown_told ? 2 : 0);
+	if (xfer->forwarder && xfer->px.response_started)
+		forwarder_tell(xfer, key, version);
+}
+
+void resume_record(struct xfer *xfer, int64_t process)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	struct fleet_worker *worker = xfer->worker;
+	uint32_t version = process_version(proxyd, worker, process);
+	struct http_view id = { xfer->id, strlen(xfer->id) };
+	clk_ms now = proxyd_now(proxyd);
+
+	xfer->worker_start = process;
+	if (!origin_is_known(version)) {
 		slog(SLOG_INFO, "origin",
 		     "id=%s stream=%016" G_GINT64_MODIFIER
 		     "x worker=%s listed=%" G_GINT64_FORMAT
 		     " process=%" G_GINT64_FORMAT " outcome=unlisted_process",
-		     xfer->id, key, xfer->worker->entry.id,
-		     xfer->worker->entry.started_at, process);
-	if (!origin_is_known(version) && process) {
-		fleet_on_process(proxyd->fleet, xfer->worker, process, now);
-		origin_defer(proxyd->origin, key, xfer->worker->key, process,
-			     now);
+		     xfer->id, key_of(xfer, id), worker->entry.id,
+		     worker->entry.started_at, process);
+		fleet_on_process(proxyd->fleet, worker, process, now);
+		fleet_on_other_serves(worker);
+		origin_defer(proxyd->origin, key_of(xfer, id), worker->key,
+			     process, now);
 	}
-	origin_put(proxyd->origin, key, version, aggregate_key(pool), now);
-	stream_pass_on(proxyd, pool, key, version);
+	stream_record(xfer, version);
 }
 
 void resume_on_first_event(struct xfer *xfer)
 {
+	struct fleet_request *request = &xfer->fleet_request;
+	struct http_view id = { xfer->id, strlen(xfer->id) };
+	int64_t process;
+
 	/* A stream that is taken up has a version already. */
-	if (xfer->fleet_request.version)
+	if (request->version)
 		return;
 	resume_update_listed(xfer);
-	stream_record(xfer);
+	if (!fleet_says_process(xfer->worker, request)) {
+		stream_record(xfer, fleet_version_of(xfer->worker, request));
+		return;
+	}
+	process = hc_request_process(xfer->attempt);
+	if (process) {
+		resume_record(xfer, process);
+		return;
+	}
+	slog(SLOG_INFO, "origin",
+	     "id=%s stream=%016" G_GINT64_MODIFIER
+	     "x worker=%s outcome=unknown_process",
+	     xfer->id, key_of(xfer, id), xfer->worker->entry.id);
+	stream_record(xfer, ORIGIN_VERSION_UNKNOWN);
+	process_watch(xfer, key_of(xfer, id));
 }
 
-void resume_on_process(struct proxyd *proxyd, const struct fleet_worker *worker)
+/* Whether it is not known yet which process has begun the stream. */
+static bool awaits_process(const struct xfer *xfer)
 {
-	GHashTableIter iter;
-	gpointer key;
+	return xfer->worker && xfer->px.response_started && !xfer->resumes &&
+	       xfer->fleet_request.version == ORIGIN_VERSION_UNKNOWN &&
+	       xfer->worker_start == xfer->worker->entry.started_at &&
+	       fleet_says_process(xfer->worker, &xfer->fleet_request);
+}
 
-	g_hash_table_iter_init(&iter, proxyd->open_requests);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct xfer *xfer = key;
+/* Records the listed version of a worker that has not said which process it is,
+ * if it has run for so long that another process would be listed. */
+static bool record_by_list(struct xfer *xfer)
+{
+	const struct fleet_worker *worker = xfer->worker;
 
-		if (xfer->worker == worker && xfer->attempt &&
-		    xfer->px.response_started &&
-		    xfer->fleet_request.version == ORIGIN_VERSION_UNKNOWN)
-			stream_record(xfer);
+	if (!worker->unknown_at ||
+	    !fleet_would_be_listed(worker, xfer->sent_at,
+				   xfer->last_received_at,
+				   xfer->proxyd->list_age.complete_at))
+		return false;
+	stream_record(xfer, worker->version);
+	return true;
+}
+
+void resume_on_event(struct xfer *xfer)
+{
+	struct http_view id = { xfer->id, strlen(xfer->id) };
+	int64_t process;
+
+	if (!awaits_process(xfer))
+		return;
+	resume_update_listed(xfer);
+	if (!awaits_process(xfer))
+		return;
+	process = hc_request_process(xfer->attempt);
+	if (process) {
+		resume_record(xfer, process);
+		return;
+	}
+	process_watch(xfer, key_of(xfer, id));
+}
+
+void resume_on_listed_process(struct proxyd *proxyd,
+			      const struct fleet_worker *worker,
+			      const GArray *streams)
+{
+	for (guint i = 0; i < streams->len; i++) {
+		uint64_t stream = g_array_index(streams, uint64_t, i);
+
+		if (origin_find(proxyd->origin, stream, proxyd_now(proxyd)) !=
+		    ORIGIN_VERSION_UNKNOWN)
+			continue;
+		origin_put(proxyd->origin, stream, worker->version, 0,
+			   proxyd_now(proxyd));
+		stream_pass_on(proxyd, worker->entry.pool, stream,
+			       worker->version, 2);
 	}
 }
 
@@ -443,13 +529,51 @@
 	     "stream=%016" G_GINT64_MODIFIER
 	     "x worker=%s version=%08x outcome=listed",
 	     stream, worker->entry.id, version);
-	stream_pass_on(listed->proxyd, worker->entry.pool, stream, version);
+	/* Hosts that keep it may know that its version is not known. */
+	stream_pass_on(listed->proxyd, worker->entry.pool, stream, version, 2);
+}
+
+/* Sends those that a worker can have now, and ends those that wait in vain. */
+static void awaiting_update(struct proxyd *proxyd)
+{
+	GPtrArray *waiting = proxyd->awaiting;
+
+	for (guint i = waiting->len; i-- > 0;) {
+		struct xfer *xfer = g_ptr_array_index(waiting, i);
+		const struct fleet_request *request = &xfer->fleet_request;
+
+		if (fleet_has_untried(proxyd->fleet, request) ||
+		    !fleet_awaits_entry(proxyd->fleet, request)) {
+			await_cancel(xfer);
+			xfer_send(xfer);
+		}
+		i = MIN(i, waiting->len);
+	}
+}
+
+bool resume_await_entry(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+
+	if (!fleet_awaits_entry(proxyd->fleet, &xfer->fleet_request) ||
+	    fleet_has_untried(proxyd->fleet, &xfer->fleet_request))
+		return false;
+	slog(SLOG_INFO, "resume", "id=%s version=%08x outcome=awaits_entry",
+	     xfer->id, xfer->fleet_request.version);
+	xfer->awaits_entry = true;
+	g_ptr_array_add(proxyd->awaiting, xfer);
+	return true;
 }
 
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker)
 {
 	struct listed_ctx ctx = { .proxyd = proxyd, .worker = worker };
 
+	for (guint i = 0; i < proxyd->awaiting->len; i++) {
+		struct xfer *xfer = g_ptr_array_index(proxyd->awaiting, i);
+
+		fleet_request_forget(&xfer->fleet_request, worker->key);
+	}
 	origin_on_listed(proxyd->origin, worker->key, worker->entry.started_at,
 			 worker->version, proxyd_now(proxyd), on_origin_listed,
 			 &ctx);
@@ -463,7 +587,8 @@
 
 	xfer->fleet_request.listed_at =
 		listed_at_of(proxyd, versions_of(proxyd, xfer->pool->name));
-	if (xfer->fleet_request.version != ORIGIN_VERSION_UNKNOWN)
+	if (xfer->fleet_request.version != ORIGIN_VERSION_UNKNOWN ||
+	    (awaits_process(xfer) && record_by_list(xfer)))
 		return;
 	/* The process that began the stream may be listed by now. */
 	version = origin_find(proxyd->origin, key_of(xfer, id),
@@ -612,6 +737,7 @@
 	if (xfer->asking)
 		g_ptr_array_remove_fast(xfer->proxyd->questions, xfer);
 	xfer->asking = false;
+	await_cancel(xfer);
 }
 
 void resume_on_answer(void *ctx, const w_origin_answer *answer)
@@ -648,6 +774,7 @@
 		pool_update(proxyd, pool, writers != proxyd->writers_key);
 	proxyd->writers_key = writers;
 	records_tick(proxyd);
+	awaiting_update(proxyd);
 	writes_streams(proxyd, &turn);
 	streamlog_tick(proxyd->streamlog, now, turn, proxyd_host_count(proxyd));
 	for (guint i = proxyd->questions->len; i-- > 0;) {
@@ -681,4 +808,5 @@
 	g_free(prefix);
 	proxyd->origin = origin_create();
 	proxyd->questions = g_ptr_array_new();
+	proxyd->awaiting = g_ptr_array_new();
 }
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -21,6 +21,7 @@
 
 	sse_clear(&xfer->sse);
 	tab_unref(xfer->tab);
+	g_free(xfer->forwarder);
 	g_free(xfer->id);
 	g_free(xfer);
 }
@@ -412,6 +413,10 @@
 		return;
 	}
 	resume_update_listed(xfer);
+	if (resume_await_entry(xfer)) {
+		xfer_timer_arm(xfer);
+		return;
+	}
 	if (xfer->fleet_request.version &&
 	    !fleet_has_other(proxyd->fleet, &xfer->fleet_request, NULL)) {
 		xfer_perform(xfer, px_on_give_up(&xfer->px),
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -70,6 +70,10 @@
 	 * process it is; or NULL. */
 	struct ident *ident;
 	unsigned ident_tries;
+	unsigned unfit; /* attempts that met another process */
+	/* Why the attempt has ended whose process is asked for after it; NULL:
+	 * none was. */
+	const char *settles;
 	/* The attempt's response has ended with its connection; NULL unless
 	 * its worker is asked whether that is the end. */
 	struct confirm *confirm;
@@ -103,8 +107,11 @@
 	bool declined;	 /* by the other hosts: it is not forwarded again */
 	clk_ms stall_checked_at; /* its silent attempt had no alternative then
 				  */
-	bool resumes; /* its caller takes up a stream that has begun */
-	bool asking;  /* the version that began it */
+	char *forwarder;   /* incarnation of the host that has forwarded it */
+	bool unknown_told; /* others know that its version is not known */
+	bool awaits_entry; /* of a worker that may have its version */
+	bool resumes;	   /* its caller takes up a stream that has begun */
+	bool asking;	   /* the version that began it */
 	struct origin_question question;
 };
 
@@ -162,9 +169,16 @@
 /* proxyd-resume.c: streams that callers take up */
 /* The first event of the response is about to be relayed. */
 void resume_on_first_event(struct xfer *xfer);
+/* Another one is. */
+void resume_on_event(struct xfer *xfer);
+/* It is known which process has begun the stream: by its start. */
+void resume_record(struct xfer *xfer, int64_t process);
 /* Sets what is known of the versions of workers and of the stream, before a
  * worker is chosen. */
 void resume_update_listed(struct xfer *xfer);
+/* Waits until a process is listed that may have the stream's version; returns
+ * false if there is none. */
+bool resume_await_entry(struct xfer *xfer);
 /* Finds out which version began the stream, and then sends the request, or
  * rejects it. */
 void resume_start_stream(struct xfer *xfer);
@@ -202,9 +216,12 @@
 /* Asks the worker of the attempt which process it is; then sends the attempt,
  * or ends it. */
 void process_prove(struct xfer *xfer);
-/* Asks the worker of the attempt, which was sent, beside it, unless that is
- * known of a connection. */
-void process_watch(const struct xfer *xfer);
+/* Asks the worker of the attempt beside it, for the version of its stream. */
+void process_watch(struct xfer *xfer, uint64_t stream);
+/* The attempt's stream was cut off. Asks its worker which process it is, if
+ * that of the stream is not known, and ends the attempt then; returns false if
+ * there is nothing to ask. */
+bool process_settle(struct xfer *xfer, const char *why);
 
 /* proxyd-ends.c */
 /* Counts a request that ends without a whole answer. */
@@ -218,6 +235,10 @@
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
 /* Sends the attempt that has been started. */
 void attempt_send(struct xfer *xfer);
+/* Whether the request may be sent to the worker that was chosen for it: while a
+ * connection was being established, or the worker was asked which process it
+ * is, it may have begun to leave. */
+bool attempt_may_send(const struct xfer *xfer);
 /* Ends the attempt, which was not sent as the worker can't be reached. */
 void attempt_end_unreached(struct xfer *xfer);
 /* Whether another worker that has sent something lately could have the request
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -165,6 +165,7 @@
 	bool record_pending;  /* a record of versions is being written */
 	clk_ms next_record;
 	GPtrArray *questions; /* struct xfer whose stream's version is asked */
+	GPtrArray *awaiting; /* struct xfer that awaits the entry of a worker */
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
 	unsigned limit_questions; /* for all limits, since the start */
 	clk_ms next_issuer_check;
@@ -377,9 +378,11 @@
 void resume_tick(struct proxyd *proxyd);
 /* An item under OWN_PREFIX has changed. */
 void resume_on_item(struct proxyd *proxyd, const struct store_item *item);
-/* It is known which process of a worker open connections lead to. */
-void resume_on_process(struct proxyd *proxyd,
-		       const struct fleet_worker *worker);
+/* The listed process of a worker has begun some streams, given by their keys.
+ */
+void resume_on_listed_process(struct proxyd *proxyd,
+			      const struct fleet_worker *worker,
+			      const GArray *streams);
 /* A worker's process is listed. */
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker);
 void resume_on_keep(void *ctx, const w_origin_keep *keep);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -122,14 +122,17 @@
 	g_array_append_val(versions, version);
 }
 
-/* Whether processes of a pool have answered that are not listed yet. */
-static bool has_replaced(const struct fleet *fleet, const char *pool)
+/* Whether processes of a pool have answered that are not listed yet; serves:
+ * under the id of a listed one. */
+static bool has_replaced(const struct fleet *fleet, const char *pool,
+			 bool serves)
 {
 	for (guint i = 0; i < fleet->replaced->len; i++) {
 		const struct fleet_worker *worker =
 			g_ptr_array_index(fleet->replaced, i);
 
-		if (!strcmp(worker->entry.pool, pool))
+		if (!strcmp(worker->entry.pool, pool) &&
+		    (!serves || worker->other_serves))
 			return true;
 	}
 	return false;
@@ -154,7 +157,7 @@
 		if (now - version->gone_at > FLEET_VERSION_MS)
 			g_array_remove_index_fast(versions, i);
 	}
-	if (has_replaced(fleet, pool))
+	if (has_replaced(fleet, pool, true))
 		return versions->len + 1;
 	if (versions->len == 1)
 		*sole = g_array_index(versions, struct fleet_version, 0).key;
@@ -196,6 +199,7 @@
 		g_ptr_array_remove_fast(fleet->replaced, worker);
 	worker->other_start = 0;
 	worker->other_at = 0;
+	worker->other_serves = false;
 }
 
 void fleet_remove(struct fleet *fleet, const char *id)
@@ -301,14 +305,22 @@
 void fleet_on_process(struct fleet *fleet, struct fleet_worker *worker,
 		      int64_t start, clk_ms now)
 {
+	bool serves = worker->other_serves && start == worker->other_start;
+
 	other_forget(fleet, worker);
 	if (worker->removed || (start && start == worker->entry.started_at))
 		return;
+	worker->other_serves = serves;
 	worker->other_start = start;
 	worker->other_at = now;
 	g_ptr_array_add(fleet->replaced, worker);
 }
 
+void fleet_on_other_serves(struct fleet_worker *worker)
+{
+	worker->other_serves = worker->other_at != 0;
+}
+
 void fleet_expire(struct fleet *fleet, clk_ms now)
 {
 	for (guint i = fleet->replaced->len; i-- > 0;) {
@@ -338,6 +350,20 @@
 	       (!worker->unknown_at || now - worker->unknown_at >= ASK_MS);
 }
 
+bool fleet_would_be_listed(const struct fleet_worker *worker, clk_ms since,
+			   clk_ms heard_at, clk_ms listed_at)
+{
+	return !worker->removed && !worker->other_at &&
+	       MIN(heard_at, listed_at) > since + ENTRY_MS;
+}
+
+bool fleet_awaits_entry(const struct fleet *fleet,
+			const struct fleet_request *request)
+{
+	return request->version && request->version != FLEET_VERSION_UNKNOWN &&
+	       has_replaced(fleet, request->pool, false);
+}
+
 bool fleet_needs_proof(const struct fleet_worker *worker,
 		       const struct fleet_request *request)
 {
@@ -413,6 +439,30 @@
 	return false;
 }
 
+bool fleet_has_untried(const struct fleet *fleet,
+		       const struct fleet_request *request)
+{
+	const GPtrArray *workers = pool_workers(fleet, request->pool);
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		if (fleet_takes_work(worker) && has_version(worker, request) &&
+		    !has_failed(worker, request))
+			return true;
+	}
+	return false;
+}
+
+void fleet_request_forget(struct fleet_request *request, uint32_t worker)
+{
+	for (unsigned i = 0; i < request->failed_count; i++)
+		if (request->failed[i] == worker)
+			request->failed[i] =
+				request->failed[--request->failed_count];
+}
+
 unsigned fleet_count(const struct fleet *fleet, const char *pool)
 {
 	const GPtrArray *workers = pool_workers(fleet, pool);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -115,7 +115,8 @@
 	 * its place, in ms of its wall clock; 0: none has, or an unknown one.
 	 */
 	int64_t other_start;
-	clk_ms other_at; /* when it last did; 0: never */
+	clk_ms other_at;   /* when it last did; 0: never */
+	bool other_serves; /* it runs requests under the worker's id */
 	/* A process last did not say which one it is; 0: never. */
 	clk_ms unknown_at;
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
@@ -301,6 +302,11 @@
 bool fleet_has_heard(const struct fleet *fleet,
 		     const struct fleet_request *request,
 		     const struct fleet_worker *exclude, clk_ms since);
+/* Whether there is such a worker that the request has not failed at. */
+bool fleet_has_untried(const struct fleet *fleet,
+		       const struct fleet_request *request);
+/* Another process has taken over a worker's id. */
+void fleet_request_forget(struct fleet_request *request, uint32_t worker);
 /* Keeps a request away from a worker, given by its key; the first one of many
  * is forgotten. */
 void fleet_request_failed(struct fleet_request *request, uint32_t worker);
@@ -313,6 +319,9 @@
  * is. */
 void fleet_on_process(struct fleet *fleet, struct fleet_worker *worker,
 		      int64_t start, clk_ms now);
+/* That process has run a request that names the worker's id: it has this id, at
+ * a version that is not known. */
+void fleet_on_other_serves(struct fleet_worker *worker);
 /* Forgets answers of processes that should be listed by now. */
 void fleet_expire(struct fleet *fleet, clk_ms now);
 /* It was asked, and has not said when it started. */
@@ -323,6 +332,15 @@
 /* Whether it may be asked now, beside a request. */
 bool fleet_may_ask_process(const struct fleet_worker *worker,
 			   const struct fleet_request *request, clk_ms now);
+/* Whether the process that has sent something at heard_at, on a connection that
+ * was established before since, is the listed one, as another one would be
+ * listed by then; listed_at: when the list of workers was last current. */
+bool fleet_would_be_listed(const struct fleet_worker *worker, clk_ms since,
+			   clk_ms heard_at, clk_ms listed_at);
+/* Whether a process has answered in the pool that should soon be listed: at the
+ * version of the request, perhaps. */
+bool fleet_awaits_entry(const struct fleet *fleet,
+			const struct fleet_request *request);
 /* Whether a request is sent to a worker only once its process has said that it
  * is the listed one. */
 bool fleet_needs_proof(const struct fleet_worker *worker,
@@ -335,8 +353,8 @@
  */
 uint32_t fleet_version_key(const char *version);
 /* Counts the versions that a pool's workers have, or have had in the last
- * FLEET_VERSION_MS, and processes that are not listed yet as one more; sole is
- * set to the key if there is one, else to 0. */
+ * FLEET_VERSION_MS, and processes that serve and are not listed yet as one
+ * more; sole is set to the key if there is one, else to 0. */
 unsigned fleet_versions(const struct fleet *fleet, const char *pool, clk_ms now,
 			uint32_t *sole);
 /* Lists the keys of the versions of which a pool has workers, at most max;
--- a/decide/origin.c
+++ b/decide/origin.c
@@ -5,6 +5,8 @@
 #include <xxhash.h>
 
 #define ANSWER_MS 250 /* that hosts have to answer, slow ones too */
+/* That a host has to find out at which version a stream began. */
+#define FIND_OUT_MS 1000
 /* Hosts that have known of one version only: enough not to wait for others. */
 #define KNOW_MIN 2
 
@@ -197,7 +199,10 @@
 
 clk_ms origin_wait(const struct origin_question *question, clk_ms now)
 {
-	return MAX(question->asked_at + ANSWER_MS - now, 0);
+	clk_ms wait = question->version == ORIGIN_VERSION_UNKNOWN ? FIND_OUT_MS
+								  : ANSWER_MS;
+
+	return MAX(question->asked_at + wait - now, 0);
 }
 
 bool origin_is_known(uint32_t version)
@@ -230,8 +235,9 @@
 	unsigned know = question->settled + (view->settled && view->listed);
 	/* One of the hosts that would keep the stream has answered. */
 	bool has_keeper =
-		question->keepers == 0 ||
-		question->answers + question->keepers > question->asked;
+		question->keepers == 0 || question->asked == 0 ||
+		(question->answers > 0 &&
+		 question->answers + question->keepers > question->asked);
 
 	if (view->versions != 1 || question->versions > 1 || question->version)
 		return false;
--- a/decide/px.c
+++ b/decide/px.c
@@ -1,7 +1,7 @@
 /* Decisions about a request that is relayed to upstreams. */
 #include "px.h"
 
-#define UNSENT_MAX 3 /* attempts of one request that sent nothing */
+#define UNSENT_MAX 3 /* attempts of one request that reached no upstream */
 
 bool px_is_repeatable(enum px_kind kind)
 {
@@ -75,6 +75,8 @@
 	case PX_END_UNSENT:
 		px->unsent++;
 		return not_run_action(px, &paid);
+	case PX_END_UNFIT:
+		return not_run_action(px, &paid);
 	case PX_END_NOT_RUN:
 		return not_run_action(px, cond);
 	case PX_END_FAILED:
--- a/decide/px.h
+++ b/decide/px.h
@@ -23,6 +23,7 @@
 /* How an attempt at an upstream ended. */
 enum px_end {
 	PX_END_UNSENT,	   /* nothing was sent */
+	PX_END_UNFIT,	   /* the same: it is not the process to send it to */
 	PX_END_NOT_RUN,	   /* the upstream proved that it did not run it */
 	PX_END_COMPLETE,   /* a complete response */
 	PX_END_FAILED,	   /* a complete response that reports a failed run */
@@ -46,7 +47,7 @@
 	enum px_kind kind;
 	unsigned max_attempts; /* upstreams that it may be sent to */
 	unsigned attempts;     /* upstreams that it was sent to */
-	unsigned unsent;       /* attempts that sent nothing */
+	unsigned unsent;       /* attempts that reached no upstream */
 	bool may_have_run;     /* in an attempt that has ended */
 	bool response_started; /* part of it was relayed to the caller */
 };
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -15,14 +15,14 @@
 	struct hc_peer *peer;
 	struct tcp *tcp;
 	struct hc_request *request; /* NULL: idle */
-	bool connected;
 	clk_ms since; /* when the attempt began, or when it became idle */
 	clk_ms responded_at; /* when the first response ended; 0: none has */
 	clk_ms idle_timeout; /* after the last response */
 	int64_t process;     /* at the other end; 0: not known */
 	bool is_named;	     /* a response on it has named the process */
-	bool has_input;	     /* it has brought part of a response */
-	size_t seen;	     /* bytes of an incomplete head already parsed */
+	uint64_t connected;  /* events of struct hc; 0: not yet */
+	uint64_t last_input;
+	size_t seen; /* bytes of an incomplete head already parsed */
 	bool in_body;
 	bool mismatched; /* current response has a wrong id */
 	bool close_after;
@@ -30,13 +30,20 @@
 	struct h1_body body;
 };
 
+/* The process that a response has named last. */
+struct hc_named {
+	int64_t process;     /* 0: none */
+	uint64_t connected;  /* the connection of that response */
+	uint64_t last_input; /* of connections to the process */
+};
+
 struct hc_peer {
 	struct hc *hc;
 	char *address;
 	GPtrArray *idle;       /* struct hc_conn, most recently used last */
 	GPtrArray *conns;      /* struct hc_conn, idle and busy */
 	clk_ms older_ended_at; /* see hc_peer_ended_older; 0: none */
-	int64_t process;       /* that a response has named last; 0: none */
+	struct hc_named named;
 	bool removed;
 };
 
@@ -56,6 +63,7 @@
 	uv_idle_t failed_idle; /* active while failed_requests is not empty */
 	struct hc_options options;
 	struct hc_counters counters;
+	uint64_t events; /* connections established, and input of them */
 	GPtrArray *peers;
 	GPtrArray *closed_conns; /* callbacks may still use them */
 	GQueue failed_requests;	 /* their connect failed at once */
@@ -98,32 +106,37 @@
 	g_free(request);
 }
 
-/* Whether a connection is open to the process that was named last. */
-static bool peer_reaches_process(const struct hc_peer *peer)
+/* Whether a connection leads to the process that was named last. A process that
+ * has served the address both before and after a connection was established has
+ * accepted it. Whether a connection is open shows nothing, as its end may not
+ * have arrived. */
+static bool leads_to_named(const struct hc_conn *conn)
 {
-	for (guint i = 0; peer->process && i < peer->conns->len; i++) {
-		const struct hc_conn *conn = g_ptr_array_index(peer->conns, i);
+	const struct hc_named *named = &conn->peer->named;
 
-		if (conn->process == peer->process &&
-		    !tcp_peer_closed(conn->tcp))
-			return true;
-	}
-	return false;
+	if (!named->process || !conn->connected)
+		return false;
+	return named->connected < conn->connected
+		       ? named->last_input > conn->connected
+		       : conn->last_input > named->connected;
 }
 
-/* While a connection to the process that was named last is open, all others
- * that have brought a response lead there. */
-static void peer_share_process(const struct hc_peer *peer)
+/* Returns the process at the other end of a connection; 0: not known. */
+static int64_t conn_process(struct hc_conn *conn)
 {
-	if (!peer_reaches_process(peer))
-		return;
-	for (guint i = 0; i < peer->conns->len; i++) {
-		struct hc_conn *conn = g_ptr_array_index(peer->conns, i);
+	if (!conn->process && leads_to_named(conn))
+		conn->process = conn->peer->named.process;
+	return conn->process;
+}
 
-		if (!conn->process && conn->has_input &&
-		    !tcp_peer_closed(conn->tcp))
-			conn->process = peer->process;
-	}
+/* Notes that a connection has brought input. */
+static void conn_note_input(struct hc_conn *conn)
+{
+	struct hc_named *named = &conn->peer->named;
+
+	conn->last_input = ++conn->peer->hc->events;
+	if (conn->process && conn->process == named->process)
+		named->last_input = conn->last_input;
 }
 
 /* Notes which process a response has named; returns whether it has. */
@@ -136,8 +149,11 @@
 		return false;
 	conn->process = process;
 	conn->is_named = true;
-	conn->peer->process = process;
-	peer_share_process(conn->peer);
+	conn->peer->named = (struct hc_named){
+		.process = process,
+		.connected = conn->connected,
+		.last_input = conn->last_input,
+	};
 	return true;
 }
 
@@ -148,7 +164,8 @@
 	struct hc_conn *conn = request->conn;
 	struct hc_request_spec spec = request->spec;
 
-	if (result == HC_COMPLETE && spec.names_process)
+	if ((result == HC_COMPLETE || result == HC_CLOSED) &&
+	    spec.names_process)
 		keep = conn_name_process(conn, &spec) && keep;
 	conn->request = NULL;
 	request_free(request);
@@ -248,7 +265,6 @@
 		return true;
 	}
 	conn->in_body = true;
-	conn->has_input = true;
 	conn->close_after = head.close;
 	conn->idle_timeout = idle_timeout_of(conn, &head);
 	conn->mismatched = !response_matches(conn, &head);
@@ -324,6 +340,7 @@
 
 static void conn_on_data(void *ctx)
 {
+	conn_note_input(ctx);
 	conn_read(ctx);
 }
 
@@ -369,7 +386,7 @@
 		conn_fail(conn, HC_UNSENT);
 		return;
 	}
-	conn->connected = true;
+	conn->connected = ++conn->peer->hc->events;
 	tcp_set_peer_timeout(conn->tcp, conn->peer->hc->options.peer_timeout);
 	tcp_read_start(conn->tcp);
 	if (spec->may_send && !spec->may_send(spec->ctx)) {
@@ -396,15 +413,16 @@
 	return true;
 }
 
-/* Whether a request may be sent on an idle connection. Without an id its
- * response can't be told from a second one to the request that named the
- * process. */
+/* Whether a request may be sent on an idle connection. A second response to the
+ * request that named the process is told by the id that it lacks, but has a
+ * body also before one to HEAD. */
 static bool idle_suits(const struct hc_conn *conn,
 		       const struct hc_request_spec *spec)
 {
 	if (spec->process)
 		return conn->is_named && conn->process == spec->process;
-	return spec->id || !conn->is_named;
+	return (spec->id && !spec->is_head) || spec->names_process ||
+	       !conn->is_named;
 }
 
 /* Returns the most recently used idle connection that suits a request, or NULL.
@@ -489,12 +507,9 @@
 	return request;
 }
 
-int64_t hc_request_process(const struct hc_request *request)
+int64_t hc_request_process(struct hc_request *request)
 {
-	if (request->connect_failed || !request->conn->has_input)
-		return 0;
-	peer_share_process(request->conn->peer);
-	return request->conn->process;
+	return request->connect_failed ? 0 : conn_process(request->conn);
 }
 
 void hc_request_cancel(struct hc_request *request)
@@ -606,11 +621,6 @@
 	return peer_find_idle(peer, &spec) != NULL;
 }
 
-bool hc_peer_knows_process(const struct hc_peer *peer)
-{
-	return peer_reaches_process(peer);
-}
-
 bool hc_peer_has_older(const struct hc_peer *peer, clk_ms time)
 {
 	for (guint i = 0; i < peer->conns->len; i++) {
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -11,8 +11,8 @@
  * whether such a response is whole.
  *
  * A connection leads to one process of the server as long as it lasts. A
- * response may say which one; the process of a connection that has brought a
- * response while such a connection is open is the same one.
+ * response may name that process. Others are known to lead there if the process
+ * has served the address before and after they were established.
  */
 #ifndef WIRE_HC_H
 #define WIRE_HC_H
@@ -55,9 +55,9 @@
 	/* Sent only on an idle connection whose response has named this
 	 * process, see hc_peer_has_idle_to; 0: on any connection. */
 	int64_t process;
-	/* Returns the process that a whole response names, positive; 0: it
-	 * names none, and its connection is not kept. NULL: the response is not
-	 * about the process. */
+	/* Returns the process that a whole response, or one that has ended with
+	 * its connection, names, positive; 0: it names none, and its connection
+	 * is not kept. NULL: the response is not about the process. */
 	int64_t (*names_process)(void *ctx);
 	/* Asked when a new connection is established, whether the request is
 	 * still to be sent; may be NULL. */
@@ -87,8 +87,6 @@
 bool hc_peer_has_idle(const struct hc_peer *peer);
 /* Whether it has one on which a response has named a process. */
 bool hc_peer_has_idle_to(struct hc_peer *peer, int64_t process);
-/* Whether a process is known of some connection that is open. */
-bool hc_peer_knows_process(const struct hc_peer *peer);
 /* Whether a connection is open that had carried a response before a time. */
 bool hc_peer_has_older(const struct hc_peer *peer, clk_ms time);
 /* Whether the server has ended a connection since a time that had carried a
@@ -101,9 +99,9 @@
  * The head and the body are copied. */
 struct hc_request *hc_request_start(struct hc_peer *peer,
 				    const struct hc_request_spec *spec);
-/* Returns the process at the other end of the request's connection, which has
- * brought part of a response; 0: it is not known. */
-int64_t hc_request_process(const struct hc_request *request);
+/* Returns the process at the other end of the request's connection; 0: it is
+ * not known. */
+int64_t hc_request_process(struct hc_request *request);
 /* Cancels and frees a request; none of its callbacks runs after this. */
 void hc_request_cancel(struct hc_request *request);
 /* The same; bytes of the request that were not sent yet are dropped. */
