A moved stream may go back to a source that closes its connections

A worker that leaves may close every connection after its response (PROTOCOL), so that the connection of its answer is not kept.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -667,6 +667,20 @@
 					   : worker->entry.started_at;
 }
 
+/* Returns the process that the attempt's connection must lead to; 0: it may be
+ * any. The source of a move, which was asked, may have closed the connection of
+ * its answer, and is the only one that has the run. */
+static int64_t process_required(const struct xfer *xfer)
+{
+	bool is_source = xfer->worker == xfer->move.source;
+
+	if (!needs_proof(xfer) ||
+	    (is_source &&
+	     !hc_peer_has_idle_to(xfer->worker->http_peer, xfer->worker_start)))
+		return 0;
+	return xfer->worker_start;
+}
+
 void attempt_send(struct xfer *xfer)
 {
 	struct http_view body = hs_request_body(xfer->call);
@@ -694,7 +708,7 @@
 		.id = xfer->id,
 		.is_head = h1_view_equals(hs_request_head(xfer->call)->method,
 					  "HEAD"),
-		.process = needs_proof(xfer) ? xfer->worker_start : 0,
+		.process = process_required(xfer),
 		.may_send = may_send,
 		.on_sent = on_sent,
 		.on_head = on_head,
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -138,7 +138,9 @@
 	g_array_append_val(watch->streams, stream);
 }
 
-/* Sends an attempt whose worker is the listed process. */
+/* Sends an attempt whose worker is the process that it should be. One that
+ * leaves closes all connections, but is the only one that has the run of a
+ * move. */
 static void proved_send(struct xfer *xfer)
 {
 	const struct fleet_worker *worker = xfer->worker;
@@ -149,6 +151,8 @@
 		attempt_send(xfer);
 	else if (xfer->ident_tries < TRIES_MAX)
 		process_prove(xfer);
+	else if (worker == xfer->move.source)
+		attempt_send(xfer);
 	else
 		attempt_end(xfer, PX_END_UNFIT, "connection_not_kept");
 }
