Streams of a process that is not known yet are kept with a mark of it

Weighed: holding back the first event (first events must not wait); asking every worker when it is listed (each worker would get a connection from each host).

Change: in place of the version hosts keep a mark of the process: of the one that is listed, if that is not proved yet, or of the one that has answered. Any host finds the listed worker that has the mark; a process that was listed before the stream began has begun it if it still answers. What was deferred until an entry comes is found the same way.

--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -88,8 +88,7 @@
 	if (xfer->forwarded || xfer->declined)
 		return false;
 	/* A stream that has begun goes on at its version only. */
-	if (xfer->px.response_started &&
-	    (version == 0 || version == FLEET_VERSION_UNKNOWN))
+	if (xfer->px.response_started && !origin_is_known(version))
 		return false;
 	return hop_is_possible(xfer->proxyd->hop);
 }
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -120,15 +120,13 @@
 	return watch;
 }
 
-void process_watch(struct xfer *xfer, uint64_t stream)
+void process_watch(struct proxyd *proxyd, struct fleet_worker *worker,
+		   const struct fleet_request *request, uint64_t stream)
 {
-	struct proxyd *proxyd = xfer->proxyd;
-	struct fleet_worker *worker = xfer->worker;
 	struct watch *watch = watch_find(proxyd, worker);
 
 	if (!watch && worker->http_peer &&
-	    fleet_may_ask_process(worker, &xfer->fleet_request,
-				  proxyd_now(proxyd)))
+	    fleet_may_ask_process(worker, request, proxyd_now(proxyd)))
 		watch = watch_start(proxyd, worker);
 	if (!watch)
 		return;
@@ -235,7 +233,7 @@
 
 	if (xfer->settles || !xfer->px.response_started ||
 	    xfer->px.kind != PX_RESUMABLE || !xfer->worker->http_peer ||
-	    xfer->fleet_request.version != ORIGIN_VERSION_UNKNOWN ||
+	    origin_is_known(xfer->fleet_request.version) ||
 	    !fleet_says_process(xfer->worker, &xfer->fleet_request))
 		return false;
 	xfer->settles = why;
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -329,12 +329,6 @@
 	xfer->awaits_entry = false;
 }
 
-/* A worker that is listed, and the host. */
-struct listed_ctx {
-	struct proxyd *proxyd;
-	const struct fleet_worker *worker;
-};
-
 /* Tells the hosts that are to keep a stream of this one; version: that began
  * it, or ORIGIN_VERSION_UNKNOWN; versions: of the pool, at least. */
 static void stream_pass_on(struct proxyd *proxyd, const char *pool,
@@ -357,8 +351,9 @@
 		rpc_send_origin_keep(proxyd->rpc, top[i]->info.rpc, &keep);
 }
 
-/* Returns the version of a process of a worker; ORIGIN_VERSION_UNKNOWN: it is
- * not listed. */
+/* Returns the version of a process of a worker, or its mark if it is not
+ * listed.
+ */
 static uint32_t process_version(const struct proxyd *proxyd,
 				const struct fleet_worker *worker,
 				int64_t process)
@@ -366,11 +361,11 @@
 	const struct fleet_worker *listed =
 		fleet_find(proxyd->fleet, worker->entry.id);
 
-	if (process && process == worker->entry.started_at)
+	if (process == worker->entry.started_at)
 		return worker->version;
-	return process && listed && process == listed->entry.started_at
+	return listed && process == listed->entry.started_at
 		       ? listed->version
-		       : ORIGIN_VERSION_UNKNOWN;
+		       : fleet_process_mark(worker, process, true);
 }
 
 /* Tells the host that has forwarded the request, which did not know the version
@@ -428,8 +423,6 @@
 		     worker->entry.started_at, process);
 		fleet_on_process(proxyd->fleet, worker, process, now);
 		fleet_on_other_serves(worker);
-		origin_defer(proxyd->origin, key_of(xfer, id), worker->key,
-			     process, now);
 	}
 	stream_record(xfer, version);
 }
@@ -457,15 +450,17 @@
 	     "id=%s stream=%016" G_GINT64_MODIFIER
 	     "x worker=%s outcome=unknown_process",
 	     xfer->id, key_of(xfer, id), xfer->worker->entry.id);
-	stream_record(xfer, ORIGIN_VERSION_UNKNOWN);
-	process_watch(xfer, key_of(xfer, id));
+	/* Perhaps the listed one. */
+	stream_record(xfer, fleet_process_mark(xfer->worker, xfer->worker_start,
+					       false));
+	process_watch(xfer->proxyd, xfer->worker, request, key_of(xfer, id));
 }
 
 /* Whether it is not known yet which process has begun the stream. */
 static bool awaits_process(const struct xfer *xfer)
 {
 	return xfer->worker && xfer->px.response_started && !xfer->resumes &&
-	       xfer->fleet_request.version == ORIGIN_VERSION_UNKNOWN &&
+	       !origin_is_known(xfer->fleet_request.version) &&
 	       xfer->worker_start == xfer->worker->entry.started_at &&
 	       fleet_says_process(xfer->worker, &xfer->fleet_request);
 }
@@ -500,37 +495,52 @@
 		resume_record(xfer, process);
 		return;
 	}
-	process_watch(xfer, key_of(xfer, id));
+	process_watch(xfer->proxyd, xfer->worker, &xfer->fleet_request,
+		      key_of(xfer, id));
 }
 
 void resume_on_listed_process(struct proxyd *proxyd,
 			      const struct fleet_worker *worker,
 			      const GArray *streams)
 {
+	uint32_t mark =
+		fleet_process_mark(worker, worker->entry.started_at, false);
+	clk_ms now = proxyd_now(proxyd);
+
 	for (guint i = 0; i < streams->len; i++) {
 		uint64_t stream = g_array_index(streams, uint64_t, i);
 
-		if (origin_find(proxyd->origin, stream, proxyd_now(proxyd)) !=
-		    ORIGIN_VERSION_UNKNOWN)
+		if (origin_find(proxyd->origin, stream, now) != mark)
 			continue;
-		origin_put(proxyd->origin, stream, worker->version, 0,
-			   proxyd_now(proxyd));
+		origin_put(proxyd->origin, stream, worker->version, 0, now);
+		/* Hosts that keep it know the mark. */
 		stream_pass_on(proxyd, worker->entry.pool, stream,
 			       worker->version, 2);
 	}
 }
 
-static void on_origin_listed(void *ctx, uint64_t stream, uint32_t version)
+/* Finds out the version of a stream of which a mark is known, as far as that is
+ * possible now; returns it, or what is known. */
+static uint32_t mark_resolve(struct proxyd *proxyd,
+			     const struct fleet_request *request,
+			     uint64_t stream, uint32_t known)
 {
-	const struct listed_ctx *listed = ctx;
-	const struct fleet_worker *worker = listed->worker;
-
-	slog(SLOG_INFO, "origin",
-	     "stream=%016" G_GINT64_MODIFIER
-	     "x worker=%s version=%08x outcome=listed",
-	     stream, worker->entry.id, version);
-	/* Hosts that keep it may know that its version is not known. */
-	stream_pass_on(listed->proxyd, worker->entry.pool, stream, version, 2);
+	clk_ms now = proxyd_now(proxyd);
+	struct fleet_worker *worker;
+	uint32_t found = origin_find(proxyd->origin, stream, now);
+
+	if (origin_knowledge(found) > origin_knowledge(known))
+		known = found;
+	if (known == 0 || origin_is_known(known))
+		return known;
+	origin_put(proxyd->origin, stream, known, 0, now);
+	worker = fleet_find_mark(proxyd->fleet, request->pool, known);
+	if (worker && origin_knowledge(known) == ORIGIN_PROCESS)
+		return worker->version;
+	/* It has begun there if the listed process still runs. */
+	if (worker)
+		process_watch(proxyd, worker, request, stream);
+	return known;
 }
 
 /* Sends those that a worker can have now, and ends those that wait in vain. */
@@ -567,34 +577,27 @@
 
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker)
 {
-	struct listed_ctx ctx = { .proxyd = proxyd, .worker = worker };
-
 	for (guint i = 0; i < proxyd->awaiting->len; i++) {
 		struct xfer *xfer = g_ptr_array_index(proxyd->awaiting, i);
 
 		fleet_request_forget(&xfer->fleet_request, worker->key);
 	}
-	origin_on_listed(proxyd->origin, worker->key, worker->entry.started_at,
-			 worker->version, proxyd_now(proxyd), on_origin_listed,
-			 &ctx);
 }
 
 void resume_update_listed(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
+	struct fleet_request *request = &xfer->fleet_request;
 	struct http_view id = { xfer->id, strlen(xfer->id) };
-	uint32_t version;
 
-	xfer->fleet_request.listed_at =
+	request->listed_at =
 		listed_at_of(proxyd, versions_of(proxyd, xfer->pool->name));
-	if (xfer->fleet_request.version != ORIGIN_VERSION_UNKNOWN ||
+	if (!request->version || origin_is_known(request->version) ||
 	    (awaits_process(xfer) && record_by_list(xfer)))
 		return;
 	/* The process that began the stream may be listed by now. */
-	version = origin_find(proxyd->origin, key_of(xfer, id),
-			      proxyd_now(proxyd));
-	if (version)
-		xfer->fleet_request.version = version;
+	request->version = mark_resolve(proxyd, request, key_of(xfer, id),
+					request->version);
 }
 
 void resume_on_keep(void *ctx, const w_origin_keep *keep)
@@ -680,9 +683,10 @@
 	enum origin_verdict verdict;
 	uint32_t version;
 
-	if (xfer->question.version == ORIGIN_VERSION_UNKNOWN)
-		xfer->question.version =
-			origin_find(proxyd->origin, xfer->question.key, now);
+	if (xfer->question.version)
+		xfer->question.version = mark_resolve(
+			proxyd, &xfer->fleet_request, xfer->question.key,
+			xfer->question.version);
 	view.versions = fleet_versions(proxyd->fleet, xfer->pool->name, now,
 				       &view.sole);
 	view.recorded = recorded_versions(proxyd, xfer->pool->name);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -217,8 +217,6 @@
 /* Asks the worker of the attempt which process it is; then sends the attempt,
  * or ends it. */
 void process_prove(struct xfer *xfer);
-/* Asks the worker of the attempt beside it, for the version of its stream. */
-void process_watch(struct xfer *xfer, uint64_t stream);
 /* The attempt's stream was cut off. Asks its worker which process it is, if
  * that of the stream is not known, and ends the attempt then; returns false if
  * there is nothing to ask. */
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -401,6 +401,10 @@
 /* proxyd-process.c: which process of a worker connections lead to */
 void process_start(struct proxyd *proxyd);
 void process_tick(struct proxyd *proxyd);
+/* Asks a worker which process it is, as it may have begun a stream, given by
+ * its key. Of the request, engine applies. */
+void process_watch(struct proxyd *proxyd, struct fleet_worker *worker,
+		   const struct fleet_request *request, uint64_t stream);
 
 /* proxyd-reach.c: which workers this host reaches */
 void reach_start(struct proxyd *proxyd);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -94,6 +94,35 @@
 	return XXH32(version, strlen(version), 0) | 1;
 }
 
+uint32_t fleet_process_mark(const struct fleet_worker *worker, int64_t start,
+			    bool is_sure)
+{
+	uint32_t hash = XXH32(&start, sizeof(start), worker->key);
+	uint32_t mark = hash & ~(uint32_t)ORIGIN_MARKS;
+
+	/* Neither "nothing" nor ORIGIN_VERSION_UNKNOWN. */
+	if (mark == 0)
+		mark = ORIGIN_MARKS + 1;
+	return mark | (is_sure ? ORIGIN_MARK_PROCESS : ORIGIN_MARK_PERHAPS);
+}
+
+struct fleet_worker *fleet_find_mark(const struct fleet *fleet,
+				     const char *pool, uint32_t mark)
+{
+	const GPtrArray *workers = pool_workers(fleet, pool);
+	bool is_sure = (mark & ORIGIN_MARKS) == ORIGIN_MARK_PROCESS;
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		struct fleet_worker *worker = g_ptr_array_index(workers, i);
+
+		if (worker->entry.started_at &&
+		    fleet_process_mark(worker, worker->entry.started_at,
+				       is_sure) == mark)
+			return worker;
+	}
+	return NULL;
+}
+
 /* Counts a worker of a pool in or out of its version. */
 static void version_count(struct fleet *fleet,
 			  const struct fleet_worker *worker, int change)
@@ -360,7 +389,7 @@
 bool fleet_awaits_entry(const struct fleet *fleet,
 			const struct fleet_request *request)
 {
-	return request->version && request->version != FLEET_VERSION_UNKNOWN &&
+	return origin_is_known(request->version) &&
 	       has_replaced(fleet, request->pool, false);
 }
 
@@ -388,7 +417,7 @@
 			const struct fleet_request *request)
 {
 	return request->version == 0 ||
-	       (request->version != FLEET_VERSION_UNKNOWN &&
+	       (origin_is_known(request->version) &&
 		request->version == fleet_version_of(worker, request));
 }
 
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -352,6 +352,13 @@
 /* Identifies a software version, "" too, which NULL stands for; an odd number.
  */
 uint32_t fleet_version_key(const char *version);
+/* Returns the mark of a process of a worker for decide/origin; is_sure: the
+ * stream has begun there. */
+uint32_t fleet_process_mark(const struct fleet_worker *worker, int64_t start,
+			    bool is_sure);
+/* Returns the worker of a pool whose listed process has a mark, or NULL. */
+struct fleet_worker *fleet_find_mark(const struct fleet *fleet,
+				     const char *pool, uint32_t mark);
 /* Counts the versions that a pool's workers have, or have had in the last
  * FLEET_VERSION_MS, and processes that serve and are not listed yet as one
  * more; sole is set to the key if there is one, else to 0. */
--- a/decide/origin.c
+++ b/decide/origin.c
@@ -23,8 +23,6 @@
 
 	origin->streams = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
-	origin->deferred =
-		g_array_new(FALSE, FALSE, sizeof(struct origin_deferred));
 	g_queue_init(&origin->oldest);
 	return origin;
 }
@@ -32,7 +30,6 @@
 void origin_free(struct origin *origin)
 {
 	g_queue_clear(&origin->oldest);
-	g_array_unref(origin->deferred);
 	g_hash_table_destroy(origin->streams);
 	g_free(origin);
 }
@@ -60,6 +57,23 @@
 		oldest_drop(origin);
 }
 
+enum origin_knowledge origin_knowledge(uint32_t version)
+{
+	if (version == 0)
+		return ORIGIN_NOTHING;
+	if (version == ORIGIN_VERSION_UNKNOWN)
+		return ORIGIN_BEGUN;
+	if (version & 1)
+		return ORIGIN_VERSION;
+	return (version & ORIGIN_MARKS) == ORIGIN_MARK_PROCESS ? ORIGIN_PROCESS
+							       : ORIGIN_PERHAPS;
+}
+
+bool origin_is_known(uint32_t version)
+{
+	return origin_knowledge(version) == ORIGIN_VERSION;
+}
+
 void origin_put(struct origin *origin, uint64_t key, uint32_t version,
 		uint32_t own, clk_ms now)
 {
@@ -67,8 +81,9 @@
 
 	expire(origin, now);
 	stream = g_hash_table_lookup(origin->streams, &key);
-	if (stream && stream->version == ORIGIN_VERSION_UNKNOWN)
-		stream->version = version ? version : ORIGIN_VERSION_UNKNOWN;
+	if (stream &&
+	    origin_knowledge(version) > origin_knowledge(stream->version))
+		stream->version = version;
 	if (version == 0 || stream)
 		return;
 	if (g_hash_table_size(origin->streams) >= ORIGIN_MAX) {
@@ -86,41 +101,6 @@
 	g_queue_push_tail(&origin->oldest, stream);
 }
 
-void origin_defer(struct origin *origin, uint64_t key, uint32_t worker,
-		  int64_t process_start, clk_ms now)
-{
-	struct origin_deferred row = {
-		.key = key,
-		.worker = worker,
-		.process_start = process_start,
-		.expires_at = now + ORIGIN_KEEP_MS,
-	};
-
-	if (origin->deferred->len < ORIGIN_MAX)
-		g_array_append_val(origin->deferred, row);
-}
-
-void origin_on_listed(struct origin *origin, uint32_t worker,
-		      int64_t process_start, uint32_t version, clk_ms now,
-		      void (*fn)(void *ctx, uint64_t key, uint32_t version),
-		      void *ctx)
-{
-	for (guint i = origin->deferred->len; i-- > 0;) {
-		struct origin_deferred row = g_array_index(
-			origin->deferred, struct origin_deferred, i);
-		bool is_listed = row.worker == worker &&
-				 row.process_start == process_start;
-
-		if (!is_listed && now < row.expires_at)
-			continue;
-		g_array_remove_index_fast(origin->deferred, i);
-		if (!is_listed)
-			continue;
-		origin_put(origin, row.key, version, 0, now);
-		fn(ctx, row.key, version);
-	}
-}
-
 void origin_each_own(const struct origin *origin, uint32_t pool,
 		     void (*fn)(void *ctx, uint64_t key, uint32_t version),
 		     void *ctx)
@@ -199,22 +179,17 @@
 
 clk_ms origin_wait(const struct origin_question *question, clk_ms now)
 {
-	clk_ms wait = question->version == ORIGIN_VERSION_UNKNOWN ? FIND_OUT_MS
-								  : ANSWER_MS;
+	clk_ms wait = question->version ? FIND_OUT_MS : ANSWER_MS;
 
 	return MAX(question->asked_at + wait - now, 0);
 }
 
-bool origin_is_known(uint32_t version)
-{
-	return version != 0 && version != ORIGIN_VERSION_UNKNOWN;
-}
-
 void origin_on_answer(struct origin_question *question,
 		      const struct origin_answer *answer)
 {
 	/* A host that did not know a version may know it by now. */
-	if (!origin_is_known(question->version) && answer->version)
+	if (origin_knowledge(answer->version) >
+	    origin_knowledge(question->version))
 		question->version = answer->version;
 	for (unsigned i = 0; i < question->answers; i++)
 		if (question->answered[i] == answer->host)
@@ -253,9 +228,9 @@
 {
 	/* A host that knows that a stream began, but not at which version, may
 	 * be told soon. */
-	bool over = (question->answers >= question->asked &&
-		     question->version != ORIGIN_VERSION_UNKNOWN) ||
-		    origin_wait(question, now) == 0;
+	bool over =
+		(question->answers >= question->asked && !question->version) ||
+		origin_wait(question, now) == 0;
 
 	*version = question->version;
 	if (origin_is_known(question->version))
--- a/decide/origin.h
+++ b/decide/origin.h
@@ -31,43 +31,41 @@
 /* Hosts that are asked: as others have come and gone, more than keep it. */
 #define ORIGIN_ASKED 5
 
-/* In place of a version that is not known: no worker has it. */
+/*
+ * What is known of the version that began a stream, by the last bits: a
+ * version, which is odd, or a mark (see fleet_process_mark) of the process that
+ * began it, whose version is not known here, or of one that is listed and
+ * perhaps has begun it. No worker has any of the latter as its version.
+ */
+enum origin_knowledge {
+	ORIGIN_NOTHING,
+	ORIGIN_BEGUN,	/* it has begun, and that is all */
+	ORIGIN_PERHAPS, /* perhaps at a certain process */
+	ORIGIN_PROCESS, /* at a certain process */
+	ORIGIN_VERSION,
+};
+
+#define ORIGIN_MARKS 3 /* bits that tell marks from versions */
+#define ORIGIN_MARK_PERHAPS 0
+#define ORIGIN_MARK_PROCESS 2
+/* In place of a version that is not known. */
 #define ORIGIN_VERSION_UNKNOWN 2
 
 struct origin {
 	GHashTable *streams; /* key -> struct origin_stream */
 	GQueue oldest;	     /* of the same */
-	GArray *deferred;    /* struct origin_deferred */
 	uint64_t dropped;    /* as there were too many */
 };
 
-/* A stream of this host that began at a process which is not listed yet. */
-struct origin_deferred {
-	uint64_t key;
-	uint32_t worker;       /* key of the process's worker */
-	int64_t process_start; /* wall clock of its start, in ms */
-	clk_ms expires_at;
-};
-
 struct origin *origin_create(void);
 void origin_free(struct origin *origin);
 /* Identifies a stream: an account's attempt; NULL: of no account. */
 uint64_t origin_key(const char *account, const char *attempt, size_t len);
-/* Records the version that began a stream, or that it is not known. A version
- * that is known already stays. own: of
+/* Records the version that began a stream, or what else is known of it. Of what
+ * was recorded before, what tells more stays. own: of
  * this host and of the pool with that aggregate_key; 0: of another host. */
 void origin_put(struct origin *origin, uint64_t key, uint32_t version,
 		uint32_t own, clk_ms now);
-/* Records that the version of a stream is that of a process, which is not
- * listed yet. */
-void origin_defer(struct origin *origin, uint64_t key, uint32_t worker,
-		  int64_t process_start, clk_ms now);
-/* A process of a worker is listed, at a version: records it for the streams
- * that it began, and calls fn for each. */
-void origin_on_listed(struct origin *origin, uint32_t worker,
-		      int64_t process_start, uint32_t version, clk_ms now,
-		      void (*fn)(void *ctx, uint64_t key, uint32_t version),
-		      void *ctx);
 /* Calls fn for each stream of this host that began in a pool. */
 void origin_each_own(const struct origin *origin, uint32_t pool,
 		     void (*fn)(void *ctx, uint64_t key, uint32_t version),
@@ -112,6 +110,7 @@
 	bool settled;	   /* it has run for ORIGIN_KEEP_MS */
 };
 
+enum origin_knowledge origin_knowledge(uint32_t version);
 /* Whether a version is one of workers. */
 bool origin_is_known(uint32_t version);
 void origin_on_answer(struct origin_question *question,
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -2394,55 +2394,59 @@
 }
 END_TEST
 
-static void count_listed(void *ctx, uint64_t key, uint32_t version)
-{
-	ck_assert_uint_eq(key, 1);
-	ck_assert_uint_eq(version, 11);
-	(*(unsigned *)ctx)++;
-}
-
-/* A stream of a process that is not listed yet: what is listed, when, and the
- * version that is known then. */
-START_TEST(origin_defers)
-{
-	static const struct {
-		uint32_t worker;
-		int64_t start;
-		clk_ms after;
-		uint32_t version;
+/* What is recorded of a stream one after the other, and what stays: marks tell
+ * more than nothing, and a version more than marks. */
+START_TEST(origin_keeps_what_tells_most)
+{
+	struct fleet_worker worker = { .key = 7 };
+	const uint32_t perhaps = fleet_process_mark(&worker, 5, false);
+	const uint32_t process = fleet_process_mark(&worker, 5, true);
+	const struct {
+		uint32_t first, second, stays;
 	} cases[] = {
-		{ 7, 5, 1, 11 },
-		{ 7, 4, 1, ORIGIN_VERSION_UNKNOWN },
-		{ 8, 5, 1, ORIGIN_VERSION_UNKNOWN },
-		{ 7, 5, ORIGIN_KEEP_MS - 1, 11 },
-		{ 7, 4, ORIGIN_KEEP_MS, 0 },
+		{ 11, 13, 11 },
+		{ 11, process, 11 },
+		{ process, 11, 11 },
+		{ perhaps, 11, 11 },
+		{ perhaps, process, process },
+		{ process, perhaps, process },
+		{ ORIGIN_VERSION_UNKNOWN, perhaps, perhaps },
+		{ perhaps, ORIGIN_VERSION_UNKNOWN, perhaps },
+		{ perhaps, 0, perhaps },
 	};
 
+	ck_assert_uint_ne(process, fleet_process_mark(&worker, 6, true));
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct origin *origin = origin_create();
-		unsigned listed = 0;
-
-		origin_put(origin, 1, ORIGIN_VERSION_UNKNOWN, 3, 0);
-		origin_defer(origin, 1, 7, 5, 0);
-		for (unsigned twice = 0; twice < 2; twice++)
-			origin_on_listed(origin, cases[i].worker,
-					 cases[i].start, 11, cases[i].after,
-					 count_listed, &listed);
-		ck_assert_uint_eq(listed, cases[i].version == 11);
-		ck_assert_msg(origin_find(origin, 1, cases[i].after) ==
-				      cases[i].version,
+
+		origin_put(origin, 1, cases[i].first, 3, 0);
+		origin_put(origin, 1, cases[i].second, 3, 1);
+		ck_assert_msg(origin_find(origin, 1, 2) == cases[i].stays,
 			      "case %zu", i);
-		/* What is known stays. */
-		origin_put(origin, 1, 13, 0, cases[i].after);
-		ck_assert_uint_eq(origin_find(origin, 1, cases[i].after),
-				  cases[i].version == 11 ? 11 : 13);
-		ck_assert(cases[i].after < ORIGIN_KEEP_MS ||
-			  origin->deferred->len == 0);
+		ck_assert_uint_eq(origin_find(origin, 1, ORIGIN_KEEP_MS), 0);
 		origin_free(origin);
 	}
 }
 END_TEST
 
+/* Only the listed process of a worker is found by its mark. */
+START_TEST(fleet_finds_marks)
+{
+	struct fleet *fleet = fleet_make(2);
+	struct fleet_worker *worker = fleet_find(fleet, "w1");
+
+	for (unsigned is_sure = 0; is_sure < 2; is_sure++) {
+		uint32_t mark = fleet_process_mark(worker, 5, is_sure);
+
+		worker->entry.started_at = 5;
+		ck_assert_ptr_eq(fleet_find_mark(fleet, "pool", mark), worker);
+		ck_assert_ptr_null(fleet_find_mark(fleet, "other", mark));
+		worker->entry.started_at = 6;
+		ck_assert_ptr_null(fleet_find_mark(fleet, "pool", mark));
+	}
+}
+END_TEST
+
 /* Answers of hosts that may keep a stream: how many were asked and would keep
  * it, the versions that they know of it, and what follows after a time. */
 START_TEST(origin_waits_for_keeper)
@@ -2773,7 +2777,8 @@
 	tcase_add_loop_test(tcase, bad_record_is_rejected, 0,
 			    G_N_ELEMENTS(bad_records));
 	tcase_add_test(tcase, origin_judged);
-	tcase_add_test(tcase, origin_defers);
+	tcase_add_test(tcase, origin_keeps_what_tells_most);
+	tcase_add_test(tcase, fleet_finds_marks);
 	tcase_add_test(tcase, origin_waits_for_keeper);
 	tcase_add_test(tcase, origin_bounded);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
