Proof of ends: an open connection is looked at twice if the check is not answered

Cause: whether an older connection is open was noted before the worker was asked. Its process had ended and was closing its connections, within some 30 ms; the check was accepted by the listening socket of the process and reset, and the connection of before counted as proof.

Change: without an answer, a connection proves only if it was open at two looks, 50 ms apart. A service that has one is not asked at once, as before, but decided 50 ms later.

--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -7,6 +7,9 @@
 /* Until the worker is asked: a process that ends may close its connections one
  * after the other, and still answer. */
 #define SETTLE_MS 20
+/* Between the first two looks whether connections are open: a process that ends
+ * may close them one after the other, and reset a check. */
+#define LOOK_MS 50
 /* Until a worker is asked again that has not answered, or rejected the check
  * for want of room. */
 #define PERIOD_MS 200
@@ -23,6 +26,8 @@
 	bool is_mute; /* the process does not say when it started */
 	/* See struct proof_evidence. */
 	bool has_connections;
+	bool had_connections; /* the same, at the look before */
+	unsigned looks;
 	bool ended_connections;
 	struct confirm_result result;
 	clk_ms started_at;
@@ -82,7 +87,9 @@
 		.is_named = answer->is_named,
 		.is_other = answer->is_other,
 		.says_start = spec->says_start,
-		.has_connections = confirm->has_connections,
+		.has_connections =
+			confirm->has_connections &&
+			(answer->reached || confirm->had_connections),
 		.ended_connections = confirm->ended_connections,
 	};
 
@@ -129,19 +136,23 @@
 	struct confirm *confirm = ctx;
 	const struct confirm_spec *spec = &confirm->spec;
 	clk_ms age = loop_now(confirm) - confirm->started_at;
+	bool is_open = hc_peer_has_older(spec->peer, spec->began_at);
 	bool is_over = age >= spec->timeout ||
 		       (age >= UNKNOWN_MS && !confirm->check &&
 			confirm->result.verdict == PROOF_UNKNOWN);
 
 	/* Before it is asked: the check may use the last such connection. */
-	confirm->has_connections =
-		hc_peer_has_older(spec->peer, spec->began_at);
+	confirm->had_connections = confirm->has_connections && is_open;
+	confirm->has_connections = is_open;
 	if (confirm->result.checks == 0)
 		confirm->ended_connections = hc_peer_ended_older(
 			spec->peer, confirm->started_at - SETTLE_MS);
-	if (is_over || (!asks_start(confirm) && confirm_judge(confirm, &none)))
+	if (confirm->looks++ == 0)
+		due_start(&confirm->timer, LOOK_MS, PERIOD_MS);
+	if (is_over || ((!asks_start(confirm) || confirm->had_connections) &&
+			confirm_judge(confirm, &none)))
 		confirm_end(confirm);
-	else if (!confirm->check)
+	else if (!confirm->check && (asks_start(confirm) || !is_open))
 		confirm_ask(confirm);
 }
 
--- a/tests/proxyends.py
+++ b/tests/proxyends.py
@@ -214,6 +214,38 @@
         assert got.complete, got.body
 
 
+async def test_end_check_reset_while_connections_end(net):
+    """Guards against a stream that counts as whole in the middle: its process ends,
+    its other connections some ms after the stream's, and the check whether it
+    still runs is reset in between."""
+    async def row(net, kept, open_s):
+        async with Rig(net, llm=1) as rig:
+            host, worker = rig.hosts[0], rig.workers_of("llm")[0]
+            got = await asyncio.gather(*[
+                host.request("POST", "/s1/x", b"b") for _ in range(kept + 1)])
+            assert all(g.complete for g in got)
+            worker.unframed, worker.event_gap_s = "paced", 0.1
+            caller = host.caller()
+            ident = await caller.send("POST", "/s1/x", b"b")
+            await rig.wait_until("the run", lambda: rig.executed_by(ident))
+            await asyncio.sleep(0.05)
+
+            async def close(writer):
+                return False
+            answers(worker, "/-/report", close)
+            older = [w for w in worker.writers if w is not worker.last]
+            worker.last.close()
+            await asyncio.sleep(open_s)
+            worker.server.close()
+            for writer in older:
+                writer.close()
+            got = await caller.receive()
+            assert not got.complete, got.body
+    await gather_rows([row(net + 200 * more, kept, open_s)
+                       for more, (kept, open_s) in enumerate(
+                           [(2, 0.03), (4, 0.03), (4, 0.06)])])
+
+
 async def test_end_check_in_progress(net):
     """The host survives what comes while a worker is asked, and no request that
     has run is answered as one that has not."""
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -474,6 +474,7 @@
         self.running = set()
         self.calls = set()      # that run, in the mode "slow"
         self.writers = set()
+        self.last = None        # link of the last request that it executed
         self.cuts = {}          # host's IP address -> how its links are cut
 
     def cut_links(self, address, how):
@@ -616,6 +617,7 @@
         if self.room is not None and len(self.calls) >= self.room:
             return await self.reject(said, writer)
         self.executed.append(ident)
+        self.last = writer
         if "kv-from" in headers:
             del Worker.kv_copies[headers["kv-from"]]
             self.stopped.discard(ident)
