A moved stream goes back only to the process that gave out its handle

Callers saw events of another stream, of another version, in a stream whose worker was leaving: the worker's process had stopped the run and given out a handle of its KV cache, and ended with that answer; the next process under its id, whose counts start anew, had given out the same handle.

Cause: a handle is one of a process, and was sent to whoever has the worker's id.

Ruled out: the target. It is asked which process it is before it gets the handle, and what it holds is named by the source's address and handle, which one process gives out once.

Change: the source is asked, too. What it has to say is the start of the process at which the stream ran, which need not be the listed one. Another answer sends nothing: a stream that may be resumed goes on elsewhere, another one is broken off.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -634,12 +634,19 @@
 }
 
 /* Whether the attempt may only be sent on a connection that is known to lead to
- * the listed process: a stream goes on at the version that began it. The source
- * of a move rejects the handle of a KV cache that it does not hold. */
+ * a certain process: a stream goes on at the version that began it, and the
+ * source of a move is the process that gave out the handle. */
 static bool needs_proof(const struct xfer *xfer)
 {
-	return fleet_needs_proof(xfer->worker, &xfer->fleet_request) &&
-	       xfer->worker != xfer->move.source;
+	return fleet_needs_proof(xfer->worker, &xfer->fleet_request);
+}
+
+/* Returns the start of the process that a worker is to be. */
+static int64_t process_expected(const struct xfer *xfer,
+				const struct fleet_worker *worker)
+{
+	return worker == xfer->move.source ? xfer->move.source_start
+					   : worker->entry.started_at;
 }
 
 void attempt_send(struct xfer *xfer)
@@ -714,7 +721,7 @@
 		hist_add(&proxyd->list_ages, now - listed_at);
 	attempt_trace_begin(xfer);
 	xfer->worker = fleet_worker_ref(worker);
-	xfer->worker_start = worker->entry.started_at;
+	xfer->worker_start = process_expected(xfer, worker);
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
 	xfer->has_output = false;
--- a/daemon/proxyd-move.c
+++ b/daemon/proxyd-move.c
@@ -194,6 +194,7 @@
 	move->started_at = now;
 	move->target = fleet_worker_ref(choice.worker);
 	move->source = fleet_worker_ref(xfer->worker);
+	move->source_start = xfer->worker_start;
 	move->source->moves++;
 	move->call = engine_move_start(
 		xfer->worker->http_peer, xfer->worker->entry.address, xfer->id,
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -39,6 +39,7 @@
 	enum hc_result source_result; /* how, as its connection shows */
 	char *handle;		      /* names the KV cache, or NULL */
 	struct fleet_worker *source;  /* keeps the KV cache, too */
+	int64_t source_start;	      /* of its process, as worker_start */
 	struct fleet_worker *target;  /* where the run is to go on */
 	clk_ms started_at;
 };
--- a/tests/proxyversions.py
+++ b/tests/proxyversions.py
@@ -6,12 +6,14 @@
 """
 import asyncio
 import contextlib
+import json
 import os
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxyrig import Rig  # noqa: E402
 from proxy import CONFIG_BOUND_S, main  # noqa: E402
+from standin import Worker, response  # noqa: E402
 
 FIRST_NET = 185  # after those of proxyends.py
 EVENTS, EVENT_GAP_S = 40, 0.05
@@ -87,9 +89,9 @@
 ]
 
 
-async def play_rows(net, play, rows, by_caller):
+async def play_rows(net, play, rows, *settings):
     """Plays all rows at once; fails with those that failed."""
-    ends = await asyncio.gather(*[play(net + 200 * more, row, by_caller)
+    ends = await asyncio.gather(*[play(net + 200 * more, row, *settings)
                                   for more, row in enumerate(rows)],
                                 return_exceptions=True)
     failures = [end for end in ends if end is not None]
@@ -186,6 +188,54 @@
     """The same if the caller takes the stream up at another host."""
     await play_rows(net, begun, BEGUN, True)
 
+# Whether the worker that a stream is moved to has room for it (and then refuses
+# connections), the path, whether the stream must go on. The next process at the
+# first worker has given out the same handle.
+MOVED = [
+    (False, "/s/x", True),
+    (False, "/s1/x", False),
+    (True, "/s/x", True),
+    (True, "/s1/x", False),
+]
+
+
+async def moved(net, row):
+    has_room, path, whole = row
+    async with started(net, ("v1",) * 3, hosts=1) as rig:
+        caller = rig.hosts[0].caller()
+        ident = await caller.send("POST", path, b"b", remaining_ms=8000)
+        await rig.wait_until("the run", lambda: rig.executed_by(ident))
+        source = [w for w in rig.workers if ident in w.executed][0]
+
+        async def handle_move(body, writer):
+            """The process ends with its answer."""
+            source.moving = body["target"]
+            source.stopped.add(ident)
+            await asyncio.sleep(2 * EVENT_GAP_S)
+            if has_room:
+                [w for w in rig.workers if w.address == source.moving
+                 ][0].kill()
+            source.writers.discard(writer)
+            await replace(rig, source, "v2")
+            Worker.kv_copies[source.address + "/m-1"] = {source.address}
+            writer.write(response(200 if has_room else 503, json.dumps(
+                {"copy_handle": "m-1", "created": 0}).encode(),
+                ["Connection: close"]))
+            return False
+        source.handle_move = handle_move
+        rig.store.put("servers/" + source.ident, source.entry(
+            state="draining", spot_instance=True, leaves_ms=1200))
+        got = await caller.receive()
+        assert source.moving, row
+        check(row, [got], whole)
+        assert whole or not got.complete, row
+
+
+async def test_version_source_of_move_replaced(net):
+    """Guards against a stream that goes on from the KV cache of another one, at a
+    process that gave out the same handle as the former one under its id."""
+    await play_rows(net, moved, MOVED)
+
 
 if __name__ == "__main__":
     sys.exit(main("proxyversions", globals(), FIRST_NET))
