The next process under a worker's id is no sign of life of the former one

Callers saw a request that crashes workers sent on to more of them after its third crash than the rule BUDGET allows, and what ran beside it cut off: each worker's process was followed at once by another one under its id, whose entry was late.

Cause: an attempt that is cut off is evidence after 0.25 s, unless something is received from the worker's process meanwhile, which then has not ended. The process was taken from the entry, so that an answer of the next one deleted the evidence. Mostly where a pool has few workers, as a worker that has failed is avoided for 0.25 s while there is another one.

Ruled out: answers on new connections as no sign of life. Where connections are reset and the process lives on, new ones are the only sign there is, and a service does not say when its process started.

Change: a sign of life defers an own crash for 2.5 s, the time until a process is listed at the latest, and drops it then. If another process is listed under the id meanwhile, the crash counts.

--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -259,6 +259,8 @@
 	sticky = was_leaving && !entry.leaving &&
 		 worker->entry.started_at == entry.started_at &&
 		 kv_is_later_era(worker->revision, item->mod);
+	if (worker && worker->entry.started_at != entry.started_at)
+		guard_on_replaced(proxyd, worker);
 	worker = fleet_put(proxyd->fleet, &entry, item->mod);
 	worker->said_leaving |= sticky;
 	if (worker->entry.leaving)
--- a/daemon/proxyd-guard.c
+++ b/daemon/proxyd-guard.c
@@ -374,6 +374,11 @@
 		poison_on_alive(poison, process_key(xfer->worker));
 }
 
+void guard_on_replaced(struct proxyd *proxyd, const struct fleet_worker *worker)
+{
+	poison_on_replaced(proxyd->poison, process_key(worker));
+}
+
 void guard_on_output(struct xfer *xfer, bool complete)
 {
 	struct proxyd *proxyd = xfer->proxyd;
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -452,6 +452,9 @@
 /* Whether a new request may be sent to a worker, or is known to crash it. */
 bool guard_admits(struct proxyd *proxyd, const struct head_request *head,
 		  uint64_t identity);
+/* Another process is about to be listed under a worker's id. */
+void guard_on_replaced(struct proxyd *proxyd,
+		       const struct fleet_worker *worker);
 void guard_on_notice(struct proxyd *proxyd, const struct member_notice *notice);
 
 /* proxyd-move.c: streams at workers that are leaving */
--- a/decide/poison.c
+++ b/decide/poison.c
@@ -7,6 +7,9 @@
 /* How long after a cut the request may turn out to be harmless, or the worker
  * to be alive, before other hosts are told. */
 #define PROOF_WAIT_MS 250
+/* How long a sign of life may be one of the next process under a worker's id,
+ * which is not listed yet. */
+#define LISTED_MS 2500
 /* A process that has ended can't end again: after so long it is another one,
  * whose start is not known here yet. */
 #define SAME_PROCESS_MS 1500
@@ -72,6 +75,8 @@
 	struct poison_crash crash;
 	uint32_t pool; /* of the process */
 	bool has_prompt;
+	bool alive;    /* something was received from the process since, */
+	bool replaced; /* or from the next one under the worker's id */
 };
 
 static guint key_hash(gconstpointer ptr)
@@ -443,12 +448,21 @@
 
 void poison_on_alive(struct poison *poison, uint32_t process)
 {
-	for (guint i = poison->unproved->len; i-- > 0;) {
-		const struct unproved_crash *row =
+	for (guint i = 0; i < poison->unproved->len; i++) {
+		struct unproved_crash *row =
 			g_ptr_array_index(poison->unproved, i);
 
-		if (row->crash.process == process)
-			g_ptr_array_remove_index(poison->unproved, i);
+		row->alive |= row->crash.process == process;
+	}
+}
+
+void poison_on_replaced(struct poison *poison, uint32_t process)
+{
+	for (guint i = 0; i < poison->unproved->len; i++) {
+		struct unproved_crash *row =
+			g_ptr_array_index(poison->unproved, i);
+
+		row->replaced |= row->crash.process == process;
 	}
 }
 
@@ -783,6 +797,13 @@
 
 		if (now - row->crash.at < PROOF_WAIT_MS)
 			break;
+		if (row->alive && !row->replaced) {
+			if (now - row->crash.at < LISTED_MS)
+				i++;
+			else
+				g_ptr_array_remove_index(poison->unproved, i);
+			continue;
+		}
 		if (poison->ops->doubt)
 			doubt = poison->ops->doubt(poison->ctx, row->pool);
 		if (doubt == POISON_WAIT) {
--- a/decide/poison.h
+++ b/decide/poison.h
@@ -124,8 +124,11 @@
  * of its worker, and pool the worker's pool. */
 void poison_on_cut(struct poison *poison, const struct poison_request *request,
 		   uint32_t process, uint32_t pool, clk_ms now);
-/* A worker's process has sent something: it has not ended. */
+/* Something was received from a worker's process: it has not ended, unless it
+ * is replaced soon. */
 void poison_on_alive(struct poison *poison, uint32_t process);
+/* Another process is listed under the worker's id. */
+void poison_on_replaced(struct poison *poison, uint32_t process);
 /* A request of this host has run. */
 void poison_on_run(struct poison *poison, const struct poison_request *request,
 		   clk_ms now);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import concurrent.futures
+import functools
 import glob
 import json
 import os
@@ -1915,15 +1916,16 @@
 ]
 
 
-async def test_proxy_deadly_request(net):
-    """A request that crashes each worker that runs it is kept from workers soon
-    after the third one, on all hosts, by a truthful refusal, whoever repeats
-    it; requests like it are served."""
-    async with Rig(net, hosts=4, api=6, llm=6) as rig:
+async def check_deadly_requests(net, workers, restart_s, listed_s, sound_gap_s):
+    """Workers that crash are back after restart_s, and listed listed_s later."""
+    async with Rig(net, hosts=4, api=workers, llm=workers) as rig:
         await rig.wait_membership()
+        loop = asyncio.get_running_loop()
         for worker in rig.workers:
             worker.deadly_paths = [row[1] for row in DEADLY_REQUESTS]
-            worker.restart_s = 1.5
+            worker.restart_s = restart_s
+            worker.restarted = functools.partial(
+                loop.call_later, listed_s, rig.list_worker)
         began = time.monotonic()
         results = {row: [] for row in DEADLY_REQUESTS}
         sound = []
@@ -1948,7 +1950,7 @@
                                          "%s%d" % (prefix, number), body)
                 sound.append((sent, got))
                 number += 1
-                await asyncio.sleep(0.03)
+                await asyncio.sleep(sound_gap_s)
         await asyncio.gather(*[repeat(row) for row in DEADLY_REQUESTS],
                              send_sound("/i/", b""), send_sound("/s/", b"b"))
         for row in DEADLY_REQUESTS:
@@ -1980,6 +1982,19 @@
         assert len(calm) > 100 and served == len(calm), (served, len(calm))
 
 
+async def test_proxy_deadly_request(net):
+    """A request that crashes each worker that runs it is kept from workers soon
+    after the third one, on all hosts, by a truthful refusal, whoever repeats
+    it; requests like it are served."""
+    await check_deadly_requests(net, 6, 1.5, 0, 0.03)
+
+
+async def test_proxy_deadly_request_workers_replaced_at_once(net):
+    """Guards against a request that goes on crashing workers, as the next process
+    under a worker's id, which is not listed yet, is taken for a sign of life."""
+    await check_deadly_requests(net, 1, 0.02, 0.4, 0.01)
+
+
 # Stops and settings.
 
 async def test_proxy_deadly_request_known_after_restart(net):
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1487,6 +1487,7 @@
 	STEP_OTHERS_RUN, /* ten own requests without any of the parts run */
 	STEP_OTHERS_CUT, /* ten are cut off, each at a process of its own */
 	STEP_ALIVE,	 /* a process sends something */
+	STEP_REPLACED,	 /* another process is listed under its id */
 	STEP_RUN_TOLD,	 /* another host reports a run */
 	STEP_FUTURE, /* one whose clock is wrong reports a crash and a run */
 };
@@ -1595,6 +1596,27 @@
 	    { 1100, STEP_ALIVE, 0, 4, 0 } },
 	  3000,
 	  0 },
+	{ "the next process under a worker's id is no sign of life",
+	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
+	    { 1000, STEP_CUT, TOPIC, 1, 0 },
+	    { 1000, STEP_CUT, TOPIC, 2, 0 },
+	    { 1000, STEP_CUT, TOPIC, 3, 0 },
+	    { 1000, STEP_CUT, TOPIC, 4, 0 },
+	    { 1100, STEP_ALIVE, 0, 4, 0 },
+	    { 1500, STEP_REPLACED, 0, 4, 0 },
+	    { 1500, STEP_ALIVE, 0, 4, 0 } },
+	  3000,
+	  TOPIC },
+	{ "a process that is replaced long after has not ended",
+	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
+	    { 1000, STEP_CUT, TOPIC, 1, 0 },
+	    { 1000, STEP_CUT, TOPIC, 2, 0 },
+	    { 1000, STEP_CUT, TOPIC, 3, 0 },
+	    { 1000, STEP_CUT, TOPIC, 4, 0 },
+	    { 1100, STEP_ALIVE, 0, 4, 0 },
+	    { 4000, STEP_REPLACED, 0, 4, 0 } },
+	  5000,
+	  0 },
 	{ "one request is no evidence against the parts of its prompt",
 	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
 	    { 0, STEP_CUT, FIRST | TOPIC, 1, WHOLE_REQUEST },
@@ -1925,6 +1947,8 @@
 		poison_on_run(poison, &request, at);
 	if (step->kind == STEP_ALIVE)
 		poison_on_alive(poison, step->process);
+	if (step->kind == STEP_REPLACED)
+		poison_on_replaced(poison, step->process);
 	if (step->kind == STEP_OTHERS_RUN || step->kind == STEP_OTHERS_CUT)
 		poison_others(poison, step->kind == STEP_OTHERS_RUN, at);
 	for (size_t i = 0; i < count; i++)
