A limit that a process has named outlives the arrival of its entry

Callers see nothing; a worker in need got more requests than the limit that it names (LIMIT), once its process was listed: it had taken over the id of a former one, had named a limit in all its responses, and was listed 3.5 s later.

Cause: what is known of a worker was dropped when an entry with another start arrived, as what is known of the former process. But the next process had answered in its place, and the limit was its own. Each host sent what it sends to any worker until a response named the limit again: at eight hosts and 250 requests a second 13 to 21 requests in 4 s where 11 are allowed, and more at more hosts. The excess is within what the rule allows if the entry is less than `stable_window_ms` late.

Ruled out: keeping it only if it was read after a connection had ended. A host that had no connection sees none end, and services don't say which process answers.

Change: at the same address and pool the limit stays, without permits, until a response to a later request says otherwise. The issuer sends a health check for it at its next check, within a second, so that a limit that ended with its process holds nobody back.

tests/proxy.py test_proxy_worker_limit_of_process_listed_late failed in 3 of 3 runs before (21, 17 and 13 requests), none of 3 after; the ten other tests of limits there pass, test_proxy_worker_limit_ends among them. unit-permit has three rows more; sim-permit passes.

--- a/daemon/proxyd-probe.c
+++ b/daemon/proxyd-probe.c
@@ -1,7 +1,8 @@
 /*
  * Health checks of workers that take no requests of this host: those whose
  * limit allows none, or next to none, as no response to a request would tell
- * that it has been raised; the issuer of the worker's permits sends them. And
+ * that it has been raised, or may be that of a former process; the issuer of
+ * the worker's permits sends them. And
  * those to which the links may be lost (decide/links.h).
  */
 #include "proxyd-xfer.h"
@@ -75,7 +76,8 @@
 {
 	clk_ms now = proxyd_now(proxyd);
 
-	if (fleet_limit_rate(worker) > PROBE_RATE ||
+	if ((fleet_limit_rate(worker) > PROBE_RATE &&
+	     !worker->limit.inherited) ||
 	    now - worker->limit.probed_at < PROBE_PERIOD_MS)
 		return;
 	if (probe_start_check(proxyd, worker, PROBE_TIMEOUT_MS))
--- a/decide/fleet-limit.c
+++ b/decide/fleet-limit.c
@@ -44,6 +44,16 @@
 	return true;
 }
 
+void fleet_limit_inherit(struct fleet_worker *worker, double rate,
+			 clk_ms named_at)
+{
+	if (rate < 0)
+		return;
+	limit_set(&worker->limit, rate);
+	worker->limit.named_at = named_at;
+	worker->limit.inherited = true;
+}
+
 bool fleet_limit_on_response(struct fleet_worker *worker, double rate,
 			     clk_ms sent_at, clk_ms now, bool *tell)
 {
@@ -55,6 +65,7 @@
 	 */
 	if (rate < 0 && sent_at <= limit->named_at)
 		return false;
+	limit->inherited = false;
 	changed = limit_set(limit, rate);
 	if (rate >= 0) {
 		limit->named_at = now;
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -225,12 +225,27 @@
 		worker->entry.started_at != entry->started_at);
 }
 
+/* Returns the limit that was read in responses of the process that an entry
+ * describes, or of the former one at its address; < 0: none. */
+static double limit_known(const struct fleet_worker *worker,
+			  const struct fleet_entry *entry)
+{
+	return !strcmp(worker->entry.address, entry->address) &&
+			       !strcmp(worker->entry.pool, entry->pool)
+		       ? fleet_limit_rate(worker)
+		       : -1;
+}
+
 struct fleet_worker *fleet_put(struct fleet *fleet, struct fleet_entry *entry,
 			       int64_t revision)
 {
 	struct fleet_worker *worker = fleet_find(fleet, entry->id);
+	double limit = -1;
+	clk_ms limit_named_at = 0;
 
 	if (worker && is_replaced(worker, entry)) {
+		limit = limit_known(worker, entry);
+		limit_named_at = worker->limit.named_at;
 		fleet_remove(fleet, entry->id);
 		worker = NULL;
 	}
@@ -253,6 +268,7 @@
 		g_hash_table_insert(fleet->by_key,
 				    GUINT_TO_POINTER(worker->key), worker);
 		pool_add(fleet, worker);
+		fleet_limit_inherit(worker, limit, limit_named_at);
 		if (fleet->on_added)
 			fleet->on_added(fleet->ctx, worker);
 	}
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -70,6 +70,8 @@
 	struct permit_holder *holder; /* NULL: it names none */
 	struct permit_issuer *issuer; /* NULL: this host issues no permits */
 	bool lifted;		      /* it has named one before */
+	bool inherited;	 /* read before this process was listed, maybe from the
+			  * former one; no response has named it since */
 	clk_ms named_at; /* when a response, here or elsewhere, last named it */
 	clk_ms seen_at;	 /* when one to this host did; 0: never */
 	clk_ms told_at;	 /* the issuer was last told; 0: never */
@@ -254,6 +256,10 @@
  */
 bool fleet_limit_announce(struct fleet_worker *worker, clk_ms now);
 void fleet_limit_clear(struct fleet_limit *limit);
+/* A worker's process is listed: a limit that was read in responses before may
+ * be this one's. */
+void fleet_limit_inherit(struct fleet_worker *worker, double rate,
+			 clk_ms named_at);
 
 /* Brittle workers (fleet-brittle.c). */
 
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1744,6 +1744,30 @@
                     assert got.status == 200, (end, host.name)
 
 
+async def test_proxy_worker_limit_of_process_listed_late(net):
+    """Guards against more requests than a worker's limit allows, once the process
+    that names it is listed in place of the former one with its id."""
+    async with Rig(net, hosts=8, api=4) as rig:
+        await rig.wait_membership()
+        limited = rig.workers_of("api")[:2]
+        for worker in limited:
+            worker.mode = "slow"
+            await worker.replace_process(worker.ident, False)
+            worker.limits = ("1",)
+        named = time.monotonic()
+        listed = named + STABLE_WINDOW_S + 0.5
+        results = []
+        await send_calls(rig.hosts, "/i/x", 0.02, listed, results)
+        load = asyncio.create_task(send_calls(
+            rig.hosts, "/i/x", 0.004, listed + 1.5, results))
+        for worker in limited:
+            rig.list_worker(worker)
+        await load
+        for worker in limited:
+            check_limit(worker, 1, named + STABLE_WINDOW_S)
+        assert all(got.status == 200 for _, _, got in results)
+
+
 async def test_proxy_worker_limit_of_zero(net):
     """A worker that names a limit of 0 gets no requests, and some when it names
     none or a higher one; one host now and then asks for its health."""
--- a/tests/unit-permit.c
+++ b/tests/unit-permit.c
@@ -196,6 +196,7 @@
 	RESPONSE, /* to a request that was sent at the time arg */
 	QUESTION, /* arg: from a response */
 	NEWS,
+	INHERITED, /* read from the worker's former process at the time arg */
 	LIMIT_END,
 };
 
@@ -236,6 +237,20 @@
 	    { QUESTION, 2100, 3, 0, false, false },
 	    { QUESTION, 2500, 3, 1, true, true },
 	    { .event = LIMIT_END } } },
+	{ "read before the process was listed, and not named by it",
+	  { { INHERITED, 1000, 2, 900, false, false },
+	    { RESPONSE, 1100, -1, 850, false, false },
+	    { RESPONSE, 1200, -1, 1050, true, true },
+	    { .event = LIMIT_END } } },
+	{ "read before the process was listed, and not by the issuer",
+	  { { INHERITED, 1000, 2, 900, false, false },
+	    { NEWS, 1100, -1, 0, true, false },
+	    { .event = LIMIT_END } } },
+	{ "none was read before the process was listed",
+	  { { INHERITED, 1000, -1, 900, false, false },
+	    { RESPONSE, 1100, -1, 850, false, false },
+	    { QUESTION, 1200, 2, 0, true, true },
+	    { .event = LIMIT_END } } },
 };
 
 START_TEST(fleet_limit_follows_evidence)
@@ -262,6 +277,9 @@
 		case NEWS:
 			changed = fleet_limit_on_news(&worker, rate, at);
 			break;
+		case INHERITED:
+			fleet_limit_inherit(&worker, rate, arg);
+			break;
 		case LIMIT_END:
 			break;
 		}
