A worker that is listed anew is asked whether it still wants no requests

Workers that leave, or had asked for a pause, got requests again once their process was listed: DRAIN, from `drain_timeout_ms` after the host had passed on `Server-Leaving`; and what a pause (503 with Retry-After) keeps away came back early.

Health checks now count for `Server-Leaving` and Retry-After as other responses do.

--- a/daemon/proxyd-probe.c
+++ b/daemon/proxyd-probe.c
@@ -2,8 +2,9 @@
  * Health checks of workers that take no requests of this host: those whose
  * limit allows none, or next to none, as no response to a request would tell
  * that it has been raised, or may be that of a former process; the issuer of
- * the worker's permits sends them. And
- * those to which the links may be lost (decide/links.h).
+ * the worker's permits sends them. Those whose process is listed in place of
+ * one that wanted no requests, which may have been this one. And those to which
+ * the links may be lost (decide/links.h).
  */
 #include "proxyd-xfer.h"
 
@@ -32,6 +33,18 @@
 	g_free(probe);
 }
 
+/* Notes what a worker wants, unless another one has answered. */
+static void wishes_note(struct probe *probe, const struct health_answer *answer)
+{
+	if (!answer->reached || answer->is_other || probe->worker->removed)
+		return;
+	if (answer->head.leaving)
+		follow_worker_leaves(probe->proxyd, probe->worker, "said_so");
+	if (answer->head.retry_after > 0)
+		fleet_withhold(probe->worker, answer->head.retry_after,
+			       proxyd_now(probe->proxyd));
+}
+
 static void on_checked(void *ctx, const struct health_answer *answer)
 {
 	struct probe *probe = ctx;
@@ -41,6 +54,7 @@
 		reach_on_data(probe->proxyd, probe->worker);
 	else
 		reach_on_failure(probe->proxyd, probe->worker);
+	wishes_note(probe, answer);
 	/* Another process may have the worker's address. */
 	if (answer->is_named && !probe->worker->removed)
 		permit_on_response(probe->proxyd, probe->worker, &answer->head,
@@ -89,6 +103,14 @@
 	return probe_start_check(proxyd, worker, LINK_TIMEOUT_MS);
 }
 
+void probe_wishes(struct proxyd *proxyd, struct fleet_worker *worker)
+{
+	clk_ms now = proxyd_now(proxyd);
+
+	if (now < worker->doubted_until && probe_link(proxyd, worker))
+		fleet_withhold(worker, LINK_TIMEOUT_MS, now);
+}
+
 void probe_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -416,6 +416,7 @@
 		hc_peer_add(proxyd->upstreams, worker->entry.address);
 	permit_on_worker(proxyd, worker);
 	resume_on_listed(proxyd, worker);
+	probe_wishes(proxyd, worker);
 }
 
 void proxyd_drop_peer(struct fleet_worker *worker)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -394,6 +394,9 @@
 /* Checks whether a worker can be reached; returns false if its pool has no
  * check. */
 bool probe_link(struct proxyd *proxyd, struct fleet_worker *worker);
+/* Asks a worker that is listed now, and is in doubt, whether it wants requests.
+ */
+void probe_wishes(struct proxyd *proxyd, struct fleet_worker *worker);
 
 /* proxyd-process.c: which process of a worker connections lead to */
 void process_start(struct proxyd *proxyd);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -225,27 +225,28 @@
 		worker->entry.started_at != entry->started_at);
 }
 
-/* Returns the limit that was read in responses of the process that an entry
- * describes, or of the former one at its address; < 0: none. */
-static double limit_known(const struct fleet_worker *worker,
-			  const struct fleet_entry *entry)
+/* Keeps what responses have said, which the process that is listed now may have
+ * sent before, or the former one at its address. */
+static void worker_inherit(struct fleet_worker *worker,
+			   const struct fleet_worker *former)
 {
-	return !strcmp(worker->entry.address, entry->address) &&
-			       !strcmp(worker->entry.pool, entry->pool)
-		       ? fleet_limit_rate(worker)
-		       : -1;
+	if (strcmp(worker->entry.address, former->entry.address) != 0 ||
+	    strcmp(worker->entry.pool, former->entry.pool) != 0)
+		return;
+	fleet_limit_inherit(worker, fleet_limit_rate(former),
+			    former->limit.named_at);
+	worker->doubted_until =
+		former->said_leaving ? CLK_NEVER : former->withheld_until;
 }
 
 struct fleet_worker *fleet_put(struct fleet *fleet, struct fleet_entry *entry,
 			       int64_t revision)
 {
 	struct fleet_worker *worker = fleet_find(fleet, entry->id);
-	double limit = -1;
-	clk_ms limit_named_at = 0;
+	struct fleet_worker *former = NULL;
 
 	if (worker && is_replaced(worker, entry)) {
-		limit = limit_known(worker, entry);
-		limit_named_at = worker->limit.named_at;
+		former = fleet_worker_ref(worker);
 		fleet_remove(fleet, entry->id);
 		worker = NULL;
 	}
@@ -268,7 +269,10 @@
 		g_hash_table_insert(fleet->by_key,
 				    GUINT_TO_POINTER(worker->key), worker);
 		pool_add(fleet, worker);
-		fleet_limit_inherit(worker, limit, limit_named_at);
+		if (former) {
+			worker_inherit(worker, former);
+			fleet_worker_unref(former);
+		}
 		if (fleet->on_added)
 			fleet->on_added(fleet->ctx, worker);
 	}
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -122,6 +122,9 @@
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
 				   * has not said so */
+	/* Until then responses that came before its process was listed, and may
+	 * be those of the former one, want no requests to it; 0: none do. */
+	clk_ms doubted_until;
 	struct fleet_limit limit;
 	struct fleet_brittle brittle;
 	clk_ms leaves_at; /* expected end; 0: not known to be leaving */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1618,6 +1618,61 @@
         assert (await caller.request("GET", "/i/x")).status == 200
 
 
+# What a worker's process says, and what the next one under its id says before it
+# is listed, in all their answers; whether the next one gets requests then.
+WISHES = {
+    "nothing": {},
+    "leaves": {"says_leaving": True},
+    "wants none": {"mode": "full", "retry_after": "5"},
+}
+UNLISTED_WISHES = [
+    ("nothing", "leaves", False),
+    ("leaves", "leaves", False),
+    ("leaves", "nothing", True),
+    ("nothing", "wants none", False),
+    ("wants none", "wants none", False),
+    ("wants none", "nothing", True),
+]
+
+
+async def unlisted_wish(net, row):
+    former, following, gets = row
+    async with Rig(net, hosts=2) as rig:
+        await rig.wait_membership()
+        worker = rig.workers_of("api")[0]
+
+        async def send(count):
+            for _ in range(count):
+                for host in rig.hosts:
+                    got = await host.request("GET", "/i/x")
+                    assert got.status == 200, (row, got.status)
+        await send(10)
+        vars(worker).update(WISHES[former])
+        await send(10)
+        vars(worker).update(says_leaving=False, mode="ok", retry_after=None)
+        await worker.replace_process(worker.ident, False)
+        vars(worker).update(WISHES[following])
+        await send(10)
+        said = time.monotonic()
+        await asyncio.sleep(0.4)
+        rig.list_worker(worker)
+        await asyncio.sleep(said + DRAIN_BOUND_S - time.monotonic())
+        worker.received.clear()
+        await send(20)
+        assert bool(worker.received) == gets, (row, len(worker.received))
+
+
+async def test_proxy_wish_of_process_listed_late(net):
+    """Guards against requests to a worker that leaves, or wants none for a time,
+    and has said so before its process was listed in place of the former one with
+    its id."""
+    ends = await asyncio.gather(*[
+        unlisted_wish(net + 200 * more, row)
+        for more, row in enumerate(UNLISTED_WISHES)], return_exceptions=True)
+    failures = [end for end in ends if end is not None]
+    assert not failures, failures
+
+
 # Limits that workers name.
 
 LIMIT_WINDOW_S = 4.0
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -581,11 +581,7 @@
             await asyncio.sleep(self.move_delay_s)
             return await self.handle_move(json.loads(body), writer)
         if head[0].startswith("GET /health "):
-            self.probed_at.append(time.monotonic())
-            writer.write(response(200, b"", [
-                "Redwingpitch-Instance-Id: " + self.ident] + [
-                    "Server-Limit: " + value for value in self.limits]))
-            return True
+            return self.check(writer)
         if head[0].startswith("GET /-/report "):
             return self.report(writer)
         ident = headers["redwingpitch-attempt-id"]
@@ -673,6 +669,19 @@
         writer.write(text[4:])
         return False
 
+    def check(self, writer):
+        """Answers a health check."""
+        self.probed_at.append(time.monotonic())
+        said = ["Server-Limit: " + value for value in self.limits]
+        said += ["Server-Leaving: 1"] * self.says_leaving
+        rejects = self.mode == "full" and self.retry_after is not None
+        if rejects:
+            said.append("Retry-After: " + self.retry_after)
+        writer.write(response(503 if self.says_leaving or rejects else 200, b"",
+                              ["Redwingpitch-Instance-Id: " + self.ident]
+                              + said))
+        return True
+
     def report(self, writer):
         """Says what the process is doing; only engines do."""
         self.reported_at.append(time.monotonic())
