--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -397,6 +397,9 @@
 /* Checks whether a worker can be reached; returns false if its pool has no
  * check. */
 bool probe_link(struct proxyd *proxyd, struct fleet_worker *worker);
+/* Asks a worker that is listed now, and is in doubt, whether it wants requests.
+ */
+void probe_wishes(struct proxyd *proxyd, struct fleet_worker *worker);
 
 /* proxyd-process.c: which process of a worker connections lead to */
 void process_start(struct proxyd *proxyd);
@@ -457,6 +460,9 @@
 /* Whether a new request may be sent to a worker, or is known to crash it. */
 bool guard_admits(struct proxyd *proxyd, const struct head_request *head,
 		  uint64_t identity);
+/* Another process is about to be listed under a worker's id. */
+void guard_on_replaced(struct proxyd *proxyd,
+		       const struct fleet_worker *worker);
 void guard_on_notice(struct proxyd *proxyd, const struct member_notice *notice);
 
 /* proxyd-move.c: streams at workers that are leaving */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections
 import concurrent.futures
+import functools
 import glob
 import json
 import os
@@ -1617,6 +1618,61 @@
         assert (await caller.request("GET", "/i/x")).status == 200
 
 
+# What a worker's process says, and what the next one under its id says before it
+# is listed, in all their answers; whether the next one gets requests then.
+WISHES = {
+    "nothing": {},
+    "leaves": {"says_leaving": True},
+    "wants none": {"mode": "full", "retry_after": "5"},
+}
+UNLISTED_WISHES = [
+    ("nothing", "leaves", False),
+    ("leaves", "leaves", False),
+    ("leaves", "nothing", True),
+    ("nothing", "wants none", False),
+    ("wants none", "wants none", False),
+    ("wants none", "nothing", True),
+]
+
+
+async def unlisted_wish(net, row):
+    former, following, gets = row
+    async with Rig(net, hosts=2) as rig:
+        await rig.wait_membership()
+        worker = rig.workers_of("api")[0]
+
+        async def send(count):
+            for _ in range(count):
+                for host in rig.hosts:
+                    got = await host.request("GET", "/i/x")
+                    assert got.status == 200, (row, got.status)
+        await send(10)
+        vars(worker).update(WISHES[former])
+        await send(10)
+        vars(worker).update(says_leaving=False, mode="ok", retry_after=None)
+        await worker.replace_process(worker.ident, False)
+        vars(worker).update(WISHES[following])
+        await send(10)
+        said = time.monotonic()
+        await asyncio.sleep(0.4)
+        rig.list_worker(worker)
+        await asyncio.sleep(said + DRAIN_BOUND_S - time.monotonic())
+        worker.received.clear()
+        await send(20)
+        assert bool(worker.received) == gets, (row, len(worker.received))
+
+
+async def test_proxy_wish_of_process_listed_late(net):
+    """Guards against requests to a worker that leaves, or wants none for a time,
+    and has said so before its process was listed in place of the former one with
+    its id."""
+    ends = await asyncio.gather(*[
+        unlisted_wish(net + 200 * more, row)
+        for more, row in enumerate(UNLISTED_WISHES)], return_exceptions=True)
+    failures = [end for end in ends if end is not None]
+    assert not failures, failures
+
+
 # Limits that workers name.
 
 LIMIT_WINDOW_S = 4.0
@@ -1743,6 +1799,30 @@
                     assert got.status == 200, (end, host.name)
 
 
+async def test_proxy_worker_limit_of_process_listed_late(net):
+    """Guards against more requests than a worker's limit allows, once the process
+    that names it is listed in place of the former one with its id."""
+    async with Rig(net, hosts=8, api=4) as rig:
+        await rig.wait_membership()
+        limited = rig.workers_of("api")[:2]
+        for worker in limited:
+            worker.mode = "slow"
+            await worker.replace_process(worker.ident, False)
+            worker.limits = ("1",)
+        named = time.monotonic()
+        listed = named + STABLE_WINDOW_S + 0.5
+        results = []
+        await send_calls(rig.hosts, "/i/x", 0.02, listed, results)
+        load = asyncio.create_task(send_calls(
+            rig.hosts, "/i/x", 0.004, listed + 1.5, results))
+        for worker in limited:
+            rig.list_worker(worker)
+        await load
+        for worker in limited:
+            check_limit(worker, 1, named + STABLE_WINDOW_S)
+        assert all(got.status == 200 for _, _, got in results)
+
+
 async def test_proxy_worker_limit_of_zero(net):
     """A worker that names a limit of 0 gets no requests, and some when it names
     none or a higher one; one host now and then asks for its health."""
@@ -1915,15 +1995,16 @@
 ]
 
 
-async def test_proxy_deadly_request(net):
-    """A request that crashes each worker that runs it is kept from workers soon
-    after the third one, on all hosts, by a truthful refusal, whoever repeats
-    it; requests like it are served."""
-    async with Rig(net, hosts=4, api=6, llm=6) as rig:
+async def check_deadly_requests(net, workers, restart_s, listed_s, sound_gap_s):
+    """Workers that crash are back after restart_s, and listed listed_s later."""
+    async with Rig(net, hosts=4, api=workers, llm=workers) as rig:
         await rig.wait_membership()
+        loop = asyncio.get_running_loop()
         for worker in rig.workers:
             worker.deadly_paths = [row[1] for row in DEADLY_REQUESTS]
-            worker.restart_s = 1.5
+            worker.restart_s = restart_s
+            worker.restarted = functools.partial(
+                loop.call_later, listed_s, rig.list_worker)
         began = time.monotonic()
         results = {row: [] for row in DEADLY_REQUESTS}
         sound = []
@@ -1948,7 +2029,7 @@
                                          "%s%d" % (prefix, number), body)
                 sound.append((sent, got))
                 number += 1
-                await asyncio.sleep(0.03)
+                await asyncio.sleep(sound_gap_s)
         await asyncio.gather(*[repeat(row) for row in DEADLY_REQUESTS],
                              send_sound("/i/", b""), send_sound("/s/", b"b"))
         for row in DEADLY_REQUESTS:
@@ -1980,6 +2061,19 @@
         assert len(calm) > 100 and served == len(calm), (served, len(calm))
 
 
+async def test_proxy_deadly_request(net):
+    """A request that crashes each worker that runs it is kept from workers soon
+    after the third one, on all hosts, by a truthful refusal, whoever repeats
+    it; requests like it are served."""
+    await check_deadly_requests(net, 6, 1.5, 0, 0.03)
+
+
+async def test_proxy_deadly_request_workers_replaced_at_once(net):
+    """Guards against a request that goes on crashing workers, as the next process
+    under a worker's id, which is not listed yet, is taken for a sign of life."""
+    await check_deadly_requests(net, 1, 0.02, 0.4, 0.01)
+
+
 # Stops and settings.
 
 async def test_proxy_deadly_request_known_after_restart(net):
