Processes of connections: a round trip is evidence, not input

Cause: the order in which a host reads input was taken for the order at the worker.

Change: a process counts as alive when a request was sent that it has answered, not when something is read. A stream that is the first one at a process which is not listed has no such evidence; the report of the process, which lists its runs, names it.

--- a/daemon/ident.c
+++ b/daemon/ident.c
@@ -1,7 +1,6 @@
 /* Asks a worker which process it is. */
 #include "ident.h"
 
-#include "../platform/health.h"
 #include "../wire/due.h"
 
 struct ident {
@@ -31,12 +30,13 @@
 }
 
 static void ident_end(struct ident *ident, enum ident_outcome outcome,
-		      int64_t start)
+		      const struct health_answer *said)
 {
 	const struct ident_spec spec = ident->spec;
 	struct ident_answer answer = {
 		.outcome = outcome,
-		.start = start,
+		.start = outcome == IDENT_SAID ? said->started_at : 0,
+		.report = outcome == IDENT_SAID ? said->report : NULL,
 		.took = waited(ident),
 	};
 
@@ -50,13 +50,13 @@
 
 	ident->check = NULL;
 	if (!answer->reached)
-		ident_end(ident, IDENT_REFUSED, 0);
+		ident_end(ident, IDENT_REFUSED, answer);
 	else if (answer->is_other)
-		ident_end(ident, IDENT_OTHER, 0);
+		ident_end(ident, IDENT_OTHER, answer);
 	else if (answer->started_at <= 0)
-		ident_end(ident, IDENT_MUTE, 0);
+		ident_end(ident, IDENT_MUTE, answer);
 	else
-		ident_end(ident, IDENT_SAID, answer->started_at);
+		ident_end(ident, IDENT_SAID, answer);
 }
 
 static void on_timer(void *ctx)
@@ -64,7 +64,7 @@
 	struct ident *ident = ctx;
 
 	if (!ident->spec.waits(ident->spec.ctx, waited(ident)))
-		ident_end(ident, IDENT_SILENT, 0);
+		ident_end(ident, IDENT_SILENT, NULL);
 }
 
 struct ident *ident_start(uv_loop_t *loop, const struct ident_spec *spec)
--- a/daemon/ident.h
+++ b/daemon/ident.h
@@ -6,7 +6,7 @@
 #ifndef DAEMON_IDENT_H
 #define DAEMON_IDENT_H
 
-#include "../wire/hc.h"
+#include "../platform/health.h"
 
 struct ident;
 
@@ -21,7 +21,8 @@
 struct ident_answer {
 	enum ident_outcome outcome;
 	int64_t start; /* wall clock of the process's start, in ms; or 0 */
-	clk_ms took;   /* ms */
+	struct json_object *report; /* or NULL; freed after the callback */
+	clk_ms took;		    /* ms */
 };
 
 struct ident_spec {
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -72,6 +72,8 @@
 	 * established, and still is. */
 	if (answer->start && answer->start == watch->worker->entry.started_at)
 		resume_on_listed_process(proxyd, watch->worker, watch->streams);
+	else if (answer->start)
+		resume_on_report(proxyd, watch->worker, answer);
 	g_ptr_array_remove_fast(proxyd->watches, watch);
 }
 
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -499,6 +499,22 @@
 		      key_of(xfer, id));
 }
 
+void resume_on_report(struct proxyd *proxyd, const struct fleet_worker *worker,
+		      const struct ident_answer *answer)
+{
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, proxyd->open_requests);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct xfer *xfer = key;
+
+		if (xfer->worker == worker && awaits_process(xfer) &&
+		    health_lists_run(answer->report, xfer->id))
+			resume_record(xfer, answer->start);
+	}
+}
+
 void resume_on_listed_process(struct proxyd *proxyd,
 			      const struct fleet_worker *worker,
 			      const GArray *streams)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -383,6 +383,10 @@
 void resume_on_listed_process(struct proxyd *proxyd,
 			      const struct fleet_worker *worker,
 			      const GArray *streams);
+/* A process that is not listed has answered in a worker's place. */
+struct ident_answer;
+void resume_on_report(struct proxyd *proxyd, const struct fleet_worker *worker,
+		      const struct ident_answer *answer);
 /* A worker's process is listed. */
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker);
 void resume_on_keep(void *ctx, const w_origin_keep *keep);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -29,6 +29,8 @@
 #define ENTRY_MS 2500
 /* Until a worker that has not said which process it is is asked again. */
 #define ASK_MS 1000
+/* The same if another process has answered: what it says is as old. */
+#define ASK_OTHER_MS 100
 
 static gpointer part_key(uint64_t id)
 {
@@ -396,7 +398,8 @@
 			   const struct fleet_request *request, clk_ms now)
 {
 	return fleet_says_process(worker, request) &&
-	       (!worker->unknown_at || now - worker->unknown_at >= ASK_MS);
+	       (!worker->unknown_at || now - worker->unknown_at >= ASK_MS) &&
+	       (!worker->other_at || now - worker->other_at >= ASK_OTHER_MS);
 }
 
 bool fleet_would_be_listed(const struct fleet_worker *worker, clk_ms since,
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -20,9 +20,11 @@
 	clk_ms idle_timeout; /* after the last response */
 	int64_t process;     /* at the other end; 0: not known */
 	bool is_named;	     /* a response on it has named the process */
-	uint64_t connected;  /* events of struct hc; 0: not yet */
-	uint64_t last_input;
-	size_t seen; /* bytes of an incomplete head already parsed */
+	/* Events of struct hc; 0: not yet. */
+	uint64_t connected;
+	uint64_t sent;	/* the last request */
+	uint64_t alive; /* the last request that was answered was sent */
+	size_t seen;	/* bytes of an incomplete head already parsed */
 	bool in_body;
 	bool mismatched; /* current response has a wrong id */
 	bool close_after;
@@ -32,9 +34,9 @@
 
 /* The process that a response has named last. */
 struct hc_named {
-	int64_t process;     /* 0: none */
-	uint64_t connected;  /* the connection of that response */
-	uint64_t last_input; /* of connections to the process */
+	int64_t process;    /* 0: none */
+	uint64_t connected; /* the connection of that response */
+	uint64_t alive;	    /* of all connections that lead there, the last */
 };
 
 struct hc_peer {
@@ -63,7 +65,7 @@
 	uv_idle_t failed_idle; /* active while failed_requests is not empty */
 	struct hc_options options;
 	struct hc_counters counters;
-	uint64_t events; /* connections established, and input of them */
+	uint64_t events; /* connections established, and requests sent */
 	GPtrArray *peers;
 	GPtrArray *closed_conns; /* callbacks may still use them */
 	GQueue failed_requests;	 /* their connect failed at once */
@@ -108,8 +110,9 @@
 
 /* Whether a connection leads to the process that was named last. A process that
  * has served the address both before and after a connection was established has
- * accepted it. Whether a connection is open shows nothing, as its end may not
- * have arrived. */
+ * accepted it; that it serves is shown by a request that was sent then and
+ * answered. That a connection is open shows nothing, as its end may not have
+ * arrived, nor does input that may have been held up. */
 static bool leads_to_named(const struct hc_conn *conn)
 {
 	const struct hc_named *named = &conn->peer->named;
@@ -117,8 +120,8 @@
 	if (!named->process || !conn->connected)
 		return false;
 	return named->connected < conn->connected
-		       ? named->last_input > conn->connected
-		       : conn->last_input > named->connected;
+		       ? named->alive > conn->connected
+		       : conn->alive > named->connected;
 }
 
 /* Returns the process at the other end of a connection; 0: not known. */
@@ -129,14 +132,14 @@
 	return conn->process;
 }
 
-/* Notes that a connection has brought input. */
-static void conn_note_input(struct hc_conn *conn)
+/* Notes that the process has answered the connection's request. */
+static void conn_note_answer(struct hc_conn *conn)
 {
 	struct hc_named *named = &conn->peer->named;
 
-	conn->last_input = ++conn->peer->hc->events;
+	conn->alive = conn->sent;
 	if (conn->process && conn->process == named->process)
-		named->last_input = conn->last_input;
+		named->alive = MAX(named->alive, conn->alive);
 }
 
 /* Notes which process a response has named; returns whether it has. */
@@ -152,7 +155,7 @@
 	conn->peer->named = (struct hc_named){
 		.process = process,
 		.connected = conn->connected,
-		.last_input = conn->last_input,
+		.alive = conn->alive,
 	};
 	return true;
 }
@@ -273,6 +276,7 @@
 		hc->counters.mismatched_responses++;
 	} else {
 		request->responded = true;
+		conn_note_answer(conn);
 		request->spec.on_head(request->spec.ctx, &head);
 		if (conn->closed)
 			return false; /* cancelled by on_head */
@@ -340,7 +344,6 @@
 
 static void conn_on_data(void *ctx)
 {
-	conn_note_input(ctx);
 	conn_read(ctx);
 }
 
@@ -371,6 +374,7 @@
 
 	request->out = NULL;
 	request->sent = true;
+	conn->sent = ++conn->peer->hc->events;
 	if (request->spec.on_sent)
 		request->spec.on_sent(request->spec.ctx, reused);
 	tcp_write(conn->tcp, out->str, out->len);
