--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -236,6 +236,7 @@
 	if (xfer->settles || !xfer->px.response_started ||
 	    xfer->px.kind != PX_RESUMABLE || !xfer->worker->http_peer ||
 	    origin_is_known(xfer->fleet_request.version) ||
+	    xfer->worker_start != xfer->worker->entry.started_at ||
 	    !fleet_says_process(xfer->worker, &xfer->fleet_request))
 		return false;
 	xfer->settles = why;
