--- a/tests/standin.py
+++ b/tests/standin.py
@@ -374,9 +374,11 @@
         self.host = writer.get_extra_info("peername")[0]
         self.held = b""
         self.transport = writer.transport
+        self.silent = False  # for good, while new connections work
+        self.again = b""  # comes before the next response
 
     def cut(self):
-        return self.worker.cuts.get(self.host)
+        return "hang" if self.silent else self.worker.cuts.get(self.host)
 
     def write(self, data):
         if self.cut() in ("hang", "one way"):
@@ -462,6 +464,11 @@
         self.event_gap_s = 0.02  # time between two events
         self.probed_at = []     # arrivals of health checks
         self.reported_at = []   # arrivals of calls for its report
+        self.first_event_s = 0  # from a request for a stream to its first event
+        self.report_delay_s = 0
+        # Of its report: "close" (said in its head), "no length", "mute",
+        # "garbled", "twice" (before the next response), a status, or None.
+        self.report_fault = None
         self.received = []      # headers of all requests
         self.executed = []      # ids of the requests that it executed
         self.received_at = {}   # id -> time of arrival
@@ -530,9 +537,13 @@
         for writer in list(self.writers):
             writer.close()
 
-    async def replace_process(self, ident, keeps_socket):
+    async def replace_process(self, ident, keeps_socket, silent=()):
         """Ends the process as end_process() does; the next one, with an id, is
-        there already, on the same listening socket if that is kept."""
+        there already, on the same listening socket if that is kept. The
+        connections that are silent show no end."""
+        for writer in silent:
+            writer.silent = True
+            self.writers.discard(writer)
         ended = list(self.writers)
         self.ident = ident
         self.born += 1
@@ -584,7 +595,10 @@
         if head[0].startswith("GET /health "):
             return self.check(writer)
         if head[0].startswith("GET /-/report "):
-            return self.report(writer)
+            return await self.report(writer)
+        if writer.again:
+            writer.write(writer.again)
+            writer.again = b""
         ident = headers["redwingpitch-attempt-id"]
         self.received.append(headers)
         self.received_at[ident] = time.monotonic()
@@ -684,18 +698,32 @@
                               + said))
         return True
 
-    def report(self, writer):
+    async def report(self, writer):
         """Says what the process is doing; only engines do."""
         self.reported_at.append(time.monotonic())
+        writer.reports = True
+        await asyncio.sleep(self.report_delay_s)
+        fault = self.report_fault
+        if isinstance(fault, int):
+            writer.write(response(fault, b"{}"))
+            return True
         if self.service != "llm":
             writer.write(response(400, b"", ["Redwingpitch-Not-Executed: 1"]))
             return True
         value = {"stage": "colocated", "state": "ready",
                  "runs": [[ident, 0, 0, 5] for ident in self.running]}
-        if self.born:
+        if self.born and fault != "mute":
             value["born"] = self.born
-        writer.write(response(200, json.dumps(value).encode()))
-        return True
+        text = json.dumps(value).encode()
+        if fault == "no length":
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + text)
+            return False
+        writer.write(response(
+            200, b"x" + text if fault == "garbled" else text,
+            ["Connection: close"] if fault == "close" else ()))
+        if fault == "twice":
+            writer.again = response(200, text)
+        return fault != "close"
 
     async def reject(self, said, writer):
         """Rejects a request for want of room; a brittle worker may crash."""
@@ -745,6 +773,7 @@
 
     async def send_stream(self, ident, headers, own, reader, writer):
         first = int(headers.get("last-event-id", -1)) + 1
+        version = self.version  # of this process, until it ends
         framed = self.unframed != "paced"
         if self.unframed and framed:
             return self.send_unframed(first, own, writer)
@@ -753,6 +782,7 @@
                       + "Transfer-Encoding: chunked\r\n" * framed
                       + "\r\n").encode())
         self.running.add(ident)
+        await asyncio.sleep(self.first_event_s)
         for number in range(first, self.event_count):
             if ident in self.stopped:
                 self.running.discard(ident)
@@ -765,7 +795,7 @@
                 return False
             text = b"id: %d\n%sdata: event %d of %s\n\n" % (
                 number, b"data: " + b"." * self.padding + b"\n"
-                if self.padding else b"", number, self.version.encode())
+                if self.padding else b"", number, version.encode())
             writer.write(b"%x\r\n%s\r\n" % (len(text), text) if framed
                          else text)
             try:
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -126,6 +126,7 @@
 process_tests proxy
 process_tests proxyends
 process_tests proxyversions
+process_tests proxyprocess
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 beside() {
 	commit=$1
