--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -7,8 +7,9 @@
 /* Until the worker is asked: a process that ends may close its connections one
  * after the other, and still answer. */
 #define SETTLE_MS 20
-/* Between the first two looks whether connections are open: a process that ends
- * may close them one after the other, and reset a check. */
+/* Between the first two looks whether connections of a service are open: a
+ * process that ends may close them one after the other, and reset a check. An
+ * engine is asked meanwhile, and looked at again with the next check. */
 #define LOOK_MS 50
 /* Until a worker is asked again that has not answered, or rejected the check
  * for want of room. */
@@ -23,10 +24,9 @@
 	char *worker;
 	char *health_path;
 	struct health_check *check; /* NULL: none is in progress */
-	bool is_mute; /* the process does not say when it started */
-	/* See struct proof_evidence. */
-	bool has_connections;
-	bool had_connections; /* the same, at the look before */
+	bool is_mute;	      /* the process does not say when it started */
+	bool is_open;	      /* an older connection, at the last look */
+	bool had_connections; /* the same, and at the look before */
 	unsigned looks;
 	bool ended_connections;
 	struct confirm_result result;
@@ -87,9 +87,7 @@
 		.is_named = answer->is_named,
 		.is_other = answer->is_other,
 		.says_start = spec->says_start,
-		.has_connections =
-			confirm->has_connections &&
-			(answer->reached || confirm->had_connections),
+		.has_connections = confirm->had_connections,
 		.ended_connections = confirm->ended_connections,
 	};
 
@@ -142,12 +140,12 @@
 			confirm->result.verdict == PROOF_UNKNOWN);
 
 	/* Before it is asked: the check may use the last such connection. */
-	confirm->had_connections = confirm->has_connections && is_open;
-	confirm->has_connections = is_open;
+	confirm->had_connections = confirm->is_open && is_open;
+	confirm->is_open = is_open;
 	if (confirm->result.checks == 0)
 		confirm->ended_connections = hc_peer_ended_older(
 			spec->peer, confirm->started_at - SETTLE_MS);
-	if (confirm->looks++ == 0)
+	if (confirm->looks++ == 0 && !asks_start(confirm))
 		due_start(&confirm->timer, LOOK_MS, PERIOD_MS);
 	if (is_over || ((!asks_start(confirm) || confirm->had_connections) &&
 			confirm_judge(confirm, &none)))
