Requests and room of a worker outlive the arrival of its entry

Callers' requests were cut off: brittle workers got more than they had room for, had to reject too many and fell over (LIMIT), at the moment at which their processes were listed in place of former ones with their ids.

Ruled out: the replacement itself.

Change: requests at a worker count at the one that is listed in its place at its address, too, until they end, and the room that is known stays. Without a word of it, the first response of the next process ends it, as ever.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -36,7 +36,8 @@
 			  xfer->id, xfer->worker->entry.id);
 	fleet_end(xfer->worker, &xfer->fleet_request, xfer->has_output);
 	queue_on_freed(xfer->proxyd, xfer->worker);
-	proxyd_drop_peer(xfer->worker);
+	for (struct fleet_worker *at = xfer->worker; at; at = at->successor)
+		proxyd_drop_peer(at);
 	fleet_worker_unref(xfer->worker);
 	xfer->worker = NULL;
 }
@@ -203,7 +204,7 @@
 static void brittle_note(struct xfer *xfer)
 {
 	struct proxyd *proxyd = xfer->proxyd;
-	struct fleet_worker *worker = xfer->worker;
+	struct fleet_worker *worker = fleet_latest(xfer->worker);
 	const struct head_response *head = &xfer->response.head;
 	bool was = worker->brittle.is;
 
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -68,12 +68,21 @@
 {
 	if (--worker->refs > 0)
 		return;
+	if (worker->successor)
+		fleet_worker_unref(worker->successor);
 	fleet_entry_clear(&worker->entry);
 	g_hash_table_destroy(worker->cached_parts);
 	fleet_limit_clear(&worker->limit);
 	g_free(worker);
 }
 
+struct fleet_worker *fleet_latest(struct fleet_worker *worker)
+{
+	while (worker->successor)
+		worker = worker->successor;
+	return worker;
+}
+
 struct fleet_worker *fleet_find(const struct fleet *fleet, const char *id)
 {
 	return g_hash_table_lookup(fleet->workers, id);
@@ -226,9 +235,9 @@
 }
 
 /* Keeps what responses have said, which the process that is listed now may have
- * sent before, or the former one at its address. */
+ * sent before, or the former one at its address, and the requests there. */
 static void worker_inherit(struct fleet_worker *worker,
-			   const struct fleet_worker *former)
+			   struct fleet_worker *former)
 {
 	if (strcmp(worker->entry.address, former->entry.address) != 0 ||
 	    strcmp(worker->entry.pool, former->entry.pool) != 0)
@@ -237,6 +246,9 @@
 			    former->limit.named_at);
 	worker->doubted_until =
 		former->said_leaving ? CLK_NEVER : former->withheld_until;
+	worker->brittle = former->brittle;
+	worker->inflight = former->inflight;
+	former->successor = fleet_worker_ref(worker);
 }
 
 struct fleet_worker *fleet_put(struct fleet *fleet, struct fleet_entry *entry,
@@ -839,12 +851,19 @@
 	return choice;
 }
 
+/* Counts a request at a worker, and at those in its place. */
+static void inflight_add(struct fleet_worker *worker, int change)
+{
+	for (; worker; worker = worker->successor)
+		worker->inflight += (unsigned)change;
+}
+
 bool fleet_begin(struct fleet_worker *worker,
 		 const struct fleet_request *request, clk_ms now)
 {
 	bool tries;
 
-	worker->inflight++;
+	inflight_add(worker, 1);
 	tries = fleet_brittle_on_send(worker, now);
 	if (worker->limit.holder)
 		permit_use(worker->limit.holder, now);
@@ -871,7 +890,7 @@
 void fleet_end(struct fleet_worker *worker, const struct fleet_request *request,
 	       bool had_first)
 {
-	worker->inflight--;
+	inflight_add(worker, -1);
 	if (!had_first)
 		fleet_first_token(worker, request);
 }
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -100,7 +100,10 @@
 				* is listed. Until then the worker is used only
 				* if there is no other */
 	struct fleet_health health;
-	unsigned inflight;    /* requests that this host has there */
+	unsigned inflight; /* requests that this host has there */
+	/* Listed in its place, at its address, and counts its requests too;
+	 * NULL: none is. */
+	struct fleet_worker *successor;
 	double prompt_tokens; /* of own requests before their first token */
 	double peer_prompt_tokens; /* the same of other hosts' requests, by
 				    * the hosts' reports */
@@ -219,6 +222,8 @@
 void fleet_entry_clear(struct fleet_entry *entry);
 struct fleet_worker *fleet_worker_ref(struct fleet_worker *worker);
 void fleet_worker_unref(struct fleet_worker *worker);
+/* Returns the worker that is listed last in its place, or itself. */
+struct fleet_worker *fleet_latest(struct fleet_worker *worker);
 /* Whether a worker belongs to the subset of its pool whose load a host
  * receives reports of and samples from; host_key: aggregate_key of the host's
  * process. In a small pool every worker does. */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -2486,6 +2486,36 @@
             assert served >= BRITTLE_USED * fit, (served, fit)
 
 
+async def brittle_replaced(net, listed_s):
+    async with Rig(net, hosts=3, api=6) as rig:
+        await rig.wait_membership()
+        workers = rig.workers_of("api")
+        for worker in workers:
+            worker.mode, worker.brittle, worker.room = "slow", 4, 6
+        calls = len(workers) * 6 / SLOW_S
+        began = time.monotonic()
+        load = asyncio.create_task(send_calls(
+            rig.hosts, "/i/x", 1 / (2 * calls), began + 8, []))
+        await asyncio.sleep(STABLE_WINDOW_S)
+        for worker in workers[:4]:
+            worker.calls = set()
+            await worker.replace_process(worker.ident, False)
+        await asyncio.sleep(listed_s)
+        for worker in workers[:4]:
+            rig.list_worker(worker)
+        await load
+        falls = sorted(at - began for w in workers for at in w.crashed_at)
+        assert len(falls) <= BRITTLE_FALLS + BRITTLE_SHARE * len(workers), (
+            listed_s, falls)
+
+
+async def test_proxy_brittle_processes_listed_late(net):
+    """Guards against brittle workers that get too many requests, and fall over,
+    once their processes are listed in place of the former ones with their ids."""
+    for more, listed_s in enumerate((0, 0.4, 1.0)):
+        await brittle_replaced(net + 200 * more, listed_s)
+
+
 # Hosts without links to the workers.
 
 LINKED_SHARE = 0.9  # of first tries at a host without links that are served,
