--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -165,6 +165,7 @@
 	bool record_pending;  /* a record of versions is being written */
 	clk_ms next_record;
 	GPtrArray *questions; /* struct xfer whose stream's version is asked */
+	GPtrArray *awaiting; /* struct xfer that awaits the entry of a worker */
 	GHashTable *limit_news;	  /* worker's id -> struct limit_news */
 	unsigned limit_questions; /* for all limits, since the start */
 	clk_ms next_issuer_check;
@@ -377,9 +378,15 @@
 void resume_tick(struct proxyd *proxyd);
 /* An item under OWN_PREFIX has changed. */
 void resume_on_item(struct proxyd *proxyd, const struct store_item *item);
-/* It is known which process of a worker open connections lead to. */
-void resume_on_process(struct proxyd *proxyd,
-		       const struct fleet_worker *worker);
+/* The listed process of a worker has begun some streams, given by their keys.
+ */
+void resume_on_listed_process(struct proxyd *proxyd,
+			      const struct fleet_worker *worker,
+			      const GArray *streams);
+/* A process that is not listed has answered in a worker's place. */
+struct ident_answer;
+void resume_on_report(struct proxyd *proxyd, const struct fleet_worker *worker,
+		      const struct ident_answer *answer);
 /* A worker's process is listed. */
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker);
 void resume_on_keep(void *ctx, const w_origin_keep *keep);
@@ -401,8 +408,10 @@
 /* proxyd-process.c: which process of a worker connections lead to */
 void process_start(struct proxyd *proxyd);
 void process_tick(struct proxyd *proxyd);
-/* Asks a worker which process it is, unless that is known of a connection. */
-void process_watch(struct proxyd *proxyd, struct fleet_worker *worker);
+/* Asks a worker which process it is, as it may have begun a stream, given by
+ * its key. Of the request, engine applies. */
+void process_watch(struct proxyd *proxyd, struct fleet_worker *worker,
+		   const struct fleet_request *request, uint64_t stream);
 
 /* proxyd-reach.c: which workers this host reaches */
 void reach_start(struct proxyd *proxyd);
