Tests: real workers that are replaced at versions drawn anew, streams taken up

Now a row may draw each process's version anew, the entry of a process comes at once or after 150 or 300 ms, under the same id or a new one, two of three callers may resume their streams, and take them up at another host after a broken response or after they have left; also with hosts paused, killed one by one or all at once, with the listening socket kept, with a new version now and then where the pool has one, and with all kinds of ends at random. A stream must hold each event once, in order and of one version over all its attempts. Violations are written with the times of processes to notes.json beside the hosts' logs.

--- a/tests/streamends.py
+++ b/tests/streamends.py
@@ -4,7 +4,9 @@
 Hosts, workers and callers are real; the rows of ROWS name how workers end or
 close connections while streams run. A response that ended with 200 and as
 complete must hold each event once, in order, and, on a route that may run once,
-of one run.
+of one run. In the rows with versions each process draws its software version, and
+callers take streams up at other hosts; over all attempts a stream must hold each
+event once, in order, and of one version.
 
 Usage: streamends.py [--seed N] [--row NAME] [--seconds S] [--framing F]
 """
@@ -34,10 +36,14 @@
 WORKERS, HOSTS, CALLERS = 6, 3, 90
 DEADLINE_MS = 12000
 REPORT_AGE_S = 0.2     # what a worker reports may be so old
-ENTRY_DELAY_S = 0.1    # the longest until a new process is in the store
+ENTRY_DELAY_S = (0, 0.1)  # until a new process is in the store
 EXPIRY_S = 0.1         # until the entry of a worker that died is removed
 STOPPED_S = 0.3        # that a leaving worker keeps what a stopped run holds
 LEAVE_S = 8            # that a leaving worker's streams may last
+VERSIONS = ("v1", "v2", "v3")
+SELDOM_NEW = ("v1",) * 6 + ("v2",)
+ATTEMPTS = 6           # of a stream that its caller takes up
+ABANDONED_SHARE = 0.3  # of its attempts, which callers leave in the middle
 EVENT = re.compile(rb"id: (\d+)\ndata: event (\d+) of (\S+)\n(?:data: \.+\n)?\n")
 
 
@@ -162,7 +168,8 @@
         if "kv-from" in headers:  # the same run goes on
             run = self.run_names[ident]
         else:
-            run = "%s/%d/%d" % (self.ident, self.born, self.runs)
+            run = "%s/%s/%d/%d" % (self.conf["version"], self.ident,
+                                   self.born, self.runs)
         self.run_names[ident] = run
         say(run=run, id=ident, first=first,
             framing="chunked" if framed else "none")
@@ -219,13 +226,18 @@
                                                  backlog=128)
         self.current = self.standby = None
         self.free = False    # a fault may be injected
+        self.drawn = test.row.get("drawn", ("v1",))
+        self.version = self.drawn[number % len(self.drawn)]
 
     async def spawn(self):
         self.count += 1
+        if self.count > 1 and len(self.drawn) > 1:
+            self.version = self.test.rand.choice(self.drawn)
         fd = self.listener.fileno() if self.listener else None
         conf = {"address": self.address, "framing": self.test.framing,
-                "fd": fd, "seed": "%s.%d.%d" % (self.test.seed, self.number,
-                                                self.count)}
+                "fd": fd, "version": self.version,
+                "seed": "%s.%d.%d" % (self.test.seed, self.number,
+                                      self.count)}
         process = await asyncio.create_subprocess_exec(
             sys.executable, os.path.abspath(__file__), "--worker",
             json.dumps(conf), stdin=asyncio.subprocess.PIPE,
@@ -249,17 +261,20 @@
         row = json.loads(await self.current.stdout.readline())
         self.test.keep(self.read(self.current))
         self.entry = {"service": "llm", "address": self.address,
-                      "zone": ZONES[self.number % 2], "version": "v1",
+                      "zone": ZONES[self.number % 2], "version": self.version,
                       "slots": SLOTS, "state": "ready", "cold_remaining_ms": 0,
                       "sequence_number": 1, "born": row["born"]}
+        self.test.note("up", id=self.ident, entry=self.entry)
         self.test.keep(self.publish(old))
 
     async def publish(self, old):
         ident, entry, store = self.ident, self.entry, self.test.rig.store
         if self.free is None:  # not the first process
-            await asyncio.sleep(self.test.rand.uniform(0, ENTRY_DELAY_S))
+            await asyncio.sleep(self.test.rand.uniform(
+                *self.test.row.get("listed_s", ENTRY_DELAY_S)))
         if entry is self.entry:  # else that process has ended
             store.put("servers/" + ident, entry)
+            self.test.note("listed", id=ident, entry=entry)
         if old != ident:
             await asyncio.sleep(EXPIRY_S)
             store.remove("servers/" + old)
@@ -302,6 +317,31 @@
         process.send_signal(signal.SIGCONT)
 
 
+async def killed_beside_host(slot, how):
+    """A host is paused, one that is up beside others is killed, or all are, while
+    the worker's process is replaced."""
+    rand, hosts = slot.test.rand, slot.test.rig.hosts
+    chosen = hosts if how == "all killed" else [rand.choice(hosts)]
+    gone_s = rand.uniform(0.2, 1.0)
+    all_up = all(host.process.poll() is None for host in hosts)
+    gone = [(host, host.process) for host in chosen
+            if how == "paused" or all_up]
+    for host, process in gone:
+        slot.test.note(how, host=host.name)
+        process.send_signal(signal.SIGSTOP)
+        if how != "paused":
+            host.kill()
+    try:
+        await killed(slot)
+        await asyncio.sleep(gone_s)
+    finally:
+        for host, process in gone:
+            process.send_signal(signal.SIGCONT)
+    for host, process in gone:
+        if host.process is process and process.poll() is not None:
+            host.start(first_start=False)
+
+
 async def paused(slot):
     slot.current.send_signal(signal.SIGSTOP)
     await asyncio.sleep(0.5)
@@ -325,8 +365,32 @@
     await slot.start(other_id)
 
 
-# fault: injected each period_s; whole: all streams must be; first: all callers
-# are at the first host; kept: processes inherit the listening socket.
+def versions(delay_s, fault=killed, *args, **more):
+    """A row in which each process draws its version."""
+    return dict({"fault": lambda s: fault(s, *args), "drawn": VERSIONS,
+                 "listed_s": (delay_s, delay_s), "framing": "chunked",
+                 "period_s": 0.4, "spread": 0.5, "series": 2}, **more)
+
+
+async def any_fault(slot):
+    """Under the same id, or another one."""
+    rand = slot.test.rand
+    other_id = rand.random() < 0.3
+    await rand.choice([
+        lambda: killed(slot, 0, other_id),
+        lambda: killed(slot, rand.uniform(0, 0.4), other_id),
+        lambda: killed(slot, 0, other_id, "reset and end"),
+        lambda: leaves(slot, other_id, 0),
+        lambda: killed_beside_host(slot, "paused"),
+        lambda: killed_beside_host(slot, "killed"),
+        lambda: paused(slot),
+    ])()
+
+
+# fault: injected each period_s, or up to a share of it, spread, before or after,
+# in so many series; whole: all streams must be; first: all callers are at the
+# first host; kept: processes inherit the listening socket; listed_s: until a new
+# process is in the store, at least and at most; drawn: the versions of processes.
 ROWS = {
     "later": {"fault": lambda s: killed(s, 0.6)},
     "at-once-other-id": {"fault": lambda s: killed(s, 0, True)},
@@ -342,60 +406,93 @@
     "control": {"fault": None, "whole": True},
     "leaves": {"fault": leaves, "period_s": 0.8},
     "limit": {"fault": lambda s: ordered(s, "limit", 0.5)},
+    "version-same-id": versions(0),
+    "version-same-id-150": versions(0.15),
+    "version-same-id-300": versions(0.3),
+    "version-new-id": versions(0, killed, 0, True),
+    "version-new-id-150": versions(0.15, killed, 0, True),
+    "version-new-id-300": versions(0.3, killed, 0, True),
+    "version-host-paused": versions(0.15, killed_beside_host, "paused"),
+    "version-host-killed": versions(0.15, killed_beside_host, "killed",
+                                    period_s=0.8, series=1),
+    "version-hosts-killed": versions(0.15, killed_beside_host, "all killed",
+                                     period_s=2, series=1),
+    "version-kept": versions(0.15, kept=True),
+    "version-seldom-new": versions(0.3, drawn=SELDOM_NEW),
+    "version-seldom-new-host-killed": versions(
+        0.3, killed_beside_host, "killed", drawn=SELDOM_NEW, period_s=0.8),
+    "version-any": versions(0, any_fault, listed_s=(0, 1.0)),
+    "version-any-seldom-new": versions(0, any_fault, listed_s=(0, 1.0),
+                                       drawn=SELDOM_NEW),
 }
 
+VIOLATIONS = ("short", "disorder", "joined", "versions")
+Result = collections.namedtuple("Result", "idents path outcome events")
 
-def judge(path, got):
-    """Returns what became of a stream, and the events that arrived."""
-    if got.status != 200:
+
+def judge(path, parts):
+    """Returns what became of a stream over all attempts that succeeded, and how
+    many events arrived."""
+    if not parts:
         return "failed", 0
-    body = got.body
-    found = list(EVENT.finditer(body))
-    end = found[-1].end() if found else 0
-    numbers = [int(m[1]) for m in found]
-    runs = {m[3] for m in found}
-    if sum(len(m[0]) for m in found) != end or any(
-            m[1] != m[2] for m in found) or numbers != list(
-                range(len(numbers))) or b"\n\n" in body[end:]:
-        return "disorder", len(found)
+    numbers, runs = [], set()
+    for got in parts:
+        found = list(EVENT.finditer(got.body))
+        end = found[-1].end() if found else 0
+        if sum(len(m[0]) for m in found) != end or any(
+                m[1] != m[2] for m in found) or b"\n\n" in got.body[end:]:
+            return "disorder", len(numbers)
+        numbers += [int(m[1]) for m in found]
+        runs |= {m[3] for m in found}
+    if numbers != list(range(len(numbers))):
+        return "disorder", len(numbers)
+    if len({run.split(b"/")[0] for run in runs}) > 1:
+        return "versions", len(numbers)
     if len(runs) > 1 and path.startswith("/s1/"):
-        return "joined", len(found)
-    if not got.complete:
-        return "broken", len(found)
-    if len(found) == EVENTS and end == len(body):
+        return "joined", len(numbers)
+    if not parts[-1].complete:
+        return "broken", len(numbers)
+    if len(numbers) == EVENTS and end == len(parts[-1].body):
         return "whole", EVENTS
-    return "short", len(found)
+    return "short", len(numbers)
 
 
 class Test:
     def __init__(self, name, number, args):
         self.name, self.row, self.args = name, ROWS[name], args
-        self.framing = args.framing
-        self.seed = "%s.%s.%d" % (name, args.framing, args.seed)
+        self.framing = args.framing or self.row.get("framing", "none")
+        self.seed = "%s.%s.%d" % (name, self.framing, args.seed)
         self.rand = random.Random(self.seed)
         self.rig = Rig(args.net + number, hosts=HOSTS, llm=0, api=0)
         self.runs = collections.defaultdict(list)  # id -> rows of its runs
         self.processes, self.tasks, self.results = [], set(), []
-        self.faults = 0
+        self.faults = self.refused = 0
         self.end = None
+        self.notes = []  # of processes and violations, for a trace
 
     def keep(self, coroutine):
         task = asyncio.get_running_loop().create_task(coroutine)
         self.tasks.add(task)
 
+    def note(self, what, **fields):
+        self.notes.append(dict(fields, at_ms=int(time.time() * 1000),
+                               what=what))
+
     async def inject(self, slot):
-        slot.free = None
         self.faults += 1
         await self.row["fault"](slot)
         await slot.ready()
 
     async def inject_all(self, slots):
+        spread = self.row.get("spread", 0.2)
         while self.row["fault"]:
-            await asyncio.sleep(self.rand.uniform(0.8, 1.2)
+            await asyncio.sleep(self.rand.uniform(1 - spread, 1 + spread)
                                 * self.row.get("period_s", 0.3))
             free = [slot for slot in slots if slot.free]
             if len(free) > 2 and time.monotonic() < self.end:
-                self.keep(self.inject(self.rand.choice(free)))
+                slot = self.rand.choice(free)
+                slot.free = None
+                self.keep(self.inject(slot))
 
     async def call(self, number):
         hosts = self.rig.hosts[:1] if self.row.get("first") else self.rig.hosts
@@ -409,11 +506,67 @@
             except (ConnectionError, OSError):
                 caller.close()
                 continue
-            self.results.append((got.ident, path, got.status)
-                                + judge(path, got))
+            parts = [got] if got.status == 200 else []
+            self.results.append(Result([got.ident], path,
+                                       *judge(path, parts)))
+            if got.status != 200:
+                await self.wait_refused(got, self.end)
+
+    async def wait_refused(self, got, until):
+        self.refused += 1
+        seconds = max(0.2, float(got.headers.get("retry-after", 0)))
+        await asyncio.sleep(min(seconds, until - time.monotonic()))
+
+    async def call_anywhere(self, number):
+        """Calls at hosts in turn. A stream that may be resumed is taken up at
+        another host if its response breaks, or is left in the middle."""
+        rand = random.Random("%s.%d" % (self.seed, number))
+        path = ("/s/x", "/s/x", "/s1/x")[number % 3]
+        await asyncio.sleep(rand.uniform(0, EVENTS * EVENT_GAP_S))
+        while time.monotonic() < self.end:
+            await self.follow(path, rand)
+
+    async def follow(self, path, rand):
+        until = time.monotonic() + DEADLINE_MS / 1000
+        host, idents, parts, headers, first, events = None, [], [], [], 0, 0
+        for _ in range(ATTEMPTS if path == "/s/x" else 1):
+            left_s = until - time.monotonic()
+            if left_s <= 0:
+                break
+            host = rand.choice([h for h in self.rig.hosts if h is not host])
+            caller, limit = host.caller(), None
+            # A caller that leaves has not all events yet.
+            if path == "/s/x" and rand.random() < ABANDONED_SHARE and (
+                    events < EVENTS - 10):
+                limit = rand.randrange(1, EVENTS - 5 - events)
+            try:
+                idents.append(await caller.send(
+                    "POST", path, b"b", remaining_ms=int(1000 * left_s),
+                    headers=headers))
+                got = await asyncio.wait_for(caller.receive(limit),
+                                             left_s + 2)
+            except (OSError, asyncio.TimeoutError):
+                continue
+            finally:
+                caller.close()
             if got.status != 200:
-                await asyncio.sleep(max(0.2, float(
-                    got.headers.get("retry-after", 0))))
+                await self.wait_refused(got, until)
+                continue
+            parts.append(got)
+            found = EVENT.findall(got.body)
+            if found:
+                first = first or idents[-1]
+                events += len(found)
+                headers = ["Last-Event-Id: %s" % found[-1][0].decode(),
+                           "Resumes: " + first]
+            if got.complete:
+                break
+        if idents:
+            self.results.append(Result(idents, path, *judge(path, parts)))
+        if idents and self.results[-1].outcome in VIOLATIONS:
+            self.note(self.results[-1].outcome, ids=idents, parts=[
+                [m[0].decode() + " " + m[2].decode()
+                 for m in EVENT.findall(got.body)] for got in parts])
 
     async def play(self):
         slots = [Slot(self, i) for i in range(WORKERS)]
@@ -429,9 +582,12 @@
                 await self.rig.wait_membership()
                 await asyncio.sleep(1.0)
                 self.end = time.monotonic() + self.args.seconds
-                self.keep(self.inject_all(slots))
+                for _ in range(self.row.get("series", 1)):
+                    self.keep(self.inject_all(slots))
+                call = (self.call_anywhere if self.row.get("drawn")
+                        else self.call)
                 await asyncio.wait_for(asyncio.gather(
-                    *[self.call(i) for i in range(CALLERS)]),
+                    *[call(i) for i in range(CALLERS)]),
                     self.args.seconds + DEADLINE_MS / 1000 + 10)
                 for task in self.tasks:
                     if task.done():
@@ -452,26 +608,32 @@
 
     def check(self):
         """Prints the figures of the row; returns whether it passed."""
-        count = collections.Counter(result[3] for result in self.results)
-        bad = [r for r in self.results
-               if r[3] in ("short", "disorder", "joined")]
-        again = [r for r in self.results if r[1] == "/s1/x" and
-                 len({run["run"] for run in self.runs[r[0]]}) > 1]
+        def runs(result):
+            return [run for i in result.idents for run in self.runs[i]]
+        count = collections.Counter(r.outcome for r in self.results)
+        bad = [r for r in self.results if r.outcome in VIOLATIONS]
+        again = [r for r in self.results if r.path == "/s1/x" and
+                 len({run["run"] for run in runs(r)}) > 1]
         total = len(self.results)
-        executed = sum(len(self.runs[r[0]]) for r in self.results)
-        print("%-17s %-8s seed %d faults %3d streams %4d violations %3d whole "
+        executed = sum(len(runs(r)) for r in self.results)
+        print("%-19s %-8s seed %d faults %3d streams %4d violations %3d whole "
               "%4d broken %3d failed %3d again %d runs/stream %.2f" % (
                   self.name, self.framing, self.args.seed, self.faults, total,
                   len(bad), count["whole"], count["broken"], count["failed"],
                   len(again), executed / max(total, 1)), flush=True)
+        if self.row.get("drawn"):
+            ends = [r.outcome for r in self.results if r.path == "/s/x"]
+            print("    of two versions %d, may be resumed %d, of these whole "
+                  "%d, refused %d" % (count["versions"], len(ends),
+                                      ends.count("whole"), self.refused))
 
         def tally(rows):
             return ", ".join("%s %s %s: %d" % (key + (n,)) for key, n in sorted(
                 collections.Counter(
-                    (r[3], r[1], self.runs[r[0]][-1]["framing"]
-                     if self.runs[r[0]] else "not run")
+                    (r.outcome, r.path, runs(r)[-1]["framing"]
+                     if runs(r) else "not run")
                     for r in rows).items()))
-        others = [r for r in self.results if r[3] != "whole"]
+        others = [r for r in self.results if r.outcome != "whole"]
         if others:
             print("    " + tally(others))
         passed = total > 0 and not bad and not again and (
@@ -479,8 +641,11 @@
         if passed:
             shutil.rmtree(self.rig.folder, ignore_errors=True)
             return True
-        print("    logs in %s; %s" % (self.rig.folder, " ".join(
-            "%s:%s:%d" % (r[0], r[3], r[4]) for r in (bad + again)[:8])))
+        with open(os.path.join(self.rig.folder, "notes.json"), "w") as file:
+            file.writelines(json.dumps(note) + "\n" for note in self.notes)
+        print("    logs and notes.json in %s; %s" % (self.rig.folder, " ".join(
+            "%s:%s:%d" % (",".join(r.idents), r.outcome, r.events)
+            for r in (bad + again)[:8])))
         return False
 
 
@@ -492,8 +657,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--row", choices=sorted(ROWS))
     parser.add_argument("--seconds", type=float, default=6)
-    parser.add_argument("--framing", default="none",
-                        choices=["none", "chunked", "mixed"])
+    parser.add_argument("--framing", choices=["none", "chunked", "mixed"],
+                        help="of responses; default: that of the row, or none")
     parser.add_argument("--net", type=int, default=9000)
     args = parser.parse_args()
     passed = failed = 0
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -163,7 +163,8 @@
 # shellcheck disable=SC2086
 beside 0022ce1 even $PROMISES
 # Workers that are processes of their own.
-for row in kept-same-id control; do
+for row in kept-same-id control version-same-id-300 \
+	version-host-paused; do
 	run "stream_ends_$row" python3 tests/streamends.py --seed 1 \
 		--seconds 4 --row $row
 done
