--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -616,16 +616,32 @@
 					request->version);
 }
 
+/* Whether some pool has several versions, so that streams are written to the
+ * store. */
+static bool has_several_versions(const struct proxyd *proxyd)
+{
+	GHashTableIter iter;
+	gpointer pool;
+
+	g_hash_table_iter_init(&iter, proxyd->fleet->pools);
+	while (g_hash_table_iter_next(&iter, &pool, NULL))
+		if (versions_of(proxyd, pool) > 1)
+			return true;
+	return false;
+}
+
 void resume_on_keep(void *ctx, const w_origin_keep *keep)
 {
 	struct proxyd *proxyd = ctx;
+	bool writes = has_several_versions(proxyd);
 
 	for (u_int i = 0; i < keep->streams.streams_len; i++) {
 		const w_origin *row = &keep->streams.streams_val[i];
 
 		origin_put(proxyd->origin, row->stream, row->software, 0,
 			   proxyd_now(proxyd));
-		stream_log(proxyd, row->stream, row->software);
+		if (writes)
+			stream_log(proxyd, row->stream, row->software);
 	}
 }
 
