--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -295,8 +295,7 @@
 	struct fleet_worker *former = NULL;
 
 	if (worker && is_replaced(worker, entry)) {
-		former = fleet_worker_ref(worker);
-		fleet_remove(fleet, entry->id);
+		former = worker;
 		worker = NULL;
 	}
 	if (worker) {
@@ -312,16 +311,16 @@
 		worker->refs = 1;
 		worker->entry = *entry;
 		worker->cached_parts = g_hash_table_new(NULL, NULL);
+		if (former) {
+			worker_inherit(worker, former);
+			fleet_remove(fleet, worker->entry.id);
+		}
 		g_hash_table_insert(fleet->workers, worker->entry.id, worker);
 		worker->key = aggregate_key(worker->entry.id);
 		worker->version = fleet_version_key(worker->entry.version);
 		g_hash_table_insert(fleet->by_key,
 				    GUINT_TO_POINTER(worker->key), worker);
 		pool_add(fleet, worker);
-		if (former) {
-			worker_inherit(worker, former);
-			fleet_worker_unref(former);
-		}
 		if (fleet->on_added)
 			fleet->on_added(fleet->ctx, worker);
 	}
