--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -39,6 +39,7 @@
 	enum hc_result source_result; /* how, as its connection shows */
 	char *handle;		      /* names the KV cache, or NULL */
 	struct fleet_worker *source;  /* keeps the KV cache, too */
+	int64_t source_start;	      /* of its process, as worker_start */
 	struct fleet_worker *target;  /* where the run is to go on */
 	clk_ms started_at;
 };
@@ -60,8 +61,9 @@
 	struct sse sse;
 	struct fleet_request fleet_request;
 	struct fleet_worker *worker; /* of the current attempt, or NULL */
-	/* Start of its process as listed when the attempt was sent, in ms of
-	 * its wall clock; 0: not known. */
+	/* Start of its process in ms of its wall clock: as listed when the
+	 * attempt was sent or, once that is known, of the one that it runs at;
+	 * 0: not known. */
 	int64_t worker_start;
 	struct hc_request *attempt;
 	struct hop_call *hop; /* the request at another host, or NULL */
@@ -69,6 +71,10 @@
 	 * process it is; or NULL. */
 	struct ident *ident;
 	unsigned ident_tries;
+	unsigned unfit; /* attempts that met another process */
+	/* Why the attempt has ended whose process is asked for after it; NULL:
+	 * none was. */
+	const char *settles;
 	/* The attempt's response has ended with its connection; NULL unless
 	 * its worker is asked whether that is the end. */
 	struct confirm *confirm;
@@ -102,8 +108,11 @@
 	bool declined;	 /* by the other hosts: it is not forwarded again */
 	clk_ms stall_checked_at; /* its silent attempt had no alternative then
 				  */
-	bool resumes; /* its caller takes up a stream that has begun */
-	bool asking;  /* the version that began it */
+	char *forwarder;   /* incarnation of the host that has forwarded it */
+	bool unknown_told; /* others know that its version is not known */
+	bool awaits_entry; /* of a worker that may have its version */
+	bool resumes;	   /* its caller takes up a stream that has begun */
+	bool asking;	   /* the version that began it */
 	struct origin_question question;
 };
 
@@ -161,9 +170,16 @@
 /* proxyd-resume.c: streams that callers take up */
 /* The first event of the response is about to be relayed. */
 void resume_on_first_event(struct xfer *xfer);
+/* Another one is. */
+void resume_on_event(struct xfer *xfer);
+/* It is known which process has begun the stream: by its start. */
+void resume_record(struct xfer *xfer, int64_t process);
 /* Sets what is known of the versions of workers and of the stream, before a
  * worker is chosen. */
 void resume_update_listed(struct xfer *xfer);
+/* Waits until a process is listed that may have the stream's version; returns
+ * false if there is none. */
+bool resume_await_entry(struct xfer *xfer);
 /* Finds out which version began the stream, and then sends the request, or
  * rejects it. */
 void resume_start_stream(struct xfer *xfer);
@@ -201,6 +217,10 @@
 /* Asks the worker of the attempt which process it is; then sends the attempt,
  * or ends it. */
 void process_prove(struct xfer *xfer);
+/* The attempt's stream was cut off. Asks its worker which process it is, if
+ * that of the stream is not known, and ends the attempt then; returns false if
+ * there is nothing to ask. */
+bool process_settle(struct xfer *xfer, const char *why);
 
 /* proxyd-ends.c */
 /* Counts a request that ends without a whole answer. */
@@ -214,6 +234,10 @@
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
 /* Sends the attempt that has been started. */
 void attempt_send(struct xfer *xfer);
+/* Whether the request may be sent to the worker that was chosen for it: while a
+ * connection was being established, or the worker was asked which process it
+ * is, it may have begun to leave. */
+bool attempt_may_send(const struct xfer *xfer);
 /* Ends the attempt, which was not sent as the worker can't be reached. */
 void attempt_end_unreached(struct xfer *xfer);
 /* Whether another worker that has sent something lately could have the request
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -27,6 +27,10 @@
 /* Until a process that has started is listed, and hosts that vouch for the list
  * have read that. */
 #define ENTRY_MS 2500
+/* Until a worker that has not said which process it is is asked again. */
+#define ASK_MS 1000
+/* The same if another process has answered: what it says is as old. */
+#define ASK_OTHER_MS 100
 
 static gpointer part_key(uint64_t id)
 {
@@ -68,12 +72,21 @@
 {
 	if (--worker->refs > 0)
 		return;
+	if (worker->successor)
+		fleet_worker_unref(worker->successor);
 	fleet_entry_clear(&worker->entry);
 	g_hash_table_destroy(worker->cached_parts);
 	fleet_limit_clear(&worker->limit);
 	g_free(worker);
 }
 
+struct fleet_worker *fleet_latest(struct fleet_worker *worker)
+{
+	while (worker->successor)
+		worker = worker->successor;
+	return worker;
+}
+
 struct fleet_worker *fleet_find(const struct fleet *fleet, const char *id)
 {
 	return g_hash_table_lookup(fleet->workers, id);
@@ -92,6 +105,35 @@
 	return XXH32(version, strlen(version), 0) | 1;
 }
 
+uint32_t fleet_process_mark(const struct fleet_worker *worker, int64_t start,
+			    bool is_sure)
+{
+	uint32_t hash = XXH32(&start, sizeof(start), worker->key);
+	uint32_t mark = hash & ~(uint32_t)ORIGIN_MARKS;
+
+	/* Neither "nothing" nor ORIGIN_VERSION_UNKNOWN. */
+	if (mark == 0)
+		mark = ORIGIN_MARKS + 1;
+	return mark | (is_sure ? ORIGIN_MARK_PROCESS : ORIGIN_MARK_PERHAPS);
+}
+
+struct fleet_worker *fleet_find_mark(const struct fleet *fleet,
+				     const char *pool, uint32_t mark)
+{
+	const GPtrArray *workers = pool_workers(fleet, pool);
+	bool is_sure = (mark & ORIGIN_MARKS) == ORIGIN_MARK_PROCESS;
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		struct fleet_worker *worker = g_ptr_array_index(workers, i);
+
+		if (worker->entry.started_at &&
+		    fleet_process_mark(worker, worker->entry.started_at,
+				       is_sure) == mark)
+			return worker;
+	}
+	return NULL;
+}
+
 /* Counts a worker of a pool in or out of its version. */
 static void version_count(struct fleet *fleet,
 			  const struct fleet_worker *worker, int change)
@@ -120,14 +162,17 @@
 	g_array_append_val(versions, version);
 }
 
-/* Whether processes of a pool have answered that are not listed yet. */
-static bool has_replaced(const struct fleet *fleet, const char *pool)
+/* Whether processes of a pool have answered that are not listed yet; serves:
+ * under the id of a listed one. */
+static bool has_replaced(const struct fleet *fleet, const char *pool,
+			 bool serves)
 {
 	for (guint i = 0; i < fleet->replaced->len; i++) {
 		const struct fleet_worker *worker =
 			g_ptr_array_index(fleet->replaced, i);
 
-		if (!strcmp(worker->entry.pool, pool))
+		if (!strcmp(worker->entry.pool, pool) &&
+		    (!serves || worker->other_serves))
 			return true;
 	}
 	return false;
@@ -152,7 +197,7 @@
 		if (now - version->gone_at > FLEET_VERSION_MS)
 			g_array_remove_index_fast(versions, i);
 	}
-	if (has_replaced(fleet, pool))
+	if (has_replaced(fleet, pool, true))
 		return versions->len + 1;
 	if (versions->len == 1)
 		*sole = g_array_index(versions, struct fleet_version, 0).key;
@@ -194,6 +239,7 @@
 		g_ptr_array_remove_fast(fleet->replaced, worker);
 	worker->other_start = 0;
 	worker->other_at = 0;
+	worker->other_serves = false;
 }
 
 void fleet_remove(struct fleet *fleet, const char *id)
@@ -225,13 +271,31 @@
 		worker->entry.started_at != entry->started_at);
 }
 
+/* Keeps what responses have said, which the process that is listed now may have
+ * sent before, or the former one at its address, and the requests there. */
+static void worker_inherit(struct fleet_worker *worker,
+			   struct fleet_worker *former)
+{
+	if (strcmp(worker->entry.address, former->entry.address) != 0 ||
+	    strcmp(worker->entry.pool, former->entry.pool) != 0)
+		return;
+	fleet_limit_inherit(worker, fleet_limit_rate(former),
+			    former->limit.named_at);
+	worker->doubted_until =
+		former->said_leaving ? CLK_NEVER : former->withheld_until;
+	worker->brittle = former->brittle;
+	worker->inflight = former->inflight;
+	former->successor = fleet_worker_ref(worker);
+}
+
 struct fleet_worker *fleet_put(struct fleet *fleet, struct fleet_entry *entry,
 			       int64_t revision)
 {
 	struct fleet_worker *worker = fleet_find(fleet, entry->id);
+	struct fleet_worker *former = NULL;
 
 	if (worker && is_replaced(worker, entry)) {
-		fleet_remove(fleet, entry->id);
+		former = worker;
 		worker = NULL;
 	}
 	if (worker) {
@@ -247,6 +311,10 @@
 		worker->refs = 1;
 		worker->entry = *entry;
 		worker->cached_parts = g_hash_table_new(NULL, NULL);
+		if (former) {
+			worker_inherit(worker, former);
+			fleet_remove(fleet, worker->entry.id);
+		}
 		g_hash_table_insert(fleet->workers, worker->entry.id, worker);
 		worker->key = aggregate_key(worker->entry.id);
 		worker->version = fleet_version_key(worker->entry.version);
@@ -299,14 +367,22 @@
 void fleet_on_process(struct fleet *fleet, struct fleet_worker *worker,
 		      int64_t start, clk_ms now)
 {
+	bool serves = worker->other_serves && start == worker->other_start;
+
 	other_forget(fleet, worker);
 	if (worker->removed || (start && start == worker->entry.started_at))
 		return;
+	worker->other_serves = serves;
 	worker->other_start = start;
 	worker->other_at = now;
 	g_ptr_array_add(fleet->replaced, worker);
 }
 
+void fleet_on_other_serves(struct fleet_worker *worker)
+{
+	worker->other_serves = worker->other_at != 0;
+}
+
 void fleet_expire(struct fleet *fleet, clk_ms now)
 {
 	for (guint i = fleet->replaced->len; i-- > 0;) {
@@ -318,21 +394,56 @@
 	}
 }
 
+void fleet_on_unknown_process(struct fleet_worker *worker, clk_ms now)
+{
+	worker->unknown_at = now;
+}
+
+bool fleet_says_process(const struct fleet_worker *worker,
+			const struct fleet_request *request)
+{
+	return request->engine && worker->entry.started_at != 0;
+}
+
+bool fleet_may_ask_process(const struct fleet_worker *worker,
+			   const struct fleet_request *request, clk_ms now)
+{
+	return fleet_says_process(worker, request) &&
+	       (!worker->unknown_at || now - worker->unknown_at >= ASK_MS) &&
+	       (!worker->other_at || now - worker->other_at >= ASK_OTHER_MS);
+}
+
+bool fleet_would_be_listed(const struct fleet_worker *worker, clk_ms since,
+			   clk_ms heard_at, clk_ms listed_at)
+{
+	return !worker->removed && !worker->other_at &&
+	       MIN(heard_at, listed_at) > since + ENTRY_MS;
+}
+
+bool fleet_awaits_entry(const struct fleet *fleet,
+			const struct fleet_request *request)
+{
+	return origin_is_known(request->version) &&
+	       has_replaced(fleet, request->pool, false);
+}
+
 bool fleet_needs_proof(const struct fleet_worker *worker,
 		       const struct fleet_request *request)
 {
-	return request->version != 0 && worker->entry.started_at != 0;
+	return request->version != 0 && fleet_says_process(worker, request);
 }
 
-uint32_t fleet_version_of(const struct fleet_worker *worker, clk_ms listed_at)
+uint32_t fleet_version_of(const struct fleet_worker *worker,
+			  const struct fleet_request *request)
 {
-	/* Its process is asked before it is sent a request. */
-	if (worker->entry.started_at)
-		return worker->other_at ? FLEET_VERSION_UNKNOWN
-					: worker->version;
-	if (worker->cut_at && listed_at <= worker->cut_at + ENTRY_MS)
-		return FLEET_VERSION_UNKNOWN;
-	return worker->version;
+	/* One that says its process is asked before it is sent a request. */
+	bool is_known =
+		fleet_says_process(worker, request)
+			? !worker->other_at
+			: !worker->cut_at || request->listed_at >
+						     worker->cut_at + ENTRY_MS;
+
+	return is_known ? worker->version : FLEET_VERSION_UNKNOWN;
 }
 
 /* Whether a worker has the version that a request needs. */
@@ -340,9 +451,8 @@
 			const struct fleet_request *request)
 {
 	return request->version == 0 ||
-	       (request->version != FLEET_VERSION_UNKNOWN &&
-		request->version ==
-			fleet_version_of(worker, request->listed_at));
+	       (origin_is_known(request->version) &&
+		request->version == fleet_version_of(worker, request));
 }
 
 void fleet_request_failed(struct fleet_request *request, uint32_t worker)
@@ -392,6 +502,30 @@
 	return false;
 }
 
+bool fleet_has_untried(const struct fleet *fleet,
+		       const struct fleet_request *request)
+{
+	const GPtrArray *workers = pool_workers(fleet, request->pool);
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		if (fleet_takes_work(worker) && has_version(worker, request) &&
+		    !has_failed(worker, request))
+			return true;
+	}
+	return false;
+}
+
+void fleet_request_forget(struct fleet_request *request, uint32_t worker)
+{
+	for (unsigned i = 0; i < request->failed_count; i++)
+		if (request->failed[i] == worker)
+			request->failed[i] =
+				request->failed[--request->failed_count];
+}
+
 unsigned fleet_count(const struct fleet *fleet, const char *pool)
 {
 	const GPtrArray *workers = pool_workers(fleet, pool);
@@ -819,12 +953,19 @@
 	return choice;
 }
 
+/* Counts a request at a worker, and at those in its place. */
+static void inflight_add(struct fleet_worker *worker, int change)
+{
+	for (; worker; worker = worker->successor)
+		worker->inflight += (unsigned)change;
+}
+
 bool fleet_begin(struct fleet_worker *worker,
 		 const struct fleet_request *request, clk_ms now)
 {
 	bool tries;
 
-	worker->inflight++;
+	inflight_add(worker, 1);
 	tries = fleet_brittle_on_send(worker, now);
 	if (worker->limit.holder)
 		permit_use(worker->limit.holder, now);
@@ -851,7 +992,7 @@
 void fleet_end(struct fleet_worker *worker, const struct fleet_request *request,
 	       bool had_first)
 {
-	worker->inflight--;
+	inflight_add(worker, -1);
 	if (!had_first)
 		fleet_first_token(worker, request);
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -126,6 +126,7 @@
 process_tests proxy
 process_tests proxyends
 process_tests proxyversions
+process_tests proxyprocess
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 beside() {
 	commit=$1
@@ -162,7 +163,8 @@
 # shellcheck disable=SC2086
 beside 0022ce1 even $PROMISES
 # Workers that are processes of their own.
-for row in kept-same-id control; do
+for row in kept-same-id control version-same-id-300 \
+	version-host-paused; do
 	run "stream_ends_$row" python3 tests/streamends.py --seed 1 \
 		--seconds 4 --row $row
 done
