Marks of processes are told to builds that read them only

Change: build 7, feature process_marks. Older hosts are told versions only, once they are known, and an older one that asks about a stream with a mark is answered so that it refuses rather than guesses.

--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -69,6 +69,11 @@
 	return build_has(incarnation, BUILD_LINKS);
 }
 
+bool peer_reads_marks(const char *incarnation)
+{
+	return build_has(incarnation, BUILD_MARKS);
+}
+
 bool peer_writes_streams(const char *incarnation)
 {
 	return build_has(incarnation, BUILD_WRITERS);
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -241,6 +241,14 @@
 	}
 }
 
+/* Whether a host can read what is known of a stream: builds that don't know
+ * marks would keep one for the stream's version. */
+static bool reads_origin(const struct member *host, uint32_t version)
+{
+	return origin_is_known(version) ||
+	       peer_reads_marks(host->info.incarnation);
+}
+
 static void keepers_add(void *ctx, uint64_t key, uint32_t version)
 {
 	struct keepers_ctx *keepers = ctx;
@@ -253,6 +261,8 @@
 		char *rpc = (char *)top[i]->info.rpc;
 		GArray *rows = g_hash_table_lookup(keepers->hosts, rpc);
 
+		if (!reads_origin(top[i], version))
+			continue;
 		if (!rows) {
 			rows = g_array_new(FALSE, FALSE, sizeof(row));
 			g_hash_table_insert(keepers->hosts, rpc, rows);
@@ -348,7 +358,9 @@
 	if (proxyd_pool(proxyd, pool)->several_versions)
 		stream_log(proxyd, stream, version);
 	for (size_t i = 0; i < count; i++)
-		rpc_send_origin_keep(proxyd->rpc, top[i]->info.rpc, &keep);
+		if (reads_origin(top[i], version))
+			rpc_send_origin_keep(proxyd->rpc, top[i]->info.rpc,
+					     &keep);
 }
 
 /* Returns the version of a process of a worker, or its mark if it is not
@@ -675,6 +687,10 @@
 	if (!peer_writes_streams(from->info.incarnation))
 		answer.versions =
 			versions_for_older(proxyd, ask->pool, answer.versions);
+	if (!reads_origin(from, answer.stream.software)) {
+		answer.stream.software = 0;
+		answer.versions = MAX(answer.versions, 2);
+	}
 	rpc_send_origin_answer(proxyd->rpc, from->info.rpc, &answer);
 }
 
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -343,6 +343,7 @@
 bool peer_takes_forwarded(const char *incarnation);
 bool peer_knows_links(const char *incarnation);
 bool peer_writes_streams(const char *incarnation);
+bool peer_reads_marks(const char *incarnation);
 void peer_tick(struct proxyd *proxyd);
 void peer_on_gossip(void *ctx, const struct member_msg *msg);
 void peer_on_sync(void *ctx, const w_sync_args *args, w_sync_res *res);
--- a/decide/build.c
+++ b/decide/build.c
@@ -17,6 +17,7 @@
 	[BUILD_WRITERS] = { 5, "stored_streams" },
 	[BUILD_FULL] = { 5, "full_workers" },
 	[BUILD_LINKS] = { 6, "links_questions" },
+	[BUILD_MARKS] = { 7, "process_marks" },
 };
 
 unsigned build_own(void)
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -2784,11 +2784,21 @@
 }
 END_TEST
 
+/* Tests of which process of a worker is at the other end. */
+static void process_tests_add(TCase *tcase)
+{
+	tcase_add_test(tcase, fleet_knows_processes);
+	tcase_add_test(tcase, fleet_finds_marks);
+	tcase_add_test(tcase, origin_keeps_what_tells_most);
+	tcase_add_test(tcase, origin_waits_for_keeper);
+}
+
 static Suite *proxy_suite(void)
 {
 	Suite *suite = suite_create("unit-proxy");
 	TCase *tcase = tcase_create("tables");
 
+	process_tests_add(tcase);
 	suite_add_tcase(suite, tcase);
 	tcase_add_test(tcase, px_continues_moved_run);
 	tcase_add_loop_test(tcase, px_chooses_action_after_attempt, 0,
@@ -2838,7 +2848,6 @@
 	tcase_add_test(tcase, age_by_reports);
 	tcase_add_test(tcase, fleet_chooses_by_version);
 	tcase_add_test(tcase, fleet_doubts_version_after_cut);
-	tcase_add_test(tcase, fleet_knows_processes);
 	tcase_add_test(tcase, fleet_counts_versions);
 	tcase_add_loop_test(tcase, origin_rows_parsed, 0,
 			    G_N_ELEMENTS(row_cases));
@@ -2847,9 +2856,6 @@
 	tcase_add_loop_test(tcase, bad_record_is_rejected, 0,
 			    G_N_ELEMENTS(bad_records));
 	tcase_add_test(tcase, origin_judged);
-	tcase_add_test(tcase, origin_keeps_what_tells_most);
-	tcase_add_test(tcase, fleet_finds_marks);
-	tcase_add_test(tcase, origin_waits_for_keeper);
 	tcase_add_test(tcase, origin_bounded);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
