--- a/tests/proxyends.py
+++ b/tests/proxyends.py
@@ -152,6 +152,49 @@
             for after in (0.003, 0.01))])
 
 
+async def dies_slowly(net, kept, gap_s):
+    async with Rig(net, llm=1) as rig:
+        host, worker = rig.hosts[0], rig.workers_of("llm")[0]
+        got = await asyncio.gather(*[
+            host.request("POST", "/s1/x", b"b") for _ in range(kept)])
+        assert all(g.complete for g in got)
+        worker.unframed, worker.event_gap_s = "paced", 0.1
+        plain, streams, dead = worker.handle_request, [], set()
+
+        async def handle_request(head, body, reader, writer):
+            if writer in dead:
+                await asyncio.sleep(3600)
+            if head[0].startswith("POST "):
+                streams.append(writer)
+            return await plain(head, body, reader, writer)
+        worker.handle_request = handle_request
+        caller = host.caller()
+        await caller.send("POST", "/s1/x", b"b")
+        await rig.wait_until("the run", lambda: streams)
+        await asyncio.sleep(0.05)
+        dead.update(worker.writers)
+        worker.server.close()
+        worker.born += 1
+        await worker.start()
+        streams[0].close()
+        for number, writer in enumerate(dead - {streams[0]}, 1):
+            asyncio.get_running_loop().call_later(gap_s * number,
+                                                  writer.close)
+        got = await caller.receive()
+        assert not got.complete, (kept, gap_s, got.body)
+
+async def test_end_process_dies_slowly(net):
+    """The connections of a process that dies, which are closed some time after the
+    end of a stream, do not prove that it is whole."""
+    await gather_rows([dies_slowly(net + 200 * more, *row) for more, row in
+                       enumerate([(2, 0.03), (2, 0.06), (4, 0.03)])])
+
+
+async def test_end_process_dies_very_slowly(net):
+    """The same if the last one is closed 0.24 s after the end (known red)."""
+    await gather_rows([dies_slowly(net, 4, 0.06)])
+
+
 async def test_end_whole_response_of_busy_service(net):
     """A whole response without a length is delivered though the worker's health
     check waits for a slot, as any request does."""
