--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -5,11 +5,8 @@
  */
 #include "proxyd-xfer.h"
 
-#include "ident.h"
-
-#define PERIOD_MS                                                              \
-	400	      /* without an answer, until it is decided what follows   \
-		       */
+/* Without an answer, until it is decided what follows. */
+#define PERIOD_MS 400
 #define WATCH_MS 2000 /* that an answer to a watch may take */
 /* Questions for an attempt: a worker may close the connection of an answer. */
 #define TRIES_MAX 2
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -340,7 +340,8 @@
 }
 
 /* Tells the hosts that are to keep a stream of this one; version: that began
- * it, or ORIGIN_VERSION_UNKNOWN; versions: of the pool, at least. */
+ * it, or what else is known (enum origin_knowledge); versions: that the pool
+ * counts as having, at least. */
 static void stream_pass_on(struct proxyd *proxyd, const char *pool,
 			   uint64_t stream, uint32_t version, unsigned versions)
 {
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -384,8 +384,8 @@
 void resume_on_listed_process(struct proxyd *proxyd,
 			      const struct fleet_worker *worker,
 			      const GArray *streams);
-/* A process that is not listed has answered in a worker's place. */
 struct ident_answer;
+/* A process that is not listed has answered in a worker's place. */
 void resume_on_report(struct proxyd *proxyd, const struct fleet_worker *worker,
 		      const struct ident_answer *answer);
 /* A worker's process is listed. */
