--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1106,7 +1106,7 @@
     """A worker that leaves gets no new work in time, while configurations
     arrive that take seconds to transfer, in a watch or in a snapshot."""
     for compacted in (False, True):
-        await check_leaving_behind_config(net + 50 * compacted, compacted)
+        await check_leaving_behind_config(net + 200 * compacted, compacted)
 
 
 class FullListener:
