A host of an older build is not answered before a stream's version is known

What callers saw: while hosts are replaced, a stream that is taken up within some 20 ms of its first event, at a host of an older build, was refused with 503.

Cause: the first event of a process that is not known yet leaves a mark, which only builds from 7 on read. Others were answered "no version" at once; they take a host's first answer for its last one, and refuse once all have answered (log of a failed run: took_ms=0 to 2, answers=3 of 3, outcome=unknown, 15 ms after ev=origin outcome=unknown_process). They ask again after 100 ms and wait for 250 ms, but drop the second answer of a host that has answered.

Change: such a host gets no answer while the version is not known and the pool has several; it asks again. Where the pool has one, it is still answered at once with two versions, so that it doesn't take the listed one for the stream's. A mark of a process that is listed by now is answered with its version.

--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -548,6 +548,19 @@
 	}
 }
 
+/* Returns the version of the process that a mark is of, if that process is
+ * listed, else what is known. */
+static uint32_t mark_version(const struct proxyd *proxyd, const char *pool,
+			     uint32_t known)
+{
+	const struct fleet_worker *worker;
+
+	if (origin_knowledge(known) != ORIGIN_PROCESS)
+		return known;
+	worker = fleet_find_mark(proxyd->fleet, pool, known);
+	return worker ? worker->version : known;
+}
+
 /* Finds out the version of a stream of which a mark is known, as far as that is
  * possible now; returns it, or what is known. */
 static uint32_t mark_resolve(struct proxyd *proxyd,
@@ -563,9 +576,10 @@
 	if (known == 0 || origin_is_known(known))
 		return known;
 	origin_put(proxyd->origin, stream, known, 0, now);
+	known = mark_version(proxyd, request->pool, known);
+	if (origin_is_known(known))
+		return known;
 	worker = fleet_find_mark(proxyd->fleet, request->pool, known);
-	if (worker && origin_knowledge(known) == ORIGIN_PROCESS)
-		return worker->version;
 	/* It has begun there if the listed process still runs. */
 	if (worker)
 		process_watch(proxyd, worker, request, stream);
@@ -688,9 +702,16 @@
 	if (!peer_writes_streams(from->info.incarnation))
 		answer.versions =
 			versions_for_older(proxyd, ask->pool, answer.versions);
+	if (!peer_reads_marks(from->info.incarnation))
+		answer.stream.software =
+			mark_version(proxyd, ask->pool, answer.stream.software);
 	if (!reads_origin(from, answer.stream.software)) {
+		/* It takes an answer without a version for the final one; left
+		 * without one, it asks again. */
+		if (answer.versions > 1)
+			return;
 		answer.stream.software = 0;
-		answer.versions = MAX(answer.versions, 2);
+		answer.versions = 2;
 	}
 	rpc_send_origin_answer(proxyd->rpc, from->info.rpc, &answer);
 }
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -324,12 +324,13 @@
     await asyncio.sleep(CONFIG_BOUND_S)
 
 
-async def test_proxy_resumed_stream_keeps_version(net):
-    """Streams that callers take up at any host go on at the version of the
-    workers that began them, whatever the others serve."""
+async def take_streams_up(net, report_delay_s):
+    """Takes 60 streams of three versions up at any of four hosts."""
     async with Rig(net, hosts=4, llm=6) as rig:
         await rig.wait_membership()
         await list_versions(rig, ("v1", "v1.1", "v1", "v1.1", "v2", "v2"))
+        for worker in rig.workers_of("llm"):
+            worker.report_delay_s = report_delay_s
         results = []
         await asyncio.gather(*(resume_stream(rig, None, i, results)
                                for i in range(60)))
@@ -337,6 +338,18 @@
         check_resumed(results, RESUMED_SHARE)
 
 
+async def test_proxy_resumed_stream_keeps_version(net):
+    """Streams that callers take up at any host go on at the version of the
+    workers that began them, whatever the others serve."""
+    await take_streams_up(net, 0)
+
+
+async def test_proxy_stream_of_unknown_process_taken_up(net):
+    """The same while it is not known yet which process began the streams, as
+    workers say so late."""
+    await take_streams_up(net, 0.05)
+
+
 async def test_proxy_resumed_stream_keeps_version_after_kill(net):
     """The same if the host that began a stream is killed right after its first
     events."""
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -148,6 +148,7 @@
 		run "beside_$commit" python3 tests/proxy.py --jobs 8 "$@"
 }
 PROMISES="test_proxy_resumed_stream_keeps_version
+test_proxy_stream_of_unknown_process_taken_up
 test_proxy_resumed_stream_keeps_version_after_kill
 test_proxy_stream_of_former_version_after_all_killed
 test_proxy_stream_goes_on_after_all_killed
@@ -162,6 +163,8 @@
 beside 90eb445 odd $PROMISES test_proxy_rolling_upgrade
 # shellcheck disable=SC2086
 beside 0022ce1 even $PROMISES
+# shellcheck disable=SC2086
+beside 97a73f1 odd $PROMISES
 # Workers that are processes of their own.
 for row in kept-same-id control version-same-id-300 \
 	version-host-paused; do
