The leader's lease lasts as long as leadership may not return

Cause: the lease was 0.8 times lease_ms, as a change there and back "takes two expired leases". A planned stop revokes the lease, so that it takes one: the next leader, killed at once, is replaced after 2.4 s, by the former one. And a lease that was held for 2.4 s was taken for one that may be revoked.

Ruled out: calls that are on their way when the lease is revoked (it is not revoked then). Weighed: no revocation (the duties rest for up to a lease at each planned stop); a mark of the host that has resigned in the store (one more write, which may be lost).

Change: the lease is lease_ms. So the key of each leader exists for lease_ms at least, and a former leader waits for that long. A leader that is killed is replaced up to 0.6 s later.

--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -6,7 +6,6 @@
 #include "../wire/json.h"
 
 #define USAGE_SETTLE_MS 2500 /* after a window's end, for all reports */
-#define LEASE_SHARE 0.8	     /* of lease_ms */
 /* How long after a start the other hosts and their ranks are known, or sooner
  * if this share of the hosts listed in the store is known. */
 #define RANK_SETTLE_MS 3000
@@ -22,14 +21,6 @@
 			   int64_t revision);
 static void window_send(struct proxyd *proxyd);
 
-clk_ms leader_lease_ms(const struct proxyd *proxyd)
-{
-	/* lease_ms is the time within which leadership must not pass to another
-	 * host and back. That takes two expired leases, so a lease may be
-	 * shorter than it, and a lost leader is replaced sooner. */
-	return (clk_ms)((double)proxyd->conf->lease_ms * LEASE_SHARE);
-}
-
 void leader_start(struct proxyd *proxyd)
 {
 	proxyd->leader = g_new0(struct leader, 1);
@@ -358,7 +349,7 @@
 	case LEASE_ACT_NONE:
 		return;
 	case LEASE_ACT_REQUEST:
-		kv_lease_grant(proxyd->kv, leader_lease_ms(proxyd),
+		kv_lease_grant(proxyd->kv, proxyd->conf->lease_ms,
 			       on_lease_granted, proxyd);
 		return;
 	case LEASE_ACT_RENEW:
@@ -381,7 +372,7 @@
 
 	/* A leader whose lease the store has lost may still act. */
 	if (restored_at &&
-	    proxyd_now(proxyd) - restored_at < leader_lease_ms(proxyd))
+	    proxyd_now(proxyd) - restored_at < proxyd->conf->lease_ms)
 		return false;
 	return settled && follow_ready(proxyd) && !proxyd->stopping &&
 	       proxyd->feed.role == FEED_FOLLOWER;
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -501,7 +501,7 @@
 	proxyd->open_requests = g_hash_table_new(NULL, NULL);
 	wall_init(&proxyd->wall, g_get_real_time() / 1000, proxyd_boot_now());
 	usage_init(&proxyd->usage, (clk_ms)(conf->usage_window_s * CLK_SECOND));
-	lease_init(&proxyd->leader_lease, leader_lease_ms(proxyd));
+	lease_init(&proxyd->leader_lease, proxyd->conf->lease_ms);
 }
 
 static void loop_start(struct proxyd *proxyd)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -479,7 +479,6 @@
 
 /* proxyd-leader.c and proxyd-scale.c: the leader's duties */
 /* Duration of the leader's lease, in ms. */
-clk_ms leader_lease_ms(const struct proxyd *proxyd);
 void leader_start(struct proxyd *proxyd);
 void leader_tick(struct proxyd *proxyd);
 /* An item under OWN_PREFIX has changed. */
--- a/decide/lease.h
+++ b/decide/lease.h
@@ -7,8 +7,8 @@
  * that is known to have succeeded covers the present, by a clock that counts
  * suspended time, and well before its lease can expire; so the previous leader
  * has stopped when the key is free. A lease that was held for less than its
- * duration is not revoked but left to expire, which limits how fast the leader
- * can change.
+ * duration is not revoked but left to expire: the key of each leader exists for
+ * one duration at least, so none leads again sooner after another one.
  */
 #ifndef DECIDE_LEASE_H
 #define DECIDE_LEASE_H
@@ -46,6 +46,8 @@
 	clk_ms free_since; /* since when the key is known to be missing */
 };
 
+/* duration: of a lease, and the least time, in ms, after which a former leader
+ * may lead again. */
 void lease_init(struct lease *lease, clk_ms duration);
 /* The leader's key was found to exist or to be missing; ours: it is that of
  * this host's lease. */
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -41,6 +41,7 @@
                        # is taken up
 REJECT_BOUND_S = 0.5   # for a stream that can't go on
 STABLE_WINDOW_S = 3.0  # from the fifth crash on one prompt part
+LEASE_S = 3.0          # lease_ms of proxyrig.py
 NOT_EXECUTED = (408, 421, 429, 503)  # statuses that guarantee no execution
 
 
@@ -3511,6 +3512,34 @@
         check_duties(rig.cloud)
 
 
+async def test_proxy_leadership_does_not_return_too_soon(net):
+    """From the end of one leader to that of the next one it takes lease_ms at
+    least, however they end: the former one may lead again after that."""
+    async with Rig(net, hosts=3, llm=1, api=1) as rig:
+        await rig.wait_membership()
+
+        def leader():
+            item = rig.store.items.get("rw/holder")
+            return item and json.loads(item[0])["host"]
+
+        async def next_leader():
+            await rig.wait_until("a leader", leader, 15)
+            return [h for h in rig.hosts if h.name == leader()][0]
+
+        async def ended():
+            await rig.wait_until("its end", lambda: not leader(), 15)
+            return time.monotonic()
+        ends = []
+        for held_s, end in ((3.3, signal.SIGTERM), (0, signal.SIGKILL),
+                            (2.6, signal.SIGTERM)):
+            host = await next_leader()
+            await asyncio.sleep(held_s)
+            host.signal(end)
+            ends.append(await ended())
+        spans = [b - a for a, b in zip(ends, ends[1:])]
+        assert min(spans) >= LEASE_S, spans
+
+
 async def test_proxy_leader_gets_all_reports_after_restart(net):
     """After a restart of all hosts, a host may take the lease before it knows
     its rank; the duties must still end at one leader that receives the reports
