Members: an ack of a host that is listed as dead is not answered

Cause: a message of a host that is listed as dead is answered with its death, whatever the message; neither side reads the answer, as its sender is dead.

Ruled out: loss (the loops end with the first lost datagram, so 5% of loss hide them).

Change: pings and requests for probes are answered, acks are not.

--- a/decide/member-msg.c
+++ b/decide/member-msg.c
@@ -195,7 +195,10 @@
 		return;
 	sender = member_get(list, msg->updates[0].incarnation);
 	if (sender && sender->info.state == MEMBER_DEAD) {
-		reply_declared_dead(list, sender, msg->probe);
+		/* Two hosts that take each other for dead would answer each
+		 * other's acks for good. */
+		if (msg->kind != MEMBER_ACK)
+			reply_declared_dead(list, sender, msg->probe);
 		return;
 	}
 	set_replaced_dead(list, &msg->updates[0], now);
--- a/tests/sim-member.c
+++ b/tests/sim-member.c
@@ -7,11 +7,15 @@
  * a part of the others is paused. Prints how long they take to know all hosts
  * that run, and the cost.
  *
+ * With --cuts the hosts are split into groups that don't reach each other every
+ * few seconds, for long enough that they declare each other dead. Prints how
+ * long after the cut's end they all know each other again, and the cost.
+ *
  * Usage: sim-member [--hosts N] [--loss PERCENT] [--seconds N] [--seed N]
- *                   [--starts [--paused PERCENT]]
+ *                   [--starts [--paused PERCENT] | --cuts]
  * Exits with 1 if a host does not detect the death or a live host is declared
- * dead; with --starts, if a host does not know all others in time or control
- * costs too much.
+ * dead; with --starts and --cuts, if a host does not know all others in time or
+ * control costs too much.
  */
 #include <math.h>
 #include <popt.h>
@@ -34,6 +38,8 @@
 #define PAUSE_MS 3000	    /* of hosts that are paused at a start */
 #define KNOWN_MS 2000	    /* within which a host must know all others */
 #define KNOWN_ALL_MS 2500   /* the same where all hosts start at once */
+#define CUT_EVERY_MS 30000  /* between two cuts */
+#define CUT_MAX_MS 12000    /* how long one lasts at most */
 #define PINGS_MAX 128	    /* listed hosts that a new one pings */
 #define UPDATE_BYTES 80	    /* of an update in a datagram */
 #define MEMBER_BYTES 27	    /* of a member in a compressed full exchange */
@@ -46,6 +52,7 @@
 	unsigned starts;
 	clk_ms started_at;
 	bool renewed; /* took its incarnation as it was declared dead */
+	int group;    /* reaches only hosts of the same one */
 	clk_ms paused_until;
 	clk_ms detected_at; /* when it declared the victim dead; 0: not yet */
 	bool knows_all;	    /* or has been found late */
@@ -58,8 +65,12 @@
 	int count;
 	int loss; /* lost datagrams, in per cent */
 	int victim;
-	int paused;	       /* hosts paused at a start, in per cent */
-	bool starts;	       /* hosts start again, none is killed for good */
+	int paused;  /* hosts paused at a start, in per cent */
+	bool renews; /* hosts that were declared dead go on */
+	int cut_count;
+	int late_cuts;	  /* that not all hosts had healed in time */
+	clk_ms healed_at; /* the last one; 0: all know each other since */
+	clk_ms slowest_heal;
 	int pair[2];	       /* that start again */
 	int started;	       /* hosts that did */
 	int late;	       /* that did not know all others in time */
@@ -94,6 +105,11 @@
 	return (double)clock() / CLOCKS_PER_SEC;
 }
 
+static bool reaches(const struct cluster *cluster, int from, int to)
+{
+	return cluster->nodes[from].group == cluster->nodes[to].group;
+}
+
 static void packet_arrive(void *ctx, void *arg)
 {
 	struct cluster *cluster = ctx;
@@ -117,13 +133,15 @@
 	struct node *node = ctx;
 	struct cluster *cluster = node->cluster;
 	struct packet *packet;
+	int to = (int)strtol(rpc, NULL, 10);
 
 	node->updates += msg->update_count;
-	if (sim_chance(cluster->sim, (guint)cluster->loss * 10))
+	if (!reaches(cluster, (int)(node - cluster->nodes), to) ||
+	    sim_chance(cluster->sim, (guint)cluster->loss * 10))
 		return;
 	packet = g_new(struct packet, 1);
 	packet->cluster = cluster;
-	packet->to = (int)strtol(rpc, NULL, 10);
+	packet->to = to;
 	packet->msg = *msg;
 	sim_after(cluster->sim, 1 + sim_random(cluster->sim, DELAY_MS),
 		  packet_arrive, cluster, packet);
@@ -162,7 +180,8 @@
 	struct node *peer = &cluster->nodes[exchange->to];
 	const GPtrArray *order = peer->list->order;
 
-	if (peer->dead || cluster->sim->now < peer->paused_until) {
+	if (peer->dead || cluster->sim->now < peer->paused_until ||
+	    !reaches(cluster, exchange->from, exchange->to)) {
 		exchange_free(exchange);
 		return;
 	}
@@ -229,7 +248,7 @@
 	char incarnation[RID_INCARNATION_MAX + 1];
 
 	cluster->declared_dead++;
-	if (!cluster->starts)
+	if (!cluster->renews)
 		return;
 	incarnation_next(node, incarnation, sizeof(incarnation));
 	node->renewed = true;
@@ -305,6 +324,72 @@
 	node->knows_all = true;
 }
 
+/* Whether all hosts know each other and take none for dead. */
+static bool all_know_each_other(const struct cluster *cluster)
+{
+	for (int i = 0; i < cluster->count; i++)
+		for (int j = 0; j < cluster->count; j++)
+			if (i != j &&
+			    !member_is_live(
+				    cluster->nodes[i].list,
+				    cluster->nodes[j].list->self.incarnation))
+				return false;
+	return true;
+}
+
+/* Notes when all hosts know each other after a cut. */
+static void heal_check(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+	clk_ms age = cluster->sim->now - cluster->healed_at;
+
+	(void)arg;
+	/* The next cut has begun. */
+	if (!cluster->healed_at)
+		return;
+	if (!all_know_each_other(cluster)) {
+		sim_after(cluster->sim, TICK_MS, heal_check, cluster, NULL);
+		return;
+	}
+	cluster->late_cuts += age > KNOWN_MS;
+	cluster->slowest_heal = MAX(cluster->slowest_heal, age);
+	cluster->healed_at = 0;
+}
+
+static void cut_end(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+
+	(void)arg;
+	for (int i = 0; i < cluster->count; i++)
+		cluster->nodes[i].group = 0;
+	cluster->healed_at = cluster->sim->now;
+	heal_check(cluster, NULL);
+}
+
+/* Splits the hosts into two halves, three parts, or one host and the rest. */
+static void cut_begin(void *ctx, void *arg)
+{
+	struct cluster *cluster = ctx;
+	struct sim *sim = cluster->sim;
+	unsigned parts = 1 + sim_random(sim, 3);
+	clk_ms lasts = 1000 + (clk_ms)sim_random(sim, CUT_MAX_MS - 1000);
+
+	(void)arg;
+	/* Hosts that still don't know each other are late. */
+	cluster->late_cuts += cluster->healed_at != 0;
+	cluster->healed_at = 0;
+	cluster->cut_count++;
+	for (int i = 0; i < cluster->count; i++)
+		cluster->nodes[i].group =
+			parts == 1 ? 0 : (int)sim_random(sim, parts);
+	if (parts == 1)
+		cluster->nodes[sim_random(sim, (guint)cluster->count)].group =
+			1;
+	sim_after(sim, lasts, cut_end, cluster, NULL);
+	sim_after(sim, CUT_EVERY_MS, cut_begin, cluster, NULL);
+}
+
 static void node_tick(void *ctx, void *arg)
 {
 	struct cluster *cluster = ctx;
@@ -441,18 +526,44 @@
 	return undetected == 0 && cluster->false_deaths == 0;
 }
 
-/* Prints the results of starts; returns whether all hosts knew the others in
- * time, at a bounded cost. */
-static bool report_starts(struct cluster *cluster, int seconds)
+/* Returns the bytes that a host has sent a second, and the datagrams of all. */
+static double cost(const struct cluster *cluster, int seconds, uint64_t *sent)
 {
 	double bytes = (double)cluster->exchanged * MEMBER_BYTES;
-	uint64_t sent = 0;
 
+	*sent = 0;
 	for (int i = 0; i < cluster->count; i++) {
-		sent += cluster->nodes[i].list->sent;
+		*sent += cluster->nodes[i].list->sent;
 		bytes += (double)cluster->nodes[i].updates * UPDATE_BYTES;
 	}
-	bytes /= (double)cluster->count * seconds;
+	return bytes / ((double)cluster->count * seconds);
+}
+
+/* Prints the results of cuts; returns whether all hosts knew each other in time
+ * after each, at a bounded cost. */
+static bool report_cuts(struct cluster *cluster, int seconds)
+{
+	uint64_t sent;
+	double bytes = cost(cluster, seconds, &sent);
+
+	printf("hosts %d loss %d%%: %d cuts of %d healed late, all others "
+	       "known after at most %" G_GINT64_FORMAT
+	       " ms, per host and second %.2f datagrams, %.3f exchanges, "
+	       "%.0f bytes\n",
+	       cluster->count, cluster->loss, cluster->late_cuts,
+	       cluster->cut_count, cluster->slowest_heal,
+	       (double)sent / cluster->count / seconds,
+	       (double)cluster->exchanges / cluster->count / seconds, bytes);
+	return cluster->late_cuts == 0 && bytes <= CONTROL_BYTES;
+}
+
+/* Prints the results of starts; returns whether all hosts knew the others in
+ * time, at a bounded cost. */
+static bool report_starts(struct cluster *cluster, int seconds)
+{
+	uint64_t sent;
+	double bytes = cost(cluster, seconds, &sent);
+
 	printf("hosts %d loss %d%% paused %d%%: %d hosts of %d late, all "
 	       "others "
 	       "known after at most %" G_GINT64_FORMAT " ms, where all start "
@@ -471,6 +582,7 @@
 	int seconds = 60;
 	int seed = 1;
 	int starts = 0;
+	int cuts = 0;
 	bool ok;
 	struct poptOption options[] = {
 		{ "hosts", 'n', POPT_ARG_INT, &cluster.count, 0,
@@ -479,6 +591,8 @@
 		  "share of datagrams lost", "PERCENT" },
 		{ "starts", 'r', POPT_ARG_NONE, &starts, 0, "hosts start again",
 		  NULL },
+		{ "cuts", 'c', POPT_ARG_NONE, &cuts, 0,
+		  "hosts are cut into groups", NULL },
 		{ "paused", 'p', POPT_ARG_INT, &cluster.paused, 0,
 		  "share of hosts paused at a start", "PERCENT" },
 		{ "seconds", 't', POPT_ARG_INT, &seconds, 0,
@@ -495,7 +609,7 @@
 			(int)cluster.count, (int)cluster.victim + 1);
 		return 2;
 	}
-	cluster.starts = starts;
+	cluster.renews = starts || cuts;
 	cluster.sim = sim_create((guint32)seed);
 	cluster.nodes = g_new0(struct node, cluster.count);
 	for (int i = 0; i < cluster.count; i++) {
@@ -503,10 +617,20 @@
 		sim_after(cluster.sim, sim_random(cluster.sim, PERIOD_MS),
 			  node_tick, &cluster, &cluster.nodes[i]);
 	}
-	sim_after(cluster.sim, starts ? START_EVERY_MS : (clk_ms)seconds * 500,
-		  starts ? pair_end : kill_victim, &cluster, NULL);
+	if (cuts)
+		sim_after(cluster.sim, START_EVERY_MS, cut_begin, &cluster,
+			  NULL);
+	else if (starts)
+		sim_after(cluster.sim, START_EVERY_MS, pair_end, &cluster,
+			  NULL);
+	else
+		sim_after(cluster.sim, (clk_ms)seconds * 500, kill_victim,
+			  &cluster, NULL);
 	sim_run(cluster.sim, (clk_ms)seconds * CLK_SECOND);
-	ok = starts ? report_starts(&cluster, seconds)
-		    : report(&cluster, seconds);
+	if (cuts)
+		ok = report_cuts(&cluster, seconds);
+	else
+		ok = starts ? report_starts(&cluster, seconds)
+			    : report(&cluster, seconds);
 	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -461,7 +461,18 @@
 	(void)member;
 }
 
+static unsigned msgs_sent;
+
+static void op_send(void *ctx, const char *rpc, const struct member_msg *msg)
+{
+	(void)ctx;
+	(void)rpc;
+	(void)msg;
+	msgs_sent++;
+}
+
 static const struct member_ops quiet_ops = {
+	.send = op_send,
 	.random = op_random,
 	.changed = op_changed,
 };
@@ -515,6 +526,31 @@
 }
 END_TEST
 
+static const struct {
+	enum member_msg_kind kind;
+	unsigned answers;
+} dead_sender_cases[] = {
+	{ MEMBER_PING, 1 },
+	{ MEMBER_PING_REQ, 1 },
+	{ MEMBER_ACK, 0 }, /* it may take this host for dead, too */
+};
+
+START_TEST(members_do_not_answer_acks_of_the_dead)
+{
+	struct member_list *list = quiet_list("h0~1", "h0:1");
+	struct member_msg msg = { .kind = dead_sender_cases[_i].kind,
+				  .update_count = 1 };
+
+	quiet_add(list, "h1~1", "h1:1", MEMBER_DEAD);
+	g_strlcpy(msg.updates[0].incarnation, "h1~1",
+		  sizeof(msg.updates[0].incarnation));
+	msgs_sent = 0;
+	member_on_msg(list, &msg, 2000);
+	ck_assert_uint_eq(msgs_sent, dead_sender_cases[_i].answers);
+	member_list_free(list);
+}
+END_TEST
+
 static bool accepts_some(const char *incarnation)
 {
 	return incarnation[0] != 'x';
@@ -571,6 +607,8 @@
 			    G_N_ELEMENTS(trace_cases));
 	tcase_add_loop_test(tcase, dead_members_may_be_running, 0,
 			    G_N_ELEMENTS(running_cases));
+	tcase_add_loop_test(tcase, members_do_not_answer_acks_of_the_dead, 0,
+			    G_N_ELEMENTS(dead_sender_cases));
 	tcase_add_loop_test(tcase, members_rank_alike, 0, 8);
 	return suite;
 }
