--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -12,13 +12,14 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxy import main  # noqa: E402
 from proxyrig import ROUTES, Rig, config  # noqa: E402
-from proxyversions import (EVENT_GAP_S, EVENTS, begin, check,  # noqa: E402
-                           play_rows, replace, started, take_up)
+from proxyversions import (EVENT_GAP_S, EVENTS, Stream, begin,  # noqa: E402
+                           check, play_rows, replace, started)
 
 FIRST_NET = 130  # after those of proxyversions.py, in the next /16
 LONG_ROUTES = {path: dict(ROUTES[path], timeout_ms=9000)
                for path in ("/s/", "/s1/")}
 EARLY = 2  # events that a caller has got when something happens
+EARLY_S = EARLY * EVENT_GAP_S  # the same, where the caller reads on
 ROUTE_S = 1.0  # until a route applies
 
 
@@ -27,6 +28,28 @@
     await asyncio.sleep(ROUTE_S)
 
 
+async def goes_on(row, stream, whole, first_event_s=0, has_room=False):
+    """Plays a stream that begins, and goes on elsewhere after a few events."""
+    await stream.begin()
+    await stream.read(EARLY, first_event_s + EARLY_S)
+    await stream.go_on(has_room)
+    check(row, stream.parts, whole)
+
+
+async def name_process(rig, host, worker, in_use):
+    """A connection of the host has named the worker's process, and is idle or used
+    by another stream. Returns the connections on which it was named."""
+    caller, _ = await begin(rig, host, worker)
+    await asyncio.sleep(0.2)
+    named = [w for w in worker.writers if getattr(w, "reports", False)]
+    if in_use:
+        await begin(rig, host, worker)
+        await asyncio.sleep(0.1)
+    caller.close()
+    await asyncio.sleep(0.1)
+    return named
+
+
 # Reports of the workers, none of which is replaced: how late they are, in s, and
 # how bad.
 REPORTS = [(0, None), (0.02, None)]
@@ -42,17 +65,7 @@
         first, other = rig.workers_of("llm")
         for worker in (first, other):
             worker.report_delay_s, worker.report_fault = delay_s, fault
-        caller, ident = await begin(rig, rig.hosts[0], first)
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=EARLY))
-            caller.close()
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            await asyncio.sleep(EARLY * EVENT_GAP_S)
-            first.end_process()
-            parts.append(await caller.receive())
-        check(row, parts, True)
+        await goes_on(row, Stream(rig, first, by_caller), True, has_room=True)
 
 
 async def test_process_report_host_resumes(net):
@@ -85,31 +98,9 @@
     version, is_silent, in_use = row
     async with started(net, ("v1", "v1")) as rig:
         first = rig.workers_of("llm")[0]
-        host = rig.hosts[0]
-        caller, _ = await begin(rig, host, first)
-        await asyncio.sleep(0.2)
-        named = [w for w in first.writers if getattr(w, "reports", False)]
-        if in_use:
-            await begin(rig, host, first)
-            await asyncio.sleep(0.1)
-        caller.close()
-        await asyncio.sleep(0.1)
-        first.version = version
-        await first.replace_process(first.ident, False,
-                                    named if is_silent else ())
-        await asyncio.sleep(0.1)
-        caller, ident = await begin(rig, host, first)
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=EARLY))
-            caller.close()
-            first.mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            await asyncio.sleep(EARLY * EVENT_GAP_S)
-            first.end_process()
-            parts.append(await caller.receive())
-        check(row, parts, False)
+        named = await name_process(rig, rig.hosts[0], first, in_use)
+        await replace(rig, first, version, silent=named if is_silent else ())
+        await goes_on(row, Stream(rig, first, by_caller), False)
 
 
 async def test_process_named_connection_shows_no_end_host_resumes(net):
@@ -136,14 +127,14 @@
         first = rig.workers_of("llm")[0]
         await replace(rig, first, version)
         first.report_delay_s, first.report_fault = delay_s, fault
-        caller, ident = await begin(rig, rig.hosts[0], first)
-        parts = [await caller.receive(events=EARLY)]
-        caller.close()
+        stream = Stream(rig, first, True)
+        await stream.begin()
+        await stream.read(EARLY)
+        stream.leave()
         if kills:
             rig.hosts[0].kill()
-        first.mode = "full"
-        parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        check(row, parts, False)
+        await stream.go_on()
+        check(row, stream.parts, False)
 
 
 async def test_process_late_report_caller_resumes(net):
@@ -163,7 +154,7 @@
 LATE_FORWARDED = [(0.3, None, 0.1), (0, 503, 0.1)]
 
 
-async def forwarded(net, row, _):
+async def forwarded(net, row):
     delay_s, fault, first_event_s = row
     async with started(net, ("v1", "v1")) as rig:
         await lengthen_routes(rig)
@@ -202,12 +193,12 @@
 async def test_process_forwarding_host_goes_on(net):
     """Guards against a forwarded stream that is broken off as the other host had
     no answer yet which process began it."""
-    await play_rows(net, forwarded, FORWARDED, False)
+    await play_rows(net, forwarded, FORWARDED)
 
 
 async def test_process_forwarding_host_goes_on_late_report(net):
     """The same with reports that are late or bad (known red)."""
-    await play_rows(net, forwarded, LATE_FORWARDED, False)
+    await play_rows(net, forwarded, LATE_FORWARDED)
 
 
 # Workers of the version, those that start again at it at the same time, after how
@@ -219,11 +210,10 @@
     count, replaced, listed_s = row
     async with started(net, ("v1",) * count) as rig:
         workers = rig.workers_of("llm")
-        caller, ident = await begin(rig, rig.hosts[0], workers[0])
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=EARLY))
-            caller.close()
+        stream = Stream(rig, workers[0], by_caller)
+        await stream.begin()
+        await stream.read(EARLY)
+        stream.leave()
         for i in replaced:
             await workers[i].replace_process(workers[i].ident, False)
 
@@ -234,14 +224,9 @@
         later = asyncio.create_task(list_later())
         if not listed_s:
             await asyncio.sleep(0.3)
-        if by_caller:
-            workers[0].mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            workers[0].end_process()
-            parts.append(await caller.receive())
+        await stream.go_on()
         await later
-        check(row, parts, True)
+        check(row, stream.parts, True)
 
 
 async def test_process_same_version_late_entry_host_resumes(net):
@@ -267,20 +252,15 @@
     async with started(net, ("v1",) * count) as rig:
         await lengthen_routes(rig)
         workers = rig.workers_of("llm")
-        caller, ident = await begin(rig, rig.hosts[0], workers[0])
-        if by_caller:
-            part = await caller.receive(events=EARLY)
-            caller.close()
+        stream = Stream(rig, workers[0], by_caller)
+        await stream.begin()
+        await stream.read(EARLY)
+        stream.leave()
         target = workers[1]
         target.report_delay_s = delay_s
         for worker in workers[2:]:
             worker.mode = "full"
-        if by_caller:
-            workers[0].mode = "full"
-            task = asyncio.create_task(take_up(rig.hosts[1], ident, part))
-        else:
-            workers[0].end_process()
-            task = asyncio.create_task(caller.receive())
+        task = asyncio.create_task(stream.go_on())
         await asyncio.sleep(0.3)
         if how == "draining":
             rig.store.put("servers/" + target.ident, target.entry(
@@ -290,10 +270,10 @@
         acked = time.monotonic()
         for worker in workers[2:]:
             worker.mode = "ok"
-        got = await task
+        await task
         late = {i: at - acked - DRAIN_S for i, at in target.received_at.items()
                 if at - acked > DRAIN_S}
-        assert not late, (row, late, got.status)
+        assert not late, (row, late, stream.parts[-1].status)
 
 
 async def test_process_late_report_of_leaving_worker_host_resumes(net):
@@ -311,7 +291,7 @@
 TWICE = [("POST", "/s/x"), ("POST", "/s1/x"), ("HEAD", "/s/x"), ("GET", "/s/x")]
 
 
-async def twice(net, row, _):
+async def twice(net, row):
     method, path = row
     async with started(net, ("v1", "v1")) as rig:
         for worker in rig.workers_of("llm"):
@@ -333,7 +313,7 @@
 async def test_process_second_report_is_no_answer(net):
     """Guards against a late second report, on a connection in use again, that is
     taken for the response to another request."""
-    await play_rows(net, twice, TWICE, False)
+    await play_rows(net, twice, TWICE)
 
 
 # How long the worker is dark, in s, and the path of the stream that it ran then.
@@ -351,13 +331,7 @@
         first.event_count = 200
         caller, _ = await begin(rig, host, first)
         await asyncio.sleep(0.2)
-        for _ in range(60):
-            other = host.caller()
-            ident = await other.send("POST", path, b"b", remaining_ms=8000)
-            await rig.wait_until("the run", lambda i=ident: rig.executed_by(i))
-            if ident in first.executed:
-                break
-            other.close()
+        await begin(rig, host, first, path)
         caller.close()
         await asyncio.sleep(0.1)
         for each in rig.hosts:
@@ -368,18 +342,7 @@
         for each in rig.hosts:
             first.cut_links(each.ip, None)
         first.event_count = EVENTS
-        caller, ident = await begin(rig, host, first)
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=EARLY))
-            caller.close()
-            first.mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            await asyncio.sleep(EARLY * EVENT_GAP_S)
-            first.end_process()
-            parts.append(await caller.receive())
-        check(row, parts, False)
+        await goes_on(row, Stream(rig, first, by_caller), False)
 
 
 async def test_process_worker_back_from_the_dark_host_resumes(net):
@@ -402,20 +365,14 @@
 MOVE_S = 0.3  # from the call to the source's answer
 
 
-async def moved(net, row, _):
+async def moved(net, row):
     version, delay_s, listed, path = row
     async with started(net, ("v1", "v1")) as rig:
         await lengthen_routes(rig)
         source, target = rig.workers_of("llm")
         for worker in (source, target):
             worker.move_delay_s = MOVE_S
-        for _ in range(60):
-            caller = rig.hosts[0].caller()
-            ident = await caller.send("POST", path, b"b", remaining_ms=8000)
-            await rig.wait_until("the run", lambda: rig.executed_by(ident))
-            if ident in source.executed:
-                break
-            caller.close()
+        caller, _ = await begin(rig, rig.hosts[0], source, path)
         rig.store.put("servers/" + source.ident, source.entry(
             state="draining", spot_instance=True, leaves_ms=1000))
         await rig.wait_until("the move", lambda: source.moving)
@@ -428,7 +385,7 @@
 async def test_process_target_of_migration_replaced(net):
     """Guards against a stream that goes on at a process of another version, or is
     broken off, as the worker that it migrates to was replaced meanwhile."""
-    await play_rows(net, moved, MOVED, False)
+    await play_rows(net, moved, MOVED)
 
 
 # When the last bytes of the former process come, which the link has held up: after
@@ -443,39 +400,21 @@
     after_s, first_event_s, delay_s = row
     async with started(net, ("v1", "v1")) as rig:
         first = rig.workers_of("llm")[0]
-        host = rig.hosts[0]
-        caller, _ = await begin(rig, host, first)
-        await asyncio.sleep(0.2)
-        await begin(rig, host, first)
-        await asyncio.sleep(0.1)
-        caller.close()
-        await asyncio.sleep(0.1)
+        await name_process(rig, rig.hosts[0], first, True)
         held = list(first.writers)
-        first.version = "v2"
-        await first.replace_process(first.ident, False, held)
         first.first_event_s, first.report_delay_s = first_event_s, delay_s
-        await asyncio.sleep(0.1)
-        caller, ident = await begin(rig, host, first)
-
-        async def release():
+        await replace(rig, first, "v2", silent=held)
+        stream = Stream(rig, first, by_caller)
+        await stream.begin()
+        if after_s is not None:
             await asyncio.sleep(after_s)
             for writer in held:
                 writer.silent = False
                 writer.write(b"")
                 writer.close()
-        if after_s is not None:
-            await release()
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=EARLY))
-            caller.close()
-            first.mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            await asyncio.sleep(first_event_s + EARLY * EVENT_GAP_S)
-            first.end_process()
-            parts.append(await caller.receive())
-        check(row, parts, False)
+        await stream.read(EARLY, first_event_s + EARLY_S)
+        await stream.go_on()
+        check(row, stream.parts, False)
 
 
 async def test_process_bytes_held_up_host_resumes(net):
@@ -504,20 +443,13 @@
             rig.store.put("servers/" + first.ident, first.entry(
                 version="v2", born=first.born + 1))
             await asyncio.sleep(ahead_s)
-        caller, ident = await begin(rig, rig.hosts[0], first)
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=EARLY))
-        else:
-            await asyncio.sleep(EARLY * EVENT_GAP_S)
+        stream = Stream(rig, first, by_caller)
+        await stream.begin()
+        await stream.read(EARLY, EARLY_S)
         first.report_delay_s = 0
         await replace(rig, first, "v2", True)
-        if by_caller:
-            caller.close()
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            parts.append(await caller.receive())
-        check(row, parts, False)
+        await stream.go_on(has_room=True, lives_on=True)
+        check(row, stream.parts, False)
 
 
 async def test_process_listed_before_it_serves_host_resumes(net):
--- a/tests/proxyversions.py
+++ b/tests/proxyversions.py
@@ -22,20 +22,21 @@
 LISTED_S = 1.0  # until all hosts have a worker's entry
 
 
-async def replace(rig, worker, version, listed=False):
-    """Another process serves the worker's address and id from now on."""
+async def replace(rig, worker, version, listed=False, silent=()):
+    """Another process serves the worker's address and id from now on. Those of the
+    former one's connections that are silent show no end."""
     worker.version = version
-    await worker.replace_process(worker.ident, False)
+    await worker.replace_process(worker.ident, False, silent)
     if listed:
         rig.list_worker(worker)
     await asyncio.sleep(SETTLE_S)
 
 
-async def begin(rig, host, worker):
+async def begin(rig, host, worker, path="/s/x"):
     """Begins a stream at a worker; returns the caller and the stream's id."""
     for _ in range(TRIES):
         caller = host.caller()
-        ident = await caller.send("POST", "/s/x", b"b", remaining_ms=8000)
+        ident = await caller.send("POST", path, b"b", remaining_ms=8000)
         await rig.wait_until("the run", lambda: rig.executed_by(ident))
         if ident in worker.executed:
             return caller, ident
@@ -43,10 +44,45 @@
     raise AssertionError("no stream began at " + worker.ident)
 
 
-async def take_up(host, ident, got):
-    return await host.request(
-        "POST", "/s/x", b"b", remaining_ms=8000, headers=[
-            "Last-Event-Id: %d" % got.event_ids()[-1], "Resumes: " + ident])
+class Stream:
+    """A stream that begins at a worker and goes on elsewhere: its caller takes it up
+    at another host, or its host resumes it."""
+
+    def __init__(self, rig, worker, by_caller):
+        self.rig, self.worker, self.by_caller = rig, worker, by_caller
+        self.parts = []  # responses to its callers
+
+    async def begin(self):
+        self.caller, self.ident = await begin(self.rig, self.rig.hosts[0],
+                                              self.worker)
+
+    async def read(self, events, wait_s=0):
+        """Its caller gets some events, or wait_s pass if the host resumes it."""
+        if self.by_caller:
+            self.parts.append(await self.caller.receive(events=events))
+        else:
+            await asyncio.sleep(wait_s)
+
+    def leave(self):
+        """Its caller leaves, if it is to take the stream up."""
+        if self.by_caller:
+            self.caller.close()
+
+    async def go_on(self, has_room=False, lives_on=False):
+        """Receives the rest. The worker then has no room for the stream unless
+        has_room, or its process ends unless it lives_on."""
+        self.leave()
+        if not self.by_caller:
+            if not lives_on:
+                self.worker.end_process()
+            self.parts.append(await self.caller.receive())
+            return
+        if not has_room:
+            self.worker.mode = "full"
+        self.parts.append(await self.rig.hosts[1].request(
+            "POST", "/s/x", b"b", remaining_ms=8000, headers=[
+                "Last-Event-Id: %d" % self.parts[0].event_ids()[-1],
+                "Resumes: " + self.ident]))
 
 
 def check(row, parts, whole):
@@ -108,22 +144,16 @@
                 for i in replaced:
                     caller, _ = await begin(rig, host, workers[i])
                     await caller.receive()
-        caller, ident = await begin(rig, rig.hosts[0], workers[0])
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=3))
-            caller.close()
+        stream = Stream(rig, workers[0], by_caller)
+        await stream.begin()
+        await stream.read(3)
+        stream.leave()
         for i in replaced:
             await replace(rig, workers[i], version, listed)
         if listed:
             await asyncio.sleep(LISTED_S)
-        if by_caller:
-            workers[0].mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            workers[0].end_process()
-            parts.append(await caller.receive())
-        check(row, parts, whole)
+        await stream.go_on()
+        check(row, stream.parts, whole)
 
 
 async def test_version_worker_replaced_before_host_resumes(net):
@@ -160,22 +190,15 @@
             caller, _ = await begin(rig, rig.hosts[0], first)
             await caller.receive()  # its connection is kept
         await replace(rig, first, version)
-        caller, ident = await begin(rig, rig.hosts[0], first)
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=2))
+        stream = Stream(rig, first, by_caller)
+        await stream.begin()
+        await stream.read(2)
         if listed_s:
             await asyncio.sleep(listed_s)
             rig.list_worker(first)
             await asyncio.sleep(LISTED_S)
-        if by_caller:
-            caller.close()
-            first.mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            first.end_process()
-            parts.append(await caller.receive())
-        check(row, parts, whole)
+        await stream.go_on()
+        check(row, stream.parts, whole)
 
 
 async def test_version_stream_begun_at_unlisted_process_host_resumes(net):
@@ -188,6 +211,7 @@
     """The same if the caller takes the stream up at another host."""
     await play_rows(net, begun, BEGUN, True)
 
+
 # Whether the worker that a stream is moved to has room for it (and then refuses
 # connections), the path, whether the stream must go on. The next process at the
 # first worker has given out the same handle.
