Tests: ends of connections beside a stream share their opening

test_end_process_dies_slowly, _very_slowly and _check_reset_while_connections_end begin with the same host, engine and connections; their rows are tables now, as elsewhere. The same seven rows: (2, 0.03), (2, 0.06), (4, 0.03); (4, 0.06); (2, 0.03), (4, 0.03), (4, 0.06).

--- a/tests/proxyends.py
+++ b/tests/proxyends.py
@@ -5,6 +5,7 @@
 Usage: proxyends.py [--jobs N] [TEST...]
 """
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -152,13 +153,26 @@
             for after in (0.003, 0.01))])
 
 
-async def dies_slowly(net, kept, gap_s):
+@contextlib.asynccontextmanager
+async def engine_with(net, connections):
+    """A host and its only engine, whose streams have no length from now on; each
+    of so many connections has carried a stream that had one."""
     async with Rig(net, llm=1) as rig:
         host, worker = rig.hosts[0], rig.workers_of("llm")[0]
         got = await asyncio.gather(*[
-            host.request("POST", "/s1/x", b"b") for _ in range(kept)])
+            host.request("POST", "/s1/x", b"b") for _ in range(connections)])
         assert all(g.complete for g in got)
         worker.unframed, worker.event_gap_s = "paced", 0.1
+        yield rig, host, worker
+
+
+async def play_rows(net, play, rows):
+    await gather_rows([play(net + 200 * more, *row)
+                       for more, row in enumerate(rows)])
+
+
+async def dies_slowly(net, kept, gap_s):
+    async with engine_with(net, kept) as (rig, host, worker):
         plain, streams, dead = worker.handle_request, [], set()
 
         async def handle_request(head, body, reader, writer):
@@ -183,16 +197,21 @@
         got = await caller.receive()
         assert not got.complete, (kept, gap_s, got.body)
 
+
+# Connections to the engine, and between the ends of two of them, in s.
+DIES_SLOWLY = [(2, 0.03), (2, 0.06), (4, 0.03)]
+DIES_VERY_SLOWLY = [(4, 0.06)]
+
+
 async def test_end_process_dies_slowly(net):
     """The connections of a process that dies, which are closed some time after the
     end of a stream, do not prove that it is whole."""
-    await gather_rows([dies_slowly(net + 200 * more, *row) for more, row in
-                       enumerate([(2, 0.03), (2, 0.06), (4, 0.03)])])
+    await play_rows(net, dies_slowly, DIES_SLOWLY)
 
 
 async def test_end_process_dies_very_slowly(net):
     """The same if the last one is closed 0.24 s after the end (known red)."""
-    await gather_rows([dies_slowly(net, 4, 0.06)])
+    await play_rows(net, dies_slowly, DIES_VERY_SLOWLY)
 
 
 async def test_end_whole_response_of_busy_service(net):
@@ -257,36 +276,36 @@
         assert got.complete, got.body
 
 
+async def check_reset(net, kept, open_s):
+    async with engine_with(net, kept + 1) as (rig, host, worker):
+        caller = host.caller()
+        ident = await caller.send("POST", "/s1/x", b"b")
+        await rig.wait_until("the run", lambda: rig.executed_by(ident))
+        await asyncio.sleep(0.05)
+
+        async def close(writer):
+            return False
+        answers(worker, "/-/report", close)
+        older = [w for w in worker.writers if w is not worker.last]
+        worker.last.close()
+        await asyncio.sleep(open_s)
+        worker.server.close()
+        for writer in older:
+            writer.close()
+        got = await caller.receive()
+        assert not got.complete, got.body
+
+
+# Connections besides that of the stream, and for how long they are open after its
+# end, in s.
+CHECK_RESET = [(2, 0.03), (4, 0.03), (4, 0.06)]
+
+
 async def test_end_check_reset_while_connections_end(net):
     """Guards against a stream that counts as whole in the middle: its process ends,
     its other connections some ms after the stream's, and the check whether it
     still runs is reset in between."""
-    async def row(net, kept, open_s):
-        async with Rig(net, llm=1) as rig:
-            host, worker = rig.hosts[0], rig.workers_of("llm")[0]
-            got = await asyncio.gather(*[
-                host.request("POST", "/s1/x", b"b") for _ in range(kept + 1)])
-            assert all(g.complete for g in got)
-            worker.unframed, worker.event_gap_s = "paced", 0.1
-            caller = host.caller()
-            ident = await caller.send("POST", "/s1/x", b"b")
-            await rig.wait_until("the run", lambda: rig.executed_by(ident))
-            await asyncio.sleep(0.05)
-
-            async def close(writer):
-                return False
-            answers(worker, "/-/report", close)
-            older = [w for w in worker.writers if w is not worker.last]
-            worker.last.close()
-            await asyncio.sleep(open_s)
-            worker.server.close()
-            for writer in older:
-                writer.close()
-            got = await caller.receive()
-            assert not got.complete, got.body
-    await gather_rows([row(net + 200 * more, kept, open_s)
-                       for more, (kept, open_s) in enumerate(
-                           [(2, 0.03), (4, 0.03), (4, 0.06)])])
+    await play_rows(net, check_reset, CHECK_RESET)
 
 
 async def test_end_check_in_progress(net):
