--- a/tests/http.c
+++ b/tests/http.c
@@ -525,6 +525,10 @@
 }
 END_TEST
 
+/* A response that names the process, and one to the request after it. */
+#define NAMED OK200 "Content-Length: 1\r\n\r\nr"
+#define ANSWERED OK200 ID "Content-Length: 2\r\n\r\nhi"
+
 static int64_t named_42(void *ctx)
 {
 	ck_assert(!((struct outcome *)ctx)->done);
@@ -543,49 +547,42 @@
 	int accepted; /* connections */
 } named_cases[] = {
 	{ "to that process",
-	  { { OK200 "Content-Length: 1\r\n\r\nr",
-	      OK200 ID "Content-Length: 2\r\n\r\nhi" },
-	    KEEP_OPEN },
+	  { { NAMED, ANSWERED }, KEEP_OPEN },
 	  42,
 	  "a",
 	  HC_COMPLETE,
 	  "hi",
 	  1 },
 	{ "to another one",
-	  { { OK200 "Content-Length: 1\r\n\r\nr" }, KEEP_OPEN },
+	  { { NAMED }, KEEP_OPEN },
 	  41,
 	  "a",
 	  HC_UNSENT,
 	  "",
 	  1 },
 	{ "to any",
-	  { { OK200 "Content-Length: 1\r\n\r\nr",
-	      OK200 ID "Content-Length: 2\r\n\r\nhi" },
-	    KEEP_OPEN },
+	  { { NAMED, ANSWERED }, KEEP_OPEN },
 	  0,
 	  "a",
 	  HC_COMPLETE,
 	  "hi",
 	  1 },
 	{ "a second first response comes before its own",
-	  { { OK200 "Content-Length: 1\r\n\r\nr",
-	      OK200 "Content-Length: 1\r\n\r\nr" OK200 ID
-		    "Content-Length: 2\r\n\r\nhi" },
-	    KEEP_OPEN },
+	  { { NAMED, NAMED ANSWERED }, KEEP_OPEN },
 	  42,
 	  "a",
 	  HC_COMPLETE,
 	  "hi",
 	  1 },
 	{ "without an id",
-	  { { OK200 "Content-Length: 1\r\n\r\nr" }, KEEP_OPEN },
+	  { { NAMED }, KEEP_OPEN },
 	  0,
 	  NULL,
 	  HC_COMPLETE,
 	  "r",
 	  2 },
 	{ "the connection has ended",
-	  { { OK200 "Content-Length: 1\r\n\r\nr" }, CLOSE },
+	  { { NAMED }, CLOSE },
 	  42,
 	  "a",
 	  HC_UNSENT,
