--- a/daemon/confirm.c
+++ b/daemon/confirm.c
@@ -108,7 +108,8 @@
 		confirm_end(confirm);
 		return;
 	}
-	/* One that never says its start can only be told by its id. */
+	/* Neither the entry nor the process says a start: ask for its id by the
+	 * health check. */
 	if (!asks_start(confirm) || confirm->spec.sent_start ||
 	    answer->started_at || !answer->reached)
 		return;
--- a/daemon/ident.h
+++ b/daemon/ident.h
@@ -29,7 +29,9 @@
 	struct hc_peer *peer;
 	const char *address;
 	const char *worker; /* its id */
-	/* Asked each period, in ms, that passes without an answer. */
+	/* Called each period, in ms, without an answer, with the ms that have
+	 * passed; returns whether to wait on, else the outcome is IDENT_SILENT.
+	 */
 	clk_ms period;
 	bool (*waits)(void *ctx, clk_ms waited);
 	/* Called once, unless the question is cancelled. */
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -376,9 +376,9 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/* Whether a stream that has ended is whole. One without a length and without
- * any event may have been cut off; but a resumed stream may have no more
- * events, unless part of the next one had come. */
+/* Whether a stream that has ended is whole: its last event is complete, and, if
+ * it ended with its connection, it has one. A resumed stream may have none
+ * left, unless the former attempt was cut off within an event. */
 static bool stream_is_whole(const struct xfer *xfer)
 {
 	bool may_be_empty = xfer->px.response_started && !xfer->sse.was_partial;
@@ -660,7 +660,8 @@
 	return fleet_needs_proof(xfer->worker, &xfer->fleet_request);
 }
 
-/* Returns the start of the process that a worker is to be. */
+/* Returns the start of the process that the attempt is meant for, in ms of its
+ * wall clock; 0: not known. */
 static int64_t process_expected(const struct xfer *xfer,
 				const struct fleet_worker *worker)
 {
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -5,7 +5,7 @@
  */
 #include "proxyd-xfer.h"
 
-/* Without an answer, until it is decided what follows. */
+/* Without an answer, between two decisions whether to wait on. */
 #define PERIOD_MS 400
 #define WATCH_MS 2000 /* that an answer to a watch may take */
 /* Questions for an attempt: a worker may close the connection of an answer. */
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -463,7 +463,7 @@
 	     "id=%s stream=%016" G_GINT64_MODIFIER
 	     "x worker=%s outcome=unknown_process",
 	     xfer->id, key_of(xfer, id), xfer->worker->entry.id);
-	/* Perhaps the listed one. */
+	/* The listed process counts as perhaps the one until the answer. */
 	stream_record(xfer, fleet_process_mark(xfer->worker, xfer->worker_start,
 					       false));
 	process_watch(xfer->proxyd, xfer->worker, request, key_of(xfer, id));
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -170,9 +170,10 @@
 /* proxyd-resume.c: streams that callers take up */
 /* The first event of the response is about to be relayed. */
 void resume_on_first_event(struct xfer *xfer);
-/* Another one is. */
+/* A later event is. */
 void resume_on_event(struct xfer *xfer);
-/* It is known which process has begun the stream: by its start. */
+/* Records which process began the stream; process: its start, in ms of its wall
+ * clock. */
 void resume_record(struct xfer *xfer, int64_t process);
 /* Sets what is known of the versions of workers and of the stream, before a
  * worker is chosen. */
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -388,7 +388,8 @@
 /* A process that is not listed has answered in a worker's place. */
 void resume_on_report(struct proxyd *proxyd, const struct fleet_worker *worker,
 		      const struct ident_answer *answer);
-/* A worker's process is listed. */
+/* A worker's process is listed: requests that await an entry may try it again.
+ */
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker);
 void resume_on_keep(void *ctx, const w_origin_keep *keep);
 void resume_on_ask(void *ctx, const w_origin_ask *ask);
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -70,8 +70,8 @@
 	struct permit_holder *holder; /* NULL: it names none */
 	struct permit_issuer *issuer; /* NULL: this host issues no permits */
 	bool lifted;		      /* it has named one before */
-	bool inherited;	 /* read before this process was listed, maybe from the
-			  * former one; no response has named it since */
+	bool inherited;	 /* read before the process was listed, and not since:
+			  * it may be the former one's */
 	clk_ms named_at; /* when a response, here or elsewhere, last named it */
 	clk_ms seen_at;	 /* when one to this host did; 0: never */
 	clk_ms told_at;	 /* the issuer was last told; 0: never */
@@ -101,8 +101,8 @@
 				* if there is no other */
 	struct fleet_health health;
 	unsigned inflight; /* requests that this host has there */
-	/* Listed in its place, at its address, and counts its requests too;
-	 * NULL: none is. */
+	/* The next process, listed at the same id and address; it counts this
+	 * one's requests too. NULL: none. */
 	struct fleet_worker *successor;
 	double prompt_tokens; /* of own requests before their first token */
 	double peer_prompt_tokens; /* the same of other hosts' requests, by
@@ -128,8 +128,8 @@
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
 				   * has not said so */
-	/* Until then responses that came before its process was listed, and may
-	 * be those of the former one, want no requests to it; 0: none do. */
+	/* Until then it wants no requests, by responses that came before its
+	 * process was listed and may be the former one's; 0: by none. */
 	clk_ms doubted_until;
 	struct fleet_limit limit;
 	struct fleet_brittle brittle;
@@ -225,7 +225,7 @@
 void fleet_entry_clear(struct fleet_entry *entry);
 struct fleet_worker *fleet_worker_ref(struct fleet_worker *worker);
 void fleet_worker_unref(struct fleet_worker *worker);
-/* Returns the worker that is listed last in its place, or itself. */
+/* Returns the last of its successors, or itself. */
 struct fleet_worker *fleet_latest(struct fleet_worker *worker);
 /* Whether a worker belongs to the subset of its pool whose load a host
  * receives reports of and samples from; host_key: aggregate_key of the host's
@@ -319,7 +319,7 @@
 /* Whether there is such a worker that the request has not failed at. */
 bool fleet_has_untried(const struct fleet *fleet,
 		       const struct fleet_request *request);
-/* Another process has taken over a worker's id. */
+/* Allows a worker, given by its key, that the request had failed at. */
 void fleet_request_forget(struct fleet_request *request, uint32_t worker);
 /* Keeps a request away from a worker, given by its key; the first one of many
  * is forgotten. */
@@ -328,46 +328,49 @@
  * another one, of another version, may be there under its id until the list of
  * workers says so. */
 void fleet_on_cut(struct fleet_worker *worker, clk_ms now);
-/* A process has answered at a worker's address that started then; 0: another
- * one than the worker. If it is not listed, its version is not known until it
- * is. */
+/* A process has answered at a worker's address. start: in ms of its wall clock;
+ * 0: it has another id. Unless it is the listed one, the worker's version is
+ * not known until the listed one answers, another one is listed, or
+ * fleet_expire forgets it. */
 void fleet_on_process(struct fleet *fleet, struct fleet_worker *worker,
 		      int64_t start, clk_ms now);
-/* That process has run a request that names the worker's id: it has this id, at
- * a version that is not known. */
+/* The process that is not listed runs a request that names the worker's id, so
+ * that is its id; it counts in fleet_versions. */
 void fleet_on_other_serves(struct fleet_worker *worker);
 /* Forgets answers of processes that should be listed by now. */
 void fleet_expire(struct fleet *fleet, clk_ms now);
-/* It was asked, and has not said when it started. */
+/* A worker was asked, and has not said when its process started. */
 void fleet_on_unknown_process(struct fleet_worker *worker, clk_ms now);
 /* Whether a worker can be asked which process it is. */
 bool fleet_says_process(const struct fleet_worker *worker,
 			const struct fleet_request *request);
-/* Whether it may be asked now, beside a request. */
+/* Whether it may be asked now: not shortly after an answer that did not name
+ * the listed process. */
 bool fleet_may_ask_process(const struct fleet_worker *worker,
 			   const struct fleet_request *request, clk_ms now);
-/* Whether the process that has sent something at heard_at, on a connection that
- * was established before since, is the listed one, as another one would be
- * listed by then; listed_at: when the list of workers was last current. */
+/* Whether a process that served a connection from since to heard_at must be the
+ * listed one: another one would be in the list, which was last current at
+ * listed_at. */
 bool fleet_would_be_listed(const struct fleet_worker *worker, clk_ms since,
 			   clk_ms heard_at, clk_ms listed_at);
-/* Whether a process has answered in the pool that should soon be listed: at the
- * version of the request, perhaps. */
+/* Whether a process of the pool has answered that is not listed yet, and may
+ * have the version of the request. */
 bool fleet_awaits_entry(const struct fleet *fleet,
 			const struct fleet_request *request);
-/* Whether a request is sent to a worker only once its process has said that it
- * is the listed one. */
+/* Whether a request may be sent to a worker only on a connection that is known
+ * to lead to the listed process. */
 bool fleet_needs_proof(const struct fleet_worker *worker,
 		       const struct fleet_request *request);
-/* Returns the version of a worker, or FLEET_VERSION_UNKNOWN. Of the request,
- * engine and listed_at apply. */
+/* Returns the version of a worker, or FLEET_VERSION_UNKNOWN. Reads engine and
+ * listed_at of the request. */
 uint32_t fleet_version_of(const struct fleet_worker *worker,
 			  const struct fleet_request *request);
 /* Identifies a software version, "" too, which NULL stands for; an odd number.
  */
 uint32_t fleet_version_key(const char *version);
-/* Returns the mark of a process of a worker for decide/origin; is_sure: the
- * stream has begun there. */
+/* Returns the mark, for decide/origin, of the process of a worker that started
+ * then, in ms of its wall clock; is_sure: it is known to have begun the stream.
+ */
 uint32_t fleet_process_mark(const struct fleet_worker *worker, int64_t start,
 			    bool is_sure);
 /* Returns the worker of a pool whose listed process has a mark, or NULL. */
--- a/decide/origin.h
+++ b/decide/origin.h
@@ -32,21 +32,22 @@
 #define ORIGIN_ASKED 5
 
 /*
- * What is known of the version that began a stream, by the last bits: a
- * version, which is odd, or a mark (see fleet_process_mark) of the process that
- * began it, whose version is not known here, or of one that is listed and
- * perhaps has begun it. No worker has any of the latter as its version.
+ * What a recorded version says of where its stream began, in ascending order. A
+ * software version is odd. Until it is known, an even value takes its place: a
+ * mark, the hash of a worker and of the start of one of its processes (see
+ * fleet_process_mark), or ORIGIN_VERSION_UNKNOWN.
  */
 enum origin_knowledge {
-	ORIGIN_NOTHING,
-	ORIGIN_BEGUN,	/* it has begun, and that is all */
-	ORIGIN_PERHAPS, /* perhaps at a certain process */
-	ORIGIN_PROCESS, /* at a certain process */
-	ORIGIN_VERSION,
+	ORIGIN_NOTHING, /* 0: not recorded */
+	ORIGIN_BEGUN,	/* ORIGIN_VERSION_UNKNOWN: it has begun somewhere */
+	ORIGIN_PERHAPS, /* a mark of the process that was listed, which may
+			 * have begun it */
+	ORIGIN_PROCESS, /* a mark of the process that began it */
+	ORIGIN_VERSION, /* a software version */
 };
 
-#define ORIGIN_MARKS 3 /* bits that tell marks from versions */
-#define ORIGIN_MARK_PERHAPS 0
+#define ORIGIN_MARKS 3	      /* the bits with the kind of mark */
+#define ORIGIN_MARK_PERHAPS 0 /* in these bits */
 #define ORIGIN_MARK_PROCESS 2
 /* In place of a version that is not known. */
 #define ORIGIN_VERSION_UNKNOWN 2
@@ -61,9 +62,10 @@
 void origin_free(struct origin *origin);
 /* Identifies a stream: an account's attempt; NULL: of no account. */
 uint64_t origin_key(const char *account, const char *attempt, size_t len);
-/* Records the version that began a stream, or what else is known of it. Of what
- * was recorded before, what tells more stays. own: of
- * this host and of the pool with that aggregate_key; 0: of another host. */
+/* Records the version that began a stream, or what takes its place (see enum
+ * origin_knowledge); a record that says as much or more stays. own: the
+ * aggregate_key of the pool if this host runs the stream; 0: another host does.
+ */
 void origin_put(struct origin *origin, uint64_t key, uint32_t version,
 		uint32_t own, clk_ms now);
 /* Calls fn for each stream of this host that began in a pool. */
@@ -92,8 +94,8 @@
 struct origin_question {
 	uint64_t key;
 	unsigned asked;	  /* hosts */
-	unsigned keepers; /* of them, if it began beside another version; 0: it
-			   * did not */
+	unsigned keepers; /* of these, those that keep a stream of a pool with
+			   * several versions */
 	uint32_t answered[ORIGIN_ASKED]; /* the keys of those that have */
 	unsigned answers;
 	uint32_t version;  /* that one of them knows; 0: none */
@@ -111,7 +113,7 @@
 };
 
 enum origin_knowledge origin_knowledge(uint32_t version);
-/* Whether a version is one of workers. */
+/* Whether it is a software version, and neither a mark nor "not known". */
 bool origin_is_known(uint32_t version);
 void origin_on_answer(struct origin_question *question,
 		      const struct origin_answer *answer);
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -11,8 +11,9 @@
  * whether such a response is whole.
  *
  * A connection leads to one process of the server as long as it lasts. A
- * response may name that process. Others are known to lead there if the process
- * has served the address before and after they were established.
+ * response may name that process, by a positive number. Another connection to
+ * the address leads there, too, if the process has served the address both
+ * before and after that connection was established.
  */
 #ifndef WIRE_HC_H
 #define WIRE_HC_H
@@ -52,12 +53,13 @@
 	const char *id; /* expected value of id_header; NULL: not checked */
 	bool is_head;	/* the method is HEAD */
 	bool is_last;	/* the connection is closed after the response */
-	/* Sent only on an idle connection whose response has named this
-	 * process, see hc_peer_has_idle_to; 0: on any connection. */
+	/* Sent only on an idle connection on which a response has named this
+	 * process (see hc_peer_has_idle_to), else on_end gets HC_UNSENT; 0: on
+	 * any connection. */
 	int64_t process;
-	/* Returns the process that a whole response, or one that has ended with
-	 * its connection, names, positive; 0: it names none, and its connection
-	 * is not kept. NULL: the response is not about the process. */
+	/* Returns the process that the response names; 0: none, and its
+	 * connection is not kept. Called at HC_COMPLETE and HC_CLOSED, before
+	 * on_end. NULL: the request does not ask for it. */
 	int64_t (*names_process)(void *ctx);
 	/* Asked when a new connection is established, whether the request is
 	 * still to be sent; may be NULL. */
