--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1622,6 +1622,13 @@
 	unsigned request; /* its identity; 0: that of the process */
 };
 
+/* A request with a part is cut off at a process, or one each at four. */
+#define CUT(process)                                                           \
+	{                                                                      \
+		1000, STEP_CUT, TOPIC, process, 0                              \
+	}
+#define FOUR_CUTS CUT(1), CUT(2), CUT(3), CUT(4)
+
 static const struct {
 	const char *what;
 	struct poison_step steps[POISON_STEPS_MAX];
@@ -1687,29 +1694,20 @@
 	  DEADLY },
 	{ "a loss of many workers is no evidence",
 	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
-	    { 1000, STEP_CUT, TOPIC, 1, 0 },
-	    { 1000, STEP_CUT, TOPIC, 2, 0 },
-	    { 1000, STEP_CUT, TOPIC, 3, 0 },
-	    { 1000, STEP_CUT, TOPIC, 4, 0 },
+	    FOUR_CUTS,
 	    { 1000, STEP_CUT, TOPIC, 5, 0 },
 	    { 1000, STEP_OTHERS_CUT, 0, 0, 0 } },
 	  3000,
 	  0 },
 	{ "a process that sends something has not ended",
 	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
-	    { 1000, STEP_CUT, TOPIC, 1, 0 },
-	    { 1000, STEP_CUT, TOPIC, 2, 0 },
-	    { 1000, STEP_CUT, TOPIC, 3, 0 },
-	    { 1000, STEP_CUT, TOPIC, 4, 0 },
+	    FOUR_CUTS,
 	    { 1100, STEP_ALIVE, 0, 4, 0 } },
 	  3000,
 	  0 },
 	{ "the next process under a worker's id is no sign of life",
 	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
-	    { 1000, STEP_CUT, TOPIC, 1, 0 },
-	    { 1000, STEP_CUT, TOPIC, 2, 0 },
-	    { 1000, STEP_CUT, TOPIC, 3, 0 },
-	    { 1000, STEP_CUT, TOPIC, 4, 0 },
+	    FOUR_CUTS,
 	    { 1100, STEP_ALIVE, 0, 4, 0 },
 	    { 1500, STEP_REPLACED, 0, 4, 0 },
 	    { 1500, STEP_ALIVE, 0, 4, 0 } },
@@ -1717,10 +1715,7 @@
 	  TOPIC },
 	{ "a process that is replaced long after has not ended",
 	  { { 0, STEP_OTHERS_RUN, 0, 0, 0 },
-	    { 1000, STEP_CUT, TOPIC, 1, 0 },
-	    { 1000, STEP_CUT, TOPIC, 2, 0 },
-	    { 1000, STEP_CUT, TOPIC, 3, 0 },
-	    { 1000, STEP_CUT, TOPIC, 4, 0 },
+	    FOUR_CUTS,
 	    { 1100, STEP_ALIVE, 0, 4, 0 },
 	    { 4000, STEP_REPLACED, 0, 4, 0 } },
 	  5000,
