A host of an older build that forwards a stream is told its version

Ruled out: RW_ORIGIN_KEEP, which the new host sends once it knows the version: stores it, but its open requests don't look there. Holding back the first event: it needs a buffer for events and a timer beside the attempt's; asking first is what streams bound to a version do already.

Change: before a request that may be resumed and comes from a host of a build without marks is sent, its worker is asked which process it is, unless a connection is known to lead to the listed one. The request goes on that connection. Without an answer within 0.1 s, or with any other answer, it is sent as before, and the version is not known. No version is told that a process has not named or its list entry proved. Price: a round trip to the worker, only beside such builds, only for requests that they forward. Delays of first events were not measured.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -660,6 +660,17 @@
 	return fleet_needs_proof(xfer->worker, &xfer->fleet_request);
 }
 
+/* Whether the host that has forwarded the request can be told the version of
+ * its stream only when the response begins: builds that don't know marks do not
+ * use what they are told later. */
+static bool forwarder_needs_version(const struct xfer *xfer)
+{
+	return xfer->forwarder && !peer_reads_marks(xfer->forwarder) &&
+	       xfer->px.kind == PX_RESUMABLE &&
+	       xfer->fleet_request.version == 0 &&
+	       fleet_says_process(xfer->worker, &xfer->fleet_request);
+}
+
 /* Returns the start of the process that a worker is to be. */
 static int64_t process_expected(const struct xfer *xfer,
 				const struct fleet_worker *worker)
@@ -673,13 +684,15 @@
  * its answer, and is the only one that has the run. */
 static int64_t process_required(const struct xfer *xfer)
 {
-	bool is_source = xfer->worker == xfer->move.source;
+	bool is_proved = hc_peer_has_idle_to(xfer->worker->http_peer,
+					     xfer->worker_start);
 
-	if (!needs_proof(xfer) ||
-	    (is_source &&
-	     !hc_peer_has_idle_to(xfer->worker->http_peer, xfer->worker_start)))
-		return 0;
-	return xfer->worker_start;
+	if (needs_proof(xfer))
+		return is_proved || xfer->worker != xfer->move.source
+			       ? xfer->worker_start
+			       : 0;
+	return is_proved && forwarder_needs_version(xfer) ? xfer->worker_start
+							  : 0;
 }
 
 void attempt_send(struct xfer *xfer)
@@ -760,7 +773,7 @@
 	xfer->sent_at = 0;
 	xfer->ident_tries = 0;
 	xfer->tries_room = fleet_begin(worker, &xfer->fleet_request, now);
-	if (needs_proof(xfer) &&
+	if ((needs_proof(xfer) || forwarder_needs_version(xfer)) &&
 	    !hc_peer_has_idle_to(worker->http_peer, xfer->worker_start))
 		process_prove(xfer);
 	else
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -8,6 +8,7 @@
 /* Without an answer, until it is decided what follows. */
 #define PERIOD_MS 400
 #define WATCH_MS 2000 /* that an answer to a watch may take */
+#define WISH_MS 100   /* that an attempt which may go anywhere waits for one */
 /* Questions for an attempt: a worker may close the connection of an answer. */
 #define TRIES_MAX 2
 
@@ -95,7 +96,8 @@
 	spec->peer = worker->http_peer;
 	spec->address = worker->entry.address;
 	spec->worker = worker->entry.id;
-	spec->period = PERIOD_MS;
+	if (!spec->period)
+		spec->period = PERIOD_MS;
 	proxyd_count(proxyd, CTR_process_probes);
 	return ident_start(&proxyd->loop, spec);
 }
@@ -154,11 +156,24 @@
 		attempt_end(xfer, PX_END_UNFIT, "connection_not_kept");
 }
 
+/* Whether the attempt must not be sent to another process. */
+static bool proof_is_needed(const struct xfer *xfer)
+{
+	return fleet_needs_proof(xfer->worker, &xfer->fleet_request);
+}
+
 static void on_proved(void *ctx, const struct ident_answer *answer)
 {
 	struct xfer *xfer = ctx;
 
 	xfer->ident = NULL;
+	if (!proof_is_needed(xfer)) {
+		/* Silence for so short a time says nothing of a worker. */
+		if (answer->outcome != IDENT_SILENT)
+			answer_note(xfer->proxyd, xfer->worker, answer);
+		attempt_send(xfer);
+		return;
+	}
 	answer_note(xfer->proxyd, xfer->worker, answer);
 	switch (answer->outcome) {
 	case IDENT_SAID:
@@ -188,12 +203,13 @@
 static bool proof_waits(void *ctx, clk_ms waited)
 {
 	(void)waited;
-	return !attempt_has_sound_other(ctx);
+	return proof_is_needed(ctx) && !attempt_has_sound_other(ctx);
 }
 
 void process_prove(struct xfer *xfer)
 {
 	struct ident_spec spec = {
+		.period = proof_is_needed(xfer) ? PERIOD_MS : WISH_MS,
 		.waits = proof_waits,
 		.fn = on_proved,
 		.ctx = xfer,
--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -210,6 +210,44 @@
     await play_rows(net, forwarded, LATE_FORWARDED, False)
 
 
+# How late the reports of the process that is not listed are, in s, and how late its
+# first event.
+FORWARDED_UNLISTED = [(0, 0), (0, 0.1), (0.05, 0), (0.3, 0.1)]
+
+
+async def forwarded_unlisted(net, row, _):
+    delay_s, first_event_s = row
+    async with started(net, ("v1", "v1")) as rig:
+        await lengthen_routes(rig)
+        workers = rig.workers_of("llm")
+        first, second = rig.hosts
+        for worker in workers:
+            worker.cut_links(first.ip, "reset")
+        await begin_forwarded(rig, first)
+        await asyncio.sleep(9)  # connections that were idle are closed
+        target, other = workers
+        await replace(rig, target, "v2")
+        target.report_delay_s, target.first_event_s = delay_s, first_event_s
+        other.mode = "full"
+        caller = first.caller()
+        ident = await caller.send("POST", "/s/x", b"b", remaining_ms=8000)
+        await rig.wait_until("the run", lambda: ident in target.executed)
+        other.mode = "ok"
+        for worker in workers:
+            worker.cut_links(first.ip, None)
+        await asyncio.sleep(first_event_s + 0.2)
+        second.kill()
+        got = await caller.receive()
+        assert got.event_ids(), (row, got.status)
+        check(row, [got], False)
+
+
+async def test_process_forwarding_host_is_told_no_guess(net):
+    """Guards against a forwarded stream that goes on at another version, as the
+    other host has told the listed one in place of that of its process."""
+    await play_rows(net, forwarded_unlisted, FORWARDED_UNLISTED, False)
+
+
 # Workers of the version, those that start again at it at the same time, after how
 # many s they are listed.
 RESTARTED = [(2, (1,), 0), (2, (1,), 0.1), (2, (1,), 0.4), (3, (1, 2), 0.4)]
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -128,10 +128,12 @@
 process_tests proxyversions
 process_tests proxyprocess
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
+# PROCESS_TESTS: tests of tests/proxyprocess.py that run at the same time.
 beside() {
 	commit=$1
 	hosts=$2
 	shift 2
+	process=
 	old=$(tools/build-commit.sh "$commit" 2>"$LOG/beside_$commit")
 	case $? in
 	0) ;;
@@ -144,8 +146,19 @@
 		return
 		;;
 	esac
+	if [ "${PROCESS_TESTS:-}" ]; then
+		# shellcheck disable=SC2086
+		RW_OLD_BUILD=$old RW_OLD_HOSTS=even python3 \
+			tests/proxyprocess.py $PROCESS_TESTS \
+			>"$LOG/beside_${commit}_process" 2>&1 &
+		process=$!
+	fi
 	RW_OLD_BUILD=$old RW_OLD_HOSTS=$hosts \
 		run "beside_$commit" python3 tests/proxy.py --jobs 8 "$@"
+	if [ "$process" ]; then
+		wait "$process"
+		note "beside_${commit}_process" $?
+	fi
 }
 PROMISES="test_proxy_resumed_stream_keeps_version
 test_proxy_stream_of_unknown_process_taken_up
@@ -164,7 +177,8 @@
 # shellcheck disable=SC2086
 beside 0022ce1 even $PROMISES
 # shellcheck disable=SC2086
-beside 97a73f1 odd $PROMISES
+PROCESS_TESTS="test_process_forwarding_host_goes_on
+test_process_forwarding_host_is_told_no_guess" beside 97a73f1 odd $PROMISES
 # Workers that are processes of their own.
 for row in kept-same-id control version-same-id-300 \
 	version-host-paused; do
