A forwarded stream goes on if its worker says late which process it is

Cause: the forwarding host has the mark of the process, from the head of the response, and asks the worker when the other host is lost (`mark_resolve`), but judges the stream without waiting for the answer (log: ev=answer status=broken_off why=host_cut_off 212 ms after the first event; the test kills the host some 0.2 s after it). Hosts to which a caller comes wait for it.

Tried and left out: sending the forwarding host marks, too, not only versions (`forwarder_tell`); in two hosts it keeps the stream anyway, and no test shows a gain.

The row of an engine that never names its start can't be mended: such an engine gets no stream that goes on. It is now a test of its own, which stays in KNOWN-RED.txt, test_process_forwarding_host_goes_on_bad_report; the row of late reports is out of the list, and has two more rows (no late first event; 1.0 s).

--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -142,11 +142,19 @@
 /* The response is incomplete. */
 static void hop_cut(struct xfer *xfer, const char *why)
 {
-	struct px_retry_conditions cond = attempt_retry_conditions(xfer);
+	struct px_retry_conditions cond;
 
+	if (resume_await_process(xfer, why))
+		return;
+	cond = attempt_retry_conditions(xfer);
 	xfer_perform(xfer, px_on_end(&xfer->px, PX_END_INCOMPLETE, &cond), why);
 }
 
+void forward_on_settled(struct xfer *xfer)
+{
+	hop_cut(xfer, xfer->settles);
+}
+
 /* No other host has accepted the request: sends it to a worker from this host,
  * if its attempts allow that. */
 static void hop_declined(struct xfer *xfer)
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -137,6 +137,20 @@
 	g_array_append_val(watch->streams, stream);
 }
 
+bool process_is_watched(const struct proxyd *proxyd, uint64_t stream)
+{
+	for (guint i = 0; i < proxyd->watches->len; i++) {
+		const struct watch *watch =
+			g_ptr_array_index(proxyd->watches, i);
+
+		for (guint j = 0; j < watch->streams->len; j++)
+			if (g_array_index(watch->streams, uint64_t, j) ==
+			    stream)
+				return true;
+	}
+	return false;
+}
+
 /* Sends an attempt whose worker is the process that it should be. One that
  * leaves closes all connections, but is the only one that has the run of a
  * move. */
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -334,9 +334,10 @@
 
 static void await_cancel(struct xfer *xfer)
 {
-	if (xfer->awaits_entry)
+	if (xfer->awaits_entry || xfer->awaits_process)
 		g_ptr_array_remove_fast(xfer->proxyd->awaiting, xfer);
 	xfer->awaits_entry = false;
+	xfer->awaits_process = false;
 }
 
 /* Tells the hosts that are to keep a stream of this one; version: that began
@@ -586,6 +587,14 @@
 	return known;
 }
 
+/* Returns the key of the stream that a request began. */
+static uint64_t stream_of(const struct xfer *xfer)
+{
+	struct http_view id = { xfer->id, strlen(xfer->id) };
+
+	return key_of(xfer, id);
+}
+
 /* Sends those that a worker can have now, and ends those that wait in vain. */
 static void awaiting_update(struct proxyd *proxyd)
 {
@@ -595,8 +604,13 @@
 		struct xfer *xfer = g_ptr_array_index(waiting, i);
 		const struct fleet_request *request = &xfer->fleet_request;
 
-		if (fleet_has_untried(proxyd->fleet, request) ||
-		    !fleet_awaits_entry(proxyd->fleet, request)) {
+		if (xfer->awaits_process) {
+			if (!process_is_watched(proxyd, stream_of(xfer))) {
+				await_cancel(xfer);
+				forward_on_settled(xfer);
+			}
+		} else if (fleet_has_untried(proxyd->fleet, request) ||
+			   !fleet_awaits_entry(proxyd->fleet, request)) {
 			await_cancel(xfer);
 			xfer_send(xfer);
 		}
@@ -618,6 +632,22 @@
 	return true;
 }
 
+bool resume_await_process(struct xfer *xfer, const char *why)
+{
+	if (xfer->settles || !xfer->px.response_started ||
+	    xfer->px.kind != PX_RESUMABLE)
+		return false;
+	/* Asks the worker that is marked. */
+	resume_update_listed(xfer);
+	if (origin_is_known(xfer->fleet_request.version) ||
+	    !process_is_watched(xfer->proxyd, stream_of(xfer)))
+		return false;
+	xfer->settles = why;
+	xfer->awaits_process = true;
+	g_ptr_array_add(xfer->proxyd->awaiting, xfer);
+	return true;
+}
+
 void resume_on_listed(struct proxyd *proxyd, const struct fleet_worker *worker)
 {
 	for (guint i = 0; i < proxyd->awaiting->len; i++) {
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -111,8 +111,10 @@
 	char *forwarder;   /* incarnation of the host that has forwarded it */
 	bool unknown_told; /* others know that its version is not known */
 	bool awaits_entry; /* of a worker that may have its version */
-	bool resumes;	   /* its caller takes up a stream that has begun */
-	bool asking;	   /* the version that began it */
+	/* It was forwarded and cut off, and awaits which process began it. */
+	bool awaits_process;
+	bool resumes; /* its caller takes up a stream that has begun */
+	bool asking;  /* the version that began it */
 	struct origin_question question;
 };
 
@@ -180,6 +182,10 @@
 /* Waits until a process is listed that may have the stream's version; returns
  * false if there is none. */
 bool resume_await_entry(struct xfer *xfer);
+/* Waits, after the host that ran the stream is lost, until the worker has
+ * answered that perhaps began it; returns false if there is none to wait for.
+ */
+bool resume_await_process(struct xfer *xfer, const char *why);
 /* Finds out which version began the stream, and then sends the request, or
  * rejects it. */
 void resume_start_stream(struct xfer *xfer);
@@ -212,6 +218,9 @@
 /* Forwards a request that has no attempt, if the links to its workers are lost,
  * or none of several workers could be reached; returns whether it has. */
 bool forward_request(struct xfer *xfer);
+/* A stream that was cut off need not wait any longer until it is known which
+ * process began it. */
+void forward_on_settled(struct xfer *xfer);
 
 /* proxyd-process.c: which process of a worker an attempt runs at */
 /* Asks the worker of the attempt which process it is; then sends the attempt,
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -413,6 +413,8 @@
  * its key. Of the request, engine applies. */
 void process_watch(struct proxyd *proxyd, struct fleet_worker *worker,
 		   const struct fleet_request *request, uint64_t stream);
+/* Whether a worker is asked which perhaps has begun a stream. */
+bool process_is_watched(const struct proxyd *proxyd, uint64_t stream);
 
 /* proxyd-reach.c: which workers this host reaches */
 void reach_start(struct proxyd *proxyd);
--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -12,7 +12,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxy import main  # noqa: E402
 from proxyrig import ROUTES, Rig, config  # noqa: E402
-from proxyversions import (EVENT_GAP_S, EVENTS, begin, check,  # noqa: E402
+from proxyversions import (EVENT_GAP_S, EVENTS, LISTED_S, begin, check,  # noqa: E402
                            play_rows, replace, started, take_up)
 
 FIRST_NET = 130  # after those of proxyversions.py, in the next /16
@@ -160,7 +160,8 @@
 # How late the reports are, in s, and how bad, and how late the first events; no
 # process is replaced.
 FORWARDED = [(0, None, 0), (0, None, 0.1)]
-LATE_FORWARDED = [(0.3, None, 0.1), (0, 503, 0.1)]
+LATE_FORWARDED = [(0.3, None, 0.1), (0.3, None, 0), (1.0, None, 0.1)]
+BAD_FORWARDED = [(0, 503, 0.1)]
 
 
 async def forwarded(net, row, _):
@@ -206,16 +207,21 @@
 
 
 async def test_process_forwarding_host_goes_on_late_report(net):
-    """The same with reports that are late or bad (known red)."""
+    """The same with reports that are late."""
     await play_rows(net, forwarded, LATE_FORWARDED, False)
 
 
+async def test_process_forwarding_host_goes_on_bad_report(net):
+    """The same with reports that are bad (known red)."""
+    await play_rows(net, forwarded, BAD_FORWARDED, False)
+
+
 # How late the reports of the process that is not listed are, in s, and how late its
 # first event.
 FORWARDED_UNLISTED = [(0, 0), (0, 0.1), (0.05, 0), (0.3, 0.1)]
 
 
-async def forwarded_unlisted(net, row, _):
+async def forwarded_unlisted(net, row, is_listed):
     delay_s, first_event_s = row
     async with started(net, ("v1", "v1")) as rig:
         await lengthen_routes(rig)
@@ -236,10 +242,13 @@
         for worker in workers:
             worker.cut_links(first.ip, None)
         await asyncio.sleep(first_event_s + 0.2)
+        if is_listed:
+            rig.list_worker(target)
+            await asyncio.sleep(LISTED_S)
         second.kill()
         got = await caller.receive()
         assert got.event_ids(), (row, got.status)
-        check(row, [got], False)
+        check(row, [got], is_listed)
 
 
 async def test_process_forwarding_host_is_told_no_guess(net):
@@ -248,6 +257,12 @@
     await play_rows(net, forwarded_unlisted, FORWARDED_UNLISTED, False)
 
 
+async def test_process_forwarding_host_goes_on_once_listed(net):
+    """Guards against a forwarded stream that is broken off though its process is
+    listed by then."""
+    await play_rows(net, forwarded_unlisted, FORWARDED_UNLISTED[:3], True)
+
+
 # Workers of the version, those that start again at it at the same time, after how
 # many s they are listed.
 RESTARTED = [(2, (1,), 0), (2, (1,), 0.1), (2, (1,), 0.4), (3, (1, 2), 0.4)]
