A stream waits once for an entry, not as long as others answer

A stream that no worker of its version could have waited 2.5 s for the entry of a process that had answered, asked again, which counted as a new answer, and waited once more, until its deadline. Each new stream at that process did the same, too. Seen: a worker is replaced at another version and never listed; the only other worker of the stream's version ends; its stream is held 7.4 s of the 7.4 s that it had left (why=time_over), a take-up 8.0 of 8.0 s (503). Beside it was joined with the other version at once.

test_process_never_listed_*: before 2 of 2 and 2 of 2 rows fail: ev=process worker=w-llm-1 listed=1 said=2 took_ms=0 outcome=said ev=attempt worker=w-llm-1 why=other_process ev=resume outcome=awaits_entry (t=...347459, ...350130, ...352739) ev=answer status=broken_off after_ms=8000 why=time_over

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -84,7 +84,7 @@
 	resume_update_listed(xfer);
 	has_worker = fleet_has_other(proxyd->fleet, &xfer->fleet_request,
 				     xfer->worker) ||
-		     fleet_awaits_entry(proxyd->fleet, &xfer->fleet_request);
+		     resume_may_await(xfer);
 	return (struct px_retry_conditions){
 		.has_time = xfer->deadline - now >= RETRY_MIN_MS,
 		.has_budget = retry_available(
@@ -185,6 +185,7 @@
 	xfer->sent_at = now;
 	xfer->last_received_at = now;
 	xfer->retry_paid = false;
+	xfer->awaits_until = 0;
 	/* A request that resumes from its KV cache continues the same run, not
 	 * another attempt. */
 	if (xfer->move.state != MOVE_CONTINUED)
--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -11,6 +11,8 @@
 /* The list of workers is current if it was so long ago at most: heartbeats come
  * every FEED_HEARTBEAT_MS, and the responses of watches every 1.1 s. */
 #define LISTED_MS 2500
+/* That a request waits for entries before it is sent once more. */
+#define ENTRY_WAIT_MS 2500
 #define ASK_AGAIN_MS 100  /* a datagram may have been lost */
 #define RECORD_GAP_MS 100 /* between two writes of records of versions */
 /* Hosts that write the streams of all hosts to the store: one of them may be
@@ -586,6 +588,16 @@
 	return known;
 }
 
+bool resume_may_await(const struct xfer *xfer)
+{
+	const struct proxyd *proxyd = xfer->proxyd;
+
+	/* A process that is never listed goes on answering. */
+	return (!xfer->awaits_until ||
+		proxyd_now(proxyd) < xfer->awaits_until) &&
+	       fleet_awaits_entry(proxyd->fleet, &xfer->fleet_request);
+}
+
 /* Sends those that a worker can have now, and ends those that wait in vain. */
 static void awaiting_update(struct proxyd *proxyd)
 {
@@ -596,7 +608,7 @@
 		const struct fleet_request *request = &xfer->fleet_request;
 
 		if (fleet_has_untried(proxyd->fleet, request) ||
-		    !fleet_awaits_entry(proxyd->fleet, request)) {
+		    !resume_may_await(xfer)) {
 			await_cancel(xfer);
 			xfer_send(xfer);
 		}
@@ -608,9 +620,11 @@
 {
 	struct proxyd *proxyd = xfer->proxyd;
 
-	if (!fleet_awaits_entry(proxyd->fleet, &xfer->fleet_request) ||
+	if (!resume_may_await(xfer) ||
 	    fleet_has_untried(proxyd->fleet, &xfer->fleet_request))
 		return false;
+	if (!xfer->awaits_until)
+		xfer->awaits_until = proxyd_now(proxyd) + ENTRY_WAIT_MS;
 	slog(SLOG_INFO, "resume", "id=%s version=%08x outcome=awaits_entry",
 	     xfer->id, xfer->fleet_request.version);
 	xfer->awaits_entry = true;
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -108,11 +108,12 @@
 	bool declined;	 /* by the other hosts: it is not forwarded again */
 	clk_ms stall_checked_at; /* its silent attempt had no alternative then
 				  */
-	char *forwarder;   /* incarnation of the host that has forwarded it */
-	bool unknown_told; /* others know that its version is not known */
-	bool awaits_entry; /* of a worker that may have its version */
-	bool resumes;	   /* its caller takes up a stream that has begun */
-	bool asking;	   /* the version that began it */
+	char *forwarder;     /* incarnation of the host that has forwarded it */
+	bool unknown_told;   /* others know that its version is not known */
+	bool awaits_entry;   /* of a worker that may have its version */
+	clk_ms awaits_until; /* for entries, before it is sent; 0: not yet */
+	bool resumes;	     /* its caller takes up a stream that has begun */
+	bool asking;	     /* the version that began it */
 	struct origin_question question;
 };
 
@@ -180,6 +181,8 @@
 /* Waits until a process is listed that may have the stream's version; returns
  * false if there is none. */
 bool resume_await_entry(struct xfer *xfer);
+/* Whether it may wait so, now or later. */
+bool resume_may_await(const struct xfer *xfer);
 /* Finds out which version began the stream, and then sends the request, or
  * rejects it. */
 void resume_start_stream(struct xfer *xfer);
--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -536,5 +536,54 @@
     await play_rows(net, early_entry, LATE_EARLY_ENTRY, False)
 
 
+# Versions of workers; the second one's process is replaced at "v2" and never listed.
+# After how many s the next stream begins there (None: none does).
+NEVER_LISTED = [(("v1", "v1"), None), (("v1", "v1"), 0.3)]
+ENTRY_S = 2.5     # that a stream waits for an entry
+ENTRY_SLACK_S = 1.0
+
+
+async def never_listed(net, row, by_caller):
+    versions, gap_s = row
+    async with started(net, versions) as rig:
+        await lengthen_routes(rig)
+        first, other = rig.workers_of("llm")
+        host = rig.hosts[1 if by_caller else 0]
+        caller, ident = await begin(rig, rig.hosts[0], first)
+        part = await caller.receive(events=EARLY) if by_caller else None
+        await replace(rig, other, "v2")
+
+        async def begin_streams():
+            while gap_s:
+                new = host.caller()
+                await new.send("POST", "/s/x", b"b", remaining_ms=8000)
+                await asyncio.sleep(gap_s)
+        task = asyncio.create_task(begin_streams())
+        await asyncio.sleep(0.5)
+        began = time.monotonic()
+        if by_caller:
+            caller.close()
+            first.end_process()
+            got = await take_up(host, ident, part)
+        else:
+            first.end_process()
+            got = await caller.receive()
+        waited = time.monotonic() - began
+        task.cancel()
+        check(row, [part, got] if part else [got], False)
+        assert waited < ENTRY_S + ENTRY_SLACK_S, (row, waited, got.status)
+
+
+async def test_process_never_listed_host_resumes(net):
+    """Guards against a stream that waits for an entry until its deadline, as a
+    process that is not listed goes on answering."""
+    await play_rows(net, never_listed, NEVER_LISTED, False)
+
+
+async def test_process_never_listed_caller_resumes(net):
+    """The same if the caller takes the stream up at another host."""
+    await play_rows(net, never_listed, NEVER_LISTED, True)
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyprocess", globals(), FIRST_NET))
