Tests: streams of a service without an engine beside a replaced worker (red)

Its version is doubted for 2.5 s only once an attempt of this host was cut there (fleet_on_cut); the end of an idle connection raises no doubt, and with one listed version none counts (listed_at_of: "Where there is one version, no process can have another one").

--- a/tests/proxyversions.py
+++ b/tests/proxyversions.py
@@ -11,7 +11,7 @@
 import sys
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from proxyrig import Rig  # noqa: E402
+from proxyrig import ROUTES, Rig, config  # noqa: E402
 from proxy import CONFIG_BOUND_S, main  # noqa: E402
 from standin import Worker, response  # noqa: E402
 
@@ -237,5 +237,50 @@
     await play_rows(net, moved, MOVED)
 
 
+# Of a service without an engine: versions that are listed, that of the next process
+# of the second worker, to which the host has used connections.
+SERVICE = [
+    (("v1", "v1"), "v2"),
+    (("v1", "v1", "v3"), "v2"),
+]
+
+
+async def service_resumed(net, row, by_caller):
+    versions, version = row
+    settings = config(2, ROUTES)
+    del settings["services"][0]["inference_engine"]
+    async with started(net, versions) as rig:
+        rig.store.put("op/config", settings)
+        await asyncio.sleep(LISTED_S)
+        first, other = rig.workers_of("llm")[:2]
+        for host in rig.hosts:
+            caller, _ = await begin(rig, host, other)
+            await caller.receive()
+        caller, ident = await begin(rig, rig.hosts[0], first)
+        parts = []
+        if by_caller:
+            parts.append(await caller.receive(events=3))
+            caller.close()
+        await replace(rig, other, version)
+        if by_caller:
+            first.mode = "full"
+            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
+        else:
+            first.end_process()
+            parts.append(await caller.receive())
+        check(row, parts, False)
+
+
+async def test_version_service_replaced_host_resumes(net):
+    """Guards against a stream of a service without an engine that goes on at a
+    process of another version, although connections to the worker have ended."""
+    await play_rows(net, service_resumed, SERVICE, False)
+
+
+async def test_version_service_replaced_caller_resumes(net):
+    """The same if the caller takes the stream up at another host."""
+    await play_rows(net, service_resumed, SERVICE, True)
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyversions", globals(), FIRST_NET))
