Stand-in: a process that is started again lists only its own runs

The report of a replaced process listed runs of the former one whose connection shows no end, as the set was one for both. A process knows nothing of before.

--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -6,6 +6,7 @@
 """
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -585,5 +586,26 @@
     await play_rows(net, never_listed, NEVER_LISTED, True)
 
 
+async def test_process_report_of_next_process_after_pause(net):
+    """Guards against a stream that counts as one of the next process, which its
+    host has asked once it goes on, as its own connection shows no end."""
+    async with started(net, ("v1", "v2"), hosts=1) as rig:
+        await lengthen_routes(rig)
+        first = rig.workers_of("llm")[0]
+        first.first_event_s = 0.2
+        host = rig.hosts[0]
+        caller, ident = await begin(rig, host, first)
+        host.signal(signal.SIGSTOP)
+        await asyncio.sleep(0.3)  # the first events are on their way
+        first.version = "v2"
+        await first.replace_process(first.ident, False, list(first.writers))
+        await asyncio.sleep(0.05)
+        host.signal(signal.SIGCONT)
+        await asyncio.sleep(0.3)
+        rig.list_worker(first)
+        got = await caller.receive()
+        check(None, [got], False)
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyprocess", globals(), FIRST_NET))
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -547,6 +547,7 @@
         ended = list(self.writers)
         self.ident = ident
         self.born += 1
+        self.running = set()  # what its report lists
         if not keeps_socket:
             self.server.close()
             await self.start()
