--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -108,9 +108,10 @@
 	bool declined;	 /* by the other hosts: it is not forwarded again */
 	clk_ms stall_checked_at; /* its silent attempt had no alternative then
 				  */
-	char *forwarder;   /* incarnation of the host that has forwarded it */
-	bool unknown_told; /* others know that its version is not known */
-	bool awaits_entry; /* of a worker that may have its version */
+	char *forwarder;     /* incarnation of the host that has forwarded it */
+	bool unknown_told;   /* others know that its version is not known */
+	bool awaits_entry;   /* of a worker that may have its version */
+	clk_ms awaits_until; /* for entries, before it is sent; 0: not yet */
 	/* It was forwarded and cut off, and awaits which process began it. */
 	bool awaits_process;
 	bool resumes; /* its caller takes up a stream that has begun */
@@ -183,6 +184,8 @@
 /* Waits until a process is listed that may have the stream's version; returns
  * false if there is none. */
 bool resume_await_entry(struct xfer *xfer);
+/* Whether it may wait so, now or later. */
+bool resume_may_await(const struct xfer *xfer);
 /* Waits, after the host that ran the stream is lost, until the worker has
  * answered that perhaps began it; returns false if there is none to wait for.
  */
