--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -535,8 +535,9 @@
         await lengthen_routes(rig)
         first, other = rig.workers_of("llm")
         host = rig.hosts[1 if by_caller else 0]
-        caller, ident = await begin(rig, rig.hosts[0], first)
-        part = await caller.receive(events=EARLY) if by_caller else None
+        stream = Stream(rig, first, by_caller)
+        await stream.begin()
+        await stream.read(EARLY)
         await replace(rig, other, "v2")
 
         async def begin_streams():
@@ -547,17 +548,14 @@
         task = asyncio.create_task(begin_streams())
         await asyncio.sleep(0.5)
         began = time.monotonic()
-        if by_caller:
-            caller.close()
-            first.end_process()
-            got = await take_up(host, ident, part)
-        else:
-            first.end_process()
-            got = await caller.receive()
+        stream.leave()
+        first.end_process()
+        await stream.go_on(has_room=True, lives_on=True)
         waited = time.monotonic() - began
         task.cancel()
-        check(row, [part, got] if part else [got], False)
-        assert waited < ENTRY_S + ENTRY_SLACK_S, (row, waited, got.status)
+        check(row, stream.parts, False)
+        assert waited < ENTRY_S + ENTRY_SLACK_S, (
+            row, waited, stream.parts[-1].status)
 
 
 async def test_process_never_listed_host_resumes(net):
--- a/tests/proxyversions.py
+++ b/tests/proxyversions.py
@@ -280,19 +280,13 @@
         for host in rig.hosts:
             caller, _ = await begin(rig, host, other)
             await caller.receive()
-        caller, ident = await begin(rig, rig.hosts[0], first)
-        parts = []
-        if by_caller:
-            parts.append(await caller.receive(events=3))
-            caller.close()
+        stream = Stream(rig, first, by_caller)
+        await stream.begin()
+        await stream.read(3)
+        stream.leave()
         await replace(rig, other, version)
-        if by_caller:
-            first.mode = "full"
-            parts.append(await take_up(rig.hosts[1], ident, parts[0]))
-        else:
-            first.end_process()
-            parts.append(await caller.receive())
-        check(row, parts, False)
+        await stream.go_on()
+        check(row, stream.parts, False)
 
 
 async def test_version_service_replaced_host_resumes(net):
