A host of an older build is answered that a stream is not known

Cause: left hosts of older builds without an answer whenever no version is known, also of streams of which nothing is known. Such a host, with a sole version in its list, then goes by the other answers; "two versions at least" had kept it from that.

Change: only a stream that is known to have begun, and whose worker is asked which process it is, is left without an answer, and only if two versions are listed, so that the other host sees them, too. All else is answered at once, as before.

--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -728,10 +728,20 @@
 	return MAX(versions, 2);
 }
 
+/* Whether it is known that a stream has begun, and the worker is asked which
+ * process has. */
+static bool awaits_answer(uint32_t version)
+{
+	enum origin_knowledge known = origin_knowledge(version);
+
+	return known == ORIGIN_BEGUN || known == ORIGIN_PERHAPS;
+}
+
 void resume_on_ask(void *ctx, const w_origin_ask *ask)
 {
 	struct proxyd *proxyd = ctx;
 	const struct member *from = member_find(proxyd->members, ask->process);
+	uint32_t serving[VERSION_MAX];
 	w_origin_answer answer = {
 		.process = proxyd->members->self.incarnation,
 		.stream.stream = ask->stream,
@@ -751,11 +761,14 @@
 			mark_version(proxyd, ask->pool, answer.stream.software);
 	if (!reads_origin(from, answer.stream.software)) {
 		/* It takes an answer without a version for the final one; left
-		 * without one, it asks again. */
-		if (answer.versions > 1)
+		 * without one, it asks again. Where it may see a sole version,
+		 * it must hear at once that there are more. */
+		if (awaits_answer(answer.stream.software) &&
+		    fleet_serving_versions(proxyd->fleet, ask->pool, serving,
+					   VERSION_MAX) > 1)
 			return;
 		answer.stream.software = 0;
-		answer.versions = 2;
+		answer.versions = MAX(answer.versions, 2);
 	}
 	rpc_send_origin_answer(proxyd->rpc, from->info.rpc, &answer);
 }
