Requests wait for the configuration of a host that has just started

Cause: after the loss of all hosts, callers return as soon as connections are accepted.

A request now waits up to start_wait_ms (800) after the start, and a quarter of its caller's time at most. 0 restores the former behaviour.

--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+#include "../decide/hold.h"
+#include "holdq.h"
+
+#define HELD_MAX 2048		  /* requests that wait for the configuration */
 #define DEADLINE_DEFAULT_MS 15000 /* of a request without one */
 #define ENGINE_PRIORITIES 10	  /* 0 to 9 */
 #define ROUTE_PRIORITIES 3	  /* within one account priority */
@@ -246,13 +250,9 @@
 				     forwarded->failed[i]);
 }
 
-void front_on_request(void *ctx, struct hs_request *call)
-{
-	front_accept(ctx, call, NULL);
-}
-
-void front_accept(struct proxyd *proxyd, struct hs_request *call,
-		  const struct head_forwarded *forwarded)
+/* Checks a request by the configuration and starts it, or replies to it. */
+static void front_serve(struct proxyd *proxyd, struct hs_request *call,
+			const struct head_forwarded *forwarded)
 {
 	const struct tab_account *account;
 	const struct tab_route *route;
@@ -263,13 +263,6 @@
 	double units;
 	clk_ms deadline;
 
-	proxyd_count(proxyd, CTR_requests);
-	if (!follow_ready(proxyd)) {
-		front_reply_error(proxyd, call, RW_ENOTREADY,
-				  err_answer(RW_ENOTREADY)->retry_after_ms,
-				  "no_configuration");
-		return;
-	}
 	head_request_parse(hs_request_head(call), &request);
 	route = route_find(proxyd->tab, call);
 	if (!route) {
@@ -317,3 +310,77 @@
 		forwarded_apply(xfer, forwarded);
 	xfer_start(xfer);
 }
+
+/* Keeps a request until the host knows its configuration, if that is expected
+ * soon; returns false if not. */
+static bool await_configuration(struct proxyd *proxyd, struct hs_request *call)
+{
+	struct head_request request;
+	clk_ms wait;
+
+	head_request_parse(hs_request_head(call), &request);
+	wait = hold_time(proxyd_now(proxyd) - proxyd->started_at,
+			 request.time_left, proxyd->conf->start_wait_ms);
+	if (wait <= 0 || !holdq_add(proxyd->held, call, wait))
+		return false;
+	proxyd_count(proxyd, CTR_held);
+	return true;
+}
+
+static bool held_is_ready(void *ctx)
+{
+	return follow_ready(ctx);
+}
+
+static void held_on_ready(void *ctx, struct hs_request *call)
+{
+	front_serve(ctx, call, NULL);
+}
+
+static void held_on_expired(void *ctx, struct hs_request *call)
+{
+	front_reply_error(ctx, call, RW_ENOTREADY,
+			  err_answer(RW_ENOTREADY)->retry_after_ms,
+			  "no_configuration");
+}
+
+static void held_on_disconnect(void *ctx)
+{
+	proxyd_count(ctx, CTR_callers_gone);
+}
+
+void front_start(struct proxyd *proxyd)
+{
+	struct holdq_options options = {
+		.loop = &proxyd->loop,
+		.max = HELD_MAX,
+		.is_ready = held_is_ready,
+		.on_ready = held_on_ready,
+		.on_expired = held_on_expired,
+		.on_disconnect = held_on_disconnect,
+		.ctx = proxyd,
+	};
+
+	proxyd->held = holdq_create(&options);
+}
+
+void front_accept(struct proxyd *proxyd, struct hs_request *call,
+		  const struct head_forwarded *forwarded)
+{
+	proxyd_count(proxyd, CTR_requests);
+	if (follow_ready(proxyd)) {
+		front_serve(proxyd, call, forwarded);
+		return;
+	}
+	/* The host that has forwarded one asks another at once. */
+	if (!forwarded && await_configuration(proxyd, call))
+		return;
+	front_reply_error(proxyd, call, RW_ENOTREADY,
+			  err_answer(RW_ENOTREADY)->retry_after_ms,
+			  "no_configuration");
+}
+
+void front_on_request(void *ctx, struct hs_request *call)
+{
+	front_accept(ctx, call, NULL);
+}
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -542,6 +542,7 @@
 	proxyd->started_at = proxyd_now(proxyd);
 	clients_create(proxyd);
 	state_create(proxyd);
+	front_start(proxyd);
 	follow_start(proxyd);
 	peer_start(proxyd);
 	report_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -72,6 +72,7 @@
 /* What a host may add to the head of a request that it forwards. */
 #define FORWARD_HEAD_BYTES 640
 
+struct holdq;
 struct proxyd;
 struct xfer;
 
@@ -173,6 +174,7 @@
 	GPtrArray *watches; /* of proxyd-process.c */
 	struct links *links;
 	struct hop *hop;
+	struct holdq *held;   /* requests that wait for the configuration */
 	struct hs *forwarded; /* listener for requests of other hosts */
 	clk_ms links_checked_at;
 	clk_ms paused_at;	/* this process last was; 0: never */
@@ -446,6 +448,7 @@
 void queue_update(struct proxyd *proxyd, const char *pool_name);
 
 /* proxyd-front.c: checks on a caller's request */
+void front_start(struct proxyd *proxyd);
 void front_on_request(void *ctx, struct hs_request *call);
 void front_on_rejected(void *ctx, int status);
 void front_on_unread(void *ctx, size_t len);
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -1048,6 +1048,37 @@
         assert (await host.request("GET", "/i/x")).status == 200
 
 
+async def first_answer(host, remaining_ms):
+    """Returns the answer to the first request of a host that is starting."""
+    while True:
+        try:
+            return await host.request("GET", "/i/x",
+                                      remaining_ms=remaining_ms)
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.005)
+
+
+async def test_proxy_request_waits_for_configuration(net):
+    """A host that has just started refuses requests which it could serve a
+    moment later. One that it can't serve in time is refused."""
+    cases = [  # settings, store's answer after s, caller's ms, status
+        ({}, 0.3, 4000, 200),
+        ({}, 0.5, 400, 503),
+        ({"start_wait_ms": 0}, 0.3, 4000, 503),
+        ({"start_wait_ms": 200}, 1.5, 4000, 503),
+    ]
+    async with Rig(net) as rig:
+        host = rig.hosts[0]
+        for settings, delay, left, status in cases:
+            host.kill()
+            rig.store.watch_delay_s = delay
+            host.start(first_start=False, **settings)
+            got = await first_answer(host, left)
+            assert got.status == status, (settings, delay, left, got.status)
+            rig.store.watch_delay_s = 0
+            await rig.wait_ready(host)
+
+
 async def test_proxy_stale_read_confirmed_by_slow_store(net):
     """A store that takes a second to respond still confirms the first read: an
     old configuration isn't used in the meantime."""
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -7,6 +7,7 @@
 #include "../decide/lease.h"
 #include "../decide/origin.h"
 #include "../decide/fleet.h"
+#include "../decide/hold.h"
 #include "../decide/poison.h"
 #include "../decide/proof.h"
 #include "../decide/px.h"
@@ -22,6 +23,36 @@
 #define YES true
 #define NO false
 
+/* Requests at a host that has just started: all hosts restart at once, and the
+ * callers return before the hosts know their configuration. */
+
+static const struct {
+	const char *what;
+	clk_ms since_start;
+	clk_ms time_left;
+	clk_ms expected;
+	clk_ms wait;
+} hold_cases[] = {
+	{ "until the configuration is expected", 100, 10000, 800, 700 },
+	{ "a quarter of the caller's time", 100, 1500, 800, 375 },
+	{ "the caller's time is not known", 300, -1, 800, 500 },
+	{ "the caller's time is over", 100, 0, 800, 0 },
+	{ "the configuration is late: refused at once", 800, 10000, 800, 0 },
+	{ "long after the start", 60000, 10000, 800, 0 },
+	{ "switched off", 0, 10000, 0, 0 },
+};
+
+START_TEST(hold_waits_for_configuration)
+{
+	clk_ms wait =
+		hold_time(hold_cases[_i].since_start, hold_cases[_i].time_left,
+			  hold_cases[_i].expected);
+
+	ck_assert_msg(wait == hold_cases[_i].wait, "%s: %d ms",
+		      hold_cases[_i].what, (int)wait);
+}
+END_TEST
+
 /* The next action after an attempt or at a timeout. */
 
 static const struct {
@@ -2798,6 +2829,8 @@
 	tcase_add_test(tcase, px_continues_moved_run);
 	tcase_add_loop_test(tcase, px_chooses_action_after_attempt, 0,
 			    G_N_ELEMENTS(px_cases));
+	tcase_add_loop_test(tcase, hold_waits_for_configuration, 0,
+			    G_N_ELEMENTS(hold_cases));
 	tcase_add_loop_test(tcase, proof_of_end_is_judged, 0,
 			    G_N_ELEMENTS(proof_cases));
 	tcase_add_loop_test(tcase, px_chooses_action_at_timeout, 0,
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -325,6 +325,14 @@
 		.max = 60000,
 		.fallback = "400",
 	},
+	{
+		.name = "start_wait_ms",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_proxy, start_wait_ms),
+		.min = 0,
+		.max = 10000,
+		.fallback = "800",
+	},
 	{
 		.name = "prefill_us",
 		.type = CONF_TYPE_REAL,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -71,6 +71,7 @@
 	double usage_delay_s;
 	double lookup_keep_s;
 	int64_t connect_ms;
+	int64_t start_wait_ms;
 	double prefill_us;
 	double step_us;
 	double step_slot_us;
