--- a/Makefile
+++ b/Makefile
@@ -47,7 +47,7 @@
 	$(link)
 $(B)/rw-proxyd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/proxyd*.c)) \
 		$(B)/daemon/mirror.o $(B)/daemon/hop.o \
-		$(B)/daemon/holdq.o \
+		$(B)/daemon/startq.o \
 		$(B)/daemon/streamlog.o $(B)/daemon/confirm.o \
 		$(B)/daemon/ident.o \
 		$(PLATFORM_OBJ) $(B)/librw.a
--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -3,10 +3,10 @@
 
 #include <string.h>
 
-#include "../decide/hold.h"
-#include "holdq.h"
+#include "../decide/startup.h"
+#include "startq.h"
 
-#define HELD_MAX 2048		  /* requests that wait for the configuration */
+#define START_QUEUE_MAX 2048	  /* requests that wait for the configuration */
 #define DEADLINE_DEFAULT_MS 15000 /* of a request without one */
 #define ENGINE_PRIORITIES 10	  /* 0 to 9 */
 #define ROUTE_PRIORITIES 3	  /* within one account priority */
@@ -319,49 +319,49 @@
 	clk_ms wait;
 
 	head_request_parse(hs_request_head(call), &request);
-	wait = hold_time(proxyd_now(proxyd) - proxyd->started_at,
-			 request.time_left, proxyd->conf->start_wait_ms);
-	if (wait <= 0 || !holdq_add(proxyd->held, call, wait))
+	wait = startup_wait(proxyd_now(proxyd) - proxyd->started_at,
+			    request.time_left, proxyd->conf->start_wait_ms);
+	if (wait <= 0 || !startq_add(proxyd->starting, call, wait))
 		return false;
-	proxyd_count(proxyd, CTR_held);
+	proxyd_count(proxyd, CTR_awaited_start);
 	return true;
 }
 
-static bool held_is_ready(void *ctx)
+static bool start_is_ready(void *ctx)
 {
 	return follow_ready(ctx);
 }
 
-static void held_on_ready(void *ctx, struct hs_request *call)
+static void start_on_ready(void *ctx, struct hs_request *call)
 {
 	front_serve(ctx, call, NULL);
 }
 
-static void held_on_expired(void *ctx, struct hs_request *call)
+static void start_on_expired(void *ctx, struct hs_request *call)
 {
 	front_reply_error(ctx, call, RW_ENOTREADY,
 			  err_answer(RW_ENOTREADY)->retry_after_ms,
 			  "no_configuration");
 }
 
-static void held_on_disconnect(void *ctx)
+static void start_on_disconnect(void *ctx)
 {
 	proxyd_count(ctx, CTR_callers_gone);
 }
 
 void front_start(struct proxyd *proxyd)
 {
-	struct holdq_options options = {
+	struct startq_options options = {
 		.loop = &proxyd->loop,
-		.max = HELD_MAX,
-		.is_ready = held_is_ready,
-		.on_ready = held_on_ready,
-		.on_expired = held_on_expired,
-		.on_disconnect = held_on_disconnect,
+		.max = START_QUEUE_MAX,
+		.is_ready = start_is_ready,
+		.on_ready = start_on_ready,
+		.on_expired = start_on_expired,
+		.on_disconnect = start_on_disconnect,
 		.ctx = proxyd,
 	};
 
-	proxyd->held = holdq_create(&options);
+	proxyd->starting = startq_create(&options);
 }
 
 void front_accept(struct proxyd *proxyd, struct hs_request *call,
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -72,7 +72,7 @@
 /* What a host may add to the head of a request that it forwards. */
 #define FORWARD_HEAD_BYTES 640
 
-struct holdq;
+struct startq;
 struct proxyd;
 struct xfer;
 
@@ -174,8 +174,8 @@
 	GPtrArray *watches; /* of proxyd-process.c */
 	struct links *links;
 	struct hop *hop;
-	struct holdq *held;   /* requests that wait for the configuration */
-	struct hs *forwarded; /* listener for requests of other hosts */
+	struct startq *starting; /* requests that wait for the configuration */
+	struct hs *forwarded;	 /* listener for requests of other hosts */
 	clk_ms links_checked_at;
 	clk_ms paused_at;	/* this process last was; 0: never */
 	GArray *urgent_notices; /* of struct urgent_notice, not sent yet */
--- a/daemon/holdq.h
+++ b/daemon/startq.h
@@ -4,16 +4,16 @@
  * route them; one whose time is over is refused.
  *
  * Knows nothing of the requests themselves: the owner decides how long each
- * waits (decide/hold.h) and passes on or refuses those that are given back.
+ * waits (decide/startup.h) and passes on or refuses those that are given back.
  */
-#ifndef DAEMON_HOLDQ_H
-#define DAEMON_HOLDQ_H
+#ifndef DAEMON_STARTQ_H
+#define DAEMON_STARTQ_H
 
 #include "../wire/hs.h"
 
-struct holdq;
+struct startq;
 
-struct holdq_options {
+struct startq_options {
 	uv_loop_t *loop;
 	size_t max; /* requests that wait at a time */
 	/* Whether requests can be routed. */
@@ -26,9 +26,8 @@
 	void *ctx;
 };
 
-struct holdq *holdq_create(const struct holdq_options *options);
+struct startq *startq_create(const struct startq_options *options);
 /* Keeps a request for wait ms at most. Returns false if too many wait. */
-bool holdq_add(struct holdq *queue, struct hs_request *call, clk_ms wait);
-size_t holdq_length(const struct holdq *queue);
+bool startq_add(struct startq *queue, struct hs_request *call, clk_ms wait);
 
 #endif
--- a/decide/hold.c
+++ b/decide/startup.c
@@ -1,5 +1,5 @@
 /* How long a request waits at a host that has just started. */
-#include "hold.h"
+#include "startup.h"
 
 #include <glib.h>
 
@@ -7,7 +7,7 @@
  * learn its configuration. */
 #define TIME_LEFT_SHARE 0.25
 
-clk_ms hold_time(clk_ms since_start, clk_ms time_left, clk_ms expected)
+clk_ms startup_wait(clk_ms since_start, clk_ms time_left, clk_ms expected)
 {
 	clk_ms wait = expected - since_start;
 
--- a/decide/hold.h
+++ b/decide/startup.h
@@ -7,8 +7,8 @@
  * some 0.3 s later. A refusal in that time costs a caller one of its few
  * retries, and all of them return at the same moment.
  */
-#ifndef DECIDE_HOLD_H
-#define DECIDE_HOLD_H
+#ifndef DECIDE_STARTUP_H
+#define DECIDE_STARTUP_H
 
 #include "clk.h"
 
@@ -16,6 +16,6 @@
  * refused at once. since_start: of the host; time_left: until the caller's
  * deadline, < 0: not known; expected: the time from a start within which the
  * configuration is usually known, 0: no request is kept. All in ms. */
-clk_ms hold_time(clk_ms since_start, clk_ms time_left, clk_ms expected);
+clk_ms startup_wait(clk_ms since_start, clk_ms time_left, clk_ms expected);
 
 #endif
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -7,7 +7,7 @@
 #include "../decide/lease.h"
 #include "../decide/origin.h"
 #include "../decide/fleet.h"
-#include "../decide/hold.h"
+#include "../decide/startup.h"
 #include "../decide/poison.h"
 #include "../decide/proof.h"
 #include "../decide/px.h"
@@ -32,7 +32,7 @@
 	clk_ms time_left;
 	clk_ms expected;
 	clk_ms wait;
-} hold_cases[] = {
+} startup_cases[] = {
 	{ "until the configuration is expected", 100, 10000, 800, 700 },
 	{ "a quarter of the caller's time", 100, 1500, 800, 375 },
 	{ "the caller's time is not known", 300, -1, 800, 500 },
@@ -42,14 +42,14 @@
 	{ "switched off", 0, 10000, 0, 0 },
 };
 
-START_TEST(hold_waits_for_configuration)
+START_TEST(startup_waits_for_configuration)
 {
-	clk_ms wait =
-		hold_time(hold_cases[_i].since_start, hold_cases[_i].time_left,
-			  hold_cases[_i].expected);
+	clk_ms wait = startup_wait(startup_cases[_i].since_start,
+				   startup_cases[_i].time_left,
+				   startup_cases[_i].expected);
 
-	ck_assert_msg(wait == hold_cases[_i].wait, "%s: %d ms",
-		      hold_cases[_i].what, (int)wait);
+	ck_assert_msg(wait == startup_cases[_i].wait, "%s: %d ms",
+		      startup_cases[_i].what, (int)wait);
 }
 END_TEST
 
@@ -2829,8 +2829,8 @@
 	tcase_add_test(tcase, px_continues_moved_run);
 	tcase_add_loop_test(tcase, px_chooses_action_after_attempt, 0,
 			    G_N_ELEMENTS(px_cases));
-	tcase_add_loop_test(tcase, hold_waits_for_configuration, 0,
-			    G_N_ELEMENTS(hold_cases));
+	tcase_add_loop_test(tcase, startup_waits_for_configuration, 0,
+			    G_N_ELEMENTS(startup_cases));
 	tcase_add_loop_test(tcase, proof_of_end_is_judged, 0,
 			    G_N_ELEMENTS(proof_cases));
 	tcase_add_loop_test(tcase, px_chooses_action_at_timeout, 0,
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -27,7 +27,8 @@
 	X(links_lost, "times the links to all workers of a pool were lost")    \
 	X(moved, "requests whose primary became another host")                 \
 	X(inherited, "requests taken over from a failed host")                 \
-	X(held, "requests that waited for the configuration after a start")    \
+	X(awaited_start,                                                       \
+	  "requests that waited for the configuration after a start")          \
 	X(refused_busy, "requests refused because of load")                    \
 	X(refused_limit, "requests refused by an account's limit")             \
 	X(bad_input, "malformed or unknown requests and messages")             \
