Ask a worker which process it is on the connection that carries the stream

The question used to be sent as the stream began, on a second connection, as the stream occupied the only one. Now it goes before the stream, on a new connection or on an idle one of which the process is not known; a worker that does not answer in 100 ms is sent the stream as before, and its silence counts from the question. The connect timeout, and links in doubt, apply to the question's connection as to the attempt's.

A worker whose last answer named no process ends the connection of each answer, so it is asked while the stream runs, as before.

--- a/daemon/ident.c
+++ b/daemon/ident.c
@@ -8,6 +8,7 @@
 	struct ident_spec spec;
 	struct health_check *check; /* NULL: it has ended */
 	clk_ms started_at;
+	bool is_sent;
 	struct due_timer timer;
 };
 
@@ -37,6 +38,7 @@
 		.outcome = outcome,
 		.start = outcome == IDENT_SAID ? said->started_at : 0,
 		.report = outcome == IDENT_SAID ? said->report : NULL,
+		.is_sent = ident->is_sent,
 		.took = waited(ident),
 	};
 
@@ -67,6 +69,16 @@
 		ident_end(ident, IDENT_SILENT, NULL);
 }
 
+static void on_sent(void *ctx)
+{
+	struct ident *ident = ctx;
+
+	ident->is_sent = true;
+	if (ident->spec.from_sent)
+		due_start(&ident->timer, ident->spec.period,
+			  ident->spec.period);
+}
+
 struct ident *ident_start(uv_loop_t *loop, const struct ident_spec *spec)
 {
 	struct ident *ident = g_new0(struct ident, 1);
@@ -75,9 +87,11 @@
 	ident->spec = *spec;
 	ident->started_at = (clk_ms)uv_now(loop);
 	due_init(loop, &ident->timer, on_timer, ident);
-	due_start(&ident->timer, spec->period, spec->period);
-	ident->check = health_name_start(spec->peer, spec->address,
-					 spec->worker, on_checked, ident);
+	if (!spec->from_sent)
+		due_start(&ident->timer, spec->period, spec->period);
+	ident->check =
+		health_name_start(spec->peer, spec->address, spec->worker,
+				  on_sent, on_checked, ident);
 	return ident;
 }
 
--- a/daemon/ident.h
+++ b/daemon/ident.h
@@ -22,6 +22,7 @@
 	enum ident_outcome outcome;
 	int64_t start; /* wall clock of the process's start, in ms; or 0 */
 	struct json_object *report; /* or NULL; freed after the callback */
+	bool is_sent;		    /* the question was, on some connection */
 	clk_ms took;		    /* ms */
 };
 
@@ -33,6 +34,9 @@
 	 * passed; returns whether to wait on, else the outcome is IDENT_SILENT.
 	 */
 	clk_ms period;
+	/* The periods begin once the question is sent: the connect timeout
+	 * bounds the time until then. */
+	bool from_sent;
 	bool (*waits)(void *ctx, clk_ms waited);
 	/* Called once, unless the question is cancelled. */
 	void (*fn)(void *ctx, const struct ident_answer *answer);
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -183,7 +183,8 @@
 	if (xfer->px.attempts == 0)
 		hist_add(&proxyd->placed_ms, now - xfer->received_at);
 	xfer->sent_at = now;
-	xfer->last_received_at = now;
+	/* A worker that was asked before is silent since. */
+	xfer->last_received_at = xfer->asked_at ? xfer->asked_at : now;
 	xfer->retry_paid = false;
 	xfer->awaits_until = 0;
 	/* A request that resumes from its KV cache continues the same run, not
@@ -672,6 +673,20 @@
 	       fleet_says_process(xfer->worker, &xfer->fleet_request);
 }
 
+/* Whether the worker is asked which process it is before it is sent the
+ * request: the version of a stream is that of its process, and asking while the
+ * stream runs takes another connection. One that does not say it ends the
+ * connection of its answer, so it is asked while the stream runs. */
+static bool wants_process(const struct xfer *xfer, clk_ms now)
+{
+	return (xfer->px.kind == PX_STREAM || xfer->px.kind == PX_RESUMABLE) &&
+	       xfer->fleet_request.version == 0 &&
+	       !h1_view_equals(hs_request_head(xfer->call)->method, "HEAD") &&
+	       fleet_answers_process(xfer->worker) &&
+	       fleet_may_ask_process(xfer->worker, &xfer->fleet_request, now) &&
+	       !hc_peer_has_idle_known(xfer->worker->http_peer);
+}
+
 /* Returns the start of the process that the attempt is meant for, in ms of its
  * wall clock; 0: not known. */
 static int64_t process_expected(const struct xfer *xfer,
@@ -774,9 +789,11 @@
 	xfer->output_at = 0;
 	xfer->sent_at = 0;
 	xfer->ident_tries = 0;
+	xfer->asked_at = 0;
 	xfer->tries_room = fleet_begin(worker, &xfer->fleet_request, now);
-	if ((needs_proof(xfer) || forwarder_needs_version(xfer)) &&
-	    !hc_peer_has_idle_to(worker->http_peer, xfer->worker_start))
+	if (((needs_proof(xfer) || forwarder_needs_version(xfer)) &&
+	     !hc_peer_has_idle_to(worker->http_peer, xfer->worker_start)) ||
+	    wants_process(xfer, now))
 		process_prove(xfer);
 	else
 		attempt_send(xfer);
--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -176,16 +176,31 @@
 	return fleet_needs_proof(xfer->worker, &xfer->fleet_request);
 }
 
+/* Sends an attempt that may go to any process, whatever the answer is. */
+static void on_wish_answered(struct xfer *xfer,
+			     const struct ident_answer *answer)
+{
+	/* Silence for so short a time says nothing of a worker, nor does a
+	 * failed connect of its process. */
+	if (answer->outcome != IDENT_SILENT && answer->is_sent)
+		answer_note(xfer->proxyd, xfer->worker, answer);
+	if (!answer->is_sent)
+		attempt_end_unreached(xfer);
+	else if (!attempt_may_send(xfer))
+		attempt_end(xfer, PX_END_UNSENT, "worker_leaves");
+	else {
+		attempt_send(xfer);
+		xfer_timer_arm(xfer);
+	}
+}
+
 static void on_proved(void *ctx, const struct ident_answer *answer)
 {
 	struct xfer *xfer = ctx;
 
 	xfer->ident = NULL;
 	if (!proof_is_needed(xfer)) {
-		/* Silence for so short a time says nothing of a worker. */
-		if (answer->outcome != IDENT_SILENT)
-			answer_note(xfer->proxyd, xfer->worker, answer);
-		attempt_send(xfer);
+		on_wish_answered(xfer, answer);
 		return;
 	}
 	answer_note(xfer->proxyd, xfer->worker, answer);
@@ -220,16 +235,24 @@
 	return proof_is_needed(ctx) && !attempt_has_sound_other(ctx);
 }
 
+bool process_is_asked_first(const struct xfer *xfer)
+{
+	return xfer->ident && !xfer->settles && !proof_is_needed(xfer);
+}
+
 void process_prove(struct xfer *xfer)
 {
+	bool is_needed = proof_is_needed(xfer);
 	struct ident_spec spec = {
-		.period = proof_is_needed(xfer) ? PERIOD_MS : WISH_MS,
+		.period = is_needed ? PERIOD_MS : WISH_MS,
+		.from_sent = !is_needed,
 		.waits = proof_waits,
 		.fn = on_proved,
 		.ctx = xfer,
 	};
 
 	xfer->ident_tries++;
+	xfer->asked_at = proxyd_now(xfer->proxyd);
 	xfer->ident = process_ask(xfer->proxyd, xfer->worker, &spec);
 }
 
--- a/daemon/proxyd-reach.c
+++ b/daemon/proxyd-reach.c
@@ -341,7 +341,7 @@
 	const struct links *links = xfer->proxyd->links;
 	const char *pool = xfer->pool->name;
 
-	if (!xfer->attempt || !xfer->worker)
+	if (!xfer->worker || (!xfer->attempt && !process_is_asked_first(xfer)))
 		return false;
 	if (!xfer->sent_at)
 		return links_avoided(links, pool) && forward_is_possible(xfer);
@@ -358,8 +358,12 @@
 		attempt_take_back(xfer);
 		return;
 	}
-	hc_request_cancel(xfer->attempt);
+	if (xfer->attempt)
+		hc_request_cancel(xfer->attempt);
 	xfer->attempt = NULL;
+	if (xfer->ident)
+		ident_cancel(xfer->ident);
+	xfer->ident = NULL;
 	attempt_end(xfer, PX_END_UNSENT, "links_lost");
 }
 
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -71,7 +71,9 @@
 	 * process it is; or NULL. */
 	struct ident *ident;
 	unsigned ident_tries;
-	unsigned unfit; /* attempts that met another process */
+	clk_ms asked_at; /* the attempt's worker, which process; 0: it was not
+			  */
+	unsigned unfit;	 /* attempts that met another process */
 	/* Why the attempt has ended whose process is asked for after it; NULL:
 	 * none was. */
 	const char *settles;
@@ -230,6 +232,8 @@
 /* Asks the worker of the attempt which process it is; then sends the attempt,
  * or ends it. */
 void process_prove(struct xfer *xfer);
+/* Whether an attempt that may go to any process waits for the answer. */
+bool process_is_asked_first(const struct xfer *xfer);
 /* The attempt's stream was cut off. Asks its worker which process it is, if
  * that of the stream is not known, and ends the attempt then; returns false if
  * there is nothing to ask. */
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -370,6 +370,7 @@
 	bool serves = worker->other_serves && start == worker->other_start;
 
 	other_forget(fleet, worker);
+	worker->said_at = now;
 	if (worker->removed || (start && start == worker->entry.started_at))
 		return;
 	worker->other_serves = serves;
@@ -399,6 +400,11 @@
 	worker->unknown_at = now;
 }
 
+bool fleet_answers_process(const struct fleet_worker *worker)
+{
+	return !worker->unknown_at || worker->said_at > worker->unknown_at;
+}
+
 bool fleet_says_process(const struct fleet_worker *worker,
 			const struct fleet_request *request)
 {
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -124,6 +124,7 @@
 	bool other_serves; /* it runs requests under the worker's id */
 	/* A process last did not say which one it is; 0: never. */
 	clk_ms unknown_at;
+	clk_ms said_at;		  /* one last did; 0: never */
 	GHashTable *cached_parts; /* part -> when it was last read, in clk_ms */
 	bool said_leaving;	  /* in a response; its entry may not yet */
 	clk_ms withheld_until;	  /* it wants no requests until then; 0: it
@@ -348,6 +349,8 @@
  * the listed process. */
 bool fleet_may_ask_process(const struct fleet_worker *worker,
 			   const struct fleet_request *request, clk_ms now);
+/* Whether it says that when it is asked, as far as is known. */
+bool fleet_answers_process(const struct fleet_worker *worker);
 /* Whether a process that served a connection from since to heard_at must be the
  * listed one: another one would be in the list, which was last current at
  * listed_at. */
--- a/tests/proxyprocess.py
+++ b/tests/proxyprocess.py
@@ -590,5 +590,36 @@
         check(None, [got], False)
 
 
+# Streams at a time, the path, how late the reports are, in s, and how bad;
+# connections to the worker that its streams need.
+CONNECTIONS = [(1, "/s/x", 0, None, 1), (5, "/s/x", 0, None, 5),
+               (1, "/s1/x", 0, None, 1), (1, "/s/x", 0.02, None, 1),
+               # Late, it is asked once more, as the first stream runs.
+               (1, "/s/x", 1.0, None, 3),
+               # An answer that names no process ends its connection; one is
+               # asked for twice in the 2 s of a stream.
+               (1, "/s/x", 0, 503, 7)]
+
+
+async def connections(net, row):
+    count, path, delay_s, fault, most = row
+    async with started(net, ("v1",), hosts=1) as rig:
+        worker, host = rig.workers_of("llm")[0], rig.hosts[0]
+        worker.report_delay_s, worker.report_fault = delay_s, fault
+        callers = [host.caller() for _ in range(count)]
+        for _ in range(3):
+            for caller in callers:
+                await caller.send("POST", path, b"b", remaining_ms=8000)
+            for caller in callers:
+                check(row, [await caller.receive()], True)
+        assert worker.connections <= most, (row, worker.connections)
+
+
+async def test_process_question_opens_no_connection(net):
+    """Guards against a connection that is opened only to ask a worker which process
+    it is, as a stream occupies the only one."""
+    await play_rows(net, connections, CONNECTIONS)
+
+
 if __name__ == "__main__":
     sys.exit(main("proxyprocess", globals(), FIRST_NET))
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -372,6 +372,7 @@
         self.worker = worker
         self.writer = writer
         self.host = writer.get_extra_info("peername")[0]
+        self.is_counted = False  # in the worker's connections
         self.held = b""
         self.transport = writer.transport
         self.silent = False  # for good, while new connections work
@@ -481,6 +482,7 @@
         self.running = set()
         self.calls = set()      # that run, in the mode "slow"
         self.writers = set()
+        self.connections = 0    # that carried a request or a call for its report
         self.last = None        # link of the last request that it executed
         self.cuts = {}          # host's IP address -> how its links are cut
 
@@ -595,6 +597,8 @@
             return await self.handle_move(json.loads(body), writer)
         if head[0].startswith("GET /health "):
             return self.check(writer)
+        self.connections += not writer.is_counted
+        writer.is_counted = True
         if head[0].startswith("GET /-/report "):
             return await self.report(writer)
         if writer.again:
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -431,22 +431,34 @@
 	       !conn->is_named;
 }
 
-/* Returns the most recently used idle connection that suits a request, or NULL.
- */
-static struct hc_conn *peer_find_idle(struct hc_peer *peer,
-				      const struct hc_request_spec *spec)
+/* Returns the most recently used idle connection that suits a request, or NULL;
+ * known: only one of which the process is known. */
+static struct hc_conn *peer_find(struct hc_peer *peer,
+				 const struct hc_request_spec *spec, bool known)
 {
 	clk_ms now = loop_now(peer->hc);
 
 	for (guint i = peer->idle->len; i-- > 0;) {
 		struct hc_conn *conn = g_ptr_array_index(peer->idle, i);
 
-		if (idle_suits(conn, spec) && !idle_close_if_over(conn, now))
+		if (idle_suits(conn, spec) && (!known || conn_process(conn)) &&
+		    !idle_close_if_over(conn, now))
 			return conn;
 	}
 	return NULL;
 }
 
+/* The same; one of which the process is known is preferred, unless the request
+ * asks for it. */
+static struct hc_conn *peer_find_idle(struct hc_peer *peer,
+				      const struct hc_request_spec *spec)
+{
+	struct hc_conn *conn =
+		spec->names_process ? NULL : peer_find(peer, spec, true);
+
+	return conn ? conn : peer_find(peer, spec, false);
+}
+
 /* Starts a new connection; returns NULL if that fails at once. */
 static struct hc_conn *peer_connect(struct hc_peer *peer)
 {
@@ -620,6 +632,14 @@
 	return peer->idle->len > 0;
 }
 
+bool hc_peer_has_idle_known(struct hc_peer *peer)
+{
+	/* Of a request with an id. */
+	const struct hc_request_spec spec = { .id = "" };
+
+	return peer_find(peer, &spec, true) != NULL;
+}
+
 bool hc_peer_has_idle_to(struct hc_peer *peer, int64_t process)
 {
 	const struct hc_request_spec spec = { .process = process };
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -55,7 +55,7 @@
 	bool is_last;	/* the connection is closed after the response */
 	/* Sent only on an idle connection on which a response has named this
 	 * process (see hc_peer_has_idle_to), else on_end gets HC_UNSENT; 0: on
-	 * any connection. */
+	 * any connection, if possible on one of which the process is known. */
 	int64_t process;
 	/* Returns the process that the response names; 0: none, and its
 	 * connection is not kept. Called at HC_COMPLETE and HC_CLOSED, before
@@ -89,6 +89,8 @@
 void hc_peer_remove(struct hc_peer *peer);
 /* Whether the pool has an idle connection. */
 bool hc_peer_has_idle(const struct hc_peer *peer);
+/* Whether it has one of which the process is known (hc_request_process). */
+bool hc_peer_has_idle_known(struct hc_peer *peer);
 /* Whether it has one on which a response has named a process. */
 bool hc_peer_has_idle_to(struct hc_peer *peer, int64_t process);
 /* Whether a connection is open that had carried a response before a time. */
