Learn a pool's speed from the first events

Costs, shed decisions and worker orders used prefill_us, which is 2.8 times K's true figure. Each host now fits a fixed time, a time per token and a time per pair of tokens to its recent clean first events, by least absolute deviations.

--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 	    $(B)/tests/sim-feed $(B)/tests/sim-spread $(B)/tests/sim-origin \
 	    $(B)/tests/sim-permit $(B)/tests/sim-brittle $(B)/tests/sim-poison \
 	    $(B)/tests/sim-links $(B)/tests/sim-route $(B)/tests/unit-proxy \
-	    $(B)/tests/unit-quota $(B)/tests/unit-scale \
+	    $(B)/tests/unit-quota $(B)/tests/unit-scale $(B)/tests/unit-speed \
 	    $(B)/tests/unit-permit $(B)/tests/unit-links \
 	    $(B)/tests/unit-build $(B)/tests/unit-rpc \
 	$(B)/tests/unit-format $(B)/tests/http \
@@ -86,7 +86,7 @@
 	$(B)/tests/sim-brittle $(B)/tests/sim-links: \
 		$(B)/tests/sim-args.o
 $(B)/tests/unit $(B)/tests/unit-proxy $(B)/tests/unit-quota \
-	$(B)/tests/unit-scale $(B)/tests/unit-permit $(B)/tests/unit-links \
+	$(B)/tests/unit-scale $(B)/tests/unit-speed $(B)/tests/unit-permit $(B)/tests/unit-links \
 	$(B)/tests/unit-build $(B)/tests/unit-rpc \
 	$(B)/tests/unit-format $(B)/tests/http \
 	$(B)/tests/platform: \
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -192,6 +192,29 @@
 		px_on_sent(&xfer->px);
 }
 
+/* Learns the pool's speed from the first event of a stream. */
+static void speed_note(struct xfer *xfer)
+{
+	struct proxyd *proxyd = xfer->proxyd;
+	const struct speed *speed =
+		fleet_speed(proxyd->fleet, xfer->pool->name);
+	bool differed = speed->differs;
+
+	if (!fleet_on_first_event(proxyd->fleet, &xfer->fleet_request,
+				  xfer->output_at - xfer->sent_at,
+				  xfer->output_at))
+		return;
+	proxyd_count(proxyd, CTR_speed_fits);
+	if (speed->differs != differed)
+		slog(SLOG_NOTICE, "speed",
+		     "pool=%s fixed_ms=%.1f token_us=%.2f pair_ms=%.3f "
+		     "spread=%.2f setting_us=%.2f outcome=%s",
+		     xfer->pool->name, speed->fit.fixed_ms,
+		     speed->fit.token_ms * 1000, speed->fit.pair_ms,
+		     speed->spread, speed->initial_ms * 1000,
+		     speed->differs ? "measured_used" : "setting_used");
+}
+
 /* The attempt has returned its first output; ago: ms since the request started
  * to run. */
 static void on_first_output(struct xfer *xfer, clk_ms ago)
@@ -208,6 +231,8 @@
 			  xfer->output_at - xfer->sent_at);
 	fleet_first_token(xfer->worker, &xfer->fleet_request);
 	usage_count(xfer, ago);
+	if (xfer->response.is_event_stream && xfer->fleet_request.shows_speed)
+		speed_note(xfer);
 	if (!xfer->px.response_started)
 		hist_add(&proxyd->first_ms,
 			 proxyd_now(proxyd) - xfer->received_at);
@@ -770,6 +795,11 @@
 	xfer->worker_start = process_expected(xfer, worker);
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
+	/* A run that goes on elsewhere has been prefilled in part. */
+	xfer->fleet_request.shows_speed =
+		xfer->move.state == MOVE_NONE && !xfer->px.response_started &&
+		!xfer->resumes &&
+		fleet_shows_speed(worker, &xfer->fleet_request);
 	xfer->has_output = false;
 	xfer->output_at = 0;
 	xfer->sent_at = 0;
--- a/daemon/proxyd-local.c
+++ b/daemon/proxyd-local.c
@@ -106,6 +106,29 @@
 	g_string_free(text, TRUE);
 }
 
+/* Prints the measured speed of pools. */
+static void speeds_print(const struct proxyd *proxyd, GString *text)
+{
+	GHashTableIter iter;
+	gpointer pool;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxyd->fleet->speeds);
+	while (g_hash_table_iter_next(&iter, &pool, &value)) {
+		const struct speed *speed = value;
+
+		g_string_append_printf(text,
+				       "speed_fixed_ms{pool=\"%s\"} %.2f\n"
+				       "speed_token_us{pool=\"%s\"} %.3f\n"
+				       "speed_pair_ms{pool=\"%s\"} %.4f\n"
+				       "speed_used{pool=\"%s\"} %d\n",
+				       (char *)pool, speed->fit.fixed_ms,
+				       (char *)pool, speed->fit.token_ms * 1000,
+				       (char *)pool, speed->fit.pair_ms,
+				       (char *)pool, speed->differs);
+	}
+}
+
 void local_on_metrics(void *ctx, struct hs_request *call)
 {
 	struct proxyd *proxyd = ctx;
@@ -134,6 +157,7 @@
 		proxyd_host_count(proxyd),
 		kv_revision_plain(proxyd->tab_revision),
 		g_hash_table_size(proxyd->fleet->workers));
+	speeds_print(proxyd, text);
 	builds_print(proxyd, text);
 	text_reply(call, text);
 }
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -293,7 +293,6 @@
 	const struct conf_proxy *conf = xfer->proxyd->conf;
 	const struct head_request *request = &xfer->request;
 	struct scale_engine speed = {
-		.prefill_ms = xfer->proxyd->fleet->params.prefill_ms,
 		.step_ms = conf->step_us / 1000,
 		.step_slot_ms = conf->step_slot_us / 1000,
 		.slots = xfer->pool->slots,
@@ -304,8 +303,10 @@
 
 	if (!xfer->pool->engine)
 		return 0;
-	return scale_work_ms(&speed, request->prompt_tokens - cached_tokens,
-			     output);
+	return speed_work_ms(fleet_speed(xfer->proxyd->fleet, xfer->pool->name),
+			     request->prompt_tokens - cached_tokens,
+			     cached_tokens) +
+	       scale_work_ms(&speed, 0, output);
 }
 
 /* Refuses a request that can't be in time, or that would delay more urgent
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -144,7 +144,7 @@
 	proxyd->conf = conf;
 	proxyd->reloaded_at = proxyd_now(proxyd);
 	slog_configure(slog_level_parse(conf->log_level), (int)conf->log_rate);
-	proxyd->fleet->params.prefill_ms = conf->prefill_us / 1000;
+	fleet_set_prefill(proxyd->fleet, conf->prefill_us / 1000);
 	proxyd->fleet->params.cross_dc_ms = conf->distance_ms;
 	slog(SLOG_NOTICE, "reload", "why=%s outcome=adopted", why);
 }
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -49,6 +49,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->versions =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	fleet->speeds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
@@ -655,6 +657,7 @@
 /* Returns the expected ms to the first token. Other hosts send a session's
  * requests to its preferred worker too, so its parts count as cached there. */
 static double placement_cost(const struct fleet *fleet,
+			     const struct speed *measured,
 			     const struct fleet_worker *worker,
 			     const struct fleet_worker *preferred,
 			     const struct fleet_request *request, clk_ms now,
@@ -675,9 +678,10 @@
 	*cached = cached_tokens(fleet, worker, request, now);
 	if (worker == preferred)
 		*cached = MAX(*cached, fleet_shared_tokens(request));
-	cost += (worker->prompt_tokens + worker->peer_prompt_tokens +
-		 request->prompt_tokens - *cached) *
-		speed->prefill_ms;
+	cost += speed_queue_ms(measured, worker->prompt_tokens +
+						 worker->peer_prompt_tokens);
+	cost += speed_prompt_ms(measured, request->prompt_tokens - *cached,
+				*cached);
 	cost += load * speed->per_running_ms;
 	if (worker->entry.slots > 0 && load >= worker->entry.slots)
 		cost += (load - worker->entry.slots + 1) * SLOT_WAIT_MS;
@@ -738,6 +742,7 @@
 	struct fleet *fleet;
 	const struct fleet_request *request;
 	const struct fleet_worker *preferred;
+	const struct speed *speed; /* of the pool */
 	clk_ms now;
 	unsigned ties; /* workers tied for the lowest cost */
 	struct fleet_choice best;
@@ -760,8 +765,9 @@
 
 	if (!permit_may_ask(worker->limit.holder, selection->now))
 		return;
-	cost = placement_cost(selection->fleet, worker, selection->preferred,
-			      selection->request, selection->now, &cached) +
+	cost = placement_cost(selection->fleet, selection->speed, worker,
+			      selection->preferred, selection->request,
+			      selection->now, &cached) +
 	       health_cost(worker, selection->now);
 	if (selection->best.wanted && cost >= selection->wanted_cost)
 		return;
@@ -776,8 +782,9 @@
 	struct fleet_choice *best = &selection->best;
 	int cached;
 	double expected =
-		placement_cost(selection->fleet, worker, selection->preferred,
-			       selection->request, selection->now, &cached);
+		placement_cost(selection->fleet, selection->speed, worker,
+			       selection->preferred, selection->request,
+			       selection->now, &cached);
 	double cost = expected + health_cost(worker, selection->now);
 	double margin = TIE_MS + TIE_SHARE * best->cost;
 
@@ -839,6 +846,8 @@
 		.preferred = request->engine
 				     ? preferred_worker(workers, request)
 				     : NULL,
+		.speed = request->engine ? fleet_speed(fleet, request->pool)
+					 : NULL,
 		.now = now,
 	};
 	unsigned samples = fleet->params.samples;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -17,6 +17,7 @@
 #include "clk.h"
 #include "origin.h"
 #include "permit.h"
+#include "speed.h"
 
 #define FLEET_PARTS_MAX 16 /* parts of one prompt that are looked up */
 #define FLEET_FAILED_MAX 4 /* workers that a request is kept away from */
@@ -167,6 +168,8 @@
 	const char *data_centre; /* of this host */
 	int prompt_tokens;
 	int prefill_tokens; /* of these, not cached at the chosen worker */
+	/* Its time to the first event shows the speed of its pool. */
+	bool shows_speed;
 	struct fleet_part parts[FLEET_PARTS_MAX];
 	size_t part_count;
 	const struct fleet_worker *exclude; /* or NULL */
@@ -203,6 +206,7 @@
 	GHashTable *workers;  /* id -> struct fleet_worker */
 	GHashTable *pools;    /* pool -> GPtrArray of struct fleet_worker */
 	GHashTable *versions; /* pool -> GArray of struct fleet_version */
+	GHashTable *speeds;   /* pool -> struct speed; of engines */
 	struct fleet_params params;
 	clk_ms brittle_at; /* a brittle worker last answered; 0: never */
 	uint32_t (*random)(void *ctx, uint32_t n);
@@ -405,6 +409,23 @@
 /* Updates a worker's health with the outcome of an attempt. */
 void fleet_record_outcome(struct fleet_worker *worker,
 			  enum fleet_outcome outcome, clk_ms now);
+/* The measured speed of pools (fleet-speed.c). */
+
+/* Returns the speed of a pool's engines, by the settings until it is known. */
+struct speed *fleet_speed(struct fleet *fleet, const char *pool);
+/* The settings have changed. */
+void fleet_set_prefill(struct fleet *fleet, double prefill_ms);
+/* Whether a request that is about to be sent to a worker, with its
+ * prefill_tokens, shows the speed of its pool: nothing is known to be queued
+ * before it, and what is cached of its prompt is likely known. */
+bool fleet_shows_speed(const struct fleet_worker *worker,
+		       const struct fleet_request *request);
+/* The first event of a request has come, that many ms after it was sent.
+ * Returns whether the pool's speed was updated. */
+bool fleet_on_first_event(struct fleet *fleet,
+			  const struct fleet_request *request, clk_ms took,
+			  clk_ms now);
+
 /* Sets the requests that other hosts have at a worker, given by its key; see
  * decide/aggregate.h. */
 void fleet_on_peer_requests(struct fleet *fleet, uint32_t key, double requests);
--- /dev/null
+++ b/tests/unit-speed.c
@@ -0,0 +1,203 @@
+/* Tests of the learnt speed of engines: tables of pools and of what disturbs
+ * the times to the first event. */
+#include <glib.h>
+#include <math.h>
+#include <stdio.h>
+
+#include "../decide/speed.h"
+#include "run.h"
+
+#define INITIAL_MS 0.0177 /* the setting's default */
+#define SEEDS 100
+#define ERROR_MAX 0.15 /* required after 5 s */
+/* Seeds, each a host by itself, that may be off by more: with some 25 samples
+ * in 5 s, disturbed ones are the majority of the long ones now and then. */
+#define WRONG_MAX (SEEDS / 20)
+#define RATE 7.0  /* requests to engines of one host in a second */
+#define CLEAN 0.6 /* of them, before which nothing is queued */
+#define LEARN_MS 5000
+
+/* The kinds of requests of deployment K: shared and own prompt tokens, and
+ * their rate. */
+static const struct kind {
+	double shared;
+	double own;
+	double rate;
+} kinds[] = {
+	{ 5382, 6610, 143 },
+	{ 198, 628, 106 },
+	{ 568, 1800, 336 },
+};
+
+/* A pool, and shares of samples that are disturbed. */
+static const struct speed_case {
+	const char *what;
+	double token_ms;
+	double pair_ms;
+	double fixed_ms;
+	double queued;	/* behind a prompt that this host does not know */
+	double evicted; /* whose shared part is not cached, as was expected */
+	double idle;	/* answered at once, without work */
+	double slow;	/* at workers 2.4 times as slow */
+} speed_cases[] = {
+	{ "as the settings say", INITIAL_MS, 0, 25, 0, 0, 0, 0 },
+	{ "K, undisturbed", 0.00637, 0.109, 40, 0, 0, 0, 0 },
+	{ "K, a busy pool", 0.00637, 0.109, 40, 0.2, 0.1, 0, 0 },
+	{ "K, some answer without working", 0.00637, 0.109, 40, 0, 0, 0.1, 0 },
+	{ "M, a third is slow", 0.0163, 0.324, 35, 0.1, 0.05, 0, 0.33 },
+	{ "five times as slow", 0.09, 0.3, 60, 0.1, 0.1, 0, 0 },
+};
+
+static double pairs_ms(const struct speed_case *at, double uncached,
+		       double cached)
+{
+	return at->pair_ms * uncached * (cached + uncached / 2) / 1e6;
+}
+
+/* Returns the size of a prompt's own part: it varies widely. */
+static double draw_own(GRand *rand, double mean)
+{
+	double normal = 0;
+
+	for (int i = 0; i < 12; i++)
+		normal += g_rand_double(rand);
+	return fmin(mean * exp(0.7 * (normal - 6) - 0.245), 54600);
+}
+
+static struct speed_sample draw_sample(GRand *rand, const struct speed_case *at,
+				       clk_ms now)
+{
+	double pick = g_rand_double(rand) * (143 + 106 + 336);
+	size_t i = 0;
+	struct speed_sample sample = { .at = now };
+	double uncached;
+	double cached;
+
+	for (; pick >= kinds[i].rate && i + 1 < G_N_ELEMENTS(kinds); i++)
+		pick -= kinds[i].rate;
+	sample.cached = cached = kinds[i].shared;
+	sample.uncached = uncached = draw_own(rand, kinds[i].own);
+	if (g_rand_double(rand) < at->evicted) {
+		uncached += cached;
+		cached = 0;
+	}
+	sample.took = at->fixed_ms + uncached * at->token_ms +
+		      pairs_ms(at, uncached, cached);
+	if (g_rand_double(rand) < at->slow)
+		sample.took *= 2.4;
+	if (g_rand_double(rand) < at->queued)
+		sample.took += g_rand_double(rand) * 12000 * at->token_ms;
+	if (g_rand_double(rand) < at->idle)
+		sample.took = 2;
+	sample.took = floor(sample.took * (1 + 0.1 * g_rand_double(rand))) + 1;
+	return sample;
+}
+
+static void learn(struct speed *speed, GRand *rand, const struct speed_case *at,
+		  clk_ms from, clk_ms until)
+{
+	double now = (double)from;
+
+	while (now < (double)until) {
+		struct speed_sample sample;
+
+		now += -log(1 - g_rand_double(rand)) * 1000 / (RATE * CLEAN);
+		sample = draw_sample(rand, at, (clk_ms)now);
+		speed_add(speed, &sample);
+	}
+}
+
+/* Returns the relative error for the long kind, where the work is. */
+static double error_of(const struct speed *speed, const struct speed_case *at)
+{
+	double truth = 6610 * at->token_ms + pairs_ms(at, 6610, 5382);
+
+	return speed_prompt_ms(speed, 6610, 5382) / truth - 1;
+}
+
+/* Guards against costs and orders that are off by as much as the settings. */
+START_TEST(speed_is_known_within_5_s)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(speed_cases); i++) {
+		const struct speed_case *at = &speed_cases[i];
+		unsigned wrong = 0;
+		double worst = 0;
+
+		for (guint32 seed = 1; seed <= SEEDS; seed++) {
+			GRand *rand = g_rand_new_with_seed(seed);
+			struct speed speed;
+			double error;
+
+			speed_init(&speed, INITIAL_MS);
+			learn(&speed, rand, at, 1000, 1000 + LEARN_MS);
+			error = fabs(error_of(&speed, at));
+			wrong += error > ERROR_MAX;
+			worst = fmax(worst, error);
+			g_rand_free(rand);
+		}
+		printf("%s: worst error %.3f, beyond %.2f in %u of %d\n",
+		       at->what, worst, ERROR_MAX, wrong, SEEDS);
+		ck_assert_msg(wrong <= WRONG_MAX, "%s: %u", at->what, wrong);
+	}
+}
+END_TEST
+
+/* A pool that is as the settings say is placed as before. */
+START_TEST(speed_near_settings_changes_nothing)
+{
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		struct speed speed;
+
+		speed_init(&speed, INITIAL_MS);
+		learn(&speed, rand, &speed_cases[0], 1000, 21000);
+		ck_assert_msg(!speed.differs, "seed %u", seed);
+		ck_assert_double_eq_tol(speed_queue_ms(&speed, 1000),
+					1000 * INITIAL_MS, 1e-9);
+		g_rand_free(rand);
+	}
+}
+END_TEST
+
+/* Values that can't be true, and any that can, never give a figure beyond the
+ * bounds. */
+START_TEST(speed_stays_in_bounds)
+{
+	static const struct speed_sample odd[] = {
+		{ NAN, 100, 0, 1000 },	   { INFINITY, 100, 0, 1000 },
+		{ -5, 100, 0, 1000 },	   { 5, -100, 0, 1000 },
+		{ 5, 100, -1, 1000 },	   { 0, 0, 0, 1000 },
+		{ 1e9, 1, 0, 1000 },	   { 0, 54600, 0, 1000 },
+		{ 1e9, 54600, 1e6, 1000 },
+	};
+	struct speed speed;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		speed_init(&speed, INITIAL_MS);
+		for (clk_ms n = 0; n < 200; n++) {
+			struct speed_sample sample = odd[i];
+
+			sample.at += n * 100;
+			speed_add(&speed, &sample);
+		}
+		ck_assert(isfinite(speed_work_ms(&speed, 1000, 0)));
+		ck_assert(speed.fit.token_ms >= INITIAL_MS / 8 * 0.999);
+		ck_assert(speed.fit.token_ms <= INITIAL_MS * 8 * 1.001);
+	}
+	speed_init(&speed, 0);
+	ck_assert(!speed_add(&speed, &odd[7]));
+	ck_assert_double_eq(speed_prompt_ms(&speed, 1000, 0), 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("unit-speed");
+	TCase *tcase = tcase_create("tables");
+
+	suite_add_tcase(suite, tcase);
+	tcase_add_test(tcase, speed_is_known_within_5_s);
+	tcase_add_test(tcase, speed_near_settings_changes_nothing);
+	tcase_add_test(tcase, speed_stays_in_bounds);
+	return run_suite(suite, "unit-speed");
+}
