Keep idle connections to workers nearly as long as the workers do

A connection is closed a second and a round trip before the worker's Keep-Alive timeout, 30 s at most; it was closed after 0.6 of that time, 8 s at most. That limit stays for a request that may not be sent again, which would be lost if the worker closed the connection meanwhile, and for questions. The number of idle connections is bounded, the one idle longest is closed.

A question that gets no answer as its connection ends ends the attempt as unsent: it has not been sent.

--- a/daemon/proxyd-process.c
+++ b/daemon/proxyd-process.c
@@ -176,15 +176,19 @@
 	return fleet_needs_proof(xfer->worker, &xfer->fleet_request);
 }
 
-/* Sends an attempt that may go to any process, whatever the answer is. */
+/* Sends an attempt that may go to any process, unless the connection for it has
+ * failed. */
 static void on_wish_answered(struct xfer *xfer,
 			     const struct ident_answer *answer)
 {
 	/* Silence for so short a time says nothing of a worker, nor does a
-	 * failed connect of its process. */
+	 * failed connect of its process. One that ends the connection without
+	 * an answer is not asked first the next time. */
 	if (answer->outcome != IDENT_SILENT && answer->is_sent)
 		answer_note(xfer->proxyd, xfer->worker, answer);
-	if (!answer->is_sent)
+	if (answer->outcome != IDENT_SILENT)
+		xfer->asked_at = 0;
+	if (answer->outcome == IDENT_REFUSED)
 		attempt_end_unreached(xfer);
 	else if (!attempt_may_send(xfer))
 		attempt_end(xfer, PX_END_UNSENT, "worker_leaves");
@@ -252,7 +256,8 @@
 	};
 
 	xfer->ident_tries++;
-	xfer->asked_at = proxyd_now(xfer->proxyd);
+	if (!is_needed)
+		xfer->asked_at = proxyd_now(xfer->proxyd);
 	xfer->ident = process_ask(xfer->proxyd, xfer->worker, &spec);
 }
 
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -71,8 +71,8 @@
 	 * process it is; or NULL. */
 	struct ident *ident;
 	unsigned ident_tries;
-	clk_ms asked_at; /* the attempt's worker, which process; 0: it was not
-			  */
+	clk_ms asked_at; /* the attempt's worker, which process, and it has not
+			  * answered; 0: it was not, or has */
 	unsigned unfit;	 /* attempts that met another process */
 	/* Why the attempt has ended whose process is asked for after it; NULL:
 	 * none was. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -11,14 +11,19 @@
 
 #include "../wire/args.h"
 
-#define TICK_MS 100		 /* period of all timed work */
-#define STATUS_PERIOD_MS 10000	 /* between status log lines */
-#define SETTINGS_PERIOD_MS 1000	 /* between checks of the settings file */
-#define PROBE_PERIOD_MS 500	 /* of the membership protocol */
-#define SUSPICION_MS 1500	 /* from suspect to dead */
-#define DEAD_RETENTION_MS 60000	 /* how long a dead host is listed */
-#define SYNC_PERIOD_MS 10000	 /* between full exchanges of members */
-#define IDLE_MAX_MS 8000	 /* of idle connections to workers */
+#define TICK_MS 100		/* period of all timed work */
+#define STATUS_PERIOD_MS 10000	/* between status log lines */
+#define SETTINGS_PERIOD_MS 1000 /* between checks of the settings file */
+#define PROBE_PERIOD_MS 500	/* of the membership protocol */
+#define SUSPICION_MS 1500	/* from suspect to dead */
+#define DEAD_RETENTION_MS 60000 /* how long a dead host is listed */
+#define SYNC_PERIOD_MS 10000	/* between full exchanges of members */
+#define IDLE_MAX_MS 8000	/* of idle connections to workers */
+#define KEEP_MAX_MS 30000	/* the same, where workers keep them longer */
+/* Idle connections to workers at most: of the reserved descriptors, or this
+ * share of all. */
+#define IDLE_RESERVED 200
+#define IDLE_SHARE (1.0 / 16)
 #define PEER_TIMEOUT_MS 2500	 /* unacknowledged data to a worker */
 #define STORE_IDLE_MS 30000	 /* of idle connections to the store */
 #define STORE_TIMEOUT_MS 2000	 /* unacknowledged data to the store */
@@ -441,6 +446,9 @@
 	struct hc_options upstreams = {
 		.connect_timeout = conf->connect_ms,
 		.idle_timeout = IDLE_MAX_MS,
+		.keep_max = KEEP_MAX_MS,
+		.idle_max = (unsigned)MAX(
+			(double)conf->descriptors * IDLE_SHARE, IDLE_RESERVED),
 		.peer_timeout = PEER_TIMEOUT_MS,
 		.source = conf->address,
 		.id_header = HEAD_ATTEMPT_ID,
--- a/tests/http.c
+++ b/tests/http.c
@@ -352,14 +352,16 @@
 	outcome->result = result;
 }
 
-static struct hc_request *send_request(struct hc_peer *peer,
-				       struct outcome *outcome)
+static struct hc_request *send_repeatable(struct hc_peer *peer,
+					  struct outcome *outcome,
+					  bool is_repeatable)
 {
 	static const char head[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 	struct hc_request_spec spec = {
 		.head = head,
 		.head_len = strlen(head),
 		.id = "a",
+		.is_repeatable = is_repeatable,
 		.on_head = on_head,
 		.on_data = on_data,
 		.on_end = on_end,
@@ -370,16 +372,22 @@
 	return hc_request_start(peer, &spec);
 }
 
-static struct hc *client_create(void)
+static struct hc_request *send_request(struct hc_peer *peer,
+				       struct outcome *outcome)
 {
-	struct hc_options options = {
-		.connect_timeout = 500,
-		.idle_timeout = 5000,
-		.peer_timeout = 2000,
-		.id_header = "X-Id",
-	};
+	return send_repeatable(peer, outcome, false);
+}
+
+static const struct hc_options client_options = {
+	.connect_timeout = 500,
+	.idle_timeout = 5000,
+	.peer_timeout = 2000,
+	.id_header = "X-Id",
+};
 
-	return hc_create(&loop, &options);
+static struct hc *client_create(void)
+{
+	return hc_create(&loop, &client_options);
 }
 
 static const struct {
@@ -527,6 +535,9 @@
 
 /* A response that names the process, and one to the request after it. */
 #define NAMED OK200 "Content-Length: 1\r\n\r\nr"
+#define ANSWERED_KEPT(seconds)                                                 \
+	OK200 ID "Keep-Alive: timeout=" #seconds                               \
+		 "\r\nContent-Length: 2\r\n\r\nhi"
 #define ANSWERED OK200 ID "Content-Length: 2\r\n\r\nhi"
 
 static int64_t named_42(void *ctx)
@@ -681,6 +692,78 @@
 }
 END_TEST
 
+static const struct {
+	const char *what;
+	const char *response;
+	clk_ms keep_max;
+	clk_ms waited;
+	bool is_repeatable;
+	int accepted; /* connections for two requests */
+} keep_cases[] = {
+	{ "nearly as long as the server says", ANSWERED_KEPT(3), 9000, 1900,
+	  true, 1 },
+	{ "not one that may not be sent again", ANSWERED_KEPT(3), 9000, 1900,
+	  false, 2 },
+	{ "that one is sent on it for a while", ANSWERED_KEPT(3), 9000, 1400,
+	  false, 1 },
+	{ "not in the last second", ANSWERED_KEPT(3), 9000, 2020, true, 2 },
+	{ "not longer than this side allows", ANSWERED_KEPT(9), 1000, 1600,
+	  true, 2 },
+	{ "not closed at once", ANSWERED_KEPT(1), 9000, 500, true, 1 },
+	{ "not after that", ANSWERED_KEPT(1), 9000, 700, true, 2 },
+	{ "the server does not say", ANSWERED, 9000, 1400, false, 1 },
+	{ "not longer then", ANSWERED, 9000, 1600, true, 2 },
+};
+
+START_TEST(client_keeps_idle_connections)
+{
+	const struct script script = {
+		{ keep_cases[_i].response, ANSWERED },
+		KEEP_OPEN,
+	};
+	struct hc_options options = client_options;
+	struct outcome outcome;
+	struct hc_peer *peer;
+	struct stub *stub;
+
+	uv_loop_init(&loop);
+	options.idle_timeout = 1500;
+	options.keep_max = keep_cases[_i].keep_max;
+	stub = stub_start(&script);
+	peer = hc_peer_add(hc_create(&loop, &options), stub->address);
+	send_request(peer, &outcome);
+	loop_until(&outcome.done);
+	loop_for((unsigned)keep_cases[_i].waited);
+	send_repeatable(peer, &outcome, keep_cases[_i].is_repeatable);
+	loop_until(&outcome.done);
+	ck_assert_msg(stub->accepted == keep_cases[_i].accepted,
+		      "%s: %d connections", keep_cases[_i].what,
+		      stub->accepted);
+}
+END_TEST
+
+START_TEST(client_bounds_idle_connections)
+{
+	static const struct script script = {
+		{ ANSWERED, ANSWERED, ANSWERED },
+		KEEP_OPEN,
+	};
+	struct hc_options options = client_options;
+	struct outcome outcomes[3];
+	struct hc_peer *peer;
+
+	uv_loop_init(&loop);
+	options.idle_max = 2;
+	peer = hc_peer_add(hc_create(&loop, &options),
+			   stub_start(&script)->address);
+	for (int i = 0; i < 3; i++)
+		send_request(peer, &outcomes[i]);
+	for (int i = 0; i < 3; i++)
+		loop_until(&outcomes[i].done);
+	ck_assert_uint_eq(hc_peer_connections(peer), 2);
+}
+END_TEST
+
 START_TEST(client_connects_although_the_loop_is_late)
 {
 	static const struct script script = {
@@ -1547,6 +1630,9 @@
 			    G_N_ELEMENTS(named_cases));
 	tcase_add_loop_test(tcase, client_sends_nothing_on_an_ended_connection,
 			    0, G_N_ELEMENTS(idle_end_cases));
+	tcase_add_loop_test(tcase, client_keeps_idle_connections, 0,
+			    G_N_ELEMENTS(keep_cases));
+	tcase_add_test(tcase, client_bounds_idle_connections);
 	tcase_add_test(tcase, client_connects_although_the_loop_is_late);
 	tcase_add_test(tcase, client_cancel_closes);
 	tcase_add_test(tcase, client_withdrawn_request_is_not_sent);
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -6,9 +6,13 @@
 #include "due.h"
 #include "tcp.h"
 
-#define TIMEOUT_CHECK_MS 250	/* period of the check of timeouts */
-#define HEAD_MAX 65536		/* bytes of a response's head */
-#define KEEP_ALIVE_FRACTION 0.6 /* of the peer's Keep-Alive timeout */
+#define TIMEOUT_CHECK_MS 250 /* period of the check of timeouts */
+#define HEAD_MAX 65536	     /* bytes of a response's head */
+/* Of the server's Keep-Alive timeout, for requests that may not be sent again:
+ * they are lost if the server closes the connection as they arrive. */
+#define KEEP_ALIVE_FRACTION 0.6
+/* Before that timeout, and a round trip, for the others. */
+#define KEEP_ALIVE_MARGIN_MS 1000
 
 /* One connection. */
 struct hc_conn {
@@ -17,9 +21,13 @@
 	struct hc_request *request; /* NULL: idle */
 	clk_ms since; /* when the attempt began, or when it became idle */
 	clk_ms responded_at; /* when the first response ended; 0: none has */
-	clk_ms idle_timeout; /* after the last response */
-	int64_t process;     /* at the other end; 0: not known */
-	bool is_named;	     /* a response on it has named the process */
+	clk_ms connect_took; /* at least a round trip */
+	/* After the last response, in ms: until only requests that may be sent
+	 * again are sent on it, and until it is closed. */
+	clk_ms idle_timeout;
+	clk_ms keep_timeout;
+	int64_t process; /* at the other end; 0: not known */
+	bool is_named;	 /* a response on it has named the process */
 	/* Events of struct hc; 0: not yet. */
 	uint64_t connected;
 	uint64_t sent;	/* the last request */
@@ -67,6 +75,7 @@
 	struct hc_counters counters;
 	uint64_t events; /* connections established, and requests sent */
 	GPtrArray *peers;
+	unsigned idle_count;	 /* of all peers */
 	GPtrArray *closed_conns; /* callbacks may still use them */
 	GQueue failed_requests;	 /* their connect failed at once */
 };
@@ -94,7 +103,8 @@
 	if (conn->closed)
 		return;
 	conn->closed = true;
-	g_ptr_array_remove(peer->idle, conn);
+	if (g_ptr_array_remove(peer->idle, conn))
+		peer->hc->idle_count--;
 	g_ptr_array_remove_fast(peer->conns, conn);
 	tcp_close(conn->tcp);
 	g_ptr_array_add(peer->hc->closed_conns, conn);
@@ -160,6 +170,39 @@
 	return true;
 }
 
+/* Closes the connection that has been idle longest. */
+static void idle_close_oldest(struct hc *hc)
+{
+	struct hc_conn *oldest = NULL;
+
+	for (guint i = 0; i < hc->peers->len; i++) {
+		const struct hc_peer *peer = g_ptr_array_index(hc->peers, i);
+		struct hc_conn *conn;
+
+		if (peer->idle->len == 0)
+			continue;
+		conn = g_ptr_array_index(peer->idle, 0);
+		if (!oldest || conn->since < oldest->since)
+			oldest = conn;
+	}
+	if (oldest)
+		conn_close(oldest);
+}
+
+/* Keeps a connection without a request. */
+static void idle_add(struct hc_conn *conn)
+{
+	struct hc *hc = conn->peer->hc;
+
+	conn->since = loop_now(hc);
+	if (!conn->responded_at)
+		conn->responded_at = conn->since;
+	g_ptr_array_add(conn->peer->idle, conn);
+	hc->idle_count++;
+	if (hc->options.idle_max && hc->idle_count > hc->options.idle_max)
+		idle_close_oldest(hc);
+}
+
 /* Ends a request and keeps or closes its connection. */
 static void request_end(struct hc_request *request, enum hc_result result,
 			bool keep)
@@ -172,14 +215,10 @@
 		keep = conn_name_process(conn, &spec) && keep;
 	conn->request = NULL;
 	request_free(request);
-	if (keep && !spec.is_last && !conn->peer->removed) {
-		conn->since = loop_now(conn->peer->hc);
-		if (!conn->responded_at)
-			conn->responded_at = conn->since;
-		g_ptr_array_add(conn->peer->idle, conn);
-	} else {
+	if (keep && !spec.is_last && !conn->peer->removed)
+		idle_add(conn);
+	else
 		conn_close(conn);
-	}
 	spec.on_end(spec.ctx, result);
 }
 
@@ -232,16 +271,22 @@
 	       memcmp(id.ptr, conn->request->spec.id, id.len) == 0;
 }
 
-/* Returns how long a connection may stay idle after a response. */
-static clk_ms idle_timeout_of(const struct hc_conn *conn,
-			      const struct h1_head *head)
+/* Sets how long a connection may stay idle after a response. */
+static void idle_timeouts_set(struct hc_conn *conn, const struct h1_head *head)
 {
-	clk_ms keep = conn->peer->hc->options.idle_timeout;
+	const struct hc_options *options = &conn->peer->hc->options;
+	clk_ms said = (clk_ms)head->keep_alive_s * CLK_SECOND;
+	clk_ms margin = KEEP_ALIVE_MARGIN_MS + conn->connect_took;
 
+	conn->idle_timeout = options->idle_timeout;
+	if (head->keep_alive_s >= 0)
+		conn->idle_timeout =
+			MIN(conn->idle_timeout,
+			    (clk_ms)((double)said * KEEP_ALIVE_FRACTION));
+	conn->keep_timeout = conn->idle_timeout;
 	if (head->keep_alive_s >= 0)
-		keep = MIN(keep, (clk_ms)(head->keep_alive_s * CLK_SECOND *
-					  KEEP_ALIVE_FRACTION));
-	return keep;
+		conn->keep_timeout = MAX(conn->idle_timeout,
+					 MIN(options->keep_max, said - margin));
 }
 
 /* Parses a response's head; returns false if there is nothing more to do. */
@@ -269,7 +314,7 @@
 	}
 	conn->in_body = true;
 	conn->close_after = head.close;
-	conn->idle_timeout = idle_timeout_of(conn, &head);
+	idle_timeouts_set(conn, &head);
 	conn->mismatched = !response_matches(conn, &head);
 	h1_body_init(&conn->body, &head);
 	if (conn->mismatched) {
@@ -393,6 +438,7 @@
 		return;
 	}
 	conn->connected = ++conn->peer->hc->events;
+	conn->connect_took = loop_now(conn->peer->hc) - conn->since;
 	tcp_set_peer_timeout(conn->tcp, conn->peer->hc->options.peer_timeout);
 	tcp_read_start(conn->tcp);
 	if (spec->may_send && !spec->may_send(spec->ctx)) {
@@ -409,7 +455,7 @@
 {
 	struct hc_peer *peer = conn->peer;
 
-	if (now - conn->since < conn->idle_timeout &&
+	if (now - conn->since < conn->keep_timeout &&
 	    !tcp_input_waits(conn->tcp))
 		return false;
 	peer->hc->counters.unexpected_data += tcp_unread_bytes(conn->tcp) > 0;
@@ -419,12 +465,15 @@
 	return true;
 }
 
-/* Whether a request may be sent on an idle connection. A second response to the
+/* Whether a request may be sent on an idle connection, unless that is over. A
+ * second response to the
  * request that named the process is told by the id that it lacks, but has a
  * body also before one to HEAD. */
 static bool idle_suits(const struct hc_conn *conn,
-		       const struct hc_request_spec *spec)
+		       const struct hc_request_spec *spec, clk_ms now)
 {
+	if (!spec->is_repeatable && now - conn->since >= conn->idle_timeout)
+		return false;
 	if (spec->process)
 		return conn->is_named && conn->process == spec->process;
 	return (spec->id && !spec->is_head) || spec->names_process ||
@@ -441,7 +490,8 @@
 	for (guint i = peer->idle->len; i-- > 0;) {
 		struct hc_conn *conn = g_ptr_array_index(peer->idle, i);
 
-		if (idle_suits(conn, spec) && (!known || conn_process(conn)) &&
+		if (idle_suits(conn, spec, now) &&
+		    (!known || conn_process(conn)) &&
 		    !idle_close_if_over(conn, now))
 			return conn;
 	}
@@ -507,6 +557,7 @@
 				    (gssize)g_bytes_get_size(spec->body));
 	if (conn) {
 		g_ptr_array_remove(peer->idle, conn);
+		peer->hc->idle_count--;
 		peer->hc->counters.reuses++;
 		conn->request = request;
 		request->conn = conn;
@@ -565,7 +616,7 @@
 			return; /* the peer may have been freed */
 		}
 		if (conn->connected && !conn->request &&
-		    age >= conn->idle_timeout) {
+		    age >= conn->keep_timeout) {
 			conn_close(conn);
 			return;
 		}
@@ -632,10 +683,12 @@
 	return peer->idle->len > 0;
 }
 
-bool hc_peer_has_idle_known(struct hc_peer *peer)
+bool hc_peer_has_idle_known(struct hc_peer *peer, bool is_repeatable)
 {
-	/* Of a request with an id. */
-	const struct hc_request_spec spec = { .id = "" };
+	const struct hc_request_spec spec = {
+		.id = "",
+		.is_repeatable = is_repeatable,
+	};
 
 	return peer_find(peer, &spec, true) != NULL;
 }
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -37,8 +37,17 @@
 
 struct hc_options {
 	clk_ms connect_timeout; /* for connection establishment */
-	clk_ms idle_timeout;	/* for an unused connection */
-	clk_ms peer_timeout;	/* for a peer that acknowledges nothing */
+	/* For an unused connection: until it carries no request that may not be
+	 * sent again, and the same of a server that does not say how long it
+	 * keeps one. */
+	clk_ms idle_timeout;
+	/* Until it is closed, if the server says that it keeps it so long; 0:
+	 * idle_timeout. */
+	clk_ms keep_max;
+	/* Idle connections to all servers that are not closed for their number
+	 * (the one idle longest is); 0: any number. */
+	unsigned idle_max;
+	clk_ms peer_timeout; /* for a peer that acknowledges nothing */
 	/* IP address that connections come from; NULL: any. */
 	const char *source;
 	/* Header that matches a response to its request, or NULL. */
@@ -53,6 +62,9 @@
 	const char *id; /* expected value of id_header; NULL: not checked */
 	bool is_head;	/* the method is HEAD */
 	bool is_last;	/* the connection is closed after the response */
+	/* It can be sent again if it is lost on a connection that the server
+	 * has closed meanwhile. */
+	bool is_repeatable;
 	/* Sent only on an idle connection on which a response has named this
 	 * process (see hc_peer_has_idle_to), else on_end gets HC_UNSENT; 0: on
 	 * any connection, if possible on one of which the process is known. */
@@ -89,8 +101,9 @@
 void hc_peer_remove(struct hc_peer *peer);
 /* Whether the pool has an idle connection. */
 bool hc_peer_has_idle(const struct hc_peer *peer);
-/* Whether it has one of which the process is known (hc_request_process). */
-bool hc_peer_has_idle_known(struct hc_peer *peer);
+/* Whether it has one of which the process is known (hc_request_process) for a
+ * request with an id. */
+bool hc_peer_has_idle_known(struct hc_peer *peer, bool is_repeatable);
 /* Whether it has one on which a response has named a process. */
 bool hc_peer_has_idle_to(struct hc_peer *peer, int64_t process);
 /* Whether a connection is open that had carried a response before a time. */
