Account limits: admit by the level of the bucket, not by size; ranks

A request needed the bucket to hold all of its units, so that small ones took each unit before there were enough for a large one, and a host's equal share refused although the bucket of all hosts was nearly full. Requests are now admitted with a probability that depends on the level of the bucket and on their rank alone; what they lack is owed. Calls to plain services have a tenth of the limit for themselves. A host's share grows with what it spends. Retry-After is spread and at most a third of the client's time.

--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -196,39 +196,54 @@
 	return false;
 }
 
-/* Takes a request's units from its account's limit; returns false if too few
- * remain and the request was replied to. */
+/* Whether a request takes up a stream that has begun. */
+static bool takes_up_stream(const struct tab_route *route,
+			    const struct head_request *request)
+{
+	return route->kind == PX_RESUMABLE && request->last_event_id >= 0;
+}
+
+/* Takes a request's units from its account's limit; returns false if it is
+ * refused and was replied to. */
 static bool quota_spend(struct proxyd *proxyd, struct hs_request *call,
-			const struct tab_account *account, double units,
-			bool resumes, struct quota **quota)
+			const struct tab_account *account,
+			const struct quota_request *request,
+			struct quota **quota)
 {
-	clk_ms retry_after = 0;
+	struct quota_refusal refusal;
 
 	*quota = account ? g_hash_table_lookup(proxyd->quotas, account->name)
 			 : NULL;
 	if (!*quota ||
-	    quota_take(*quota, units, resumes, proxyd_host_count(proxyd),
-		       proxyd_now(proxyd), &retry_after))
+	    quota_take(*quota, request, proxyd_now(proxyd), &refusal))
 		return true;
 	proxyd_count(proxyd, CTR_refused_limit);
+	if (refusal.why != QUOTA_ALL_HOSTS)
+		proxyd_count(proxyd, refusal.why == QUOTA_RANK
+					     ? CTR_refused_limit_rank
+					     : CTR_refused_limit_own);
 	slog(SLOG_INFO, "limit",
-	     "id=%.*s account=%s units=%.0f rate=%.0f left_all=%.0f "
+	     "id=%.*s account=%s units=%.0f rank=%d rate=%.0f left_all=%.0f "
 	     "left_own=%.0f hosts=%u heard_ms=%" G_GINT64_FORMAT
-	     " coverage=%.2f resumes=%d",
+	     " coverage=%.2f resumes=%d decided_by=%s",
 	     SLOG_VIEW(h1_header_value(hs_request_head(call), HEAD_ATTEMPT_ID)),
-	     account->name, units, (*quota)->rate, (*quota)->global_units,
-	     (*quota)->local_units, proxyd_host_count(proxyd),
+	     account->name, request->units, request->rank, (*quota)->rate,
+	     (*quota)->global_units, (*quota)->local_units, request->hosts,
 	     proxyd_now(proxyd) - (*quota)->last_report_at, (*quota)->coverage,
-	     resumes);
-	front_reply_error(proxyd, call, RW_ELIMIT, retry_after, "over_limit");
+	     request->takes_up, quota_why_name(refusal.why));
+	front_reply_error(proxyd, call, RW_ELIMIT, refusal.retry_after,
+			  "over_limit");
 	return false;
 }
 
-/* Whether a request takes up a stream that has begun. */
-static bool takes_up_stream(const struct tab_route *route,
-			    const struct head_request *request)
+/* Returns the rank of a route's requests at the limit of an account. */
+static int limit_rank(const struct tab_route *route)
 {
-	return route->kind == PX_RESUMABLE && request->last_event_id >= 0;
+	for (guint i = 0; i < route->targets->len; i++)
+		if (g_array_index(route->targets, struct tab_target, i)
+			    .pool->engine)
+			return MAX(route->priority, 0);
+	return QUOTA_PLAIN;
 }
 
 /* Applies what the host says that has forwarded a request. */
@@ -306,8 +321,17 @@
 	 * its caller. */
 	if (forwarded && forwarded->counted)
 		quota = NULL;
-	else if (!quota_spend(proxyd, call, account, units,
-			      takes_up_stream(route, &request), &quota))
+	else if (!quota_spend(
+			 proxyd, call, account,
+			 &(struct quota_request){
+				 .units = units,
+				 .rank = limit_rank(route),
+				 .takes_up = takes_up_stream(route, &request),
+				 .hosts = proxyd_host_count(proxyd),
+				 .chance = proxyd_chance(proxyd),
+				 .time_left = deadline - proxyd_now(proxyd),
+			 },
+			 &quota))
 		return;
 	xfer = xfer_create(proxyd, call, route, account, &request);
 	xfer->identity = identity;
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -6,7 +6,7 @@
 #define REPORT_FRESH_MS 450    /* age up to which reports are fully trusted */
 #define REPORT_USABLE_MS 700   /* age from which they are not used */
 #define LOCAL_MULTIPLE 2.5     /* of the equal share, with fresh reports */
-#define LOCAL_BURST_S 0.3      /* seconds of this host's share in its bucket */
+#define LOCAL_BURST_S 0.15     /* seconds of this host's share in its bucket */
 #define LOCAL_SLACK_SHARE 0.3  /* of the slack, over all local buckets */
 #define GLOBAL_SLACK_SHARE 0.3 /* of the slack, added to the global bucket */
 #define REFILL_FACTOR 1.02     /* times the rate; 1.1 is allowed */
@@ -31,6 +31,50 @@
  * unreported spending, and what they spend until they receive a report that
  * less remains. */
 #define UNRESTRICTED_SHARE 0.6
+#define OWN_RATE_MS 2000.0 /* time constant of own_rate */
+/* Of what a host has spent lately, this multiple is its share if that is more
+ * than the other rule gives: an account's clients may all use one host. */
+#define OWN_RATE_MULTIPLE 1.5
+/* A refused client comes back at this part of the expected time at the
+ * earliest, and at most the same part later than it. */
+#define RETRY_SPREAD 0.3
+#define RETRY_LEFT_SHARE (1 / 3.0) /* of the time that a client has left */
+
+/* By rank, the parts of the bucket below which no request is admitted, and
+ * above which all are. Between them the probability grows with the level, so
+ * that hosts which act on reports of the same age do not all admit at once. */
+static const struct {
+	double none;
+	double all;
+} rank_levels[QUOTA_RANKS] = {
+	{ 0, 0.4 },
+	{ 0.4, 0.7 },
+	{ 0.55, 0.8 },
+};
+
+/* Nothing is reserved for ranks that the account hasn't used for so long. */
+#define RANK_USED_MS 30000
+/* Of the limit, for calls to plain services whatever else was spent. As it is
+ * less than the refill, debts are paid back meanwhile. */
+#define PLAIN_SHARE 0.1
+
+/* Most that is owed. After a partition each side learns at once what the other
+ * has spent, for which the refill of that time is no longer known. */
+#define DEBT_MAX_SHARE 1.0
+
+#define MEAN_WEIGHT 0.05 /* of a request in mean_units */
+#define FULL_SHARE 0.99	 /* of a bucket that counts as full */
+
+static const char *const why_names[] = {
+	[QUOTA_ALL_HOSTS] = "all_hosts",
+	[QUOTA_RANK] = "rank",
+	[QUOTA_OWN_SHARE] = "own_share",
+};
+
+const char *quota_why_name(enum quota_why why)
+{
+	return why_names[why];
+}
 
 unsigned quota_host_count(unsigned known, unsigned listed, clk_ms since_start)
 {
@@ -78,7 +122,14 @@
 			: 1 + (LOCAL_MULTIPLE - 1) *
 					  report_confidence(quota, hosts, now);
 
-	return MIN(multiple / MAX(hosts, 1), 1);
+	double share = multiple / MAX(hosts, 1);
+
+	/* Over all hosts, own rates add up to what is admitted by the global
+	 * bucket. */
+	if (multiple > 1)
+		share = MAX(share,
+			    OWN_RATE_MULTIPLE * quota->own_rate / quota->rate);
+	return MIN(share, 1);
 }
 
 /* Returns the capacity of the local bucket: between reports, some requests of
@@ -91,6 +142,8 @@
 
 	if (quota->unsettled || report_confidence(quota, hosts, now) == 0)
 		max = global_max(quota) * share;
+	if (quota->unsettled)
+		max = MAX(max, quota->mean_units);
 	return MIN(max, global_max(quota));
 }
 
@@ -101,6 +154,8 @@
 
 	quota->recent_spend *=
 		exp(-(double)(now - quota->refilled_at) / RECENT_DECAY_MS);
+	quota->own_rate *=
+		exp(-(double)(now - quota->refilled_at) / OWN_RATE_MS);
 	quota->refilled_at = now;
 	/* The higher rate compensates for refusing other requests than the
 	 * first one above the limit. */
@@ -110,6 +165,10 @@
 	quota->local_units =
 		MIN(quota->local_units + seconds * quota->rate * share,
 		    local_max(quota, hosts, now));
+	quota->plain_units =
+		MIN(quota->plain_units +
+			    PLAIN_SHARE * seconds * quota->rate * share,
+		    PLAIN_SHARE * global_max(quota) * share);
 }
 
 void quota_set(struct quota *quota, double rate, double burst, double slack,
@@ -177,7 +236,9 @@
  * all hosts. */
 static void global_spend(struct quota *quota, double units)
 {
-	quota->global_units -= units / quota->coverage;
+	quota->global_units = MAX(
+		quota->global_units - units / quota->coverage,
+		MIN(quota->global_units, -DEBT_MAX_SHARE * global_max(quota)));
 	quota->recent_spend += units;
 }
 
@@ -205,44 +266,141 @@
 	       TAKE_UP_BURST_SHARE * quota->burst;
 }
 
-bool quota_take(struct quota *quota, double units, bool takes_up,
-		unsigned hosts, clk_ms now, clk_ms *retry_after)
+/* Returns the row of rank_levels for a request: the account's more urgent ranks
+ * in use count. */
+static int level_row(const struct quota *quota,
+		     const struct quota_request *request, clk_ms now)
 {
-	bool restricted;
-	bool equal_share;
-	double share;
-	double need;
-	double need_local;
-	double wait_s;
+	int rank = MIN(request->rank, QUOTA_RANKS - 1);
+	int row = 0;
 
-	if (quota->rate <= 0)
+	for (int i = 0; i < rank; i++)
+		row += quota->asked_at[i] &&
+		       now - quota->asked_at[i] < RANK_USED_MS;
+	return row;
+}
+
+/* Returns the part of the requests that are admitted at a level of the global
+ * bucket, by their row of rank_levels. */
+static double admitted_part(const struct quota *quota,
+			    const struct quota_request *request, int row,
+			    double level)
+{
+	double max = global_max(quota);
+	double none = rank_levels[row].none * max;
+	double all = rank_levels[row].all * max;
+
+	level += debt_max(quota, request->takes_up);
+	return CLAMP((level - none) / (all - none), 0, 1);
+}
+
+/* Returns what the local bucket must exceed. A host that doesn't know what the
+ * others spend saves up for a request of the usual size: otherwise each of the
+ * hosts would owe most of a request. */
+static double local_need(const struct quota *quota,
+			 const struct quota_request *request, double share,
+			 clk_ms now)
+{
+	unsigned hosts = request->hosts;
+	double doubt =
+		quota->unsettled ? 1 : 1 - report_confidence(quota, hosts, now);
+	/* Slightly less than the bucket holds, so that a full one admits. */
+	double saved = MIN(quota->mean_units,
+			   FULL_SHARE * local_max(quota, hosts, now));
+
+	return doubt * saved - share * debt_max(quota, request->takes_up);
+}
+
+/* Whether a request is one of the calls to plain services that are admitted in
+ * any case. */
+static bool is_plain_within_share(const struct quota *quota,
+				  const struct quota_request *request)
+{
+	return request->rank == QUOTA_PLAIN && quota->plain_units > 0;
+}
+
+static void spend(struct quota *quota, double units)
+{
+	global_spend(quota, units);
+	quota->spent += units;
+	quota->own_rate += units / OWN_RATE_MS * CLK_SECOND;
+}
+
+/* Returns the time in ms until a request like the refused one is admitted: the
+ * global bucket has reached the level at which this one would have been, and
+ * the host's share has room. It is spread, and bounded by the client's time. */
+static clk_ms retry_after(const struct quota *quota,
+			  const struct quota_request *request, int row,
+			  double missing_own_s)
+{
+	double wanted =
+		global_max(quota) * (rank_levels[row].none +
+				     request->chance * (rank_levels[row].all -
+							rank_levels[row].none));
+	double wait_s = MAX((wanted - known_remaining(quota)) / quota->rate,
+			    missing_own_s);
+	double spread = 1 + RETRY_SPREAD * (2 * request->chance - 1);
+	double wait_ms = MAX(wait_s, 0) * spread * CLK_SECOND;
+	double longest = RETRY_LEFT_SHARE * (double)MAX(request->time_left, 0);
+
+	return (clk_ms)MIN(wait_ms, longest) + 1;
+}
+
+/* Decides a request by the level of the global bucket and by this host's share.
+ * Returns whether it is admitted. */
+static bool take_restricted(struct quota *quota,
+			    const struct quota_request *request, clk_ms now,
+			    struct quota_refusal *refusal)
+{
+	double level = known_remaining(quota);
+	double share = local_share(quota, request->hosts, now);
+	double missing_own =
+		local_need(quota, request, share, now) - quota->local_units;
+	int row = level_row(quota, request, now);
+	/* While what all spend is not known, equal shares alone decide. */
+	bool by_level =
+		(quota->unsettled && is_restricted(quota, level)) ||
+		admitted_part(quota, request, row, level) > request->chance;
+
+	if ((by_level && missing_own < 0) ||
+	    is_plain_within_share(quota, request))
 		return true;
-	refill(quota, hosts, now);
-	restricted = is_restricted(quota, known_remaining(quota) - units);
-	if (report_confidence(quota, hosts, now) > 0 &&
-	    !quota_report_due(quota, hosts) && !restricted) {
-		global_spend(quota, units);
-		quota->spent += units;
+	if (by_level)
+		refusal->why = QUOTA_OWN_SHARE;
+	else if (admitted_part(quota, request, 0, level) > request->chance)
+		refusal->why = QUOTA_RANK;
+	else
+		refusal->why = QUOTA_ALL_HOSTS;
+	refusal->retry_after = retry_after(quota, request, row,
+					   missing_own / (quota->rate * share));
+	return false;
+}
+
+bool quota_take(struct quota *quota, const struct quota_request *request,
+		clk_ms now, struct quota_refusal *refusal)
+{
+	if (quota->rate <= 0)
 		return true;
-	}
-	equal_share = quota->unsettled && restricted;
-	share = local_share(quota, hosts, now);
-	/* A request larger than a bucket is admitted by a full bucket. */
-	need = MIN(units, global_max(quota)) - debt_max(quota, takes_up);
-	need_local =
-		equal_share ? units : MIN(units, local_max(quota, hosts, now));
-	need_local -= share * debt_max(quota, takes_up);
-	if ((equal_share || quota->global_units >= need) &&
-	    quota->local_units >= need_local) {
-		global_spend(quota, units);
-		quota->local_units -= units;
-		quota->spent += units;
+	if (request->rank >= 0)
+		quota->asked_at[MIN(request->rank, QUOTA_RANKS - 1)] = now;
+	quota->mean_units += (request->units - quota->mean_units) *
+			     (quota->mean_units > 0 ? MEAN_WEIGHT : 1);
+	refill(quota, request->hosts, now);
+	if (report_confidence(quota, request->hosts, now) > 0 &&
+	    !quota_report_due(quota, request->hosts) &&
+	    !is_restricted(quota, known_remaining(quota)) &&
+	    admitted_part(quota, request, level_row(quota, request, now),
+			  known_remaining(quota)) > request->chance) {
+		spend(quota, request->units);
 		return true;
 	}
-	wait_s = MAX((need - quota->global_units) / quota->rate,
-		     (need_local - quota->local_units) / (quota->rate * share));
-	*retry_after = (clk_ms)(wait_s * CLK_SECOND) + 1;
-	return false;
+	if (!take_restricted(quota, request, now, refusal))
+		return false;
+	spend(quota, request->units);
+	quota->local_units -= request->units;
+	if (is_plain_within_share(quota, request))
+		quota->plain_units -= request->units;
+	return true;
 }
 
 void quota_refund(struct quota *quota, double units)
@@ -254,9 +412,12 @@
 
 bool quota_report_due(const struct quota *quota, unsigned hosts)
 {
+	double share =
+		MAX(1.0 / MAX(hosts, 1), quota->own_rate / MAX(quota->rate, 1));
+
 	return quota->rate > 0 &&
 	       quota->spent - quota->reported >
-		       UNREPORTED_SHARE * global_max(quota) / MAX(hosts, 1);
+		       UNREPORTED_SHARE * global_max(quota) * MIN(share, 1);
 }
 
 void quota_on_report_sent(struct quota *quota)
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -12,6 +12,13 @@
  * hosts, one large request exceeds a host's share many times over. The bound
  * is then that a host which has spent more than a small part of the global
  * bucket reports at once, and keeps to its share until it has done so.
+ *
+ * The load pattern: requests of very different sizes, the largest of which are
+ * a large part of the bucket, from an account that sends several times its
+ * limit. If a request needed the bucket to hold all of its units, small ones
+ * would take each unit before there are enough for a large one. Below a level
+ * of the bucket, which is lower for more urgent requests, they are therefore
+ * admitted with a probability that depends on the level alone.
  */
 #ifndef DECIDE_QUOTA_H
 #define DECIDE_QUOTA_H
@@ -21,14 +28,19 @@
 
 #include "clk.h"
 
+#define QUOTA_RANKS 3 /* 0: the most urgent; lower ones count as the last */
+
 struct quota {
 	double rate;	     /* units per second over all hosts; 0: no limit */
 	double burst;	     /* capacity of the bucket in units, all hosts */
 	double slack;	     /* units by which all hosts may pass the limit */
 	double global_units; /* remaining in the bucket of all hosts */
 	double local_units;  /* remaining of this host's share */
+	double plain_units;  /* remaining for calls to plain services */
 	double coverage;     /* share of the hosts that report, 0 to 1 */
 	double recent_spend; /* of the reporting hosts, exponentially decayed */
+	double own_rate;     /* units per second spent by this host, likewise */
+	double mean_units;   /* of the requests of late */
 	bool unsettled;	     /* what all hosts spend is not known now */
 	double units_before; /* global_units when that began */
 	clk_ms refilled_at;
@@ -42,6 +54,8 @@
 	GHashTable *peers;     /* process -> struct quota_peer */
 	GHashTable *groups;    /* the same, of the groups of relays */
 	clk_ms last_report_at; /* when a report last arrived; 0: never */
+	clk_ms asked_at[QUOTA_RANKS]; /* when this host last got a request of
+				       * the rank; 0: never */
 };
 
 /* Total spending of another host or of a group. */
@@ -50,6 +64,33 @@
 	clk_ms reported_at; /* time of its last report */
 };
 
+/* A request that is to be admitted. */
+struct quota_request {
+	double units;
+	/* Of its route, 0: the most urgent. QUOTA_PLAIN: a call to a plain
+	 * service, which costs few units and is not held back for others. */
+	int rank;
+	bool takes_up;	  /* it takes up a stream that has begun */
+	unsigned hosts;	  /* how many share the limit */
+	double chance;	  /* random, at least 0 and below 1 */
+	clk_ms time_left; /* of its client */
+};
+
+#define QUOTA_PLAIN (-1)
+
+/* What decided that a request is refused. */
+enum quota_why {
+	QUOTA_ALL_HOSTS, /* the bucket of all hosts is used up */
+	QUOTA_RANK,	 /* it is reserved for more urgent requests */
+	QUOTA_OWN_SHARE, /* this host's share is used up */
+};
+
+struct quota_refusal {
+	enum quota_why why;
+	clk_ms retry_after; /* ms until there is room for such a request, at
+			     * most a third of the time that its client has */
+};
+
 struct quota *quota_create(void);
 /* Sets the limit. full: a new limit starts with a full bucket; a host that has
  * restarted can't know what remains, and starts with a small debt. */
@@ -60,11 +101,13 @@
  * start together and do not know each other yet must not each take the whole
  * limit. */
 unsigned quota_host_count(unsigned known, unsigned listed, clk_ms since_start);
-/* Spends units for a request; takes_up: it takes up a stream that has begun;
- * hosts: how many share the limit. If too few units remain, returns false and
- * sets retry_after to the ms until there are enough. */
-bool quota_take(struct quota *quota, double units, bool takes_up,
-		unsigned hosts, clk_ms now, clk_ms *retry_after);
+/* Spends the units of a request. If it is refused, returns false and says why
+ * in refusal. The decision doesn't depend on the size of the request: buckets
+ * that hold something admit it, and owe what they lack. */
+bool quota_take(struct quota *quota, const struct quota_request *request,
+		clk_ms now, struct quota_refusal *refusal);
+/* Returns the name of what decided, for logs. */
+const char *quota_why_name(enum quota_why why);
 /* Sets the coverage. The hosts that do not report are assumed to spend at
  * the same rate, also since their last reports: they may be cut off by a
  * network partition and still be spending. */
--- a/sim/world-call.c
+++ b/sim/world-call.c
@@ -254,19 +254,28 @@
 	return fleet_choose(call->host->fleet, &request, world->sim->now);
 }
 
+#define CHANCES 1000000 /* random numbers of quota_request */
+
 /* Takes the tokens of a request from the account's limit; returns false if it
  * is exceeded. */
 static bool call_within_limit(struct world_call *call, clk_ms *retry_after)
 {
 	struct world *world = call->world;
-	double units = call->request.prompt_tokens + call->answer_tokens;
+	struct quota_refusal refusal;
+	struct quota_request request = {
+		.units = call->request.prompt_tokens + call->answer_tokens,
+		.rank = (int)call->load->urgency,
+		.hosts = world->hosts->len,
+		.time_left = call->deadline - world->sim->now,
+	};
 
 	if (call->load->service || world->conf->account_limit <= 0)
 		return true;
+	request.chance = sim_random(world->sim, CHANCES) / (double)CHANCES;
 	if (quota_take(g_ptr_array_index(call->host->quotas, call->account),
-		       units, false, world->hosts->len, world->sim->now,
-		       retry_after))
+		       &request, world->sim->now, &refusal))
 		return true;
+	*retry_after = refusal.retry_after;
 	world->result->over_limit++;
 	return false;
 }
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -1,6 +1,8 @@
 /* Tests of rate limits across all hosts, by simulated demand. */
 #include <glib.h>
 #include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
 
 #include "../decide/quota.h"
 #include "../decide/relay.h"
@@ -9,6 +11,23 @@
 #define YES true
 #define NO false
 
+/* Takes units for a request of the most urgent rank. */
+static bool admits(struct quota *quota, GRand *rand, double units,
+		   bool takes_up, unsigned hosts, clk_ms now)
+{
+	struct quota_refusal refusal;
+
+	return quota_take(quota,
+			  &(struct quota_request){
+				  .units = units,
+				  .takes_up = takes_up,
+				  .hosts = hosts,
+				  .chance = g_rand_double(rand),
+				  .time_left = 10000,
+			  },
+			  now, &refusal);
+}
+
 /* A rate limit across a few hosts, each of which reports to all others: an
  * account far above its limit, late reports, and restarts of all hosts. */
 
@@ -114,12 +133,11 @@
 		    taken_up < quota_cases[_i].taken_up *
 				       ((double)age - RETURN_MS / 2) /
 				       (RETURN_MS / 2)) {
-			clk_ms retry_after;
+			int host = g_rand_int_range(rand, 0, QUOTA_HOSTS);
 
 			taken_up += units;
-			if (quota_take(quotas[g_rand_int_range(rand, 0,
-							       QUOTA_HOSTS)],
-				       units, true, hosts, now, &retry_after)) {
+			if (admits(quotas[host], rand, units, true, hosts,
+				   now)) {
 				gone_on += units;
 				admitted[now / 50] += units;
 			}
@@ -133,15 +151,14 @@
 					   ? 0
 					   : g_rand_int_range(rand, 0,
 							      QUOTA_HOSTS);
-			clk_ms retry_after;
 
 			if (units > remaining &&
 			    g_rand_double(rand) > remaining / units)
 				break;
 			remaining -= units;
 			requested += units;
-			if (!quota_take(quotas[host], units, false, hosts, now,
-					&retry_after))
+			if (!admits(quotas[host], rand, units, false, hosts,
+				    now))
 				continue;
 			admitted[now / 50] += units;
 			total += units;
@@ -245,14 +262,13 @@
 			int host =
 				lost ? 0
 				     : g_rand_int_range(rand, 0, QUOTA_HOSTS);
-			clk_ms retry_after;
 
 			if (units > remaining &&
 			    g_rand_double(rand) > remaining / units)
 				break;
 			remaining -= units;
-			if (!quota_take(quotas[host], units, false, QUOTA_HOSTS,
-					now, &retry_after))
+			if (!admits(quotas[host], rand, units, false,
+				    QUOTA_HOSTS, now))
 				continue;
 			admitted[now / 50] += units;
 			if (host == 0 && now >= measured_from &&
@@ -285,6 +301,8 @@
  * that report to them. */
 
 #define NET_HOSTS 63
+#define NET_HOSTS_MAX 89
+#define NET_LATE 8 /* messages of a relay on the way to one host */
 #define NET_RELAYS 8
 #define NET_REPLACEMENT NET_RELAYS /* host that replaces the first relay */
 #define NET_TICK_MS 100		   /* between a host's ticks */
@@ -394,17 +412,27 @@
 	struct quota *quota;
 	struct relay_source source;
 	clk_ms next_report_at;
-	clk_ms reported_at[NET_HOSTS]; /* to this relay, by each host */
-	unsigned groups[NET_HOSTS];    /* reporting to other relays */
-	clk_ms group_at[NET_HOSTS];
+	clk_ms reported_at[NET_HOSTS_MAX]; /* to this relay, by each host */
+	unsigned groups[NET_HOSTS_MAX];	   /* reporting to other relays */
+	clk_ms group_at[NET_HOSTS_MAX];
 	unsigned reporting_hosts; /* by the last aggregated report */
 	clk_ms relay_since;	  /* 0: it is no relay */
 	unsigned relay_changes;	  /* that this host knows of */
 	clk_ms relays_changed_at; /* 0: never */
+	clk_ms sent_report_at;
+	struct {
+		double remaining;
+		clk_ms at; /* it arrives; 0: none */
+	} late[NET_LATE];
 };
 
 struct net {
-	struct net_host hosts[NET_HOSTS];
+	struct net_host hosts[NET_HOSTS_MAX];
+	int hosts_count;
+	int relays;
+	double rate;
+	clk_ms near_limit_ms; /* between a leaf's reports near the limit */
+	clk_ms late_ms;	      /* of what a relay sends to its hosts */
 	int case_idx;
 	clk_ms now;
 };
@@ -459,7 +487,7 @@
 	if (net_cases[net->case_idx].relays_change_every > 0)
 		place = (int)((unsigned)place +
 			      net_relay_changes(net, host) * NET_RELAYS) %
-			NET_HOSTS;
+			net->hosts_count;
 	return &net->hosts[replaced ? NET_REPLACEMENT : place];
 }
 
@@ -472,7 +500,7 @@
 	quota_add_to_group(relay->quota,
 			   quota_on_report(relay->quota, host->name,
 					   host->quota->spent, NET_GAP_MS,
-					   NET_HOSTS, net->now));
+					   net->hosts_count, net->now));
 }
 
 static bool net_is_recent(const struct net *net, clk_ms at)
@@ -486,7 +514,7 @@
 {
 	unsigned count = 1;
 
-	for (int i = 0; i < NET_HOSTS; i++)
+	for (int i = 0; i < net->hosts_count; i++)
 		count += net_is_recent(net, relay->reported_at[i]);
 	return count;
 }
@@ -499,11 +527,11 @@
 
 	/* Hosts have only begun to report to a new relay. */
 	if (net->now - relay->relay_since < NET_REPORTED_MS)
-		return NET_HOSTS;
-	for (int i = 0; i < NET_HOSTS; i++)
+		return net->hosts_count;
+	for (int i = 0; i < net->hosts_count; i++)
 		if (net_is_recent(net, relay->group_at[i]))
 			count += relay->groups[i];
-	return MIN(count, NET_HOSTS);
+	return MIN(count, net->hosts_count);
 }
 
 /* A relay sends another one the spending of its group. */
@@ -515,26 +543,47 @@
 	other->groups[relay - net->hosts] = net_group_size(net, relay);
 	other->group_at[relay - net->hosts] = net->now;
 	quota_on_group(other->quota, relay->name,
-		       quota_group_spent(relay->quota), NET_GAP_MS, NET_HOSTS,
-		       net->now);
+		       quota_group_spent(relay->quota), NET_GAP_MS,
+		       net->hosts_count, net->now);
 }
 
 static void net_send_remaining(const struct net *net,
 			       const struct net_host *relay,
 			       struct net_host *host)
 {
+	double remaining;
+	int slot;
+
 	if (relay == host ||
 	    !relay_accepts(&host->source, relay->name, net->now))
 		return;
 	host->reporting_hosts = net_reporting_hosts(net, relay);
-	quota_on_remaining(host->quota,
-			   quota_remaining(relay->quota, NET_HOSTS, net->now),
-			   net->now);
+	remaining = quota_remaining(relay->quota, (unsigned)net->hosts_count,
+				    net->now);
+	if (net->late_ms == 0) {
+		quota_on_remaining(host->quota, remaining, net->now);
+		return;
+	}
+	slot = (int)(net->now / NET_TICK_MS) % NET_LATE;
+	host->late[slot].remaining = remaining;
+	host->late[slot].at = net->now + net->late_ms;
+}
+
+/* Delivers what was on the way. */
+static void net_deliver(struct net *net)
+{
+	for (int i = 0; i < net->hosts_count; i++)
+		for (int j = 0; j < NET_LATE; j++)
+			if (net->hosts[i].late[j].at == net->now)
+				quota_on_remaining(
+					net->hosts[i].quota,
+					net->hosts[i].late[j].remaining,
+					net->now);
 }
 
 static bool net_is_relay(struct net *net, const struct net_host *host)
 {
-	for (int place = 0; place < NET_RELAYS; place++)
+	for (int place = 0; place < net->relays; place++)
 		if (net_relay_at(net, host, place, false) == host)
 			return true;
 	return false;
@@ -547,10 +596,10 @@
 	if (net_relay_at(net, relay, place, false) != relay &&
 	    net_relay_at(net, relay, place, true) != relay)
 		return;
-	for (int i = 0; i < NET_HOSTS; i++) {
+	for (int i = 0; i < net->hosts_count; i++) {
 		struct net_host *host = &net->hosts[i];
 
-		if (i % NET_RELAYS == place && !net_is_relay(net, host) &&
+		if (i % net->relays == place && !net_is_relay(net, host) &&
 		    net_is_partitioned(net, host) ==
 			    net_is_partitioned(net, relay))
 			net_send_remaining(net, relay, host);
@@ -559,7 +608,7 @@
 
 static void net_group_send(struct net *net, struct net_host *relay)
 {
-	for (int place = 0; place < NET_RELAYS; place++) {
+	for (int place = 0; place < net->relays; place++) {
 		net_group_to(net, net_relay_at(net, relay, place, false),
 			     relay);
 		net_group_to(net, net_relay_at(net, relay, place, true), relay);
@@ -574,6 +623,7 @@
 	bool near_limit = quota_near_limit(host->quota);
 	clk_ms restart = net_cases[net->case_idx].restart_at;
 	clk_ms started = restart && net->now >= restart ? restart : 0;
+	unsigned hosts = (unsigned)net->hosts_count;
 
 	if (started && net->now - started < NET_RESTART_MS)
 		return;
@@ -594,21 +644,24 @@
 					  NET_REPORTED_MS);
 	if (net->now - started > NET_GAP_MS)
 		quota_set_coverage(host->quota,
-				   (double)host->reporting_hosts / NET_HOSTS,
+				   (double)host->reporting_hosts /
+					   net->hosts_count,
 				   net->now);
 	if (host->relay_since) {
 		if (due || near_limit ||
-		    quota_group_due(host->quota, NET_RELAYS))
+		    quota_group_due(host->quota, (unsigned)net->relays))
 			net_group_send(net, host);
-	} else if (due || near_limit ||
-		   quota_report_due(host->quota, NET_HOSTS)) {
-		int place = (int)(host - net->hosts) % NET_RELAYS;
+	} else if (due || quota_report_due(host->quota, hosts) ||
+		   (near_limit &&
+		    net->now - host->sent_report_at >= net->near_limit_ms)) {
+		int place = (int)(host - net->hosts) % net->relays;
 
 		net_report_to(net, net_relay_at(net, host, place, false), host);
 		net_report_to(net, net_relay_at(net, host, place, true), host);
 		quota_on_report_sent(host->quota);
+		host->sent_report_at = net->now;
 	}
-	for (int place = 0; place < NET_RELAYS && (due || near_limit); place++)
+	for (int place = 0; place < net->relays && (due || near_limit); place++)
 		net_relay_to_hosts(net, host, place);
 	if (due)
 		host->next_report_at = net->now + NET_REPORT_MS;
@@ -617,16 +670,17 @@
 /* Starts or restarts all hosts. */
 static void net_start(struct net *net, GRand *rand)
 {
-	for (int i = 0; i < NET_HOSTS; i++) {
+	for (int i = 0; i < net->hosts_count; i++) {
 		struct net_host *host = &net->hosts[i];
 
-		*host = (struct net_host){ .reporting_hosts = NET_HOSTS };
+		*host = (struct net_host){ .reporting_hosts =
+						   net->hosts_count };
 		g_snprintf(host->name, sizeof(host->name), "h%d~%d", i,
 			   (int)net->now);
 		host->quota = quota_create();
 		host->next_report_at =
 			net->now + g_rand_int_range(rand, 0, NET_REPORT_MS);
-		quota_set(host->quota, NET_RATE, NET_RATE, NET_SLACK,
+		quota_set(host->quota, net->rate, net->rate, NET_SLACK,
 			  net->now == 0, net->now);
 	}
 }
@@ -640,12 +694,11 @@
 	while (*remaining > 0) {
 		double size = g_rand_double_range(rand, 0, 1);
 		double units = 200 + 20000 * size * size * size;
-		int host = g_rand_int_range(rand, 0, NET_HOSTS);
-		clk_ms retry_after;
+		int host = g_rand_int_range(rand, 0, net->hosts_count);
 
 		*remaining -= units;
-		if (quota_take(net->hosts[host].quota, units, false, NET_HOSTS,
-			       net->now, &retry_after))
+		if (admits(net->hosts[host].quota, rand, units, false,
+			   net->hosts_count, net->now))
 			admitted += units;
 	}
 	return admitted;
@@ -664,6 +717,10 @@
 	GRand *rand = g_rand_new_with_seed(11);
 
 	net->case_idx = _i;
+	net->hosts_count = NET_HOSTS;
+	net->relays = NET_RELAYS;
+	net->rate = NET_RATE;
+	net->near_limit_ms = NET_TICK_MS;
 	net_start(net, rand);
 	for (net->now = 1; net->now < NET_END_MS; net->now++) {
 		bool hot = net_cases[_i].hot_factor > 0 &&
@@ -702,6 +759,297 @@
 }
 END_TEST
 
+/* An account with requests of very different sizes and ranks, at, below and
+ * above its limit: it is refused neither by size nor by where its clients
+ * connect, and the more urgent requests get the bucket. */
+
+#define MIX_SIZES 10 /* classes by size, of equal numbers */
+#define MIX_KINDS 4
+#define MIX_FROM_MS 6000 /* measured from here on, when the burst is used up   \
+			  */
+#define MIX_PROMPT_MAX 54600
+#define MIX_RUNS 5 /* whose counts are added up */
+/* The largest tenth and the fifth below it, against all of the kind. */
+#define MIX_SIZE_MIN 0.8
+#define MIX_KIND_MARGIN 0.03 /* by chance, between two ranks */
+
+/* Per second of deployment K; units are tokens. */
+static const struct {
+	const char *name;
+	int rank;
+	double shared, own, out;
+	double per_s, value;
+} mix_kinds[MIX_KINDS] = {
+	{ "long dialogue", 0, 5382, 6610, 380, 143, 5.8 },
+	{ "short brief", 1, 198, 628, 290, 106, 1.1 },
+	{ "digest", 2, 568, 1800, 20, 336, 0.075 },
+	{ "order", QUOTA_PLAIN, 0, 0, 200, 204, 1 },
+};
+
+static const struct {
+	const char *what;
+	int hosts;
+	double rate;	   /* of the account */
+	double demand;	   /* as a multiple of it */
+	int clients_at;	   /* hosts to which its clients connect; 0: all */
+	double served_min; /* of each kind */
+	double value_min;  /* of the best order known afterwards */
+} mix_cases[] = {
+	{ "6 hosts, below", 6, 300000, 0.9, 0, 0.99, 0.99 },
+	{ "63 hosts, below", 63, 600000, 0.9, 0, 0.99, 0.99 },
+	{ "89 hosts, below", 89, 900000, 0.9, 0, 0.99, 0.99 },
+	{ "89 hosts, clients at 9", 89, 900000, 0.9, 9, 0.99, 0.99 },
+	{ "89 hosts, clients at one", 89, 900000, 0.7, 1, 0.99, 0.99 },
+	{ "89 hosts, small, below", 89, 164460, 0.9, 0, 0.99, 0.99 },
+	{ "6 hosts, at the limit", 6, 300000, 1, 0, 0, 0.9 },
+	{ "63 hosts, at the limit", 63, 600000, 1, 0, 0, 0.9 },
+	{ "89 hosts, at the limit", 89, 900000, 1, 0, 0, 0.9 },
+	{ "6 hosts, three times", 6, 300000, 3, 0, 0, 0.9 },
+	{ "63 hosts, three times", 63, 600000, 3, 0, 0, 0.9 },
+	{ "89 hosts, three times", 89, 900000, 3, 0, 0, 0.9 },
+	{ "89 hosts, small, three times", 89, 164460, 3, 0, 0, 0.9 },
+};
+
+struct mix {
+	struct net net;
+	GRand *rand;
+	double bounds[MIX_SIZES - 1]; /* of the classes, of own / its mean */
+	double asked[MIX_KINDS][MIX_SIZES];
+	double served[MIX_KINDS][MIX_SIZES];
+	double asked_units[MIX_KINDS];
+	double served_units;
+	unsigned longest_wait; /* refusals whose retry_after is too long */
+};
+
+/* Returns a factor of mean 1 for the own tokens of a prompt: log-normal. */
+static double mix_factor(GRand *rand)
+{
+	double sum = -6;
+
+	for (int i = 0; i < 12; i++)
+		sum += g_rand_double(rand);
+	return exp(sum - 0.5);
+}
+
+static int compare_doubles(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+/* Finds the bounds of the classes by a sample. */
+static void mix_bounds(struct mix *mix)
+{
+	double sample[10000];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sample); i++)
+		sample[i] = mix_factor(mix->rand);
+	qsort(sample, G_N_ELEMENTS(sample), sizeof(double), compare_doubles);
+	for (int i = 1; i < MIX_SIZES; i++)
+		mix->bounds[i - 1] =
+			sample[(size_t)i * G_N_ELEMENTS(sample) / MIX_SIZES];
+}
+
+/* Units of all kinds per second of K. */
+static double mix_units_per_s(void)
+{
+	double sum = 0;
+
+	for (int i = 0; i < MIX_KINDS; i++)
+		sum += mix_kinds[i].per_s *
+		       (mix_kinds[i].shared + mix_kinds[i].own +
+			mix_kinds[i].out);
+	return sum;
+}
+
+static void mix_request(struct mix *mix, int case_idx, int kind,
+			double *admitted)
+{
+	struct net *net = &mix->net;
+	int clients_at = mix_cases[case_idx].clients_at;
+	double factor = mix_factor(mix->rand);
+	struct quota_refusal refusal = { .retry_after = 0 };
+	struct quota_request request = {
+		.units = MIN(mix_kinds[kind].shared +
+				     factor * mix_kinds[kind].own,
+			     MIX_PROMPT_MAX) +
+			 mix_kinds[kind].out,
+		.rank = mix_kinds[kind].rank,
+		.hosts = (unsigned)net->hosts_count,
+		.chance = g_rand_double(mix->rand),
+		.time_left = 2500,
+	};
+	int host = g_rand_int_range(mix->rand, 0,
+				    clients_at ? clients_at : net->hosts_count);
+	bool taken = quota_take(net->hosts[host].quota, &request, net->now,
+				&refusal);
+	int size = 0;
+
+	if (taken)
+		admitted[net->now / 50] += request.units;
+	else
+		mix->longest_wait +=
+			refusal.retry_after > request.time_left / 3 + 1;
+	if (net->now < MIX_FROM_MS)
+		return;
+	while (size < MIX_SIZES - 1 && factor > mix->bounds[size])
+		size++;
+	mix->asked[kind][size]++;
+	mix->asked_units[kind] += request.units;
+	if (!taken)
+		return;
+	mix->served[kind][size]++;
+	mix->served_units += request.units;
+}
+
+/* Returns the part of a kind that was served, of the classes by size from first
+ * to last. */
+static double mix_part(const struct mix *mix, int kind, int first, int last)
+{
+	double asked = 0;
+	double served = 0;
+
+	for (int i = first; i <= last; i++) {
+		asked += mix->asked[kind][i];
+		served += mix->served[kind][i];
+	}
+	return asked > 0 ? served / asked : 1;
+}
+
+/* Returns the value that was served, as a part of what the same units give if
+ * they go to the most urgent requests first. */
+static double mix_value(const struct mix *mix)
+{
+	static const int order[MIX_KINDS] = { 3, 0, 1, 2 };
+	double left = mix->served_units;
+	double best = 0;
+	double served = 0;
+
+	for (int i = 0; i < MIX_KINDS; i++) {
+		int kind = order[i];
+		double asked = 0;
+		double units = MIN(left, mix->asked_units[kind]);
+
+		for (int j = 0; j < MIX_SIZES; j++)
+			asked += mix->asked[kind][j];
+		best += mix_kinds[kind].value * asked * units /
+			mix->asked_units[kind];
+		left -= units;
+		served += mix_kinds[kind].value * asked *
+			  mix_part(mix, kind, 0, MIX_SIZES - 1);
+	}
+	return served / best;
+}
+
+static void mix_check(const struct mix *mix, int case_idx)
+{
+	const char *what = mix_cases[case_idx].what;
+	double more_urgent = 1;
+
+	for (int kind = 0; kind < MIX_KINDS; kind++) {
+		double all = mix_part(mix, kind, 0, MIX_SIZES - 1);
+		double tenth = mix_part(mix, kind, 9, 9);
+		double fifth = mix_part(mix, kind, 7, 8);
+
+		printf("%s, %s: served %.3f, largest tenth %.3f, fifth below "
+		       "%.3f\n",
+		       what, mix_kinds[kind].name, all, tenth, fifth);
+		ck_assert_msg(all >= mix_cases[case_idx].served_min,
+			      "%s: %.3f of %s served", what, all,
+			      mix_kinds[kind].name);
+		/* Where hardly any are served, chance decides. */
+		ck_assert_msg(all < 0.1 || (tenth >= MIX_SIZE_MIN * all &&
+					    fifth >= MIX_SIZE_MIN * all),
+			      "%s, %s: %.3f of the largest tenth, %.3f of the "
+			      "fifth below, %.3f of all",
+			      what, mix_kinds[kind].name, tenth, fifth, all);
+		ck_assert_msg(mix_kinds[kind].rank < 0 ||
+				      all <= more_urgent + MIX_KIND_MARGIN,
+			      "%s: %.3f of %s served, %.3f of a more urgent "
+			      "kind",
+			      what, all, mix_kinds[kind].name, more_urgent);
+		more_urgent = all;
+	}
+}
+
+static void mix_check_windows(int case_idx, const double *admitted)
+{
+	double rate = mix_cases[case_idx].rate;
+	double allowed =
+		(rate * QUOTA_WINDOW_MS / 1000 + rate) * 1.1 + NET_SLACK;
+
+	for (int from = 0; from + QUOTA_WINDOW_MS / 50 <= NET_END_MS / 50;
+	     from++) {
+		double sum = 0;
+
+		for (int slot = from; slot < from + QUOTA_WINDOW_MS / 50;
+		     slot++)
+			sum += admitted[slot];
+		ck_assert_msg(sum <= allowed,
+			      "%s: %.0f admitted in 8 s from %d ms, "
+			      "%.0f allowed",
+			      mix_cases[case_idx].what, sum, from * 50,
+			      allowed);
+	}
+}
+
+static void mix_run(struct mix *mix, int case_idx)
+{
+	struct net *net = &mix->net;
+	double admitted[NET_END_MS / 50] = { 0 };
+	double scale = mix_cases[case_idx].demand * mix_cases[case_idx].rate /
+		       mix_units_per_s() / 1000;
+	double due[MIX_KINDS] = { 0 };
+
+	*net = (struct net){
+		.hosts_count = mix_cases[case_idx].hosts,
+		.relays = MIN(NET_RELAYS, mix_cases[case_idx].hosts),
+		.rate = mix_cases[case_idx].rate,
+		.near_limit_ms = 300,
+		.late_ms = mix_cases[case_idx].hosts > NET_RELAYS ? 200 : 0,
+	};
+	net_start(net, mix->rand);
+	for (net->now = 1; net->now < NET_END_MS; net->now++) {
+		net_deliver(net);
+		for (int i = 0; i < net->hosts_count; i++)
+			if ((net->now + i) % NET_TICK_MS == 0)
+				net_tick(net, &net->hosts[i]);
+		for (int kind = 0; kind < MIX_KINDS; kind++) {
+			due[kind] += scale * mix_kinds[kind].per_s * 2 *
+				     g_rand_double(mix->rand);
+			for (; due[kind] >= 1; due[kind]--)
+				mix_request(mix, case_idx, kind, admitted);
+		}
+	}
+	mix_check_windows(case_idx, admitted);
+}
+
+START_TEST(quota_serves_sizes_and_ranks)
+{
+	struct mix *mix = g_new0(struct mix, 1);
+	double value;
+
+	mix->rand = g_rand_new_with_seed(5);
+	mix_bounds(mix);
+	for (int run = 0; run < MIX_RUNS; run++)
+		mix_run(mix, _i);
+	value = mix_value(mix);
+	printf("%s: value %.3f of the best order's, units %.3f of the limit\n",
+	       mix_cases[_i].what, value,
+	       mix->served_units / mix_cases[_i].rate / MIX_RUNS /
+		       (NET_END_MS - MIX_FROM_MS) * 1000);
+	mix_check(mix, _i);
+	ck_assert_msg(value >= mix_cases[_i].value_min,
+		      "%s: value %.3f of the best order's", mix_cases[_i].what,
+		      value);
+	ck_assert_uint_eq(mix->longest_wait, 0);
+	g_rand_free(mix->rand);
+	g_free(mix);
+}
+END_TEST
+
 /* A host reports to another relay after it had spent, and units are given back:
  * the total of the relay's group falls below 0, which other relays accept. */
 START_TEST(quota_group_total_may_be_negative)
@@ -771,6 +1119,8 @@
 			    G_N_ELEMENTS(silent_cases));
 	tcase_add_loop_test(tcase, quota_holds_over_many_hosts, 0,
 			    G_N_ELEMENTS(net_cases));
+	tcase_add_loop_test(tcase, quota_serves_sizes_and_ranks, 0,
+			    G_N_ELEMENTS(mix_cases));
 	tcase_add_test(tcase, quota_group_total_may_be_negative);
 	tcase_add_test(tcase, quota_role_change_is_no_refund);
 	tcase_add_test(tcase, relay_accepts_one_source);
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -29,6 +29,8 @@
 	X(inherited, "requests taken over from a failed host")                 \
 	X(refused_busy, "requests refused because of load")                    \
 	X(refused_limit, "requests refused by an account's limit")             \
+	X(refused_limit_own, "of these, by this host's share of it")           \
+	X(refused_limit_rank, "of these, kept for more urgent requests")       \
 	X(bad_input, "malformed or unknown requests and messages")             \
 	X(attempts, "attempts at upstreams")                                   \
 	X(attempts_failed, "attempts that failed or were cut off")             \
