Learn the speed of each worker, and share it between hosts

A third of a pool's workers may take 2.4 times as long as the others, and work was spread over both alike. A worker's ratio scales its placement cost and the samples of its pool's speed; worker orders count the slow ones as less.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -20,6 +20,9 @@
 /* Workers of one request at most that had another process than the listed one.
  */
 #define UNFIT_MAX 8
+/* Events of a stream that show its worker's speed: a time in ms over fewer is
+ * rounded too much. */
+#define INTERVAL_EVENTS 6
 
 /* Frees the response of the attempt. */
 static void response_clear(struct xfer_response *response)
@@ -200,9 +203,9 @@
 		fleet_speed(proxyd->fleet, xfer->pool->name);
 	bool differed = speed->differs;
 
-	if (!fleet_on_first_event(proxyd->fleet, &xfer->fleet_request,
-				  xfer->output_at - xfer->sent_at,
-				  xfer->output_at))
+	if (!fleet_on_first_event(
+		    proxyd->fleet, xfer->worker, &xfer->fleet_request,
+		    xfer->output_at - xfer->sent_at, xfer->output_at))
 		return;
 	proxyd_count(proxyd, CTR_speed_fits);
 	if (speed->differs != differed)
@@ -227,6 +230,8 @@
 	move_clear(xfer);
 	xfer->has_output = true;
 	xfer->output_at = proxyd_now(proxyd);
+	xfer->interval_at = xfer->output_at;
+	xfer->interval_events = xfer->sse.events;
 	links_on_response(proxyd->links, xfer->pool->name,
 			  xfer->output_at - xfer->sent_at);
 	fleet_first_token(xfer->worker, &xfer->fleet_request);
@@ -328,6 +333,21 @@
 		on_first_output(xfer, now - xfer->sent_at);
 }
 
+/* Notes the time between the stream's events: it shows its worker's speed. */
+static void interval_note(struct xfer *xfer)
+{
+	clk_ms now = proxyd_now(xfer->proxyd);
+	uint64_t events = xfer->sse.events - xfer->interval_events;
+
+	if (events < INTERVAL_EVENTS)
+		return;
+	fleet_on_interval(fleet_latest(xfer->worker),
+			  (double)(now - xfer->interval_at) / (double)events,
+			  now);
+	xfer->interval_at = now;
+	xfer->interval_events = xfer->sse.events;
+}
+
 /* Relays complete events. */
 static void events_relay(struct xfer *xfer, const GString *events)
 {
@@ -346,6 +366,7 @@
 	} else {
 		resume_on_event(xfer);
 	}
+	interval_note(xfer);
 	hs_response_write(xfer->call, events->str, events->len);
 	proxyd_count(xfer->proxyd, CTR_events);
 }
--- a/daemon/proxyd-local.c
+++ b/daemon/proxyd-local.c
@@ -106,6 +106,23 @@
 	g_string_free(text, TRUE);
 }
 
+/* Counts the workers whose speed differs from most of their pool. */
+static void ratios_print(const struct proxyd *proxyd, GString *text)
+{
+	unsigned slow = 0;
+	unsigned fast = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, proxyd->fleet->workers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		slow += fleet_speed_ratio(value) > 1;
+		fast += fleet_speed_ratio(value) < 1;
+	}
+	g_string_append_printf(text, "workers_slow %u\nworkers_fast %u\n", slow,
+			       fast);
+}
+
 /* Prints the measured speed of pools. */
 static void speeds_print(const struct proxyd *proxyd, GString *text)
 {
@@ -158,6 +175,7 @@
 		kv_revision_plain(proxyd->tab_revision),
 		g_hash_table_size(proxyd->fleet->workers));
 	speeds_print(proxyd, text);
+	ratios_print(proxyd, text);
 	builds_print(proxyd, text);
 	text_reply(call, text);
 }
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -292,6 +292,7 @@
 {
 	const struct conf_proxy *conf = xfer->proxyd->conf;
 	const struct head_request *request = &xfer->request;
+	struct fleet *fleet = xfer->proxyd->fleet;
 	struct scale_engine speed = {
 		.step_ms = conf->step_us / 1000,
 		.step_slot_ms = conf->step_slot_us / 1000,
@@ -303,9 +304,10 @@
 
 	if (!xfer->pool->engine)
 		return 0;
-	return speed_work_ms(fleet_speed(xfer->proxyd->fleet, xfer->pool->name),
+	return speed_work_ms(fleet_speed(fleet, xfer->pool->name),
 			     request->prompt_tokens - cached_tokens,
-			     cached_tokens) +
+			     cached_tokens) *
+		       fleet_speed_mix(fleet, xfer->pool->name) +
 	       scale_work_ms(&speed, 0, output);
 }
 
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -79,13 +79,16 @@
 	 * its worker is asked whether that is the end. */
 	struct confirm *confirm;
 	struct xfer_response response;
-	bool has_output;    /* the attempt has returned an event, or the head of
-			     * a response that is not a stream */
-	clk_ms output_at;   /* when it did; 0: it has not */
-	bool proved;	    /* it did not crash its worker */
-	bool usage_counted; /* counted in the account's usage */
-	int priority;	    /* in an engine's queue, 0 is first */
-	clk_ms received_at; /* when the caller's request was complete */
+	bool has_output;  /* the attempt has returned an event, or the head of
+			   * a response that is not a stream */
+	clk_ms output_at; /* when it did; 0: it has not */
+	/* The event from which the next interval counts. */
+	clk_ms interval_at;
+	uint64_t interval_events; /* relayed until then */
+	bool proved;		  /* it did not crash its worker */
+	bool usage_counted;	  /* counted in the account's usage */
+	int priority;		  /* in an engine's queue, 0 is first */
+	clk_ms received_at;	  /* when the caller's request was complete */
 	clk_ms deadline;
 	/* When the worker of the last attempt had last sent anything; 0: never
 	 * here. Noted at the attempt's end. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -273,6 +273,7 @@
 	follow_tick(proxyd);
 	peer_tick(proxyd);
 	report_tick(proxyd);
+	speed_tick(proxyd);
 	limits_tick(proxyd);
 	leader_tick(proxyd);
 	move_tick(proxyd);
@@ -370,6 +371,7 @@
 		.on_report = peer_on_report,
 		.on_relay = peer_on_relay,
 		.on_group = peer_on_group,
+		.on_speeds = speed_on_speeds,
 		.on_permit_ask = permit_on_ask,
 		.on_permit_grant = permit_on_answer,
 		.on_full = permit_on_full,
@@ -545,6 +547,7 @@
 	follow_start(proxyd);
 	peer_start(proxyd);
 	report_start(proxyd);
+	speed_start(proxyd);
 	group_start(proxyd);
 	guard_start(proxyd);
 	permit_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -188,7 +188,8 @@
 	struct aggregate *peer_inflight; /* other hosts' requests at workers */
 	GHashTable *quotas_by_key; /* aggregate_key of a name -> struct quota */
 	struct group group;
-	clk_ms next_counts; /* no changed usage counts are sent before */
+	struct speeds *speeds; /* proxyd-speed.c */
+	clk_ms next_counts;    /* no changed usage counts are sent before */
 	clk_ms next_counts_refresh; /* of all usage counts */
 	bool pass_counts_on;	    /* others may lack all of them */
 	/* Hosts from which counts have come since this one collects them. */
@@ -243,6 +244,11 @@
  * are refused, a response that has begun is cut off, others get an error. */
 void xfer_end_all(struct proxyd *proxyd);
 
+/* proxyd-speed.c: the speed of workers, as all hosts see it */
+void speed_start(struct proxyd *proxyd);
+void speed_tick(struct proxyd *proxyd);
+void speed_on_speeds(void *ctx, const w_speeds *message);
+
 /* proxyd-report.c: reports that hosts aggregate */
 void report_start(struct proxyd *proxyd);
 void report_tick(struct proxyd *proxyd);
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -666,14 +666,15 @@
 	const struct fleet_params *speed = &fleet->params;
 	double load = worker->inflight + other_requests(worker, now);
 	double cost = 0;
+	double distance = 0;
 
 	*cached = 0;
 	if (strcmp(worker->entry.data_centre, request->data_centre) != 0)
-		cost += speed->cross_dc_ms;
+		distance = speed->cross_dc_ms;
 	if (!request->engine) {
 		int slots = MAX(worker->entry.slots, 1);
 
-		return cost + SLOT_WAIT_MS * load / slots;
+		return distance + SLOT_WAIT_MS * load / slots;
 	}
 	*cached = cached_tokens(fleet, worker, request, now);
 	if (worker == preferred)
@@ -685,7 +686,7 @@
 	cost += load * speed->per_running_ms;
 	if (worker->entry.slots > 0 && load >= worker->entry.slots)
 		cost += (load - worker->entry.slots + 1) * SLOT_WAIT_MS;
-	return cost;
+	return distance + cost * fleet_speed_ratio(worker);
 }
 
 /* Returns the worker that every host prefers for a session, among those that
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -94,6 +94,18 @@
 	clk_ms counted_from;
 };
 
+/* What is known of a worker's speed: the time between two events of its
+ * streams, as ln(ms + 1). Each observation fades. */
+struct fleet_speed {
+	double weight;	    /* of own observations */
+	double sum;	    /* of own observations, weighted */
+	clk_ms at;	    /* as of then */
+	double peer_weight; /* of other hosts' observations, as they say */
+	double peer_sum;
+	double ratio; /* its time, relative to that of most in its pool; 0: not
+		       * known */
+};
+
 struct fleet_worker {
 	struct fleet_entry entry;
 	int64_t revision;      /* the list's revision of the entry */
@@ -134,6 +146,7 @@
 	clk_ms doubted_until;
 	struct fleet_limit limit;
 	struct fleet_brittle brittle;
+	struct fleet_speed speed;
 	clk_ms leaves_at; /* expected end; 0: not known to be leaving */
 	/* If it is leaving, the end of the time in which requests may still
 	 * reach it. */
@@ -423,9 +436,27 @@
 /* The first event of a request has come, that many ms after it was sent.
  * Returns whether the pool's speed was updated. */
 bool fleet_on_first_event(struct fleet *fleet,
+			  const struct fleet_worker *worker,
 			  const struct fleet_request *request, clk_ms took,
 			  clk_ms now);
 
+/* Two events of one of its streams have come that many ms apart, on average
+ * over several. */
+void fleet_on_interval(struct fleet_worker *worker, double ms, clk_ms now);
+/* Fades own observations. */
+void fleet_speed_fade(struct fleet_worker *worker, clk_ms now);
+/* Sets what other hosts have seen, given by a worker's key. */
+void fleet_on_peer_speed_weight(struct fleet *fleet, uint32_t key,
+				double weight);
+void fleet_on_peer_speed_sum(struct fleet *fleet, uint32_t key, double sum);
+/* Compares the workers of each pool. */
+void fleet_speeds_update(struct fleet *fleet, clk_ms now);
+/* Returns a worker's time for the same work, relative to most of its pool. */
+double fleet_speed_ratio(const struct fleet_worker *worker);
+/* Returns how much more of a pool's workers are needed than if all were as fast
+ * as most. */
+double fleet_speed_mix(const struct fleet *fleet, const char *pool);
+
 /* Sets the requests that other hosts have at a worker, given by its key; see
  * decide/aggregate.h. */
 void fleet_on_peer_requests(struct fleet *fleet, uint32_t key, double requests);
--- a/tests/unit-format.c
+++ b/tests/unit-format.c
@@ -211,6 +211,14 @@
 	.workers = { G_N_ELEMENTS(silent), silent },
 };
 
+static w_speed speed = { 0xfedcba98, 2500, 3400 };
+
+static const w_speeds speeds = {
+	.process = incarnation,
+	.scope = 1,
+	.workers = { 1, &speed },
+};
+
 /* Each message, and result, of wire/msg.x. */
 static const struct {
 	const char *name;
@@ -227,6 +235,7 @@
 	MESSAGE(relay),		MESSAGE(group),	      MESSAGE(permit_ask),
 	MESSAGE(permit_grant),	MESSAGE(origin_keep), MESSAGE(origin_ask),
 	MESSAGE(origin_answer), MESSAGE(full),	      MESSAGE(links),
+	MESSAGE(speeds),
 #undef MESSAGE
 };
 
--- a/tests/unit-speed.c
+++ b/tests/unit-speed.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <stdio.h>
 
+#include "../decide/fleet.h"
 #include "../decide/speed.h"
 #include "run.h"
 
@@ -190,6 +191,123 @@
 }
 END_TEST
 
+static uint32_t zero_random(void *ctx, uint32_t n)
+{
+	(void)ctx;
+	(void)n;
+	return 0;
+}
+
+static struct fleet *fleet_make(unsigned workers)
+{
+	struct fleet options = {
+		.params = { .prefill_ms = INITIAL_MS, .cache_ttl = 60000 },
+		.random = zero_random,
+	};
+	struct fleet *fleet = fleet_create(&options);
+
+	for (unsigned i = 0; i < workers; i++) {
+		struct fleet_entry entry = {
+			.id = g_strdup_printf("w%u", i),
+			.pool = g_strdup("pool"),
+			.address = g_strdup_printf("10.0.0.%u:1", i),
+			.data_centre = g_strdup("dc"),
+			.version = g_strdup(""),
+			.slots = 12,
+		};
+
+		fleet_put(fleet, &entry, 1);
+	}
+	return fleet;
+}
+
+/* Pools with every third worker slower, and how much intervals vary. */
+static const struct ratio_case {
+	double slow;   /* time of the slow ones, relative to the others */
+	double varies; /* up to so much longer, by load */
+	bool is_known; /* else all count as equal */
+} ratio_cases[] = {
+	{ 1.0, 0.0, false }, { 1.0, 0.4, false }, { 2.4, 0.0, true },
+	{ 2.43, 0.5, true }, { 1.67, 0.3, true }, { 1.1, 0.3, false },
+};
+
+/* Guards against work that is spread alike over fast and slow workers. */
+START_TEST(ratios_are_known_within_2_s)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(ratio_cases) * SEEDS; i++) {
+		const struct ratio_case *at = &ratio_cases[i / SEEDS];
+		GRand *rand = g_rand_new_with_seed((guint32)i);
+		struct fleet *fleet = fleet_make(60);
+
+		/* Deployment M: 134 x 42 + 164 x 32 events a second at 112
+		 * workers, an observation for each 6 of them: 16 a second. */
+		for (clk_ms now = 1000; now < 3000; now += 100)
+			for (int draw = 0; draw < 120; draw++) {
+				int n = draw / 2;
+				char id[16];
+				struct fleet_worker *worker;
+				double ms = 30;
+
+				if (g_rand_double(rand) < 0.2)
+					continue;
+				g_snprintf(id, sizeof(id), "w%d", n);
+				worker = fleet_find(fleet, id);
+				ms *= n % 3 ? 1 : at->slow;
+				ms *= 1 + at->varies * g_rand_double(rand);
+				fleet_on_interval(worker, ms, now);
+			}
+		fleet_speeds_update(fleet, 3000);
+		for (int n = 0; n < 60; n++) {
+			char id[16];
+			double want = n % 3 || !at->is_known ? 1 : at->slow;
+			double ratio;
+
+			g_snprintf(id, sizeof(id), "w%d", n);
+			ratio = fleet_speed_ratio(fleet_find(fleet, id));
+			ck_assert_msg(fabs(ratio / want - 1) <= ERROR_MAX,
+				      "slow %.2f varies %.1f: w%d is %.2f",
+				      at->slow, at->varies, n, ratio);
+		}
+		if (at->is_known)
+			ck_assert_double_eq_tol(fleet_speed_mix(fleet, "pool"),
+						3 / (2 + 1 / at->slow), 0.1);
+		g_rand_free(rand);
+	}
+}
+END_TEST
+
+/* A worker with an empty queue that takes twice as long is not chosen before
+ * one that has little to do. */
+START_TEST(slow_workers_are_chosen_later)
+{
+	struct fleet *fleet = fleet_make(4);
+	struct fleet_request request = {
+		.pool = "pool",
+		.engine = true,
+		.data_centre = "dc",
+		.prompt_tokens = 6610,
+	};
+
+	for (clk_ms now = 1000; now < 3000; now += 100)
+		for (int n = 0; n < 4; n++) {
+			char id[16];
+
+			g_snprintf(id, sizeof(id), "w%d", n);
+			fleet_on_interval(fleet_find(fleet, id), n ? 30 : 72,
+					  now);
+		}
+	fleet_speeds_update(fleet, 3000);
+	for (int n = 1; n < 4; n++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "w%d", n);
+		fleet_find(fleet, id)->prompt_tokens = 2000;
+	}
+	ck_assert_str_ne(fleet_choose(fleet, &request, 3000).worker->entry.id,
+			 "w0");
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("unit-speed");
@@ -199,5 +317,7 @@
 	tcase_add_test(tcase, speed_is_known_within_5_s);
 	tcase_add_test(tcase, speed_near_settings_changes_nothing);
 	tcase_add_test(tcase, speed_stays_in_bounds);
+	tcase_add_test(tcase, ratios_are_known_within_2_s);
+	tcase_add_test(tcase, slow_workers_are_chosen_later);
 	return run_suite(suite, "unit-speed");
 }
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -326,6 +326,23 @@
 };
 typedef struct w_links w_links;
 
+struct w_speed {
+	u_int key;
+	u_int weight;
+	u_int mean;
+};
+typedef struct w_speed w_speed;
+
+struct w_speeds {
+	char *process;
+	u_int scope;
+	struct {
+		u_int workers_len;
+		w_speed *workers_val;
+	} workers;
+};
+typedef struct w_speeds w_speeds;
+
 #define RW_PROGRAM 0x20525750
 #define RW_VERSION 1
 
@@ -375,6 +392,9 @@
 #define RW_LINKS_ANSWER 15
 extern  void * rw_links_answer_1(w_links *, CLIENT *);
 extern  void * rw_links_answer_1_svc(w_links *, struct svc_req *);
+#define RW_SPEEDS 17
+extern  void * rw_speeds_1(w_speeds *, CLIENT *);
+extern  void * rw_speeds_1_svc(w_speeds *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -423,6 +443,9 @@
 #define RW_LINKS_ANSWER 15
 extern  void * rw_links_answer_1();
 extern  void * rw_links_answer_1_svc();
+#define RW_SPEEDS 17
+extern  void * rw_speeds_1();
+extern  void * rw_speeds_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -454,6 +477,8 @@
 extern  bool_t xdr_w_origin_answer (XDR *, w_origin_answer*);
 extern  bool_t xdr_w_full (XDR *, w_full*);
 extern  bool_t xdr_w_links (XDR *, w_links*);
+extern  bool_t xdr_w_speed (XDR *, w_speed*);
+extern  bool_t xdr_w_speeds (XDR *, w_speeds*);
 
 #else /* K&R C */
 extern bool_t xdr_w_update ();
@@ -481,6 +506,8 @@
 extern bool_t xdr_w_origin_answer ();
 extern bool_t xdr_w_full ();
 extern bool_t xdr_w_links ();
+extern bool_t xdr_w_speed ();
+extern bool_t xdr_w_speeds ();
 
 #endif /* K&R C */
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -249,6 +249,23 @@
 	unsigned int workers<W_LINKS>;
 };
 
+/* What hosts have seen of the time between two events of a worker's streams. */
+struct w_speed {
+	unsigned int key;    /* aggregate_key of the worker's id */
+	unsigned int weight; /* in thousandths of an observation */
+	/* Mean of the logarithms of the times in ms plus 1, in thousandths. */
+	unsigned int mean;
+};
+
+/* RW_SPEEDS: no reply is sent; see decide/fleet-speed.c. */
+struct w_speeds {
+	string process<W_INCARNATION>;
+	/* 0: of the sender alone; 1: of a relay and the hosts that report to
+	 * it; 2: of all hosts but the one that gets it. */
+	unsigned int scope;
+	w_speed workers<W_ITEMS>;
+};
+
 program RW_PROGRAM {
 	version RW_VERSION {
 		void RW_GOSSIP(w_gossip) = 1;
@@ -266,5 +283,6 @@
 		void RW_FULL(w_full) = 13;
 		void RW_LINKS_ASK(w_links) = 14;
 		void RW_LINKS_ANSWER(w_links) = 15;
+		void RW_SPEEDS(w_speeds) = 17;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -673,3 +673,32 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_w_speed (XDR *xdrs, w_speed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->weight))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->mean))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_speeds (XDR *xdrs, w_speeds *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->scope))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->workers.workers_val, (u_int *) &objp->workers.workers_len, W_ITEMS,
+		sizeof (w_speed), (xdrproc_t) xdr_w_speed))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -215,6 +215,17 @@
 	xdr_free((xdrproc_t)xdr_w_packed, &res);
 }
 
+static bool speeds_receive(const struct rpc *rpc, XDR *xdr)
+{
+	w_speeds speeds = { .process = NULL };
+	bool ok = xdr_w_speeds(xdr, &speeds);
+
+	if (ok && rpc->handlers.on_speeds)
+		rpc->handlers.on_speeds(rpc->handlers.ctx, &speeds);
+	xdr_free((xdrproc_t)xdr_w_speeds, &speeds);
+	return ok;
+}
+
 /* Decodes the arguments of a call and passes them to its handler. */
 static enum rpc_bad dispatch_call(struct rpc_conn *conn,
 				  const struct rpc_msg *msg, XDR *xdr)
@@ -268,6 +279,9 @@
 			rpc->handlers.on_group(rpc->handlers.ctx, &group);
 		xdr_free((xdrproc_t)xdr_w_group, &group);
 		break;
+	case RW_SPEEDS:
+		ok = speeds_receive(rpc, xdr);
+		break;
 	default:
 		return RPC_BAD_PROC;
 	}
@@ -539,6 +553,11 @@
 	call_send(rpc, to, false, RW_GROUP, (xdrproc_t)xdr_w_group, group);
 }
 
+void rpc_send_speeds(struct rpc *rpc, const char *to, const w_speeds *speeds)
+{
+	call_send(rpc, to, false, RW_SPEEDS, (xdrproc_t)xdr_w_speeds, speeds);
+}
+
 void rpc_call_sync(struct rpc *rpc, const char *to, const w_sync_args *args,
 		   bool packed, bool large, clk_ms timeout,
 		   void (*fn)(void *ctx, const w_sync_res *res), void *ctx)
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -56,6 +56,7 @@
 	void (*on_relay)(void *ctx, const w_relay *relay);
 	/* The sums of a relay and the hosts that report to it; may be NULL. */
 	void (*on_group)(void *ctx, const w_group *group);
+	void (*on_speeds)(void *ctx, const w_speeds *speeds);
 	/* A question for permits, and an answer; may be NULL. */
 	void (*on_permit_ask)(void *ctx, const w_permit_ask *ask);
 	void (*on_permit_grant)(void *ctx, const w_permit_grant *grant);
@@ -93,6 +94,7 @@
 void rpc_send_report(struct rpc *rpc, const char *to, const w_report *report);
 void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay);
 void rpc_send_group(struct rpc *rpc, const char *to, const w_group *group);
+void rpc_send_speeds(struct rpc *rpc, const char *to, const w_speeds *speeds);
 void rpc_send_permit_ask(struct rpc *rpc, const char *to,
 			 const w_permit_ask *ask);
 void rpc_send_permit_grant(struct rpc *rpc, const char *to,
