Tests: clients and workers that make a process hold bytes

A table of crowds, each against one process with a memory limit of 64 MB: VmHWM and open descriptors stay under their bounds, and an ordinary request is answered afterwards.

--- a/tools/check.sh
+++ b/tools/check.sh
@@ -127,6 +127,10 @@
 process_tests proxyends
 process_tests proxyversions
 process_tests proxyprocess
+# One at a time: they measure memory.
+for case in $(python3 tests/hostile.py --list); do
+	run "hostile_$case" python3 tests/hostile.py "$case"
+done
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 # PROCESS_TESTS: tests of tests/proxyprocess.py that run at the same time.
 beside() {
