--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -3,8 +3,12 @@
 
 #include <string.h>
 
+#include "../wire/budget.h"
+
 #define BODY_MAX (16 << 20)  /* bytes of a buffered response */
 #define UNSENT_MAX (4 << 20) /* bytes buffered for a slow caller */
+/* Responses up to so many bytes are buffered although the budget is used up. */
+#define SMALL_MAX 16384
 #define RETRY_MIN_MS 60	     /* that another attempt needs at least */
 /* Times the latency target, to the first event of a stream. */
 #define FIRST_EVENT_FACTOR 2.5
@@ -22,8 +26,12 @@
 #define UNFIT_MAX 8
 
 /* Frees the response of the attempt. */
-static void response_clear(struct xfer_response *response)
+static void response_clear(struct xfer *xfer)
 {
+	struct xfer_response *response = &xfer->response;
+
+	if (xfer->call)
+		hs_request_hold(xfer->call, 0);
 	if (response->headers)
 		g_string_free(response->headers, TRUE);
 	if (response->body)
@@ -57,7 +65,7 @@
 	if (xfer->worker)
 		worker_release(xfer);
 	xfer->sent_at = 0;
-	response_clear(&xfer->response);
+	response_clear(xfer);
 	sse_discard_partial(&xfer->sse);
 }
 
@@ -338,7 +346,12 @@
 		*why = "answer_too_large";
 		if (response->body->len + len > BODY_MAX)
 			return false;
+		response->has_no_room = budget_is_exceeded() &&
+					response->body->len + len > SMALL_MAX;
+		if (response->has_no_room)
+			return true;
 		g_string_append_len(response->body, ptr, (gssize)len);
+		hs_request_hold(xfer->call, response->body->allocated_len);
 		return true;
 	}
 	*why = "gap_in_events";
@@ -349,12 +362,23 @@
 	return ok;
 }
 
-bool attempt_caller_is_slow(const struct xfer *xfer)
+/* Whether too much of a stream is buffered for its caller. */
+static bool caller_is_slow(const struct xfer *xfer)
 {
 	return xfer->response.is_event_stream &&
 	       hs_response_unsent_bytes(xfer->call) > UNSENT_MAX;
 }
 
+void attempt_check_room(struct xfer *xfer)
+{
+	if (xfer->response.has_no_room)
+		xfer_perform(xfer,
+			     xfer->px.response_started ? PX_ABORT : PX_UNKNOWN,
+			     "no_memory");
+	else if (caller_is_slow(xfer))
+		xfer_perform(xfer, PX_ABORT, "caller_does_not_read");
+}
+
 static void on_data(void *ctx, const char *ptr, size_t len)
 {
 	struct xfer *xfer = ctx;
@@ -366,8 +390,9 @@
 		hc_request_cancel(xfer->attempt);
 		xfer->attempt = NULL;
 		attempt_end(xfer, PX_END_INCOMPLETE, why);
-	} else if (attempt_caller_is_slow(xfer))
-		xfer_perform(xfer, PX_ABORT, "caller_does_not_read");
+	} else {
+		attempt_check_room(xfer);
+	}
 }
 
 /* Whether a status tells the caller that its request has not run. Without the
--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -194,8 +194,9 @@
 		hop_cancel(xfer->hop);
 		xfer->hop = NULL;
 		hop_cut(xfer, why);
-	} else if (attempt_caller_is_slow(xfer))
-		xfer_perform(xfer, PX_ABORT, "caller_does_not_read");
+	} else {
+		attempt_check_room(xfer);
+	}
 }
 
 static void on_end(void *ctx, enum hop_result result)
--- a/daemon/proxyd-local.c
+++ b/daemon/proxyd-local.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "../wire/budget.h"
+
 #define ADDRESSES_MAX 64 /* in one reply */
 #define HOSTS_PATH "/hosts"
 #define BUILD_LISTED_MAX 64 /* later builds are counted as this one */
@@ -134,6 +136,7 @@
 		proxyd_host_count(proxyd),
 		kv_revision_plain(proxyd->tab_revision),
 		g_hash_table_size(proxyd->fleet->workers));
+	budget_print(text);
 	builds_print(proxyd, text);
 	text_reply(call, text);
 }
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -18,6 +18,7 @@
 	GString *headers;     /* for the caller */
 	GString *body;	      /* of a response that is relayed when complete */
 	bool is_event_stream; /* its events are relayed as they arrive */
+	bool has_no_room;	   /* the process's budget is used up */
 	bool ends_with_connection; /* it has no other end */
 	clk_ms began_at;	   /* when its head came */
 };
@@ -262,8 +263,9 @@
 bool attempt_receive(struct xfer *xfer, const char *ptr, size_t len,
 		     void (*relay)(struct xfer *xfer, const GString *events),
 		     const char **why);
-/* Whether too much of a stream is buffered for its caller. */
-bool attempt_caller_is_slow(const struct xfer *xfer);
+/* Ends a request for whose response there is no room: its caller does not read,
+ * or the process's budget is used up. To be called after attempt_receive. */
+void attempt_check_room(struct xfer *xfer);
 /* Judges the end of the attempt by its connection and its response. A response
  * without a length is judged once its worker was asked. */
 void attempt_judge(struct xfer *xfer, enum hc_result result);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #include "../wire/args.h"
+#include "../wire/budget.h"
 
 #define TICK_MS 100		 /* period of all timed work */
 #define STATUS_PERIOD_MS 10000	 /* between status log lines */
@@ -537,6 +538,9 @@
 	}
 	slog_open(&proxyd->loop, conf->name, slog_level_parse(conf->log_level),
 		  (int)conf->log_rate);
+	budget_start(&proxyd->loop,
+		     budget_limit(conf->budget_mb, conf->memory_mb),
+		     conf->memory_mb);
 	if (!listen_all(proxyd, error))
 		return false;
 	proxyd->started_at = proxyd_now(proxyd);
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -53,6 +53,22 @@
 		.type = CONF_TYPE_LIST,
 		.offset = offsetof(struct conf_entry, seeds),
 	},
+	{
+		.name = "memory_mb",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_entry, memory_mb),
+		.min = 16,
+		.max = 1048576,
+		.fallback = "256",
+	},
+	{
+		.name = "budget_mb",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_entry, budget_mb),
+		.min = 0,
+		.max = 1048576,
+		.fallback = "0",
+	},
 	{
 		.name = "max_body_bytes",
 		.type = CONF_TYPE_INT,
@@ -229,6 +245,14 @@
 		.max = 1048576,
 		.fallback = "256",
 	},
+	{
+		.name = "budget_mb",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_proxy, budget_mb),
+		.min = 0,
+		.max = 1048576,
+		.fallback = "0",
+	},
 	{
 		.name = "descriptors",
 		.type = CONF_TYPE_INT,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -29,6 +29,8 @@
 	int64_t rpc_port;
 	char *platform;
 	char **seeds;
+	int64_t memory_mb;
+	int64_t budget_mb;
 	int64_t max_body_bytes;
 	int64_t queue_max;
 	int64_t drain_ms;
@@ -59,6 +61,7 @@
 	char **duties;
 	bool first_start;
 	int64_t memory_mb;
+	int64_t budget_mb;
 	int64_t descriptors;
 	double cores;
 	double grace_s;
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -9,6 +9,8 @@
 #define TIMEOUT_CHECK_MS 250	/* period of the check of timeouts */
 #define HEAD_MAX 65536		/* bytes of a response's head */
 #define KEEP_ALIVE_FRACTION 0.6 /* of the peer's Keep-Alive timeout */
+/* Longer bodies of requests are written without a copy behind their head. */
+#define COPIED_BODY_MAX 16384
 
 /* One connection. */
 struct hc_conn {
@@ -53,7 +55,8 @@
 struct hc_request {
 	struct hc_conn *conn;
 	struct hc_request_spec spec;
-	GString *out; /* head and body, until sent; then NULL */
+	GString *out; /* the head, until sent; then NULL */
+	GBytes *body; /* the same, or NULL */
 	bool sent;
 	bool responded;
 	bool connect_failed; /* on_end will be called from failed_idle */
@@ -105,6 +108,8 @@
 {
 	if (request->out)
 		g_string_free(request->out, TRUE);
+	if (request->body)
+		g_bytes_unref(request->body);
 	g_free(request);
 }
 
@@ -379,6 +384,13 @@
 		request->spec.on_sent(request->spec.ctx, reused);
 	tcp_write(conn->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
+	if (request->body) {
+		tcp_write(conn->tcp, g_bytes_get_data(request->body, NULL),
+			  g_bytes_get_size(request->body));
+		g_bytes_unref(request->body);
+		request->body = NULL;
+	}
+	budget_set(&conn->tcp->holder, HOLD_BODY, 0);
 }
 
 static void conn_on_connect(void *ctx, int error)
@@ -455,6 +467,8 @@
 	conn->peer = peer;
 	conn->since = loop_now(peer->hc);
 	conn->tcp = tcp_create(peer->hc->loop, &conn_ops, conn);
+	conn->tcp->in_purpose = HOLD_RESPONSE;
+	conn->tcp->out_purpose = HOLD_UPLOAD;
 	if (!tcp_connect(conn->tcp, peer->address, peer->hc->options.source,
 			 conn_on_connect)) {
 		tcp_close(conn->tcp);
@@ -489,10 +503,12 @@
 
 	request->spec = *spec;
 	request->out = g_string_new_len(spec->head, (gssize)spec->head_len);
-	if (spec->body)
+	if (spec->body && g_bytes_get_size(spec->body) <= COPIED_BODY_MAX)
 		g_string_append_len(request->out,
 				    g_bytes_get_data(spec->body, NULL),
 				    (gssize)g_bytes_get_size(spec->body));
+	else if (spec->body)
+		request->body = g_bytes_ref(spec->body);
 	if (conn) {
 		g_ptr_array_remove(peer->idle, conn);
 		peer->hc->counters.reuses++;
@@ -510,6 +526,10 @@
 	}
 	conn->request = request;
 	request->conn = conn;
+	budget_set(&conn->tcp->holder, HOLD_BODY,
+		   request->out->allocated_len +
+			   (request->body ? g_bytes_get_size(request->body)
+					  : 0));
 	return request;
 }
 
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -100,7 +100,7 @@
 unsigned hc_peer_connections(const struct hc_peer *peer);
 
 /* Starts a request. Of the callbacks only on_sent may run before this returns.
- * The head and the body are copied. */
+ * The head is copied, and the body copied or referenced. */
 struct hc_request *hc_request_start(struct hc_peer *peer,
 				    const struct hc_request_spec *spec);
 /* Returns the process at the other end of the request's connection; 0: it is
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -11,6 +11,10 @@
 #define PIPELINED_MAX 65536  /* unread bytes allowed during a response */
 #define PEER_TIMEOUT_MS 8000 /* for a caller that acknowledges nothing */
 #define REFUSED_MAX 64	     /* connections open to refuse their request */
+/* Longer bodies of responses are written without a copy behind their head. */
+#define COPIED_BODY_MAX 16384
+/* Headers of a refusal for want of memory, unless the owner gives some. */
+#define REFUSAL_HEADERS "Retry-After: 1\r\n"
 
 enum hs_phase {
 	HS_IDLE, /* no byte of a request received */
@@ -50,6 +54,7 @@
 	bool closed;	/* freed at the next check of timeouts */
 	bool paused;	/* not read from: too much input waits */
 	bool refused;	/* beyond the limit: its request is refused */
+	bool evicted;	/* for want of memory: no further request is read */
 };
 
 struct hs {
@@ -78,12 +83,16 @@
 	conn->phase = phase;
 	conn->since = loop_now(conn->hs);
 	conn->idle_timeout = conn->hs->options.limits.idle_timeout;
+	conn->tcp->in_purpose =
+		phase == HS_RESPONDING ? HOLD_PIPELINED : HOLD_INPUT;
 }
 
 static void request_free(struct hs_request *request)
 {
 	request->conn->hs->open_requests--;
 	request->conn->request = NULL;
+	budget_set(&request->conn->tcp->holder, HOLD_BODY, 0);
+	budget_set(&request->conn->tcp->holder, HOLD_RESPONSE, 0);
 	if (request->raw)
 		g_string_free(request->raw, TRUE);
 	g_free(request);
@@ -111,7 +120,9 @@
 		return;
 	conn->closed = true;
 	/* What follows the last response of a connection is not a request. */
-	unread = conn->phase == HS_LINGERING ? 0 : tcp_unread_bytes(conn->tcp);
+	unread = conn->phase == HS_LINGERING || conn->evicted
+			 ? 0
+			 : tcp_unread_bytes(conn->tcp);
 	if (unread > 0 && hs->options.on_unread && !tcp_peer_closed(conn->tcp))
 		hs->options.on_unread(hs->options.ctx, unread);
 	if (conn->request)
@@ -129,6 +140,7 @@
 	if (conn->paused)
 		tcp_read_start(conn->tcp);
 	conn->paused = false;
+	tcp_account(conn->tcp);
 }
 
 /* Half-closes a connection and discards input until the caller closes it or
@@ -136,7 +148,7 @@
 static void conn_linger(struct hs_conn *conn)
 {
 	conn_set_phase(conn, HS_LINGERING);
-	g_string_truncate(conn->tcp->in, 0);
+	tcp_discard(conn->tcp);
 	conn_resume_reading(conn);
 	tcp_shutdown(conn->tcp);
 }
@@ -176,17 +188,21 @@
 /* Rejects a request that is not complete and ends the connection. */
 static void conn_reject(struct hs_conn *conn, int status)
 {
-	const char *headers =
-		conn->refused ? conn->hs->options.refusal_headers : NULL;
+	const char *headers = conn->refused || conn->evicted
+				      ? conn->hs->options.refusal_headers
+				      : NULL;
 	char text[256];
 	int len = g_snprintf(text, sizeof(text),
 			     "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%s"
 			     "Connection: close\r\n\r\n",
 			     status, status_reason(status),
-			     headers ? headers : "");
+			     headers	     ? headers
+			     : conn->evicted ? REFUSAL_HEADERS
+					     : "");
 
 	tcp_write(conn->tcp, text, (size_t)len);
-	report_rejected(conn->hs, status);
+	if (!conn->evicted) /* that is logged by wire/budget */
+		report_rejected(conn->hs, status);
 	conn_linger(conn);
 }
 
@@ -200,7 +216,14 @@
 	conn->tcp->in = g_string_sized_new(0);
 	g_string_append_len(conn->tcp->in, raw->str + next_at,
 			    (gssize)(raw->len - next_at));
+	/* The buffer may be twice as long as what it holds. */
+	if (raw->allocated_len > raw->len + 1) {
+		raw->str = g_realloc(raw->str, raw->len + 1);
+		raw->allocated_len = raw->len + 1;
+	}
 	request->raw = raw;
+	budget_set(&conn->tcp->holder, HOLD_BODY,
+		   sizeof(*request) + raw->allocated_len);
 	request->received_at = loop_now(conn->hs);
 	/* Reading the body may have reallocated the buffer: parse the head
 	 * again so that its views point into it. */
@@ -230,6 +253,9 @@
 		conn_reject(conn, 413);
 		return false;
 	}
+	/* Chunk extensions and trailers are no progress. */
+	if (out > 0)
+		budget_on_progress(&conn->tcp->holder);
 	if (!conn->body.done) {
 		g_string_truncate(in, at + out);
 		conn->since = loop_now(conn->hs);
@@ -267,6 +293,7 @@
 
 	if (conn->phase == HS_IDLE)
 		conn_set_phase(conn, HS_READING_HEAD);
+	budget_on_progress(&conn->tcp->holder);
 	len = h1_parse_request(in->str, in->len, conn->seen, &head);
 	if (len == H1_MALFORMED) {
 		conn_reject(conn, 400);
@@ -315,7 +342,7 @@
 static bool conn_step(struct hs_conn *conn)
 {
 	if (conn->phase == HS_LINGERING) {
-		g_string_truncate(conn->tcp->in, 0);
+		tcp_discard(conn->tcp);
 		return false;
 	}
 	if (conn->phase == HS_RESPONDING) {
@@ -354,9 +381,42 @@
 	conn_close(ctx);
 }
 
+/* Gives up what the connection holds. A request that is not complete is
+ * refused, as it has not run. A client that does not read is cut off. */
+static const char *conn_on_evict(void *ctx)
+{
+	struct hs_conn *conn = ctx;
+
+	conn->evicted = true;
+	if (conn->tcp->pending > 0) {
+		conn_close(conn);
+		return "closed";
+	}
+	switch (conn->phase) {
+	case HS_READING_HEAD:
+	case HS_READING_BODY:
+		if (conn->request)
+			request_free(conn->request);
+		conn_reject(conn, 503);
+		return "refused";
+	case HS_RESPONDING:
+		/* The requests behind the one in flight are not run. */
+		tcp_read_stop(conn->tcp);
+		conn->paused = true;
+		tcp_discard(conn->tcp);
+		return "input_dropped";
+	case HS_IDLE:
+	case HS_LINGERING:
+		break;
+	}
+	conn_close(conn);
+	return "closed";
+}
+
 static const struct tcp_ops conn_ops = {
 	.on_data = conn_on_data,
 	.on_end = conn_on_end,
+	.on_evict = conn_on_evict,
 };
 
 static void on_connection(uv_stream_t *listener, int status)
@@ -428,6 +488,8 @@
 {
 	clk_ms timeout = conn_timeout(conn);
 
+	if (conn->tcp->pending > 0)
+		tcp_note_sent(conn->tcp);
 	/* The end of a connection that is not read from is not reported. */
 	if (conn->paused && tcp_peer_closed(conn->tcp)) {
 		conn_close(conn);
@@ -612,7 +674,7 @@
 {
 	const struct tcp *tcp = request->conn->tcp;
 
-	if (request->closes || request->head.close)
+	if (request->closes || request->head.close || request->conn->evicted)
 		return true;
 	return request->conn->hs->draining && tcp->in->len == 0 &&
 	       tcp_unread_bytes(tcp) == 0;
@@ -653,13 +715,18 @@
 void hs_response_send(struct hs_request *request, int status,
 		      const char *headers, const char *body, size_t len)
 {
-	GString *text = response_head(request, status, headers, len);
+	bool copies = len <= COPIED_BODY_MAX;
+	GString *text =
+		response_head(request, status, headers, copies ? len : 0);
 	bool last = request->closes;
+	bool has_body = !h1_view_equals(request->head.method, "HEAD");
 
 	g_string_append_printf(text, "Content-Length: %zu\r\n\r\n", len);
-	if (!h1_view_equals(request->head.method, "HEAD"))
+	if (has_body && copies)
 		g_string_append_len(text, body, (gssize)len);
 	tcp_write(request->conn->tcp, text->str, text->len);
+	if (has_body && !copies)
+		tcp_write(request->conn->tcp, body, len);
 	g_string_free(text, TRUE);
 	response_done(request, last);
 }
@@ -702,6 +769,11 @@
 	response_done(request, last);
 }
 
+void hs_request_hold(struct hs_request *request, size_t bytes)
+{
+	budget_set(&request->conn->tcp->holder, HOLD_RESPONSE, bytes);
+}
+
 void hs_response_abort(struct hs_request *request)
 {
 	request->on_disconnect = NULL;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -7,6 +7,10 @@
  * hs_response_end; hs_response_abort ends it without a complete response.
  * hs_response_send, hs_response_end and hs_response_abort free the request.
  *
+ * What a connection holds counts in the process's budget (wire/budget.h). When
+ * that is used up, requests that are not complete are refused, and clients that
+ * don't read their responses are cut off.
+ *
  * Timers run before the loop reads what has arrived: no timeout and no stop
  * ends a connection on which bytes wait to be read.
  */
@@ -90,6 +94,9 @@
 void hs_response_write(struct hs_request *request, const char *ptr, size_t len);
 /* Returns the queued bytes that the kernel has not accepted yet. */
 size_t hs_response_unsent_bytes(const struct hs_request *request);
+/* Counts the bytes of a response that is being received for the request in the
+ * process's budget (wire/budget.h). */
+void hs_request_hold(struct hs_request *request, size_t bytes);
 void hs_response_end(struct hs_request *request);
 /* Closes the connection, so that the caller sees an incomplete response. */
 void hs_response_abort(struct hs_request *request);
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -42,6 +42,67 @@
 	       uv_ip4_addr(host, (int)port, addr) == 0;
 }
 
+static bool holder_has_progress(void *ctx)
+{
+	struct tcp *tcp = ctx;
+	size_t queue = uv_stream_get_write_queue_size(
+		(const uv_stream_t *)&tcp->handle);
+	bool sent = queue < tcp->queue_seen;
+
+	tcp->queue_seen = queue;
+	return sent;
+}
+
+static const char *holder_evict(void *ctx)
+{
+	struct tcp *tcp = ctx;
+	const char *outcome = tcp->ops->on_evict(tcp->ctx);
+
+	tcp_account(tcp);
+	return outcome;
+}
+
+static void holder_peer(void *ctx, char *buf, size_t size)
+{
+	const struct tcp *tcp = ctx;
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	buf[0] = '\0';
+	if (uv_tcp_getpeername(&tcp->handle, (struct sockaddr *)&addr, &len) ==
+		    0 &&
+	    uv_ip4_name(&addr, buf, size) == 0)
+		g_snprintf(buf + strlen(buf), size - strlen(buf), ":%d",
+			   ntohs(addr.sin_port));
+}
+
+static const struct budget_ops holder_ops = {
+	.has_progress = holder_has_progress,
+	.evict = holder_evict,
+	.peer = holder_peer,
+};
+
+void tcp_account(struct tcp *tcp)
+{
+	size_t in = tcp->in->allocated_len;
+	bool is_empty = tcp->in->len == 0;
+
+	if (tcp->closing)
+		return;
+	for (int i = HOLD_INPUT; i <= HOLD_PIPELINED; i++)
+		if (i != (int)tcp->in_purpose)
+			budget_set(&tcp->holder, i, 0);
+	budget_set(&tcp->holder, tcp->in_purpose, is_empty ? 0 : in);
+	budget_set(&tcp->holder, HOLD_SPARE, is_empty ? in : 0);
+	budget_set(&tcp->holder, tcp->out_purpose, tcp->queued);
+}
+
+void tcp_note_sent(struct tcp *tcp)
+{
+	if (holder_has_progress(tcp))
+		budget_on_progress(&tcp->holder);
+}
+
 struct tcp *tcp_create(uv_loop_t *loop, const struct tcp_ops *ops, void *ctx)
 {
 	struct tcp *tcp = g_new0(struct tcp, 1);
@@ -51,6 +112,9 @@
 	tcp->ops = ops;
 	tcp->ctx = ctx;
 	tcp->in = g_string_sized_new(0);
+	tcp->in_purpose = HOLD_INPUT;
+	tcp->out_purpose = HOLD_OUTPUT;
+	budget_init(&tcp->holder, ops->on_evict ? &holder_ops : NULL, tcp);
 	return tcp;
 }
 
@@ -133,6 +197,16 @@
 	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
 }
 
+/* Passes received bytes on. This is called from the loop, so that no owner of a
+ * connection is at work, and connections may be evicted. */
+static void pass_input(struct tcp *tcp, const char *ptr, size_t len)
+{
+	g_string_append_len(tcp->in, ptr, (gssize)len);
+	tcp->ops->on_data(tcp->ctx);
+	tcp_account(tcp);
+	budget_enforce();
+}
+
 /* libuv also reports UV_EOF if a reset follows bytes that it has read, so the
  * socket is read until recv reports which of the two it is. Remaining bytes are
  * passed on first. */
@@ -144,8 +218,7 @@
 	if (uv_fileno((uv_handle_t *)&tcp->handle, &fd) == 0) {
 		while ((len = recv(fd, read_buffer, sizeof(read_buffer),
 				   MSG_DONTWAIT)) > 0) {
-			g_string_append_len(tcp->in, read_buffer, len);
-			tcp->ops->on_data(tcp->ctx);
+			pass_input(tcp, read_buffer, (size_t)len);
 			if (tcp->closing)
 				return;
 		}
@@ -167,8 +240,7 @@
 			tcp->ops->on_end(tcp->ctx, false);
 		return;
 	}
-	g_string_append_len(tcp->in, buf->base, len);
-	tcp->ops->on_data(tcp->ctx);
+	pass_input(tcp, buf->base, (size_t)len);
 }
 
 void tcp_read_start(struct tcp *tcp)
@@ -188,6 +260,9 @@
 
 	if (!tcp->closing) {
 		tcp->pending -= out->len;
+		tcp->queued -= sizeof(*out) + out->len;
+		budget_on_progress(&tcp->holder);
+		tcp_account(tcp);
 		if (status != 0)
 			tcp->ops->on_end(tcp->ctx, false);
 		else if (tcp->pending == 0 && tcp->ops->on_drain)
@@ -217,6 +292,8 @@
 	out->len = len;
 	out->write.data = out;
 	tcp->pending += len;
+	tcp->queued += sizeof(*out) + len;
+	tcp_account(tcp);
 	buf = uv_buf_init(out->bytes, (unsigned)len);
 	uv_write(&out->write, (uv_stream_t *)&tcp->handle, &buf, 1, on_written);
 }
@@ -251,6 +328,7 @@
 {
 	if (tcp->closing)
 		return;
+	budget_remove(&tcp->holder);
 	tcp->closing = true;
 	uv_close((uv_handle_t *)&tcp->handle, on_closed);
 }
@@ -259,6 +337,7 @@
 {
 	if (tcp->closing)
 		return;
+	budget_remove(&tcp->holder);
 	/* It fails for a connection that is being shut down. */
 	if (uv_tcp_close_reset(&tcp->handle, on_closed) != 0)
 		tcp_close(tcp);
@@ -342,6 +421,12 @@
 	}
 }
 
+void tcp_discard(struct tcp *tcp)
+{
+	tcp_consume(tcp, tcp->in->len);
+	tcp_account(tcp);
+}
+
 bool tcp_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
 		uv_connection_cb fn, GError **error)
 {
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -12,7 +12,7 @@
 #include <stdbool.h>
 #include <uv.h>
 
-#include "../decide/clk.h"
+#include "budget.h"
 
 struct tcp;
 
@@ -25,6 +25,9 @@
 	void (*on_end)(void *ctx, bool clean);
 	/* All queued bytes were written; may be NULL. */
 	void (*on_drain)(void *ctx);
+	/* The bytes that are held for the connection are to be given up;
+	 * returns what was done, for the log. NULL: it is never asked. */
+	const char *(*on_evict)(void *ctx);
 };
 
 struct tcp {
@@ -34,6 +37,12 @@
 	void *ctx;
 	GString *in;	/* received and not yet consumed */
 	size_t pending; /* bytes queued for writing */
+	size_t queued;	/* the same, as allocated */
+	/* What the bytes are held for; by default as for a client. */
+	enum hold_purpose in_purpose;
+	enum hold_purpose out_purpose;
+	struct budget_holder holder;
+	size_t queue_seen; /* bytes that were queued when last looked at */
 	bool closing;
 	bool shutdown_started;
 	void (*on_connect)(void *ctx, int error);
@@ -77,6 +86,13 @@
 bool tcp_peer_closed(const struct tcp *tcp);
 /* Removes bytes from the start of tcp->in. */
 void tcp_consume(struct tcp *tcp, size_t len);
+/* Drops all of tcp->in, and frees its buffer if it is large. */
+void tcp_discard(struct tcp *tcp);
+/* Counts tcp->in and what is queued in the process's budget. That is done after
+ * every callback; owners that change tcp->in at other times call it. */
+void tcp_account(struct tcp *tcp);
+/* Notes whether the peer has taken queued bytes since the last look. */
+void tcp_note_sent(struct tcp *tcp);
 
 /* Parses "IP:port"; returns false if it is malformed. */
 bool tcp_parse_address(const char *text, struct sockaddr_in *addr);
