--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -355,10 +355,15 @@
 		return true;
 	}
 	*why = "gap_in_events";
+	response->has_no_room = budget_is_exceeded() &&
+				xfer->sse.buf->len + len > SMALL_MAX;
+	if (response->has_no_room)
+		return true;
 	events = g_string_sized_new(len + 256);
 	ok = sse_feed(&xfer->sse, ptr, len, events);
 	relay(xfer, events);
 	g_string_free(events, TRUE);
+	hs_request_hold(xfer->call, xfer->sse.buf->allocated_len);
 	return ok;
 }
 
--- a/decide/sse.c
+++ b/decide/sse.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-#define EVENT_MAX (1 << 20) /* bytes of one event */
+#define EVENT_MAX (1 << 20)   /* bytes of one event */
+#define BUFFER_KEEP_BYTES 8192 /* larger buffers are fitted to what they hold */
 
 void sse_init(struct sse *sse, int64_t last_id)
 {
@@ -83,6 +84,11 @@
 	}
 	g_string_erase(buf, 0, (gssize)start);
 	sse->scanned = buf->len > 0 ? buf->len - 1 : 0;
+	if (buf->allocated_len > BUFFER_KEEP_BYTES &&
+	    buf->allocated_len / 4 > buf->len) {
+		buf->str = g_realloc(buf->str, buf->len + 1);
+		buf->allocated_len = buf->len + 1;
+	}
 	return buf->len <= EVENT_MAX;
 }
 
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -20,8 +20,9 @@
 struct tcp_out {
 	uv_write_t write;
 	struct tcp *tcp;
+	GList link;
 	size_t len;
-	char bytes[];
+	char *bytes; /* freed when the connection is closed */
 };
 
 /* Shared: libuv fills it and calls on_read at once. */
@@ -58,6 +59,10 @@
 	struct tcp *tcp = ctx;
 	const char *outcome = tcp->ops->on_evict(tcp->ctx);
 
+	if (tcp->closing) {
+		g_string_free(tcp->in, TRUE);
+		tcp->in = g_string_sized_new(0);
+	}
 	tcp_account(tcp);
 	return outcome;
 }
@@ -258,6 +263,7 @@
 	struct tcp_out *out = request->data;
 	struct tcp *tcp = out->tcp;
 
+	g_queue_unlink(&tcp->outs, &out->link);
 	if (!tcp->closing) {
 		tcp->pending -= out->len;
 		tcp->queued -= sizeof(*out) + out->len;
@@ -268,6 +274,7 @@
 		else if (tcp->pending == 0 && tcp->ops->on_drain)
 			tcp->ops->on_drain(tcp->ctx);
 	}
+	g_free(out->bytes);
 	g_free(out);
 }
 
@@ -286,8 +293,10 @@
 	if ((size_t)written == len)
 		return;
 	len -= (size_t)written;
-	out = g_malloc(sizeof(*out) + len);
-	memcpy(out->bytes, ptr + written, len);
+	out = g_new0(struct tcp_out, 1);
+	out->bytes = g_memdup2(ptr + written, len);
+	out->link.data = out;
+	g_queue_push_tail_link(&tcp->outs, &out->link);
 	out->tcp = tcp;
 	out->len = len;
 	out->write.data = out;
@@ -324,6 +333,18 @@
 	g_free(tcp);
 }
 
+/* Frees what is queued. libuv reports queued writes as cancelled only at the end
+ * of the loop's iteration, in which much more may be read. */
+static void outs_clear(struct tcp *tcp)
+{
+	for (const GList *at = tcp->outs.head; at; at = at->next) {
+		struct tcp_out *out = at->data;
+
+		g_free(out->bytes);
+		out->bytes = NULL;
+	}
+}
+
 void tcp_close(struct tcp *tcp)
 {
 	if (tcp->closing)
@@ -331,6 +352,7 @@
 	budget_remove(&tcp->holder);
 	tcp->closing = true;
 	uv_close((uv_handle_t *)&tcp->handle, on_closed);
+	outs_clear(tcp);
 }
 
 void tcp_reset(struct tcp *tcp)
@@ -341,6 +363,8 @@
 	/* It fails for a connection that is being shut down. */
 	if (uv_tcp_close_reset(&tcp->handle, on_closed) != 0)
 		tcp_close(tcp);
+	else
+		outs_clear(tcp);
 	tcp->closing = true;
 }
 
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -38,6 +38,7 @@
 	GString *in;	/* received and not yet consumed */
 	size_t pending; /* bytes queued for writing */
 	size_t queued;	/* the same, as allocated */
+	GQueue outs;	/* struct tcp_out that are queued */
 	/* What the bytes are held for; by default as for a client. */
 	enum hold_purpose in_purpose;
 	enum hold_purpose out_purpose;
