--- a/tests/http.c
+++ b/tests/http.c
@@ -472,6 +472,43 @@
 	  HC_MALFORMED,
 	  "",
 	  false },
+	/* A status that is none, or that only follows an Upgrade. */
+	{ "status 000",
+	  { { "HTTP/1.1 000 X\r\n" ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  HC_MALFORMED,
+	  "",
+	  false },
+	{ "status 099",
+	  { { "HTTP/1.1 099 X\r\n" ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  HC_MALFORMED,
+	  "",
+	  false },
+	{ "status 101",
+	  { { "HTTP/1.1 101 X\r\n" ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  HC_MALFORMED,
+	  "",
+	  false },
+	{ "status 600",
+	  { { "HTTP/1.1 600 X\r\n" ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  HC_MALFORMED,
+	  "",
+	  false },
+	{ "status 999",
+	  { { "HTTP/1.1 999 X\r\n" ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  HC_MALFORMED,
+	  "",
+	  false },
+	{ "status 599",
+	  { { "HTTP/1.1 599 X\r\n" ID "Content-Length: 2\r\n\r\nhi" },
+	    KEEP_OPEN },
+	  HC_COMPLETE,
+	  "hi",
+	  true },
 };
 
 START_TEST(client_reads)
@@ -782,6 +819,19 @@
 	enum http_result result;
 	const char *body;
 } fetch_cases[] = {
+	/* A status that is none, or that only follows an Upgrade. */
+	{ "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\nhi", NULL, false,
+	  HTTP_TRUNCATED, "" },
+	{ "HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nhi", NULL, false,
+	  HTTP_TRUNCATED, "" },
+	{ "HTTP/1.1 101 X\r\nContent-Length: 2\r\n\r\nhi", NULL, false,
+	  HTTP_TRUNCATED, "" },
+	{ "HTTP/1.1 600 X\r\nContent-Length: 2\r\n\r\nhi", NULL, false,
+	  HTTP_TRUNCATED, "" },
+	{ "HTTP/1.1 999 X\r\nContent-Length: 2\r\n\r\nhi", NULL, false,
+	  HTTP_TRUNCATED, "" },
+	{ "HTTP/1.1 599 X\r\nContent-Length: 2\r\n\r\nhi", NULL, false,
+	  HTTP_COMPLETE, "hi" },
 	{ OK200 "Content-Length: 2\r\n\r\nhi", NULL, false, HTTP_COMPLETE,
 	  "hi" },
 	{ OK200 "Content-Length: 2\r\n\r\nh", "i", false, HTTP_COMPLETE, "hi" },
@@ -1173,6 +1223,48 @@
 }
 END_TEST
 
+static const struct {
+	const char *what;
+	const char *bytes;
+	bool reset;
+} partial_cases[] = {
+	{ "reset within a length",
+	  "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nhi", true },
+	{ "close within a length",
+	  "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nhi", false },
+	{ "reset between chunks",
+	  "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nhi\r\n",
+	  true },
+	{ "close within the last chunk",
+	  "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nhi\r\n0\r\n",
+	  false },
+};
+
+/* A part of a body must never be passed on as a request. */
+START_TEST(server_drops_a_partial_body)
+{
+	const struct linger linger = { .l_onoff = 1 };
+	struct server *server;
+	int fd;
+
+	uv_loop_init(&loop);
+	server = server_start();
+	fd = server_connect();
+	send(fd, partial_cases[_i].bytes, strlen(partial_cases[_i].bytes), 0);
+	loop_for(20);
+	if (partial_cases[_i].reset)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(fd);
+	loop_for(50);
+	ck_assert_msg(server->requests->len == 0, "%s: %s",
+		      partial_cases[_i].what, server->requests->str);
+	ck_assert_uint_eq(hs_open_requests(server->hs), 0);
+	ck_assert_uint_eq(hs_connections(server->hs), 0);
+}
+END_TEST
+
 START_TEST(server_is_busy_until_response_is_read)
 {
 	static const char bytes[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -1558,6 +1650,8 @@
 	tcase_add_test(tcase, fetch_is_complete_although_the_loop_is_late);
 	tcase_add_loop_test(tcase, server_reads, 0, G_N_ELEMENTS(server_cases));
 	tcase_add_test(tcase, server_notices_disconnect);
+	tcase_add_loop_test(tcase, server_drops_a_partial_body, 0,
+			    G_N_ELEMENTS(partial_cases));
 	tcase_add_test(tcase, server_is_busy_until_response_is_read);
 	tcase_add_loop_test(tcase, server_sends_all_to_a_slow_caller, 0,
 			    LATE_CASES);
