--- a/wire/h1.c
+++ b/wire/h1.c
@@ -196,6 +196,11 @@
 	return used;
 }
 
+bool h1_status_is_valid(int status)
+{
+	return status >= 100 && status <= 599 && status != 101;
+}
+
 ssize_t h1_parse_response(const char *buf, size_t len, size_t seen,
 			  bool is_head, struct h1_head *head)
 {
@@ -213,7 +218,8 @@
 				  seen);
 	if (used < 0)
 		return used == -2 ? H1_INCOMPLETE : H1_MALFORMED;
-	if (!headers_convert(head, headers) || !framing_parse(head, minor))
+	if (!h1_status_is_valid(head->status) ||
+	    !headers_convert(head, headers) || !framing_parse(head, minor))
 		return H1_MALFORMED;
 	if (is_head || head->status / 100 == 1 || head->status == 204 ||
 	    head->status == 304)
--- a/wire/http-client.c
+++ b/wire/http-client.c
@@ -1,6 +1,6 @@
 /* HTTP client over h2o's client; one connection per fetch. */
 #include "due.h"
-#include "http.h"
+#include "h1.h"
 
 #include <h2o.h>
 #include <h2o/http1client.h>
@@ -215,7 +215,8 @@
 		return NULL;
 	}
 	fetch_set_headers(fetch, headers, num_headers);
-	if (fetch->framing == FRAMING_CONTRADICTORY) {
+	if (!h1_status_is_valid(status) ||
+	    fetch->framing == FRAMING_CONTRADICTORY) {
 		fetch_finish(fetch, HTTP_TRUNCATED);
 		return NULL;
 	}
