--- a/daemon/entryd-operator.c
+++ b/daemon/entryd-operator.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#include "../wire/budget.h"
+
 static const char *const member_states[MEMBER_STATE_COUNT] = {
 	"alive",
 	"leaving",
@@ -99,6 +101,7 @@
 {
 	GString *text = ctr_print(&entryd->ctrs);
 
+	budget_print(text);
 	http_response_send(call, 200, "text/plain", text->str, text->len);
 	g_string_free(text, TRUE);
 }
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "../wire/args.h"
+#include "../wire/budget.h"
 
 #define TICK_MS 20
 #define RESEND_INTERVAL_MS 250
@@ -269,6 +270,28 @@
 	uv_signal_start(&entryd->interrupt, on_signal, SIGINT);
 }
 
+static void on_budget_log(bool is_warning, const char *event,
+			  const char *fields)
+{
+	if (is_warning)
+		log_warn("%s: %s", event, fields);
+	else
+		log_notice("%s: %s", event, fields);
+}
+
+static void budget_begin(struct entryd *entryd)
+{
+	const struct conf_entry *conf = entryd->conf;
+	struct budget_options options = {
+		.loop = &entryd->loop,
+		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
+		.memory_mb = conf->memory_mb,
+		.log = on_budget_log,
+	};
+
+	budget_start(&options);
+}
+
 /* Loads the settings file and starts all parts of the process. */
 static bool entryd_open(struct entryd *entryd, const char *path, GError **error)
 {
@@ -286,6 +309,7 @@
 	if (!entryd->tracer)
 		return false;
 	uv_loop_init(&entryd->loop);
+	budget_begin(entryd);
 	entryd->callers = g_hash_table_new(NULL, NULL);
 	g_queue_init(&entryd->load_queue);
 	entryd->pools = g_hash_table_new(g_str_hash, g_str_equal);
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -9,7 +9,7 @@
 #define UNSENT_MAX (4 << 20) /* bytes buffered for a slow caller */
 /* Responses up to so many bytes are buffered although the budget is used up. */
 #define SMALL_MAX 16384
-#define RETRY_MIN_MS 60	     /* that another attempt needs at least */
+#define RETRY_MIN_MS 60 /* that another attempt needs at least */
 /* Times the latency target, to the first event of a stream. */
 #define FIRST_EVENT_FACTOR 2.5
 /* Until a silent upstream counts as stalled, at least, and between two events
@@ -355,8 +355,8 @@
 		return true;
 	}
 	*why = "gap_in_events";
-	response->has_no_room = budget_is_exceeded() &&
-				xfer->sse.buf->len + len > SMALL_MAX;
+	response->has_no_room =
+		budget_is_exceeded() && xfer->sse.buf->len + len > SMALL_MAX;
 	if (response->has_no_room)
 		return true;
 	events = g_string_sized_new(len + 256);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -18,7 +18,7 @@
 	GString *headers;     /* for the caller */
 	GString *body;	      /* of a response that is relayed when complete */
 	bool is_event_stream; /* its events are relayed as they arrive */
-	bool has_no_room;	   /* the process's budget is used up */
+	bool has_no_room;     /* the process's budget is used up */
 	bool ends_with_connection; /* it has no other end */
 	clk_ms began_at;	   /* when its head came */
 };
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -518,6 +518,25 @@
 	}
 }
 
+static void on_budget_log(bool is_warning, const char *event,
+			  const char *fields)
+{
+	slog(is_warning ? SLOG_WARN : SLOG_INFO, event, "%s", fields);
+}
+
+static void budget_begin(struct proxyd *proxyd)
+{
+	const struct conf_proxy *conf = proxyd->conf;
+	struct budget_options options = {
+		.loop = &proxyd->loop,
+		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
+		.memory_mb = conf->memory_mb,
+		.log = on_budget_log,
+	};
+
+	budget_start(&options);
+}
+
 /* Loads the settings and starts all parts of the process. */
 static bool proxyd_open(struct proxyd *proxyd, const char *path, GError **error)
 {
@@ -538,9 +557,7 @@
 	}
 	slog_open(&proxyd->loop, conf->name, slog_level_parse(conf->log_level),
 		  (int)conf->log_rate);
-	budget_start(&proxyd->loop,
-		     budget_limit(conf->budget_mb, conf->memory_mb),
-		     conf->memory_mb);
+	budget_begin(proxyd);
 	if (!listen_all(proxyd, error))
 		return false;
 	proxyd->started_at = proxyd_now(proxyd);
--- a/wire/budget.c
+++ b/wire/budget.c
@@ -5,8 +5,6 @@
 #include <stdio.h>
 #include <unistd.h>
 
-#include "slog.h"
-
 #define CHECK_MS 1000
 #define DEFAULT_SHARE 2 /* the budget is this part of the memory limit */
 #define MB ((size_t)1 << 20)
@@ -22,6 +20,7 @@
 
 static struct {
 	uv_loop_t *loop; /* NULL: no budget is enforced */
+	void (*log)(bool is_warning, const char *event, const char *fields);
 	struct hold hold;
 	size_t memory; /* bytes; limit of the process */
 	uv_timer_t timer;
@@ -43,6 +42,22 @@
 			     : (size_t)memory_mb * MB / DEFAULT_SHARE;
 }
 
+static void log_line(bool is_warning, const char *event, const char *format,
+		     ...) __attribute__((format(printf, 3, 4)));
+
+static void log_line(bool is_warning, const char *event, const char *format,
+		     ...)
+{
+	va_list args;
+	char *fields;
+
+	va_start(args, format);
+	fields = g_strdup_vprintf(format, args);
+	va_end(args);
+	budget.log(is_warning, event, fields);
+	g_free(fields);
+}
+
 /* Returns the resident memory of the process in bytes; 0: not known. */
 static size_t resident(void)
 {
@@ -74,9 +89,10 @@
 	    now() - budget.pressure_logged_at < PRESSURE_LOG_MS)
 		return;
 	budget.pressure_logged_at = now();
-	slog(SLOG_WARN, "memory",
-	     "resident=%zu limit=%zu held=%zu budget=%zu outcome=not_counted",
-	     memory, budget.memory, budget.hold.total, budget.hold.limit);
+	log_line(true, "memory",
+		 "resident=%zu limit=%zu held=%zu budget=%zu "
+		 "outcome=not_counted",
+		 memory, budget.memory, budget.hold.total, budget.hold.limit);
 }
 
 static void on_check(uv_timer_t *timer)
@@ -90,14 +106,15 @@
 	pressure_check();
 }
 
-void budget_start(uv_loop_t *loop, size_t limit, int64_t memory_mb)
+void budget_start(const struct budget_options *options)
 {
 	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
 	mallopt(M_TRIM_THRESHOLD, TRIM_THRESHOLD);
-	budget.loop = loop;
-	budget.hold.limit = limit;
-	budget.memory = (size_t)memory_mb * MB;
-	uv_timer_init(loop, &budget.timer);
+	budget.loop = options->loop;
+	budget.log = options->log;
+	budget.hold.limit = options->limit;
+	budget.memory = (size_t)options->memory_mb * MB;
+	uv_timer_init(options->loop, &budget.timer);
 	uv_timer_start(&budget.timer, on_check, CHECK_MS, CHECK_MS);
 	uv_unref((uv_handle_t *)&budget.timer);
 }
@@ -140,11 +157,11 @@
 	outcome = holder->ops->evict(holder->ctx);
 	budget.evictions++;
 	budget.evicted[purpose]++;
-	slog(SLOG_INFO, "evicted",
-	     "client=%s held_for=%s bytes=%zu idle_ms=%" G_GINT64_FORMAT
-	     " held=%zu budget=%zu outcome=%s",
-	     peer, hold_purpose_name(purpose), bytes, idle, total,
-	     budget.hold.limit, outcome);
+	log_line(false, "evicted",
+		 "client=%s held_for=%s bytes=%zu idle_ms=%" G_GINT64_FORMAT
+		 " held=%zu budget=%zu outcome=%s",
+		 peer, hold_purpose_name(purpose), bytes, idle, total,
+		 budget.hold.limit, outcome);
 }
 
 void budget_enforce(void)
--- a/wire/budget.h
+++ b/wire/budget.h
@@ -25,8 +25,16 @@
 	void (*peer)(void *ctx, char *buf, size_t size);
 };
 
-/* Begins to enforce a budget; memory_mb: the process's memory limit, in MB. */
-void budget_start(uv_loop_t *loop, size_t limit, int64_t memory_mb);
+struct budget_options {
+	uv_loop_t *loop;
+	size_t limit;	   /* bytes, see budget_limit */
+	int64_t memory_mb; /* limit of the process, in MB */
+	/* Writes a log line. */
+	void (*log)(bool is_warning, const char *event, const char *fields);
+};
+
+/* Begins to enforce a budget. */
+void budget_start(const struct budget_options *options);
 /* Returns the budget in bytes for settings in MB; budget_mb 0: the default, a
  * half of the memory limit. */
 size_t budget_limit(int64_t budget_mb, int64_t memory_mb);
--- a/wire/h1.h
+++ b/wire/h1.h
@@ -68,8 +68,8 @@
 /* The same for a response; is_head: to a HEAD request. */
 ssize_t h1_parse_response(const char *buf, size_t len, size_t seen,
 			  bool is_head, struct h1_head *head);
-/* Whether a response may have a status: a final one is 200 to 599, others of 100
- * to 199 precede it. 101 ends HTTP, which no request here asks for. */
+/* Whether a response may have a status: a final one is 200 to 599, others of
+ * 100 to 199 precede it. 101 ends HTTP, which no request here asks for. */
 bool h1_status_is_valid(int status);
 /* Returns the value of the first header of that name; length 0 if none. */
 struct http_view h1_header_value(const struct h1_head *head, const char *name);
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -526,10 +526,10 @@
 	}
 	conn->request = request;
 	request->conn = conn;
-	budget_set(&conn->tcp->holder, HOLD_BODY,
-		   request->out->allocated_len +
-			   (request->body ? g_bytes_get_size(request->body)
-					  : 0));
+	budget_set(
+		&conn->tcp->holder, HOLD_BODY,
+		request->out->allocated_len +
+			(request->body ? g_bytes_get_size(request->body) : 0));
 	return request;
 }
 
--- /dev/null
+++ b/wire/http-held.c
@@ -0,0 +1,174 @@
+/* What the connections of h2o's server hold. */
+#include "http-held.h"
+
+#include <sys/socket.h>
+
+#include "budget.h"
+
+/* What a caller is sent whose request is not complete. */
+#define REFUSAL                                                                \
+	"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"               \
+	"Content-Type: application/json\r\nConnection: close\r\n"              \
+	"Content-Length: 67\r\n\r\n"                                           \
+	"{\"error\":\"RW_EBUSY\",\"text\":\"no memory for the request\","      \
+	"\"ran\":\"no\"}\n"
+
+struct http_held {
+	uv_check_t check;
+	GHashTable *conns; /* h2o_socket_t -> struct http_held_conn */
+};
+
+struct http_held_conn {
+	struct http_held *held;
+	struct budget_holder holder;
+	h2o_socket_t *sock; /* NULL: closed */
+	uv_tcp_t *tcp;
+	size_t input;  /* bytes in the buffer, when last looked at */
+	size_t queued; /* bytes not written, when last looked at */
+	size_t output; /* of responses, not passed to h2o yet */
+	unsigned open; /* requests in flight */
+};
+
+static bool conn_has_progress(void *ctx)
+{
+	struct http_held_conn *conn = ctx;
+	size_t queued =
+		uv_stream_get_write_queue_size((const uv_stream_t *)conn->tcp);
+	bool sent = queued < conn->queued;
+
+	conn->queued = queued;
+	return sent;
+}
+
+static const char *conn_evict(void *ctx)
+{
+	struct http_held_conn *conn = ctx;
+	bool refuses = conn->open == 0 && conn->queued == 0;
+	uv_os_fd_t fd;
+
+	/* Its bytes are freed when h2o learns of the end. */
+	budget_remove(&conn->holder);
+	if (uv_fileno((const uv_handle_t *)conn->tcp, &fd) != 0)
+		return "closed";
+	if (refuses)
+		refuses = send(fd, REFUSAL, sizeof(REFUSAL) - 1,
+			       MSG_DONTWAIT | MSG_NOSIGNAL) > 0;
+	shutdown(fd, SHUT_RDWR);
+	return refuses ? "refused" : "closed";
+}
+
+static void conn_peer(void *ctx, char *buf, size_t size)
+{
+	const struct http_held_conn *conn = ctx;
+	struct sockaddr_in addr;
+	int len = sizeof(addr);
+
+	if (uv_tcp_getpeername(conn->tcp, (struct sockaddr *)&addr, &len) !=
+		    0 ||
+	    uv_ip4_name(&addr, buf, size) != 0)
+		buf[0] = '\0';
+}
+
+static const struct budget_ops conn_ops = {
+	.has_progress = conn_has_progress,
+	.evict = conn_evict,
+	.peer = conn_peer,
+};
+
+static void conn_free_if_unused(struct http_held_conn *conn)
+{
+	if (!conn->sock && conn->open == 0)
+		g_free(conn);
+}
+
+/* h2o has closed the connection. */
+static void conn_on_close(void *data)
+{
+	struct http_held_conn *conn = data;
+
+	g_hash_table_remove(conn->held->conns, conn->sock);
+	budget_remove(&conn->holder);
+	conn->sock = NULL;
+	conn_free_if_unused(conn);
+}
+
+static void conn_account(struct http_held_conn *conn)
+{
+	const h2o_buffer_t *input = conn->sock->input;
+	size_t bytes = input->size > 0 ? input->capacity : 0;
+
+	/* It was evicted. */
+	if (!conn->holder.hold.can_evict)
+		return;
+	if (input->size != conn->input || conn_has_progress(conn))
+		budget_on_progress(&conn->holder);
+	conn->input = input->size;
+	/* h2o keeps the body of a request in flight in this buffer, and what
+	 * is pipelined behind it. */
+	budget_set(&conn->holder, HOLD_INPUT, conn->open > 0 ? 0 : bytes);
+	budget_set(&conn->holder, HOLD_BODY, conn->open > 0 ? bytes : 0);
+	budget_set(&conn->holder, HOLD_OUTPUT, conn->queued + conn->output);
+}
+
+/* Runs after each poll of the loop: no owner of a connection is at work. */
+static void on_check(uv_check_t *check)
+{
+	struct http_held *held = check->data;
+	GHashTableIter iter;
+	gpointer conn;
+
+	g_hash_table_iter_init(&iter, held->conns);
+	while (g_hash_table_iter_next(&iter, NULL, &conn))
+		conn_account(conn);
+	budget_enforce();
+}
+
+struct http_held *http_held_create(uv_loop_t *loop)
+{
+	struct http_held *held = g_new0(struct http_held, 1);
+
+	held->conns = g_hash_table_new(NULL, NULL);
+	uv_check_init(loop, &held->check);
+	held->check.data = held;
+	uv_check_start(&held->check, on_check);
+	uv_unref((uv_handle_t *)&held->check);
+	return held;
+}
+
+void http_held_add(struct http_held *held, h2o_socket_t *sock, uv_tcp_t *tcp)
+{
+	struct http_held_conn *conn = g_new0(struct http_held_conn, 1);
+
+	conn->held = held;
+	conn->sock = sock;
+	conn->tcp = tcp;
+	budget_init(&conn->holder, &conn_ops, conn);
+	sock->on_close.cb = conn_on_close;
+	sock->on_close.data = conn;
+	g_hash_table_insert(held->conns, sock, conn);
+}
+
+struct http_held_conn *http_held_begin(struct http_held *held,
+				       h2o_socket_t *sock)
+{
+	struct http_held_conn *conn = g_hash_table_lookup(held->conns, sock);
+
+	if (conn)
+		conn->open++;
+	return conn;
+}
+
+void http_held_set_output(struct http_held_conn *conn, size_t bytes)
+{
+	if (conn)
+		conn->output = bytes;
+}
+
+void http_held_end(struct http_held_conn *conn)
+{
+	if (!conn)
+		return;
+	conn->open--;
+	conn->output = 0;
+	conn_free_if_unused(conn);
+}
--- a/wire/http-server.c
+++ b/wire/http-server.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../decide/err.h"
+#include "http-held.h"
 
 #define LISTEN_BACKLOG 1024   /* connections */
 #define IDLE_TIMEOUT_MS 30000 /* between requests on a connection */
@@ -16,6 +17,7 @@
 	h2o_accept_ctx_t accept;
 	uv_tcp_t listener;
 	struct http_server_options options;
+	struct http_held *held;
 	int port;
 	size_t open_requests;
 	bool stopped;
@@ -37,6 +39,7 @@
 	h2o_generator_t generator;
 	h2o_req_t *req;
 	struct http_server *server;
+	struct http_held_conn *held;
 	GString *pending;  /* queued, not yet passed to h2o */
 	GString *inflight; /* passed to h2o */
 	bool sending;	   /* h2o is writing inflight */
@@ -68,6 +71,7 @@
 
 	request_notify_disconnect(request);
 	request->server->open_requests--;
+	http_held_end(request->held);
 	g_string_free(request->pending, TRUE);
 	g_string_free(request->inflight, TRUE);
 }
@@ -85,6 +89,9 @@
 		.server = server,
 		.pending = g_string_new(NULL),
 		.inflight = g_string_new(NULL),
+		.held = http_held_begin(
+			server->held,
+			req->conn->callbacks->get_socket(req->conn)),
 	};
 	server->open_requests++;
 	server->options.on_request(server->options.ctx, request);
@@ -95,6 +102,7 @@
 static void listener_on_connection(uv_stream_t *listener, int status)
 {
 	struct http_server *server = listener->data;
+	h2o_socket_t *sock;
 	uv_tcp_t *conn;
 
 	if (status != 0)
@@ -106,8 +114,9 @@
 		return;
 	}
 	uv_tcp_nodelay(conn, 1);
-	h2o_accept(&server->accept, h2o_uv_socket_create((uv_stream_t *)conn,
-							 (uv_close_cb)free));
+	sock = h2o_uv_socket_create((uv_stream_t *)conn, (uv_close_cb)free);
+	http_held_add(server->held, sock, conn);
+	h2o_accept(&server->accept, sock);
 }
 
 /* Binds and listens; returns 0 or a libuv error. */
@@ -207,6 +216,9 @@
 	h2o_config_init(&server->config);
 	server->config.max_request_entity_size = server->options.max_body;
 	server->config.http1.req_timeout = IDLE_TIMEOUT_MS;
+	/* The bodies of an HTTP/2 connection are not counted by
+	 * wire/http-held. */
+	server->config.http1.upgrade_to_http2 = 0;
 	host = h2o_config_register_host(
 		&server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
 	path = h2o_config_register_path(host, "/", 0);
@@ -227,6 +239,7 @@
 
 	server->options = *opt;
 	server_configure(server);
+	server->held = http_held_create(loop);
 	h2o_context_init(&server->context, loop, &server->config);
 	server->accept = (h2o_accept_ctx_t){
 		.ctx = &server->context,
@@ -422,6 +435,8 @@
 {
 	g_string_append_len(request->pending, ptr, (gssize)len);
 	response_flush(request);
+	http_held_set_output(request->held,
+			     request->pending->len + request->inflight->len);
 }
 
 void http_response_end(struct http_request *request)
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -333,8 +333,8 @@
 	g_free(tcp);
 }
 
-/* Frees what is queued. libuv reports queued writes as cancelled only at the end
- * of the loop's iteration, in which much more may be read. */
+/* Frees what is queued. libuv reports queued writes as cancelled only at the
+ * end of the loop's iteration, in which much more may be read. */
 static void outs_clear(struct tcp *tcp)
 {
 	for (const GList *at = tcp->outs.head; at; at = at->next) {
