--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -10,6 +10,7 @@
 #include <time.h>
 
 #include "../wire/args.h"
+#include "../wire/budget.h"
 
 #define TICK_MS 100		/* period of all timed work */
 #define STATUS_PERIOD_MS 10000	/* between status log lines */
@@ -527,6 +528,25 @@
 	}
 }
 
+static void on_budget_log(bool is_warning, const char *event,
+			  const char *fields)
+{
+	slog(is_warning ? SLOG_WARN : SLOG_INFO, event, "%s", fields);
+}
+
+static void budget_begin(struct proxyd *proxyd)
+{
+	const struct conf_proxy *conf = proxyd->conf;
+	struct budget_options options = {
+		.loop = &proxyd->loop,
+		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
+		.memory_mb = conf->memory_mb,
+		.log = on_budget_log,
+	};
+
+	budget_start(&options);
+}
+
 /* Loads the settings and starts all parts of the process. */
 static bool proxyd_open(struct proxyd *proxyd, const char *path, GError **error)
 {
@@ -547,6 +567,7 @@
 	}
 	slog_open(&proxyd->loop, conf->name, slog_level_parse(conf->log_level),
 		  (int)conf->log_rate);
+	budget_begin(proxyd);
 	if (!listen_all(proxyd, error))
 		return false;
 	proxyd->started_at = proxyd_now(proxyd);
