Account limits: balances in the store; no debt of each restarted host

A restarted host took the debt of all hosts for its own, and refills that at its share of the rate. Until the first reports, the refill that does not fit is kept: others have spent it.

--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -155,6 +155,7 @@
 	GHashTable *pools;  /* name -> struct pool_state */
 	bool limits_write_pending;
 	clk_ms next_limits_write;
+	clk_ms next_balances; /* while accounts are near their limits */
 	bool limits_restored; /* the stored list was handled after start */
 	struct usage usage;
 	struct wall wall;
@@ -328,7 +329,8 @@
 void peer_on_group(void *ctx, const w_group *message);
 
 /* proxyd-limits.c: the stored list of accounts near their limits */
-/* Updates the list when it has changed. */
+/* Updates the list when it has changed, and what remains for the accounts in
+ * it. */
 void limits_tick(struct proxyd *proxyd);
 /* Applies the list after a start, once there is a configuration and all own
  * items were read. */
--- a/decide/quota.c
+++ b/decide/quota.c
@@ -11,6 +11,7 @@
 #define GLOBAL_SLACK_SHARE 0.3 /* of the slack, added to the global bucket */
 #define REFILL_FACTOR 1.02     /* times the rate; 1.1 is allowed */
 #define DISCOVERY_MS 4000      /* after a start, until all hosts report */
+#define FIRST_REPORTS_MS 2500  /* after a start, until these arrive */
 #define COVERAGE_MIN 0.2       /* lower only while all hosts start */
 /* Parts of the slack and of the burst that streams which are taken up may owe:
  * they go before new requests. */
@@ -24,8 +25,11 @@
 /* Parts of the global bucket. */
 #define RESTART_DEBT_SHARE 0.15 /* owed after a restart */
 #define BELOW_LIMIT_SHARE 0.7	/* remaining for an account below its limit */
-#define NEAR_LIMIT_SHARE 0.6	/* with less, the account is near its limit */
-#define UNREPORTED_SHARE 0.25	/* that all hosts may leave unreported */
+/* Time after a balance was written for which it is assumed that the refill was
+ * spent: until the next one would have been, and its way to the store. */
+#define BALANCE_SPENT_MS (QUOTA_BALANCE_MS + 1000)
+#define NEAR_LIMIT_SHARE 0.6  /* with less, the account is near its limit */
+#define UNREPORTED_SHARE 0.25 /* that all hosts may leave unreported */
 #define GROUP_UNREPORTED_SHARE 0.1 /* that all relays may, in addition */
 /* While more remains, equal shares don't apply. This much covers the hosts'
  * unreported spending, and what they spend until they receive a report that
@@ -63,7 +67,9 @@
 #define DEBT_MAX_SHARE 1.0
 
 #define MEAN_WEIGHT 0.05 /* of a request in mean_units */
-#define FULL_SHARE 0.99	 /* of a bucket that counts as full */
+/* Of the global bucket: what all hosts may owe that have just started. */
+#define START_DEBT_SHARE 0.5
+#define FULL_SHARE 0.99 /* of a bucket that counts as full */
 
 static const char *const why_names[] = {
 	[QUOTA_ALL_HOSTS] = "all_hosts",
@@ -147,6 +153,17 @@
 	return MIN(max, global_max(quota));
 }
 
+/* Returns how much the global bucket may hold now. Before the first reports
+ * after a start, the refill that would not fit is what others have spent. */
+static double global_room(const struct quota *quota, clk_ms now)
+{
+	clk_ms age = now - quota->set_at;
+
+	if (age >= FIRST_REPORTS_MS)
+		return global_max(quota);
+	return global_max(quota) + quota->rate * (double)age / CLK_SECOND;
+}
+
 static void refill(struct quota *quota, unsigned hosts, clk_ms now)
 {
 	double seconds = (double)(now - quota->refilled_at) / CLK_SECOND;
@@ -161,7 +178,7 @@
 	 * first one above the limit. */
 	quota->global_units =
 		MIN(quota->global_units + seconds * quota->rate * REFILL_FACTOR,
-		    global_max(quota));
+		    global_room(quota, now));
 	quota->local_units =
 		MIN(quota->local_units + seconds * quota->rate * share,
 		    local_max(quota, hosts, now));
@@ -187,7 +204,8 @@
 		quota->set_at = now;
 	}
 	quota->global_units = MIN(quota->global_units, global_max(quota));
-	quota->local_units = quota->global_units;
+	/* A debt is all hosts' and not each one's. */
+	quota->local_units = MAX(quota->global_units, 0);
 	quota->refilled_at = now;
 }
 
@@ -232,6 +250,23 @@
 	quota->local_units = MAX(quota->local_units, remaining);
 }
 
+void quota_on_balance(struct quota *quota, double units, clk_ms elapsed,
+		      clk_ms now)
+{
+	double refilled = quota->rate *
+			  (double)MAX(elapsed - BALANCE_SPENT_MS, 0) /
+			  CLK_SECOND;
+	double remaining;
+
+	if (quota->rate <= 0 || now - quota->set_at >= DISCOVERY_MS)
+		return;
+	remaining = MIN(MAX(units, 0) + refilled,
+			BELOW_LIMIT_SHARE * global_max(quota)) -
+		    quota->spent;
+	quota->global_units = MAX(quota->global_units, remaining);
+	quota->local_units = MAX(quota->local_units, remaining);
+}
+
 /* Subtracts units spent by the reporting hosts, scaled up by the coverage to
  * all hosts. */
 static void global_spend(struct quota *quota, double units)
@@ -308,6 +343,11 @@
 	double saved = MIN(quota->mean_units,
 			   FULL_SHARE * local_max(quota, hosts, now));
 
+	/* The hosts have not told each other anything since they started, and
+	 * the account was below its limit before. */
+	if (!quota->last_report_at && now - quota->set_at < FIRST_REPORTS_MS &&
+	    !is_restricted(quota, quota->global_units))
+		saved = -START_DEBT_SHARE * global_max(quota) * share;
 	return doubt * saved - share * debt_max(quota, request->takes_up);
 }
 
@@ -383,6 +423,10 @@
 		return true;
 	if (request->rank >= 0)
 		quota->asked_at[MIN(request->rank, QUOTA_RANKS - 1)] = now;
+	/* Otherwise all hosts that start together would admit their first
+	 * request, however small their shares are. */
+	if (quota->mean_units <= 0)
+		quota->local_units -= request->chance * request->units;
 	quota->mean_units += (request->units - quota->mean_units) *
 			     (quota->mean_units > 0 ? MEAN_WEIGHT : 1);
 	refill(quota, request->hosts, now);
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -92,6 +92,10 @@
 };
 
 struct quota *quota_create(void);
+/* How long a written balance may stay as it is while its account is near its
+ * limit. */
+#define QUOTA_BALANCE_MS 2000
+
 /* Sets the limit. full: a new limit starts with a full bucket; a host that has
  * restarted can't know what remains, and starts with a small debt. */
 void quota_set(struct quota *quota, double rate, double burst, double slack,
@@ -120,6 +124,11 @@
 /* A host that has just started learns that the account was far below its limit
  * before all hosts were lost: most of the bucket remains. */
 void quota_on_below_limit(struct quota *quota, clk_ms now);
+/* A host that has just started learns what remained for an account near its
+ * limit before all hosts were lost: units, as written elapsed ms ago by the
+ * wall clock. */
+void quota_on_balance(struct quota *quota, double units, clk_ms elapsed,
+		      clk_ms now);
 /* Gives the units of a request that was not run back to the buckets. */
 void quota_refund(struct quota *quota, double units);
 /* Returns what remains of the global bucket: an aggregating host sends this to
--- a/tests/unit-quota.c
+++ b/tests/unit-quota.c
@@ -433,6 +433,7 @@
 	double rate;
 	clk_ms near_limit_ms; /* between a leaf's reports near the limit */
 	clk_ms late_ms;	      /* of what a relay sends to its hosts */
+	clk_ms restart_at;    /* of all hosts; 0: never */
 	int case_idx;
 	clk_ms now;
 };
@@ -621,7 +622,7 @@
 {
 	bool due = net->now >= host->next_report_at;
 	bool near_limit = quota_near_limit(host->quota);
-	clk_ms restart = net_cases[net->case_idx].restart_at;
+	clk_ms restart = net->restart_at;
 	clk_ms started = restart && net->now >= restart ? restart : 0;
 	unsigned hosts = (unsigned)net->hosts_count;
 
@@ -721,6 +722,7 @@
 	net->relays = NET_RELAYS;
 	net->rate = NET_RATE;
 	net->near_limit_ms = NET_TICK_MS;
+	net->restart_at = net_cases[_i].restart_at;
 	net_start(net, rand);
 	for (net->now = 1; net->now < NET_END_MS; net->now++) {
 		bool hot = net_cases[_i].hot_factor > 0 &&
@@ -729,7 +731,7 @@
 				(hot ? net_cases[_i].hot_factor : 1);
 		double units;
 
-		if (net->now == net_cases[_i].restart_at)
+		if (net->now == net->restart_at)
 			net_start(net, rand);
 		for (int i = 0; i < NET_HOSTS; i++)
 			if ((net->now + i) % NET_TICK_MS == 0)
@@ -765,10 +767,12 @@
 
 #define MIX_SIZES 10 /* classes by size, of equal numbers */
 #define MIX_KINDS 4
-#define MIX_FROM_MS 6000 /* measured from here on, when the burst is used up   \
-			  */
+#define MIX_FROM_MS                                                            \
+	6000 /* measured from here on, when the burst is used up               \
+	      */
 #define MIX_PROMPT_MAX 54600
-#define MIX_RUNS 5 /* whose counts are added up */
+#define MIX_LOST_MS 1000 /* until all hosts run again */
+#define MIX_RUNS 5	 /* whose counts are added up */
 /* The largest tenth and the fifth below it, against all of the kind. */
 #define MIX_SIZE_MIN 0.8
 #define MIX_KIND_MARGIN 0.03 /* by chance, between two ranks */
@@ -789,25 +793,169 @@
 static const struct {
 	const char *what;
 	int hosts;
-	double rate;	   /* of the account */
-	double demand;	   /* as a multiple of it */
-	int clients_at;	   /* hosts to which its clients connect; 0: all */
-	double served_min; /* of each kind */
-	double value_min;  /* of the best order known afterwards */
+	double rate;	     /* of the account */
+	double demand;	     /* as a multiple of it */
+	int clients_at;	     /* hosts to which its clients connect; 0: all */
+	double served_min;   /* of each kind */
+	double value_min;    /* of the best order known afterwards */
+	clk_ms lost_at;	     /* all hosts are; 0: never */
+	double demand_after; /* from then on; 0: the same */
+	bool unreadable;     /* the store, when they start again */
 } mix_cases[] = {
-	{ "6 hosts, below", 6, 300000, 0.9, 0, 0.99, 0.99 },
-	{ "63 hosts, below", 63, 600000, 0.9, 0, 0.99, 0.99 },
-	{ "89 hosts, below", 89, 900000, 0.9, 0, 0.99, 0.99 },
-	{ "89 hosts, clients at 9", 89, 900000, 0.9, 9, 0.99, 0.99 },
-	{ "89 hosts, clients at one", 89, 900000, 0.7, 1, 0.99, 0.99 },
-	{ "89 hosts, small, below", 89, 164460, 0.9, 0, 0.99, 0.99 },
-	{ "6 hosts, at the limit", 6, 300000, 1, 0, 0, 0.9 },
-	{ "63 hosts, at the limit", 63, 600000, 1, 0, 0, 0.9 },
-	{ "89 hosts, at the limit", 89, 900000, 1, 0, 0, 0.9 },
-	{ "6 hosts, three times", 6, 300000, 3, 0, 0, 0.9 },
-	{ "63 hosts, three times", 63, 600000, 3, 0, 0, 0.9 },
-	{ "89 hosts, three times", 89, 900000, 3, 0, 0, 0.9 },
-	{ "89 hosts, small, three times", 89, 164460, 3, 0, 0, 0.9 },
+	{ .what = "6 hosts, below, all lost, clients return at once",
+	  .hosts = 6,
+	  .rate = 300000,
+	  .demand = 0.9,
+	  .value_min = 0.8,
+	  .lost_at = 15000,
+	  .demand_after = 6 },
+	{ .what = "63 hosts, below, all lost, clients return at once",
+	  .hosts = 63,
+	  .rate = 600000,
+	  .demand = 0.9,
+	  .value_min = 0.8,
+	  .lost_at = 15000,
+	  .demand_after = 6 },
+	{ .what = "89 hosts, below, all lost, clients return at once",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 0.9,
+	  .value_min = 0.8,
+	  .lost_at = 15000,
+	  .demand_after = 6 },
+	{ .what = "89 hosts, small, below, all lost, clients return at once",
+	  .hosts = 89,
+	  .rate = 164460,
+	  .demand = 0.9,
+	  .value_min = 0.8,
+	  .lost_at = 15000,
+	  .demand_after = 6 },
+
+	{ .what = "6 hosts, below",
+	  .hosts = 6,
+	  .rate = 300000,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99 },
+	{ .what = "63 hosts, below",
+	  .hosts = 63,
+	  .rate = 600000,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99 },
+	{ .what = "89 hosts, below",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99 },
+	{ .what = "89 hosts, clients at 9",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 0.9,
+	  .clients_at = 9,
+	  .served_min = 0.99,
+	  .value_min = 0.99 },
+	{ .what = "89 hosts, clients at one",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 0.7,
+	  .clients_at = 1,
+	  .served_min = 0.99,
+	  .value_min = 0.99 },
+	{ .what = "89 hosts, small, below",
+	  .hosts = 89,
+	  .rate = 164460,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99 },
+	{ .what = "6 hosts, below, all lost",
+	  .hosts = 6,
+	  .rate = 300000,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99,
+	  .lost_at = 15000 },
+	{ .what = "63 hosts, below, all lost",
+	  .hosts = 63,
+	  .rate = 600000,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99,
+	  .lost_at = 15000 },
+	{ .what = "89 hosts, below, all lost",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 0.9,
+	  .served_min = 0.99,
+	  .value_min = 0.99,
+	  .lost_at = 15000 },
+	{ .what = "6 hosts, six times, all lost",
+	  .hosts = 6,
+	  .rate = 300000,
+	  .demand = 6,
+	  .value_min = 0.8,
+	  .lost_at = 15000 },
+	{ .what = "63 hosts, six times, all lost",
+	  .hosts = 63,
+	  .rate = 600000,
+	  .demand = 6,
+	  .value_min = 0.8,
+	  .lost_at = 15000 },
+	{ .what = "89 hosts, six times, all lost",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 6,
+	  .value_min = 0.8,
+	  .lost_at = 15000 },
+	{ .what = "89 hosts, small, six times, all lost",
+	  .hosts = 89,
+	  .rate = 164460,
+	  .demand = 6,
+	  .value_min = 0.8,
+	  .lost_at = 15000 },
+	{ .what = "89 hosts, three times, all lost, store unreadable",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 3,
+	  .value_min = 0.8,
+	  .lost_at = 15000,
+	  .unreadable = true },
+	{ .what = "6 hosts, at the limit",
+	  .hosts = 6,
+	  .rate = 300000,
+	  .demand = 1,
+	  .value_min = 0.9 },
+	{ .what = "63 hosts, at the limit",
+	  .hosts = 63,
+	  .rate = 600000,
+	  .demand = 1,
+	  .value_min = 0.9 },
+	{ .what = "89 hosts, at the limit",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 1,
+	  .value_min = 0.9 },
+	{ .what = "6 hosts, three times",
+	  .hosts = 6,
+	  .rate = 300000,
+	  .demand = 3,
+	  .value_min = 0.9 },
+	{ .what = "63 hosts, three times",
+	  .hosts = 63,
+	  .rate = 600000,
+	  .demand = 3,
+	  .value_min = 0.9 },
+	{ .what = "89 hosts, three times",
+	  .hosts = 89,
+	  .rate = 900000,
+	  .demand = 3,
+	  .value_min = 0.9 },
+	{ .what = "89 hosts, small, three times",
+	  .hosts = 89,
+	  .rate = 164460,
+	  .demand = 3,
+	  .value_min = 0.9 },
 };
 
 struct mix {
@@ -974,6 +1122,46 @@
 	}
 }
 
+/* What the first host has written to the store. */
+struct mix_balance {
+	bool listed;
+	double units;
+	clk_ms at;
+};
+
+/* Writes the balance as proxyd-limits.c does. */
+static void mix_write(struct net *net, struct mix_balance *balance)
+{
+	struct quota *quota = net->hosts[0].quota;
+	bool near_limit = quota_near_limit(quota);
+
+	if (near_limit == balance->listed &&
+	    (!near_limit || net->now - balance->at < QUOTA_BALANCE_MS))
+		return;
+	*balance = (struct mix_balance){
+		.listed = near_limit,
+		.units = quota_remaining(quota, (unsigned)net->hosts_count,
+					 net->now),
+		.at = net->now,
+	};
+}
+
+/* Starts all hosts again. */
+static void mix_restart(struct mix *mix, const struct mix_balance *balance,
+			bool unreadable)
+{
+	struct net *net = &mix->net;
+
+	net_start(net, mix->rand);
+	for (int i = 0; i < net->hosts_count && !unreadable; i++) {
+		if (balance->listed)
+			quota_on_balance(net->hosts[i].quota, balance->units,
+					 net->now - balance->at, net->now);
+		else
+			quota_on_below_limit(net->hosts[i].quota, net->now);
+	}
+}
+
 static void mix_check_windows(int case_idx, const double *admitted)
 {
 	double rate = mix_cases[case_idx].rate;
@@ -1002,6 +1190,12 @@
 	double scale = mix_cases[case_idx].demand * mix_cases[case_idx].rate /
 		       mix_units_per_s() / 1000;
 	double due[MIX_KINDS] = { 0 };
+	clk_ms lost_at = mix_cases[case_idx].lost_at;
+	struct mix_balance balance = { .at = 0 };
+	double after = mix_cases[case_idx].demand_after > 0
+			       ? mix_cases[case_idx].demand_after /
+					 mix_cases[case_idx].demand
+			       : 1;
 
 	*net = (struct net){
 		.hosts_count = mix_cases[case_idx].hosts,
@@ -1009,16 +1203,26 @@
 		.rate = mix_cases[case_idx].rate,
 		.near_limit_ms = 300,
 		.late_ms = mix_cases[case_idx].hosts > NET_RELAYS ? 200 : 0,
+		.restart_at = lost_at ? lost_at + MIX_LOST_MS : 0,
 	};
 	net_start(net, mix->rand);
 	for (net->now = 1; net->now < NET_END_MS; net->now++) {
+		if (lost_at && net->now >= lost_at &&
+		    net->now < net->restart_at)
+			continue;
+		if (lost_at && net->now == net->restart_at)
+			mix_restart(mix, &balance,
+				    mix_cases[case_idx].unreadable);
+		mix_write(net, &balance);
 		net_deliver(net);
 		for (int i = 0; i < net->hosts_count; i++)
 			if ((net->now + i) % NET_TICK_MS == 0)
 				net_tick(net, &net->hosts[i]);
 		for (int kind = 0; kind < MIX_KINDS; kind++) {
-			due[kind] += scale * mix_kinds[kind].per_s * 2 *
-				     g_rand_double(mix->rand);
+			due[kind] +=
+				scale * mix_kinds[kind].per_s * 2 *
+				g_rand_double(mix->rand) *
+				(lost_at && net->now > lost_at ? after : 1);
 			for (; due[kind] >= 1; due[kind]--)
 				mix_request(mix, case_idx, kind, admitted);
 		}
