--- a/decide/build.c
+++ b/decide/build.c
@@ -19,6 +19,7 @@
 	[BUILD_LINKS] = { 6, "links_questions" },
 	[BUILD_MARKS] = { 7, "process_marks" },
 	[BUILD_SPEEDS] = { 9, "worker_speeds" },
+	[BUILD_BALANCES] = { 10, "stored_balances" },
 };
 
 unsigned build_own(void)
--- a/decide/build.h
+++ b/decide/build.h
@@ -35,6 +35,7 @@
 	BUILD_LINKS,
 	BUILD_MARKS,  /* reads marks of processes in the place of versions */
 	BUILD_SPEEDS, /* takes RW_SPEEDS */
+	BUILD_BALANCES, /* reads what remained for accounts near their limits */
 	BUILD_FEATURES,
 };
 
