Read the pace of a worker and apply it with its age

The load header has a fourth value: how long work takes at the worker at the moment, in percent of the usual. It scales placement costs and fades within a second; samples of the pool's speed are not taken meanwhile. What can't be read or be true counts as usual, is counted, and is logged once a worker.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -277,6 +277,26 @@
 						    proxyd_now(proxyd)));
 }
 
+/* Notes how long work takes at the worker at the moment. */
+static void pace_note(struct xfer *xfer)
+{
+	struct fleet_worker *worker = fleet_latest(xfer->worker);
+	const struct head_response *head = &xfer->response.head;
+
+	if (head->pace > 0)
+		fleet_on_pace(worker, head->pace / 100,
+			      proxyd_now(xfer->proxyd));
+	if (!head->bad_pace)
+		return;
+	proxyd_count(xfer->proxyd, CTR_pace_bad);
+	if (worker->pace_logged)
+		return;
+	worker->pace_logged = true;
+	slog(SLOG_WARN, "worker",
+	     "worker=%s id=%s why=bad_pace outcome=as_usual", worker->entry.id,
+	     xfer->id);
+}
+
 /* Notes what the head of a response says about its worker. */
 static void worker_note(struct xfer *xfer)
 {
@@ -286,6 +306,7 @@
 
 	if (head->has_load)
 		fleet_on_load(xfer->worker, head->running, head->waiting, now);
+	pace_note(xfer);
 	if (head->leaving)
 		follow_worker_leaves(proxyd, xfer->worker, "said_so");
 	permit_on_head(xfer);
--- a/decide/fleet-speed.c
+++ b/decide/fleet-speed.c
@@ -17,6 +17,11 @@
 #define WEIGHT_ASSUMED 0.3     /* of the pool's figure, in observations */
 #define COMPARED_MIN 3	       /* workers of a pool */
 #define RATIO_MAX 4.0
+/* A disturbance by other work on the machine lasts some 600 ms. */
+#define PACE_HALF_LIFE_MS 250.0
+#define PACE_AGE_MS 2500     /* from then on it is as usual */
+#define PACE_FACTOR_MAX 10.0 /* either way */
+#define PACE_USUAL 0.15	     /* a sample of the speed may be off by so much */
 /* Logarithms of the ratios from which a worker's speed counts as different, and
  * until which: load alone makes intervals differ by a fifth. */
 #define DIFFERENT_FROM 0.30
@@ -106,6 +111,21 @@
 		worker->speed.peer_sum = MAX(sum, 0);
 }
 
+void fleet_on_pace(struct fleet_worker *worker, double pace, clk_ms now)
+{
+	worker->pace = CLAMP(pace, 1 / PACE_FACTOR_MAX, PACE_FACTOR_MAX);
+	worker->paced_at = now;
+}
+
+double fleet_pace(const struct fleet_worker *worker, clk_ms now)
+{
+	clk_ms age = MAX(now - worker->paced_at, 0);
+
+	if (!worker->paced_at || age > PACE_AGE_MS)
+		return 1;
+	return 1 + (worker->pace - 1) * exp2(-(double)age / PACE_HALF_LIFE_MS);
+}
+
 double fleet_speed_ratio(const struct fleet_worker *worker)
 {
 	return worker->speed.ratio > 0 ? worker->speed.ratio : 1;
@@ -208,5 +228,7 @@
 		.at = now,
 	};
 
+	if (fabs(fleet_pace(worker, now) - 1) > PACE_USUAL)
+		return false;
 	return speed_add(fleet_speed(fleet, request->pool), &sample);
 }
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -667,6 +667,7 @@
 	double load = worker->inflight + other_requests(worker, now);
 	double cost = 0;
 	double distance = 0;
+	double pace = fleet_pace(worker, now);
 
 	*cached = 0;
 	if (strcmp(worker->entry.data_centre, request->data_centre) != 0)
@@ -674,7 +675,9 @@
 	if (!request->engine) {
 		int slots = MAX(worker->entry.slots, 1);
 
-		return distance + SLOT_WAIT_MS * load / slots;
+		/* Its own work, too, takes as much longer there. */
+		return distance + SLOT_WAIT_MS * load / slots +
+		       SLOT_WAIT_MS * (pace - 1) * (load + 1) / slots;
 	}
 	*cached = cached_tokens(fleet, worker, request, now);
 	if (worker == preferred)
@@ -686,7 +689,7 @@
 	cost += load * speed->per_running_ms;
 	if (worker->entry.slots > 0 && load >= worker->entry.slots)
 		cost += (load - worker->entry.slots + 1) * SLOT_WAIT_MS;
-	return distance + cost * fleet_speed_ratio(worker);
+	return distance + cost * fleet_speed_ratio(worker) * pace;
 }
 
 /* Returns the worker that every host prefers for a session, among those that
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -147,6 +147,9 @@
 	struct fleet_limit limit;
 	struct fleet_brittle brittle;
 	struct fleet_speed speed;
+	double pace;	  /* its time at paced_at, relative to its usual one */
+	clk_ms paced_at;  /* 0: it has not said so */
+	bool pace_logged; /* that it said what can't be read */
 	clk_ms leaves_at; /* expected end; 0: not known to be leaving */
 	/* If it is leaving, the end of the time in which requests may still
 	 * reach it. */
@@ -449,6 +452,10 @@
 void fleet_on_peer_speed_weight(struct fleet *fleet, uint32_t key,
 				double weight);
 void fleet_on_peer_speed_sum(struct fleet *fleet, uint32_t key, double sum);
+/* A worker says how long work takes there now, relative to its usual time. */
+void fleet_on_pace(struct fleet_worker *worker, double pace, clk_ms now);
+/* Returns what it last said so, which fades to 1 with age. */
+double fleet_pace(const struct fleet_worker *worker, clk_ms now);
 /* Compares the workers of each pool. */
 void fleet_speeds_update(struct fleet *fleet, clk_ms now);
 /* Returns a worker's time for the same work, relative to most of its pool. */
--- a/tests/platform.c
+++ b/tests/platform.c
@@ -307,6 +307,52 @@
 }
 END_TEST
 
+/* The pace of a worker; whatever it is, the three values before it count. */
+static const struct {
+	const char *load;
+	double pace; /* 0: as usual */
+	bool bad;
+} pace_cases[] = {
+	{ "3,0,8,100", 100, false },
+	{ "3,0,8, 250", 250, false },
+	{ "3,0,8,40.5", 40.5, false },
+	{ "3,0,8,10000", 10000, false },
+	{ "3,0,8", 0, false },
+	{ "3,0,8,", 0, true },
+	{ "3,0,8,0", 0, true },
+	{ "3,0,8,-100", 0, true },
+	{ "3,0,8,10001", 0, true },
+	{ "3,0,8,99999999999999999999", 0, true },
+	{ "3,0,8,nan", 0, true },
+	{ "3,0,8,1e2", 0, true },
+	{ "3,0,8,fast", 0, true },
+	{ "3,0,8,100,5", 0, true },
+	{ "3,0,8,100\r\nRedwingpitch-Server-Load: 3,0,8,200", 0, true },
+};
+
+START_TEST(pace_is_parsed)
+{
+	char *text = g_strdup_printf(
+		"HTTP/1.1 200 OK\r\nRedwingpitch-Server-Load: %s\r\n\r\n",
+		pace_cases[_i].load);
+	struct head_response response;
+	struct h1_head head;
+
+	ck_assert_int_gt(h1_parse_response(text, strlen(text), 0, false, &head),
+			 0);
+	head_response_parse(&head, &response);
+	ck_assert_msg(response.pace == pace_cases[_i].pace, "%s: %f",
+		      pace_cases[_i].load, response.pace);
+	ck_assert_msg(response.bad_pace == pace_cases[_i].bad, "%s",
+		      pace_cases[_i].load);
+	ck_assert(response.has_load);
+	ck_assert_int_eq(response.running, 3);
+	ck_assert_int_eq(response.waiting, 0);
+	ck_assert_int_eq(response.slots, 8);
+	g_free(text);
+}
+END_TEST
+
 static const struct {
 	const char *headers;
 	double rejections;
@@ -740,6 +786,7 @@
 	tcase_add_test(tcase, request_head_is_parsed);
 	tcase_add_loop_test(tcase, response_head_is_parsed, 0,
 			    G_N_ELEMENTS(response_cases));
+	tcase_add_loop_test(tcase, pace_is_parsed, 0, G_N_ELEMENTS(pace_cases));
 	tcase_add_loop_test(tcase, brittle_is_parsed, 0,
 			    G_N_ELEMENTS(brittle_cases));
 	tcase_add_loop_test(tcase, forwarded_is_parsed, 0,
--- a/tests/unit-speed.c
+++ b/tests/unit-speed.c
@@ -308,6 +308,37 @@
 }
 END_TEST
 
+/* Guards against a pace that is taken for lasting: it changes many times a
+ * second. */
+START_TEST(pace_fades)
+{
+	struct fleet *fleet = fleet_make(2);
+	struct fleet_request request = {
+		.pool = "pool",
+		.engine = true,
+		.data_centre = "dc",
+		.prompt_tokens = 6610,
+	};
+	struct fleet_worker *first = fleet_find(fleet, "w0");
+	struct fleet_worker *second = fleet_find(fleet, "w1");
+
+	ck_assert_double_eq(fleet_pace(first, 1000), 1);
+	fleet_on_pace(first, 2.5, 1000);
+	ck_assert_double_eq(fleet_pace(first, 1000), 2.5);
+	ck_assert_double_eq_tol(fleet_pace(first, 1250), 1.75, 1e-9);
+	ck_assert_double_eq(fleet_pace(first, 4000), 1);
+	fleet_on_pace(first, 1e6, 5000);
+	ck_assert_double_le(fleet_pace(first, 5000), 10);
+	fleet_on_pace(first, 2.5, 6000);
+	ck_assert_ptr_eq(fleet_choose(fleet, &request, 6000).worker, second);
+	/* Services too: their work takes as much longer. */
+	request.engine = false;
+	ck_assert_ptr_eq(fleet_choose(fleet, &request, 6000).worker, second);
+	fleet_on_pace(second, 2.5, 7000);
+	ck_assert_ptr_eq(fleet_choose(fleet, &request, 7000).worker, first);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("unit-speed");
@@ -319,5 +350,6 @@
 	tcase_add_test(tcase, speed_stays_in_bounds);
 	tcase_add_test(tcase, ratios_are_known_within_2_s);
 	tcase_add_test(tcase, slow_workers_are_chosen_later);
+	tcase_add_test(tcase, pace_fades);
 	return run_suite(suite, "unit-speed");
 }
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -96,6 +96,7 @@
 	  "answers of processes that were not listed with their worker's id")  \
 	X(permits_asked, "times permits of a limited worker were asked for")   \
 	X(permits_issued, "permits of limited workers given to other hosts")   \
+	X(pace_bad, "responses whose pace could not be read, or be true")      \
 	X(speed_fits, "fits of a pool's speed to the first events")            \
 	X(waited, "requests that waited for a permit")                         \
 	X(resumes, "streams that callers took up, of a known version")         \
