--- a/wire/http-held.c
+++ b/wire/http-held.c
@@ -13,9 +13,13 @@
 	"{\"error\":\"RW_EBUSY\",\"text\":\"no memory for the request\","      \
 	"\"ran\":\"no\"}\n"
 
+#define DROP_BYTES 65536 /* of unread input, at a time */
+#define DROPS_MAX 64
+
 struct http_held {
 	uv_check_t check;
-	GHashTable *conns; /* h2o_socket_t -> struct http_held_conn */
+	GHashTable *conns;  /* h2o_socket_t -> struct http_held_conn */
+	GHashTable *by_tcp; /* uv_tcp_t -> the same */
 };
 
 struct http_held_conn {
@@ -23,12 +27,17 @@
 	struct budget_holder holder;
 	h2o_socket_t *sock; /* NULL: closed */
 	uv_tcp_t *tcp;
-	size_t input;  /* bytes in the buffer, when last looked at */
-	size_t queued; /* bytes not written, when last looked at */
-	size_t output; /* of responses, not passed to h2o yet */
-	unsigned open; /* requests in flight */
+	uv_read_cb read_cb; /* of h2o */
+	size_t input;	    /* bytes in the buffer, when last looked at */
+	size_t queued;	    /* bytes not written, when last looked at */
+	size_t output;	    /* of responses, not passed to h2o yet */
+	unsigned open;	    /* requests in flight */
 };
 
+/* A process has one server. libuv passes only the stream to on_read, whose data
+ * belong to h2o. */
+static struct http_held *the_held;
+
 static bool conn_has_progress(void *ctx)
 {
 	struct http_held_conn *conn = ctx;
@@ -40,21 +49,42 @@
 	return sent;
 }
 
+/* Refuses a request that is not complete; returns whether that was written. */
+static bool conn_refuse(uv_os_fd_t fd)
+{
+	static char dropped[DROP_BYTES];
+	bool sent = send(fd, REFUSAL, sizeof(REFUSAL) - 1,
+			 MSG_DONTWAIT | MSG_NOSIGNAL) > 0;
+
+	shutdown(fd, SHUT_WR);
+	/* Unread bytes would reset the connection, and the refusal be lost. */
+	for (int i = 0; i < DROPS_MAX; i++)
+		if (recv(fd, dropped, sizeof(dropped),
+			 MSG_DONTWAIT | MSG_TRUNC) <= 0)
+			break;
+	return sent;
+}
+
 static const char *conn_evict(void *ctx)
 {
 	struct http_held_conn *conn = ctx;
-	bool refuses = conn->open == 0 && conn->queued == 0;
+	h2o_socket_t *sock = conn->sock;
+	const char *outcome = "closed";
 	uv_os_fd_t fd;
 
-	/* Its bytes are freed when h2o learns of the end. */
 	budget_remove(&conn->holder);
 	if (uv_fileno((const uv_handle_t *)conn->tcp, &fd) != 0)
-		return "closed";
-	if (refuses)
-		refuses = send(fd, REFUSAL, sizeof(REFUSAL) - 1,
-			       MSG_DONTWAIT | MSG_NOSIGNAL) > 0;
-	shutdown(fd, SHUT_RDWR);
-	return refuses ? "refused" : "closed";
+		return outcome;
+	if (conn->open > 0 || conn->queued > 0 || !sock->_cb.read) {
+		shutdown(fd, SHUT_RDWR);
+		return outcome;
+	}
+	if (conn_refuse(fd))
+		outcome = "refused";
+	/* As if the connection had failed. A mere end would not do: h2o would
+	 * first read all that the caller goes on to send. */
+	sock->_cb.read(sock, h2o_socket_error_io);
+	return outcome;
 }
 
 static void conn_peer(void *ctx, char *buf, size_t size)
@@ -87,6 +117,7 @@
 	struct http_held_conn *conn = data;
 
 	g_hash_table_remove(conn->held->conns, conn->sock);
+	g_hash_table_remove(conn->held->by_tcp, conn->tcp);
 	budget_remove(&conn->holder);
 	conn->sock = NULL;
 	conn_free_if_unused(conn);
@@ -110,16 +141,40 @@
 	budget_set(&conn->holder, HOLD_OUTPUT, conn->queued + conn->output);
 }
 
+/* Calls h2o, and then enforces the budget: in one iteration of the loop h2o may
+ * read as much as the kernel holds for all connections. */
+static void on_read(uv_stream_t *stream, ssize_t len, const uv_buf_t *buf)
+{
+	struct http_held_conn *conn =
+		g_hash_table_lookup(the_held->by_tcp, stream);
+
+	conn->read_cb(stream, len, buf);
+	/* It may be closed. */
+	conn = g_hash_table_lookup(the_held->by_tcp, stream);
+	if (conn)
+		conn_account(conn);
+	budget_enforce();
+}
+
 /* Runs after each poll of the loop: no owner of a connection is at work. */
 static void on_check(uv_check_t *check)
 {
 	struct http_held *held = check->data;
 	GHashTableIter iter;
-	gpointer conn;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, held->conns);
-	while (g_hash_table_iter_next(&iter, NULL, &conn))
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct http_held_conn *conn = value;
+		uv_stream_t *stream = (uv_stream_t *)conn->tcp;
+
+		/* h2o sets its callback whenever it begins to read. */
+		if (stream->read_cb && stream->read_cb != on_read) {
+			conn->read_cb = stream->read_cb;
+			stream->read_cb = on_read;
+		}
 		conn_account(conn);
+	}
 	budget_enforce();
 }
 
@@ -128,6 +183,8 @@
 	struct http_held *held = g_new0(struct http_held, 1);
 
 	held->conns = g_hash_table_new(NULL, NULL);
+	held->by_tcp = g_hash_table_new(NULL, NULL);
+	the_held = held;
 	uv_check_init(loop, &held->check);
 	held->check.data = held;
 	uv_check_start(&held->check, on_check);
@@ -146,6 +203,7 @@
 	sock->on_close.cb = conn_on_close;
 	sock->on_close.data = conn;
 	g_hash_table_insert(held->conns, sock, conn);
+	g_hash_table_insert(held->by_tcp, tcp, conn);
 }
 
 struct http_held_conn *http_held_begin(struct http_held *held,
