--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -1,6 +1,7 @@
 /* Unit tests of the modules in decide/ that rw-proxyd uses. */
 #include <string.h>
 
+#include "../decide/hold.h"
 #include "../decide/feed.h"
 #include "../decide/age.h"
 #include "../decide/fetch.h"
@@ -2746,6 +2747,79 @@
 END_TEST
 
 /* The others no longer report to a host that leaves: it feeds none of them. */
+/* Holders of the byte budget; each begins after the one before it. */
+static const struct {
+	const char *what;
+	size_t limit;
+	struct {
+		enum hold_purpose purpose;
+		size_t bytes;
+		clk_ms progress_at; /* again; 0: never */
+	} holders[3];
+	int evicted; /* index; -1: none */
+} hold_cases[] = {
+	{ "within the budget",
+	  300000,
+	  { { HOLD_INPUT, 100000, 0 }, { HOLD_OUTPUT, 100000, 0 } },
+	  -1 },
+	{ "no budget", 0, { { HOLD_INPUT, 100000, 0 } }, -1 },
+	{ "longest without progress",
+	  100000,
+	  { { HOLD_INPUT, 100000, 0 }, { HOLD_INPUT, 100000, 0 } },
+	  0 },
+	{ "the first has progressed",
+	  100000,
+	  { { HOLD_INPUT, 100000, 9 }, { HOLD_OUTPUT, 100000, 0 } },
+	  1 },
+	{ "a request in flight is kept",
+	  100000,
+	  { { HOLD_BODY, 100000, 0 },
+	    { HOLD_RESPONSE, 90000, 0 },
+	    { HOLD_PIPELINED, 20000, 0 } },
+	  2 },
+	{ "nothing that may be given up",
+	  100000,
+	  { { HOLD_BODY, 100000, 0 },
+	    { HOLD_UPLOAD, 100000, 0 },
+	    { HOLD_SPARE, 100000, 0 } },
+	  -1 },
+	{ "a small request is spared",
+	  100000,
+	  { { HOLD_INPUT, 1000, 0 }, { HOLD_BODY, 100000, 0 } },
+	  -1 },
+	{ "not far beyond the budget",
+	  100000,
+	  { { HOLD_INPUT, 1000, 0 }, { HOLD_BODY, 200000, 0 } },
+	  0 },
+};
+
+START_TEST(hold_evicts)
+{
+	struct hold hold = { .limit = hold_cases[_i].limit };
+	struct hold_holder holders[3];
+	const struct hold_holder *next;
+	int index;
+
+	for (int i = 0; i < 3; i++) {
+		hold_init(&holders[i], true);
+		hold_set(&hold, &holders[i], hold_cases[_i].holders[i].purpose,
+			 hold_cases[_i].holders[i].bytes, i + 1);
+	}
+	for (int i = 0; i < 3; i++)
+		if (hold_cases[_i].holders[i].progress_at)
+			hold_on_progress(&hold, &holders[i],
+					 hold_cases[_i].holders[i].progress_at);
+	next = hold_next_eviction(&hold);
+	index = next ? (int)(next - holders) : -1;
+	ck_assert_msg(index == hold_cases[_i].evicted, "%s: %d",
+		      hold_cases[_i].what, index);
+	for (int i = 0; i < 3; i++)
+		hold_remove(&hold, &holders[i]);
+	ck_assert_uint_eq(hold.total, 0);
+	ck_assert_uint_eq(hold.order.length, 0);
+}
+END_TEST
+
 START_TEST(feed_leaving_host_is_no_relay)
 {
 	struct feed_host hosts[FEED_HOSTS];
@@ -2852,6 +2926,7 @@
 			    G_N_ELEMENTS(bad_records));
 	tcase_add_test(tcase, origin_judged);
 	tcase_add_test(tcase, origin_bounded);
+	tcase_add_loop_test(tcase, hold_evicts, 0, G_N_ELEMENTS(hold_cases));
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
 	tcase_add_test(tcase, scale_follows_demand);
