Prefer workers to which the host has an idle connection when costs are close

A new connection costs 8 ms in the choice of a worker, and less at the worker that a session prefers if its shared parts are long.

Counters tell connections by what they were opened for, and how idle ones ended.

--- a/Makefile
+++ b/Makefile
@@ -71,6 +71,7 @@
 	    $(B)/tests/sim-feed $(B)/tests/sim-spread $(B)/tests/sim-origin \
 	    $(B)/tests/sim-permit $(B)/tests/sim-brittle $(B)/tests/sim-poison \
 	    $(B)/tests/sim-links $(B)/tests/sim-route $(B)/tests/unit-proxy \
+	    $(B)/tests/sim-connect \
 	    $(B)/tests/unit-quota $(B)/tests/unit-scale \
 	    $(B)/tests/unit-permit $(B)/tests/unit-links \
 	    $(B)/tests/unit-build $(B)/tests/unit-rpc \
@@ -79,7 +80,7 @@
 $(B)/tests/sim-replica $(B)/tests/sim-member $(B)/tests/sim-route \
 	$(B)/tests/sim-feed $(B)/tests/sim-spread $(B)/tests/sim-origin \
 	$(B)/tests/sim-permit $(B)/tests/sim-brittle $(B)/tests/sim-links \
-	$(B)/tests/sim-poison: \
+	$(B)/tests/sim-poison $(B)/tests/sim-connect: \
 		$(B)/tests/%: $(B)/tests/%.o $(B)/sim/sim.o $(B)/librw.a
 	$(link)
 $(B)/tests/sim-feed $(B)/tests/sim-origin $(B)/tests/sim-permit \
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -161,6 +161,12 @@
 	return attempt_may_send(ctx);
 }
 
+bool attempt_is_repeatable(const struct xfer *xfer)
+{
+	return px_is_repeatable(xfer->px.kind) &&
+	       xfer->px.attempts + 1 < xfer->px.max_attempts;
+}
+
 bool attempt_may_send(const struct xfer *xfer)
 {
 	const struct fleet_worker *worker = xfer->worker;
@@ -673,13 +679,6 @@
 	       fleet_says_process(xfer->worker, &xfer->fleet_request);
 }
 
-/* Whether the attempt may be followed by another one if it is lost. */
-static bool is_repeatable(const struct xfer *xfer)
-{
-	return px_is_repeatable(xfer->px.kind) &&
-	       xfer->px.attempts + 1 < xfer->px.max_attempts;
-}
-
 /* Whether the worker is asked which process it is before it is sent the
  * request: the version of a stream is that of its process, and asking while the
  * stream runs takes another connection. One that does not say it ends the
@@ -692,7 +691,7 @@
 	       fleet_answers_process(xfer->worker) &&
 	       fleet_may_ask_process(xfer->worker, &xfer->fleet_request, now) &&
 	       !hc_peer_has_idle_known(xfer->worker->http_peer,
-				       is_repeatable(xfer));
+				       attempt_is_repeatable(xfer));
 }
 
 /* Returns the start of the process that the attempt is meant for, in ms of its
@@ -747,7 +746,7 @@
 		.id = xfer->id,
 		.is_head = h1_view_equals(hs_request_head(xfer->call)->method,
 					  "HEAD"),
-		.is_repeatable = is_repeatable(xfer),
+		.is_repeatable = attempt_is_repeatable(xfer),
 		.process = process_required(xfer),
 		.may_send = may_send,
 		.on_sent = on_sent,
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -362,11 +362,12 @@
 static struct fleet_choice worker_choose(struct xfer *xfer, clk_ms now)
 {
 	struct proxyd *proxyd = xfer->proxyd;
-	struct fleet_choice choice =
-		fleet_choose(proxyd->fleet, &xfer->fleet_request, now);
+	struct fleet_choice choice;
 	bool asks =
 		!xfer->waiting_since || now - xfer->waiting_since < ASK_FOR_MS;
 
+	xfer->fleet_request.is_repeatable = attempt_is_repeatable(xfer);
+	choice = fleet_choose(proxyd->fleet, &xfer->fleet_request, now);
 	if (!choice.worker && xfer->fleet_request.heard_since) {
 		xfer->fleet_request.heard_since = 0;
 		choice = fleet_choose(proxyd->fleet, &xfer->fleet_request, now);
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -251,6 +251,8 @@
 void attempt_start(struct xfer *xfer, const struct fleet_choice *choice);
 /* Sends the attempt that has been started. */
 void attempt_send(struct xfer *xfer);
+/* Whether the next attempt may be followed by another one if it is lost. */
+bool attempt_is_repeatable(const struct xfer *xfer);
 /* Whether the request may be sent to the worker that was chosen for it: while a
  * connection was being established, or the worker was asked which process it
  * is, it may have begun to leave. */
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -177,6 +177,11 @@
 	const struct rpc_counters *rpc = rpc_counters(proxyd->rpc);
 
 	values[CTR_connects] = http->connects;
+	values[CTR_connects_question] = http->connects_question;
+	values[CTR_connects_check] = http->connects_last;
+	values[CTR_idle_over] = http->idle_over;
+	values[CTR_idle_ended] = http->idle_ended;
+	values[CTR_idle_evicted] = http->idle_evicted;
 	values[CTR_reuses] = http->reuses;
 	values[CTR_strays] = http->mismatched_responses;
 	values[CTR_dirty] = http->unexpected_data;
@@ -467,6 +472,14 @@
 					     conf->cloud);
 }
 
+static bool is_connected(void *ctx, const struct fleet_worker *worker,
+			 const struct fleet_request *request)
+{
+	(void)ctx;
+	return worker->http_peer &&
+	       hc_peer_has_idle_for(worker->http_peer, request->is_repeatable);
+}
+
 /* Creates the state of the decide modules. */
 static void state_create(struct proxyd *proxyd)
 {
@@ -477,8 +490,10 @@
 			.per_running_ms = FLEET_RUNNING_MS,
 			.cross_dc_ms = conf->distance_ms,
 			.cache_ttl = FLEET_CACHE_TTL_MS,
+			.connect_ms = FLEET_CONNECT_MS,
 		},
 		.random = proxyd_random,
+		.is_connected = is_connected,
 		.on_added = on_worker_added,
 		.on_removed = on_worker_removed,
 		.ctx = proxyd,
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -775,16 +775,33 @@
 	selection->wanted_cost = cost;
 }
 
+/* Returns the cost of a new connection to a worker. At the preferred one it is
+ * the lower, the longer the prefill of the shared parts would take: going
+ * elsewhere costs that, and the place of other parts in a cache. */
+static double connect_cost(const struct selection *selection,
+			   const struct fleet_worker *worker)
+{
+	const struct fleet_params *params = &selection->fleet->params;
+	double cost = params->connect_ms;
+	double saved = worker == selection->preferred
+			       ? fleet_shared_tokens(selection->request) *
+					 params->prefill_ms
+			       : 0;
+
+	return saved > cost ? cost * cost / saved : cost;
+}
+
 /* Compares one worker with the best so far. */
 static void consider_worker(struct selection *selection,
-			    struct fleet_worker *worker)
+			    struct fleet_worker *worker, bool is_connected)
 {
 	struct fleet_choice *best = &selection->best;
 	int cached;
 	double expected =
 		placement_cost(selection->fleet, worker, selection->preferred,
 			       selection->request, selection->now, &cached);
-	double cost = expected + health_cost(worker, selection->now);
+	double cost = expected + health_cost(worker, selection->now) +
+		      (is_connected ? 0 : connect_cost(selection, worker));
 	double margin = TIE_MS + TIE_SHARE * best->cost;
 
 	best->candidates++;
@@ -829,10 +846,34 @@
 	return full > 0 && fleet->random(fleet->ctx, count) < full;
 }
 
-/* Chooses among the workers of one group: all, or the preferred one and a
- * random sample, so that hosts with the same information don't all choose the
- * same worker. subset_only: samples only this host's subset. known_room: leaves
- * out brittle workers of which the room is not known. */
+/* Whether a worker needs no new connection, as far as that matters. */
+static bool has_connection(const struct fleet *fleet,
+			   const struct fleet_worker *worker,
+			   const struct fleet_request *request)
+{
+	return fleet->params.connect_ms > 0 && fleet->is_connected &&
+	       fleet->is_connected(fleet->ctx, worker, request);
+}
+
+/* Whether all samples were compared, and the preferred worker was or can't be.
+ */
+static bool is_sampled(const struct selection *selection,
+		       const unsigned sampled[2])
+{
+	const struct fleet *fleet = selection->fleet;
+	bool counts = fleet->params.connect_ms > 0 && fleet->is_connected;
+
+	return (!selection->preferred ||
+		selection->preferred == selection->request->exclude) &&
+	       (!counts ||
+		MIN(sampled[0], sampled[1]) >= fleet->params.samples);
+}
+
+/* Chooses among the workers of one group: all, or the preferred one and random
+ * samples of those to which the host has a connection and of the others, so
+ * that hosts with the same information don't all choose the same worker.
+ * subset_only: samples only this host's subset. known_room: leaves out brittle
+ * workers of which the room is not known. */
 static struct fleet_choice choose_in_group(struct fleet *fleet,
 					   const GPtrArray *workers,
 					   const struct fleet_request *request,
@@ -852,11 +893,12 @@
 	guint stride = samples && workers->len > 2
 			       ? random_stride(fleet, workers->len)
 			       : 1;
-	unsigned sampled = 0;
+	unsigned sampled[2] = { 0 }; /* without a connection, and with one */
 
 	for (guint i = 0; i < workers->len; i++) {
 		struct fleet_worker *worker = g_ptr_array_index(
 			workers, (start + i * stride) % workers->len);
+		bool is_connected;
 
 		if (worker == request->exclude || has_failed(worker, request) ||
 		    worker->heard_at < request->heard_since ||
@@ -873,14 +915,14 @@
 			consider_wanted(&selection, worker);
 			continue;
 		}
+		is_connected = has_connection(fleet, worker, request);
 		if (samples && worker != selection.preferred &&
-		    sampled++ >= samples) {
-			if (selection.preferred == request->exclude ||
-			    !selection.preferred)
+		    sampled[is_connected]++ >= samples) {
+			if (is_sampled(&selection, sampled))
 				break;
 			continue;
 		}
-		consider_worker(&selection, worker);
+		consider_worker(&selection, worker, is_connected);
 	}
 	if (selection.best.worker &&
 	    selection.wanted_cost >= selection.best.cost)
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -22,6 +22,11 @@
 #define FLEET_FAILED_MAX 4 /* workers that a request is kept away from */
 /* What a running request adds to the time to first token. */
 #define FLEET_RUNNING_MS 2
+/* What a new connection costs: a round trip, work at the worker and a price.
+ * build/tests/sim-connect shows 0.18 and 0.25 connections per request for 0.50
+ * and 0.53 without it; more than that makes engines prefill more shared parts
+ * again. */
+#define FLEET_CONNECT_MS 8
 /* After this time a cached prompt part no longer counts, as an engine evicts it
  * sooner or later. */
 #define FLEET_CACHE_TTL_MS 60000
@@ -153,6 +158,8 @@
 				* one; 0: all, where hosts are few */
 	uint32_t host_key;     /* of this host; selects its subset of workers */
 	clk_ms cache_ttl;      /* a part read longer ago may be evicted */
+	/* For a worker to which the host would open a connection; 0: none. */
+	double connect_ms;
 };
 
 /* One part of a prompt. */
@@ -177,8 +184,9 @@
 	unsigned failed_count;
 	/* Only workers that were heard from since; 0: any. */
 	clk_ms heard_since;
-	uint32_t version; /* the only one that may run it; 0: any */
-	clk_ms listed_at; /* when the list of workers was last current */
+	uint32_t version;   /* the only one that may run it; 0: any */
+	clk_ms listed_at;   /* when the list of workers was last current */
+	bool is_repeatable; /* it can be sent again if it is lost */
 };
 
 /* Where a request is placed, and why. */
@@ -207,6 +215,10 @@
 	struct fleet_params params;
 	clk_ms brittle_at; /* a brittle worker last answered; 0: never */
 	uint32_t (*random)(void *ctx, uint32_t n);
+	/* Whether the host has an idle connection to a worker for a request;
+	 * NULL: not known. */
+	bool (*is_connected)(void *ctx, const struct fleet_worker *worker,
+			     const struct fleet_request *request);
 	GHashTable *by_key;  /* aggregate_key of an id -> struct fleet_worker */
 	GPtrArray *replaced; /* struct fleet_worker whose other_at is set */
 	/* Called to open and to close connections to a worker. */
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -979,6 +979,66 @@
 }
 END_TEST
 
+static bool is_connected_to(void *ctx, const struct fleet_worker *worker,
+			    const struct fleet_request *request)
+{
+	(void)request;
+	return !strcmp(worker->entry.id, ctx);
+}
+
+static const struct {
+	const char *what;
+	int shared; /* tokens of the prompt's shared part */
+	int busy;   /* requests at the worker with a connection */
+	unsigned samples;
+	bool connected; /* that one is chosen */
+} connect_cases[] = {
+	{ "a connection is reused", 0, 0, 0, true },
+	{ "also at a worker with a little more work", 0, 2, 0, true },
+	{ "not at one with much more", 0, 8, 0, false },
+	{ "rather than a few tokens that are cached", 100, 0, 0, true },
+	{ "but not rather than many", 5000, 0, 0, false },
+	{ "it is among those that are sampled", 0, 0, 2, true },
+};
+
+/* Guards against connections that are opened to workers that are no better, and
+ * against a session that leaves the worker of its cache, or a worker that is
+ * overloaded, for a connection. */
+START_TEST(fleet_weighs_connections)
+{
+	struct fleet *fleet = fleet_make(40);
+	struct fleet_request request = {
+		.pool = "pool",
+		.engine = true,
+		.data_centre = "dc",
+		.prompt_tokens = connect_cases[_i].shared + 100,
+		.parts = { { 5, connect_cases[_i].shared }, { 6, 100 } },
+		.part_count = connect_cases[_i].shared ? 2 : 0,
+	};
+	const char *preferred =
+		connect_cases[_i].shared
+			? fleet_choose(fleet, &request, 0).worker->entry.id
+			: "";
+	const char *connected = strcmp(preferred, "w7") ? "w7" : "w8";
+
+	fleet->random = lcg_random;
+	fleet->is_connected = is_connected_to;
+	fleet->ctx = (void *)connected;
+	fleet->params.connect_ms = FLEET_CONNECT_MS;
+	fleet->params.samples = connect_cases[_i].samples;
+	fleet_find(fleet, connected)->inflight =
+		(unsigned)connect_cases[_i].busy;
+	for (int i = 0; i < 20; i++) {
+		const char *id =
+			fleet_choose(fleet, &request, 0).worker->entry.id;
+
+		ck_assert_msg(!strcmp(id, connected) ==
+				      connect_cases[_i].connected,
+			      "%s: %s", connect_cases[_i].what, id);
+	}
+}
+END_TEST
+
 /* When every worker has failed, their response times are not known. The
  * expected time must stay low, as only further requests can show that the
  * workers have recovered. */
@@ -2820,6 +2880,8 @@
 	tcase_add_test(tcase, fleet_avoids_failing_worker);
 	tcase_add_test(tcase, fleet_failures_add_no_expected_wait);
 	tcase_add_test(tcase, fleet_samples_from_subset);
+	tcase_add_loop_test(tcase, fleet_weighs_connections, 0,
+			    G_N_ELEMENTS(connect_cases));
 	tcase_add_test(tcase, fleet_retries_recovered_worker);
 	tcase_add_test(tcase, lease_is_taken_renewed_and_lost);
 	tcase_add_test(tcase, lease_suspended_leader_does_not_act);
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -105,6 +105,12 @@
 	X(replies_deferred, "configurations that a host was to ask for again") \
 	X(workers_said_leaving, "workers that said in a response to leave")    \
 	X(connects, "connections opened to upstreams")                         \
+	X(connects_question,                                                   \
+	  "of these, to ask which process a worker is; requests reuse them")   \
+	X(connects_check, "of these, for health checks")                       \
+	X(idle_over, "idle connections to upstreams closed for their age")     \
+	X(idle_ended, "idle connections that upstreams closed")                \
+	X(idle_evicted, "idle connections closed as there were too many")      \
 	X(reuses, "requests on a kept-alive connection")                       \
 	X(strays, "responses to other requests, dropped")                      \
 	X(dirty, "connections closed because of unexpected bytes")             \
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -185,8 +185,10 @@
 		if (!oldest || conn->since < oldest->since)
 			oldest = conn;
 	}
-	if (oldest)
-		conn_close(oldest);
+	if (!oldest)
+		return;
+	hc->counters.idle_evicted++;
+	conn_close(oldest);
 }
 
 /* Keeps a connection without a request. */
@@ -226,6 +228,7 @@
 static void conn_fail(struct hc_conn *conn, enum hc_result result)
 {
 	if (!conn->request) {
+		conn->peer->hc->counters.idle_ended++;
 		conn_close(conn);
 		return;
 	}
@@ -459,8 +462,12 @@
 	    !tcp_input_waits(conn->tcp))
 		return false;
 	peer->hc->counters.unexpected_data += tcp_unread_bytes(conn->tcp) > 0;
-	if (tcp_peer_closed(conn->tcp))
+	if (tcp_peer_closed(conn->tcp)) {
 		peer->older_ended_at = now;
+		peer->hc->counters.idle_ended++;
+	} else {
+		peer->hc->counters.idle_over++;
+	}
 	conn_close(conn);
 	return true;
 }
@@ -510,8 +517,10 @@
 }
 
 /* Starts a new connection; returns NULL if that fails at once. */
-static struct hc_conn *peer_connect(struct hc_peer *peer)
+static struct hc_conn *peer_connect(struct hc_peer *peer,
+				    const struct hc_request_spec *spec)
 {
+	struct hc_counters *counters = &peer->hc->counters;
 	struct hc_conn *conn = g_new0(struct hc_conn, 1);
 
 	conn->peer = peer;
@@ -524,7 +533,9 @@
 		return NULL;
 	}
 	g_ptr_array_add(peer->conns, conn);
-	peer->hc->counters.connects++;
+	counters->connects++;
+	counters->connects_question += spec->names_process != NULL;
+	counters->connects_last += spec->is_last;
 	return conn;
 }
 
@@ -564,7 +575,7 @@
 		conn_send(conn, true);
 		return request;
 	}
-	conn = spec->process ? NULL : peer_connect(peer);
+	conn = spec->process ? NULL : peer_connect(peer, spec);
 	if (!conn) {
 		request->connect_failed = true;
 		g_queue_push_tail(&peer->hc->failed_requests, request);
@@ -617,6 +628,7 @@
 		}
 		if (conn->connected && !conn->request &&
 		    age >= conn->keep_timeout) {
+			peer->hc->counters.idle_over++;
 			conn_close(conn);
 			return;
 		}
@@ -683,6 +695,18 @@
 	return peer->idle->len > 0;
 }
 
+bool hc_peer_has_idle_for(const struct hc_peer *peer, bool is_repeatable)
+{
+	const struct hc_conn *conn;
+	clk_ms age;
+
+	if (peer->idle->len == 0)
+		return false;
+	conn = g_ptr_array_index(peer->idle, peer->idle->len - 1);
+	age = loop_now(peer->hc) - conn->since;
+	return age < (is_repeatable ? conn->keep_timeout : conn->idle_timeout);
+}
+
 bool hc_peer_has_idle_known(struct hc_peer *peer, bool is_repeatable)
 {
 	const struct hc_request_spec spec = {
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -87,7 +87,16 @@
 };
 
 struct hc_counters {
-	uint64_t connects;	       /* connection attempts */
+	uint64_t connects; /* connection attempts */
+	/* Of these, for a question which process the server is, and for a
+	 * request that ends its connection. */
+	uint64_t connects_question;
+	uint64_t connects_last;
+	/* Idle connections closed for their age, by the server, and for their
+	 * number. */
+	uint64_t idle_over;
+	uint64_t idle_ended;
+	uint64_t idle_evicted;
 	uint64_t reuses;	       /* requests on a pooled connection */
 	uint64_t mismatched_responses; /* dropped: wrong id */
 	uint64_t unexpected_data;      /* connections closed for it */
@@ -101,6 +110,8 @@
 void hc_peer_remove(struct hc_peer *peer);
 /* Whether the pool has an idle connection. */
 bool hc_peer_has_idle(const struct hc_peer *peer);
+/* Whether it has one that is not too old for a request. It may have ended. */
+bool hc_peer_has_idle_for(const struct hc_peer *peer, bool is_repeatable);
 /* Whether it has one of which the process is known (hc_request_process) for a
  * request with an id. */
 bool hc_peer_has_idle_known(struct hc_peer *peer, bool is_repeatable);
