Roll-outs of software versions: share, evidence, verdict, status

An order in the store limits what each host sends to the ordered version to a share of its own requests. Hosts send cumulative counts of responses by route and side (RW_ROLLOUT, build 8) to the hosts that may lead; the leader compares the sides, keeps the plan under rw/rollout/ and writes the status.

--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 $(B)/rw-proxyd: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/proxyd*.c)) \
 		$(B)/daemon/mirror.o $(B)/daemon/hop.o \
 		$(B)/daemon/streamlog.o $(B)/daemon/confirm.o \
-		$(B)/daemon/ident.o \
+		$(B)/daemon/ident.o $(B)/daemon/rollout.o \
 		$(PLATFORM_OBJ) $(B)/librw.a
 	$(link)
 $(B)/rw-admind: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/admind*.c)) \
--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -102,13 +102,16 @@
 		enum ctr counter;
 		bool recorded; /* for the worker */
 		enum fleet_outcome outcome;
+		bool responds; /* it counts as a response of its version */
 	} ends[] = {
-		[PX_END_UNSENT] = { CTR_ends_unsent, true, FLEET_NO_RESPONSE },
-		[PX_END_UNFIT] = { CTR_ends_unsent, false, FLEET_OK },
-		[PX_END_NOT_RUN] = { CTR_ends_not_run, false, FLEET_OK },
-		[PX_END_COMPLETE] = { CTR_attempts, true, FLEET_OK },
-		[PX_END_FAILED] = { CTR_ends_failed, true, FLEET_ERROR },
-		[PX_END_INCOMPLETE] = { CTR_ends_cut, true, FLEET_NO_RESPONSE },
+		[PX_END_UNSENT] = { CTR_ends_unsent, true, FLEET_NO_RESPONSE,
+				    false },
+		[PX_END_UNFIT] = { CTR_ends_unsent, false, FLEET_OK, false },
+		[PX_END_NOT_RUN] = { CTR_ends_not_run, false, FLEET_OK, false },
+		[PX_END_COMPLETE] = { CTR_attempts, true, FLEET_OK, true },
+		[PX_END_FAILED] = { CTR_ends_failed, true, FLEET_ERROR, true },
+		[PX_END_INCOMPLETE] = { CTR_ends_cut, true, FLEET_NO_RESPONSE,
+					true },
 	};
 	struct proxyd *proxyd = xfer->proxyd;
 	struct px_retry_conditions cond;
@@ -117,6 +120,8 @@
 	if (end == PX_END_INCOMPLETE && process_settle(xfer, why))
 		return;
 	xfer->unfit += end == PX_END_UNFIT;
+	if (ends[end].responds)
+		rollout_on_end(xfer, end != PX_END_COMPLETE);
 	cond = attempt_retry_conditions(xfer);
 	proxyd_count(proxyd, ends[end].counter);
 	if (end != PX_END_COMPLETE)
@@ -204,6 +209,7 @@
 	move_clear(xfer);
 	xfer->has_output = true;
 	xfer->output_at = proxyd_now(proxyd);
+	rollout_on_output(xfer);
 	links_on_response(proxyd->links, xfer->pool->name,
 			  xfer->output_at - xfer->sent_at);
 	fleet_first_token(xfer->worker, &xfer->fleet_request);
@@ -767,6 +773,7 @@
 		hist_add(&proxyd->list_ages, now - listed_at);
 	attempt_trace_begin(xfer);
 	xfer->worker = fleet_worker_ref(worker);
+	rollout_on_start(xfer);
 	xfer->worker_start = process_expected(xfer, worker);
 	xfer->fleet_request.prefill_tokens =
 		xfer->fleet_request.prompt_tokens - choice->cached_tokens;
--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -105,6 +105,7 @@
 	GError *error = NULL;
 	struct tab *tab;
 
+	rollout_on_item(proxyd, item);
 	if (strcmp(item->key, DECODE_CONFIG_KEY) != 0 || !item->value)
 		return;
 	tab = decode_config(item->value, &error);
@@ -286,6 +287,7 @@
 
 	leader_on_item(proxyd, item);
 	resume_on_item(proxyd, item);
+	rollout_on_item(proxyd, item);
 	if (!g_str_has_prefix(item->key, HOST_PREFIX) || !item->value)
 		return;
 	ptr = g_bytes_get_data(item->value, &len);
--- a/daemon/proxyd-xfer.c
+++ b/daemon/proxyd-xfer.c
@@ -256,6 +256,8 @@
 	if (now >= xfer->deadline) {
 		bool running = is_running(xfer);
 
+		if (running && xfer->worker)
+			rollout_on_end(xfer, !xfer->has_output);
 		if (running && xfer->worker)
 			fleet_record_outcome(
 				xfer->worker,
@@ -413,6 +415,7 @@
 		return;
 	}
 	resume_update_listed(xfer);
+	rollout_place(xfer);
 	if (resume_await_entry(xfer)) {
 		xfer_timer_arm(xfer);
 		return;
@@ -424,6 +427,8 @@
 		return;
 	}
 	choice = worker_choose(xfer, now);
+	if (!choice.worker && rollout_place_again(xfer))
+		choice = worker_choose(xfer, now);
 	if (!again)
 		demand_add(xfer, &choice);
 	if (!choice.worker) {
--- a/daemon/proxyd-xfer.h
+++ b/daemon/proxyd-xfer.h
@@ -6,6 +6,7 @@
 #define DAEMON_PROXYD_XFER_H
 
 #include "../wire/trace.h"
+#include "../decide/rollout.h"
 #include "confirm.h"
 #include "ident.h"
 #include "proxyd.h"
@@ -44,6 +45,16 @@
 	clk_ms started_at;
 };
 
+/* What is counted of a request for roll-outs, by the numbers of orders; 0:
+ * none.
+ */
+struct xfer_rollout {
+	unsigned counted;	/* it counts as a request under that order */
+	unsigned spared;	/* its target has failed the request */
+	unsigned order;		/* under which the current attempt was sent */
+	enum rollout_side side; /* of its worker */
+};
+
 struct xfer {
 	struct proxyd *proxyd;
 	struct hs_request *call; /* NULL: was replied to, or the caller is
@@ -97,6 +108,7 @@
 	struct trace_span span; /* of the request */
 	struct trace_span attempt_span;
 	struct xfer_move move;
+	struct xfer_rollout rollout;
 	bool demanded;	      /* counted in its pool's demand */
 	bool waiting;	      /* in its pool's queue */
 	clk_ms waiting_since; /* for the next attempt; 0: not yet */
@@ -160,6 +172,18 @@
 /* Asks for permits; returns whether there is one already. */
 bool permit_ask_for(struct proxyd *proxyd, struct fleet_worker *worker);
 
+/* proxyd-rollout.c: roll-outs of software versions */
+/* Sets which versions may run the request, before a worker is chosen. */
+void rollout_place(struct xfer *xfer);
+/* No worker of the target takes the request now: allows the others. Returns
+ * false if that changes nothing. */
+bool rollout_place_again(struct xfer *xfer);
+/* An attempt begins; has its first output; has ended after it was sent, failed:
+ * the worker is to blame. */
+void rollout_on_start(struct xfer *xfer);
+void rollout_on_output(struct xfer *xfer);
+void rollout_on_end(struct xfer *xfer, bool failed);
+
 /* proxyd-queue.c: requests that wait for a permit */
 /* Queues a request; returns false if no permit is expected for it soon. */
 bool queue_add(struct xfer *xfer);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -146,6 +146,7 @@
 	slog_configure(slog_level_parse(conf->log_level), (int)conf->log_rate);
 	proxyd->fleet->params.prefill_ms = conf->prefill_us / 1000;
 	proxyd->fleet->params.cross_dc_ms = conf->distance_ms;
+	rollout_on_settings(proxyd);
 	slog(SLOG_NOTICE, "reload", "why=%s outcome=adopted", why);
 }
 
@@ -283,6 +284,7 @@
 	process_tick(proxyd);
 	reach_tick(proxyd);
 	forward_tick(proxyd);
+	rollout_tick(proxyd);
 	settings_tick(proxyd);
 	counters_tick(proxyd);
 	status_tick(proxyd);
@@ -373,6 +375,7 @@
 		.on_permit_ask = permit_on_ask,
 		.on_permit_grant = permit_on_answer,
 		.on_full = permit_on_full,
+		.on_rollout = rollout_on_message,
 		.on_links_ask = reach_on_ask,
 		.on_links_answer = reach_on_answer,
 		.on_origin_keep = resume_on_keep,
@@ -542,6 +545,7 @@
 	proxyd->started_at = proxyd_now(proxyd);
 	clients_create(proxyd);
 	state_create(proxyd);
+	rollout_start(proxyd);
 	follow_start(proxyd);
 	peer_start(proxyd);
 	report_start(proxyd);
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -9,7 +9,8 @@
  * limits, kept in the store), proxyd-front.c (checks on a caller's request),
  * proxyd-xfer.c, proxyd-attempt.c and proxyd-move.c (relaying it to upstreams),
  * proxyd-permit.c and proxyd-probe.c (limits that workers name), proxyd-queue.c
- * (requests that wait for a permit), proxyd-ends.c (counts of requests without
+ * (requests that wait for a permit), proxyd-rollout.c and rollout.c (roll-outs
+ * of software versions), proxyd-ends.c (counts of requests without
  * a whole answer), proxyd-resume.c (streams that callers take up), streamlog.c
  * (streams kept in the store), proxyd-reach.c (links to the workers),
  * proxyd-forward.c and hop.c (requests relayed over another host),
@@ -73,6 +74,7 @@
 #define FORWARD_HEAD_BYTES 640
 
 struct proxyd;
+struct rollouts;
 struct xfer;
 
 /* State of a pool that outlives changes of the routing table. */
@@ -151,6 +153,7 @@
 	clk_ms held_until; /* tab stays, as a restored store has an older one;
 			    * 0: none is held */
 	struct fleet *fleet;
+	struct rollouts *rollouts;
 	GHashTable *quotas; /* account -> struct quota */
 	GHashTable *pools;  /* name -> struct pool_state */
 	bool limits_write_pending;
@@ -473,6 +476,14 @@
 		       const struct fleet_worker *worker);
 void guard_on_notice(struct proxyd *proxyd, const struct member_notice *notice);
 
+/* proxyd-rollout.c: roll-outs of software versions */
+void rollout_start(struct proxyd *proxyd);
+void rollout_tick(struct proxyd *proxyd);
+void rollout_on_settings(struct proxyd *proxyd);
+/* An item of the store has changed. */
+void rollout_on_item(struct proxyd *proxyd, const struct store_item *item);
+void rollout_on_message(void *ctx, const w_rollout *message);
+
 /* proxyd-move.c: streams at workers that are leaving */
 void move_tick(struct proxyd *proxyd);
 
--- a/decide/build.c
+++ b/decide/build.c
@@ -18,6 +18,7 @@
 	[BUILD_FULL] = { 5, "full_workers" },
 	[BUILD_LINKS] = { 6, "links_questions" },
 	[BUILD_MARKS] = { 7, "process_marks" },
+	[BUILD_ROLLOUT] = { 8, "rollouts" },
 };
 
 unsigned build_own(void)
--- a/decide/build.h
+++ b/decide/build.h
@@ -33,7 +33,8 @@
 	BUILD_FULL,	/* takes RW_FULL */
 	/* takes RW_LINKS_*, and the failed workers of a forwarded request */
 	BUILD_LINKS,
-	BUILD_MARKS, /* reads marks of processes in the place of versions */
+	BUILD_MARKS,   /* reads marks of processes in the place of versions */
+	BUILD_ROLLOUT, /* takes RW_ROLLOUT */
 	BUILD_FEATURES,
 };
 
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -450,6 +450,11 @@
 static bool has_version(const struct fleet_worker *worker,
 			const struct fleet_request *request)
 {
+	bool is_target = worker->version == request->target;
+
+	if (request->side != FLEET_ANY_SIDE &&
+	    is_target != (request->side == FLEET_TARGET))
+		return false;
 	return request->version == 0 ||
 	       (origin_is_known(request->version) &&
 		request->version == fleet_version_of(worker, request));
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -160,6 +160,14 @@
 	int tokens;
 };
 
+/* Which versions may run a request, beside a roll-out of one of them, the
+ * target. */
+enum fleet_side {
+	FLEET_ANY_SIDE,
+	FLEET_OTHERS,
+	FLEET_TARGET,
+};
+
 /* A request to be placed. */
 struct fleet_request {
 	const char *pool;
@@ -177,6 +185,8 @@
 	/* Only workers that were heard from since; 0: any. */
 	clk_ms heard_since;
 	uint32_t version; /* the only one that may run it; 0: any */
+	enum fleet_side side;
+	uint32_t target;  /* key of the version that side refers to */
 	clk_ms listed_at; /* when the list of workers was last current */
 };
 
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -434,6 +434,8 @@
         self.slots = slots
         self.mode = "ok"
         self.version = "v1"  # of its software; its events name it
+        self.fails_every = 0  # of so many runs one ends in a 500; 0: none
+        self.delay_s = 0      # before each response
         # Streams have no length, and end with their connection: after all
         # events ("all"), inside an event ("event") or before the first one
         # ("none"), or when they end or are stopped ("paced").
@@ -653,7 +655,9 @@
         if self.floods:
             await self.flood(own, writer)
             return False
-        if self.mode == "error":
+        await asyncio.sleep(self.delay_s)
+        if self.mode == "error" or (self.fails_every and len(
+                self.executed) % self.fails_every == 0):
             writer.write(response(500, b"broken", own))
             return True
         if self.mode == "cut":
--- a/tests/unit-format.c
+++ b/tests/unit-format.c
@@ -211,6 +211,22 @@
 	.workers = { G_N_ELEMENTS(silent), silent },
 };
 
+static u_int bucket_counts[] = { 0, 3, 0x01020304 };
+
+static w_rollout_row rollout_rows[] = {
+	{ "r1", 1, 9, 2, { G_N_ELEMENTS(bucket_counts), bucket_counts } },
+	{ "r2/pace", 0, 0, 0, { 0, NULL } },
+};
+
+static const w_rollout rollout = {
+	.process = incarnation,
+	.service = worker,
+	.order = "12-0123abcd",
+	.phase = 1,
+	.answer = 1,
+	.rows = { G_N_ELEMENTS(rollout_rows), rollout_rows },
+};
+
 /* Each message, and result, of wire/msg.x. */
 static const struct {
 	const char *name;
@@ -227,6 +243,7 @@
 	MESSAGE(relay),		MESSAGE(group),	      MESSAGE(permit_ask),
 	MESSAGE(permit_grant),	MESSAGE(origin_keep), MESSAGE(origin_ask),
 	MESSAGE(origin_answer), MESSAGE(full),	      MESSAGE(links),
+	MESSAGE(rollout),
 #undef MESSAGE
 };
 
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -66,6 +66,9 @@
 	double retry_ratio;
 	double retry_extra;
 	double quota_tolerance;
+	double exposure_share;
+	int64_t exposure_tolerance;
+	int64_t rollback_timeout_ms;
 	int64_t lease_ms;
 	double usage_window_s;
 	double usage_delay_s;
--- a/wire/msg.h
+++ b/wire/msg.h
@@ -23,6 +23,8 @@
 #define W_MARKS 8
 #define W_ORIGINS 64
 #define W_LINKS 32
+#define W_BUCKETS 32
+#define W_ROWS 256
 
 struct w_update {
 	char *incarnation;
@@ -326,6 +328,31 @@
 };
 typedef struct w_links w_links;
 
+struct w_rollout_row {
+	char *route;
+	bool_t target;
+	u_int ended;
+	u_int failed;
+	struct {
+		u_int times_len;
+		u_int *times_val;
+	} times;
+};
+typedef struct w_rollout_row w_rollout_row;
+
+struct w_rollout {
+	char *process;
+	char *service;
+	char *order;
+	u_int phase;
+	bool_t answer;
+	struct {
+		u_int rows_len;
+		w_rollout_row *rows_val;
+	} rows;
+};
+typedef struct w_rollout w_rollout;
+
 #define RW_PROGRAM 0x20525750
 #define RW_VERSION 1
 
@@ -375,6 +402,9 @@
 #define RW_LINKS_ANSWER 15
 extern  void * rw_links_answer_1(w_links *, CLIENT *);
 extern  void * rw_links_answer_1_svc(w_links *, struct svc_req *);
+#define RW_ROLLOUT 16
+extern  void * rw_rollout_1(w_rollout *, CLIENT *);
+extern  void * rw_rollout_1_svc(w_rollout *, struct svc_req *);
 extern int rw_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -423,6 +453,9 @@
 #define RW_LINKS_ANSWER 15
 extern  void * rw_links_answer_1();
 extern  void * rw_links_answer_1_svc();
+#define RW_ROLLOUT 16
+extern  void * rw_rollout_1();
+extern  void * rw_rollout_1_svc();
 extern int rw_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -454,6 +487,8 @@
 extern  bool_t xdr_w_origin_answer (XDR *, w_origin_answer*);
 extern  bool_t xdr_w_full (XDR *, w_full*);
 extern  bool_t xdr_w_links (XDR *, w_links*);
+extern  bool_t xdr_w_rollout_row (XDR *, w_rollout_row*);
+extern  bool_t xdr_w_rollout (XDR *, w_rollout*);
 
 #else /* K&R C */
 extern bool_t xdr_w_update ();
@@ -481,6 +516,8 @@
 extern bool_t xdr_w_origin_answer ();
 extern bool_t xdr_w_full ();
 extern bool_t xdr_w_links ();
+extern bool_t xdr_w_rollout_row ();
+extern bool_t xdr_w_rollout ();
 
 #endif /* K&R C */
 
--- a/wire/msg.x
+++ b/wire/msg.x
@@ -13,6 +13,8 @@
 const W_MARKS = 8;
 const W_ORIGINS = 64;
 const W_LINKS = 32; /* workers in one question about links */
+const W_BUCKETS = 32; /* of a histogram */
+const W_ROWS = 256;
 
 /* The gossiped state of one member; see decide/member.h. */
 struct w_update {
@@ -249,6 +251,28 @@
 	unsigned int workers<W_LINKS>;
 };
 
+/* The responses of one side's workers for a route; see decide/rollout.h. */
+struct w_rollout_row {
+	string route<W_NAME>;
+	bool target; /* of the version that is rolled out */
+	unsigned int ended;
+	unsigned int failed;
+	unsigned int times<W_BUCKETS>;
+};
+
+/* RW_ROLLOUT: what a host has counted since the order of a roll-out, sent to
+ * the hosts that may lead; the next message makes up for a lost one. A host
+ * that is told of an older phase than it knows answers with its own. No reply
+ * is sent. */
+struct w_rollout {
+	string process<W_INCARNATION>;
+	string service<W_NAME>;
+	string order<W_NAME>;
+	unsigned int phase; /* that the sender knows */
+	bool answer; /* it has no rows, and is not answered */
+	w_rollout_row rows<W_ROWS>;
+};
+
 program RW_PROGRAM {
 	version RW_VERSION {
 		void RW_GOSSIP(w_gossip) = 1;
@@ -266,5 +290,6 @@
 		void RW_FULL(w_full) = 13;
 		void RW_LINKS_ASK(w_links) = 14;
 		void RW_LINKS_ANSWER(w_links) = 15;
+		void RW_ROLLOUT(w_rollout) = 16;
 	} = 1;
 } = 0x20525750;
--- a/wire/msg_xdr.c
+++ b/wire/msg_xdr.c
@@ -673,3 +673,88 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_w_rollout_row (XDR *xdrs, w_rollout_row *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->route, W_NAME))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ended))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->target);
+		IXDR_PUT_U_LONG(buf, objp->ended);
+		IXDR_PUT_U_LONG(buf, objp->failed);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->times.times_val, (u_int *) &objp->times.times_len, W_BUCKETS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->route, W_NAME))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ended))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->failed))
+				 return FALSE;
+
+		} else {
+		objp->target = IXDR_GET_BOOL(buf);
+		objp->ended = IXDR_GET_U_LONG(buf);
+		objp->failed = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->times.times_val, (u_int *) &objp->times.times_len, W_BUCKETS,
+			sizeof (u_int), (xdrproc_t) xdr_u_int))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->route, W_NAME))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ended))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->failed))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->times.times_val, (u_int *) &objp->times.times_len, W_BUCKETS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_w_rollout (XDR *xdrs, w_rollout *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->process, W_INCARNATION))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->service, W_NAME))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->order, W_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->phase))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->answer))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, W_ROWS,
+		sizeof (w_rollout_row), (xdrproc_t) xdr_w_rollout_row))
+		 return FALSE;
+	return TRUE;
+}
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -225,6 +225,7 @@
 	w_report report = { .process = NULL };
 	w_relay relay = { .process = NULL };
 	w_group group = { .reporting = 0 };
+	w_rollout rollout = { .process = NULL };
 	bool ok = false;
 
 	switch (msg->rm_call.cb_proc) {
@@ -268,6 +269,12 @@
 			rpc->handlers.on_group(rpc->handlers.ctx, &group);
 		xdr_free((xdrproc_t)xdr_w_group, &group);
 		break;
+	case RW_ROLLOUT:
+		ok = xdr_w_rollout(xdr, &rollout);
+		if (ok && rpc->handlers.on_rollout)
+			rpc->handlers.on_rollout(rpc->handlers.ctx, &rollout);
+		xdr_free((xdrproc_t)xdr_w_rollout, &rollout);
+		break;
 	default:
 		return RPC_BAD_PROC;
 	}
@@ -529,6 +536,12 @@
 	call_send(rpc, to, false, RW_REPORT, (xdrproc_t)xdr_w_report, report);
 }
 
+void rpc_send_rollout(struct rpc *rpc, const char *to, const w_rollout *message)
+{
+	call_send(rpc, to, false, RW_ROLLOUT, (xdrproc_t)xdr_w_rollout,
+		  message);
+}
+
 void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay)
 {
 	call_send(rpc, to, false, RW_RELAY, (xdrproc_t)xdr_w_relay, relay);
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -61,6 +61,8 @@
 	void (*on_permit_grant)(void *ctx, const w_permit_grant *grant);
 	/* Streams to keep, a question and an answer; may be NULL. */
 	void (*on_full)(void *ctx, const w_full *full);
+	/* What a host knows of a roll-out; may be NULL. */
+	void (*on_rollout)(void *ctx, const w_rollout *message);
 	void (*on_links_ask)(void *ctx, const w_links *ask);
 	void (*on_links_answer)(void *ctx, const w_links *answer);
 	void (*on_origin_keep)(void *ctx, const w_origin_keep *keep);
@@ -93,6 +95,8 @@
 void rpc_send_report(struct rpc *rpc, const char *to, const w_report *report);
 void rpc_send_relay(struct rpc *rpc, const char *to, const w_relay *relay);
 void rpc_send_group(struct rpc *rpc, const char *to, const w_group *group);
+void rpc_send_rollout(struct rpc *rpc, const char *to,
+		      const w_rollout *message);
 void rpc_send_permit_ask(struct rpc *rpc, const char *to,
 			 const w_permit_ask *ask);
 void rpc_send_permit_grant(struct rpc *rpc, const char *to,
