Roll-outs: simulation, few target workers under a usual load, former targets

The target's share goes to few of its workers, so that each carries the load of a usual one. Targets of orders that were replaced get nothing.

--- a/daemon/proxyd-rollout.c
+++ b/daemon/proxyd-rollout.c
@@ -163,6 +163,20 @@
 	return fleet_has_other(xfer->proxyd->fleet, &request, NULL);
 }
 
+/* Returns how many workers of a limited target carry its share of the requests
+ * under the load of a usual worker each; 0: all of them. */
+static unsigned target_workers(const struct xfer *xfer)
+{
+	const struct proxyd *proxyd = xfer->proxyd;
+	unsigned others;
+
+	if (!rollouts_limits(proxyd->rollouts, xfer->pool->name))
+		return 0;
+	others = fleet_count_others(proxyd->fleet, xfer->pool->name,
+				    xfer->fleet_request.target);
+	return MAX((unsigned)(others * proxyd->conf->exposure_share), 1);
+}
+
 void rollout_place(struct xfer *xfer)
 {
 	struct rollouts *rollouts = xfer->proxyd->rollouts;
@@ -179,6 +193,7 @@
 		rollouts_count_request(rollouts, service);
 	}
 	request->target = rollouts_target(rollouts, service);
+	rollouts_barred(rollouts, service, request->barred);
 	placing = rollouts_place(rollouts, service);
 	if (placing == ROLLOUT_ANYWHERE)
 		return;
@@ -190,11 +205,13 @@
 		return;
 	}
 	/* A request that the target has failed once is not risked again. */
-	if (placing == ROLLOUT_TARGET_FIRST && xfer->rollout.spared != order &&
-	    target_serves(xfer))
-		request->side = FLEET_TARGET;
-	else
+	if (placing == ROLLOUT_NOT_TARGET || xfer->rollout.spared == order ||
+	    !target_serves(xfer)) {
 		request->side = FLEET_OTHERS;
+		return;
+	}
+	request->side = FLEET_TARGET;
+	request->target_workers = target_workers(xfer);
 }
 
 bool rollout_place_again(struct xfer *xfer)
--- a/daemon/rollout.c
+++ b/daemon/rollout.c
@@ -10,8 +10,9 @@
 
 /* Evidence is sent so many times within the roll-back timeout, at most once in
  * SEND_MAX_MS. */
-#define SENDS_PER_TIMEOUT 6
-#define SEND_MIN_MS 200
+#define SENDS_PER_TIMEOUT 8
+#define SENDS_PER_ROLLOUT 16 /* at least */
+#define SEND_MIN_MS 100
 #define SEND_MAX_MS 1000
 /* After a final phase hosts that lack it are still told, and a completed target
  * is preferred: the old workers stop, and their entries go later. */
@@ -42,6 +43,9 @@
 	clk_ms phase_at;     /* since when the phase is known here */
 	struct rollout_host host;
 	struct rollout_leader leader;
+	/* Targets of former orders that were not completed; the oldest first.
+	 */
+	char *barred[FLEET_BARRED_MAX];
 	/* The plan in the store. */
 	int64_t plan_revision; /* 0: there is none */
 	char *plan_order;      /* NULL: none */
@@ -147,6 +151,30 @@
 	     rollout_phase_name(phase), why);
 }
 
+/* Bars a version, or allows it. */
+static void version_bar(struct service *service, const char *version, bool bars)
+{
+	unsigned kept = 0;
+
+	for (unsigned i = 0; i < FLEET_BARRED_MAX; i++) {
+		char *known = service->barred[i];
+
+		service->barred[i] = NULL;
+		if (known && strcmp(known, version) != 0)
+			service->barred[kept++] = known;
+		else
+			g_free(known);
+	}
+	if (!bars || !version[0])
+		return;
+	if (kept == FLEET_BARRED_MAX) {
+		g_free(service->barred[0]);
+		memmove(service->barred, service->barred + 1,
+			--kept * sizeof(service->barred[0]));
+	}
+	service->barred[kept] = g_strdup(version);
+}
+
 /* Forgets the evidence of a former order. */
 static void service_reset(struct service *service)
 {
@@ -228,6 +256,11 @@
 	     service->order ? service->order : "none",
 	     error ? error->message : "", error ? "not_usable" : "ordered");
 	g_clear_error(&error);
+	/* Nobody has found the former target sound. */
+	if (service->order)
+		version_bar(service, service->target,
+			    service->host.phase != ROLLOUT_COMPLETED);
+	version_bar(service, order.target, false);
 	g_free(service->order);
 	g_free(service->target);
 	service->order = id;
@@ -242,6 +275,23 @@
 	plan_apply(service);
 }
 
+/* Bars the versions that a plan lists. */
+static void barred_read(struct service *service, struct json_object *obj)
+{
+	struct json_object *list;
+
+	if (!json_object_object_get_ex(obj, "barred", &list) ||
+	    !json_object_is_type(list, json_type_array))
+		return;
+	for (size_t i = 0; i < json_object_array_length(list); i++) {
+		const char *version = json_object_get_string(
+			json_object_array_get_idx(list, i));
+
+		if (version && strcmp(version, service->target) != 0)
+			version_bar(service, version, true);
+	}
+}
+
 void rollouts_on_plan(struct rollouts *rollouts, const struct store_item *item)
 {
 	struct service *service =
@@ -273,6 +323,8 @@
 			service->plan_phase = (enum rollout_phase)phase;
 	age = rollouts->ops->wall(rollouts->ctx) -
 	      json_int(obj, "ordered_at", 0);
+	if (service->order && !strcmp(service->order, service->plan_order))
+		barred_read(service, obj);
 	json_object_put(obj);
 	if (service->order && !strcmp(service->order, service->plan_order) &&
 	    now - rollouts->started_at < START_MS)
@@ -309,6 +361,16 @@
 	}
 }
 
+static struct json_object *barred_list(const struct service *service)
+{
+	struct json_object *list = json_object_new_array();
+
+	for (unsigned i = 0; i < FLEET_BARRED_MAX && service->barred[i]; i++)
+		json_object_array_add(
+			list, json_object_new_string(service->barred[i]));
+	return list;
+}
+
 /* Writes the plan before anything follows from it. */
 static void plan_write(struct service *service, enum rollout_phase phase)
 {
@@ -320,6 +382,7 @@
 	json_add_text(obj, "order", service->order);
 	json_add_text(obj, "target", service->target);
 	json_add_text(obj, "phase", rollout_phase_name(phase));
+	json_object_object_add(obj, "barred", barred_list(service));
 	json_add_int(obj, "ordered_at",
 		     rollouts->ops->wall(rollouts->ctx) -
 			     (now_of(rollouts) - service->seen_at));
@@ -511,12 +574,24 @@
 	};
 }
 
+/* Returns how many buckets there are up to the last one that counts anything.
+ */
+static u_int buckets_used(const struct rollout_counts *counts)
+{
+	u_int used = ROLLOUT_BUCKETS;
+
+	while (used > 0 && counts->times[used - 1] == 0)
+		used--;
+	return used;
+}
+
 static void evidence_send(struct service *service)
 {
 	struct rollouts *rollouts = service->rollouts;
 	const GPtrArray *rows = service->host.counts.rows;
 	w_rollout message = message_of(service, false);
-	w_rollout_row *wire = g_new0(w_rollout_row, rows->len * ROLLOUT_SIDES);
+	w_rollout_row *wire =
+		g_new0(w_rollout_row, (gsize)rows->len * ROLLOUT_SIDES);
 
 	message.rows.rows_val = wire;
 	for (guint i = 0; i < rows->len; i++) {
@@ -530,7 +605,8 @@
 				.target = side == ROLLOUT_TARGET,
 				.ended = counts->ended,
 				.failed = counts->failed,
-				.times = { ROLLOUT_BUCKETS, counts->times },
+				.times = { buckets_used(counts),
+					   counts->times },
 			};
 		}
 	}
@@ -546,7 +622,7 @@
 
 	if (host->stopped || rollout_is_final(host->phase))
 		return;
-	finding = rollout_compare(&host->counts, NULL);
+	finding = rollout_compare(&host->counts, host->phase);
 	if (finding.fault == ROLLOUT_SOUND)
 		return;
 	host->stopped = true;
@@ -637,6 +713,26 @@
 				  now - service->phase_at < AFTERMATH_MS);
 }
 
+/* Returns the time between two messages, and two verdicts. */
+static clk_ms period_of(const struct rollouts *rollouts)
+{
+	clk_ms period =
+		MIN(rollouts->options.rollback_timeout / SENDS_PER_TIMEOUT,
+		    SEND_MAX_MS);
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, rollouts->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct service *service = value;
+
+		if (is_active(service) && service->duration > 0)
+			period = MIN(period,
+				     service->duration / SENDS_PER_ROLLOUT);
+	}
+	return MAX(period, SEND_MIN_MS);
+}
+
 void rollouts_tick(struct rollouts *rollouts, clk_ms restored_at)
 {
 	clk_ms now = now_of(rollouts);
@@ -653,10 +749,7 @@
 	rollouts->led = leads;
 	rollouts->restored_at = restored_at;
 	if (due)
-		rollouts->next_send =
-			now + CLAMP(rollouts->options.rollback_timeout /
-					    SENDS_PER_TIMEOUT,
-				    SEND_MIN_MS, SEND_MAX_MS);
+		rollouts->next_send = now + period_of(rollouts);
 	g_hash_table_iter_init(&iter, rollouts->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct service *service = value;
@@ -711,6 +804,17 @@
 	return found ? found->target_key : 0;
 }
 
+void rollouts_barred(const struct rollouts *rollouts, const char *service,
+		     uint32_t *keys)
+{
+	const struct service *found = routed_find(rollouts, service);
+
+	for (unsigned i = 0; i < FLEET_BARRED_MAX; i++)
+		keys[i] = found && found->barred[i]
+				  ? fleet_version_key(found->barred[i])
+				  : 0;
+}
+
 bool rollouts_bars(const struct rollouts *rollouts, const char *service)
 {
 	const struct service *found = routed_find(rollouts, service);
@@ -718,6 +822,13 @@
 	return found && found->host.phase == ROLLOUT_ROLLED_BACK;
 }
 
+bool rollouts_limits(const struct rollouts *rollouts, const char *service)
+{
+	const struct service *found = routed_find(rollouts, service);
+
+	return found && found->host.phase == ROLLOUT_LIMITED;
+}
+
 void rollouts_count_request(struct rollouts *rollouts, const char *service)
 {
 	struct service *found = routed_find(rollouts, service);
--- a/daemon/rollout.h
+++ b/daemon/rollout.h
@@ -70,8 +70,14 @@
 unsigned rollouts_order(const struct rollouts *rollouts, const char *service);
 /* Key of the target's version; 0: it is not known. */
 uint32_t rollouts_target(const struct rollouts *rollouts, const char *service);
+/* Sets the keys of the FLEET_BARRED_MAX versions that get no requests, as they
+ * were targets and were not completed; 0: none. */
+void rollouts_barred(const struct rollouts *rollouts, const char *service,
+		     uint32_t *keys);
 /* Whether nothing at all may be sent to the target. */
 bool rollouts_bars(const struct rollouts *rollouts, const char *service);
+/* Whether the target gets a share of the requests. */
+bool rollouts_limits(const struct rollouts *rollouts, const char *service);
 /* A new request for a service, which has not been counted yet. */
 void rollouts_count_request(struct rollouts *rollouts, const char *service);
 /* Where the next attempt of a request may be sent. */
--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -446,14 +446,26 @@
 	return is_known ? worker->version : FLEET_VERSION_UNKNOWN;
 }
 
+/* Whether a worker's version is on the side of a roll-out that may run a
+ * request. */
+static bool is_on_side(const struct fleet_worker *worker,
+		       const struct fleet_request *request)
+{
+	bool is_target = worker->version == request->target;
+
+	if (request->side == FLEET_ANY_SIDE)
+		return true;
+	for (unsigned i = 0; i < FLEET_BARRED_MAX; i++)
+		if (worker->version == request->barred[i])
+			return false;
+	return is_target == (request->side == FLEET_TARGET);
+}
+
 /* Whether a worker has the version that a request needs. */
 static bool has_version(const struct fleet_worker *worker,
 			const struct fleet_request *request)
 {
-	bool is_target = worker->version == request->target;
-
-	if (request->side != FLEET_ANY_SIDE &&
-	    is_target != (request->side == FLEET_TARGET))
+	if (!is_on_side(worker, request))
 		return false;
 	return request->version == 0 ||
 	       (origin_is_known(request->version) &&
@@ -541,6 +553,21 @@
 	return count;
 }
 
+unsigned fleet_count_others(const struct fleet *fleet, const char *pool,
+			    uint32_t version)
+{
+	const GPtrArray *workers = pool_workers(fleet, pool);
+	unsigned count = 0;
+
+	for (guint i = 0; workers && i < workers->len; i++) {
+		const struct fleet_worker *worker =
+			g_ptr_array_index(workers, i);
+
+		count += fleet_takes_work(worker) && worker->version != version;
+	}
+	return count;
+}
+
 unsigned fleet_count_on_demand(const struct fleet *fleet, const char *pool)
 {
 	const GPtrArray *workers = pool_workers(fleet, pool);
@@ -738,6 +765,37 @@
 	return stride;
 }
 
+/* Returns the least rank of the workers of a target that may run a request: few
+ * of them carry the load of a usual worker each, which shows what they do under
+ * load. */
+static uint32_t target_rank_min(const GPtrArray *workers,
+				const struct fleet_request *request)
+{
+	uint32_t least = UINT32_MAX;
+	unsigned count = 0;
+
+	/* The highest ranks, from the top. */
+	while (count < request->target_workers) {
+		uint32_t next = 0;
+
+		for (guint i = 0; i < workers->len; i++) {
+			const struct fleet_worker *worker =
+				g_ptr_array_index(workers, i);
+			uint32_t rank =
+				rendezvous_rank(worker, request->target);
+
+			if (worker->version == request->target &&
+			    fleet_takes_work(worker) && rank < least)
+				next = MAX(next, rank);
+		}
+		if (next == 0)
+			return 0;
+		least = next;
+		count++;
+	}
+	return count > 0 ? least : 0;
+}
+
 /* State of a selection. */
 struct selection {
 	struct fleet *fleet;
@@ -852,6 +910,9 @@
 			       ? random_stride(fleet, workers->len)
 			       : 1;
 	unsigned sampled = 0;
+	uint32_t rank_min = request->side == FLEET_TARGET
+				    ? target_rank_min(workers, request)
+				    : 0;
 
 	for (guint i = 0; i < workers->len; i++) {
 		struct fleet_worker *worker = g_ptr_array_index(
@@ -862,6 +923,9 @@
 		    !has_version(worker, request) ||
 		    worker_group(worker, now) != group)
 			continue;
+		if (rank_min > 0 &&
+		    rendezvous_rank(worker, request->target) < rank_min)
+			continue;
 		if (known_room && worker->brittle.is &&
 		    !worker->brittle.limited)
 			continue;
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -19,6 +19,7 @@
 #include "permit.h"
 
 #define FLEET_PARTS_MAX 16 /* parts of one prompt that are looked up */
+#define FLEET_BARRED_MAX 4 /* versions that a request is kept away from */
 #define FLEET_FAILED_MAX 4 /* workers that a request is kept away from */
 /* What a running request adds to the time to first token. */
 #define FLEET_RUNNING_MS 2
@@ -186,7 +187,12 @@
 	clk_ms heard_since;
 	uint32_t version; /* the only one that may run it; 0: any */
 	enum fleet_side side;
-	uint32_t target;  /* key of the version that side refers to */
+	uint32_t target; /* key of the version that side refers to */
+	/* Keys of versions that may not run it; 0: none. */
+	uint32_t barred[FLEET_BARRED_MAX];
+	/* Workers of the target that may run it, the same ones at every host;
+	 * 0: any. */
+	unsigned target_workers;
 	clk_ms listed_at; /* when the list of workers was last current */
 };
 
@@ -397,6 +403,9 @@
 			      uint32_t *keys, size_t max);
 /* Counts the workers of a pool that accept requests. */
 unsigned fleet_count(const struct fleet *fleet, const char *pool);
+/* Counts those of them that have another version. */
+unsigned fleet_count_others(const struct fleet *fleet, const char *pool,
+			    uint32_t version);
 /* Counts those of them that can't be reclaimed. */
 unsigned fleet_count_on_demand(const struct fleet *fleet, const char *pool);
 /* Counts those in one data centre, either reclaimable or not. */
--- a/decide/rollout.c
+++ b/decide/rollout.c
@@ -11,6 +11,9 @@
 /* Logarithm of the probability that a sound target has as many failures. It is
  * tested about once a second for each route. */
 #define CHANCE_LOG (-13.0)
+/* The same of a target that is not shifted to, although it may be sound: of
+ * versions that fail 2% of the requests, some show little by then. */
+#define SUSPECT_LOG (-5.0)
 /* Failures that count as usual before the others have shown theirs: 1 in so
  * many. */
 #define USUAL_RESPONSES 100.0
@@ -28,6 +31,9 @@
 #define LATE_SHARE_RATIO 2.5
 /* Late responses come in bursts: as FAILURE_RATIO, for their variance. */
 #define LATE_DEVIATIONS 6.0
+/* The others' late share is taken to be so many deviations above what they have
+ * shown: after a shift they get few requests. */
+#define LATE_MARGIN 3.0
 #define LATE_VARIANCE 4.0
 #define LATE_MIN 10
 /* Responses of the target after which it may be completed, if there are so
@@ -39,8 +45,10 @@
 #define SHIFT_SHARE 0.25
 /* Before the deadline the status must be written, over a slow link as well. */
 #define WRITE_MAX_MS 1500
-#define WRITE_SHARE 0.125
+#define WRITE_SHARE 0.25
 
+/* Totals after which a new leader has the evidence of nearly all hosts. */
+#define WINDOWS_MIN 3
 /* Totals older than so many observations are no longer the latest ones. */
 #define WINDOW_AGE 4
 
@@ -169,7 +177,7 @@
 }
 
 /* Whether the target fails more often than the others. */
-static bool fails(const struct rollout_counts *sides,
+static bool fails(const struct rollout_counts *sides, double chance_max,
 		  struct rollout_finding *finding)
 {
 	const struct rollout_counts *target = &sides[ROLLOUT_TARGET];
@@ -184,7 +192,7 @@
 		return false;
 	/* Chernoff's bound for a Poisson distribution. */
 	chance_log = failed - expected - failed * log(failed / expected);
-	if (chance_log > CHANCE_LOG)
+	if (chance_log > chance_max)
 		return false;
 	finding->fault = ROLLOUT_FAILS;
 	finding->target = failed / target->ended;
@@ -270,8 +278,8 @@
 		others->median +
 		(unsigned)ceil(log(LATE_RATIO) / log(ROLLOUT_BUCKET_RATIO));
 	double late = late_count(&sides[ROLLOUT_TARGET], from);
-	double usual = (late_count(&sides[ROLLOUT_OTHERS], from) + 1) /
-		       (others->count + USUAL_RESPONSES);
+	double shown = late_count(&sides[ROLLOUT_OTHERS], from) + 1;
+	double usual = (shown + LATE_MARGIN * sqrt(shown)) / others->count;
 	double expected = usual * target->count;
 
 	if (late < LATE_MIN || late < LATE_SHARE_RATIO * expected ||
@@ -285,12 +293,13 @@
 
 /* Compares the sides of one route. */
 static bool compare_counts(const struct rollout_counts *sides,
-			   struct rollout_finding *finding, bool by_time)
+			   double chance_max, bool by_time,
+			   struct rollout_finding *finding)
 {
 	struct moments target = moments_of(&sides[ROLLOUT_TARGET]);
 	struct moments others = moments_of(&sides[ROLLOUT_OTHERS]);
 
-	if (fails(sides, finding))
+	if (fails(sides, chance_max, finding))
 		return true;
 	if (!by_time || target.count < TIMES_MIN || others.count < TIMES_MIN)
 		return false;
@@ -298,8 +307,11 @@
 	       is_often_slow(sides, &target, &others, finding);
 }
 
-struct rollout_finding rollout_compare(const struct rollout_table *table,
-				       const struct rollout_table *since)
+/* The same as rollout_compare; chance_max: as CHANCE_LOG. by_time: times are
+ * compared, too. */
+static struct rollout_finding compare_at(const struct rollout_table *table,
+					 const struct rollout_table *since,
+					 double chance_max, bool by_time)
 {
 	struct rollout_finding finding = { .route = "" };
 	struct rollout_counts all[ROLLOUT_SIDES] = { 0 };
@@ -317,15 +329,21 @@
 			counts_add(&all[side], &recent.sides[side]);
 		}
 		finding.route = row->route;
-		if (compare_counts(recent.sides, &finding, true))
+		if (compare_counts(recent.sides, chance_max, by_time, &finding))
 			return finding;
 	}
 	/* Routes differ in their times, and sides in their routes. */
 	finding.route = "";
-	compare_counts(all, &finding, false);
+	compare_counts(all, chance_max, false, &finding);
 	return finding;
 }
 
+struct rollout_finding rollout_compare(const struct rollout_table *table,
+				       enum rollout_phase phase)
+{
+	return compare_at(table, NULL, CHANCE_LOG, phase == ROLLOUT_LIMITED);
+}
+
 bool rollout_may_expose(const struct rollout_host *host)
 {
 	switch (host->phase) {
@@ -434,6 +452,7 @@
 
 /* Decides on a target that has shown no fault. */
 static void decide_sound(struct rollout_decision *decision,
+			 const struct rollout_table *totals,
 			 const struct rollout_plan *plan,
 			 const struct rollout_view *view, clk_ms now)
 {
@@ -454,11 +473,24 @@
 	/* A service with few requests shows little: what there is counts. */
 	if (target < ENOUGH_RESPONSES && !is_late)
 		return;
-	if (target == 0 && others > 0) {
+	/* Before it was shifted there was evidence, which this leader may lack.
+	 */
+	if (target == 0 && others > 0 && plan->phase == ROLLOUT_LIMITED) {
+		if (age < plan->duration)
+			return;
 		decision->phase = ROLLOUT_ROLLED_BACK;
 		decision->why = "no_evidence";
 		return;
 	}
+	if (plan->phase == ROLLOUT_LIMITED)
+		decision->finding = compare_at(totals, NULL, SUSPECT_LOG, true);
+	if (decision->finding.fault != ROLLOUT_SOUND) {
+		if (!is_late)
+			return;
+		decision->phase = ROLLOUT_ROLLED_BACK;
+		decision->why = "suspect";
+		return;
+	}
 	if (is_late || (plan->phase == ROLLOUT_SHIFTED && view->is_idle)) {
 		decision->phase = ROLLOUT_COMPLETED;
 		decision->why = "sound";
@@ -489,19 +521,21 @@
 		decision.failed[side] =
 			rollout_failed(totals, (enum rollout_side)side);
 	}
-	decision.finding = rollout_compare(totals, NULL);
+	decision.finding = rollout_compare(totals, plan->phase);
 	if (decision.finding.fault == ROLLOUT_SOUND &&
+	    plan->phase == ROLLOUT_LIMITED &&
 	    leader->window_count > WINDOW_AGE) {
 		before = &leader->windows[(leader->window_count - 1 -
 					   WINDOW_AGE) %
 					  ROLLOUT_WINDOWS];
-		decision.finding = rollout_compare(totals, before);
+		decision.finding = compare_at(totals, before, CHANCE_LOG, true);
 	}
 	if (decision.finding.fault != ROLLOUT_SOUND) {
 		decision.phase = ROLLOUT_ROLLED_BACK;
 		decision.why = rollout_fault_name(decision.finding.fault);
-	} else {
-		decide_sound(&decision, plan, view, now);
+	} else if (leader->window_count >= WINDOWS_MIN ||
+		   plan->phase == ROLLOUT_SHIFTED) {
+		decide_sound(&decision, totals, plan, view, now);
 	}
 	return decision;
 }
--- a/decide/rollout.h
+++ b/decide/rollout.h
@@ -87,10 +87,11 @@
 	double others;	   /* the same of the others */
 };
 
-/* Compares the target with the others. since: counts that are subtracted, or
- * NULL. */
+/* Compares the target with the others. After the shift the others have hardly
+ * any requests, so that nothing shows whether all are disturbed: times are
+ * compared only in the limited phase. */
 struct rollout_finding rollout_compare(const struct rollout_table *table,
-				       const struct rollout_table *since);
+				       enum rollout_phase phase);
 
 /* A host's part: what it may send to the target. */
 struct rollout_host {
--- a/tests/proxyrollout.py
+++ b/tests/proxyrollout.py
@@ -171,6 +171,17 @@
     await play_bad(net, delay_s=0.15)
 
 
+async def test_rollout_short_duration(net):
+    """Guards against a sound version that is not completed in time as its
+    roll-out is shorter than a few messages take."""
+    async with started(net) as (rig, rollout, load):
+        await rollout.start_new("v1")
+        rollout.order(duration_s=2)
+        await rollout.start_new()
+        took = await rollout.wait_state("completed", 3)
+        assert took <= 2, took
+
+
 async def test_rollout_order_withdrawn(net):
     """Guards against a target that is still sent requests when its order is
     withdrawn, and a status that stays in progress."""
@@ -217,6 +228,90 @@
         assert set(load.statuses) == {200}, set(load.statuses)
 
 
+async def test_rollout_order_replaced(net):
+    """Guards against a target of a former order that gets requests as if it were
+    a proven version while the next one is rolled out, and against a status that
+    names the former target."""
+    async with started(net) as (rig, rollout, load):
+        rollout.order("v2", 30)
+        await rollout.wait_state("in_progress", 2)
+        await rollout.start_new("v2")
+        await asyncio.sleep(1)
+        former = list(rollout.new)
+        rollout.order("v3")
+        await rollout.wait_state("in_progress", 2, "v3")
+        await rollout.start_new("v3")
+        await asyncio.sleep(0.5)
+        count = rollout.count(former)
+        await rollout.wait_state("completed", DURATION_S, "v3")
+        assert rollout.count(former) == count
+        assert set(load.statuses) == {200}, set(load.statuses)
+
+
+async def test_rollout_nobody_serves_target(net):
+    """Guards against a roll-out without workers that is called completed, stays
+    in progress for ever, or costs a response."""
+    async with started(net) as (rig, rollout, load):
+        rollout.order("v9", 3)
+        await rollout.wait_state("in_progress", 2, "v9")
+        await rollout.wait_state("rolled_back", 5, "v9")
+        assert set(load.statuses) == {200}, set(load.statuses)
+
+
+async def test_rollout_old_workers_crash(net):
+    """Guards against a target that gets more than its share when all old
+    workers are lost while it is tested."""
+    async with started(net) as (rig, rollout, load):
+        rollout.order(duration_s=20)
+        await rollout.wait_state("in_progress", 2)
+        await rollout.start_new()
+        await asyncio.sleep(2)
+        for worker in rollout.old:
+            worker.kill()
+            rig.store.remove("servers/" + worker.ident)
+        count = len(load.statuses)
+        await asyncio.sleep(3)
+        exposed = rollout.count(rollout.new)
+        assert exposed <= SHARE * len(load.statuses) + TOLERANCE, (
+            exposed, len(load.statuses))
+        # The others are refused, and have not run.
+        assert set(load.statuses[count:]) <= {200, 502, 503}
+
+
+async def test_rollout_leader_killed(net):
+    """Guards against a roll-out that ends with its leader, or starts again."""
+    async with started(net) as (rig, rollout, load):
+        rollout.order(duration_s=14)
+        await rollout.wait_state("in_progress", 2)
+        await rollout.start_new()
+        await asyncio.sleep(1)
+        name = json.loads(rig.store.items["rw/holder"][0])["host"]
+        leader = next(host for host in rig.hosts if host.name == name)
+        leader.kill()
+        took = await rollout.wait_state("completed", 14)
+        assert took <= 14, took
+
+
+async def test_rollout_store_restored(net):
+    """Guards against a verdict that reverts when the store comes back with the
+    contents that it had while the target was tested."""
+    async with started(net) as (rig, rollout, load):
+        rollout.order(duration_s=20)
+        await rollout.wait_state("in_progress", 2)
+        revision = rig.store.revision
+        await rollout.start_new(fails_every=2)
+        await rollout.wait_state("rolled_back", 10)
+        rig.store.restore(revision)
+        for worker in rig.workers:
+            rig.list_worker(worker)
+        await asyncio.sleep(0.5)
+        count = rollout.count(rollout.new)
+        await rollout.wait_state("rolled_back", 10)
+        await asyncio.sleep(2)
+        assert rollout.status()["state"] == "rolled_back"
+        assert rollout.count(rollout.new) == count
+
+
 async def test_rollout_without_order(net):
     """Guards against messages, calls to the store or another routing where
     nothing is ordered."""
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -91,6 +91,10 @@
 for hosts in 6 8 63 80 300; do
 	run "sim_links_$hosts" "$B/tests/sim-links" --hosts $hosts
 done
+for hosts in 8 75 300; do
+	run "sim_rollout_$hosts" env RW_SEEDS=100 "$B/tests/sim-rollout" \
+		--hosts $hosts
+done
 run sim_poison "$B/tests/sim-poison"
 for bench in route load retry; do
 	run "sim_route_$bench" "$B/tests/sim-route" $bench --seed 1
@@ -127,6 +131,7 @@
 process_tests proxyends
 process_tests proxyversions
 process_tests proxyprocess
+process_tests proxyrollout
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 # PROCESS_TESTS: tests of tests/proxyprocess.py that run at the same time.
 beside() {
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -295,7 +295,7 @@
 	},
 	{
 		.name = "exposure_tolerance",
-		.type = CONF_TYPE_INT,
+		.type = CONF_TYPE_REAL,
 		.offset = offsetof(struct conf_proxy, exposure_tolerance),
 		.min = 0,
 		.max = 1000000,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -67,7 +67,7 @@
 	double retry_extra;
 	double quota_tolerance;
 	double exposure_share;
-	int64_t exposure_tolerance;
+	double exposure_tolerance;
 	int64_t rollback_timeout_ms;
 	int64_t lease_ms;
 	double usage_window_s;
