--- a/daemon/proxyd-rollout.c
+++ b/daemon/proxyd-rollout.c
@@ -92,7 +92,6 @@
 static void op_step(void *ctx, enum rollout_phase phase)
 {
 	static const enum ctr counters[] = {
-		[ROLLOUT_LIMITED] = CTR_rollouts_limited,
 		[ROLLOUT_SHIFTED] = CTR_rollouts_shifted,
 		[ROLLOUT_COMPLETED] = CTR_rollouts_completed,
 		[ROLLOUT_ROLLED_BACK] = CTR_rollouts_rolled_back,
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -117,7 +117,6 @@
 	X(orders_none, "worker orders refused for lack of capacity")           \
 	X(cloud_calls, "calls for the singleton duties")                       \
 	X(cloud_failures, "calls for the singleton duties not accepted")       \
-	X(rollouts_limited, "roll-outs that began anew")                       \
 	X(rollouts_shifted, "roll-outs whose target gets all new requests")    \
 	X(rollouts_completed, "roll-outs that were completed")                 \
 	X(rollouts_rolled_back, "roll-outs that were rolled back")             \
