--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 		$(B)/daemon/mirror.o $(B)/daemon/hop.o \
 		$(B)/daemon/startq.o \
 		$(B)/daemon/streamlog.o $(B)/daemon/confirm.o \
-		$(B)/daemon/ident.o \
+		$(B)/daemon/ident.o $(B)/daemon/rollout.o \
 		$(PLATFORM_OBJ) $(B)/librw.a
 	$(link)
 $(B)/rw-admind: $(patsubst %.c,$(B)/%.o,$(wildcard daemon/admind*.c)) \
@@ -71,8 +71,8 @@
 TEST_BINS = $(B)/tests/sim-replica $(B)/tests/unit $(B)/tests/sim-member \
 	    $(B)/tests/sim-feed $(B)/tests/sim-spread $(B)/tests/sim-origin \
 	    $(B)/tests/sim-permit $(B)/tests/sim-brittle $(B)/tests/sim-poison \
-	    $(B)/tests/sim-links $(B)/tests/sim-route $(B)/tests/unit-proxy \
-	    $(B)/tests/sim-connect \
+	    $(B)/tests/sim-links $(B)/tests/sim-rollout $(B)/tests/sim-route \
+	    $(B)/tests/unit-proxy $(B)/tests/sim-connect \
 	    $(B)/tests/unit-quota $(B)/tests/unit-scale $(B)/tests/unit-speed \
 	    $(B)/tests/unit-permit $(B)/tests/unit-links \
 	    $(B)/tests/unit-build $(B)/tests/unit-rpc \
@@ -81,11 +81,11 @@
 $(B)/tests/sim-replica $(B)/tests/sim-member $(B)/tests/sim-route \
 	$(B)/tests/sim-feed $(B)/tests/sim-spread $(B)/tests/sim-origin \
 	$(B)/tests/sim-permit $(B)/tests/sim-brittle $(B)/tests/sim-links \
-	$(B)/tests/sim-poison $(B)/tests/sim-connect: \
+	$(B)/tests/sim-rollout $(B)/tests/sim-poison $(B)/tests/sim-connect: \
 		$(B)/tests/%: $(B)/tests/%.o $(B)/sim/sim.o $(B)/librw.a
 	$(link)
 $(B)/tests/sim-feed $(B)/tests/sim-origin $(B)/tests/sim-permit \
-	$(B)/tests/sim-brittle $(B)/tests/sim-links: \
+	$(B)/tests/sim-brittle $(B)/tests/sim-links $(B)/tests/sim-rollout: \
 		$(B)/tests/sim-args.o
 $(B)/tests/unit $(B)/tests/unit-proxy $(B)/tests/unit-quota \
 	$(B)/tests/unit-scale $(B)/tests/unit-speed $(B)/tests/unit-permit $(B)/tests/unit-links \
--- a/decide/build.c
+++ b/decide/build.c
@@ -20,6 +20,7 @@
 	[BUILD_MARKS] = { 7, "process_marks" },
 	[BUILD_SPEEDS] = { 9, "worker_speeds" },
 	[BUILD_BALANCES] = { 10, "stored_balances" },
+	[BUILD_ROLLOUT] = { 8, "rollouts" },
 };
 
 unsigned build_own(void)
