--- a/decide/quota.c
+++ b/decide/quota.c
@@ -10,9 +10,11 @@
 #define LOCAL_SLACK_SHARE 0.3  /* of the slack, over all local buckets */
 #define GLOBAL_SLACK_SHARE 0.3 /* of the slack, added to the global bucket */
 #define REFILL_FACTOR 1.02     /* times the rate; 1.1 is allowed */
-#define DISCOVERY_MS 4000      /* after a start, until all hosts report */
-#define FIRST_REPORTS_MS 2500  /* after a start, until these arrive */
-#define COVERAGE_MIN 0.2       /* lower only while all hosts start */
+/* Times its equal share, that a host spends before its first report. */
+#define STARTED_MULTIPLE 4
+#define DISCOVERY_MS 4000     /* after a start, until all hosts report */
+#define FIRST_REPORTS_MS 2500 /* after a start, until these arrive */
+#define COVERAGE_MIN 0.2      /* lower only while all hosts start */
 /* Parts of the slack and of the burst that streams which are taken up may owe:
  * they go before new requests. */
 #define TAKE_UP_SLACK_SHARE 0.4
@@ -202,6 +204,7 @@
 		quota->global_units =
 			global_max(quota) * (full ? 1 : -RESTART_DEBT_SHARE);
 		quota->set_at = now;
+		quota->restarted = !full;
 	}
 	quota->global_units = MIN(quota->global_units, global_max(quota));
 	/* A debt is all hosts' and not each one's. */
@@ -344,9 +347,11 @@
 			   FULL_SHARE * local_max(quota, hosts, now));
 
 	/* The hosts have not told each other anything since they started, and
-	 * the account was below its limit before. */
+	 * the account was below its limit before. If a host's share holds less
+	 * than a usual request, the first ones are too much as it is. */
 	if (!quota->last_report_at && now - quota->set_at < FIRST_REPORTS_MS &&
-	    !is_restricted(quota, quota->global_units))
+	    !is_restricted(quota, quota->global_units) &&
+	    quota->mean_units < local_max(quota, hosts, now))
 		saved = -START_DEBT_SHARE * global_max(quota) * share;
 	return doubt * saved - share * debt_max(quota, request->takes_up);
 }
@@ -425,8 +430,11 @@
 		quota->asked_at[MIN(request->rank, QUOTA_RANKS - 1)] = now;
 	/* Otherwise all hosts that start together would admit their first
 	 * request, however small their shares are. */
-	if (quota->mean_units <= 0)
-		quota->local_units -= request->chance * request->units;
+	if (quota->mean_units <= 0 && quota->restarted)
+		quota->local_units =
+			MIN(quota->local_units,
+			    local_max(quota, request->hosts, now)) -
+			request->chance * request->units;
 	quota->mean_units += (request->units - quota->mean_units) *
 			     (quota->mean_units > 0 ? MEAN_WEIGHT : 1);
 	refill(quota, request->hosts, now);
@@ -469,6 +477,17 @@
 	quota->reported = quota->spent;
 }
 
+/* Returns the most that another host is likely to have spent if it has started
+ * together with this one. */
+static double started_spend_max(const struct quota *quota, unsigned hosts,
+				clk_ms now)
+{
+	double seconds = (double)(now - quota->set_at) / CLK_SECOND;
+
+	return STARTED_MULTIPLE * (global_max(quota) + quota->rate * seconds) /
+	       MAX(hosts, 1);
+}
+
 /* A total in one of the tables of struct quota_peer has arrived. */
 static double total_apply(struct quota *quota, GHashTable *totals,
 			  const char *process, double spent, clk_ms gap_max,
@@ -482,7 +501,10 @@
 		 * itself is new: then it may have used up what was saved up
 		 * since. */
 		if (now - quota->set_at < DISCOVERY_MS) {
-			added = MIN(spent, MAX(quota->global_units, 0));
+			added = spent <= started_spend_max(quota, hosts, now)
+					? spent
+					: MIN(spent,
+					      MAX(quota->global_units, 0));
 			quota->global_units -= added;
 		}
 		peer = g_new(struct quota_peer, 1);
--- a/decide/quota.h
+++ b/decide/quota.h
@@ -41,6 +41,7 @@
 	double recent_spend; /* of the reporting hosts, exponentially decayed */
 	double own_rate;     /* units per second spent by this host, likewise */
 	double mean_units;   /* of the requests of late */
+	bool restarted;	     /* the limit was in force before this start */
 	bool unsettled;	     /* what all hosts spend is not known now */
 	double units_before; /* global_units when that began */
 	clk_ms refilled_at;
