Simulate the learning of speeds; use it only well away from the settings

rw-sim learns the pool's speed and the workers' ratios as rw-proxyd does; the policy "unmeasured" doesn't. In its calm load, whose engines are as the settings say, a prompt takes 18% longer than by prefill_us, as its steps and the growth with its length count: the fit is now used beyond 42%, and intervals are divided by what running requests add to a step.

--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -362,7 +362,7 @@
 
 	if (events < INTERVAL_EVENTS)
 		return;
-	fleet_on_interval(fleet_latest(xfer->worker),
+	fleet_on_interval(xfer->proxyd->fleet, fleet_latest(xfer->worker),
 			  (double)(now - xfer->interval_at) / (double)events,
 			  now);
 	xfer->interval_at = now;
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -469,6 +469,10 @@
 		.params = {
 			.prefill_ms = conf->prefill_us / 1000,
 			.per_running_ms = FLEET_RUNNING_MS,
+			.running_share = conf->step_us > 0
+						 ? conf->step_slot_us /
+							   conf->step_us
+						 : 0,
 			.cross_dc_ms = conf->distance_ms,
 			.cache_ttl = FLEET_CACHE_TTL_MS,
 		},
--- a/decide/fleet-speed.c
+++ b/decide/fleet-speed.c
@@ -13,7 +13,7 @@
 
 #define HALF_LIFE_MS 6000.0    /* of an observation */
 #define INTERVAL_MAX_MS 3000.0 /* beyond it, a stream has stalled */
-#define WEIGHT_MIN 0.9	       /* of a worker that is compared */
+#define WEIGHT_MIN 2.5	       /* of a worker that is compared */
 #define WEIGHT_ASSUMED 0.3     /* of the pool's figure, in observations */
 #define COMPARED_MIN 3	       /* workers of a pool */
 #define RATIO_MAX 4.0
@@ -24,8 +24,8 @@
 #define PACE_USUAL 0.15	     /* a sample of the speed may be off by so much */
 /* Logarithms of the ratios from which a worker's speed counts as different, and
  * until which: load alone makes intervals differ by a fifth. */
-#define DIFFERENT_FROM 0.30
-#define DIFFERENT_UNTIL 0.22
+#define DIFFERENT_FROM 0.40
+#define DIFFERENT_UNTIL 0.28
 
 /* The expected cached tokens are most likely right if no other shared part is
  * expected to be missing than one of this share of the uncached tokens. */
@@ -81,14 +81,17 @@
 	speed->at = now;
 }
 
-void fleet_on_interval(struct fleet_worker *worker, double ms, clk_ms now)
+void fleet_on_interval(const struct fleet *fleet, struct fleet_worker *worker,
+		       double ms, clk_ms now)
 {
 	struct fleet_speed *speed = &worker->speed;
+	double load = worker->inflight + MAX(worker->peer_requests, 0);
 
 	if (!(ms >= 0))
 		return;
 	fleet_speed_fade(worker, now);
 	speed->weight += 1;
+	ms /= 1 + load * fleet->params.running_share;
 	speed->sum += log(MIN(ms, INTERVAL_MAX_MS) + 1);
 }
 
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -164,6 +164,8 @@
 struct fleet_params {
 	double prefill_ms;     /* per uncached token */
 	double per_running_ms; /* per running request */
+	double running_share;  /* what a running request adds to a decode step,
+				* relative to its fixed part */
 	double cross_dc_ms;    /* for a worker in another data centre */
 	unsigned samples;      /* workers compared besides a session's preferred
 				* one; 0: all, where hosts are few */
@@ -445,7 +447,8 @@
 
 /* Two events of one of its streams have come that many ms apart, on average
  * over several. */
-void fleet_on_interval(struct fleet_worker *worker, double ms, clk_ms now);
+void fleet_on_interval(const struct fleet *fleet, struct fleet_worker *worker,
+		       double ms, clk_ms now);
 /* Fades own observations. */
 void fleet_speed_fade(struct fleet_worker *worker, clk_ms now);
 /* Sets what other hosts have seen, given by a worker's key. */
--- a/decide/speed.c
+++ b/decide/speed.c
@@ -7,14 +7,16 @@
 #define PAIRS_UNIT 1e6	    /* pairs of tokens that pair_ms stands for */
 #define REFIT_MS 250	    /* between two fits: one takes below 0.2 ms */
 #define SAMPLE_AGE_MS 20000 /* after which a sample no longer counts */
-#define SAMPLES_MIN 6	    /* of one fit */
+#define SAMPLES_MIN 10	    /* of one fit */
 #define FACTOR_MAX 8.0	    /* of the settings' time, either way */
 #define FIXED_MAX_MS 1000.0
 #define PAIR_MAX_MS 4.0
-/* The fit is used if its time of the usual prompt differs by more from that of
- * the settings, until it differs by less. */
-#define DIFFERS_FROM 0.12
-#define DIFFERS_UNTIL 0.08
+/* The fit is used if the logarithm of its time of the usual prompt differs by
+ * more from that of the settings, until it differs by less. Measured times
+ * include the steps in which the prompt is prefilled and the growth with its
+ * length: with the settings' own speed that is 18% in rw-sim's calm load. */
+#define DIFFERS_FROM 0.35
+#define DIFFERS_UNTIL 0.25
 /* Least absolute deviations, by reweighted least squares. */
 #define ROUNDS 30
 #define ROUNDS_LAD 22 /* before samples far from the fit are rejected */
@@ -31,7 +33,7 @@
 #define FIXED_UNIT_MS 20.0
 /* Bounds of one sample's part in the spread, relative to the fit. */
 #define SPREAD_SAMPLE_MIN 0.4
-#define SPREAD_SAMPLE_MAX 2.5
+#define SPREAD_SAMPLE_MAX 1.5
 #define SPREAD_TOKENS 500 /* uncached, of samples that show it */
 
 enum { FIXED, TOKEN, PAIR, TERMS };
@@ -210,10 +212,9 @@
 	};
 	speed->fitted_at = now;
 	samples_describe(speed, since);
-	difference = (speed->fit.token_ms +
-		      speed->fit.pair_ms * speed->depth / PAIRS_UNIT) /
-			     speed->initial_ms -
-		     1;
+	difference = log((speed->fit.token_ms +
+			  speed->fit.pair_ms * speed->depth / PAIRS_UNIT) /
+			 speed->initial_ms);
 	speed->differs = fabs(difference) >
 			 (speed->differs ? DIFFERS_UNTIL : DIFFERS_FROM);
 	return true;
--- a/sim/world-call.c
+++ b/sim/world-call.c
@@ -11,6 +11,7 @@
 #define WEIGHT_MAX 4	  /* greatest weight */
 #define HOST_DRAWS 8	  /* random draws to find a host of a data centre */
 #define EXP_MIN 1e-9
+#define INTERVAL_EVENTS 6 /* at least, of a stream that shows the speed */
 
 /* A request of a caller, with all its attempts. */
 struct world_call {
@@ -34,6 +35,8 @@
 	GPtrArray *runs; /* struct engine_run: all of them, as scheduled
 			  * events may point to them */
 	bool had_first;
+	clk_ms sent_at;	 /* of the attempt */
+	clk_ms first_at; /* its first event */
 	bool ended;
 	double first_ms; /* from arrival to first event; 0: none yet */
 };
@@ -133,6 +136,11 @@
 
 	call->had_first = true;
 	fleet_first_token(call->worker, &call->request);
+	call->first_at = call->world->sim->now;
+	if (call->world->policy->measures && call->request.shows_speed)
+		fleet_on_first_event(
+			call->host->fleet, call->worker, &call->request,
+			call->first_at - call->sent_at, call->first_at);
 	if (call->first_ms == 0)
 		call->first_ms =
 			(double)(call->world->sim->now - call->arrived) +
@@ -162,6 +170,20 @@
 		call_retry_after(call, RETRY_AFTER_MS, RESULT_FAILED);
 }
 
+/* Notes the time between the events of a stream that has ended. */
+static void interval_note(struct world_call *call)
+{
+	struct world *world = call->world;
+	int events = call->answer_tokens / (int)world->conf->stride - 1;
+
+	if (world->policy->measures && call->had_first &&
+	    !call->load->service && events >= INTERVAL_EVENTS)
+		fleet_on_interval(call->host->fleet, call->worker,
+				  (double)(world->sim->now - call->first_at) /
+					  events,
+				  world->sim->now);
+}
+
 static void on_end(void *ctx, enum engine_result result)
 {
 	static const enum fleet_outcome outcomes[] = {
@@ -179,6 +201,8 @@
 	fleet_on_load(call->worker, (int)engine_running(worker->engine),
 		      (int)engine_waiting(worker->engine), world->sim->now);
 	call->run = NULL;
+	if (result == ENGINE_COMPLETE)
+		interval_note(call);
 	call_release_worker(call);
 	if (result == ENGINE_COMPLETE)
 		call_end(call, on_time ? RESULT_ON_TIME : RESULT_LATE);
@@ -290,17 +314,21 @@
 static void call_add_demand(struct world_call *call, int cached)
 {
 	struct world *world = call->world;
-	struct scale_engine speed = {
-		.prefill_ms = world->engine_params.prefill_ms,
+	struct fleet *fleet = call->host->fleet;
+	const char *pool = call->request.pool;
+	struct scale_engine engine = {
 		.step_ms = world->conf->step_ms,
 		.step_slot_ms = world->conf->step_slot_ms,
 		.slots = (int)world->conf->slots,
 	};
 
 	if (!call->load->service)
-		world->busy_ms += scale_work_ms(
-			&speed, call->request.prompt_tokens - cached,
-			call->answer_tokens);
+		world->busy_ms +=
+			speed_work_ms(fleet_speed(fleet, pool),
+				      call->request.prompt_tokens - cached,
+				      cached) *
+				fleet_speed_mix(fleet, pool) +
+			scale_work_ms(&engine, 0, call->answer_tokens);
 }
 
 /* Sends an attempt to the chosen worker. */
@@ -315,6 +343,9 @@
 	call->request.prefill_tokens =
 		call->request.prompt_tokens - choice->cached_tokens;
 	call->had_first = false;
+	call->sent_at = world->sim->now;
+	call->request.shows_speed =
+		fleet_shows_speed(choice->worker, &call->request);
 	fleet_begin(choice->worker, &call->request, world->sim->now);
 	call->attempt_number++;
 	*attempt = (struct world_attempt){ .call = call,
--- a/sim/world-worker.c
+++ b/sim/world-worker.c
@@ -67,6 +67,11 @@
 	worker->engine =
 		engine_create(world->sim, service ? &world->service_params
 						  : &world->engine_params);
+	/* Evenly among the workers, in the order of their start. */
+	if (!service && floor((world->engines + 1) * world->conf->slow_share) >
+				floor(world->engines * world->conf->slow_share))
+		engine_set_slowdown(worker->engine, world->conf->slow_factor);
+	world->engines += !service;
 	g_ptr_array_add(world->workers, worker);
 	worker_publish(world, worker);
 	return worker;
--- a/sim/world.c
+++ b/sim/world.c
@@ -13,15 +13,19 @@
 #define HOST_NAME_SIZE 16
 
 const struct policy policies[] = {
-	{ "all", "all decisions of rw-proxyd", SELECT_COST, true, true, true },
-	{ "no-shed", "no load shedding", SELECT_COST, false, true, true },
+	{ "all", "all decisions of rw-proxyd", SELECT_COST, true, true, true,
+	  true },
+	{ "no-shed", "no load shedding", SELECT_COST, false, true, true, true },
 	{ "no-sessions", "selection ignores prompt caches", SELECT_COST, true,
-	  false, true },
+	  false, true, true },
 	{ "untold", "hosts do not report their load to each other", SELECT_COST,
-	  true, true, false },
+	  true, true, false, true },
+	{ "unmeasured", "the speed of workers is as expected", SELECT_COST,
+	  true, true, true, false },
 	{ "least", "the worker with the fewest requests", SELECT_LEAST_REQUESTS,
-	  false, false, true },
-	{ "random", "a random worker", SELECT_RANDOM, false, false, false },
+	  false, false, true, false },
+	{ "random", "a random worker", SELECT_RANDOM, false, false, false,
+	  false },
 };
 const size_t policy_count = G_N_ELEMENTS(policies);
 
@@ -84,8 +88,10 @@
 	};
 	struct fleet options = {
 		.params = {
-			.prefill_ms = world->conf->prefill_us * MS_PER_US,
+			.prefill_ms = world->expected_ms,
 			.per_running_ms = FLEET_RUNNING_MS,
+			.running_share = world->conf->step_slot_ms /
+					 world->conf->step_ms,
 			.cross_dc_ms = 2 * world->conf->distance_ms,
 			.samples = world->conf->hosts > FULL_SCAN_MAX_HOSTS
 					   ? SAMPLE_COUNT
@@ -124,6 +130,47 @@
 	}
 }
 
+/* Gives each host what the others have seen of the speed of one worker. */
+static void speed_exchange(struct world *world,
+			   const struct world_worker *worker)
+{
+	double weight = 0;
+	double sum = 0;
+
+	for (int pass = 0; pass < 2; pass++)
+		for (guint h = 0; h < world->hosts->len; h++) {
+			struct world_host *host =
+				g_ptr_array_index(world->hosts, h);
+			struct fleet_worker *known =
+				fleet_find(host->fleet, worker->id);
+
+			if (!known)
+				continue;
+			if (pass == 0) {
+				fleet_speed_fade(known, world->sim->now);
+				weight += known->speed.weight;
+				sum += known->speed.sum;
+				continue;
+			}
+			fleet_on_peer_speed_weight(host->fleet, known->key,
+						   weight -
+							   known->speed.weight);
+			fleet_on_peer_speed_sum(host->fleet, known->key,
+						sum - known->speed.sum);
+		}
+}
+
+static void speeds_exchange(struct world *world)
+{
+	for (guint i = 0; i < world->workers->len; i++)
+		speed_exchange(world, g_ptr_array_index(world->workers, i));
+	for (guint h = 0; h < world->hosts->len; h++) {
+		struct world_host *host = g_ptr_array_index(world->hosts, h);
+
+		fleet_speeds_update(host->fleet, world->sim->now);
+	}
+}
+
 /* Collects the load reports of all hosts, and gives each host the aggregated
  * reports of its peers. */
 static void load_exchange(void *ctx, void *arg)
@@ -165,6 +212,8 @@
 	}
 	g_free(requests);
 	g_free(prompts);
+	if (world->policy->measures)
+		speeds_exchange(world);
 	sim_after(world->sim, world->conf->report_ms, load_exchange, world,
 		  NULL);
 }
@@ -250,6 +299,9 @@
 	world->spot_unavailable_until = g_new0(clk_ms, dcs);
 	world->booting = g_new0(int, (gsize)2 * (gsize)dcs);
 	params_init(world);
+	world->expected_ms = scenario->conf->expected_us > 0
+				     ? scenario->conf->expected_us * MS_PER_US
+				     : world->engine_params.prefill_ms;
 	for (int i = 0; i < scenario->conf->hosts; i++)
 		host_add(world, i);
 	for (int i = 0; i < scenario->conf->workers; i++)
--- a/sim/world.h
+++ b/sim/world.h
@@ -30,6 +30,7 @@
 	bool cache_aware; /* prefer workers that have the prompt cached, so that
 			   * requests of a session share one */
 	bool shares_load; /* hosts report their load at workers to each other */
+	bool measures;	  /* hosts learn the speed of workers */
 };
 
 extern const struct policy policies[];
@@ -64,6 +65,8 @@
 	struct result *result;
 	struct engine_params engine_params;
 	struct engine_params service_params;
+	unsigned engines;   /* that were ever started */
+	double expected_ms; /* per prompt token, before it is measured */
 	GPtrArray *hosts;   /* struct world_host */
 	GPtrArray *workers; /* struct world_worker, including removed ones */
 	GArray *reported_requests; /* double: by worker, over all hosts */
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -148,6 +148,9 @@
 	double step_ms;
 	double step_slot_ms;
 	double prefill_us;
+	double expected_us;
+	double slow_share;
+	double slow_factor;
 	double pair_ms;
 	int64_t chunk;
 	int64_t stride;
