--- a/decide/sse.c
+++ b/decide/sse.c
@@ -3,9 +3,9 @@
 
 #include <string.h>
 
-#define EVENT_MAX (1 << 20)    /* bytes of one event */
-#define BUFFER_KEEP_BYTES 8192 /* larger buffers are fitted to what they hold  \
-				*/
+#define EVENT_MAX (1 << 20) /* bytes of one event */
+/* Larger buffers are fitted to what they hold. */
+#define BUFFER_KEEP_BYTES 8192
 
 void sse_init(struct sse *sse, int64_t last_id)
 {
--- a/tests/hostile.py
+++ b/tests/hostile.py
@@ -12,6 +12,7 @@
 import json
 import os
 import socket
+import struct
 import subprocess
 import sys
 
@@ -353,9 +354,74 @@
         watch.check()
 
 
+# What is sent of a body before its connection ends. Each part is valid JSON, so
+# that nothing but the framing tells that it is not whole.
+PARTS = [
+    sized(100) + b"\r\n{\"q\": 1}",
+    sized(1 << 19) + b"\r\n{\"q\": 1}" + b" " * 300000,
+    CHUNKED + b"\r\n8\r\n{\"q\": 1}\r\n",
+    CHUNKED + b"\r\n8\r\n{\"q\": 1}\r\n0\r\n",
+    CHUNKED + b"\r\n9\r\n{\"q\": 1}",
+]
+
+
+async def end_within_body(address, first, part, resets):
+    """Sends a part of a body; its connection is closed or reset while the rest
+    is still to be written."""
+    host, port = address.split(":")
+    sock = socket.socket()
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    await asyncio.get_running_loop().sock_sendall(sock, first + part)
+    await asyncio.sleep(0.1)
+    if resets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                        struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def end_all(address, first):
+    await asyncio.gather(*[
+        end_within_body(address, first % (b"part%d%d" % (n, resets)), part,
+                        resets)
+        for n, part in enumerate(PARTS) for resets in (False, True)])
+    await asyncio.sleep(HOLD_S)
+
+
+async def proxy_partial_body():
+    """A part of a body, whose connection ends, is never sent to a worker."""
+    async with HostileRig() as rig:
+        host = rig.hosts[0]
+        await configure(rig, host, BODY_MAX)
+        before = [len(w.received) for w in rig.workers]
+        await end_all(host.front, HEAD.replace(b"x%06x", b"%%s")[:-4] % (
+            b"/o/x"))
+        assert [len(w.received) for w in rig.workers] == before
+        await ordinary(host, "afterwards")
+
+
+def entry_partial_body():
+    """The same for rw-entryd and its services."""
+    with entryrig.Rig(entries=1, engines=0, services=1, data_centres=1) as rig:
+        rig.wait_ready()
+        entry = rig.live()[0]
+        asyncio.run(end_all(entry.address, (
+            b"POST /v1/call/stock HTTP/1.1\r\nHost: a\r\nX-Account: coop\r\n"
+            b"X-Request-Id: %s\r\n")))
+        assert rig.ledger() == [], rig.ledger()
+        status = entryrig.call(entry.address, "POST", "/v1/call/stock",
+                               {"q": 1}, {"x-account": "coop"})[0]
+        assert status == 200 and len(rig.ledger()) == 1, (
+            status, rig.ledger())
+
+
 def run_case(name):
     if name == "largest":
         asyncio.run(proxy_largest())
+    elif name == "partial_body":
+        asyncio.run(proxy_partial_body())
+    elif name == "entry_partial_body":
+        entry_partial_body()
     elif name in PROXY_CASES:
         asyncio.run(proxy_case(PROXY_CASES[name]))
     else:
@@ -363,7 +429,8 @@
 
 
 def main():
-    names = list(PROXY_CASES) + ["largest"] + list(ENTRY_CASES)
+    names = list(PROXY_CASES) + ["largest", "partial_body"] + list(ENTRY_CASES)
+    names.append("entry_partial_body")
     chosen = sys.argv[1:] or names
     if chosen == ["--list"]:
         print("\n".join(names))
