--- a/tests/hostile.py
+++ b/tests/hostile.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import os
+import signal
 import socket
 import struct
 import subprocess
@@ -102,6 +103,13 @@
     yield b"x" * BODY_MAX
 
 
+def entry_bodies(path, n):
+    body = b'{"q": "' + b"x" * (BODY_MAX - 16) + b'"}'
+    yield HEAD % (path, n, b"X-Account: coop\r\nX-Request-Id: h%d\r\n" % n
+                  + sized(len(body)))
+    yield body
+
+
 def plain_get(path, n):
     yield HEAD % (path, n, sized(1)) + b"x"
 
@@ -171,6 +179,10 @@
                  "chunks_large_short", "chunks_small_short", "extensions",
                  "trailers", "heads")
 }
+# The service is stopped meanwhile.
+ENTRY_CASES["entry_bodies_in_flight"] = case(
+    150, entry_bodies, b"/v1/call/stock", workers=signal.SIGSTOP,
+    meanwhile=False)
 
 
 class Crowd:
@@ -343,11 +355,15 @@
 
         async def run():
             crowd = Crowd(entry.address, row)
+            if row["workers"]:
+                rig.services[0].signal(row["workers"])
             await crowd.send_all()
             watch.look()
-            await asyncio.to_thread(ordinary_entry)
+            if row["meanwhile"]:
+                await asyncio.to_thread(ordinary_entry)
             await crowd.close()
         asyncio.run(run())
+        rig.services[0].signal(signal.SIGCONT)
         ordinary_entry()
         print("peak %.1f MB, %d descriptors" % (watch.peak_mb(),
                                                 watch.descriptors))
