--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -23,10 +23,10 @@
 /* What a running request adds to the time to first token. */
 #define FLEET_RUNNING_MS 2
 /* What a new connection costs: a round trip, work at the worker and a price.
- * build/tests/sim-connect shows 0.18 and 0.25 connections per request for 0.50
- * and 0.53 without it; more than that makes engines prefill more shared parts
+ * tests/sim-connect.c has 0.16 and 0.23 new connections for each request in
+ * place of 0.38 and 0.41; a higher cost makes engines prefill more shared parts
  * again. */
-#define FLEET_CONNECT_MS 8
+#define FLEET_CONNECT_MS 6
 /* After this time a cached prompt part no longer counts, as an engine evicts it
  * sooner or later. */
 #define FLEET_CACHE_TTL_MS 60000
