--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -145,6 +145,8 @@
 	proxyd->reloaded_at = proxyd_now(proxyd);
 	slog_configure(slog_level_parse(conf->log_level), (int)conf->log_rate);
 	fleet_set_prefill(proxyd->fleet, conf->prefill_us / 1000);
+	proxyd->fleet->params.running_share =
+		conf->step_us > 0 ? conf->step_slot_us / conf->step_us : 0;
 	proxyd->fleet->params.cross_dc_ms = conf->distance_ms;
 	slog(SLOG_NOTICE, "reload", "why=%s outcome=adopted", why);
 }
