--- a/wire/http-held.h
+++ b/wire/http-held.h
@@ -1,7 +1,7 @@
 /*
  * Counts what the connections of h2o's server hold in the process's budget, and
- * ends those that are evicted. h2o is not asked to: the socket is shut down,
- * and h2o then closes its connection as if the caller had.
+ * ends those that are evicted. h2o has no call for that: its read callback gets
+ * an error or, if it is not reading, its socket is shut down.
  */
 #ifndef WIRE_HTTP_HELD_H
 #define WIRE_HTTP_HELD_H
