Weigh connections only where workers are many

In a small pool each host's requests reuse connections to all workers, and a host that always took the one it is connected to would not learn how the others are.

--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -21,6 +21,7 @@
 /* How long a worker's own report is used instead of those of the hosts. */
 #define REPORT_FRESH_MS 250
 #define SLOT_WAIT_MS 60.0 /* cost of waiting for a busy slot */
+#define CONNECT_FEW 8	  /* workers of a pool */
 #define SUBSET_SIZE 192	  /* workers of a pool that a host gets reports of */
 #define BRITTLE_MS 10000  /* after the last answer of a brittle worker */
 #define CACHED_PARTS_MAX 4096 /* per worker */
@@ -744,6 +745,7 @@
 	struct fleet *fleet;
 	const struct fleet_request *request;
 	const struct fleet_worker *preferred;
+	bool weighs; /* connections */
 	clk_ms now;
 	unsigned ties; /* workers tied for the lowest cost */
 	struct fleet_choice best;
@@ -801,7 +803,9 @@
 		placement_cost(selection->fleet, worker, selection->preferred,
 			       selection->request, selection->now, &cached);
 	double cost = expected + health_cost(worker, selection->now) +
-		      (is_connected ? 0 : connect_cost(selection, worker));
+		      (is_connected || !selection->weighs
+			       ? 0
+			       : connect_cost(selection, worker));
 	double margin = TIE_MS + TIE_SHARE * best->cost;
 
 	best->candidates++;
@@ -846,13 +850,13 @@
 	return full > 0 && fleet->random(fleet->ctx, count) < full;
 }
 
-/* Whether a worker needs no new connection, as far as that matters. */
-static bool has_connection(const struct fleet *fleet,
-			   const struct fleet_worker *worker,
-			   const struct fleet_request *request)
+/* Whether a new connection counts as a cost: where workers are few, a host's
+ * requests reuse connections to all of them. */
+static bool weighs_connections(const struct fleet *fleet,
+			       const GPtrArray *workers)
 {
 	return fleet->params.connect_ms > 0 && fleet->is_connected &&
-	       fleet->is_connected(fleet->ctx, worker, request);
+	       workers->len > CONNECT_FEW;
 }
 
 /* Whether all samples were compared, and the preferred worker was or can't be.
@@ -860,13 +864,11 @@
 static bool is_sampled(const struct selection *selection,
 		       const unsigned sampled[2])
 {
-	const struct fleet *fleet = selection->fleet;
-	bool counts = fleet->params.connect_ms > 0 && fleet->is_connected;
+	unsigned samples = selection->fleet->params.samples;
 
 	return (!selection->preferred ||
 		selection->preferred == selection->request->exclude) &&
-	       (!counts ||
-		MIN(sampled[0], sampled[1]) >= fleet->params.samples);
+	       (!selection->weighs || MIN(sampled[0], sampled[1]) >= samples);
 }
 
 /* Chooses among the workers of one group: all, or the preferred one and random
@@ -886,6 +888,7 @@
 		.preferred = request->engine
 				     ? preferred_worker(workers, request)
 				     : NULL,
+		.weighs = weighs_connections(fleet, workers),
 		.now = now,
 	};
 	unsigned samples = fleet->params.samples;
@@ -915,7 +918,8 @@
 			consider_wanted(&selection, worker);
 			continue;
 		}
-		is_connected = has_connection(fleet, worker, request);
+		is_connected = selection.weighs &&
+			       fleet->is_connected(fleet->ctx, worker, request);
 		if (samples && worker != selection.preferred &&
 		    sampled[is_connected]++ >= samples) {
 			if (is_sampled(&selection, sampled))
--- a/decide/fleet.h
+++ b/decide/fleet.h
@@ -23,7 +23,7 @@
 /* What a running request adds to the time to first token. */
 #define FLEET_RUNNING_MS 2
 /* What a new connection costs: a round trip, work at the worker and a price.
- * tests/sim-connect.c has 0.16 and 0.23 new connections for each request in
+ * tests/sim-connect.c has 0.17 and 0.24 new connections for each request in
  * place of 0.38 and 0.41; a higher cost makes engines prefill more shared parts
  * again. */
 #define FLEET_CONNECT_MS 6
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -991,14 +991,16 @@
 	int shared; /* tokens of the prompt's shared part */
 	int busy;   /* requests at the worker with a connection */
 	unsigned samples;
-	bool connected; /* that one is chosen */
+	unsigned workers;
+	bool connected; /* that one is chosen each time */
 } connect_cases[] = {
-	{ "a connection is reused", 0, 0, 0, true },
-	{ "also at a worker with a little more work", 0, 1, 0, true },
-	{ "not at one with much more", 0, 8, 0, false },
-	{ "rather than a few tokens that are cached", 100, 0, 0, true },
-	{ "but not rather than many", 5000, 0, 0, false },
-	{ "it is among those that are sampled", 0, 0, 2, true },
+	{ "a connection is reused", 0, 0, 0, 40, true },
+	{ "also at a worker with a little more work", 0, 1, 0, 40, true },
+	{ "not at one with much more", 0, 8, 0, 40, false },
+	{ "rather than a few tokens that are cached", 100, 0, 0, 40, true },
+	{ "but not rather than many", 5000, 0, 0, 40, false },
+	{ "it is among those that are sampled", 0, 0, 2, 40, true },
+	{ "it does not count where workers are few", 0, 3, 0, 8, false },
 };
 
 /* Guards against connections that are opened to workers that are no better, and
@@ -1006,7 +1008,7 @@
  * overloaded, for a connection. */
 START_TEST(fleet_weighs_connections)
 {
-	struct fleet *fleet = fleet_make(40);
+	struct fleet *fleet = fleet_make(connect_cases[_i].workers);
 	struct fleet_request request = {
 		.pool = "pool",
 		.engine = true,
