--- a/tests/standin.py
+++ b/tests/standin.py
@@ -655,7 +655,8 @@
         if self.floods:
             await self.flood(own, writer)
             return False
-        await asyncio.sleep(self.delay_s)
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         if self.mode == "error" or (self.fails_every and len(
                 self.executed) % self.fails_every == 0):
             writer.write(response(500, b"broken", own))
