--- a/decide/fleet.c
+++ b/decide/fleet.c
@@ -817,7 +817,7 @@
 	const struct fleet_request *request;
 	const struct fleet_worker *preferred;
 	const struct speed *speed; /* of the pool */
-	bool weighs; /* connections */
+	bool weighs;		   /* connections */
 	clk_ms now;
 	unsigned ties; /* workers tied for the lowest cost */
 	struct fleet_choice best;
