--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -2955,13 +2955,8 @@
 	tcase_add_test(tcase, origin_waits_for_keeper);
 }
 
-static Suite *proxy_suite(void)
+static void request_tests_add(TCase *tcase)
 {
-	Suite *suite = suite_create("unit-proxy");
-	TCase *tcase = tcase_create("tables");
-
-	process_tests_add(tcase);
-	suite_add_tcase(suite, tcase);
 	tcase_add_test(tcase, px_continues_moved_run);
 	tcase_add_loop_test(tcase, px_chooses_action_after_attempt, 0,
 			    G_N_ELEMENTS(px_cases));
@@ -2973,6 +2968,16 @@
 			    G_N_ELEMENTS(px_timeout_cases));
 	tcase_add_loop_test(tcase, px_goes_on_when_declined, 0,
 			    G_N_ELEMENTS(px_declined_cases));
+}
+
+static Suite *proxy_suite(void)
+{
+	Suite *suite = suite_create("unit-proxy");
+	TCase *tcase = tcase_create("tables");
+
+	process_tests_add(tcase);
+	suite_add_tcase(suite, tcase);
+	request_tests_add(tcase);
 	tcase_add_loop_test(tcase, sse_splits_events, 0,
 			    G_N_ELEMENTS(sse_cases));
 	tcase_add_test(tcase, sse_accepts_any_split);
