--- a/daemon/proxyd-ends.c
+++ b/daemon/proxyd-ends.c
@@ -21,6 +21,7 @@
 	{ "silent", CTR_unanswered_silent },
 	{ "time_over", CTR_unanswered_late },
 	{ "caller_does_not_read", CTR_unanswered_slow },
+	{ "no_memory", CTR_unanswered_memory },
 	{ "moved_in_vain", CTR_unanswered_move },
 	{ "moved_to_lost_worker", CTR_unanswered_move },
 	{ "host_cut_off", CTR_unanswered_host },
--- a/wire/budget.h
+++ b/wire/budget.h
@@ -17,7 +17,7 @@
 };
 
 struct budget_ops {
-	/* Whether the connection has got ahead since it was last asked. */
+	/* Whether the connection has made progress since the last call. */
 	bool (*has_progress)(void *ctx);
 	/* Gives up what may be given up; returns what was done. */
 	const char *(*evict)(void *ctx);
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -71,6 +71,7 @@
 	X(unanswered_silent, "unanswered: the worker was silent")              \
 	X(unanswered_late, "unanswered: the deadline has passed")              \
 	X(unanswered_slow, "unanswered: the caller did not read")              \
+	X(unanswered_memory, "unanswered: the byte budget was used up")        \
 	X(unanswered_move, "unanswered: a move to another worker failed")      \
 	X(unanswered_host,                                                     \
 	  "unanswered: the host it was forwarded to ended it")                 \
