--- a/decide/hold.h
+++ b/decide/hold.h
@@ -48,8 +48,8 @@
 /* Sets how many bytes are held for a purpose. */
 void hold_set(struct hold *hold, struct hold_holder *holder,
 	      enum hold_purpose purpose, size_t bytes, clk_ms now);
-/* The connection has made progress: bytes of a request have arrived, or its client
- * has read some. */
+/* The connection has made progress: bytes of a request have arrived, or its
+ * client has read some. */
 void hold_on_progress(struct hold *hold, struct hold_holder *holder,
 		      clk_ms now);
 /* The connection is closed. */
