A stream that is taken up does not wait at a host that has just started

Not shown to be the cause: such requests waited for the configuration and were then sent at once, when a host knows the least of versions. They are refused again, as before.

--- a/daemon/proxyd-front.c
+++ b/daemon/proxyd-front.c
@@ -351,6 +351,10 @@
 	clk_ms wait;
 
 	head_request_parse(hs_request_head(call), &request);
+	/* What other hosts and the store know of its version arrives later than
+	 * the configuration. */
+	if (request.last_event_id >= 0)
+		return false;
 	wait = startup_wait(proxyd_now(proxyd) - proxyd->started_at,
 			    request.time_left, proxyd->conf->start_wait_ms);
 	if (wait <= 0 || !startq_add(proxyd->starting, call, wait))
