--- a/tools/check.sh
+++ b/tools/check.sh
@@ -136,6 +136,9 @@
 for case in $(python3 tests/hostile.py --list); do
 	run "hostile_$case" python3 tests/hostile.py "$case"
 done
+for case in $(python3 tests/crowds.py --list); do
+	run "crowd_$case" python3 tests/crowds.py "$case"
+done
 process_tests proxyrollout
 # Half of the hosts are of a former build. "not run" if the clone lacks its commit.
 # PROCESS_TESTS: tests of tests/proxyprocess.py that run at the same time.
