--- a/daemon/proxyd-follow.c
+++ b/daemon/proxyd-follow.c
@@ -39,8 +39,7 @@
 		.body_max = limits->body_max,
 		.head_timeout = limits->head_timeout,
 		.idle_timeout = limits->idle_timeout,
-		.connections_max =
-			(size_t)MAX(proxyd->conf->descriptors / 2, 64),
+		.in_flight_max = (size_t)MAX(proxyd->conf->descriptors / 2, 64),
 	};
 
 	hs_set_limits(proxyd->front, &front);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -317,7 +317,7 @@
 			.head_max = LOCAL_HEAD_MAX,
 			.head_timeout = LOCAL_IDLE_MS,
 			.idle_timeout = LOCAL_IDLE_MS,
-			.connections_max = LOCAL_CONNECTIONS,
+			.in_flight_max = LOCAL_CONNECTIONS,
 		},
 		.on_request = fn,
 		.ctx = proxyd,
@@ -354,7 +354,7 @@
 			.body_max = 4194304,
 			.head_timeout = 3000,
 			.idle_timeout = 15000,
-			.connections_max = (size_t)MAX(
+			.in_flight_max = (size_t)MAX(
 				conf->descriptors - DESCRIPTORS_RESERVED, 64),
 		},
 		.on_request = front_on_request,
@@ -565,6 +565,7 @@
 		.loop = &proxyd->loop,
 		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
 		.memory_mb = conf->memory_mb,
+		.descriptors = conf->descriptors,
 		.log = on_budget_log,
 	};
 
--- a/decide/hold.h
+++ b/decide/hold.h
@@ -1,10 +1,13 @@
 /*
- * Bytes that a process holds on behalf of its clients and upstreams, and which
- * connection is evicted first when they exceed the process's budget.
+ * What a process holds on behalf of its clients and upstreams, and which
+ * connection gives way first when that exceeds the process's budget: bytes in
+ * its memory, and connections.
  *
- * That is the one which, among those holding bytes that may be given up, has
- * gone longest without progress. What a request in flight needs is never given
- * up: such a request has perhaps run.
+ * That is the one which, among those holding something that may be given up,
+ * lags most. A connection's lag grows with time and shrinks by a millisecond
+ * with each byte that its client sends or takes: a client that stalls, or
+ * trickles, gives way before one that sends. What a request in flight needs is
+ * never given up: such a request has perhaps run.
  */
 #ifndef DECIDE_HOLD_H
 #define DECIDE_HOLD_H
@@ -26,32 +29,76 @@
 	HOLD_PURPOSES,
 };
 
+/* Connections that one listener has accepted. */
+struct hold_group {
+	size_t limit; /* requests in flight; connections may be
+		       * HOLD_WAITING_MAX more */
+	size_t connections;
+	size_t busy;  /* of these, with a request in flight */
+	GQueue order; /* struct hold_holder that may be displaced, the one that
+		       * lags most first */
+	GList link;
+};
+
+/* Connections of a listener beyond its limit of requests in flight. */
+#define HOLD_WAITING_MAX 64
+
 /* All holders of a process. */
 struct hold {
 	size_t limit; /* bytes; 0: none */
 	size_t total;
 	size_t bytes[HOLD_PURPOSES];
 	GQueue order; /* struct hold_holder that may be evicted, the one that
-		       * has gone longest without progress first */
+		       * lags most first */
+	size_t connections_limit; /* accepted and outgoing ones; 0: none */
+	size_t connections;
+	GQueue groups; /* struct hold_group */
 };
 
 /* One connection. */
 struct hold_holder {
 	size_t bytes[HOLD_PURPOSES]; /* as allocated */
-	clk_ms progress_at; /* last progress, or when it began to hold bytes */
-	bool can_evict;	    /* its owner knows how */
-	bool is_listed;
+	/* When its client would have made its last progress, if it had sent or
+	 * taken a byte each millisecond since: now, if it is as fast. */
+	clk_ms progress_at;
+	bool can_evict; /* its owner knows how */
+	bool is_listed; /* in hold's order */
+	bool is_counted;
+	bool is_busy;		  /* a request is in flight */
+	bool may_displace;	  /* in its group's order */
+	struct hold_group *group; /* NULL: outgoing */
 	GList link;
+	GList group_link;
 };
 
 void hold_init(struct hold_holder *holder, bool can_evict);
+/* Adds the connections of a listener. */
+void hold_group_add(struct hold *hold, struct hold_group *group, size_t limit);
 /* Sets how many bytes are held for a purpose. */
 void hold_set(struct hold *hold, struct hold_holder *holder,
 	      enum hold_purpose purpose, size_t bytes, clk_ms now);
-/* The connection has made progress: bytes of a request have arrived, or its
- * client has read some. */
+/* The connection's lag ends: it begins a request, or has its response. */
 void hold_on_progress(struct hold *hold, struct hold_holder *holder,
 		      clk_ms now);
+/* Bytes of a request have arrived, or its client has taken some. */
+void hold_on_bytes(struct hold *hold, struct hold_holder *holder, size_t bytes,
+		   clk_ms now);
+/* Returns how long the connection has stalled, in ms. */
+clk_ms hold_lag(const struct hold_holder *holder, clk_ms now);
+/* Counts a connection; group NULL: an outgoing one. */
+void hold_join(struct hold *hold, struct hold_group *group,
+	       struct hold_holder *holder, clk_ms now);
+/* Whether another connection may be accepted for a group, or opened (NULL). */
+bool hold_has_place(const struct hold *hold, const struct hold_group *group);
+/* Returns the connection to close, so that another one finds a place; NULL:
+ * none may be closed now, but one may after *wait ms (CLK_NEVER: none). */
+struct hold_holder *hold_next_displaced(const struct hold *hold,
+					const struct hold_group *group,
+					clk_ms now, clk_ms *wait);
+/* A request of the connection is, or is no longer, in flight. */
+void hold_set_busy(struct hold_holder *holder, bool is_busy);
+/* Whether another request of a group may be in flight. */
+bool hold_may_serve(const struct hold_group *group);
 /* The connection is closed. */
 void hold_remove(struct hold *hold, struct hold_holder *holder);
 /* Returns the bytes that an eviction would free. */
--- a/tests/http.c
+++ b/tests/http.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../wire/budget.h"
 #include "../wire/due.h"
 #include "../wire/hc.h"
 #include "../wire/hs.h"
@@ -19,7 +20,7 @@
 #define OK200 "HTTP/1.1 200 OK\r\n"
 #define ID "X-Id: a\r\n"
 #define WAIT_MS 3000 /* timeout of loop_until */
-#define SERVER_CONNECTIONS 8
+#define SERVER_REQUESTS 8
 
 /* Heads. */
 
@@ -1165,7 +1166,7 @@
 			.body_max = 64,
 			.head_timeout = 300,
 			.idle_timeout = 600,
-			.connections_max = SERVER_CONNECTIONS,
+			.in_flight_max = SERVER_REQUESTS,
 		},
 		.refusal_headers = "Retry-After: 1\r\n",
 		.on_request = server_on_request,
@@ -1655,8 +1656,10 @@
 
 START_TEST(server_refuses_when_full)
 {
+	static const char held[] = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
 	static const char bytes[] = "GET /b HTTP/1.1\r\nHost: h\r\n\r\n";
-	int fds[SERVER_CONNECTIONS];
+	int fds[SERVER_REQUESTS];
+	struct hs_request *last;
 	struct server *server;
 	bool closed;
 	char *response;
@@ -1664,8 +1667,11 @@
 
 	uv_loop_init(&loop);
 	server = server_start();
-	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
-		fds[i] = server_served_connection();
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+		fds[i] = server_connect();
+		send(fds[i], held, strlen(held), 0);
+		loop_for(50);
+	}
 	g_string_truncate(server->requests, 0);
 	fd = server_connect();
 	send(fd, bytes, strlen(bytes), 0);
@@ -1677,15 +1683,64 @@
 	ck_assert(closed);
 	ck_assert_str_eq(server->requests->str, "");
 	ck_assert_int_eq(server->rejected_status, 503);
+	ck_assert_uint_eq(hs_open_requests(server->hs), SERVER_REQUESTS);
+	last = server->open_request;
 	/* Its connection is still open at this end, and takes no place. */
 	close(fds[0]);
 	loop_for(50);
 	close(server_served_connection());
+	/* The requests in flight are answered. */
+	hs_response_send(last, 200, NULL, "ok", 2);
+	loop_for(50);
+	response = server_read_response(fds[SERVER_REQUESTS - 1], &closed);
+	ck_assert(g_str_has_prefix(response, "HTTP/1.1 200 OK"));
+	close(fd);
+}
+END_TEST
+
+static void on_budget_log(bool is_warning, const char *event,
+			  const char *fields)
+{
+	(void)is_warning;
+	(void)event;
+	(void)fields;
+}
+
+/* Idle connections that take all places do not keep a caller out: the one that
+ * has been idle longest is closed. */
+START_TEST(server_closes_idle_for_others)
+{
+	static const char bytes[] = "GET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+	const struct budget_options options = {
+		.loop = &loop,
+		.memory_mb = 64,
+		.log = on_budget_log,
+	};
+	int fds[SERVER_REQUESTS + HOLD_WAITING_MAX];
+	struct server *server;
+	bool closed;
+	char *response;
+	int fd;
+
+	uv_loop_init(&loop);
+	budget_start(&options);
+	server = server_start();
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = server_connect();
+	loop_for(20);
+	fd = server_connect();
+	send(fd, bytes, strlen(bytes), 0);
+	loop_for(400);
+	response = server_read_response(fd, &closed);
+	ck_assert_msg(g_str_has_prefix(response, "HTTP/1.1 200 OK"), "%s",
+		      response);
+	ck_assert_uint_eq(hs_connections(server->hs), G_N_ELEMENTS(fds));
+	g_free(server_read_response(fds[0], &closed));
+	ck_assert(closed);
 	send(fds[1], bytes, strlen(bytes), 0);
 	loop_for(50);
 	response = server_read_response(fds[1], &closed);
 	ck_assert(g_str_has_prefix(response, "HTTP/1.1 200 OK"));
-	close(fd);
 }
 END_TEST
 
@@ -1749,6 +1804,7 @@
 	tcase_add_loop_test(tcase, server_answers_what_was_read_before_stop, 0,
 			    G_N_ELEMENTS(stop_cases));
 	tcase_add_test(tcase, server_refuses_when_full);
+	tcase_add_test(tcase, server_closes_idle_for_others);
 	tcase_add_test(tcase, server_aborts_visibly);
 	return suite;
 }
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -2913,6 +2913,117 @@
 }
 END_TEST
 
+/* Connections of one listener, each accepted at its index; all places are
+ * taken. The last byte of each client arrives at 1000, and it is displaced or
+ * not at 1300. */
+static const struct {
+	const char *what;
+	struct {
+		size_t sent;   /* bytes, by 1000 */
+		size_t output; /* that wait for the client */
+		bool is_busy;
+		bool begins; /* a request, at 1000 */
+	} holders[3];
+	int displaced; /* index; -1: none */
+	clk_ms wait;
+} place_cases[] = {
+	{ "all idle: the first", { { 0 }, { 0 }, { 0 } }, 0, CLK_NEVER },
+	{ "one that trickles before one that sends",
+	  { { .sent = 5000 }, { .sent = 3 }, { .sent = 5000 } },
+	  1,
+	  CLK_NEVER },
+	{ "by bytes, not by when the last one came",
+	  { { .sent = 500 }, { .sent = 400 }, { .sent = 600 } },
+	  1,
+	  CLK_NEVER },
+	{ "one that begins a request after one that has stalled",
+	  { { .begins = true }, { .sent = 700 }, { .begins = true } },
+	  1,
+	  CLK_NEVER },
+	{ "requests in flight stay",
+	  { { .is_busy = true }, { .sent = 5000 }, { .is_busy = true } },
+	  1,
+	  CLK_NEVER },
+	{ "none but requests in flight: turned away at once",
+	  { { .is_busy = true }, { .is_busy = true }, { .is_busy = true } },
+	  -1,
+	  CLK_NEVER },
+	{ "a response that is not taken, not for long",
+	  { { .is_busy = true, .output = 9 },
+	    { .is_busy = true },
+	    { .is_busy = true } },
+	  -1,
+	  CLK_NEVER },
+};
+
+START_TEST(hold_displaces)
+{
+	struct hold hold = { .connections_limit = 3 };
+	struct hold_holder holders[3];
+	const struct hold_holder *next;
+	struct hold_group group;
+	clk_ms wait;
+	int index;
+
+	hold_group_add(&hold, &group, 100);
+	for (int i = 0; i < 3; i++) {
+		hold_init(&holders[i], true);
+		hold_join(&hold, &group, &holders[i], i);
+	}
+	for (int i = 0; i < 3; i++) {
+		hold_set_busy(&holders[i], place_cases[_i].holders[i].is_busy);
+		hold_on_bytes(&hold, &holders[i],
+			      place_cases[_i].holders[i].sent, 1000);
+		hold_set(&hold, &holders[i], HOLD_OUTPUT,
+			 place_cases[_i].holders[i].output, 1000);
+		if (place_cases[_i].holders[i].begins)
+			hold_on_progress(&hold, &holders[i], 1000);
+	}
+	ck_assert(!hold_has_place(&hold, &group));
+	next = hold_next_displaced(&hold, &group, 1300, &wait);
+	index = next ? (int)(next - holders) : -1;
+	ck_assert_msg(index == place_cases[_i].displaced, "%s: %d",
+		      place_cases[_i].what, index);
+	ck_assert_msg(wait == place_cases[_i].wait, "%s: %d",
+		      place_cases[_i].what, (int)wait);
+	for (int i = 0; i < 3; i++)
+		hold_remove(&hold, &holders[i]);
+	ck_assert(hold_has_place(&hold, &group));
+	ck_assert_uint_eq(hold.connections + group.connections + group.busy, 0);
+	ck_assert_uint_eq(group.order.length, 0);
+}
+END_TEST
+
+/* A crowd that comes back at once does not displace connections whose first
+ * bytes may be on their way: it waits. A client that takes nothing of its
+ * response gives way later. */
+START_TEST(hold_displaces_in_time)
+{
+	struct hold hold = { .connections_limit = 2 };
+	struct hold_holder holders[2];
+	struct hold_group group;
+	clk_ms wait;
+
+	hold_group_add(&hold, &group, 100);
+	for (int i = 0; i < 2; i++) {
+		hold_init(&holders[i], true);
+		hold_join(&hold, &group, &holders[i], 0);
+	}
+	ck_assert_ptr_null(hold_next_displaced(&hold, &group, 100, &wait));
+	ck_assert_int_eq(wait, 150);
+	ck_assert_ptr_eq(hold_next_displaced(&hold, &group, 250, &wait),
+			 &holders[0]);
+	hold_set_busy(&holders[0], true);
+	hold_set_busy(&holders[1], true);
+	hold_set(&hold, &holders[1], HOLD_OUTPUT, 5000, 3000);
+	ck_assert_ptr_null(hold_next_displaced(&hold, &group, 4000, &wait));
+	ck_assert_ptr_eq(hold_next_displaced(&hold, &group, 5000, &wait),
+			 &holders[1]);
+	hold_on_bytes(&hold, &holders[1], 4000, 5000);
+	ck_assert_ptr_null(hold_next_displaced(&hold, &group, 5000, &wait));
+}
+END_TEST
+
 START_TEST(feed_leaving_host_is_no_relay)
 {
 	struct feed_host hosts[FEED_HOSTS];
@@ -3029,6 +3140,9 @@
 	tcase_add_test(tcase, origin_judged);
 	tcase_add_test(tcase, origin_bounded);
 	tcase_add_loop_test(tcase, hold_evicts, 0, G_N_ELEMENTS(hold_cases));
+	tcase_add_loop_test(tcase, hold_displaces, 0,
+			    G_N_ELEMENTS(place_cases));
+	tcase_add_test(tcase, hold_displaces_in_time);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
 	tcase_add_test(tcase, scale_follows_demand);
--- a/wire/budget.c
+++ b/wire/budget.c
@@ -1,8 +1,10 @@
-/* The process's byte budget. */
+/* The process's budget of bytes and connections. */
 #include "budget.h"
 
 #include <malloc.h>
 #include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #define CHECK_MS 1000
@@ -17,6 +19,11 @@
 #define PRESSURE_PERCENT 90   /* of the memory limit */
 #define PRESSURE_LOG_MS 10000 /* between two log lines */
 #define PEER_MAX 64
+#define DESCRIPTORS_FILES 200 /* that are not for connections */
+#define CONNECTIONS_MIN 64
+/* Candidates to displace for one connection that have unread input. */
+#define DISPLACE_TRIES 8
+#define WAIT_CHECK_MS 10 /* period of looking for a place */
 
 static struct {
 	uv_loop_t *loop; /* NULL: no budget is enforced */
@@ -24,10 +31,18 @@
 	struct hold hold;
 	size_t memory; /* bytes; limit of the process */
 	uv_timer_t timer;
-	size_t peak; /* total since the last trim */
+	uv_timer_t wait_timer; /* active while listeners wait */
+	GQueue waiting;	       /* struct budget_listener */
+	size_t peak;	       /* total since the last trim */
 	clk_ms pressure_logged_at;
 	uint64_t evictions;
 	uint64_t evicted[HOLD_PURPOSES];
+	uint64_t displaced;
+	uint64_t turned_away; /* found no place */
+	/* The same at the last log line. */
+	uint64_t displaced_logged;
+	uint64_t turned_away_logged;
+	char displaced_peer[PEER_MAX]; /* the last one */
 	bool enforcing;
 } budget;
 
@@ -95,10 +110,29 @@
 		 memory, budget.memory, budget.hold.total, budget.hold.limit);
 }
 
+/* Logs that connections were displaced or turned away. */
+static void connections_log(void)
+{
+	uint64_t displaced = budget.displaced - budget.displaced_logged;
+	uint64_t turned_away = budget.turned_away - budget.turned_away_logged;
+
+	if (displaced == 0 && turned_away == 0)
+		return;
+	budget.displaced_logged = budget.displaced;
+	budget.turned_away_logged = budget.turned_away;
+	log_line(false, "connections",
+		 "displaced=%" G_GUINT64_FORMAT
+		 " turned_away=%" G_GUINT64_FORMAT
+		 " open=%zu limit=%zu last_displaced=%s",
+		 displaced, turned_away, budget.hold.connections,
+		 budget.hold.connections_limit, budget.displaced_peer);
+}
+
 static void on_check(uv_timer_t *timer)
 {
 	(void)timer;
 	budget_enforce();
+	connections_log();
 	if (budget.peak > budget.hold.total + TRIM_AFTER) {
 		malloc_trim(0);
 		budget.peak = budget.hold.total;
@@ -106,6 +140,18 @@
 	pressure_check();
 }
 
+/* Returns the connections that the descriptors of the process suffice for. */
+static size_t connections_max(int64_t descriptors)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+	    limit.rlim_cur != RLIM_INFINITY &&
+	    (descriptors == 0 || (int64_t)limit.rlim_cur < descriptors))
+		descriptors = (int64_t)limit.rlim_cur;
+	return (size_t)MAX(descriptors - DESCRIPTORS_FILES, CONNECTIONS_MIN);
+}
+
 void budget_start(const struct budget_options *options)
 {
 	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD);
@@ -114,9 +160,16 @@
 	budget.log = options->log;
 	budget.hold.limit = options->limit;
 	budget.memory = (size_t)options->memory_mb * MB;
+	budget.hold.connections_limit = connections_max(options->descriptors);
 	uv_timer_init(options->loop, &budget.timer);
 	uv_timer_start(&budget.timer, on_check, CHECK_MS, CHECK_MS);
 	uv_unref((uv_handle_t *)&budget.timer);
+	uv_timer_init(options->loop, &budget.wait_timer);
+}
+
+size_t budget_connections_max(void)
+{
+	return budget.loop ? budget.hold.connections_limit : G_MAXINT;
 }
 
 void budget_init(struct budget_holder *holder, const struct budget_ops *ops,
@@ -139,6 +192,11 @@
 	hold_on_progress(&budget.hold, &holder->hold, now());
 }
 
+void budget_on_bytes(struct budget_holder *holder, size_t bytes)
+{
+	hold_on_bytes(&budget.hold, &holder->hold, bytes, now());
+}
+
 void budget_remove(struct budget_holder *holder)
 {
 	hold_remove(&budget.hold, &holder->hold);
@@ -148,7 +206,7 @@
 {
 	size_t bytes = hold_evictable(&holder->hold);
 	enum hold_purpose purpose = hold_main_purpose(&holder->hold);
-	clk_ms idle = now() - holder->hold.progress_at;
+	clk_ms lag = hold_lag(&holder->hold, now());
 	size_t total = budget.hold.total;
 	char peer[PEER_MAX];
 	const char *outcome;
@@ -158,12 +216,45 @@
 	budget.evictions++;
 	budget.evicted[purpose]++;
 	log_line(false, "evicted",
-		 "client=%s held_for=%s bytes=%zu idle_ms=%" G_GINT64_FORMAT
+		 "client=%s held_for=%s bytes=%zu lag_ms=%" G_GINT64_FORMAT
 		 " held=%zu budget=%zu outcome=%s",
-		 peer, hold_purpose_name(purpose), bytes, idle, total,
+		 peer, hold_purpose_name(purpose), bytes, lag, total,
 		 budget.hold.limit, outcome);
 }
 
+/* Closes a connection, unless it has unread input. */
+static void displace(struct budget_holder *holder)
+{
+	char peer[PEER_MAX];
+
+	holder->ops->peer(holder->ctx, peer, sizeof(peer));
+	if (!holder->ops->displace(holder->ctx)) {
+		budget_on_progress(holder);
+		return;
+	}
+	budget.displaced++;
+	memcpy(budget.displaced_peer, peer, sizeof(peer));
+}
+
+/* Displaces connections until there is a place; returns whether there is, or is
+ * none to wait for. */
+static bool place_make(const struct hold_group *group)
+{
+	clk_ms wait = CLK_NEVER;
+
+	for (int i = 0; i < DISPLACE_TRIES; i++) {
+		struct hold_holder *next;
+
+		if (hold_has_place(&budget.hold, group))
+			return true;
+		next = hold_next_displaced(&budget.hold, group, now(), &wait);
+		if (!next)
+			return wait == CLK_NEVER;
+		displace((struct budget_holder *)next);
+	}
+	return hold_has_place(&budget.hold, group);
+}
+
 void budget_enforce(void)
 {
 	struct hold_holder *next;
@@ -173,15 +264,76 @@
 	budget.enforcing = true;
 	while ((next = hold_next_eviction(&budget.hold)) != NULL) {
 		struct budget_holder *holder = (struct budget_holder *)next;
+		size_t taken = holder->ops->taken(holder->ctx);
 
-		if (holder->ops->has_progress(holder->ctx))
-			budget_on_progress(holder);
+		if (taken > 0)
+			budget_on_bytes(holder, taken);
 		else
 			evict(holder);
 	}
+	place_make(NULL);
 	budget.enforcing = false;
 }
 
+static void on_wait(uv_timer_t *timer)
+{
+	guint count = budget.waiting.length;
+
+	while (count-- > 0) {
+		GList *link = g_queue_pop_head_link(&budget.waiting);
+		struct budget_listener *listener = link->data;
+
+		listener->waits = false;
+		listener->fn(listener->stream, 0);
+	}
+	if (budget.waiting.length == 0)
+		uv_timer_stop(timer);
+}
+
+void budget_listener_add(struct budget_listener *listener, uv_stream_t *stream,
+			 uv_connection_cb fn, size_t limit)
+{
+	hold_group_add(&budget.hold, &listener->group, limit);
+	listener->stream = stream;
+	listener->fn = fn;
+	listener->link.data = listener;
+}
+
+void budget_listener_remove(struct budget_listener *listener)
+{
+	if (listener->waits)
+		g_queue_unlink(&budget.waiting, &listener->link);
+	listener->waits = false;
+}
+
+bool budget_may_accept(struct budget_listener *listener)
+{
+	if (place_make(&listener->group))
+		return true;
+	if (!budget.loop) /* nothing would look again */
+		return true;
+	listener->waits = true;
+	g_queue_push_tail_link(&budget.waiting, &listener->link);
+	uv_timer_start(&budget.wait_timer, on_wait, WAIT_CHECK_MS,
+		       WAIT_CHECK_MS);
+	return false;
+}
+
+bool budget_join(struct budget_holder *holder, struct budget_listener *listener)
+{
+	if (!hold_has_place(&budget.hold, &listener->group)) {
+		budget.turned_away++;
+		return false;
+	}
+	hold_join(&budget.hold, &listener->group, &holder->hold, now());
+	return true;
+}
+
+void budget_join_outgoing(struct budget_holder *holder)
+{
+	hold_join(&budget.hold, NULL, &holder->hold, now());
+}
+
 bool budget_is_exceeded(void)
 {
 	return budget.hold.limit > 0 && budget.hold.total > budget.hold.limit;
@@ -189,16 +341,23 @@
 
 void budget_print(GString *text)
 {
+	const struct hold *hold = &budget.hold;
+
 	g_string_append_printf(text,
 			       "held_bytes %zu\nheld_limit %zu\nevictions "
 			       "%" G_GUINT64_FORMAT "\n",
-			       budget.hold.total, budget.hold.limit,
-			       budget.evictions);
+			       hold->total, hold->limit, budget.evictions);
+	g_string_append_printf(text,
+			       "connections %zu\nconnections_limit %zu\n"
+			       "connections_displaced %" G_GUINT64_FORMAT "\n"
+			       "connections_turned_away %" G_GUINT64_FORMAT
+			       "\n",
+			       hold->connections, hold->connections_limit,
+			       budget.displaced, budget.turned_away);
 	for (int i = 0; i < HOLD_PURPOSES; i++)
 		g_string_append_printf(text,
 				       "held_bytes_%s %zu\nevictions_%s "
 				       "%" G_GUINT64_FORMAT "\n",
-				       hold_purpose_name(i),
-				       budget.hold.bytes[i],
+				       hold_purpose_name(i), hold->bytes[i],
 				       hold_purpose_name(i), budget.evicted[i]);
 }
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -10,7 +10,6 @@
 #define LINGER_MS 1000	     /* for a caller to read the last response */
 #define PIPELINED_MAX 65536  /* unread bytes allowed during a response */
 #define PEER_TIMEOUT_MS 8000 /* for a caller that acknowledges nothing */
-#define REFUSED_MAX 64	     /* connections open to refuse their request */
 /* Longer bodies of responses are written without a copy behind their head. */
 #define COPIED_BODY_MAX 16384
 /* Headers of a refusal for want of memory, unless the owner gives some. */
@@ -53,8 +52,8 @@
 	bool advancing; /* conn_advance is running */
 	bool closed;	/* freed at the next check of timeouts */
 	bool paused;	/* not read from: too much input waits */
-	bool refused;	/* beyond the limit: its request is refused */
-	bool evicted;	/* for want of memory: no further request is read */
+	/* For want of memory or a place: no further request is read. */
+	bool evicted;
 };
 
 struct hs {
@@ -64,8 +63,8 @@
 	struct hs_options options;
 	GPtrArray *conns;
 	GPtrArray *closed_conns; /* callbacks may still use them */
+	struct budget_listener budget;
 	size_t open_requests;
-	size_t refused_conns;
 	bool draining;
 	bool listening;
 };
@@ -91,6 +90,7 @@
 {
 	request->conn->hs->open_requests--;
 	request->conn->request = NULL;
+	hold_set_busy(&request->conn->tcp->holder.hold, false);
 	budget_set(&request->conn->tcp->holder, HOLD_BODY, 0);
 	budget_set(&request->conn->tcp->holder, HOLD_RESPONSE, 0);
 	if (request->raw)
@@ -127,7 +127,6 @@
 		hs->options.on_unread(hs->options.ctx, unread);
 	if (conn->request)
 		request_disconnected(conn->request);
-	hs->refused_conns -= conn->refused;
 	last = g_ptr_array_index(hs->conns, hs->conns->len - 1);
 	last->conns_index = conn->conns_index;
 	g_ptr_array_remove_index_fast(hs->conns, conn->conns_index);
@@ -185,12 +184,11 @@
 		hs->options.on_rejected(hs->options.ctx, status);
 }
 
-/* Rejects a request that is not complete and ends the connection. */
-static void conn_reject(struct hs_conn *conn, int status)
+/* Writes a response to a request that is not complete. */
+static void conn_write_rejection(struct hs_conn *conn, int status)
 {
-	const char *headers = conn->refused || conn->evicted
-				      ? conn->hs->options.refusal_headers
-				      : NULL;
+	const char *headers =
+		status == 503 ? conn->hs->options.refusal_headers : NULL;
 	char text[256];
 	int len = g_snprintf(text, sizeof(text),
 			     "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n%s"
@@ -201,6 +199,12 @@
 					     : "");
 
 	tcp_write(conn->tcp, text, (size_t)len);
+}
+
+/* Rejects a request that is not complete and ends the connection. */
+static void conn_reject(struct hs_conn *conn, int status)
+{
+	conn_write_rejection(conn, status);
 	if (!conn->evicted) /* that is logged by wire/budget */
 		report_rejected(conn->hs, status);
 	conn_linger(conn);
@@ -229,6 +233,7 @@
 	 * again so that its views point into it. */
 	h1_parse_request(raw->str, request->head_len, 0, &request->head);
 	conn_set_phase(conn, HS_RESPONDING);
+	hold_set_busy(&conn->tcp->holder.hold, true);
 	conn->hs->options.on_request(conn->hs->options.ctx, request);
 }
 
@@ -254,8 +259,7 @@
 		return false;
 	}
 	/* Chunk extensions and trailers are no progress. */
-	if (out > 0)
-		budget_on_progress(&conn->tcp->holder);
+	budget_on_bytes(&conn->tcp->holder, out);
 	if (!conn->body.done) {
 		g_string_truncate(in, at + out);
 		conn->since = loop_now(conn->hs);
@@ -291,9 +295,11 @@
 	struct h1_head head;
 	ssize_t len;
 
-	if (conn->phase == HS_IDLE)
+	if (conn->phase == HS_IDLE) {
 		conn_set_phase(conn, HS_READING_HEAD);
-	budget_on_progress(&conn->tcp->holder);
+		budget_on_progress(&conn->tcp->holder);
+	}
+	budget_on_bytes(&conn->tcp->holder, in->len - conn->seen);
 	len = h1_parse_request(in->str, in->len, conn->seen, &head);
 	if (len == H1_MALFORMED) {
 		conn_reject(conn, 400);
@@ -316,7 +322,7 @@
 		conn_reject(conn, 413);
 		return false;
 	}
-	if (conn->refused) {
+	if (!hold_may_serve(&conn->hs->budget.group)) {
 		conn_reject(conn, 503);
 		return false;
 	}
@@ -413,10 +419,32 @@
 	return "closed";
 }
 
+/* Closes the connection for another one. What is idle with unread input may be
+ * a request that has not been read only because the process is busy. */
+static const char *conn_on_displace(void *ctx)
+{
+	struct hs_conn *conn = ctx;
+	const char *outcome = "closed";
+
+	if (conn->advancing ||
+	    (conn->phase == HS_IDLE && tcp_unread_bytes(conn->tcp) > 0))
+		return NULL;
+	conn->evicted = true;
+	if (conn->phase == HS_READING_HEAD || conn->phase == HS_READING_BODY) {
+		if (conn->request)
+			request_free(conn->request);
+		conn_write_rejection(conn, 503);
+		outcome = "refused";
+	}
+	conn_close(conn);
+	return outcome;
+}
+
 static const struct tcp_ops conn_ops = {
 	.on_data = conn_on_data,
 	.on_end = conn_on_end,
 	.on_evict = conn_on_evict,
+	.on_displace = conn_on_displace,
 };
 
 static void on_connection(uv_stream_t *listener, int status)
@@ -424,22 +452,18 @@
 	struct hs *hs = listener->data;
 	struct hs_conn *conn;
 
-	if (status != 0)
+	if (status != 0 || !budget_may_accept(&hs->budget))
 		return;
 	conn = g_new0(struct hs_conn, 1);
 	conn->hs = hs;
 	conn->tcp = tcp_create(hs->loop, &conn_ops, conn);
 	conn_set_phase(conn, HS_IDLE);
-	conn->refused = hs->conns->len - hs->refused_conns >=
-			hs->options.limits.connections_max;
-	if (!tcp_accept(conn->tcp, listener) ||
-	    (conn->refused && hs->refused_conns >= REFUSED_MAX)) {
+	if (!tcp_accept(conn->tcp, &hs->budget)) {
 		report_rejected(hs, 0);
 		tcp_close(conn->tcp);
 		g_free(conn);
 		return;
 	}
-	hs->refused_conns += conn->refused;
 	tcp_set_peer_timeout(conn->tcp, PEER_TIMEOUT_MS);
 	conn->conns_index = hs->conns->len;
 	g_ptr_array_add(hs->conns, conn);
@@ -454,8 +478,7 @@
 
 	switch (conn->phase) {
 	case HS_IDLE:
-		return conn->refused ? limits->head_timeout
-				     : conn->idle_timeout;
+		return conn->idle_timeout;
 	case HS_READING_HEAD:
 		return limits->head_timeout;
 	case HS_READING_BODY:
@@ -541,6 +564,8 @@
 	hs->options = *options;
 	hs->conns = g_ptr_array_new();
 	hs->closed_conns = g_ptr_array_new_with_free_func(g_free);
+	budget_listener_add(&hs->budget, (uv_stream_t *)&hs->listener,
+			    on_connection, options->limits.in_flight_max);
 	if (!tcp_listen(loop, &hs->listener, options->address, on_connection,
 			error))
 		return NULL; /* the process exits: nothing is freed */
@@ -554,6 +579,7 @@
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits)
 {
 	hs->options.limits = *limits;
+	hs->budget.group.limit = limits->in_flight_max;
 }
 
 void hs_drain(struct hs *hs)
@@ -563,7 +589,8 @@
 
 bool hs_stop_listening(struct hs *hs)
 {
-	if (hs->listening && tcp_accept_is_due(&hs->listener))
+	if (hs->listening &&
+	    (hs->budget.waits || tcp_accept_is_due(&hs->listener)))
 		return false;
 	if (hs->listening)
 		uv_close((uv_handle_t *)&hs->listener, NULL);
@@ -707,6 +734,7 @@
 		return;
 	}
 	conn_set_phase(conn, HS_IDLE);
+	budget_on_progress(&conn->tcp->holder);
 	conn_resume_reading(conn);
 	if (conn->tcp->in->len > 0)
 		conn_advance(conn);
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -8,8 +8,8 @@
  * hs_response_send, hs_response_end and hs_response_abort free the request.
  *
  * What a connection holds counts in the process's budget (wire/budget.h). When
- * that is used up, requests that are not complete are refused, and clients that
- * don't read their responses are cut off.
+ * that is used up, requests that are not complete are refused, clients that
+ * don't read their responses are cut off, and idle connections are closed.
  *
  * Timers run before the loop reads what has arrived: no timeout and no stop
  * ends a connection on which bytes wait to be read.
@@ -30,8 +30,10 @@
 	/* Between requests, or between bytes of a body. A connection that is
 	 * idle keeps the one of when it became so. */
 	clk_ms idle_timeout;
-	/* Requests on further connections are refused with 503. */
-	size_t connections_max;
+	/* Further requests are refused with 503. Some more connections may be
+	 * open; if those are too many, one without a request in flight is
+	 * closed (decide/hold.h). */
+	size_t in_flight_max;
 };
 
 struct hs_options {
@@ -40,9 +42,10 @@
 	/* A complete request was received. */
 	void (*on_request)(void *ctx, struct hs_request *request);
 	/* A request was rejected before it was complete; status 0: its
-	 * connection was closed at once, as too many are open. May be NULL. */
+	 * connection was closed at once, as none of those that are open could
+	 * be. May be NULL. */
 	void (*on_rejected)(void *ctx, int status);
-	/* Headers of a refusal beyond connections_max, "Name: value\r\n" each;
+	/* Headers of a refusal beyond in_flight_max, "Name: value\r\n" each;
 	 * may be NULL. */
 	const char *refusal_headers;
 	/* A connection was closed although bytes on it were not read; may be
--- a/wire/http-held.c
+++ b/wire/http-held.c
@@ -1,6 +1,7 @@
 /* What the connections of h2o's server hold. */
 #include "http-held.h"
 
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "budget.h"
@@ -15,9 +16,12 @@
 
 #define DROP_BYTES 65536 /* of unread input, at a time */
 #define DROPS_MAX 64
+/* The other connections of the process are those of its requests in flight. */
+#define ACCEPTED_SHARE 2
 
 struct http_held {
 	uv_check_t check;
+	struct budget_listener budget;
 	GHashTable *conns;  /* h2o_socket_t -> struct http_held_conn */
 	GHashTable *by_tcp; /* uv_tcp_t -> the same */
 };
@@ -38,15 +42,14 @@
  * belong to h2o. */
 static struct http_held *the_held;
 
-static bool conn_has_progress(void *ctx)
+static size_t conn_taken(void *ctx)
 {
 	struct http_held_conn *conn = ctx;
-	size_t queued =
-		uv_stream_get_write_queue_size((const uv_stream_t *)conn->tcp);
-	bool sent = queued < conn->queued;
+	size_t before = conn->queued;
 
-	conn->queued = queued;
-	return sent;
+	conn->queued =
+		uv_stream_get_write_queue_size((const uv_stream_t *)conn->tcp);
+	return before > conn->queued ? before - conn->queued : 0;
 }
 
 /* Refuses a request that is not complete; returns whether that was written. */
@@ -79,7 +82,7 @@
 		shutdown(fd, SHUT_RDWR);
 		return outcome;
 	}
-	if (conn_refuse(fd))
+	if (sock->input->size > 0 && conn_refuse(fd))
 		outcome = "refused";
 	/* As if the connection had failed. A mere end would not do: h2o would
 	 * first read all that the caller goes on to send. */
@@ -87,6 +90,21 @@
 	return outcome;
 }
 
+/* An idle connection with unread input may have a request that has not been
+ * read only because the process is busy. */
+static const char *conn_displace(void *ctx)
+{
+	struct http_held_conn *conn = ctx;
+	uv_os_fd_t fd;
+	int unread = 0;
+
+	if (conn->open == 0 && conn->sock->input->size == 0 &&
+	    uv_fileno((const uv_handle_t *)conn->tcp, &fd) == 0 &&
+	    ioctl(fd, FIONREAD, &unread) == 0 && unread > 0)
+		return NULL;
+	return conn_evict(ctx);
+}
+
 static void conn_peer(void *ctx, char *buf, size_t size)
 {
 	const struct http_held_conn *conn = ctx;
@@ -100,8 +118,9 @@
 }
 
 static const struct budget_ops conn_ops = {
-	.has_progress = conn_has_progress,
+	.taken = conn_taken,
 	.evict = conn_evict,
+	.displace = conn_displace,
 	.peer = conn_peer,
 };
 
@@ -127,12 +146,19 @@
 {
 	const h2o_buffer_t *input = conn->sock->input;
 	size_t bytes = input->size > 0 ? input->capacity : 0;
+	size_t taken;
 
 	/* It was evicted. */
 	if (!conn->holder.hold.can_evict)
 		return;
-	if (input->size != conn->input || conn_has_progress(conn))
+	if (conn->input == 0 && input->size > 0)
 		budget_on_progress(&conn->holder);
+	taken = conn_taken(conn);
+	if (input->size != conn->input || taken > 0)
+		budget_on_bytes(&conn->holder,
+				taken + (input->size > conn->input
+						 ? input->size - conn->input
+						 : 0));
 	conn->input = input->size;
 	/* h2o keeps the body of a request in flight in this buffer, and what
 	 * is pipelined behind it. */
@@ -178,13 +204,16 @@
 	budget_enforce();
 }
 
-struct http_held *http_held_create(uv_loop_t *loop)
+struct http_held *http_held_create(uv_loop_t *loop, uv_stream_t *listener,
+				   uv_connection_cb fn)
 {
 	struct http_held *held = g_new0(struct http_held, 1);
 
 	held->conns = g_hash_table_new(NULL, NULL);
 	held->by_tcp = g_hash_table_new(NULL, NULL);
 	the_held = held;
+	budget_listener_add(&held->budget, listener, fn,
+			    budget_connections_max() / ACCEPTED_SHARE);
 	uv_check_init(loop, &held->check);
 	held->check.data = held;
 	uv_check_start(&held->check, on_check);
@@ -192,18 +221,40 @@
 	return held;
 }
 
-void http_held_add(struct http_held *held, h2o_socket_t *sock, uv_tcp_t *tcp)
+void http_held_stop(struct http_held *held)
+{
+	budget_listener_remove(&held->budget);
+}
+
+bool http_held_may_accept(struct http_held *held)
+{
+	return budget_may_accept(&held->budget);
+}
+
+struct http_held_conn *http_held_accept(struct http_held *held, uv_tcp_t *tcp)
 {
 	struct http_held_conn *conn = g_new0(struct http_held_conn, 1);
+	uv_os_fd_t fd = -1;
 
 	conn->held = held;
-	conn->sock = sock;
 	conn->tcp = tcp;
 	budget_init(&conn->holder, &conn_ops, conn);
+	if (uv_fileno((const uv_handle_t *)tcp, &fd) != 0 ||
+	    !budget_join(&conn->holder, &held->budget)) {
+		conn_refuse(fd);
+		g_free(conn);
+		return NULL;
+	}
+	return conn;
+}
+
+void http_held_add(struct http_held_conn *conn, h2o_socket_t *sock)
+{
+	conn->sock = sock;
 	sock->on_close.cb = conn_on_close;
 	sock->on_close.data = conn;
-	g_hash_table_insert(held->conns, sock, conn);
-	g_hash_table_insert(held->by_tcp, tcp, conn);
+	g_hash_table_insert(conn->held->conns, sock, conn);
+	g_hash_table_insert(conn->held->by_tcp, conn->tcp, conn);
 }
 
 struct http_held_conn *http_held_begin(struct http_held *held,
@@ -211,8 +262,10 @@
 {
 	struct http_held_conn *conn = g_hash_table_lookup(held->conns, sock);
 
-	if (conn)
-		conn->open++;
+	if (!conn)
+		return NULL;
+	conn->open++;
+	hold_set_busy(&conn->holder.hold, true);
 	return conn;
 }
 
@@ -228,5 +281,7 @@
 		return;
 	conn->open--;
 	conn->output = 0;
+	hold_set_busy(&conn->holder.hold, conn->open > 0);
+	budget_on_progress(&conn->holder);
 	conn_free_if_unused(conn);
 }
--- a/wire/http-server.c
+++ b/wire/http-server.c
@@ -102,20 +102,24 @@
 static void listener_on_connection(uv_stream_t *listener, int status)
 {
 	struct http_server *server = listener->data;
+	struct http_held_conn *held;
 	h2o_socket_t *sock;
 	uv_tcp_t *conn;
 
-	if (status != 0)
+	if (status != 0 || !http_held_may_accept(server->held))
 		return;
 	conn = h2o_mem_alloc(sizeof(*conn));
 	uv_tcp_init(listener->loop, conn);
-	if (uv_accept(listener, (uv_stream_t *)conn) != 0) {
+	held = uv_accept(listener, (uv_stream_t *)conn) == 0
+		       ? http_held_accept(server->held, conn)
+		       : NULL;
+	if (!held) {
 		uv_close((uv_handle_t *)conn, (uv_close_cb)free);
 		return;
 	}
 	uv_tcp_nodelay(conn, 1);
 	sock = h2o_uv_socket_create((uv_stream_t *)conn, (uv_close_cb)free);
-	http_held_add(server->held, sock, conn);
+	http_held_add(held, sock);
 	h2o_accept(&server->accept, sock);
 }
 
@@ -239,7 +243,8 @@
 
 	server->options = *opt;
 	server_configure(server);
-	server->held = http_held_create(loop);
+	server->held = http_held_create(loop, (uv_stream_t *)&server->listener,
+					listener_on_connection);
 	h2o_context_init(&server->context, loop, &server->config);
 	server->accept = (h2o_accept_ctx_t){
 		.ctx = &server->context,
@@ -264,6 +269,7 @@
 	if (server->stopped)
 		return;
 	server->stopped = true;
+	http_held_stop(server->held);
 	uv_close((uv_handle_t *)&server->listener, NULL);
 	h2o_context_request_shutdown(&server->context);
 }
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -21,6 +21,7 @@
 #define PEER_TIMEOUT_MS 2500  /* for a peer that acknowledges nothing */
 #define TIMEOUT_CHECK_MS 100  /* period of the check of timeouts */
 #define DROPPED_KINDS_MAX 256 /* of which the first one is known */
+#define ACCEPTED_MAX 2048     /* connections */
 
 /* After the address of a peer: the connection for large replies. */
 #define LARGE_MARK "/large"
@@ -33,6 +34,7 @@
 	size_t bytes_counted; /* bytes of tcp->in included in bytes_in */
 	bool connected;
 	bool closing;
+	bool handling; /* its input */
 	clk_ms last_used;
 	clk_ms created_at;
 };
@@ -53,16 +55,18 @@
 	struct due_timer timer;
 	struct rpc_handlers handlers;
 	struct rpc_counters counters;
-	GHashTable *peers;	   /* address, LARGE_MARK after it for large
-				    * replies -> struct rpc_conn, outgoing */
-	GPtrArray *accepted;	   /* struct rpc_conn */
+	GHashTable *peers;   /* address, LARGE_MARK after it for large
+			      * replies -> struct rpc_conn, outgoing */
+	GPtrArray *accepted; /* struct rpc_conn */
+	struct budget_listener budget;
 	GArray *pending_calls;	   /* struct rpc_pending_call */
 	GHashTable *dropped_kinds; /* set of "IP procedure reason" */
 	u_int32_t xid;
 	char datagram[DATAGRAM_MAX];
 };
 
-static const struct tcp_ops conn_ops;
+static const struct tcp_ops accepted_ops;
+static const struct tcp_ops outgoing_ops;
 
 static clk_ms loop_now(const struct rpc *rpc)
 {
@@ -139,14 +143,14 @@
 	g_free(conn);
 }
 
-static struct rpc_conn *conn_create(struct rpc *rpc)
+static struct rpc_conn *conn_create(struct rpc *rpc, const struct tcp_ops *ops)
 {
 	struct rpc_conn *conn = g_new0(struct rpc_conn, 1);
 
 	conn->rpc = rpc;
 	conn->last_used = loop_now(rpc);
 	conn->created_at = loop_now(rpc);
-	conn->tcp = tcp_create(rpc->loop, &conn_ops, conn);
+	conn->tcp = tcp_create(rpc->loop, ops, conn);
 	return conn;
 }
 
@@ -462,11 +466,15 @@
 static void conn_on_data(void *ctx)
 {
 	struct rpc_conn *conn = ctx;
+	bool is_valid;
 
 	conn->last_used = loop_now(conn->rpc);
 	conn->rpc->counters.bytes_in +=
 		conn->tcp->in->len - conn->bytes_counted;
-	if (!handle_input(conn)) {
+	conn->handling = true;
+	is_valid = handle_input(conn);
+	conn->handling = false;
+	if (!is_valid) {
 		conn_close(conn);
 		return;
 	}
@@ -479,7 +487,24 @@
 	conn_close(ctx);
 }
 
-static const struct tcp_ops conn_ops = {
+/* The other host connects again when it has something to send. */
+static const char *conn_on_displace(void *ctx)
+{
+	struct rpc_conn *conn = ctx;
+
+	if (conn->handling || tcp_unread_bytes(conn->tcp) > 0)
+		return NULL;
+	conn_close(conn);
+	return "closed";
+}
+
+static const struct tcp_ops accepted_ops = {
+	.on_data = conn_on_data,
+	.on_end = conn_on_end,
+	.on_displace = conn_on_displace,
+};
+
+static const struct tcp_ops outgoing_ops = {
 	.on_data = conn_on_data,
 	.on_end = conn_on_end,
 };
@@ -502,7 +527,7 @@
 		g_free(key);
 		return conn;
 	}
-	conn = conn_create(rpc);
+	conn = conn_create(rpc, &outgoing_ops);
 	conn->peer = key;
 	g_hash_table_insert(rpc->peers, conn->peer, conn);
 	if (!tcp_connect(conn->tcp, to, NULL, conn_on_connect)) {
@@ -852,11 +877,11 @@
 	struct rpc *rpc = listener->data;
 	struct rpc_conn *conn;
 
-	if (status != 0)
+	if (status != 0 || !budget_may_accept(&rpc->budget))
 		return;
-	conn = conn_create(rpc);
+	conn = conn_create(rpc, &accepted_ops);
 	g_ptr_array_add(rpc->accepted, conn);
-	if (tcp_accept(conn->tcp, listener))
+	if (tcp_accept(conn->tcp, &rpc->budget))
 		conn_start(conn);
 	else
 		conn_close(conn);
@@ -921,6 +946,8 @@
 	rpc->dropped_kinds =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rpc->accepted = g_ptr_array_new();
+	budget_listener_add(&rpc->budget, (uv_stream_t *)&rpc->listener,
+			    listener_on_connection, ACCEPTED_MAX);
 	rpc->pending_calls =
 		g_array_new(FALSE, FALSE, sizeof(struct rpc_pending_call));
 	uv_udp_init(loop, &rpc->udp);
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 #define READ_BYTES 65536      /* per read */
-#define LISTEN_BACKLOG 512    /* connections */
+#define LISTEN_BACKLOG 1024   /* connections */
 #define PROBE_COUNT 3	      /* keep-alive probes within the peer timeout */
 #define INPUT_KEEP_BYTES 8192 /* larger empty input buffers are freed */
 
@@ -43,15 +43,14 @@
 	       uv_ip4_addr(host, (int)port, addr) == 0;
 }
 
-static bool holder_has_progress(void *ctx)
+static size_t holder_taken(void *ctx)
 {
 	struct tcp *tcp = ctx;
-	size_t queue = uv_stream_get_write_queue_size(
-		(const uv_stream_t *)&tcp->handle);
-	bool sent = queue < tcp->queue_seen;
+	size_t before = tcp->queue_seen;
 
-	tcp->queue_seen = queue;
-	return sent;
+	tcp->queue_seen = uv_stream_get_write_queue_size(
+		(const uv_stream_t *)&tcp->handle);
+	return before > tcp->queue_seen ? before - tcp->queue_seen : 0;
 }
 
 static const char *holder_evict(void *ctx)
@@ -67,6 +66,13 @@
 	return outcome;
 }
 
+static const char *holder_displace(void *ctx)
+{
+	struct tcp *tcp = ctx;
+
+	return tcp->ops->on_displace(tcp->ctx);
+}
+
 static void holder_peer(void *ctx, char *buf, size_t size)
 {
 	const struct tcp *tcp = ctx;
@@ -82,8 +88,9 @@
 }
 
 static const struct budget_ops holder_ops = {
-	.has_progress = holder_has_progress,
+	.taken = holder_taken,
 	.evict = holder_evict,
+	.displace = holder_displace,
 	.peer = holder_peer,
 };
 
@@ -104,8 +111,10 @@
 
 void tcp_note_sent(struct tcp *tcp)
 {
-	if (holder_has_progress(tcp))
-		budget_on_progress(&tcp->holder);
+	size_t taken = holder_taken(tcp);
+
+	if (taken > 0)
+		budget_on_bytes(&tcp->holder, taken);
 }
 
 struct tcp *tcp_create(uv_loop_t *loop, const struct tcp_ops *ops, void *ctx)
@@ -119,13 +128,17 @@
 	tcp->in = g_string_sized_new(0);
 	tcp->in_purpose = HOLD_INPUT;
 	tcp->out_purpose = HOLD_OUTPUT;
-	budget_init(&tcp->holder, ops->on_evict ? &holder_ops : NULL, tcp);
+	budget_init(&tcp->holder,
+		    ops->on_evict || ops->on_displace ? &holder_ops : NULL,
+		    tcp);
+	tcp->holder.hold.can_evict = ops->on_evict != NULL;
 	return tcp;
 }
 
-bool tcp_accept(struct tcp *tcp, uv_stream_t *listener)
+bool tcp_accept(struct tcp *tcp, struct budget_listener *listener)
 {
-	if (uv_accept(listener, (uv_stream_t *)&tcp->handle) != 0)
+	if (uv_accept(listener->stream, (uv_stream_t *)&tcp->handle) != 0 ||
+	    !budget_join(&tcp->holder, listener))
 		return false;
 	uv_tcp_nodelay(&tcp->handle, 1);
 	return true;
@@ -139,27 +152,35 @@
 		tcp->on_connect(tcp->ctx, status);
 }
 
-/* Binds a connection to a local IP address and any port. */
-static bool bind_source(struct tcp *tcp, const char *source)
+/* Binds a socket to a local IP address and any port. */
+static bool bind_source(int fd, const char *source)
 {
 	struct sockaddr_in addr;
 	int later = 1;
-	int fd;
 
 	if (uv_ip4_addr(source, 0, &addr) != 0)
 		return false;
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return false;
 	/* connect() chooses the port, which then need not differ from those of
 	 * connections to other peers. */
 	setsockopt(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &later,
 		   sizeof(later));
-	if (bind(fd, (const struct sockaddr *)&addr, sizeof(addr)) == 0 &&
-	    uv_tcp_open(&tcp->handle, fd) == 0)
-		return true;
-	close(fd);
-	return false;
+	return bind(fd, (const struct sockaddr *)&addr, sizeof(addr)) == 0;
+}
+
+/* Opens the socket of a connection to be established. */
+static bool open_outgoing(struct tcp *tcp, const char *source)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	if (fd < 0)
+		return false;
+	if ((source && !bind_source(fd, source)) ||
+	    uv_tcp_open(&tcp->handle, fd) != 0) {
+		close(fd);
+		return false;
+	}
+	budget_join_outgoing(&tcp->holder);
+	return true;
 }
 
 bool tcp_connect(struct tcp *tcp, const char *address, const char *source,
@@ -167,8 +188,7 @@
 {
 	struct sockaddr_in addr;
 
-	if (!tcp_parse_address(address, &addr) ||
-	    (source && !bind_source(tcp, source)))
+	if (!tcp_parse_address(address, &addr) || !open_outgoing(tcp, source))
 		return false;
 	tcp->on_connect = fn;
 	tcp->connect.data = tcp;
@@ -267,7 +287,7 @@
 	if (!tcp->closing) {
 		tcp->pending -= out->len;
 		tcp->queued -= sizeof(*out) + out->len;
-		budget_on_progress(&tcp->holder);
+		budget_on_bytes(&tcp->holder, out->len);
 		tcp_account(tcp);
 		if (status != 0)
 			tcp->ops->on_end(tcp->ctx, false);
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -28,6 +28,10 @@
 	/* The bytes that are held for the connection are to be given up;
 	 * returns what was done, for the log. NULL: it is never asked. */
 	const char *(*on_evict)(void *ctx);
+	/* The connection is to be closed for another one; returns what was
+	 * done, or NULL if it stays, as input has arrived that was not read.
+	 * Required for accepted connections. */
+	const char *(*on_displace)(void *ctx);
 };
 
 struct tcp {
@@ -51,8 +55,10 @@
 
 /* Creates an unconnected connection object. */
 struct tcp *tcp_create(uv_loop_t *loop, const struct tcp_ops *ops, void *ctx);
-/* Accepts a connection from a listener; returns false if there is none. */
-bool tcp_accept(struct tcp *tcp, uv_stream_t *listener);
+/* Accepts a connection from a listener that budget_may_accept has let through;
+ * returns false if there is none, or no place for it: it is closed with the
+ * object then. */
+bool tcp_accept(struct tcp *tcp, struct budget_listener *listener);
 /* Connects to "IP:port", from the IP address source unless it is NULL; fn is
  * called once, unless tcp_close is called first, with an error of libuv or 0.
  * Returns false if the attempt fails at once. */
