--- a/decide/hold.c
+++ b/decide/hold.c
@@ -6,6 +6,8 @@
 #define SMALL_BYTES 16384
 /* ... up to this share of the budget beyond it. */
 #define SMALL_SHARE 8
+/* The part of what is left of the receive windows that a connection gets. */
+#define WINDOW_SHARE 64
 /* Without a request in flight, a connection is displaced only if it has stalled
  * for so long: its client's first bytes may be on their way. That also bounds
  * how fast clients that come back at once displace each other. */
@@ -177,6 +179,7 @@
 	}
 	holder_unlist(hold, holder);
 	hold->connections -= holder->is_counted;
+	hold->windows -= holder->window;
 	hold_init(holder, false);
 }
 
@@ -272,3 +275,18 @@
 {
 	return group->busy < group->limit;
 }
+
+size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder)
+{
+	size_t left = hold->windows_limit > hold->windows
+			      ? hold->windows_limit - hold->windows
+			      : 0;
+
+	if (hold->windows_limit == 0)
+		return 0;
+	hold->windows -= holder->window;
+	holder->window =
+		CLAMP(left / WINDOW_SHARE, HOLD_WINDOW_MIN, HOLD_WINDOW_MAX);
+	hold->windows += holder->window;
+	return holder->window;
+}
--- a/decide/hold.h
+++ b/decide/hold.h
@@ -1,7 +1,8 @@
 /*
  * What a process holds on behalf of its clients and upstreams, and which
  * connection gives way first when that exceeds the process's budget: bytes in
- * its memory, and connections.
+ * its memory, receive windows (bytes that the kernel may receive and the
+ * process has not read), and connections.
  *
  * That is the one which, among those holding something that may be given up,
  * lags most. A connection's lag grows with time and shrinks by a millisecond
@@ -52,9 +53,16 @@
 		       * lags most first */
 	size_t connections_limit; /* accepted and outgoing ones; 0: none */
 	size_t connections;
+	size_t windows_limit; /* bytes, but for HOLD_WINDOW_MIN of each; 0: no
+			       * window is set */
+	size_t windows;
 	GQueue groups; /* struct hold_group */
 };
 
+/* Receive windows, in bytes. */
+#define HOLD_WINDOW_MIN 4096
+#define HOLD_WINDOW_MAX 65536
+
 /* One connection. */
 struct hold_holder {
 	size_t bytes[HOLD_PURPOSES]; /* as allocated */
@@ -64,8 +72,9 @@
 	bool can_evict; /* its owner knows how */
 	bool is_listed; /* in hold's order */
 	bool is_counted;
-	bool is_busy;		  /* a request is in flight */
-	bool may_displace;	  /* in its group's order */
+	bool is_busy;	   /* a request is in flight */
+	bool may_displace; /* in its group's order */
+	size_t window;
 	struct hold_group *group; /* NULL: outgoing */
 	GList link;
 	GList group_link;
@@ -99,6 +108,9 @@
 void hold_set_busy(struct hold_holder *holder, bool is_busy);
 /* Whether another request of a group may be in flight. */
 bool hold_may_serve(const struct hold_group *group);
+/* Reserves a receive window for a connection, and returns its size in bytes; 0:
+ * windows are not limited. While many are reserved, further ones are small. */
+size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder);
 /* The connection is closed. */
 void hold_remove(struct hold *hold, struct hold_holder *holder);
 /* Returns the bytes that an eviction would free. */
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -3024,6 +3024,34 @@
 }
 END_TEST
 
+/* Windows are wide while few are reserved; all together they stay under the
+ * limit but for the least window of each. */
+START_TEST(hold_windows_are_bounded)
+{
+	enum { COUNT = 2000 };
+	struct hold hold = { .windows_limit = 8 << 20 };
+	struct hold_holder *holders = g_new(struct hold_holder, COUNT);
+
+	for (int i = 0; i < COUNT; i++) {
+		size_t window;
+
+		hold_init(&holders[i], true);
+		window = hold_reserve_window(&hold, &holders[i]);
+		if (i < 50)
+			ck_assert_uint_eq(window, HOLD_WINDOW_MAX);
+		ck_assert_uint_ge(window, HOLD_WINDOW_MIN);
+		ck_assert_uint_le(hold.windows,
+				  hold.windows_limit + i * HOLD_WINDOW_MIN);
+	}
+	for (int i = 0; i < COUNT; i++)
+		hold_remove(&hold, &holders[i]);
+	ck_assert_uint_eq(hold.windows, 0);
+	ck_assert_uint_eq(hold_reserve_window(&hold, &holders[0]),
+			  HOLD_WINDOW_MAX);
+	g_free(holders);
+}
+END_TEST
+
 START_TEST(feed_leaving_host_is_no_relay)
 {
 	struct feed_host hosts[FEED_HOSTS];
@@ -3143,6 +3171,7 @@
 	tcase_add_loop_test(tcase, hold_displaces, 0,
 			    G_N_ELEMENTS(place_cases));
 	tcase_add_test(tcase, hold_displaces_in_time);
+	tcase_add_test(tcase, hold_windows_are_bounded);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
 	tcase_add_test(tcase, scale_follows_demand);
--- a/wire/budget.c
+++ b/wire/budget.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #define CHECK_MS 1000
@@ -19,6 +20,7 @@
 #define PRESSURE_PERCENT 90   /* of the memory limit */
 #define PRESSURE_LOG_MS 10000 /* between two log lines */
 #define PEER_MAX 64
+#define WINDOWS_SHARE 8	      /* of the memory limit, for receive windows */
 #define DESCRIPTORS_FILES 200 /* that are not for connections */
 #define CONNECTIONS_MIN 64
 /* Candidates to displace for one connection that have unread input. */
@@ -160,6 +162,7 @@
 	budget.log = options->log;
 	budget.hold.limit = options->limit;
 	budget.memory = (size_t)options->memory_mb * MB;
+	budget.hold.windows_limit = budget.memory / WINDOWS_SHARE;
 	budget.hold.connections_limit = connections_max(options->descriptors);
 	uv_timer_init(options->loop, &budget.timer);
 	uv_timer_start(&budget.timer, on_check, CHECK_MS, CHECK_MS);
@@ -334,6 +337,28 @@
 	hold_join(&budget.hold, NULL, &holder->hold, now());
 }
 
+/* Linux doubles the value, and receives no more than that. */
+static void window_apply(uv_os_fd_t fd, size_t window)
+{
+	int value = (int)(window / 2);
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+}
+
+void budget_set_window(struct budget_holder *holder, uv_os_fd_t fd)
+{
+	size_t window = hold_reserve_window(&budget.hold, &holder->hold);
+
+	if (window > 0)
+		window_apply(fd, window);
+}
+
+void budget_set_listener_window(uv_os_fd_t fd)
+{
+	if (budget.hold.windows_limit > 0)
+		window_apply(fd, HOLD_WINDOW_MIN);
+}
+
 bool budget_is_exceeded(void)
 {
 	return budget.hold.limit > 0 && budget.hold.total > budget.hold.limit;
@@ -350,10 +375,11 @@
 	g_string_append_printf(text,
 			       "connections %zu\nconnections_limit %zu\n"
 			       "connections_displaced %" G_GUINT64_FORMAT "\n"
-			       "connections_turned_away %" G_GUINT64_FORMAT
-			       "\n",
+			       "connections_turned_away %" G_GUINT64_FORMAT "\n"
+			       "windows_bytes %zu\nwindows_limit %zu\n",
 			       hold->connections, hold->connections_limit,
-			       budget.displaced, budget.turned_away);
+			       budget.displaced, budget.turned_away,
+			       hold->windows, hold->windows_limit);
 	for (int i = 0; i < HOLD_PURPOSES; i++)
 		g_string_append_printf(text,
 				       "held_bytes_%s %zu\nevictions_%s "
--- a/wire/budget.h
+++ b/wire/budget.h
@@ -81,6 +81,12 @@
 /* Counts a connection to be opened. Others are displaced by the next
  * budget_enforce. */
 void budget_join_outgoing(struct budget_holder *holder);
+/* Reserves the receive window of a connection and sets it on its socket, which
+ * is not connected yet or whose window is smaller. */
+void budget_set_window(struct budget_holder *holder, uv_os_fd_t fd);
+/* The same for a listener: the window of connections that wait to be accepted.
+ */
+void budget_set_listener_window(uv_os_fd_t fd);
 /* Evicts and displaces connections until the budget suffices. To be called
  * where no owner of a connection is at work. */
 void budget_enforce(void);
--- a/wire/http-held.c
+++ b/wire/http-held.c
@@ -245,6 +245,7 @@
 		g_free(conn);
 		return NULL;
 	}
+	budget_set_window(&conn->holder, fd);
 	return conn;
 }
 
--- a/wire/http-server.c
+++ b/wire/http-server.c
@@ -7,6 +7,7 @@
 
 #include "../decide/err.h"
 #include "http-held.h"
+#include "tcp.h"
 
 #define LISTEN_BACKLOG 1024   /* connections */
 #define IDLE_TIMEOUT_MS 30000 /* between requests on a connection */
@@ -137,6 +138,7 @@
 	uv_tcp_init(loop, &server->listener);
 	server->listener.data = server;
 	rc = uv_tcp_bind(&server->listener, (struct sockaddr *)&addr, 0);
+	tcp_limit_listener(&server->listener);
 	if (rc == 0)
 		rc = uv_listen((uv_stream_t *)&server->listener, LISTEN_BACKLOG,
 			       listener_on_connection);
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -928,6 +928,7 @@
 		rc = uv_tcp_bind(&rpc->listener, (struct sockaddr *)&addr, 0);
 	if (rc == 0)
 		rc = uv_udp_recv_start(&rpc->udp, udp_alloc, udp_on_recv);
+	tcp_limit_listener(&rpc->listener);
 	if (rc == 0)
 		rc = uv_listen((uv_stream_t *)&rpc->listener, LISTEN_BACKLOG,
 			       listener_on_connection);
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -137,9 +137,13 @@
 
 bool tcp_accept(struct tcp *tcp, struct budget_listener *listener)
 {
+	uv_os_fd_t fd;
+
 	if (uv_accept(listener->stream, (uv_stream_t *)&tcp->handle) != 0 ||
 	    !budget_join(&tcp->holder, listener))
 		return false;
+	if (uv_fileno((const uv_handle_t *)&tcp->handle, &fd) == 0)
+		budget_set_window(&tcp->holder, fd);
 	uv_tcp_nodelay(&tcp->handle, 1);
 	return true;
 }
@@ -180,6 +184,7 @@
 		return false;
 	}
 	budget_join_outgoing(&tcp->holder);
+	budget_set_window(&tcp->holder, fd);
 	return true;
 }
 
@@ -480,6 +485,7 @@
 	uv_tcp_init(loop, listener);
 	if (tcp_parse_address(address, &addr)) {
 		code = uv_tcp_bind(listener, (const struct sockaddr *)&addr, 0);
+		tcp_limit_listener(listener);
 		if (code == 0)
 			code = uv_listen((uv_stream_t *)listener,
 					 LISTEN_BACKLOG, fn);
@@ -491,6 +497,14 @@
 	return false;
 }
 
+void tcp_limit_listener(const uv_tcp_t *listener)
+{
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)listener, &fd) == 0)
+		budget_set_listener_window(fd);
+}
+
 bool tcp_accept_is_due(const uv_tcp_t *listener)
 {
 	return poll_events((const uv_handle_t *)listener, POLLIN);
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -106,6 +106,9 @@
 /* Listens on "IP:port"; fn is called for each incoming connection. */
 bool tcp_listen(uv_loop_t *loop, uv_tcp_t *listener, const char *address,
 		uv_connection_cb fn, GError **error);
+/* Limits what the kernel receives on connections that wait to be accepted; to
+ * be called before uv_listen. */
+void tcp_limit_listener(const uv_tcp_t *listener);
 /* Whether a connection has arrived that was not accepted yet. */
 bool tcp_accept_is_due(const uv_tcp_t *listener);
 
