--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -14,6 +14,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -75,6 +76,11 @@
     yield b""
 
 
+def long_record(path, n):
+    """A message between hosts of 16 MB, of which 4 MB are sent."""
+    yield struct.pack(">I", 0x80000000 | 16 << 20) + b"x" * (4 << 20)
+
+
 def long_body(path, n):
     yield HEAD % (path, n, sized(BODY_MAX))
     yield b"x" * (BODY_MAX - 1)
@@ -120,6 +126,7 @@
     "lookup_idle": case("proxy", 1600, nothing, at="lookup"),
     "metrics_idle": case("proxy", 1600, nothing, at="metrics"),
     "rpc_idle": case("proxy", 1600, nothing, at="rpc"),
+    "rpc_long_records": case("proxy", 60, long_record, at="rpc"),
     "idle_everywhere": case("proxy", 2400, nothing, at="all"),
     "slow_bodies_changes": case("proxy", 900, slow_body, b"/o/x",
                                 changes=True),
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -466,11 +466,12 @@
 static void conn_on_data(void *ctx)
 {
 	struct rpc_conn *conn = ctx;
+	size_t received = conn->tcp->in->len - conn->bytes_counted;
 	bool is_valid;
 
 	conn->last_used = loop_now(conn->rpc);
-	conn->rpc->counters.bytes_in +=
-		conn->tcp->in->len - conn->bytes_counted;
+	conn->rpc->counters.bytes_in += received;
+	budget_on_bytes(&conn->tcp->holder, received);
 	conn->handling = true;
 	is_valid = handle_input(conn);
 	conn->handling = false;
@@ -488,19 +489,25 @@
 }
 
 /* The other host connects again when it has something to send. */
+static const char *conn_on_evict(void *ctx)
+{
+	conn_close(ctx);
+	return "closed";
+}
+
 static const char *conn_on_displace(void *ctx)
 {
 	struct rpc_conn *conn = ctx;
 
 	if (conn->handling || tcp_unread_bytes(conn->tcp) > 0)
 		return NULL;
-	conn_close(conn);
-	return "closed";
+	return conn_on_evict(ctx);
 }
 
 static const struct tcp_ops accepted_ops = {
 	.on_data = conn_on_data,
 	.on_end = conn_on_end,
+	.on_evict = conn_on_evict,
 	.on_displace = conn_on_displace,
 };
 
