--- a/daemon/admind.c
+++ b/daemon/admind.c
@@ -6,8 +6,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../wire/log.h"
 #include "../wire/args.h"
+#include "../wire/budget.h"
+#include "../wire/log.h"
 
 #define MAX_BODY (1 << 20) /* bytes */
 #define SETTINGS_PATH "/v1/settings/"
@@ -205,14 +206,16 @@
 
 static void get_counters(struct admind *admind, struct http_request *request)
 {
-	char text[128];
-	int len = snprintf(text, sizeof(text),
-			   "accepted %" PRIu64 "\nconflicts %" PRIu64
-			   "\nunsure %" PRIu64 "\n",
-			   admind->accepted, admind->conflicts,
-			   admind->unresolved);
-
-	http_response_send(request, 200, "text/plain", text, (size_t)len);
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text,
+			       "accepted %" PRIu64 "\nconflicts %" PRIu64
+			       "\nunsure %" PRIu64 "\n",
+			       admind->accepted, admind->conflicts,
+			       admind->unresolved);
+	budget_print(text);
+	http_response_send(request, 200, "text/plain", text->str, text->len);
+	g_string_free(text, TRUE);
 }
 
 /* A path other than that of a single setting. */
@@ -311,6 +314,19 @@
 		uv_stop(&admind->loop);
 }
 
+static void budget_begin(struct admind *admind)
+{
+	const struct conf_admin *conf = admind->conf;
+	struct budget_options options = {
+		.loop = &admind->loop,
+		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
+		.memory_mb = conf->memory_mb,
+		.log = log_event,
+	};
+
+	budget_start(&options);
+}
+
 /* Loads the settings and opens the log, platform client and server. */
 static bool admind_open(struct admind *admind, const char *path, GError **error)
 {
@@ -325,6 +341,7 @@
 				      admind->conf->log_file, error) != 0)
 		return false;
 	uv_loop_init(&admind->loop);
+	budget_begin(admind);
 	admind->rand = g_rand_new();
 	g_snprintf(admind->instance, sizeof(admind->instance), "admin~%08x",
 		   g_rand_int(admind->rand));
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -270,15 +270,6 @@
 	uv_signal_start(&entryd->interrupt, on_signal, SIGINT);
 }
 
-static void on_budget_log(bool is_warning, const char *event,
-			  const char *fields)
-{
-	if (is_warning)
-		log_warn("%s: %s", event, fields);
-	else
-		log_notice("%s: %s", event, fields);
-}
-
 static void budget_begin(struct entryd *entryd)
 {
 	const struct conf_entry *conf = entryd->conf;
@@ -286,7 +277,7 @@
 		.loop = &entryd->loop,
 		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
 		.memory_mb = conf->memory_mb,
-		.log = on_budget_log,
+		.log = log_event,
 	};
 
 	budget_start(&options);
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -465,6 +465,22 @@
 		.type = CONF_TYPE_LIST,
 		.offset = offsetof(struct conf_admin, entries),
 	},
+	{
+		.name = "memory_mb",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_admin, memory_mb),
+		.min = 16,
+		.max = 1048576,
+		.fallback = "256",
+	},
+	{
+		.name = "budget_mb",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_admin, budget_mb),
+		.min = 0,
+		.max = 1048576,
+		.fallback = "0",
+	},
 	{
 		.name = "history_max",
 		.type = CONF_TYPE_INT,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -93,6 +93,8 @@
 	int64_t http_port;
 	char *platform;
 	char **entries;
+	int64_t memory_mb;
+	int64_t budget_mb;
 	int64_t history_max;
 	char *log_level;
 	char *log_file;
--- a/wire/log.c
+++ b/wire/log.c
@@ -59,6 +59,14 @@
 LOG_FUNCTION(log_warn, LOG4C_PRIORITY_WARN)
 LOG_FUNCTION(log_notice, LOG4C_PRIORITY_NOTICE)
 
+void log_event(bool is_warning, const char *event, const char *fields)
+{
+	if (is_warning)
+		log_warn("%s: %s", event, fields);
+	else
+		log_notice("%s: %s", event, fields);
+}
+
 void log_close(void)
 {
 	log4c_fini();
