--- a/daemon/admind.c
+++ b/daemon/admind.c
@@ -321,6 +321,7 @@
 		.loop = &admind->loop,
 		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
 		.memory_mb = conf->memory_mb,
+		.descriptors = conf->descriptors,
 		.log = log_event,
 	};
 
--- a/daemon/entryd.c
+++ b/daemon/entryd.c
@@ -277,6 +277,7 @@
 		.loop = &entryd->loop,
 		.limit = budget_limit(conf->budget_mb, conf->memory_mb),
 		.memory_mb = conf->memory_mb,
+		.descriptors = conf->descriptors,
 		.log = log_event,
 	};
 
--- a/wire/conf-gen.c
+++ b/wire/conf-gen.c
@@ -69,6 +69,14 @@
 		.max = 1048576,
 		.fallback = "0",
 	},
+	{
+		.name = "descriptors",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_entry, descriptors),
+		.min = 0,
+		.max = 10000000,
+		.fallback = "0",
+	},
 	{
 		.name = "max_body_bytes",
 		.type = CONF_TYPE_INT,
@@ -481,6 +489,14 @@
 		.max = 1048576,
 		.fallback = "0",
 	},
+	{
+		.name = "descriptors",
+		.type = CONF_TYPE_INT,
+		.offset = offsetof(struct conf_admin, descriptors),
+		.min = 0,
+		.max = 10000000,
+		.fallback = "0",
+	},
 	{
 		.name = "history_max",
 		.type = CONF_TYPE_INT,
--- a/wire/conf-gen.h
+++ b/wire/conf-gen.h
@@ -31,6 +31,7 @@
 	char **seeds;
 	int64_t memory_mb;
 	int64_t budget_mb;
+	int64_t descriptors;
 	int64_t max_body_bytes;
 	int64_t queue_max;
 	int64_t drain_ms;
@@ -95,6 +96,7 @@
 	char **entries;
 	int64_t memory_mb;
 	int64_t budget_mb;
+	int64_t descriptors;
 	int64_t history_max;
 	char *log_level;
 	char *log_file;
