--- a/daemon/proxyd-attempt.c
+++ b/daemon/proxyd-attempt.c
@@ -841,7 +841,7 @@
 			    hs_request_head(xfer->call)->framing != H1_NONE,
 	};
 	GString *head = head_request_build(hs_request_head(xfer->call), &added);
-	GBytes *bytes = body.len > 0 ? g_bytes_new(body.ptr, body.len) : NULL;
+	GBytes *bytes = hs_request_body_ref(xfer->call);
 	struct hc_request_spec spec = {
 		.head = head->str,
 		.head_len = head->len,
--- a/daemon/proxyd-forward.c
+++ b/daemon/proxyd-forward.c
@@ -280,7 +280,7 @@
 	text = head_forward_build(head, &added, &forwarded);
 	spec.head = text->str;
 	spec.head_len = text->len;
-	spec.body = body.len > 0 ? g_bytes_new(body.ptr, body.len) : NULL;
+	spec.body = hs_request_body_ref(xfer->call);
 	xfer->hop = hop_start(proxyd->hop, &spec);
 	g_string_free(text, TRUE);
 	if (spec.body)
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -10,6 +10,7 @@
 Usage: crowds.py [--list] [CASE...]
 """
 import asyncio
+import functools
 import json
 import os
 import signal
@@ -72,6 +73,14 @@
     yield chunks(8000, 8)
 
 
+def whole_body(path, n):
+    yield HEAD % (path, n, sized(BODY_MAX)) + b"x" * BODY_MAX
+
+
+def small_request(path, n):
+    yield HEAD % (path, n, sized(1)) + b"x"
+
+
 def nothing(path, n):
     yield b""
 
@@ -98,15 +107,27 @@
     worker.handle_request = handle_request
 
 
+def pads(worker):
+    """Makes a worker send large responses to requests under /o/."""
+    plain = worker.handle_request
+
+    async def handle_request(head, body, reader, writer):
+        worker.padding = BODY_MAX if head[0].startswith("POST /o/") else 0
+        return await plain(head, body, reader, writer)
+    worker.handle_request = handle_request
+
+
 def case(target, clients, sends, path=None, at="front", service=None,
-         stopped=False, returns=False, changes=False):
+         stopped=False, returns=False, changes=False, reads=True, hosts=1):
     """at: the listener; service: signal to the service while the crowd is there,
     or what changes the workers; stopped: the process does not run while the
     crowd sends; returns: who is cut off connects again; changes: new versions
-    of the configuration are sent meanwhile."""
+    of the configuration are sent meanwhile; reads: the crowd reads responses;
+    hosts: more than one, of which the first has lost its links to the workers,
+    and forwards what the crowd sends."""
     return dict(target=target, clients=clients, sends=sends, path=path, at=at,
                 service=service, stopped=stopped, returns=returns,
-                changes=changes)
+                changes=changes, reads=reads, hosts=hosts)
 
 
 CASES = {
@@ -121,6 +142,13 @@
     "idle": case("proxy", 1600, nothing),
     "idle_returns": case("proxy", 1600, nothing, returns=True),
     "not_running": case("proxy", 400, long_body, b"/o/x", stopped=True),
+    "output_not_read": case("proxy", 300, small_request, b"/o/x",
+                            service=pads, reads=False),
+    "forwarded_bodies": case("proxy", 150, whole_body, b"/o/x", service=holds,
+                             hosts=2),
+    "forwarded_behind_request": case("proxy", 200, behind_second_request,
+                                     b"/o/x", service=holds, hosts=2),
+    "forwarded_slow_bodies": case("proxy", 900, slow_body, b"/o/x", hosts=2),
     "forwarded_idle": case("proxy", 1600, nothing, at="forwarded"),
     "ready_idle": case("proxy", 1600, nothing, at="ready"),
     "lookup_idle": case("proxy", 1600, nothing, at="lookup"),
@@ -163,14 +191,17 @@
         await loop.sock_connect(sock, (host, int(port)))
         self.connected += 1
         await self.go.wait()
-        drops = asyncio.create_task(self.drop(sock))
-        self.tasks.append(drops)
+        if self.row["reads"]:
+            ends = asyncio.create_task(self.drop(sock))
+            self.tasks.append(ends)
+        else:
+            ends = asyncio.Event().wait()
         for piece in self.row["sends"](self.row["path"], n):
             if isinstance(piece, bytes):
                 await loop.sock_sendall(sock, piece)
             else:
                 await asyncio.sleep(piece)
-        await drops
+        await ends
 
     async def drop(self, sock):
         """Reads until the connection ends."""
@@ -184,6 +215,8 @@
         while True:
             with socket.socket() as sock:
                 sock.setblocking(False)
+                if not self.row["reads"]:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
                 try:
                     await self.send(sock, n)
                 except OSError:
@@ -284,22 +317,38 @@
 
 class ProxyTarget(Rig):
     def __init__(self, row):
-        super().__init__(NET, llm=1, api=2)
+        super().__init__(NET, hosts=row["hosts"], llm=1, api=2)
         self.row, self.host = row, self.hosts[0]
-        start = self.host.start
-        self.host.start = lambda: start(**LIMITS)
-        self.host.forwarded = self.host.ip + ":7602"
-        self.host.rpc = self.host.ip + ":7600"
+        for host in self.hosts:
+            host.start = functools.partial(host.start, **LIMITS)
+            host.forwarded = host.ip + ":7602"
+            host.rpc = host.ip + ":7600"
 
     async def __aenter__(self):
         await super().__aenter__()
         await hostile.configure(self, self.host, BODY_MAX)
         self.process = self.host.process
+        self.watched = [(host.process, [host.front, host.forwarded, host.rpc])
+                        for host in self.hosts]
+        if len(self.hosts) > 1:
+            await self.wait_membership()
+            for worker in self.workers:
+                worker.cut_links(self.host.ip, "reset")
+            await self.wait_forwarded()
         all_of = ("front", "forwarded", "ready", "lookup", "metrics", "rpc")
         self.addresses = [getattr(self.host, name) for name in (
             all_of if self.row["at"] == "all" else [self.row["at"]])]
         return self
 
+    async def wait_forwarded(self):
+        """Waits until the first host knows that its links are cut."""
+        for _ in range(100):
+            got = await self.host.request("POST", "/p/x", b"first", key=None)
+            if got.status == 200:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError("the host forwards nothing")
+
     async def change(self):
         """Sends a version of the configuration each 0.1 s."""
         value = hostile.roomy(BODY_MAX)
@@ -340,6 +389,7 @@
         self.process = self.live()[0].popen
         self.address = self.live()[0].address
         self.addresses = [self.address]
+        self.watched = [(self.process, self.addresses)]
         return self
 
     async def __aexit__(self, *unused):
@@ -373,6 +423,7 @@
         admin = self.start_process("admin", [self.bin("rw-admind"), path])
         self.process, self.address = admin.popen, admin.address
         self.addresses = [self.address]
+        self.watched = [(self.process, self.addresses)]
 
     async def __aenter__(self):
         return self
@@ -398,8 +449,9 @@
 async def run_case(row):
     async with TARGETS[row["target"]](row) as target:
         crowd = Crowd(target.addresses, row)
-        watch = Watch(target.process, target.addresses)
-        watch.start()
+        watches = [Watch(*watched) for watched in target.watched]
+        for watch in watches:
+            watch.start()
         changes = asyncio.create_task(
             target.change() if row["changes"] else asyncio.sleep(0))
         try:
@@ -418,7 +470,8 @@
         finally:
             changes.cancel()
             await crowd.close()
-            watch.check()
+            for watch in watches:
+                watch.check()
 
 
 def main():
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -433,8 +433,7 @@
 	tcp_write(conn->tcp, out->str, out->len);
 	g_string_free(out, TRUE);
 	if (request->body) {
-		tcp_write(conn->tcp, g_bytes_get_data(request->body, NULL),
-			  g_bytes_get_size(request->body));
+		tcp_write_bytes(conn->tcp, request->body);
 		g_bytes_unref(request->body);
 		request->body = NULL;
 	}
@@ -600,10 +599,7 @@
 	}
 	conn->request = request;
 	request->conn = conn;
-	budget_set(
-		&conn->tcp->holder, HOLD_BODY,
-		request->out->allocated_len +
-			(request->body ? g_bytes_get_size(request->body) : 0));
+	budget_set(&conn->tcp->holder, HOLD_BODY, request->out->allocated_len);
 	return request;
 }
 
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -26,7 +26,7 @@
 /* One request. */
 struct hs_request {
 	struct hs_conn *conn;
-	GString *raw; /* head and body; the head's views point into it */
+	GBytes *raw; /* head and body; the head's views point into it */
 	struct h1_head head;
 	size_t head_len;
 	size_t body_len;
@@ -94,7 +94,7 @@
 	budget_set(&request->conn->tcp->holder, HOLD_BODY, 0);
 	budget_set(&request->conn->tcp->holder, HOLD_RESPONSE, 0);
 	if (request->raw)
-		g_string_free(request->raw, TRUE);
+		g_bytes_unref(request->raw);
 	g_free(request);
 }
 
@@ -216,22 +216,22 @@
 {
 	struct hs_request *request = conn->request;
 	GString *raw = conn->tcp->in;
+	const char *text;
 
 	conn->tcp->in = g_string_sized_new(0);
 	g_string_append_len(conn->tcp->in, raw->str + next_at,
 			    (gssize)(raw->len - next_at));
 	/* The buffer may be twice as long as what it holds. */
-	if (raw->allocated_len > raw->len + 1) {
-		raw->str = g_realloc(raw->str, raw->len + 1);
-		raw->allocated_len = raw->len + 1;
-	}
-	request->raw = raw;
-	budget_set(&conn->tcp->holder, HOLD_BODY,
-		   sizeof(*request) + raw->allocated_len);
+	g_string_truncate(raw, next_at);
+	raw->str = g_realloc(raw->str, raw->len + 1);
+	raw->allocated_len = raw->len + 1;
+	request->raw = g_string_free_to_bytes(raw);
+	text = g_bytes_get_data(request->raw, NULL);
+	budget_set(&conn->tcp->holder, HOLD_BODY, sizeof(*request) + next_at);
 	request->received_at = loop_now(conn->hs);
 	/* Reading the body may have reallocated the buffer: parse the head
 	 * again so that its views point into it. */
-	h1_parse_request(raw->str, request->head_len, 0, &request->head);
+	h1_parse_request(text, request->head_len, 0, &request->head);
 	conn_set_phase(conn, HS_RESPONDING);
 	hold_set_busy(&conn->tcp->holder.hold, true);
 	conn->hs->options.on_request(conn->hs->options.ctx, request);
@@ -655,10 +655,20 @@
 
 struct http_view hs_request_body(const struct hs_request *request)
 {
-	return (struct http_view){ request->raw->str + request->head_len,
+	const char *text = g_bytes_get_data(request->raw, NULL);
+
+	return (struct http_view){ text + request->head_len,
 				   request->body_len };
 }
 
+GBytes *hs_request_body_ref(const struct hs_request *request)
+{
+	if (request->body_len == 0)
+		return NULL;
+	return g_bytes_new_from_bytes(request->raw, request->head_len,
+				      request->body_len);
+}
+
 char *hs_request_query(const struct hs_request *request, const char *name)
 {
 	struct http_view target = request->head.target;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -78,6 +78,9 @@
 /* Returns the path without the query. */
 struct http_view hs_request_path(const struct hs_request *request);
 struct http_view hs_request_body(const struct hs_request *request);
+/* Returns a reference to the body, which it does not copy; NULL: it is empty.
+ */
+GBytes *hs_request_body_ref(const struct hs_request *request);
 /* Returns a copy of a query parameter, to be freed with g_free, or NULL. */
 char *hs_request_query(const struct hs_request *request, const char *name);
 /* Loop time in ms at which the request was complete. */
--- a/wire/tcp.c
+++ b/wire/tcp.c
@@ -22,7 +22,8 @@
 	struct tcp *tcp;
 	GList link;
 	size_t len;
-	char *bytes; /* freed when the connection is closed */
+	size_t held;   /* bytes that it counts for */
+	GBytes *bytes; /* dropped when the connection is closed */
 };
 
 /* Shared: libuv fills it and calls on_read at once. */
@@ -291,7 +292,7 @@
 	g_queue_unlink(&tcp->outs, &out->link);
 	if (!tcp->closing) {
 		tcp->pending -= out->len;
-		tcp->queued -= sizeof(*out) + out->len;
+		tcp->queued -= out->held;
 		budget_on_bytes(&tcp->holder, out->len);
 		tcp_account(tcp);
 		if (status != 0)
@@ -299,39 +300,69 @@
 		else if (tcp->pending == 0 && tcp->ops->on_drain)
 			tcp->ops->on_drain(tcp->ctx);
 	}
-	g_free(out->bytes);
+	g_clear_pointer(&out->bytes, g_bytes_unref);
 	g_free(out);
 }
 
-void tcp_write(struct tcp *tcp, const char *ptr, size_t len)
+/* Writes what the kernel accepts at once; returns how much that was. */
+static size_t write_now(struct tcp *tcp, const char *ptr, size_t len)
 {
 	uv_buf_t buf = uv_buf_init((char *)ptr, (unsigned)len);
-	struct tcp_out *out;
-	int written = 0;
+	int written;
 
-	if (tcp->closing || len == 0)
-		return;
-	if (tcp->pending == 0)
-		written = uv_try_write((uv_stream_t *)&tcp->handle, &buf, 1);
-	if (written < 0)
-		written = 0; /* the queued write reports the error */
-	if ((size_t)written == len)
-		return;
-	len -= (size_t)written;
-	out = g_new0(struct tcp_out, 1);
-	out->bytes = g_memdup2(ptr + written, len);
+	if (tcp->pending > 0)
+		return 0;
+	written = uv_try_write((uv_stream_t *)&tcp->handle, &buf, 1);
+	return written > 0 ? (size_t)written : 0; /* the queued write fails */
+}
+
+/* Queues bytes and takes their reference; held: what they count for. */
+static void write_later(struct tcp *tcp, GBytes *bytes, size_t held)
+{
+	struct tcp_out *out = g_new0(struct tcp_out, 1);
+	gconstpointer ptr = g_bytes_get_data(bytes, &out->len);
+	uv_buf_t buf = uv_buf_init((char *)ptr, (unsigned)out->len);
+
+	out->bytes = bytes;
+	out->held = sizeof(*out) + held;
 	out->link.data = out;
 	g_queue_push_tail_link(&tcp->outs, &out->link);
 	out->tcp = tcp;
-	out->len = len;
 	out->write.data = out;
-	tcp->pending += len;
-	tcp->queued += sizeof(*out) + len;
+	tcp->pending += out->len;
+	tcp->queued += out->held;
 	tcp_account(tcp);
-	buf = uv_buf_init(out->bytes, (unsigned)len);
 	uv_write(&out->write, (uv_stream_t *)&tcp->handle, &buf, 1, on_written);
 }
 
+void tcp_write(struct tcp *tcp, const char *ptr, size_t len)
+{
+	size_t written;
+
+	if (tcp->closing || len == 0)
+		return;
+	written = write_now(tcp, ptr, len);
+	if (written < len)
+		write_later(tcp, g_bytes_new(ptr + written, len - written),
+			    len - written);
+}
+
+void tcp_write_bytes(struct tcp *tcp, GBytes *bytes)
+{
+	size_t len;
+	const char *ptr = g_bytes_get_data(bytes, &len);
+	size_t written;
+
+	if (tcp->closing || len == 0)
+		return;
+	written = write_now(tcp, ptr, len);
+	if (written < len)
+		write_later(
+			tcp,
+			g_bytes_new_from_bytes(bytes, written, len - written),
+			0);
+}
+
 static void on_shutdown(uv_shutdown_t *request, int status)
 {
 	(void)status; /* a lost connection is reported by on_end */
@@ -365,8 +396,7 @@
 	for (const GList *at = tcp->outs.head; at; at = at->next) {
 		struct tcp_out *out = at->data;
 
-		g_free(out->bytes);
-		out->bytes = NULL;
+		g_clear_pointer(&out->bytes, g_bytes_unref);
 	}
 }
 
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -71,6 +71,9 @@
 /* Writes bytes; those that the kernel does not accept at once are copied and
  * queued. */
 void tcp_write(struct tcp *tcp, const char *ptr, size_t len);
+/* Writes bytes that are referenced, not copied; their owner counts them in the
+ * process's budget. */
+void tcp_write_bytes(struct tcp *tcp, GBytes *bytes);
 /* Closes the sending side once all queued bytes are written. */
 void tcp_shutdown(struct tcp *tcp);
 /* Closes and frees a connection; none of its callbacks runs after this. */
