--- a/decide/hold.c
+++ b/decide/hold.c
@@ -271,9 +271,22 @@
 	group_order_update(holder);
 }
 
-bool hold_may_serve(const struct hold_group *group)
+bool hold_may_serve(const struct hold *hold, const struct hold_group *group)
 {
-	return group->busy < group->limit;
+	size_t used = hold->connections;
+
+	if (group->busy >= group->limit)
+		return false;
+	/* A first one always: readiness checks need no other connection. */
+	if (hold->connections_limit == 0 || group->busy == 0)
+		return true;
+	/* The others can be displaced. */
+	for (const GList *at = hold->groups.head; at; at = at->next) {
+		const struct hold_group *each = at->data;
+
+		used -= each->connections - each->busy;
+	}
+	return used + HOLD_WAITING_MAX < hold->connections_limit;
 }
 
 size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder)
--- a/decide/hold.h
+++ b/decide/hold.h
@@ -41,7 +41,8 @@
 	GList link;
 };
 
-/* Connections of a listener beyond its limit of requests in flight. */
+/* Connections of a listener beyond its limit of requests in flight, and of the
+ * process beyond those that such requests use. */
 #define HOLD_WAITING_MAX 64
 
 /* All holders of a process. */
@@ -106,8 +107,9 @@
 					clk_ms now, clk_ms *wait);
 /* A request of the connection is, or is no longer, in flight. */
 void hold_set_busy(struct hold_holder *holder, bool is_busy);
-/* Whether another request of a group may be in flight. */
-bool hold_may_serve(const struct hold_group *group);
+/* Whether another request of a group may be in flight. If not, it is rejected:
+ * HOLD_WAITING_MAX places are left for clients to be told so. */
+bool hold_may_serve(const struct hold *hold, const struct hold_group *group);
 /* Reserves a receive window for a connection, and returns its size in bytes; 0:
  * windows are not limited. While many are reserved, further ones are small. */
 size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder);
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -3024,6 +3024,37 @@
 }
 END_TEST
 
+/* Requests in flight, and the connections that they need, leave places for
+ * clients that are then rejected. */
+START_TEST(hold_serves_while_places_are_left)
+{
+	enum { LIMIT = 200, ACCEPTED = 150 };
+	struct hold hold = { .connections_limit = LIMIT };
+	struct hold_holder accepted[ACCEPTED];
+	struct hold_holder outgoing[ACCEPTED];
+	struct hold_group group;
+	struct hold_group other;
+	int served = 0;
+
+	hold_group_add(&hold, &group, ACCEPTED);
+	hold_group_add(&hold, &other, 0);
+	for (int i = 0; i < ACCEPTED; i++) {
+		hold_init(&accepted[i], true);
+		hold_init(&outgoing[i], false);
+		hold_join(&hold, &group, &accepted[i], i);
+	}
+	ck_assert(!hold_may_serve(&hold, &other));
+	while (hold_may_serve(&hold, &group)) {
+		hold_set_busy(&accepted[served], true);
+		hold_join(&hold, NULL, &outgoing[served++], 0);
+	}
+	ck_assert_int_eq(served, (LIMIT - HOLD_WAITING_MAX) / 2);
+	hold_remove(&hold, &accepted[0]);
+	hold_remove(&hold, &outgoing[0]);
+	ck_assert(hold_may_serve(&hold, &group));
+}
+END_TEST
+
 /* Windows are wide while few are reserved; all together they stay under the
  * limit but for the least window of each. */
 START_TEST(hold_windows_are_bounded)
@@ -3171,6 +3202,7 @@
 	tcase_add_loop_test(tcase, hold_displaces, 0,
 			    G_N_ELEMENTS(place_cases));
 	tcase_add_test(tcase, hold_displaces_in_time);
+	tcase_add_test(tcase, hold_serves_while_places_are_left);
 	tcase_add_test(tcase, hold_windows_are_bounded);
 	tcase_add_test(tcase, feed_leaving_host_is_no_relay);
 	tcase_add_test(tcase, wall_ignores_jumps);
--- a/wire/budget.c
+++ b/wire/budget.c
@@ -332,6 +332,11 @@
 	return true;
 }
 
+bool budget_may_serve(const struct budget_listener *listener)
+{
+	return hold_may_serve(&budget.hold, &listener->group);
+}
+
 void budget_join_outgoing(struct budget_holder *holder)
 {
 	hold_join(&budget.hold, NULL, &holder->hold, now());
--- a/wire/budget.h
+++ b/wire/budget.h
@@ -78,6 +78,8 @@
 /* Counts an accepted connection; returns false if there is no place. */
 bool budget_join(struct budget_holder *holder,
 		 struct budget_listener *listener);
+/* Whether another request of a listener's connections may be in flight. */
+bool budget_may_serve(const struct budget_listener *listener);
 /* Counts a connection to be opened. Others are displaced by the next
  * budget_enforce. */
 void budget_join_outgoing(struct budget_holder *holder);
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -322,7 +322,7 @@
 		conn_reject(conn, 413);
 		return false;
 	}
-	if (!hold_may_serve(&conn->hs->budget.group)) {
+	if (!budget_may_serve(&conn->hs->budget)) {
 		conn_reject(conn, 503);
 		return false;
 	}
