--- a/wire/budget.c
+++ b/wire/budget.c
@@ -1,6 +1,7 @@
 /* The process's budget of bytes and connections. */
 #include "budget.h"
 
+#include <errno.h>
 #include <malloc.h>
 #include <stdio.h>
 #include <string.h>
@@ -46,6 +47,7 @@
 	uint64_t turned_away_logged;
 	char displaced_peer[PEER_MAX]; /* the last one */
 	bool enforcing;
+	bool window_failed; /* a receive window could not be set */
 } budget;
 
 static clk_ms now(void)
@@ -274,7 +276,8 @@
 		else
 			evict(holder);
 	}
-	place_make(NULL);
+	if (budget.hold.connections > budget.hold.connections_limit)
+		place_make(NULL);
 	budget.enforcing = false;
 }
 
@@ -347,7 +350,12 @@
 {
 	int value = (int)(window / 2);
 
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+	if (setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value)) == 0 ||
+	    budget.window_failed)
+		return;
+	budget.window_failed = true;
+	log_line(true, "memory", "window=%zu error=\"%s\" outcome=not_limited",
+		 window, g_strerror(errno));
 }
 
 void budget_set_window(struct budget_holder *holder, uv_os_fd_t fd)
