--- a/decide/hold.c
+++ b/decide/hold.c
@@ -289,17 +289,26 @@
 	return used + HOLD_WAITING_MAX < hold->connections_limit;
 }
 
-size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder)
+/* Returns the part of the receive windows that a connection may get. */
+static size_t window_share(const struct hold *hold)
+{
+	if (hold->windows >= hold->windows_limit)
+		return 0;
+	return (hold->windows_limit - hold->windows) / WINDOW_SHARE;
+}
+
+bool hold_windows_are_scarce(const struct hold *hold)
 {
-	size_t left = hold->windows_limit > hold->windows
-			      ? hold->windows_limit - hold->windows
-			      : 0;
+	return hold->windows_limit > 0 && window_share(hold) <= HOLD_WINDOW_MIN;
+}
 
+size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder)
+{
 	if (hold->windows_limit == 0)
 		return 0;
 	hold->windows -= holder->window;
 	holder->window =
-		CLAMP(left / WINDOW_SHARE, HOLD_WINDOW_MIN, HOLD_WINDOW_MAX);
+		CLAMP(window_share(hold), HOLD_WINDOW_MIN, HOLD_WINDOW_MAX);
 	hold->windows += holder->window;
 	return holder->window;
 }
--- a/decide/hold.h
+++ b/decide/hold.h
@@ -113,6 +113,8 @@
 /* Reserves a receive window for a connection, and returns its size in bytes; 0:
  * windows are not limited. While many are reserved, further ones are small. */
 size_t hold_reserve_window(struct hold *hold, struct hold_holder *holder);
+/* Whether so many windows are reserved that further ones are the smallest. */
+bool hold_windows_are_scarce(const struct hold *hold);
 /* The connection is closed. */
 void hold_remove(struct hold *hold, struct hold_holder *holder);
 /* Returns the bytes that an eviction would free. */
--- a/tests/proxysoak.py
+++ b/tests/proxysoak.py
@@ -7,8 +7,8 @@
 one or both directions; the store rejects hosts, loses responses, compacts its
 history and lets leases expire; workers fail, leave and return, name limits,
 crash on certain requests and start again at another software version; one, some
-or all workers of a service are silent for a while and go on; the configuration
-changes. Callers keep their connections until the process is gone;
+or all workers of a service are silent for a while and go on; crowds take up a
+host's connections and stall; the configuration changes. Callers keep their connections until the process is gone;
 some take their streams up at other hosts. At the end, what callers and workers
 received is checked against the guarantees.
 
@@ -18,15 +18,19 @@
 import argparse
 import asyncio
 import collections
+import contextlib
+import functools
 import json
 import os
 import random
 import signal
+import socket
 import sys
 import time
 import traceback
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from hostile import HEAD, sized  # noqa: E402
 from proxyrig import ROUTES, Rig, config  # noqa: E402
 from proxy import (LIMIT_EXTRA, LIMIT_RATIO, LIMIT_WINDOW_S,  # noqa: E402
                    NET, NOT_EXECUTED, STABLE_WINDOW_S, check_duties)
@@ -34,6 +38,8 @@
 
 FAULT_GAP_S = 0.5      # mean time between two bursts of faults
 SILENCE_GAP_S = 1.0    # mean time between two series of silent workers
+CROWD_GAP_S = 1.5      # mean time between two crowds
+DESCRIPTORS = 512      # of a host; crowds have more connections than that
 CALLERS = 12
 DEADLINE_S = 2         # of each request
 STEP_S = 0.1           # that an effect may take to reach the caller, or a caller's
@@ -55,6 +61,11 @@
 SAME_IDS = {437}  # in which workers are released under their ids
 RESUMED_KINDS = 17  # from so many kinds on, callers take streams up
 SILENT_KINDS = 18   # and workers fall silent
+CROWD_KINDS = 19    # and crowds come
+# What each connection of a crowd sends: nothing, or a part of a request that
+# it never ends, or ends a byte a second.
+CROWD_PARTS = (b"", b"POST /o/x HTTP/1.1\r\nHost: a", HEAD % (
+    b"/o/x", 0, sized(1000)), HEAD % (b"/o/x", 0, sized(20000)) + b"x" * 19000)
 MODES = ("ok", "ok", "ok", "error", "cut", "full", "hang", "break", "extra",
          "unsigned", "ambiguous", "slow")
 PATHS = ("/s/x", "/s1/x", "/i/x", "/o/x", "/o2/x")
@@ -138,6 +149,7 @@
         self.rand = random.Random(seed)
         # Of its own: other faults stay those of former runs of a seed.
         self.silence_rand = random.Random("silent workers %d" % seed)
+        self.crowd_rand = random.Random("crowds %d" % seed)
         self.results = []   # (ident, path, response or None, sent at)
         self.ended_at = {}  # ident -> end of its response
         self.hosts_of = {}  # ident -> name of the host that got it
@@ -396,6 +408,36 @@
             running.append(asyncio.create_task(self.workers_silent()))
         await asyncio.gather(*running)
 
+    async def crowd(self):
+        rand, host = self.crowd_rand, self.crowd_rand.choice(self.rig.hosts)
+        address, port = rand.choice([
+            host.front, host.front, host.ready, host.lookup, host.ip + ":7602",
+            host.ip + ":7600"]).split(":")
+        part, size = rand.choice(CROWD_PARTS), rand.randrange(50, 700)
+        self.record("crowd of %d at %s:%s" % (size, address, port))
+        socks = []
+        for number in range(size):
+            socks.append(socket.socket())
+            socks[-1].setblocking(False)
+            socks[-1].connect_ex((address, int(port)))
+            if number % 20 == 0:
+                await asyncio.sleep(0.001)  # other tasks of the test run on
+        for send in [part] + [part and b"x"] * rand.randrange(4):
+            await asyncio.sleep(rand.uniform(0.2, 1))
+            for sock in socks:
+                with contextlib.suppress(OSError):  # closed, or not connected
+                    sock.send(send)
+        for sock in socks:
+            sock.close()
+
+    async def inject_crowds(self, seconds):
+        end = time.monotonic() + seconds
+        running = []
+        while time.monotonic() < end:
+            await asyncio.sleep(self.crowd_rand.expovariate(1 / CROWD_GAP_S))
+            running.append(asyncio.create_task(self.crowd()))
+        await asyncio.gather(*running)
+
     # Callers.
 
     async def caller(self, number):
@@ -582,12 +624,16 @@
 
 
 async def run_once(seed, seconds, hosts, net, same_ids=False):
-    async with Rig(net, hosts=hosts, llm=3, api=3) as rig:
+    rig = Rig(net, hosts=hosts, llm=3, api=3)
+    for host in rig.hosts:
+        host.start = functools.partial(host.start, descriptors=DESCRIPTORS)
+    async with rig:
         soak = Soak(rig, seed)
         soak.kinds = FAULT_KINDS.get(seed)
         soak.same_ids = same_ids or seed in SAME_IDS
         await soak.start()
         await rig.wait_membership()
+        crowd_s = seconds if soak.has_kind(CROWD_KINDS) else 0
         callers = [asyncio.create_task(soak.caller(i))
                    for i in range(CALLERS)]
         if soak.has_kind(RESUMED_KINDS):
@@ -596,7 +642,8 @@
         try:
             silent_s = seconds if soak.has_kind(SILENT_KINDS) else 0
             await asyncio.gather(soak.inject_faults(seconds),
-                                 soak.inject_silences(silent_s))
+                                 soak.inject_silences(silent_s),
+                                 soak.inject_crowds(crowd_s))
             for host in rig.hosts:
                 if host.process.poll() is not None:
                     host.start(first_start=False)
--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -3074,8 +3074,10 @@
 		ck_assert_uint_le(hold.windows,
 				  hold.windows_limit + i * HOLD_WINDOW_MIN);
 	}
+	ck_assert(hold_windows_are_scarce(&hold));
 	for (int i = 0; i < COUNT; i++)
 		hold_remove(&hold, &holders[i]);
+	ck_assert(!hold_windows_are_scarce(&hold));
 	ck_assert_uint_eq(hold.windows, 0);
 	ck_assert_uint_eq(hold_reserve_window(&hold, &holders[0]),
 			  HOLD_WINDOW_MAX);
--- a/wire/budget.c
+++ b/wire/budget.c
@@ -48,6 +48,7 @@
 	char displaced_peer[PEER_MAX]; /* the last one */
 	bool enforcing;
 	bool window_failed; /* a receive window could not be set */
+	bool windows_scarce;
 } budget;
 
 static clk_ms now(void)
@@ -132,11 +133,25 @@
 		 budget.hold.connections_limit, budget.displaced_peer);
 }
 
+/* Logs when receive windows begin, or cease, to be the smallest. */
+static void windows_log(void)
+{
+	bool are_scarce = hold_windows_are_scarce(&budget.hold);
+
+	if (are_scarce == budget.windows_scarce)
+		return;
+	budget.windows_scarce = are_scarce;
+	log_line(false, "windows", "bytes=%zu limit=%zu open=%zu outcome=%s",
+		 budget.hold.windows, budget.hold.windows_limit,
+		 budget.hold.connections, are_scarce ? "scarce" : "ample");
+}
+
 static void on_check(uv_timer_t *timer)
 {
 	(void)timer;
 	budget_enforce();
 	connections_log();
+	windows_log();
 	if (budget.peak > budget.hold.total + TRIM_AFTER) {
 		malloc_trim(0);
 		budget.peak = budget.hold.total;
