--- a/tests/unit-proxy.c
+++ b/tests/unit-proxy.c
@@ -3063,7 +3063,7 @@
 	struct hold hold = { .windows_limit = 8 << 20 };
 	struct hold_holder *holders = g_new(struct hold_holder, COUNT);
 
-	for (int i = 0; i < COUNT; i++) {
+	for (size_t i = 0; i < COUNT; i++) {
 		size_t window;
 
 		hold_init(&holders[i], true);
