--- a/decide/hold.c
+++ b/decide/hold.c
@@ -8,11 +8,11 @@
 #define SMALL_SHARE 8
 /* The part of what is left of the receive windows that a connection gets. */
 #define WINDOW_SHARE 64
-/* Without a request in flight, a connection is displaced only if it has stalled
- * for so long: its client's first bytes may be on their way. That also bounds
- * how fast clients that come back at once displace each other. */
+/* Least lag of a connection that is displaced while no request on it is in
+ * flight. Its client's first bytes need a round trip; the limit also bounds the
+ * rate at which reconnecting clients displace each other. */
 #define GRACE_MS 250
-/* The same with a response in flight of which the client has taken nothing. */
+/* The same while its client does not read the response in flight. */
 #define STALL_MS 2000
 
 static const struct {
@@ -68,9 +68,9 @@
 	return most;
 }
 
-/* Puts a link back in its place after its holder's progress, or adds it. Most
- * holders progress to now, and so to the end. */
-static void order_place(GQueue *order, GList *link)
+/* Inserts a holder by its progress. The search begins at the end, where most
+ * holders belong: their progress is at the current time. */
+static void order_insert(GQueue *order, GList *link)
 {
 	const struct hold_holder *holder = link->data;
 	GList *at = order->tail;
@@ -96,11 +96,11 @@
 {
 	if (holder->is_listed) {
 		g_queue_unlink(&hold->order, &holder->link);
-		order_place(&hold->order, &holder->link);
+		order_insert(&hold->order, &holder->link);
 	}
 	if (holder->may_displace) {
 		g_queue_unlink(&holder->group->order, &holder->group_link);
-		order_place(&holder->group->order, &holder->group_link);
+		order_insert(&holder->group->order, &holder->group_link);
 	}
 }
 
@@ -116,7 +116,7 @@
 		return;
 	holder->may_displace = may_displace;
 	if (may_displace)
-		order_place(&group->order, &holder->group_link);
+		order_insert(&group->order, &holder->group_link);
 	else
 		g_queue_unlink(&group->order, &holder->group_link);
 }
--- a/decide/hold.h
+++ b/decide/hold.h
@@ -67,11 +67,9 @@
 /* One connection. */
 struct hold_holder {
 	size_t bytes[HOLD_PURPOSES]; /* as allocated */
-	/* When its client would have made its last progress, if it had sent or
-	 * taken a byte each millisecond since: now, if it is as fast. */
-	clk_ms progress_at;
-	bool can_evict; /* its owner knows how */
-	bool is_listed; /* in hold's order */
+	clk_ms progress_at; /* the current time less the connection's lag */
+	bool can_evict;	    /* its owner knows how */
+	bool is_listed;	    /* in hold's order */
 	bool is_counted;
 	bool is_busy;	   /* a request is in flight */
 	bool may_displace; /* in its group's order */
@@ -93,22 +91,22 @@
 /* Bytes of a request have arrived, or its client has taken some. */
 void hold_on_bytes(struct hold *hold, struct hold_holder *holder, size_t bytes,
 		   clk_ms now);
-/* Returns how long the connection has stalled, in ms. */
+/* Returns how far the connection lags, in ms. */
 clk_ms hold_lag(const struct hold_holder *holder, clk_ms now);
 /* Counts a connection; group NULL: an outgoing one. */
 void hold_join(struct hold *hold, struct hold_group *group,
 	       struct hold_holder *holder, clk_ms now);
 /* Whether another connection may be accepted for a group, or opened (NULL). */
 bool hold_has_place(const struct hold *hold, const struct hold_group *group);
-/* Returns the connection to close, so that another one finds a place; NULL:
- * none may be closed now, but one may after *wait ms (CLK_NEVER: none). */
+/* Returns the connection to close in favour of another one; NULL: none may be
+ * closed yet, but one may after *wait ms (CLK_NEVER: none). */
 struct hold_holder *hold_next_displaced(const struct hold *hold,
 					const struct hold_group *group,
 					clk_ms now, clk_ms *wait);
 /* A request of the connection is, or is no longer, in flight. */
 void hold_set_busy(struct hold_holder *holder, bool is_busy);
-/* Whether another request of a group may be in flight. If not, it is rejected:
- * HOLD_WAITING_MAX places are left for clients to be told so. */
+/* Whether another request of a group may be in flight. If not, it is rejected;
+ * HOLD_WAITING_MAX connections of the process are reserved for that. */
 bool hold_may_serve(const struct hold *hold, const struct hold_group *group);
 /* Reserves a receive window for a connection, and returns its size in bytes; 0:
  * windows are not limited. While many are reserved, further ones are small. */
--- a/wire/budget.c
+++ b/wire/budget.c
@@ -256,8 +256,8 @@
 	memcpy(budget.displaced_peer, peer, sizeof(peer));
 }
 
-/* Displaces connections until there is a place; returns whether there is, or is
- * none to wait for. */
+/* Displaces connections until there is a place. Returns false if there is none
+ * yet, but waiting may help. */
 static bool place_make(const struct hold_group *group)
 {
 	clk_ms wait = CLK_NEVER;
@@ -360,7 +360,7 @@
 	hold_join(&budget.hold, NULL, &holder->hold, now());
 }
 
-/* Linux doubles the value, and receives no more than that. */
+/* Linux doubles the value, and buffers no more than that. */
 static void window_apply(uv_os_fd_t fd, size_t window)
 {
 	int value = (int)(window / 2);
--- a/wire/budget.h
+++ b/wire/budget.h
@@ -22,9 +22,8 @@
 	size_t (*taken)(void *ctx);
 	/* Gives up what may be given up; returns what was done. */
 	const char *(*evict)(void *ctx);
-	/* Closes the connection, so that another one finds a place; returns
-	 * what was done. NULL: it stays, as input has arrived that was not
-	 * read. */
+	/* Closes the connection in favour of another one; returns what was
+	 * done. NULL: it is kept, as it has unread input. */
 	const char *(*displace)(void *ctx);
 	/* Writes the client's address. */
 	void (*peer)(void *ctx, char *buf, size_t size);
--- a/wire/http-held.h
+++ b/wire/http-held.h
@@ -19,8 +19,8 @@
 				   uv_connection_cb fn);
 /* The listener is closed. */
 void http_held_stop(struct http_held *held);
-/* Whether the connection that has arrived is to be accepted now; if not, fn is
- * called again. */
+/* Returns false if a new connection has to wait in the listener's queue; fn is
+ * called again then. */
 bool http_held_may_accept(struct http_held *held);
 /* Counts an accepted connection; returns NULL if there is no place for it: it
  * was sent a refusal. */
--- a/wire/tcp.h
+++ b/wire/tcp.h
@@ -28,9 +28,9 @@
 	/* The bytes that are held for the connection are to be given up;
 	 * returns what was done, for the log. NULL: it is never asked. */
 	const char *(*on_evict)(void *ctx);
-	/* The connection is to be closed for another one; returns what was
-	 * done, or NULL if it stays, as input has arrived that was not read.
-	 * Required for accepted connections. */
+	/* Closes the connection in favour of another one and returns what was
+	 * done, for the log; NULL: it is kept, as it has unread input. Required
+	 * for accepted connections. */
 	const char *(*on_displace)(void *ctx);
 };
 
