Store: a lease or a revision is not used beyond its era

A store that comes back from an older copy gives its revisions and the ids of its leases out again. A lease here was a bare id, and a renewal, a revocation or a conditional write named the id or revision of before the restore: the restored store could take it for that of another process.

platform/kv now keeps the era with each lease (struct kv_lease). A call with a lease or a revision of an earlier era fails and is not sent; one that meets the restored store on its way ends as KV_NOT_FOUND (a renewal) or KV_UNKNOWN (a write that was done, but not as it was meant). The era is tracked from the first response on, whether or not revisions carry it.

Test: unit_drill, a table of calls before, across and after a restore. It has no form that the former interface could run.

--- a/Makefile
+++ b/Makefile
@@ -76,7 +76,7 @@
 	    $(B)/tests/unit-quota $(B)/tests/unit-scale $(B)/tests/unit-speed \
 	    $(B)/tests/unit-permit $(B)/tests/unit-links \
 	    $(B)/tests/unit-build $(B)/tests/unit-rpc \
-	$(B)/tests/unit-format $(B)/tests/http \
+	$(B)/tests/unit-format $(B)/tests/unit-drill $(B)/tests/http \
 	    $(B)/tests/platform
 $(B)/tests/sim-replica $(B)/tests/sim-member $(B)/tests/sim-route \
 	$(B)/tests/sim-feed $(B)/tests/sim-spread $(B)/tests/sim-origin \
@@ -90,7 +90,7 @@
 $(B)/tests/unit $(B)/tests/unit-proxy $(B)/tests/unit-quota \
 	$(B)/tests/unit-scale $(B)/tests/unit-speed $(B)/tests/unit-permit $(B)/tests/unit-links \
 	$(B)/tests/unit-build $(B)/tests/unit-rpc \
-	$(B)/tests/unit-format $(B)/tests/http \
+	$(B)/tests/unit-format $(B)/tests/unit-drill $(B)/tests/http \
 	$(B)/tests/platform: \
 		$(B)/tests/%: $(B)/tests/%.o $(B)/tests/run.o $(PLATFORM_OBJ) \
 		$(B)/librw.a
--- a/daemon/mirror.c
+++ b/daemon/mirror.c
@@ -53,6 +53,7 @@
 	struct mirror_part parts[MIRROR_PREFIXES_MAX];
 	size_t count;
 	int64_t snapshot_revision; /* of the first page of the one being read */
+	unsigned snapshot_restores; /* of the store, at that page */
 	bool reading;  /* a call is pending, or its response being applied */
 	bool applying; /* a response is being applied */
 	bool has_snapshot;
@@ -390,8 +391,15 @@
 		return;
 	}
 	call_succeeded(mirror);
-	if (mirror->snapshot_revision == 0)
+	if (mirror->snapshot_revision == 0) {
 		mirror->snapshot_revision = page->revision;
+		mirror->snapshot_restores = mirror->restores;
+	}
+	if (mirror->snapshot_restores != mirror->restores) {
+		/* The pages before are of an earlier era. */
+		mirror_next(mirror);
+		return;
+	}
 	mirror->applying = true;
 	items_put(mirror, page);
 	if (page->more && page->count > 0) {
--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -69,18 +69,20 @@
 			     proxyd_boot_now());
 }
 
-static void on_lease_granted(void *ctx, enum kv_outcome outcome, int64_t lease)
+static void on_lease_granted(void *ctx, enum kv_outcome outcome,
+			     struct kv_lease lease)
 {
 	struct proxyd *proxyd = ctx;
 	char *value;
 
-	lease_on_grant(&proxyd->leader_lease, outcome == KV_OK, lease,
+	lease_on_grant(&proxyd->leader_lease, outcome == KV_OK, lease.id,
 		       proxyd_boot_now());
 	if (proxyd->leader_lease.state != LEASE_CLAIMING)
 		return;
+	proxyd->leader->duty_lease = lease;
 	value = g_strdup_printf("{\"host\":\"%s\",\"lease\":%" G_GINT64_FORMAT
 				"}",
-				proxyd->conf->name, lease);
+				proxyd->conf->name, lease.id);
 	kv_change(proxyd->kv,
 		  &(struct kv_change){
 			  .key = LEADER_KEY,
@@ -99,7 +101,7 @@
 	if (outcome == KV_UNKNOWN)
 		return;
 	if (outcome != KV_OK)
-		kv_lease_revoke(proxyd->kv, proxyd->leader_lease.id);
+		kv_lease_revoke(proxyd->kv, &proxyd->leader->duty_lease);
 	lease_on_claim(&proxyd->leader_lease, outcome == KV_OK, revision,
 		       proxyd_boot_now());
 }
@@ -244,7 +246,8 @@
 	} else if (outcome == KV_CONFLICT || outcome == KV_UNKNOWN) {
 		window_read(proxyd);
 	} else {
-		proxyd->leader->usage_lease = 0; /* it may have expired */
+		/* It may have expired. */
+		proxyd->leader->usage_lease = (struct kv_lease){ 0 };
 		usage_report_end(proxyd, false);
 	}
 }
@@ -269,7 +272,7 @@
 }
 
 static void on_usage_lease_granted(void *ctx, enum kv_outcome outcome,
-				   int64_t lease)
+				   struct kv_lease lease)
 {
 	struct proxyd *proxyd = ctx;
 	struct leader *leader = proxyd->leader;
@@ -334,7 +337,7 @@
 	leader->report_pending = true;
 	leader->report_window = leader->reported_window + 1;
 	leader->report_counts = window_counts(proxyd, leader->report_window);
-	if (leader->usage_lease &&
+	if (kv_lease_is_valid(proxyd->kv, &leader->usage_lease) &&
 	    proxyd_boot_now() < leader->usage_lease_until)
 		window_write(proxyd);
 	else
@@ -353,7 +356,7 @@
 			       on_lease_granted, proxyd);
 		return;
 	case LEASE_ACT_RENEW:
-		kv_lease_renew(proxyd->kv, proxyd->leader_lease.id,
+		kv_lease_renew(proxyd->kv, &proxyd->leader->duty_lease,
 			       on_lease_renewed, proxyd);
 		return;
 	}
@@ -433,11 +436,9 @@
 
 void leader_resign(struct proxyd *proxyd)
 {
-	int64_t lease = proxyd->leader_lease.id;
-
 	/* A pending call to the platform could arrive after the next leader's
 	 * first one; then the lease is left to expire. */
 	if (lease_resign(&proxyd->leader_lease, proxyd_boot_now()) &&
 	    cloud_pending_calls(proxyd->cloud) == 0)
-		kv_lease_revoke(proxyd->kv, lease);
+		kv_lease_revoke(proxyd->kv, &proxyd->leader->duty_lease);
 }
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -14,9 +14,10 @@
 	int64_t report_window; /* of the pending report */
 	char *report_counts;   /* of that window, a JSON object */
 	clk_ms report_retry_at;
-	int64_t usage_lease;	  /* of the windows' keys; 0: none */
-	clk_ms usage_lease_until; /* when to replace that lease */
-	clk_ms last_follower_at;  /* when this host was last a follower */
+	struct kv_lease duty_lease;  /* of the leader's key */
+	struct kv_lease usage_lease; /* of the windows' keys */
+	clk_ms usage_lease_until;    /* when to replace that lease */
+	clk_ms last_follower_at;     /* when this host was last a follower */
 	bool was_acting;
 };
 
--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -529,7 +529,7 @@
 		proxyd->host_key_revision = item->mod;
 		/* An earlier process of this host has written it. */
 		if (!strcmp(address, proxyd->rpc_address) &&
-		    !proxyd->host_lease)
+		    !proxyd->host_lease.id)
 			proxyd->next_host_call =
 				proxyd_now(proxyd) + HOST_KEY_RENEW_MS;
 	}
@@ -584,8 +584,8 @@
 		host_key_schedule(proxyd, HOST_KEY_RENEW_MS);
 		return;
 	}
-	kv_lease_revoke(proxyd->kv, proxyd->host_lease);
-	proxyd->host_lease = 0;
+	kv_lease_revoke(proxyd->kv, &proxyd->host_lease);
+	proxyd->host_lease = (struct kv_lease){ 0 };
 	/* On a conflict, the key has changed unseen or has expired. */
 	if (outcome == KV_CONFLICT)
 		proxyd->host_key_revision = 0;
@@ -594,7 +594,7 @@
 }
 
 static void on_host_lease_granted(void *ctx, enum kv_outcome outcome,
-				  int64_t lease)
+				  struct kv_lease lease)
 {
 	struct proxyd *proxyd = ctx;
 	char *key;
@@ -623,7 +623,7 @@
 
 	(void)number;
 	if (outcome == KV_NOT_FOUND)
-		proxyd->host_lease = 0;
+		proxyd->host_lease = (struct kv_lease){ 0 };
 	host_key_schedule(proxyd, outcome == KV_OK ? HOST_KEY_RENEW_MS
 						   : HOST_KEY_RETRY_MS);
 }
@@ -635,8 +635,8 @@
 	    proxyd_now(proxyd) < proxyd->next_host_call)
 		return;
 	proxyd->host_call_pending = true;
-	if (proxyd->host_lease)
-		kv_lease_renew(proxyd->kv, proxyd->host_lease,
+	if (kv_lease_is_valid(proxyd->kv, &proxyd->host_lease))
+		kv_lease_renew(proxyd->kv, &proxyd->host_lease,
 			       on_host_lease_renewed, proxyd);
 	else
 		kv_lease_grant(proxyd->kv, HOST_KEY_LEASE_MS,
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -193,6 +193,7 @@
 	values[CTR_platform_failures] = kv->failures;
 	values[CTR_store_restores] = kv_restores(proxyd->kv);
 	values[CTR_store_bad_eras] = kv->bad_eras;
+	values[CTR_store_old_eras] = kv->old_eras;
 	values[CTR_rpc_bytes_in] = rpc->bytes_in;
 	values[CTR_rpc_bytes_out] = rpc->bytes_out;
 	values[CTR_gossip_out] = rpc->datagrams_out;
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -185,8 +185,8 @@
 	GArray *urgent_notices; /* of struct urgent_notice, not sent yet */
 	clk_ms next_urgent_notices;
 	struct lease leader_lease;
-	int64_t host_lease;	   /* lease of this host's own key; 0: none */
-	int64_t host_key_revision; /* of that key; 0: none */
+	struct kv_lease host_lease; /* of this host's own key */
+	int64_t host_key_revision;  /* of that key; 0: none */
 	bool host_call_pending;
 	clk_ms next_host_call;
 	struct leader *leader;		 /* proxyd-leader.h */
--- a/daemon/streamlog.c
+++ b/daemon/streamlog.c
@@ -26,7 +26,7 @@
 	guint pending; /* of these, the first ones are being written */
 	int64_t revisions[KEYS];
 	unsigned next_key;
-	int64_t lease; /* 0: none */
+	struct kv_lease lease;
 	clk_ms renew_at;
 	clk_ms used_at; /* something was last written */
 	bool calling;
@@ -80,7 +80,7 @@
 	(void)ttl;
 	log->calling = false;
 	if (outcome == KV_NOT_FOUND)
-		log->lease = 0;
+		log->lease = (struct kv_lease){ 0 };
 	turn_await(log);
 }
 
@@ -97,7 +97,7 @@
 		     "rows=%u outcome=not_written cause=%d", log->pending,
 		     outcome);
 	if (outcome == KV_NOT_FOUND)
-		log->lease = 0;
+		log->lease = (struct kv_lease){ 0 };
 	/* Whether the key was written is not known, or it has expired. */
 	if (outcome == KV_CONFLICT || outcome == KV_UNKNOWN)
 		log->revisions[log->next_key] = 0;
@@ -128,7 +128,7 @@
 	g_string_free(text, TRUE);
 }
 
-static void on_lease(void *ctx, enum kv_outcome outcome, int64_t lease)
+static void on_lease(void *ctx, enum kv_outcome outcome, struct kv_lease lease)
 {
 	struct streamlog *log = ctx;
 
@@ -149,7 +149,8 @@
 
 	if (log->calling || log->rows->len == 0)
 		return;
-	if (log->lease && now < log->renew_at) {
+	if (kv_lease_is_valid(log->options.kv, &log->lease) &&
+	    now < log->renew_at) {
 		rows_write(log);
 		return;
 	}
@@ -181,10 +182,10 @@
 		log->dropped += log->rows->len;
 		g_array_set_size(log->rows, 0);
 	}
-	if (!log->lease || now < log->renew_at ||
+	if (!log->lease.id || now < log->renew_at ||
 	    now - log->used_at >= LEASE_MS)
 		return;
 	log->renew_at = now + LEASE_RENEW_MS;
 	log->calling = true;
-	kv_lease_renew(log->options.kv, log->lease, on_renewed, log);
+	kv_lease_renew(log->options.kv, &log->lease, on_renewed, log);
 }
--- /dev/null
+++ b/tests/unit-drill.c
@@ -0,0 +1,226 @@
+/*
+ * Tests of what outlives a restore of the store: calls that name a lease or a
+ * revision.
+ */
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../platform/kv.h"
+#include "../wire/hs.h"
+#include "run.h"
+
+#define WAIT_MS 3000
+#define ERA(era) (INT64_C(era) << 40) /* of a revision */
+#define CALL_RENEW 'r'
+#define CALL_REVOKE 'v'
+#define CALL_WRITE 'w'
+
+/* Calls to the store. */
+
+/* A store that answers all calls alike, and its client. */
+struct rig {
+	uv_loop_t loop;
+	struct hs *server;
+	struct kv *kv;
+	int status;
+	int64_t era;
+	unsigned served;
+	bool done;
+	enum kv_outcome outcome;
+	struct kv_lease lease;
+	unsigned eras;
+	unsigned restores;
+};
+
+static void on_request(void *ctx, struct hs_request *request)
+{
+	static const char body[] = "{\"lease\":7,\"ttl_ms\":1,\"revision\":9}";
+	struct rig *rig = ctx;
+	char header[32];
+
+	rig->served++;
+	g_snprintf(header, sizeof(header), "Store-Era: %d\r\n", (int)rig->era);
+	hs_response_send(request, rig->status, header, body, sizeof(body) - 1);
+}
+
+static void on_number(void *ctx, enum kv_outcome outcome, int64_t number)
+{
+	struct rig *rig = ctx;
+
+	(void)number;
+	rig->outcome = outcome;
+	rig->done = true;
+}
+
+static void on_lease(void *ctx, enum kv_outcome outcome, struct kv_lease lease)
+{
+	((struct rig *)ctx)->lease = lease;
+	on_number(ctx, outcome, 0);
+}
+
+static void on_era(void *ctx, bool restored)
+{
+	struct rig *rig = ctx;
+
+	rig->eras++;
+	rig->restores += restored;
+	ck_assert(!rig->done); /* before the callback of the call */
+}
+
+static struct rig *rig_start(void)
+{
+	static const struct hc_options client = {
+		.connect_timeout = 500,
+		.idle_timeout = 1000,
+		.peer_timeout = 1000,
+	};
+	struct rig *rig = g_new0(struct rig, 1);
+	struct hs_options options = {
+		.limits = {
+			.head_max = 4096,
+			.body_max = 4096,
+			.head_timeout = 1000,
+			.idle_timeout = 1000,
+			.in_flight_max = 64,
+		},
+		.on_request = on_request,
+		.ctx = rig,
+	};
+	char address[32];
+	int port = 24000 + getpid() % 8000;
+
+	uv_loop_init(&rig->loop);
+	for (; !rig->server; port++) {
+		GError *error = NULL;
+
+		g_snprintf(address, sizeof(address), "127.0.0.1:%d", port);
+		options.address = address;
+		rig->server = hs_create(&rig->loop, &options, &error);
+		g_clear_error(&error);
+	}
+	rig->status = 200;
+	rig->era = 4;
+	rig->kv =
+		kv_create(&rig->loop, hc_create(&rig->loop, &client), address);
+	kv_use_eras(rig->kv);
+	kv_set_era_fn(rig->kv, on_era, rig);
+	return rig;
+}
+
+/* Runs the loop until the call has ended. */
+static void rig_wait(struct rig *rig)
+{
+	clk_ms end = (clk_ms)(uv_hrtime() / 1000000) + WAIT_MS;
+
+	while (!rig->done && (clk_ms)(uv_hrtime() / 1000000) < end)
+		uv_run(&rig->loop, UV_RUN_ONCE);
+	ck_assert(rig->done);
+	rig->done = false;
+}
+
+static void rig_grant(struct rig *rig)
+{
+	kv_lease_grant(rig->kv, 3000, on_lease, rig);
+	rig_wait(rig);
+}
+
+/* A call with a lease or revision of era 4. It is made after the restore is
+ * known, or meets the restored store first. */
+static const struct kv_row {
+	const char *what;
+	char call;
+	bool lease;
+	int64_t expected;
+	bool restored;
+	bool known;
+	int status;
+	enum kv_outcome outcome;
+	unsigned served;
+} kv_rows[] = {
+	{ "renewal", CALL_RENEW, true, 0, false, false, 200, KV_OK, 1 },
+	{ "renewal of a lease that ended", CALL_RENEW, true, 0, false, false,
+	  404, KV_NOT_FOUND, 1 },
+	{ "renewal meets the restored store", CALL_RENEW, true, 0, true, false,
+	  200, KV_NOT_FOUND, 1 },
+	{ "renewal after a restore", CALL_RENEW, true, 0, true, true, 200,
+	  KV_NOT_FOUND, 0 },
+	{ "write", CALL_WRITE, false, ERA(4) + 9, false, false, 200, KV_OK, 1 },
+	{ "write meets the restored store", CALL_WRITE, false, ERA(4) + 9, true,
+	  false, 200, KV_UNKNOWN, 1 },
+	{ "refused write meets it", CALL_WRITE, false, ERA(4) + 9, true, false,
+	  412, KV_CONFLICT, 1 },
+	{ "write after a restore", CALL_WRITE, false, ERA(4) + 9, true, true,
+	  200, KV_CONFLICT, 0 },
+	{ "write with a lease", CALL_WRITE, true, 0, false, false, 200, KV_OK,
+	  1 },
+	{ "write with a lease meets the restored store", CALL_WRITE, true, 0,
+	  true, false, 200, KV_UNKNOWN, 1 },
+	{ "write with a lease after a restore", CALL_WRITE, true, 0, true, true,
+	  200, KV_NOT_FOUND, 0 },
+	{ "write with both after a restore", CALL_WRITE, true, ERA(4) + 9, true,
+	  true, 200, KV_NOT_FOUND, 0 },
+	{ "write that names neither", CALL_WRITE, false, 0, true, true, 200,
+	  KV_OK, 1 },
+	{ "revocation after a restore", CALL_REVOKE, true, 0, true, true, 200,
+	  KV_OK, 0 },
+};
+
+/* Guards against a lease or a revision that the restored store has given to
+ * another process being taken for this one's. */
+START_TEST(kv_calls_hold_in_one_era)
+{
+	const struct kv_row *row = &kv_rows[_i];
+	struct rig *rig = rig_start();
+	struct kv_lease lease;
+
+	rig_grant(rig);
+	lease = rig->lease;
+	ck_assert(kv_lease_is_valid(rig->kv, &lease));
+	rig->era += row->restored;
+	if (row->known) {
+		rig_grant(rig);
+		ck_assert(!kv_lease_is_valid(rig->kv, &lease));
+		ck_assert(kv_lease_is_valid(rig->kv, &rig->lease));
+	}
+	rig->served = 0;
+	rig->status = row->status;
+	switch (row->call) {
+	case CALL_RENEW:
+		kv_lease_renew(rig->kv, &lease, on_number, rig);
+		break;
+	case CALL_REVOKE:
+		kv_lease_revoke(rig->kv, &lease);
+		rig->done = true;
+		break;
+	default:
+		kv_change(rig->kv,
+			  &(struct kv_change){
+				  .key = "key",
+				  .value = "value",
+				  .lease = row->lease ? lease
+						      : (struct kv_lease){ 0 },
+				  .expected_revision = row->expected,
+			  },
+			  on_number, rig);
+	}
+	rig_wait(rig);
+	ck_assert_msg(rig->outcome == row->outcome, "%s: %d", row->what,
+		      rig->outcome);
+	ck_assert_msg(rig->served == row->served, "%s: %u calls", row->what,
+		      rig->served);
+	ck_assert_uint_eq(rig->eras, 1 + row->restored);
+	ck_assert_uint_eq(rig->restores, row->restored);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("unit_drill");
+	TCase *tcase = tcase_create("drill");
+
+	tcase_add_loop_test(tcase, kv_calls_hold_in_one_era, 0,
+			    G_N_ELEMENTS(kv_rows));
+	suite_add_tcase(suite, tcase);
+	return run_suite(suite, "unit_drill");
+}
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -52,6 +52,7 @@
 run unit_build "$B/tests/unit-build"
 run unit_rpc "$B/tests/unit-rpc"
 run unit_format "$B/tests/unit-format"
+run unit_drill "$B/tests/unit-drill"
 run http "$B/tests/http"
 run platform "$B/tests/platform"
 run variant tools/variant.sh
