Usage: no window is reported twice after a restore of the store

A window without its key was taken for one that was not reported. That is so only while the store loses nothing. Now a leader of each era first records (rw/usage_record, build 11) from which window on it knows all reports, and writes the seals again that it has read and the copy lacks: - a host that followed the store until the restore knows them all; - one that has started since, or did not follow, knows none before the window after next to begin, except those that it has counted whole itself, or that the record covers; - other windows are passed over (ev=usage outcome=skipped, usage_skipped). A window is sent 0.5 s after its seal was written, and after the seal was read again in the same era: by then all hosts that follow the store have read it, so that whoever leads next sends the same counts.

--- a/daemon/mirror.c
+++ b/daemon/mirror.c
@@ -153,6 +153,15 @@
 	       mirror->ops->follows(mirror->ctx);
 }
 
+bool mirror_followed(const struct mirror *mirror)
+{
+	clk_ms until = mirror->lost_at ? mirror->lost_at : mirror_now(mirror);
+
+	return mirror->current && mirror->has_snapshot &&
+	       until - mirror->read_at <= READ_FRESH_MS &&
+	       mirror->ops->follows(mirror->ctx);
+}
+
 clk_ms mirror_lost_at(const struct mirror *mirror)
 {
 	return mirror->lost_at;
--- a/daemon/mirror.h
+++ b/daemon/mirror.h
@@ -55,6 +55,9 @@
 /* Whether this host follows the store and knows what is new: the store has
  * responded within the time of a watch. */
 bool mirror_reads_store(const struct mirror *mirror);
+/* Whether this host has read all changes of the store until now, or until the
+ * store became unreachable. */
+bool mirror_followed(const struct mirror *mirror);
 /* When the store became unreachable, in ms of the loop; 0: it is reachable. */
 clk_ms mirror_lost_at(const struct mirror *mirror);
 /* When it last became reachable again; 0: it never was lost. */
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -3,6 +3,7 @@
 #define DAEMON_PROXYD_LEADER_H
 
 #include "../decide/scale.h"
+#include "../decide/seal.h"
 #include "proxyd.h"
 
 struct leader {
@@ -14,15 +15,36 @@
 	int64_t report_window; /* of the pending report */
 	char *report_counts;   /* of that window, a JSON object */
 	clk_ms report_retry_at;
+	clk_ms report_read_at; /* when its seal is read again; 0: not due */
 	struct kv_lease duty_lease;  /* of the leader's key */
 	struct kv_lease usage_lease; /* of the windows' keys */
 	clk_ms usage_lease_until;    /* when to replace that lease */
-	clk_ms last_follower_at;     /* when this host was last a follower */
+	bool usage_lease_pending;
+	struct seals seals;
+	int64_t read_era;     /* of the store, when all items were last read */
+	int64_t recorded_era; /* of the record in the store; -1: none */
+	bool record_pending;
+	int64_t record_from;	 /* window of the record being written */
+	int64_t reseal_window;	 /* its seal is being written again */
+	int64_t resealed;	 /* the newest such window of this era */
+	clk_ms last_follower_at; /* when this host was last a follower */
 	bool was_acting;
 };
 
 /* This host as the leader, for calls to the platform. */
 struct cloud_leader leader_self(struct proxyd *proxyd);
+/* proxyd-usage.c: usage reports */
+void usage_start(struct proxyd *proxyd);
+/* Makes the next call for the reports, as the leader. */
+void usage_run(struct proxyd *proxyd);
+/* An item under OWN_PREFIX has changed. */
+void usage_on_item(struct proxyd *proxyd, const struct store_item *item);
+/* The store begins an era; restored: from an older copy. */
+void usage_on_era(struct proxyd *proxyd, bool restored);
+/* Whether a leader of the store's present era has recorded which windows may
+ * have been reported before. */
+bool usage_is_recorded(const struct proxyd *proxyd);
+
 /* Discards the accepted orders: another host was the leader since, and what it
  * ordered is not known. */
 void scale_reset_orders(struct proxyd *proxyd);
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -454,6 +454,12 @@
 	proxyd_drop_peer(worker);
 }
 
+/* Gives up what goes by leases and keys of the era before. */
+static void on_store_era(void *ctx, bool restored)
+{
+	leader_on_era(ctx, restored);
+}
+
 static void clients_create(struct proxyd *proxyd)
 {
 	const struct conf_proxy *conf = proxyd->conf;
@@ -615,6 +621,7 @@
 	forward_start(proxyd);
 	queue_start(proxyd);
 	leader_start(proxyd);
+	kv_set_era_fn(proxyd->kv, on_store_era, proxyd);
 	loop_start(proxyd);
 	return true;
 }
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -67,6 +67,7 @@
 #define LEADER_KEY "rw/holder"	 /* names the leader and its lease */
 #define HOST_PREFIX "rw/host/"	 /* before a host's name */
 #define USAGE_PREFIX "rw/usage/" /* before a usage window's number */
+#define USAGE_RECORD_KEY "rw/usage_record"
 
 /* Offset of the port for forwarded requests from that of the host's RPCs. */
 #define FORWARD_PORT 2
@@ -510,6 +511,8 @@
 void leader_on_item(struct proxyd *proxyd, const struct store_item *item);
 /* All items under OWN_PREFIX were read. */
 void leader_on_snapshot(struct proxyd *proxyd);
+/* The store's era is known, or has risen; restored: it was known before. */
+void leader_on_era(struct proxyd *proxyd, bool restored);
 void leader_resign(struct proxyd *proxyd);
 /* Records a host's demand for a pool, in busy workers. */
 void scale_set_demand(struct proxyd *proxyd, const char *process,
--- a/decide/build.c
+++ b/decide/build.c
@@ -21,6 +21,7 @@
 	[BUILD_SPEEDS] = { 9, "worker_speeds" },
 	[BUILD_BALANCES] = { 10, "stored_balances" },
 	[BUILD_ROLLOUT] = { 8, "rollouts" },
+	[BUILD_STORED_ERAS] = { 11, "stored_eras" },
 };
 
 unsigned build_own(void)
--- a/decide/build.h
+++ b/decide/build.h
@@ -37,6 +37,7 @@
 	BUILD_SPEEDS,	/* takes RW_SPEEDS */
 	BUILD_BALANCES, /* reads what remained for accounts near their limits */
 	BUILD_ROLLOUT,	/* takes RW_ROLLOUT */
+	BUILD_STORED_ERAS, /* reads records that name their era */
 	BUILD_FEATURES,
 };
 
--- /dev/null
+++ b/tests/proxydrill.py
@@ -0,0 +1,253 @@
+#!/usr/bin/env python3
+"""Tests of rw-proxyd: the store comes back from an older copy, beside other
+faults.
+
+Usage: proxydrill.py [--jobs N] [TEST...]
+"""
+import asyncio
+import os
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+from proxyrig import LOG_FLUSH_S, Rig  # noqa: E402
+from proxy import main, wrong_usage  # noqa: E402
+from proxyends import gather_rows  # noqa: E402
+
+FIRST_NET = 170  # after those of proxyrollout.py
+WINDOW_S = 2
+AWAY_S = 0.5    # the store, before it is back
+RESUMED_S = 8   # until a leader acts again, at most
+
+
+class Drill:
+    """Three hosts with callers, a leader, and a store that is restored; or it
+    loses nothing, for comparison."""
+
+    def __init__(self, rig, restores=True):
+        self.rig = rig
+        self.restores = restores
+        self.starts = []  # (sent, began) of each request, wall clock
+        self.restored_at = []
+        self.stopping = asyncio.Event()
+
+    def calls(self):
+        """Returns the calls to the platform as (time, host, token)."""
+        cloud = self.rig.cloud
+        return sorted(row[:3] for row in cloud.usage + cloud.orders)
+
+    def resumed_s(self):
+        """Returns how long after the last restore a leader acted again."""
+        back = self.restored_at[-1]
+        return min((at - back for at, _, _ in self.calls() if at > back),
+                   default=float("inf"))
+
+    def leader(self):
+        name = self.calls()[-1][1]
+        return next(h for h in self.rig.hosts if h.name == name)
+
+    def others(self, host):
+        return [h for h in self.rig.hosts if h is not host]
+
+    async def send(self, host):
+        while not self.stopping.is_set():
+            at = time.time()
+            try:
+                got = await host.request("GET", "/i/x")
+                if got.status == 200:
+                    self.starts.append((at, self.rig.began_at(got.ident)))
+            except OSError:
+                pass
+            await asyncio.sleep(0.02)
+
+    async def until_reported(self):
+        """Waits for the next report; returns a copy of the store of before."""
+        cloud, store = self.rig.cloud, self.rig.store
+        seen, copy = len(cloud.usage), store.copy()
+        windows = sorted(k for k in store.items if "/usage/" in k)
+        while len(cloud.usage) == seen:
+            await asyncio.sleep(0.01)
+            if windows == sorted(k for k in store.items if "/usage/" in k):
+                copy = store.copy()
+        return copy
+
+    async def until_other_acts(self, host):
+        await self.rig.wait_until(
+            "another host acts", lambda: self.leader() is not host, 10)
+
+    async def restore(self, copy):
+        """The store is away, and back from the copy."""
+        store = self.rig.store
+        if not self.restores:
+            self.restored_at.append(time.monotonic())
+            return
+        store.faults[None] = "reset"
+        await asyncio.sleep(AWAY_S)
+        store.restore_copy(copy)
+        store.faults.pop(None)
+        for worker in self.rig.workers:
+            if "servers/" + worker.ident not in store.items:
+                self.rig.list_worker(worker)
+        self.restored_at.append(time.monotonic())
+
+    async def start(self, host):
+        await asyncio.to_thread(host.start, first_start=False)
+
+    async def kill(self, host):
+        await asyncio.to_thread(host.kill)
+
+    async def restart(self, host):
+        host.signal(signal.SIGTERM)
+        await asyncio.to_thread(host.process.wait)
+        await self.start(host)
+
+
+async def alone(drill):
+    await drill.restore(await drill.until_reported())
+
+
+async def twice(drill):
+    await alone(drill)
+    await asyncio.sleep(1)
+    await alone(drill)
+
+
+async def while_leader_is(drill, begin, end):
+    """Another host leads while the leader can't; the copy is of before."""
+    leader = drill.leader()
+    begin(leader)
+    await asyncio.sleep(0.2)
+    copy = drill.rig.store.copy()
+    await drill.until_other_acts(leader)
+    await drill.restore(copy)
+    end(leader)
+
+
+def while_store_is(fault):
+    async def run(drill):
+        faults = drill.rig.store.faults
+        await while_leader_is(
+            drill, lambda host: faults.update({host.name: fault}),
+            lambda host: faults.pop(host.name))
+    run.__name__ = "while_store_is_" + fault
+    return run
+
+
+async def while_leader_paused(drill):
+    await while_leader_is(drill, lambda host: host.signal(signal.SIGSTOP),
+                          lambda host: host.signal(signal.SIGCONT))
+
+
+async def leader_killed(drill):
+    copy = await drill.until_reported()
+    leader = drill.leader()
+    await drill.kill(leader)
+    await drill.restore(copy)
+    await asyncio.sleep(1)
+    await drill.start(leader)
+
+
+async def leader_restarted(drill):
+    copy = await drill.until_reported()
+    await asyncio.gather(drill.restart(drill.leader()), drill.restore(copy))
+
+
+async def all_killed(drill, down_s=0):
+    copy = await drill.until_reported()
+    await asyncio.sleep(0.2)
+    await asyncio.gather(*(drill.kill(host) for host in drill.rig.hosts))
+    await drill.restore(copy)
+    await asyncio.sleep(down_s)
+    await asyncio.gather(*(drill.start(host) for host in drill.rig.hosts))
+
+
+async def all_killed_for_seconds(drill):
+    await all_killed(drill, 3)
+
+
+async def restarted_in_turn(drill):
+    copy = await drill.until_reported()
+    restore = asyncio.create_task(drill.restore(copy))
+    for host in drill.rig.hosts:
+        await drill.restart(host)
+        await drill.rig.wait_ready(host)
+        await asyncio.sleep(1)
+    await restore
+
+
+async def all_paused(drill):
+    copy = await drill.until_reported()
+    for host in drill.rig.hosts:
+        host.signal(signal.SIGSTOP)
+    await asyncio.sleep(2)
+    await drill.restore(copy)
+    for host in drill.rig.hosts:
+        host.signal(signal.SIGCONT)
+
+
+# What happens beside the drill, and whether the counts of all windows outlive
+# it: each of these windows is owed its report.
+CASES = [
+    (alone, True), (twice, True),
+    (while_store_is("unavailable"), True),
+    (while_store_is("silent"), True),
+    (while_leader_paused, True), (leader_killed, True),
+    (leader_restarted, True), (all_killed, False),
+    (all_killed_for_seconds, False), (restarted_in_turn, True),
+    (all_paused, True),
+]
+
+
+async def drilled(net, beside, restores=True):
+    """Runs one case until the windows of then are reported."""
+    async with Rig(net, hosts=3) as rig:
+        await rig.wait_membership()
+        drill = Drill(rig, restores)
+        await rig.wait_until("a report", lambda: rig.cloud.usage, 15)
+        senders = [asyncio.create_task(drill.send(host))
+                   for host in rig.hosts]
+        first = int(time.time() // WINDOW_S) + 1
+        await asyncio.sleep(2.5 * WINDOW_S)
+        await beside(drill)
+        await asyncio.sleep(3 * WINDOW_S)
+        drill.stopping.set()
+        await asyncio.gather(*senders)
+        last = int(time.time() // WINDOW_S) - 1
+        await rig.wait_until(
+            "the last window's report",
+            lambda: any(row[3] >= last for row in rig.cloud.usage), 15)
+        await asyncio.sleep(LOG_FLUSH_S)
+        return drill, first, last
+
+
+async def test_drill_usage_reported_once(net):
+    """A window whose report the restored store has forgotten is reported again
+    with other counts by a leader that knows nothing of the report."""
+    async def row(net, beside):
+        drill, _, _ = await drilled(net, beside)
+        counts = {}
+        for _, host, _, window, got in drill.rig.cloud.usage:
+            assert counts.setdefault(window, got) == got, (
+                beside.__name__, host, window, counts[window], got)
+    await gather_rows([row(net + 200 * more, beside)
+                       for more, (beside, _) in enumerate(CASES)])
+
+
+async def test_drill_none(net):
+    """The store loses nothing, and a window goes without a report, or duties
+    rest for long, as a leader takes an ordinary restart for a restored store."""
+    async def row(net, beside, owed):
+        drill, first, last = await drilled(net, beside, restores=False)
+        print("%s: acts after %.1f s" % (beside.__name__, drill.resumed_s()))
+        got = {row[3]: row[4].get("t1", 0) for row in drill.rig.cloud.usage}
+        missing = [w for w in range(first, last + 1) if w not in got]
+        wrong = wrong_usage(got, drill.starts, first, last) if owed else []
+        assert not missing and not wrong, (beside.__name__, missing, wrong)
+        assert drill.resumed_s() < RESUMED_S, beside.__name__
+    await gather_rows([row(net + 200 * more, *case)
+                       for more, case in enumerate(CASES)])
+
+
+if __name__ == "__main__":
+    sys.exit(main("proxydrill", globals(), FIRST_NET))
--- a/tests/standin.py
+++ b/tests/standin.py
@@ -152,6 +152,31 @@
                 self.items[key] = [value, number, created, lease]
         self.leases = {ident: lease for ident, lease in self.leases.items()
                        if lease[2] <= revision}
+        self.begin_era(revision)
+
+    def copy(self):
+        """Returns a copy; of each lease it has the time that is left."""
+        now = time.monotonic()
+        return {"items": {k: list(v) for k, v in self.items.items()},
+                "events": list(self.events), "revision": self.revision,
+                "next_lease": self.next_lease,
+                "compacted": self.compacted_revision,
+                "leases": {ident: (end - now, ttl, revision) for ident, (
+                    end, ttl, revision) in self.leases.items()}}
+
+    def restore_copy(self, copy):
+        """Restores a copy as it was: leases run on for the time that was left,
+        and their ids are given out again, too."""
+        now = time.monotonic()
+        self.items = {k: list(v) for k, v in copy["items"].items()}
+        self.events = list(copy["events"])
+        self.next_lease = copy["next_lease"]
+        self.compacted_revision = copy["compacted"]
+        self.leases = {ident: [now + left, ttl, revision] for ident, (
+            left, ttl, revision) in copy["leases"].items()}
+        self.begin_era(copy["revision"])
+
+    def begin_era(self, revision):
         self.revision = revision
         self.era += 1
         self.notify_watches()
--- a/tests/unit-drill.c
+++ b/tests/unit-drill.c
@@ -1,11 +1,12 @@
 /*
  * Tests of what outlives a restore of the store: calls that name a lease or a
- * revision.
+ * revision, and usage windows.
  */
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "../decide/seal.h"
 #include "../platform/kv.h"
 #include "../wire/hs.h"
 #include "run.h"
@@ -214,6 +215,61 @@
 }
 END_TEST
 
+/* Usage windows. */
+
+/* What a host knows as it becomes the leader in era 2, of windows 1 to 9. */
+static const struct seal_row {
+	const char *what;
+	bool before;	      /* it was there before the restore */
+	bool followed;	      /* and followed the store until then */
+	int64_t record;	      /* of era 2; 0: none */
+	int64_t sealed;	      /* a window whose seal it has read */
+	int64_t next;	      /* first window that begins after it knew era 2 */
+	int64_t counted_from; /* SEAL_NEVER: none */
+	int64_t first;	      /* that it may report without a seal */
+} seal_rows[] = {
+	{ "it has followed the store", true, true, 0, 5, 7, SEAL_NEVER, 1 },
+	{ "it has started since", false, false, 0, 5, 7, SEAL_NEVER, 7 },
+	{ "the record is of before", false, false, 3, 5, 7, SEAL_NEVER, 3 },
+	{ "the record is of after", false, false, 9, 5, 7, SEAL_NEVER, 7 },
+	{ "it was cut off from the store", true, false, 0, 5, 7, SEAL_NEVER,
+	  7 },
+	{ "it has counted on meanwhile", true, false, 0, 5, 7, 2, 2 },
+	{ "it has counted only since", true, false, 0, 5, 7, 8, 7 },
+	{ "it has followed, the record is of after", true, true, 9, 5, 7, 8,
+	  1 },
+};
+
+/* Guards against two reports of a window with different counts, and against
+ * windows without a report although their counts are known. */
+START_TEST(seal_tells_what_may_be_reported)
+{
+	const struct seal_row *row = &seal_rows[_i];
+	struct seals seals;
+
+	seal_init(&seals);
+	ck_assert_int_eq(seal_first(&seals, SEAL_NEVER), SEAL_NEVER);
+	if (row->before) {
+		seal_on_era(&seals, false, 1);
+		seal_put(&seals, row->sealed, "{\"a\":1}", 7);
+	}
+	seal_on_era(&seals, row->followed, row->next);
+	if (row->record)
+		seal_on_record(&seals, row->record);
+	ck_assert_msg(seal_first(&seals, row->counted_from) == row->first,
+		      "%s: %d", row->what,
+		      (int)seal_first(&seals, row->counted_from));
+	for (int64_t window = 1; window < 10; window++)
+		ck_assert((seal_counts(&seals, window) != NULL) ==
+			  (row->before && window == row->sealed));
+	seal_put(&seals, 6, "{}x", 2);
+	ck_assert_str_eq(seal_counts(&seals, 6), "{}");
+	seal_expire(&seals, 6);
+	ck_assert_ptr_null(seal_counts(&seals, 5));
+	ck_assert_ptr_nonnull(seal_counts(&seals, 6));
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("unit_drill");
@@ -221,6 +277,8 @@
 
 	tcase_add_loop_test(tcase, kv_calls_hold_in_one_era, 0,
 			    G_N_ELEMENTS(kv_rows));
+	tcase_add_loop_test(tcase, seal_tells_what_may_be_reported, 0,
+			    G_N_ELEMENTS(seal_rows));
 	suite_add_tcase(suite, tcase);
 	return run_suite(suite, "unit_drill");
 }
--- a/tests/unit-format.c
+++ b/tests/unit-format.c
@@ -9,6 +9,7 @@
 
 #include "../decide/build.h"
 #include "../decide/origin.h"
+#include "../decide/seal.h"
 #include "../decide/version.h"
 #include "../wire/msg.h"
 #include "../wire/sync.h"
@@ -524,6 +525,25 @@
 }
 END_TEST
 
+START_TEST(format_of_stored_usage_record_is_kept)
+{
+	char *text = seal_record_print(3, 353445120);
+	GByteArray *data = g_byte_array_new();
+	int64_t era;
+	int64_t from;
+
+	g_byte_array_append(data, (guint8 *)text, (guint)strlen(text));
+	golden_check("stored_usage_record", data);
+	ck_assert(seal_record_parse(text, strlen(text), &era, &from));
+	ck_assert_int_eq(era, 3);
+	ck_assert_int_eq(from, 353445120);
+	ck_assert(!seal_record_parse(text, strlen(text) - 10, &era, &from));
+	ck_assert(!seal_record_parse("era=3 from=1x", 13, &era, &from));
+	g_byte_array_unref(data);
+	g_free(text);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("unit_format");
@@ -537,6 +557,7 @@
 	tcase_add_test(tcase, format_of_packed_result_is_read);
 	tcase_add_test(tcase, format_of_stored_streams_is_kept);
 	tcase_add_test(tcase, format_of_stored_versions_is_kept);
+	tcase_add_test(tcase, format_of_stored_usage_record_is_kept);
 	suite_add_tcase(suite, tcase);
 	return run_suite(suite, "unit_format");
 }
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -133,6 +133,7 @@
 process_tests proxyends
 process_tests proxyversions
 process_tests proxyprocess
+process_tests proxydrill
 # One at a time: they measure memory.
 for case in $(python3 tests/hostile.py --list); do
 	run "hostile_$case" python3 tests/hostile.py "$case"
--- a/wire/ctr.h
+++ b/wire/ctr.h
@@ -110,6 +110,7 @@
 	X(store_bad_eras, "responses of the store dropped for their era")      \
 	X(store_old_eras,                                                      \
 	  "calls of the store not made, or in vain, as it was restored")       \
+	X(usage_skipped, "usage windows that may have been reported before")   \
 	X(usage_short, "usage windows reported without some host's counts")    \
 	X(replies_deferred, "configurations that a host was to ask for again") \
 	X(workers_said_leaving, "workers that said in a response to leave")    \
