Leader: leadership holds in one era of the store

Hypotheses: (1) the renewal succeeds, as the copy has the lease, and is taken as proof that it was held all the while; (2) the leader claims the key anew and gets a lower revision; (3) calls of before the restore arrive late. The former leader's ev=duty has no claim after the restore and the same fence as before: (1).

A lease, a key and what was concluded from them are now of one era (decide/lease.c, lease_on_era). As a host learns of a new era: - if it is certain to lead, it may act under its old token until its lease could have expired, and claims the key at once with a lease of the new era, also where the copy has its former key or that of its predecessor; - if its lease may have expired, it has none; - all others claim the key only after the time of a lease, when no leader of an earlier era acts any more; hosts that have just started too, unless a leader of this era has left its record. Then they need not wait. Another host's key in the new era ends what was kept. Calls under the new token wait until those under the old one have ended.

Why it works: a leader acts until 0.8 of a lease after a renewal that was sent before the restore, a claim follows a whole lease after the restore at the earliest, and a token of a later era is greater than all before.

--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -21,61 +21,144 @@
 	usage_start(proxyd);
 }
 
-/* The value of the leader's key names the host and its lease. */
-void leader_on_item(struct proxyd *proxyd, const struct store_item *item)
+/* Returns the lease that the leader's key names; 0: it is another host's. */
+static int64_t key_lease(const struct proxyd *proxyd,
+			 const struct store_item *item)
 {
-	struct json_object *obj;
-	bool ours = false;
 	gsize len;
-	const char *ptr;
+	const char *ptr = g_bytes_get_data(item->value, &len);
+	struct json_object *obj = json_parse_object(ptr, len);
+	int64_t id = 0;
+
+	if (!obj)
+		return 0;
+	if (!strcmp(json_text(obj, "host", ""), proxyd->conf->name))
+		id = json_int(obj, "lease", 0);
+	json_object_put(obj);
+	return id;
+}
+
+static const struct store_item *key_item(const struct proxyd *proxyd)
+{
+	const struct store_item *item = store_get(
+		mirror_replica(proxyd->mirror, MIRROR_OWN), LEADER_KEY);
+
+	return item && item->value ? item : NULL;
+}
+
+/* Whether the key that was read in this era is that of an earlier leader, as
+ * the copy has it, while this host may still act as the last leader. */
+static bool key_is_outdated(const struct proxyd *proxyd,
+			    const struct store_item *item)
+{
+	const struct lease *lease = &proxyd->leader_lease;
+	const struct leader *leader = proxyd->leader;
+	int64_t id = key_lease(proxyd, item);
+
+	if (proxyd_boot_now() >= lease->kept_until || (id && id == lease->id))
+		return false;
+	return (id && id == lease->kept_id) ||
+	       (leader->former_key &&
+		kv_revision_plain(item->mod) == leader->former_revision &&
+		g_bytes_equal(item->value, leader->former_key));
+}
+
+/* Remembers the key of another leader. */
+static void former_key_set(struct leader *leader, const struct store_item *item)
+{
+	if (leader->former_key)
+		g_bytes_unref(leader->former_key);
+	leader->former_key = g_bytes_ref(item->value);
+	leader->former_revision = kv_revision_plain(item->mod);
+}
 
+/* Applies the leader's key, which is in the store. */
+static void key_apply(struct proxyd *proxyd, const struct store_item *item)
+{
+	struct lease *lease = &proxyd->leader_lease;
+	clk_ms now = proxyd_boot_now();
+	int64_t id = key_lease(proxyd, item);
+	bool ours = id && id == lease->id;
+	bool outdated = key_is_outdated(proxyd, item);
+
+	slog(SLOG_NOTICE, "duty",
+	     "revision=%" G_GINT64_FORMAT " era=%" G_GINT64_FORMAT
+	     " outcome=%s",
+	     item->mod, kv_era(proxyd->kv),
+	     ours	? "held_here"
+	     : outdated ? "outdated"
+			: "held_elsewhere");
+	if (!ours && !outdated)
+		former_key_set(proxyd->leader, item);
+	if (ours)
+		/* The response to the claim may be lost; seeing the key proves
+		 * as much. */
+		lease_on_claim(lease, true, item->mod, now);
+	lease_on_key(lease, !outdated, ours, now);
+}
+
+/* Whether what was read up to a revision may lack this host's own claim. */
+static bool is_before_claim(const struct proxyd *proxyd, int64_t revision)
+{
+	return proxyd->leader_lease.state == LEASE_HELD &&
+	       revision < proxyd->leader_lease.fencing_token;
+}
+
+void leader_on_item(struct proxyd *proxyd, const struct store_item *item)
+{
 	usage_on_item(proxyd, item);
-	if (strcmp(item->key, LEADER_KEY) != 0)
+	if (usage_is_recorded(proxyd))
+		lease_on_led(&proxyd->leader_lease);
+	if (strcmp(item->key, LEADER_KEY) != 0 ||
+	    is_before_claim(proxyd, item->mod))
 		return;
 	if (item->value) {
-		ptr = g_bytes_get_data(item->value, &len);
-		obj = json_parse_object(ptr, len);
-		ours = obj && proxyd->leader_lease.id &&
-		       json_int(obj, "lease", 0) == proxyd->leader_lease.id;
-		if (obj)
-			json_object_put(obj);
+		key_apply(proxyd, item);
+		return;
 	}
-	slog(SLOG_NOTICE, "duty", "revision=%" G_GINT64_FORMAT " outcome=%s",
-	     item->mod,
-	     !item->value ? "free"
-	     : ours	  ? "held_here"
-			  : "held_elsewhere");
-	if (ours)
-		/* The response to the claim may be lost; seeing the key proves
-		 * as much. */
-		lease_on_claim(&proxyd->leader_lease, true, item->mod,
-			       proxyd_boot_now());
-	lease_on_key(&proxyd->leader_lease, item->value != NULL, ours,
-		     proxyd_boot_now());
+	slog(SLOG_NOTICE, "duty",
+	     "revision=%" G_GINT64_FORMAT " era=%" G_GINT64_FORMAT
+	     " outcome=free",
+	     item->mod, kv_era(proxyd->kv));
+	lease_on_key(&proxyd->leader_lease, false, false, proxyd_boot_now());
 }
 
 void leader_on_snapshot(struct proxyd *proxyd)
 {
-	const struct store_item *item = store_get(
-		mirror_replica(proxyd->mirror, MIRROR_OWN), LEADER_KEY);
+	const struct store *own = mirror_replica(proxyd->mirror, MIRROR_OWN);
+	const struct store_item *item = key_item(proxyd);
 
 	proxyd->leader->read_era = kv_era(proxyd->kv);
-	if (!item || !item->value)
+	if (is_before_claim(proxyd, own->revision))
+		return;
+	if (item)
+		key_apply(proxyd, item);
+	else
 		lease_on_key(&proxyd->leader_lease, false, false,
 			     proxyd_boot_now());
 }
 
+/* Returns the revision of the key that a claim replaces; 0: there is none. */
+static int64_t replaced_revision(const struct proxyd *proxyd)
+{
+	const struct store_item *item = key_item(proxyd);
+
+	return item && key_is_outdated(proxyd, item) ? item->mod : 0;
+}
+
 static void on_lease_granted(void *ctx, enum kv_outcome outcome,
 			     struct kv_lease lease)
 {
 	struct proxyd *proxyd = ctx;
 	char *value;
 
+	proxyd->leader->lease_calls--;
 	lease_on_grant(&proxyd->leader_lease, outcome == KV_OK, lease.id,
 		       proxyd_boot_now());
 	if (proxyd->leader_lease.state != LEASE_CLAIMING)
 		return;
 	proxyd->leader->duty_lease = lease;
+	proxyd->leader->lease_calls++;
 	value = g_strdup_printf("{\"host\":\"%s\",\"lease\":%" G_GINT64_FORMAT
 				"}",
 				proxyd->conf->name, lease.id);
@@ -84,6 +167,7 @@
 			  .key = LEADER_KEY,
 			  .value = value,
 			  .lease = lease,
+			  .expected_revision = replaced_revision(proxyd),
 		  },
 		  on_key_claimed, proxyd);
 	g_free(value);
@@ -93,6 +177,7 @@
 {
 	struct proxyd *proxyd = ctx;
 
+	proxyd->leader->lease_calls--;
 	/* Without a response, the key itself shows the outcome. */
 	if (outcome == KV_UNKNOWN)
 		return;
@@ -107,43 +192,50 @@
 	struct proxyd *proxyd = ctx;
 
 	(void)ttl;
+	proxyd->leader->lease_calls--;
 	lease_on_renewal(&proxyd->leader_lease, outcome == KV_OK,
 			 outcome == KV_NOT_FOUND, proxyd_boot_now());
 }
 
-static bool may_act(void *ctx, int64_t fencing_token)
+static bool may_act_under(const struct proxyd *proxyd, int64_t fencing_token)
 {
-	const struct proxyd *proxyd = ctx;
-
-	return proxyd->leader_lease.fencing_token == fencing_token &&
+	return lease_token(&proxyd->leader_lease) == fencing_token &&
 	       lease_may_act(&proxyd->leader_lease, proxyd_boot_now());
 }
 
+static bool op_may_act(void *ctx, int64_t fencing_token)
+{
+	return may_act_under(ctx, fencing_token);
+}
+
 struct cloud_leader leader_self(struct proxyd *proxyd)
 {
 	return (struct cloud_leader){
 		.host = proxyd->conf->name,
-		.fencing_token = proxyd->leader_lease.fencing_token,
-		.may_act = may_act,
+		.fencing_token = lease_token(&proxyd->leader_lease),
+		.may_act = op_may_act,
 		.ctx = proxyd,
 	};
 }
 
+bool leader_acts(const struct proxyd *proxyd)
+{
+	return proxyd->leader->acting_token &&
+	       may_act_under(proxyd, proxyd->leader->acting_token);
+}
+
 /* Makes the next call for the lease. */
 static void lease_act(struct proxyd *proxyd, enum lease_action action)
 {
-	switch (action) {
-	case LEASE_ACT_NONE:
+	if (action == LEASE_ACT_NONE)
 		return;
-	case LEASE_ACT_REQUEST:
+	proxyd->leader->lease_calls++;
+	if (action == LEASE_ACT_REQUEST)
 		kv_lease_grant(proxyd->kv, proxyd->conf->lease_ms,
 			       on_lease_granted, proxyd);
-		return;
-	case LEASE_ACT_RENEW:
+	else
 		kv_lease_renew(proxyd->kv, &proxyd->leader->duty_lease,
 			       on_lease_renewed, proxyd);
-		return;
-	}
 }
 
 /* Whether this host can be the leader: only a follower can, as it receives the
@@ -152,14 +244,14 @@
 static bool is_eligible(const struct proxyd *proxyd)
 {
 	unsigned known = 1 + (unsigned)member_live_count(proxyd->members);
-	clk_ms restored_at = mirror_restored_at(proxyd->mirror);
 	bool settled =
 		proxyd_now(proxyd) - proxyd->started_at >= RANK_SETTLE_MS ||
 		known >= proxyd->listed_hosts * KNOWN_HOSTS_SHARE;
 
-	/* A leader whose lease the store has lost may still act. */
-	if (restored_at &&
-	    proxyd_now(proxyd) - restored_at < proxyd->conf->lease_ms)
+	/* The key is to be known in this era. The response to a call of an
+	 * earlier one is not that to the next request. */
+	if (proxyd->leader->read_era != kv_era(proxyd->kv) ||
+	    proxyd->leader->lease_calls > 0)
 		return false;
 	return settled && follow_ready(proxyd) && !proxyd->stopping &&
 	       proxyd->feed.role == FEED_FOLLOWER;
@@ -186,41 +278,73 @@
 	leader_resign(proxyd);
 }
 
+/* Notes a change of whether this host acts, and under which token. */
+static void acting_update(struct proxyd *proxyd, bool acting)
+{
+	struct leader *leader = proxyd->leader;
+	int64_t token = acting ? lease_token(&proxyd->leader_lease) : 0;
+
+	if (token == leader->acting_token)
+		return;
+	slog(SLOG_NOTICE, "duty",
+	     "fence=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT
+	     " era=%" G_GINT64_FORMAT " outcome=%s",
+	     token, leader->acting_token, kv_era(proxyd->kv),
+	     !acting		    ? "not_acting"
+	     : leader->acting_token ? "acting_on"
+				    : "acting");
+	if (!acting) {
+		cloud_withdraw(proxyd->cloud);
+	} else if (!leader->acting_token) {
+		proxyd_count(proxyd, CTR_duty_terms);
+		scale_reset_orders(proxyd);
+	}
+	leader->acting_token = token;
+}
+
 void leader_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_boot_now();
-	struct leader *leader = proxyd->leader;
+	struct lease *lease = &proxyd->leader_lease;
 	bool acting;
 
 	if (!proxyd->cloud)
 		return;
 	scale_observe(proxyd);
-	lease_act(proxyd, lease_tick(&proxyd->leader_lease, proxyd->feed.rank,
+	lease_act(proxyd, lease_tick(lease, proxyd->feed.rank,
 				     is_eligible(proxyd), now));
 	role_check(proxyd);
-	acting = lease_may_act(&proxyd->leader_lease, now);
-	if (acting != leader->was_acting) {
-		leader->was_acting = acting;
-		slog(SLOG_NOTICE, "duty",
-		     "fence=%" G_GINT64_FORMAT " outcome=%s",
-		     proxyd->leader_lease.fencing_token,
-		     acting ? "acting" : "not_acting");
-		if (acting) {
-			proxyd_count(proxyd, CTR_duty_terms);
-			scale_reset_orders(proxyd);
-		} else {
-			cloud_withdraw(proxyd->cloud);
-		}
-	}
+	acting = lease_may_act(lease, now);
+	/* A call under the token before could arrive after the first one under
+	 * the new token. */
+	if (acting && proxyd->leader->acting_token &&
+	    proxyd->leader->acting_token != lease_token(lease) &&
+	    cloud_pending_calls(proxyd->cloud) > 0)
+		return;
+	acting_update(proxyd, acting);
 	if (!acting)
 		return;
-	usage_run(proxyd);
+	if (lease_is_held(lease, now))
+		usage_run(proxyd);
 	scale_run(proxyd);
 }
 
 void leader_on_era(struct proxyd *proxyd, bool restored)
 {
+	struct lease *lease = &proxyd->leader_lease;
+	clk_ms now = proxyd_boot_now();
+	clk_ms wait = proxyd->conf->lease_ms;
+
+	/* Those who know what was reported before claim the key first. */
+	if (!restored)
+		wait = proxyd->conf->first_start ? 0 : wait + wait / 2;
 	usage_on_era(proxyd, restored);
+	lease_on_era(lease, wait, now);
+	slog(SLOG_NOTICE, "duty",
+	     "era=%" G_GINT64_FORMAT " restored=%d fence=%" G_GINT64_FORMAT
+	     " may_act_ms=%" G_GINT64_FORMAT " outcome=new_era",
+	     kv_era(proxyd->kv), restored, lease_token(lease),
+	     MAX(lease->kept_until - now, 0));
 }
 
 void leader_resign(struct proxyd *proxyd)
--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -16,7 +16,12 @@
 	char *report_counts;   /* of that window, a JSON object */
 	clk_ms report_retry_at;
 	clk_ms report_read_at; /* when its seal is read again; 0: not due */
-	struct kv_lease duty_lease;  /* of the leader's key */
+	unsigned lease_calls;  /* for the leader's key, that are pending */
+	struct kv_lease duty_lease; /* of that key */
+	/* The last key of another leader that was read, and its revision
+	 * without an era. */
+	GBytes *former_key;
+	int64_t former_revision;
 	struct kv_lease usage_lease; /* of the windows' keys */
 	clk_ms usage_lease_until;    /* when to replace that lease */
 	bool usage_lease_pending;
@@ -28,11 +33,15 @@
 	int64_t reseal_window;	 /* its seal is being written again */
 	int64_t resealed;	 /* the newest such window of this era */
 	clk_ms last_follower_at; /* when this host was last a follower */
-	bool was_acting;
+	int64_t acting_token; /* under which this host acts; 0: it does not */
 };
 
 /* This host as the leader, for calls to the platform. */
 struct cloud_leader leader_self(struct proxyd *proxyd);
+/* Whether this host may make calls to the platform now: not while calls under a
+ * former fencing token are pending. */
+bool leader_acts(const struct proxyd *proxyd);
+
 /* proxyd-usage.c: usage reports */
 void usage_start(struct proxyd *proxyd);
 /* Makes the next call for the reports, as the leader. */
--- a/daemon/proxyd-local.c
+++ b/daemon/proxyd-local.c
@@ -171,7 +171,7 @@
 		"\nrequests_open %u\nhosts_live %u\n"
 		"config_revision %" G_GINT64_FORMAT "\nworkers %u\n",
 		relay_hosts_reporting(proxyd) - 1,
-		proxyd->leader_lease.fencing_token,
+		lease_token(&proxyd->leader_lease),
 		g_hash_table_size(proxyd->open_requests),
 		proxyd_host_count(proxyd),
 		kv_revision_plain(proxyd->tab_revision),
--- a/daemon/proxyd-usage.c
+++ b/daemon/proxyd-usage.c
@@ -68,7 +68,7 @@
 	slog(SLOG_NOTICE, "usage",
 	     "window=%" G_GINT64_FORMAT " fence=%" G_GINT64_FORMAT
 	     " counts=%s outcome=%s",
-	     leader->report_window, proxyd->leader_lease.fencing_token,
+	     leader->report_window, lease_token(&proxyd->leader_lease),
 	     leader->report_counts,
 	     outcome == CLOUD_DONE ? "accepted" : "not_accepted");
 	if (outcome == CLOUD_DONE)
@@ -81,7 +81,7 @@
 {
 	struct cloud_leader self = leader_self(proxyd);
 
-	if (!lease_may_act(&proxyd->leader_lease, proxyd_boot_now())) {
+	if (!leader_acts(proxyd)) {
 		usage_report_end(proxyd, false);
 		return;
 	}
--- a/decide/lease.c
+++ b/decide/lease.c
@@ -1,6 +1,7 @@
 /* Leadership under a lease of the platform's store. */
 #include "lease.h"
 
+#include <glib.h>
 #include <stddef.h>
 
 #define RENEW_DIVISOR 3	     /* renewals per lease duration */
@@ -30,8 +31,40 @@
 	lease->retry_at = now + RETRY_MS;
 }
 
+/* Gives up what was kept of an earlier era. */
+static void kept_drop(struct lease *lease)
+{
+	lease->kept_until = 0;
+	lease->kept_id = 0;
+	lease->kept_token = 0;
+}
+
+void lease_on_era(struct lease *lease, clk_ms until, clk_ms now)
+{
+	if (lease_is_held(lease, now)) {
+		lease->kept_until = lease->valid_until;
+		lease->kept_id = lease->id;
+		lease->kept_token = lease->fencing_token;
+	} else if (now >= lease->kept_until) {
+		kept_drop(lease);
+	}
+	reset(lease, now);
+	lease->retry_at = now;
+	lease->claim_from = until ? now + until : 0;
+	/* Not known before the key is read in this era. */
+	lease->key_taken = true;
+	lease->free_since = CLK_NEVER;
+}
+
+void lease_on_led(struct lease *lease)
+{
+	lease->claim_from = 0;
+}
+
 void lease_on_key(struct lease *lease, bool taken, bool ours, clk_ms now)
 {
+	if (taken && !ours)
+		kept_drop(lease);
 	if (!taken && (lease->key_taken || lease->free_since == CLK_NEVER))
 		lease->free_since = now;
 	lease->key_taken = taken;
@@ -47,8 +80,10 @@
 
 	if (lease->key_taken || lease->free_since == CLK_NEVER)
 		return LEASE_ACT_NONE;
-	start = lease->free_since + FIRST_WAIT_MS + (clk_ms)rank * RANK_WAIT_MS;
-	if (now < start || now < lease->retry_at)
+	start = MAX(lease->free_since + FIRST_WAIT_MS +
+			    (clk_ms)rank * RANK_WAIT_MS,
+		    lease->claim_from);
+	if ((now < start && now >= lease->kept_until) || now < lease->retry_at)
 		return LEASE_ACT_NONE;
 	lease->state = LEASE_REQUESTED;
 	lease->sent_at = now;
@@ -118,6 +153,7 @@
 	lease->sent_at = now;
 	lease->key_taken = true;
 	lease->renewing = false;
+	kept_drop(lease);
 }
 
 void lease_on_renewal(struct lease *lease, bool ok, bool ended, clk_ms now)
@@ -131,16 +167,28 @@
 		lease->valid_until = covered_until(lease, lease->sent_at);
 }
 
-bool lease_may_act(const struct lease *lease, clk_ms now)
+bool lease_is_held(const struct lease *lease, clk_ms now)
 {
 	return lease->state == LEASE_HELD && now < lease->valid_until;
 }
 
+bool lease_may_act(const struct lease *lease, clk_ms now)
+{
+	return lease_is_held(lease, now) || now < lease->kept_until;
+}
+
+int64_t lease_token(const struct lease *lease)
+{
+	return lease->state == LEASE_HELD ? lease->fencing_token
+					  : lease->kept_token;
+}
+
 bool lease_resign(struct lease *lease, clk_ms now)
 {
 	bool revoke = lease->state == LEASE_HELD &&
 		      now - lease->held_since >= lease->duration;
 
 	reset(lease, now);
+	kept_drop(lease);
 	return revoke;
 }
--- a/tests/proxydrill.py
+++ b/tests/proxydrill.py
@@ -18,6 +18,7 @@
 FIRST_NET = 170  # after those of proxyrollout.py
 WINDOW_S = 2
 AWAY_S = 0.5    # the store, before it is back
+SETTLED_S = 3   # the platform's stable_window_ms
 RESUMED_S = 8   # until a leader acts again, at most
 
 
@@ -234,6 +235,43 @@
                        for more, (beside, _) in enumerate(CASES)])
 
 
+async def test_drill_usage_reported_whole(net):
+    """A window whose counts a host still has goes without a report after the
+    store was restored, or its report lacks counts."""
+    async def row(net, beside):
+        drill, first, last = await drilled(net, beside)
+        got = {row[3]: row[4].get("t1", 0) for row in drill.rig.cloud.usage}
+        wrong = wrong_usage(got, drill.starts, first, last)
+        assert not wrong, (beside.__name__, wrong)
+    await gather_rows([row(net + 200 * more, beside) for more, beside in
+                       enumerate(beside for beside, owed in CASES if owed)])
+
+
+async def test_drill_one_leader(net):
+    """A leader of before the store was restored acts on with its old token, or
+    nobody leads afterwards."""
+    async def row(net, beside):
+        drill, _, _ = await drilled(net, beside)
+        print("%s: acts after %.1f s" % (beside.__name__, drill.resumed_s()))
+        calls = [call for call in drill.calls()
+                 if call[0] < drill.restored_at[0] or
+                 call[0] > drill.restored_at[-1] + SETTLED_S]
+        holders = {}
+        for _, host, token in calls:
+            assert holders.setdefault(token, host) == host, (
+                beside.__name__, token)
+        assert drill.resumed_s() < RESUMED_S, beside.__name__
+        highest = {}
+        for row in sorted(drill.rig.cloud.usage + drill.rig.cloud.orders):
+            subject = "usage" if len(row) == 5 else row[3:5]
+            late = row[0] > drill.restored_at[-1] + SETTLED_S
+            assert not late or row[2] >= highest.get(subject, 0), (
+                beside.__name__, row, highest)
+            highest[subject] = max(row[2], highest.get(subject, 0))
+    await gather_rows([row(net + 200 * more, beside)
+                       for more, (beside, _) in enumerate(CASES)])
+
+
 async def test_drill_none(net):
     """The store loses nothing, and a window goes without a report, or duties
     rest for long, as a leader takes an ordinary restart for a restored store."""
--- a/tests/unit-drill.c
+++ b/tests/unit-drill.c
@@ -1,11 +1,12 @@
 /*
  * Tests of what outlives a restore of the store: calls that name a lease or a
- * revision, and usage windows.
+ * revision, the leader's lease, and usage windows.
  */
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#include "../decide/lease.h"
 #include "../decide/seal.h"
 #include "../platform/kv.h"
 #include "../wire/hs.h"
@@ -215,6 +216,226 @@
 }
 END_TEST
 
+/* The leader's lease. */
+
+enum lease_event {
+	ERA,	  /* the store begins an era; arg: how long to wait */
+	LED,	  /* another host has led in it */
+	KEY_FREE, /* the key is missing, or only the copy's */
+	KEY_OURS,
+	KEY_OTHERS,
+	REQUEST,      /* a lease is due; it is granted with id arg */
+	WAIT,	      /* no call is due */
+	CLAIM,	      /* the key is written with revision arg */
+	CLAIM_LOST,   /* another host was first */
+	RENEW,	      /* the lease is due for renewal, which succeeds */
+	RENEW_FAILED, /* it is due, and there is no response */
+	RESIGN,
+	ACTS, /* the host acts under token arg; 0: it does not */
+};
+
+#define LEASE_STEPS 16
+
+static const struct lease_row {
+	const char *what;
+	struct {
+		clk_ms at;
+		enum lease_event event;
+		int64_t arg;
+	} steps[LEASE_STEPS];
+} lease_rows[] = {
+	{ "the leader acts on and claims the key at once",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1400, RENEW, 0 },
+	    { 1500, ERA, 3000 },
+	    { 1510, ACTS, 42 },
+	    { 1510, WAIT, 0 },
+	    { 1600, KEY_FREE, 0 },
+	    { 1610, REQUEST, 8 },
+	    { 1615, ACTS, 42 },
+	    { 1620, CLAIM, 99 },
+	    { 1630, ACTS, 99 },
+	    { 2700, RENEW, 0 },
+	    { 5050, ACTS, 99 } } },
+	{ "it stops when its former lease could expire",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1400, RENEW, 0 },
+	    { 1500, ERA, 3000 },
+	    { 3790, ACTS, 42 },
+	    { 3810, ACTS, 0 },
+	    { 3820, KEY_FREE, 0 },
+	    { 4100, WAIT, 0 },
+	    { 4510, REQUEST, 8 },
+	    { 4520, CLAIM, 99 },
+	    { 4530, ACTS, 99 } } },
+	{ "a lease that may have expired is not kept",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1400, RENEW_FAILED, 0 },
+	    { 2800, ACTS, 0 },
+	    { 2900, ERA, 3000 },
+	    { 2910, ACTS, 0 },
+	    { 2920, KEY_FREE, 0 },
+	    { 5800, WAIT, 0 },
+	    { 5910, REQUEST, 8 },
+	    { 5920, CLAIM, 99 },
+	    { 5930, ACTS, 99 } } },
+	{ "another host's key ends what was kept",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1400, RENEW, 0 },
+	    { 1500, ERA, 3000 },
+	    { 1600, KEY_OTHERS, 0 },
+	    { 1610, ACTS, 0 },
+	    { 5000, WAIT, 0 },
+	    { 6000, KEY_FREE, 0 },
+	    { 6100, WAIT, 0 },
+	    { 6200, REQUEST, 8 } } },
+	{ "another host was first",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1500, ERA, 3000 },
+	    { 1600, KEY_FREE, 0 },
+	    { 1610, REQUEST, 8 },
+	    { 1620, CLAIM_LOST, 0 },
+	    { 1630, ACTS, 42 },
+	    { 1640, KEY_OTHERS, 0 },
+	    { 1650, ACTS, 0 } } },
+	{ "a second restore before the key is claimed",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1400, RENEW, 0 },
+	    { 1500, ERA, 3000 },
+	    { 1600, ERA, 3000 },
+	    { 1610, ACTS, 42 },
+	    { 1700, KEY_FREE, 0 },
+	    { 1710, REQUEST, 8 },
+	    { 1720, CLAIM, 99 },
+	    { 1730, ACTS, 99 } } },
+	{ "a second restore after it",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1500, ERA, 3000 },
+	    { 1600, KEY_FREE, 0 },
+	    { 1610, REQUEST, 8 },
+	    { 1620, CLAIM, 99 },
+	    { 1700, ERA, 3000 },
+	    { 1710, ACTS, 99 },
+	    { 3990, ACTS, 99 },
+	    { 4020, ACTS, 0 } } },
+	{ "a claim of the era before is given up",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 305, ERA, 3000 },
+	    { 310, CLAIM, 42 },
+	    { 320, ACTS, 0 },
+	    { 330, KEY_FREE, 0 },
+	    { 3300, WAIT, 0 },
+	    { 3310, REQUEST, 8 } } },
+	{ "others wait until the former leader has stopped",
+	  { { 0, KEY_OTHERS, 0 },
+	    { 1000, ERA, 3000 },
+	    { 1100, KEY_FREE, 0 },
+	    { 3900, WAIT, 0 },
+	    { 4000, REQUEST, 8 } } },
+	{ "others need not wait once somebody has led",
+	  { { 0, KEY_OTHERS, 0 },
+	    { 1000, ERA, 3000 },
+	    { 1100, KEY_FREE, 0 },
+	    { 1200, LED, 0 },
+	    { 1250, WAIT, 0 },
+	    { 1310, REQUEST, 8 } } },
+	{ "the key of the era before is forgotten",
+	  { { 0, KEY_FREE, 0 },
+	    { 100, ERA, 0 },
+	    { 5000, WAIT, 0 },
+	    { 5100, KEY_FREE, 0 },
+	    { 5310, REQUEST, 8 } } },
+	{ "who resigns keeps nothing",
+	  { { 0, KEY_FREE, 0 },
+	    { 300, REQUEST, 7 },
+	    { 310, CLAIM, 42 },
+	    { 1500, ERA, 3000 },
+	    { 1510, RESIGN, 0 },
+	    { 1520, ACTS, 0 } } },
+};
+
+static void lease_step(struct lease *lease, const struct lease_row *row,
+		       int number, clk_ms at, enum lease_event event,
+		       int64_t arg)
+{
+	static const enum lease_action due[] = {
+		[REQUEST] = LEASE_ACT_REQUEST,
+		[WAIT] = LEASE_ACT_NONE,
+		[RENEW] = LEASE_ACT_RENEW,
+		[RENEW_FAILED] = LEASE_ACT_RENEW,
+	};
+
+	if (event == REQUEST || event == WAIT || event == RENEW ||
+	    event == RENEW_FAILED)
+		ck_assert_msg(lease_tick(lease, 0, true, at) == due[event],
+			      "%s: step %d", row->what, number);
+	switch (event) {
+	case ERA:
+		lease_on_era(lease, arg, at);
+		break;
+	case LED:
+		lease_on_led(lease);
+		break;
+	case KEY_FREE:
+		lease_on_key(lease, false, false, at);
+		break;
+	case KEY_OURS:
+	case KEY_OTHERS:
+		lease_on_key(lease, true, event == KEY_OURS, at);
+		break;
+	case REQUEST:
+		lease_on_grant(lease, true, arg, at);
+		break;
+	case CLAIM:
+	case CLAIM_LOST:
+		lease_on_claim(lease, event == CLAIM, arg, at);
+		break;
+	case RENEW:
+	case RENEW_FAILED:
+		lease_on_renewal(lease, event == RENEW, false, at);
+		break;
+	case RESIGN:
+		lease_resign(lease, at);
+		break;
+	case ACTS:
+		ck_assert_msg(lease_may_act(lease, at) == (arg > 0) &&
+				      (!arg || lease_token(lease) == arg),
+			      "%s: step %d", row->what, number);
+		break;
+	case WAIT:
+		break;
+	}
+}
+
+/* Guards against two hosts that lead at once, or none, after a restore. */
+START_TEST(lease_holds_in_one_era)
+{
+	const struct lease_row *row = &lease_rows[_i];
+	struct lease lease;
+
+	lease_init(&lease, 3000);
+	for (int i = 0; i < LEASE_STEPS; i++)
+		if (i == 0 || row->steps[i].at > 0)
+			lease_step(&lease, row, i, row->steps[i].at,
+				   row->steps[i].event, row->steps[i].arg);
+}
+END_TEST
+
 /* Usage windows. */
 
 /* What a host knows as it becomes the leader in era 2, of windows 1 to 9. */
@@ -277,6 +498,8 @@
 
 	tcase_add_loop_test(tcase, kv_calls_hold_in_one_era, 0,
 			    G_N_ELEMENTS(kv_rows));
+	tcase_add_loop_test(tcase, lease_holds_in_one_era, 0,
+			    G_N_ELEMENTS(lease_rows));
 	tcase_add_loop_test(tcase, seal_tells_what_may_be_reported, 0,
 			    G_N_ELEMENTS(seal_rows));
 	suite_add_tcase(suite, tcase);
