Hosts: the key of each host is written again after a restore

Seen in tests: where the restored store lacks the key of a host (it had started after the copy was made), hosts that start later don't find it for up to 200 s, until its next renewal; that renewal could also meet a lease with the same id of another process.

Cause: the key's lease was taken for valid until a renewal says otherwise. Now each host writes its key again within 10 s of learning of the era, at a random time, as all learn of it at once; after a conflict it reads the key instead of waiting 10 s to write as if there were none.

--- a/daemon/proxyd-peer.c
+++ b/daemon/proxyd-peer.c
@@ -30,7 +30,10 @@
 #define HOST_KEY_LEASE_MS 600000
 #define HOST_KEY_RENEW_MS 200000
 #define HOST_KEY_RETRY_MS 1000
-#define HOST_KEY_CONFLICT_MS 10000
+#define HOST_KEY_CONFLICT_MS 10000 /* the key could not be read */
+/* After the store was restored, each host writes its key again at some time
+ * within this one: the copy may lack it, and all hosts notice at once. */
+#define HOST_KEY_RESTORED_MS 10000
 /* A host declared dead so recently may still run, cut off by a partition. */
 #define LOST_RUNNING_MS 15000
 /* Part of the hosts listed in the store that must be known for their ranks. */
@@ -573,6 +576,30 @@
 	proxyd->next_host_call = proxyd_now(proxyd) + wait;
 }
 
+/* The key has changed unseen or has expired, or the store was restored. */
+static void on_host_key_read(void *ctx, enum kv_outcome outcome,
+			     const struct kv_page *page)
+{
+	struct proxyd *proxyd = ctx;
+	char *key = g_strconcat(HOST_PREFIX, proxyd->conf->name, NULL);
+
+	proxyd->host_key_revision = 0;
+	for (size_t i = 0; outcome == KV_OK && i < page->count; i++)
+		if (!strcmp(page->items[i].key, key))
+			proxyd->host_key_revision = page->items[i].revision;
+	host_key_schedule(proxyd, outcome == KV_OK ? HOST_KEY_RETRY_MS
+						   : HOST_KEY_CONFLICT_MS);
+	g_free(key);
+}
+
+static void host_key_read(struct proxyd *proxyd)
+{
+	char *key = g_strconcat(HOST_PREFIX, proxyd->conf->name, NULL);
+
+	kv_range(proxyd->kv, key, "", false, on_host_key_read, proxyd);
+	g_free(key);
+}
+
 static void on_host_key_written(void *ctx, enum kv_outcome outcome,
 				int64_t number)
 {
@@ -586,11 +613,10 @@
 	}
 	kv_lease_revoke(proxyd->kv, &proxyd->host_lease);
 	proxyd->host_lease = (struct kv_lease){ 0 };
-	/* On a conflict, the key has changed unseen or has expired. */
 	if (outcome == KV_CONFLICT)
-		proxyd->host_key_revision = 0;
-	host_key_schedule(proxyd, outcome == KV_CONFLICT ? HOST_KEY_CONFLICT_MS
-							 : HOST_KEY_RETRY_MS);
+		host_key_read(proxyd);
+	else
+		host_key_schedule(proxyd, HOST_KEY_RETRY_MS);
 }
 
 static void on_host_lease_granted(void *ctx, enum kv_outcome outcome,
@@ -628,6 +654,14 @@
 						   : HOST_KEY_RETRY_MS);
 }
 
+void peer_on_restored(struct proxyd *proxyd)
+{
+	clk_ms wait = proxyd_random(proxyd, HOST_KEY_RESTORED_MS);
+
+	proxyd->next_host_call =
+		MIN(proxyd->next_host_call, proxyd_now(proxyd) + wait);
+}
+
 static void host_key_tick(struct proxyd *proxyd)
 {
 	if (proxyd->host_call_pending || proxyd->stopping ||
--- a/daemon/proxyd.c
+++ b/daemon/proxyd.c
@@ -458,6 +458,8 @@
 static void on_store_era(void *ctx, bool restored)
 {
 	leader_on_era(ctx, restored);
+	if (restored)
+		peer_on_restored(ctx);
 }
 
 static void clients_create(struct proxyd *proxyd)
--- a/daemon/proxyd.h
+++ b/daemon/proxyd.h
@@ -369,6 +369,8 @@
 void peer_send_heartbeats(struct proxyd *proxyd);
 /* All items under OWN_PREFIX were read. */
 void peer_on_snapshot(struct proxyd *proxyd);
+/* The store was restored: it may lack this host's key. */
+void peer_on_restored(struct proxyd *proxyd);
 /* A host's key was read; address is the RPC address in it. */
 void peer_on_host_key(struct proxyd *proxyd, const struct store_item *item,
 		      const char *address);
--- a/tests/proxydrill.py
+++ b/tests/proxydrill.py
@@ -20,6 +20,7 @@
 AWAY_S = 0.5    # the store, before it is back
 SETTLED_S = 3   # the platform's stable_window_ms
 RESUMED_S = 8   # until a leader acts again, at most
+KEY_BACK_S = 12  # a host's key
 
 
 class Drill:
@@ -287,5 +288,20 @@
                        for more, case in enumerate(CASES)])
 
 
+async def test_drill_host_key_returns(net):
+    """A host whose key the restored store lacks isn't found by hosts that start
+    later: its key is only renewed after minutes."""
+    async with Rig(net, hosts=3) as rig:
+        await rig.wait_membership()
+        key = "rw/host/h2"
+        await rig.wait_until("the key", lambda: key in rig.store.items)
+        copy = rig.store.copy()
+        del copy["items"][key]
+        await Drill(rig).restore(copy)
+        await rig.wait_until("the key is back", lambda: key in rig.store.items,
+                             KEY_BACK_S)
+        assert rig.store.items[key][3] in rig.store.leases
+
+
 if __name__ == "__main__":
     sys.exit(main("proxydrill", globals(), FIRST_NET))
