Streams: records that a restored store may lack are written again

Seen in tests: streams that began in the seconds that the store has lost are refused if all hosts are killed afterwards: 0 of 24 went on.

Cause: a stream was recorded once, and the record taken for kept. Now a host passes its streams on again after a restore, as it does to new writers, and the writers use new keys: which of the former ones are in the copy, and at which revision, is not known.

--- a/daemon/proxyd-resume.c
+++ b/daemon/proxyd-resume.c
@@ -895,7 +895,9 @@
 void resume_tick(struct proxyd *proxyd)
 {
 	clk_ms now = proxyd_now(proxyd);
-	uint32_t writers = writers_key(proxyd);
+	/* A restored store may lack what was written: all is passed on again,
+	 * as to new writers. */
+	uint32_t writers = writers_key(proxyd) ^ kv_restores(proxyd->kv);
 	GHashTableIter iter;
 	gpointer pool;
 	unsigned turn;
--- a/daemon/streamlog.c
+++ b/daemon/streamlog.c
@@ -25,8 +25,10 @@
 	GArray *rows;  /* struct origin_row, not written yet */
 	guint pending; /* of these, the first ones are being written */
 	int64_t revisions[KEYS];
-	unsigned next_key;
+	unsigned next_key;  /* of those of this era */
+	unsigned first_key; /* number of the first of them */
 	struct kv_lease lease;
+	int64_t era; /* of the store, in which the keys are written; -1: none */
 	clk_ms renew_at;
 	clk_ms used_at; /* something was last written */
 	bool calling;
@@ -111,8 +113,18 @@
 {
 	GString *text = origin_rows_print(
 		(const struct origin_row *)log->rows->data, log->rows->len);
-	char *key = g_strdup_printf("%s/%u", log->prefix, log->next_key);
-
+	int64_t era = kv_era(log->options.kv);
+	char *key;
+
+	if (log->era != era) {
+		/* Which of the keys are in the restored store is not known:
+		 * others are written from now on. */
+		memset(log->revisions, 0, sizeof(log->revisions));
+		log->first_key += log->era >= 0 ? KEYS : 0;
+		log->era = era;
+	}
+	key = g_strdup_printf("%s/%u", log->prefix,
+			      log->first_key + log->next_key);
 	log->pending = log->rows->len;
 	log->calling = true;
 	log->used_at = loop_now(log);
@@ -164,6 +176,7 @@
 	struct streamlog *log = g_new0(struct streamlog, 1);
 
 	log->options = *options;
+	log->era = -1;
 	log->prefix = g_strdup(options->prefix);
 	log->rows = g_array_new(FALSE, FALSE, sizeof(struct origin_row));
 	uv_timer_init(options->loop, &log->timer);
--- a/tests/proxydrill.py
+++ b/tests/proxydrill.py
@@ -12,7 +12,9 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from proxyrig import LOG_FLUSH_S, Rig  # noqa: E402
-from proxy import main, wrong_usage  # noqa: E402
+from proxy import (STREAMS_WRITTEN_S, begin_streams,  # noqa: E402
+                   check_resumed, list_versions, main, restart_all,
+                   take_up_streams, wrong_usage)
 from proxyends import gather_rows  # noqa: E402
 
 FIRST_NET = 170  # after those of proxyrollout.py
@@ -303,5 +305,22 @@
         assert rig.store.items[key][3] in rig.store.leases
 
 
+async def test_drill_streams_go_on(net):
+    """Streams whose records the restored store lacks are refused when all hosts
+    are killed afterwards: they are not recorded again."""
+    async with Rig(net, hosts=3, llm=4) as rig:
+        await rig.wait_membership()
+        await list_versions(rig, ("v1", "v1", "v2", "v2"))
+        copy = rig.store.copy()
+        streams = await begin_streams(rig, 24)
+        await asyncio.sleep(STREAMS_WRITTEN_S)
+        await Drill(rig).restore(copy)
+        await asyncio.sleep(STREAMS_WRITTEN_S)
+        await restart_all(rig)
+        results = []
+        await take_up_streams(rig, streams, results)
+        check_resumed(results, 0.9)
+
+
 if __name__ == "__main__":
     sys.exit(main("proxydrill", globals(), FIRST_NET))
