Limits: balances of an earlier era are not recalled

Seen in tests: an account spends its burst, all hosts are killed, and the store comes back from a copy that says that nothing was spent: what is granted in the 3.8 s after is 228,000 units, where the refill and the tolerance allow 103,000.

Cause: a host that starts takes the stored balances as those of the moment before. The value now names the era in which it was written; one of another era is not recalled, so that accounts begin in debt as without a balance, and is written again at once by the hosts that were there before. Former builds take the mark for an account that they don't have.

--- a/daemon/proxyd-limits.c
+++ b/daemon/proxyd-limits.c
@@ -9,6 +9,11 @@
  * Builds before BUILD_BALANCES write and read the names alone; they take the
  * rest for names of accounts that they don't have.
  *
+ * At the end stands "@era=" and the era of the store in which it was written
+ * (BUILD_STORED_ERAS). A value of another era comes from the copy from which
+ * the store was restored, and says nothing of what was spent since; it is
+ * written again at once.
+ *
  * The host that ranks first writes the value when the names change and, while
  * there are any, every QUOTA_BALANCE_MS. An account stays listed as long as its
  * past spending counts.
@@ -26,6 +31,7 @@
 #define SEPARATOR " "
 #define BALANCES_MARK "@"
 #define BALANCES_START SEPARATOR BALANCES_MARK
+#define ERA_START BALANCES_START "era="
 
 /* Returns the names of the accounts that are, or recently were, near their
  * limits; sets balances to their list. */
@@ -78,6 +84,15 @@
 	       (!stored[len] || g_str_has_prefix(stored + len, BALANCES_START));
 }
 
+/* Whether a value was written in the store's present era, or names none. */
+static bool is_of_this_era(const struct proxyd *proxyd, const char *stored)
+{
+	const char *mark = strstr(stored, ERA_START);
+
+	return !mark || g_ascii_strtoll(mark + strlen(ERA_START), NULL, 10) ==
+				kv_era(proxyd->kv);
+}
+
 /* Returns the stored text, "" if there is none. The caller frees it. */
 static char *stored_text(const struct store_item *item)
 {
@@ -99,6 +114,7 @@
 	char *stored = stored_text(item);
 	bool exists = item && item->value;
 	bool due = !exists || !names_are(stored, names) ||
+		   !is_of_this_era(proxyd, stored) ||
 		   (names[0] && now >= proxyd->next_balances);
 
 	if (due && !proxyd->limits_write_pending && proxyd->tab &&
@@ -107,11 +123,10 @@
 	    now - proxyd->started_at >= NEAR_LIMIT_KEEP_MS &&
 	    proxyd->feed.rank == 0) {
 		char *text =
-			names[0] ? g_strdup_printf("%s" BALANCES_START
-						   "%" G_GINT64_FORMAT "%s",
-						   names, proxyd_wall(proxyd),
-						   balances)
-				 : g_strdup("");
+			g_strdup_printf("%s" BALANCES_START "%" G_GINT64_FORMAT
+					"%s" ERA_START "%" G_GINT64_FORMAT,
+					names, proxyd_wall(proxyd), balances,
+					kv_era(proxyd->kv));
 
 		proxyd->limits_write_pending = true;
 		proxyd->next_limits_write = now + WRITE_GAP_MS;
@@ -193,6 +208,14 @@
 	if (!item || !item->value)
 		return;
 	text = stored_text(item);
+	if (!is_of_this_era(proxyd, text)) {
+		slog(SLOG_WARN, "limits",
+		     "revision=%" G_GINT64_FORMAT " near=\"%s\" "
+		     "outcome=not_recalled why=store_restored",
+		     item->mod, text);
+		g_free(text);
+		return;
+	}
 	listed = g_strsplit(text, SEPARATOR, 0);
 	g_hash_table_iter_init(&iter, proxyd->quotas);
 	while (g_hash_table_iter_next(&iter, &name, &quota))
--- a/tests/proxydrill.py
+++ b/tests/proxydrill.py
@@ -11,7 +11,7 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from proxyrig import LOG_FLUSH_S, Rig  # noqa: E402
+from proxyrig import LOG_FLUSH_S, Rig, config  # noqa: E402
 from proxy import (STREAMS_WRITTEN_S, begin_streams,  # noqa: E402
                    check_resumed, list_versions, main, restart_all,
                    take_up_streams, wrong_usage)
@@ -322,5 +322,45 @@
         check_resumed(results, 0.9)
 
 
+async def test_drill_quota_when_all_restart(net):
+    """All hosts are killed after an account has spent its burst, and start with
+    a store that says that nothing was spent: it is granted once more."""
+    rate, burst = 20000, 200000
+    async with Rig(net, hosts=6) as rig:
+        await rig.wait_membership()
+        limited = config(2, rate=rate)
+        limited["tenants"][0]["burst"] = burst
+        rig.store.put("op/config", limited)
+        await rig.wait_until("the list of accounts",
+                             lambda: "rw/limits" in rig.store.items, 20)
+        copy = rig.store.copy()
+        served = []
+        started = time.monotonic()
+
+        async def send_load(host):
+            while time.monotonic() < started + 6:
+                try:
+                    got = await host.request(
+                        "GET", "/i/x",
+                        headers=("Redwingpitch-Token-Counts: 2000,1000",))
+                    if got.status == 200:
+                        served.append(time.monotonic())
+                except OSError:
+                    await asyncio.sleep(0.01)
+        senders = [asyncio.create_task(send_load(host)) for host in rig.hosts
+                   for _ in range(4)]
+        await asyncio.sleep(2)
+        assert 3000 * len(served) > rate * 2 + burst
+        drill, killed_at = Drill(rig), time.monotonic()
+        await asyncio.gather(*(drill.kill(host) for host in rig.hosts))
+        await drill.restore(copy)
+        await asyncio.gather(*(drill.start(host) for host in rig.hosts))
+        await asyncio.gather(*senders)
+        units = 3000 * len([at for at in served if at > killed_at])
+        took = max(served) - killed_at
+        assert units <= rate * took * 1.1 + 20000, (units, took)
+        assert any(at > drill.restored_at[-1] + 1 for at in served)
+
+
 if __name__ == "__main__":
     sys.exit(main("proxydrill", globals(), FIRST_NET))
