Soak: the store is restored beside all other faults

A drill of its own random numbers, so that the other faults of a seed stay as they are: copies whose leases run on and whose ids are given out again, while the leader, all hosts or none are lost.

--- a/tests/proxysoak.py
+++ b/tests/proxysoak.py
@@ -6,7 +6,8 @@
 signals; a loopback proxy delays, resets or silences connections to workers, in
 one or both directions; the store rejects hosts, loses responses, compacts its
 history and lets leases expire; workers fail, leave and return, name limits,
-crash on certain requests and start again at another software version; one, some
+crash on certain requests and start again at another software version; the store
+comes back from older copies, also while the leader or all hosts are lost; one, some
 or all workers of a service are silent for a while and go on; crowds take up a
 host's connections and stall; the configuration changes. Callers keep their connections until the process is gone;
 some take their streams up at other hosts. At the end, what callers and workers
@@ -39,6 +40,7 @@
 FAULT_GAP_S = 0.5      # mean time between two bursts of faults
 SILENCE_GAP_S = 1.0    # mean time between two series of silent workers
 CROWD_GAP_S = 1.5      # mean time between two crowds
+DRILL_GAP_S = 3.0      # mean time between two drills of the store
 DESCRIPTORS = 512      # of a host; crowds have more connections than that
 CALLERS = 12
 DEADLINE_S = 2         # of each request
@@ -62,6 +64,7 @@
 RESUMED_KINDS = 17  # from so many kinds on, callers take streams up
 SILENT_KINDS = 18   # and workers fall silent
 CROWD_KINDS = 19    # and crowds come
+DRILL_KINDS = 20    # and the store is restored beside all others
 # What each connection of a crowd sends: nothing, or a part of a request that
 # it never ends, or ends a byte a second.
 CROWD_PARTS = (b"", b"POST /o/x HTTP/1.1\r\nHost: a", HEAD % (
@@ -150,6 +153,7 @@
         # Of its own: other faults stay those of former runs of a seed.
         self.silence_rand = random.Random("silent workers %d" % seed)
         self.crowd_rand = random.Random("crowds %d" % seed)
+        self.drill_rand = random.Random("drills %d" % seed)
         self.results = []   # (ident, path, response or None, sent at)
         self.ended_at = {}  # ident -> end of its response
         self.hosts_of = {}  # ident -> name of the host that got it
@@ -201,16 +205,24 @@
 
     async def host_killed(self):
         host = self.rand.choice(self.rig.hosts)
+        process = self.kill(host)
+        began = time.monotonic()
+        await asyncio.sleep(self.rand.uniform(0, 1.5))
+        self.start_again(host, process)
+        self.disturb(host, began)
+
+    def kill(self, host):
+        """Kills a host's process, if it lives; returns it."""
         if host.process.poll() is None:
             self.record("kill " + host.name)
             host.process.send_signal(signal.SIGCONT)
             host.kill()
-        process = host.process
-        began = time.monotonic()
-        await asyncio.sleep(self.rand.uniform(0, 1.5))
+        return host.process
+
+    def start_again(self, host, process):
+        """Starts a host, unless another fault has done so already."""
         if host.process is process and process.poll() is not None:
             host.start(first_start=False)
-        self.disturb(host, began)
 
     async def host_stopped(self):
         host = self.rand.choice(self.rig.hosts)
@@ -221,9 +233,7 @@
         began = time.monotonic()
         while process.poll() is None:
             await asyncio.sleep(0.05)
-        # Another fault may have restarted it already.
-        if host.process is process:
-            host.start(first_start=False)
+        self.start_again(host, process)
         self.disturb(host, began)
 
     async def host_paused(self):
@@ -278,8 +288,12 @@
         # What was dropped before the copy was made is gone for good.
         store.restore(max(copy, store.compacted_revision))
         await asyncio.sleep(self.rand.uniform(0, 1.5))
-        workers = list(self.rig.workers)
-        self.rand.shuffle(workers)
+        self.write_again(self.rand)
+
+    def write_again(self, rand):
+        """Operators and workers write what a restored store may lack."""
+        store, workers = self.rig.store, list(self.rig.workers)
+        rand.shuffle(workers)
         for worker in workers:
             self.publish_worker(worker)
         # The entries of workers that are gone lapse again.
@@ -289,6 +303,31 @@
             store.remove(key)
         store.put("op/config", config(self.version, ROUTES))
 
+    def last_leader(self):
+        calls = self.rig.cloud.usage + self.rig.cloud.orders
+        return [host for host in self.rig.hosts
+                if calls and host.name == max(calls)[1]]
+
+    async def drill(self):
+        """The store comes back from a copy, whose leases run on and whose ids are
+        given out again; the leader or all hosts are lost meanwhile, or none."""
+        rand, store = self.drill_rand, self.rig.store
+        copy = store.copy()
+        await asyncio.sleep(rand.uniform(0.3, 4))
+        lost = rand.choice([[], [], self.last_leader(), self.rig.hosts])
+        self.record("drill, lost: %s" % [host.name for host in lost])
+        store.faults[None] = rand.choice(["unavailable", "reset", "silent"])
+        began = time.monotonic()
+        processes = [self.kill(host) for host in lost]
+        await asyncio.sleep(rand.uniform(0.1, 1.5))
+        store.faults.pop(None, None)
+        store.restore_copy(copy)
+        await asyncio.sleep(rand.uniform(0, 1.5))
+        self.write_again(rand)
+        for host, process in zip(lost, processes):
+            self.start_again(host, process)
+            self.disturb(host, began)
+
     async def worker_fault(self):
         worker = self.rand.choice(self.rig.workers)
         worker.mode = self.rand.choice(MODES)
@@ -399,13 +438,13 @@
                     self.rand.choice(kinds)()))
         await asyncio.gather(*running)
 
-    async def inject_silences(self, seconds):
+    async def inject_often(self, fault, rand, gap_s, seconds):
+        """Injects one kind of fault beside the others."""
         end = time.monotonic() + seconds
         running = []
         while time.monotonic() < end:
-            await asyncio.sleep(
-                self.silence_rand.expovariate(1 / SILENCE_GAP_S))
-            running.append(asyncio.create_task(self.workers_silent()))
+            await asyncio.sleep(rand.expovariate(1 / gap_s))
+            running.append(asyncio.create_task(fault()))
         await asyncio.gather(*running)
 
     async def crowd(self):
@@ -430,14 +469,6 @@
         for sock in socks:
             sock.close()
 
-    async def inject_crowds(self, seconds):
-        end = time.monotonic() + seconds
-        running = []
-        while time.monotonic() < end:
-            await asyncio.sleep(self.crowd_rand.expovariate(1 / CROWD_GAP_S))
-            running.append(asyncio.create_task(self.crowd()))
-        await asyncio.gather(*running)
-
     # Callers.
 
     async def caller(self, number):
@@ -633,17 +664,20 @@
         soak.same_ids = same_ids or seed in SAME_IDS
         await soak.start()
         await rig.wait_membership()
-        crowd_s = seconds if soak.has_kind(CROWD_KINDS) else 0
         callers = [asyncio.create_task(soak.caller(i))
                    for i in range(CALLERS)]
         if soak.has_kind(RESUMED_KINDS):
             callers += [asyncio.create_task(soak.resumer(i))
                         for i in range(RESUMERS)]
         try:
-            silent_s = seconds if soak.has_kind(SILENT_KINDS) else 0
-            await asyncio.gather(soak.inject_faults(seconds),
-                                 soak.inject_silences(silent_s),
-                                 soak.inject_crowds(crowd_s))
+            often = [
+                (SILENT_KINDS, soak.workers_silent, soak.silence_rand,
+                 SILENCE_GAP_S),
+                (CROWD_KINDS, soak.crowd, soak.crowd_rand, CROWD_GAP_S),
+                (DRILL_KINDS, soak.drill, soak.drill_rand, DRILL_GAP_S)]
+            await asyncio.gather(soak.inject_faults(seconds), *(
+                soak.inject_often(*fault, seconds)
+                for kinds, *fault in often if soak.has_kind(kinds)))
             for host in rig.hosts:
                 if host.process.poll() is not None:
                     host.start(first_start=False)
