--- a/tests/proxydrill.py
+++ b/tests/proxydrill.py
@@ -322,14 +322,19 @@
         check_resumed(results, 0.9)
 
 
-async def test_drill_quota_when_all_restart(net):
-    """All hosts are killed after an account has spent its burst, and start with
-    a store that says that nothing was spent: it is granted once more."""
-    rate, burst = 20000, 200000
+RATE, BURST, UNITS = 20000, 200000, 3000  # of an account; of a request
+TOLERANCE = 20000
+QUOTA_WINDOW_S = 8
+
+
+async def spend_burst(net, restores):
+    """An account spends its burst, all hosts are killed, and start with a store
+    that says that nothing was spent; returns when requests were served, and
+    when the hosts were killed."""
     async with Rig(net, hosts=6) as rig:
         await rig.wait_membership()
-        limited = config(2, rate=rate)
-        limited["tenants"][0]["burst"] = burst
+        limited = config(2, rate=RATE)
+        limited["tenants"][0]["burst"] = BURST
         rig.store.put("op/config", limited)
         await rig.wait_until("the list of accounts",
                              lambda: "rw/limits" in rig.store.items, 20)
@@ -350,16 +355,32 @@
         senders = [asyncio.create_task(send_load(host)) for host in rig.hosts
                    for _ in range(4)]
         await asyncio.sleep(2)
-        assert 3000 * len(served) > rate * 2 + burst
-        drill, killed_at = Drill(rig), time.monotonic()
+        assert UNITS * len(served) > RATE * 2 + BURST
+        drill, killed_at = Drill(rig, restores), time.monotonic()
         await asyncio.gather(*(drill.kill(host) for host in rig.hosts))
         await drill.restore(copy)
         await asyncio.gather(*(drill.start(host) for host in rig.hosts))
         await asyncio.gather(*senders)
-        units = 3000 * len([at for at in served if at > killed_at])
-        took = max(served) - killed_at
-        assert units <= rate * took * 1.1 + 20000, (units, took)
         assert any(at > drill.restored_at[-1] + 1 for at in served)
+        return served, killed_at
+
+
+async def test_drill_quota_when_all_restart(net):
+    """An account's burst is granted once more when all hosts start with a store
+    that says that nothing was spent."""
+    served, killed_at = await spend_burst(net, True)
+    units = UNITS * len([at for at in served if at > killed_at])
+    took = max(served) - killed_at
+    assert units <= RATE * took * 1.1 + TOLERANCE, (units, took)
+
+
+async def test_drill_none_quota_when_all_restart(net):
+    """An account whose burst is ten seconds of its rate is granted more than its
+    limit when all hosts restart."""
+    served, _ = await spend_burst(net, False)
+    units = UNITS * len(served)
+    most = (RATE * QUOTA_WINDOW_S + BURST) * 1.1 + TOLERANCE
+    assert units <= most, (units, most)
 
 
 if __name__ == "__main__":
