Usage: a record that was written before a restore is not taken for one after it

The response to its write may come from the restored store; nothing then tells it from a write that was made there. The state of the leader is grouped by subject; the tests of quotas share their callers.

--- a/daemon/proxyd-leader.h
+++ b/daemon/proxyd-leader.h
@@ -7,33 +7,41 @@
 #include "proxyd.h"
 
 struct leader {
+	/* Orders (proxyd-scale.c). */
 	GHashTable *pools; /* name -> struct pool_scaling */
 	clk_ms next_observe;
 	clk_ms next_scale;
-	int64_t reported_window; /* newest window that was reported */
-	bool report_pending;
-	int64_t report_window; /* of the pending report */
-	char *report_counts;   /* of that window, a JSON object */
-	clk_ms report_retry_at;
-	clk_ms report_read_at; /* when its seal is read again; 0: not due */
-	unsigned lease_calls;  /* for the leader's key, that are pending */
+
+	/* Leadership (proxyd-leader.c). */
+	int64_t acting_token; /* under which this host acts; 0: it does not */
+	unsigned lease_calls; /* for the leader's key, that are pending */
 	struct kv_lease duty_lease; /* of that key */
+	int64_t read_era; /* of the store, when all items were last read */
 	/* The last key of another leader that was read, and its revision
 	 * without an era. */
 	GBytes *former_key;
 	int64_t former_revision;
+	clk_ms last_follower_at; /* when this host was last a follower */
+
+	/* Usage reports (proxyd-usage.c). */
+	int64_t reported_window; /* newest window that was reported */
+	bool report_pending;
+	int64_t report_window; /* of the pending report */
+	char *report_counts;   /* of that window, a JSON object */
+	clk_ms report_read_at; /* when its seal is read again; 0: not due */
+	clk_ms report_retry_at;
 	struct kv_lease usage_lease; /* of the windows' keys */
 	clk_ms usage_lease_until;    /* when to replace that lease */
 	bool usage_lease_pending;
 	struct seals seals;
-	int64_t read_era;     /* of the store, when all items were last read */
+
+	/* The record of the store's era, in proxyd-usage.c too. */
 	int64_t recorded_era; /* of the record in the store; -1: none */
-	bool record_pending;
-	int64_t record_from;	 /* window of the record being written */
-	int64_t reseal_window;	 /* its seal is being written again */
-	int64_t resealed;	 /* the newest such window of this era */
-	clk_ms last_follower_at; /* when this host was last a follower */
-	int64_t acting_token; /* under which this host acts; 0: it does not */
+	bool record_pending; /* it, or a seal that it needs, is being written */
+	int64_t record_era;  /* of the record being written */
+	int64_t record_from; /* its first window */
+	int64_t reseal_window; /* its seal is being written again */
+	int64_t resealed;      /* the newest such window of this era */
 };
 
 /* This host as the leader, for calls to the platform. */
--- a/daemon/proxyd-usage.c
+++ b/daemon/proxyd-usage.c
@@ -331,10 +331,11 @@
 	slog(SLOG_NOTICE, "usage",
 	     "era=%" G_GINT64_FORMAT " revision=%" G_GINT64_FORMAT
 	     " from=%" G_GINT64_FORMAT " outcome=%s",
-	     kv_era(proxyd->kv), revision, leader->record_from,
+	     leader->record_era, revision, leader->record_from,
 	     outcome == KV_OK ? "recorded" : "not_recorded");
-	if (outcome == KV_OK) {
-		leader->recorded_era = kv_era(proxyd->kv);
+	/* Otherwise the store was restored meanwhile. */
+	if (outcome == KV_OK && leader->record_era == kv_era(proxyd->kv)) {
+		leader->recorded_era = leader->record_era;
 		seal_on_record(&leader->seals, leader->record_from);
 		return;
 	}
@@ -383,8 +384,9 @@
 			   on_resealed);
 		return;
 	}
+	leader->record_era = kv_era(proxyd->kv);
 	leader->record_from = seal_first(&leader->seals, counted_from(proxyd));
-	text = seal_record_print(kv_era(proxyd->kv), leader->record_from);
+	text = seal_record_print(leader->record_era, leader->record_from);
 	kv_change(proxyd->kv,
 		  &(struct kv_change){
 			  .key = USAGE_RECORD_KEY,
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -3146,6 +3146,23 @@
         assert units >= 2000 * took * 0.7, units
 
 
+def start_senders(rig, until, tokens, served):
+    """Starts four callers at each host; `served` gets the times of their
+    successes."""
+    async def send(host):
+        while time.monotonic() < until:
+            try:
+                got = await host.request(
+                    "GET", "/i/x",
+                    headers=("Redwingpitch-Token-Counts: " + tokens,))
+                if got.status == 200:
+                    served.append(time.monotonic())
+            except OSError:
+                await asyncio.sleep(0.01)
+    return [asyncio.create_task(send(host)) for host in rig.hosts
+            for _ in range(4)]
+
+
 async def test_proxy_quota_when_all_restart(net):
     """After all hosts are killed and restarted at once, no host may assume
     the account's full limit for itself."""
@@ -3155,20 +3172,7 @@
         await asyncio.sleep(0.5)
         served = []
         started = time.monotonic()
-
-        async def send_load(host):
-            while time.monotonic() < started + 4:
-                try:
-                    got = await host.request(
-                        "GET", "/i/x",
-                        headers=("Redwingpitch-Token-Counts: 300,100",))
-                    if got.status == 200:
-                        served.append(time.monotonic())
-                except OSError:
-                    await asyncio.sleep(0.01)
-
-        senders = [asyncio.create_task(send_load(host)) for host in rig.hosts
-                   for _ in range(4)]
+        senders = start_senders(rig, started + 4, "300,100", served)
         await asyncio.sleep(1.5)
         for host in rig.hosts:
             host.kill()
--- a/tests/proxydrill.py
+++ b/tests/proxydrill.py
@@ -14,7 +14,7 @@
 from proxyrig import LOG_FLUSH_S, Rig, config  # noqa: E402
 from proxy import (STREAMS_WRITTEN_S, begin_streams,  # noqa: E402
                    check_resumed, list_versions, main, restart_all,
-                   take_up_streams, wrong_usage)
+                   start_senders, take_up_streams, wrong_usage)
 from proxyends import gather_rows  # noqa: E402
 
 FIRST_NET = 170  # after those of proxyrollout.py
@@ -340,20 +340,7 @@
                              lambda: "rw/limits" in rig.store.items, 20)
         copy = rig.store.copy()
         served = []
-        started = time.monotonic()
-
-        async def send_load(host):
-            while time.monotonic() < started + 6:
-                try:
-                    got = await host.request(
-                        "GET", "/i/x",
-                        headers=("Redwingpitch-Token-Counts: 2000,1000",))
-                    if got.status == 200:
-                        served.append(time.monotonic())
-                except OSError:
-                    await asyncio.sleep(0.01)
-        senders = [asyncio.create_task(send_load(host)) for host in rig.hosts
-                   for _ in range(4)]
+        senders = start_senders(rig, time.monotonic() + 6, "2000,1000", served)
         await asyncio.sleep(2)
         assert UNITS * len(served) > RATE * 2 + BURST
         drill, killed_at = Drill(rig, restores), time.monotonic()
