--- a/daemon/proxyd-leader.c
+++ b/daemon/proxyd-leader.c
@@ -72,8 +72,10 @@
 	leader->former_revision = kv_revision_plain(item->mod);
 }
 
-/* Applies the leader's key, which is in the store. */
-static void key_apply(struct proxyd *proxyd, const struct store_item *item)
+/* Applies the leader's key, which is in the store. Returns whose it is, for the
+ * log. */
+static const char *key_apply(struct proxyd *proxyd,
+			     const struct store_item *item)
 {
 	struct lease *lease = &proxyd->leader_lease;
 	clk_ms now = proxyd_boot_now();
@@ -81,13 +83,6 @@
 	bool ours = id && id == lease->id;
 	bool outdated = key_is_outdated(proxyd, item);
 
-	slog(SLOG_NOTICE, "duty",
-	     "revision=%" G_GINT64_FORMAT " era=%" G_GINT64_FORMAT
-	     " outcome=%s",
-	     item->mod, kv_era(proxyd->kv),
-	     ours	? "held_here"
-	     : outdated ? "outdated"
-			: "held_elsewhere");
 	if (!ours && !outdated)
 		former_key_set(proxyd->leader, item);
 	if (ours)
@@ -95,6 +90,7 @@
 		 * as much. */
 		lease_on_claim(lease, true, item->mod, now);
 	lease_on_key(lease, !outdated, ours, now);
+	return ours ? "held_here" : outdated ? "outdated" : "held_elsewhere";
 }
 
 /* Whether what was read up to a revision may lack this host's own claim. */
@@ -106,21 +102,23 @@
 
 void leader_on_item(struct proxyd *proxyd, const struct store_item *item)
 {
+	const char *outcome = "free";
+
 	usage_on_item(proxyd, item);
 	if (usage_is_recorded(proxyd))
 		lease_on_led(&proxyd->leader_lease);
 	if (strcmp(item->key, LEADER_KEY) != 0 ||
 	    is_before_claim(proxyd, item->mod))
 		return;
-	if (item->value) {
-		key_apply(proxyd, item);
-		return;
-	}
+	if (item->value)
+		outcome = key_apply(proxyd, item);
+	else
+		lease_on_key(&proxyd->leader_lease, false, false,
+			     proxyd_boot_now());
 	slog(SLOG_NOTICE, "duty",
 	     "revision=%" G_GINT64_FORMAT " era=%" G_GINT64_FORMAT
-	     " outcome=free",
-	     item->mod, kv_era(proxyd->kv));
-	lease_on_key(&proxyd->leader_lease, false, false, proxyd_boot_now());
+	     " outcome=%s",
+	     item->mod, kv_era(proxyd->kv), outcome);
 }
 
 void leader_on_snapshot(struct proxyd *proxyd)
