--- a/daemon/proxyd-usage.c
+++ b/daemon/proxyd-usage.c
@@ -262,6 +262,7 @@
 		return;
 	ptr = g_bytes_get_data(item->value, &len);
 	if (g_str_has_prefix(item->key, USAGE_PREFIX)) {
+		seal_expire(&leader->seals, oldest_window(proxyd));
 		seal_put(&leader->seals,
 			 g_ascii_strtoll(item->key + strlen(USAGE_PREFIX), NULL,
 					 10),
@@ -429,7 +430,6 @@
 	const char *sealed;
 	int64_t window;
 
-	seal_expire(&leader->seals, oldest);
 	if (leader->reported_window < oldest - 1)
 		leader->reported_window = oldest - 1;
 	window = leader->reported_window + 1;
