--- a/tests/proxysoak.py
+++ b/tests/proxysoak.py
@@ -7,11 +7,12 @@
 one or both directions; the store rejects hosts, loses responses, compacts its
 history and lets leases expire; workers fail, leave and return, name limits,
 crash on certain requests and start again at another software version; the store
-comes back from older copies, also while the leader or all hosts are lost; one, some
-or all workers of a service are silent for a while and go on; crowds take up a
-host's connections and stall; the configuration changes. Callers keep their connections until the process is gone;
-some take their streams up at other hosts. At the end, what callers and workers
-received is checked against the guarantees.
+comes back from older copies, also while it turns the leader away, or the leader
+or all hosts are lost; one, some or all workers of a service are silent for a
+while and go on; crowds take up a host's connections and stall; the configuration
+changes. Callers keep their connections until the process is gone; some take
+their streams up at other hosts. At the end, what callers and workers received
+is checked against the guarantees.
 
 Usage: proxysoak.py [--seed N] [--runs N] [--seconds S] [--hosts N]
                     [--regressions]
@@ -310,16 +311,29 @@
 
     async def drill(self):
         """The store comes back from a copy, whose leases run on and whose ids are
-        given out again; the leader or all hosts are lost meanwhile, or none."""
+        given out again. Before it turns the leader away, so that another host
+        leads, or the leader or all hosts are killed, or neither."""
         rand, store = self.drill_rand, self.rig.store
         copy = store.copy()
-        await asyncio.sleep(rand.uniform(0.3, 4))
-        lost = rand.choice([[], [], self.last_leader(), self.rig.hosts])
-        self.record("drill, lost: %s" % [host.name for host in lost])
+        kind = rand.choice(["alone", "turned away", "leader lost", "all lost"])
+        leaders, lost = self.last_leader(), []
+        self.record("drill: %s %s" % (kind, [h.name for h in leaders]))
+        if kind == "turned away":
+            for host in leaders:
+                store.faults[host.name] = "unavailable"
+            await asyncio.sleep(rand.uniform(3.5, 5))
+        else:
+            await asyncio.sleep(rand.uniform(0.3, 4))
+        if kind == "leader lost":
+            lost = self.last_leader()
+        elif kind == "all lost":
+            lost = self.rig.hosts
         store.faults[None] = rand.choice(["unavailable", "reset", "silent"])
         began = time.monotonic()
         processes = [self.kill(host) for host in lost]
         await asyncio.sleep(rand.uniform(0.1, 1.5))
+        for host in leaders:
+            store.faults.pop(host.name, None)
         store.faults.pop(None, None)
         store.restore_copy(copy)
         await asyncio.sleep(rand.uniform(0, 1.5))
